Add telemetry and the load tool

Cause: goodput and histograms by class could not be measured. Ruled out: closed-loop load, which hides queueing by slowing down with the system. Before: curl only. Conclusion: use it for every later measurement on real processes.

--- /dev/null
+++ b/internal/load/directory.go
@@ -0,0 +1,88 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
+)
+
+// errNoAddress means that no known address answered.
+var errNoAddress = errors.New("load: no entry gave addresses")
+
+// directory keeps the addresses that the system gave to one customer, for as
+// long as the answer says.
+type directory struct {
+	http      *http.Client
+	bootstrap []string
+	customer  string
+
+	mu      sync.Mutex // guards the fields below
+	known   []string
+	expires time.Time
+}
+
+func newDirectory(client *http.Client, bootstrap []string, customer string) *directory {
+	return &directory{http: client, bootstrap: bootstrap, customer: customer}
+}
+
+// addresses returns base URLs in the order to try them.
+func (d *directory) addresses(ctx context.Context) ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if time.Now().Before(d.expires) {
+		return d.known, nil
+	}
+	for _, base := range slices.Concat(d.known, d.bootstrap) {
+		answer, err := d.ask(ctx, base)
+		if err != nil || len(answer.Addresses) == 0 {
+			continue
+		}
+		d.known = baseURLs(answer.Addresses)
+		d.expires = time.Now().Add(time.Duration(answer.TTLSeconds * float64(time.Second)))
+		return d.known, nil
+	}
+	if len(d.known) > 0 {
+		return d.known, nil
+	}
+	return nil, errNoAddress
+}
+
+func (d *directory) ask(ctx context.Context, base string) (callerhttp.AddressAnswer, error) {
+	var answer callerhttp.AddressAnswer
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/addresses", nil)
+	if err != nil {
+		return answer, fmt.Errorf("make address request to %s: %w", base, err)
+	}
+	request.Header.Set(callerhttp.HeaderCustomer, d.customer)
+	response, err := d.http.Do(request)
+	if err != nil {
+		return answer, fmt.Errorf("ask %s for addresses: %w", base, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return answer, fmt.Errorf("ask %s for addresses: status %d", base, response.StatusCode)
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return answer, fmt.Errorf("decode addresses of %s: %w", base, err)
+	}
+	return answer, nil
+}
+
+func baseURLs(addresses []string) []string {
+	out := make([]string, len(addresses))
+	for i, address := range addresses {
+		out[i] = address
+		if !strings.Contains(address, "://") {
+			out[i] = "http://" + address
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,180 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// maxRecorded bounds recorded durations, in microseconds.
+	maxRecorded = int64(time.Hour / time.Microsecond)
+	// precision is the number of significant digits that are kept.
+	precision = 3
+)
+
+// Report sums up a run.
+type Report struct {
+	Seed uint64 `json:"seed"`
+	// Offered and Good are worth; Goodput is their ratio.
+	Offered float64 `json:"offered_worth"`
+	Good    float64 `json:"good_worth"`
+	Goodput float64 `json:"goodput"`
+	// Doubled counts calls that ran more than once and FalseNotRun calls
+	// that ran although their caller was told they had not.
+	Doubled     int           `json:"doubled"`
+	FalseNotRun int           `json:"false_not_run"`
+	Classes     []ClassReport `json:"classes"`
+	// Lateness tells how late the tool itself started requests, in
+	// milliseconds; a late tool makes the figures doubtful.
+	Lateness Percentiles `json:"lateness_ms"`
+	// RoleChanges counts engine role changes during the run, if known.
+	RoleChanges *int `json:"role_changes,omitempty"`
+}
+
+// ClassReport sums up one class of work.
+type ClassReport struct {
+	Class    string `json:"class"`
+	Requests int    `json:"requests"`
+	// InTime counts whole answers within the expected wait.
+	InTime  int          `json:"in_time"`
+	Kinds   map[Kind]int `json:"kinds"`
+	Resumes int          `json:"resumes"`
+	// Refusals counts the final refusals by title and execution.
+	Refusals map[string]int `json:"refusals,omitempty"`
+	Offered  float64        `json:"offered_worth"`
+	Good     float64        `json:"good_worth"`
+	// Percentiles of durations in milliseconds.
+	FirstToken    Percentiles `json:"first_token_ms"`
+	BetweenTokens Percentiles `json:"between_tokens_ms"`
+	Whole         Percentiles `json:"whole_ms"`
+	Refusal       Percentiles `json:"refusal_ms"`
+
+	firstToken, betweenTokens, whole, refusal *hdrhistogram.Histogram
+}
+
+// Percentiles of a set of durations, in milliseconds.
+type Percentiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+}
+
+// NewReport sums up results; runs holds the executions by key as the fake
+// services recorded them.
+func NewReport(seed uint64, results []Result, runs map[string]int) *Report {
+	report := &Report{Seed: seed}
+	classes := make(map[string]*ClassReport)
+	lateness := newHistogram()
+	for i := range results {
+		r := &results[i]
+		name := r.Arrival.class()
+		if classes[name] == nil {
+			classes[name] = newClassReport(name)
+		}
+		classes[name].add(r)
+		record(lateness, r.Lateness)
+	}
+	report.Lateness = percentiles(lateness)
+	for _, c := range classes {
+		c.close()
+		report.Offered += c.Offered
+		report.Good += c.Good
+		report.Classes = append(report.Classes, *c)
+	}
+	slices.SortFunc(report.Classes, func(a, b ClassReport) int {
+		if a.Class < b.Class {
+			return -1
+		}
+		return 1
+	})
+	if report.Offered > 0 {
+		report.Goodput = report.Good / report.Offered
+	}
+	report.Doubled, report.FalseNotRun = judgeCalls(results, runs)
+	return report
+}
+
+func newClassReport(name string) *ClassReport {
+	return &ClassReport{
+		Class:         name,
+		Kinds:         make(map[Kind]int),
+		Refusals:      make(map[string]int),
+		firstToken:    newHistogram(),
+		betweenTokens: newHistogram(),
+		whole:         newHistogram(),
+		refusal:       newHistogram(),
+	}
+}
+
+func (c *ClassReport) add(r *Result) {
+	worth, _ := r.Arrival.worth()
+	c.Requests++
+	c.Offered += worth
+	c.Kinds[r.Kind]++
+	c.Resumes += r.Resumes
+	if r.good() {
+		c.InTime++
+		c.Good += worth
+	}
+	switch r.Kind {
+	case Whole:
+		record(c.firstToken, r.FirstToken)
+		record(c.whole, r.Took)
+		for _, gap := range r.Gaps {
+			record(c.betweenTokens, gap)
+		}
+	case Refused:
+		c.Refusals[fmt.Sprintf("%s (status %d, executed %s)", r.Problem, r.Status, r.Executed)]++
+		record(c.refusal, r.Refusal)
+	}
+}
+
+func (c *ClassReport) close() {
+	c.FirstToken = percentiles(c.firstToken)
+	c.BetweenTokens = percentiles(c.betweenTokens)
+	c.Whole = percentiles(c.whole)
+	c.Refusal = percentiles(c.refusal)
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxRecorded, precision)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// A duration above the bound is recorded as the bound.
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), maxRecorded))
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	at := func(p float64) float64 { return float64(h.ValueAtPercentile(p)) / 1000 }
+	if h.TotalCount() == 0 {
+		return Percentiles{}
+	}
+	return Percentiles{Count: h.TotalCount(), P50: at(50), P95: at(95), P99: at(99), Max: float64(h.Max()) / 1000}
+}
+
+// Print writes the report as a table.
+func (r *Report) Print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "%-24s %8s %8s %8s %8s %6s %6s  %-18s %-18s %-18s\n", "class", "requests", "in time", "whole",
+		"refused", "cut", "wrong", "first token ms", "between ms", "whole ms")
+	for _, c := range r.Classes {
+		_, _ = fmt.Fprintf(w, "%-24s %8d %8d %8d %8d %6d %6d  %-18s %-18s %-18s\n", c.Class, c.Requests, c.InTime, c.Kinds[Whole],
+			c.Kinds[Refused], c.Kinds[Cut], c.Kinds[Wrong], c.FirstToken, c.BetweenTokens, c.Whole)
+	}
+	_, _ = fmt.Fprintf(w, "goodput %.1f%% of the offered worth; calls run twice: %d; false \"not run\": %d", 100*r.Goodput, r.Doubled, r.FalseNotRun)
+	if r.RoleChanges != nil {
+		_, _ = fmt.Fprintf(w, "; role changes: %d", *r.RoleChanges)
+	}
+	_, _ = fmt.Fprintf(w, "; requests started late by %s ms\n", r.Lateness)
+}
+
+// String gives the median and the 95th percentile.
+func (p Percentiles) String() string {
+	return fmt.Sprintf("%.0f / %.0f", p.P50, p.P95)
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,120 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// progressInterval is the time between two progress lines.
+	progressInterval = time.Second
+	// connsPerHost bounds the idle connections to one entry.
+	connsPerHost = 256
+)
+
+// Runner runs a mix against a deployment.
+type Runner struct {
+	mix      *Mix
+	http     *http.Client
+	progress io.Writer
+
+	directories map[string]*directory
+
+	started  atomic.Int64
+	finished atomic.Int64
+	whole    atomic.Int64
+	refused  atomic.Int64
+}
+
+// NewRunner returns a runner that writes a progress line to progress.
+func NewRunner(m *Mix, client *http.Client, progress io.Writer) *Runner {
+	return &Runner{mix: m, http: client, progress: progress, directories: make(map[string]*directory)}
+}
+
+// NewHTTPClient returns a client that suits many concurrent callers.
+func NewHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connsPerHost}}
+}
+
+// Run sends all arrivals at their times and returns the results, in order of
+// arrival. When ctx ends, no further request is started and those in progress
+// are given up.
+func (r *Runner) Run(ctx context.Context) []Result {
+	arrivals := Arrivals(r.mix)
+	results := make([]Result, len(arrivals))
+	for i := range arrivals {
+		r.directory(arrivals[i].Customer)
+	}
+	stop := r.reportProgress(len(arrivals))
+	defer stop()
+	start := time.Now()
+	var wait sync.WaitGroup
+	count := 0
+	for i := range arrivals {
+		a := &arrivals[i]
+		if !sleep(ctx, time.Until(start.Add(a.At))) {
+			break
+		}
+		count++
+		r.started.Add(1)
+		wait.Go(func() {
+			results[i] = r.call(ctx, a, start.Add(a.At))
+		})
+	}
+	wait.Wait()
+	return results[:count]
+}
+
+func (r *Runner) call(ctx context.Context, a *Arrival, due time.Time) Result {
+	c := &caller{
+		http:      r.http,
+		directory: r.directories[a.Customer],
+		maxTries:  r.mix.MaxTries,
+		verify:    r.mix.VerifyTokens,
+	}
+	result := c.run(ctx, a, due)
+	r.finished.Add(1)
+	switch result.Kind {
+	case Whole:
+		r.whole.Add(1)
+	case Refused:
+		r.refused.Add(1)
+	}
+	return result
+}
+
+func (r *Runner) directory(customer string) {
+	if r.directories[customer] == nil {
+		r.directories[customer] = newDirectory(r.http, r.mix.Bootstrap, customer)
+	}
+}
+
+// reportProgress writes a line each second until the returned function is
+// called.
+func (r *Runner) reportProgress(total int) (stop func()) {
+	done := make(chan struct{})
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		ticker := time.NewTicker(progressInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				_, _ = fmt.Fprintln(r.progress)
+				return
+			case <-ticker.C:
+				_, _ = fmt.Fprintf(r.progress, "\r%d of %d started, %d finished, %d whole, %d refused",
+					r.started.Load(), total, r.finished.Load(), r.whole.Load(), r.refused.Load())
+			}
+		}
+	})
+	return func() {
+		close(done)
+		wait.Wait()
+	}
+}
--- /dev/null
+++ b/internal/telemetry/requests.go
@@ -0,0 +1,109 @@
+package telemetry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// maxCustomers bounds the customers that get histograms of their own; the
+// rest share one series, so that memory stays bounded.
+const maxCustomers = 4096
+
+// otherCustomers is the customer tag of that shared series.
+const otherCustomers = "other"
+
+// durationBuckets are the upper bounds of all duration histograms.
+var durationBuckets = tally.DurationBuckets{
+	1 * time.Millisecond,
+	2 * time.Millisecond,
+	5 * time.Millisecond,
+	10 * time.Millisecond,
+	20 * time.Millisecond,
+	50 * time.Millisecond,
+	74 * time.Millisecond,
+	100 * time.Millisecond,
+	200 * time.Millisecond,
+	380 * time.Millisecond,
+	500 * time.Millisecond,
+	1 * time.Second,
+	2 * time.Second,
+	5 * time.Second,
+	10 * time.Second,
+	20 * time.Second,
+	50 * time.Second,
+	100 * time.Second,
+}
+
+// Requests holds the histograms of requests by team and class, and by
+// customer. It is safe for concurrent use.
+type Requests struct {
+	scope     tally.Scope
+	classes   sync.Map // classKey to *ClassSeries
+	customers sync.Map // customer name to tally.Histogram
+	count     atomic.Int64
+}
+
+type classKey struct {
+	team  string
+	class string
+}
+
+// ClassSeries holds the histograms of one class of one team.
+type ClassSeries struct {
+	// Queue is the time from a request's arrival to its dispatch.
+	Queue tally.Histogram
+	// FirstToken is the time from arrival to the first token sent.
+	FirstToken tally.Histogram
+	// BetweenTokens is the time between two tokens sent.
+	BetweenTokens tally.Histogram
+	// Whole is the time from arrival to the end of the answer.
+	Whole tally.Histogram
+
+	scope tally.Scope
+}
+
+// NewRequests returns empty histograms under the given scope.
+func NewRequests(scope tally.Scope) *Requests {
+	return &Requests{scope: scope}
+}
+
+// Class returns the series of a class. Callers keep it for a request's life.
+func (r *Requests) Class(team, class string) *ClassSeries {
+	key := classKey{team: team, class: class}
+	if series, ok := r.classes.Load(key); ok {
+		return series.(*ClassSeries)
+	}
+	scope := r.scope.Tagged(map[string]string{"team": team, "class": class})
+	series, _ := r.classes.LoadOrStore(key, &ClassSeries{
+		Queue:         scope.Histogram("request_queue", durationBuckets),
+		FirstToken:    scope.Histogram("request_first_token", durationBuckets),
+		BetweenTokens: scope.Histogram("request_between_tokens", durationBuckets),
+		Whole:         scope.Histogram("request_whole", durationBuckets),
+		scope:         scope,
+	})
+	return series.(*ClassSeries)
+}
+
+// Refused counts a refusal of the given kind.
+func (s *ClassSeries) Refused(kind string) {
+	s.scope.Tagged(map[string]string{"kind": kind}).Counter("request_refused").Inc(1)
+}
+
+// Customer returns the histogram of whole times of a customer.
+func (r *Requests) Customer(name string) tally.Histogram {
+	if histogram, ok := r.customers.Load(name); ok {
+		return histogram.(tally.Histogram)
+	}
+	if r.count.Load() >= maxCustomers {
+		name = otherCustomers
+	}
+	scope := r.scope.Tagged(map[string]string{"customer": name})
+	histogram, known := r.customers.LoadOrStore(name, scope.Histogram("customer_whole", durationBuckets))
+	if !known {
+		r.count.Add(1)
+	}
+	return histogram.(tally.Histogram)
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,70 @@
+package telemetry
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+func serveAdmin(t *testing.T, a *Admin, method, path, body string) *httptest.ResponseRecorder {
+	t.Helper()
+	mux := http.NewServeMux()
+	a.Register(mux)
+	recorder := httptest.NewRecorder()
+	mux.ServeHTTP(recorder, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return recorder
+}
+
+func TestMetricsByTeamAndClass(t *testing.T) {
+	m := NewMetrics("entry", "entry-1", hclog.NewNullLogger())
+	r := NewRequests(m.Scope)
+	r.Class("desk", "quote").FirstToken.RecordDuration(30 * time.Millisecond)
+	r.Class("desk", "quote").Refused("overloaded")
+	if err := m.Close(); err != nil {
+		t.Fatal(err)
+	}
+	text := serveAdmin(t, &Admin{Metrics: m}, http.MethodGet, "/metrics", "").Body.String()
+	for _, want := range []string{
+		`lagoonshift_request_first_token_bucket{class="quote",process="entry-1",role="entry",team="desk",le="0.05"} 1`,
+		`lagoonshift_request_refused{class="quote",kind="overloaded"`,
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("metrics lack %s in:\n%s", want, text)
+		}
+	}
+}
+
+func TestCustomersAreBounded(t *testing.T) {
+	m := NewMetrics("entry", "entry-1", hclog.NewNullLogger())
+	r := NewRequests(m.Scope)
+	for i := range maxCustomers + 10 {
+		r.Customer(fmt.Sprint("customer-", i))
+	}
+	if got := r.count.Load(); got != maxCustomers+1 {
+		t.Errorf("series = %d, want %d", got, maxCustomers+1)
+	}
+}
+
+func TestLogLevelChangesWhileRunning(t *testing.T) {
+	a := &Admin{Metrics: NewMetrics("entry", "e", hclog.NewNullLogger()), Log: NewLogger("e", "info", false)}
+	if code := serveAdmin(t, a, http.MethodPut, "/v1/log-level", "loud").Code; code != http.StatusBadRequest {
+		t.Errorf("wrong level: status %d", code)
+	}
+	serveAdmin(t, a, http.MethodPut, "/v1/log-level", "debug\n")
+	if !a.Log.IsDebug() {
+		t.Error("level did not change to debug")
+	}
+}
+
+func TestReadiness(t *testing.T) {
+	a := &Admin{Metrics: NewMetrics("entry", "e", hclog.NewNullLogger()), Ready: func() error { return errors.New("no lease") }}
+	if code := serveAdmin(t, a, http.MethodGet, "/readyz", "").Code; code != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", code)
+	}
+}
