--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,61 @@
+// Package examples checks that the example files are valid.
+package examples
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/lagoonshift/lagoonshift/internal/deployment"
+	"github.com/lagoonshift/lagoonshift/internal/load"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+var folders = []string{"reseat-works", "tui-lane"}
+
+func TestDeploymentFiles(t *testing.T) {
+	for _, folder := range folders {
+		d, err := deployment.Load(filepath.Join(folder, "deployment.jsonc"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d.Name != folder || len(d.Control) != 3 || len(d.Entries) != 8 {
+			t.Errorf("%s: %d control and %d entry processes, want 3 and 8", d.Name, len(d.Control), len(d.Entries))
+		}
+	}
+}
+
+func TestMixFiles(t *testing.T) {
+	for _, folder := range folders {
+		if _, err := load.LoadMix(filepath.Join(folder, "mix.jsonc")); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestSettingsFiles(t *testing.T) {
+	for _, folder := range folders {
+		content, err := os.ReadFile(filepath.Join(folder, "settings.jsonc"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		standard, err := hujson.Standardize(content)
+		if err != nil {
+			t.Fatalf("%s: %v", folder, err)
+		}
+		var subtrees map[string]json.RawMessage
+		if err := json.Unmarshal(standard, &subtrees); err != nil {
+			t.Fatalf("%s: %v", folder, err)
+		}
+		tree := settings.NewTree()
+		for path, subtree := range subtrees {
+			tree.Subtrees[path] = settings.Subtree{Version: 1, Content: subtree}
+		}
+		if _, err := tree.Configuration(); err != nil {
+			t.Errorf("%s: %v", folder, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/tlsfiles/tlsfiles.go
@@ -0,0 +1,199 @@
+// Package tlsfiles makes TLS configurations from key files and takes up
+// changed files for new connections, without cutting old ones.
+package tlsfiles
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// checkInterval is the shortest time between two looks at the files.
+const checkInterval = time.Second
+
+// Files names the PEM files of one listener or client.
+type Files struct {
+	// Certificate and Key are the own certificate chain and private key.
+	Certificate string
+	Key         string
+	// Authority holds the certificates of the authorities whose peers are
+	// trusted. It is empty where callers prove who they are by a token.
+	Authority string
+}
+
+// material is what the files held when they were read last.
+type material struct {
+	certificate tls.Certificate
+	authority   *x509.CertPool
+	modified    time.Time
+}
+
+// Source holds the newest valid content of a set of files. It is safe for
+// concurrent use.
+type Source struct {
+	files   Files
+	current atomic.Pointer[material]
+	checked atomic.Int64 // Unix nanoseconds of the last look
+	// now and failed are replaced in tests.
+	now    func() time.Time
+	failed func(error)
+}
+
+// Open reads the files. Later changes are taken up at the next handshake; if
+// changed files can't be read, the old content stays in use and failed is
+// called with the error.
+func Open(files Files, failed func(error)) (*Source, error) {
+	s := &Source{files: files, now: time.Now, failed: failed}
+	m, err := read(files)
+	if err != nil {
+		return nil, err
+	}
+	s.current.Store(m)
+	s.checked.Store(s.now().UnixNano())
+	return s, nil
+}
+
+// Server returns the configuration of a listener. With an authority, callers
+// must present a certificate that it signed.
+func (s *Source) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{"h2", "http/1.1"},
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return serverConfig(s.load()), nil
+		},
+	}
+}
+
+func serverConfig(m *material) *tls.Config {
+	c := &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{"h2", "http/1.1"},
+		Certificates: []tls.Certificate{m.certificate},
+	}
+	if m.authority != nil {
+		c.ClientAuth = tls.RequireAndVerifyClientCert
+		c.ClientCAs = m.authority
+	}
+	return c
+}
+
+// Client returns the configuration of a client that presents the certificate
+// and trusts the authority.
+func (s *Source) Client() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &s.load().certificate, nil
+		},
+		// The standard check can't change its authority while in use;
+		// VerifyConnection makes the same check against the newest one.
+		InsecureSkipVerify: true,
+		VerifyConnection:   s.verify,
+	}
+}
+
+var errNoAuthority = errors.New("tlsfiles: no authority to check the server against")
+
+func (s *Source) verify(state tls.ConnectionState) error {
+	authority := s.load().authority
+	if authority == nil {
+		return errNoAuthority
+	}
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("tlsfiles: server showed no certificate")
+	}
+	options := x509.VerifyOptions{
+		Roots:         authority,
+		DNSName:       state.ServerName,
+		Intermediates: x509.NewCertPool(),
+	}
+	for _, c := range state.PeerCertificates[1:] {
+		options.Intermediates.AddCert(c)
+	}
+	if _, err := state.PeerCertificates[0].Verify(options); err != nil {
+		return fmt.Errorf("verify server %s: %w", state.ServerName, err)
+	}
+	return nil
+}
+
+// load returns the newest valid content.
+func (s *Source) load() *material {
+	last := s.checked.Load()
+	now := s.now().UnixNano()
+	if now-last < int64(checkInterval) || !s.checked.CompareAndSwap(last, now) {
+		return s.current.Load()
+	}
+	if err := s.reload(); err != nil {
+		s.failed(err)
+	}
+	return s.current.Load()
+}
+
+func (s *Source) reload() error {
+	modified, err := newest(s.files)
+	if err != nil {
+		return err
+	}
+	if modified.Equal(s.current.Load().modified) {
+		return nil
+	}
+	m, err := read(s.files)
+	if err != nil {
+		return err
+	}
+	s.current.Store(m)
+	return nil
+}
+
+func read(files Files) (*material, error) {
+	modified, err := newest(files)
+	if err != nil {
+		return nil, err
+	}
+	certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	if err != nil {
+		return nil, fmt.Errorf("read certificate %s and key %s: %w", files.Certificate, files.Key, err)
+	}
+	m := &material{certificate: certificate, modified: modified}
+	if files.Authority == "" {
+		return m, nil
+	}
+	m.authority, err = ReadPool(files.Authority)
+	return m, err
+}
+
+// ReadPool reads the authorities' certificates in a PEM file.
+func ReadPool(path string) (*x509.CertPool, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(content) {
+		return nil, fmt.Errorf("read authority %s: no certificate in PEM form", path)
+	}
+	return pool, nil
+}
+
+// newest returns the latest modification time of the files.
+func newest(files Files) (time.Time, error) {
+	var latest time.Time
+	for _, path := range []string{files.Certificate, files.Key, files.Authority} {
+		if path == "" {
+			continue
+		}
+		info, err := os.Stat(path)
+		if err != nil {
+			return time.Time{}, fmt.Errorf("look at key file: %w", err)
+		}
+		if info.ModTime().After(latest) {
+			latest = info.ModTime()
+		}
+	}
+	return latest, nil
+}
--- /dev/null
+++ b/internal/transport/tlsfiles/tlsfiles_test.go
@@ -0,0 +1,173 @@
+package tlsfiles
+
+import (
+	"crypto/tls"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/keys"
+)
+
+const validity = time.Hour
+
+// issue makes an authority and a key pair for 127.0.0.1 in a new folder.
+func issue(t *testing.T) Files {
+	t.Helper()
+	folder := filepath.Join(t.TempDir(), "keys")
+	a, err := keys.Create(folder, "test", validity)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Issue("entry-1", []net.IP{net.IPv4(127, 0, 0, 1)}, validity); err != nil {
+		t.Fatal(err)
+	}
+	return Files{
+		Certificate: filepath.Join(folder, "entry-1.pem"),
+		Key:         filepath.Join(folder, "entry-1.key"),
+		Authority:   filepath.Join(folder, keys.AuthorityName+".pem"),
+	}
+}
+
+func open(t *testing.T, files Files) *Source {
+	t.Helper()
+	s, err := Open(files, func(err error) { t.Error(err) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// echo serves one connection after the other until the listener closes.
+func echo(t *testing.T, config *tls.Config) string {
+	t.Helper()
+	listener, err := tls.Listen("tcp", "127.0.0.1:0", config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// manualTime is a wall time that tests move.
+type manualTime struct {
+	nanos atomic.Int64
+}
+
+func newManualTime() *manualTime {
+	m := &manualTime{}
+	m.nanos.Store(time.Now().UnixNano())
+	return m
+}
+
+func (m *manualTime) read() time.Time { return time.Unix(0, m.nanos.Load()) }
+
+func (m *manualTime) advance(d time.Duration) { m.nanos.Add(int64(d)) }
+
+func ping(conn net.Conn) error {
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	return err
+}
+
+func dial(address string, config *tls.Config) (*tls.Conn, error) {
+	conn, err := tls.Dial("tcp", address, config)
+	if err != nil {
+		return nil, err
+	}
+	return conn, ping(conn)
+}
+
+func TestMutualTLS(t *testing.T) {
+	s := open(t, issue(t))
+	address := echo(t, s.Server())
+	if _, err := dial(address, s.Client()); err != nil {
+		t.Errorf("peer of the same authority: %v", err)
+	}
+	stranger := open(t, issue(t))
+	if _, err := dial(address, stranger.Client()); err == nil {
+		t.Error("peer of another authority was let in")
+	}
+	if _, err := dial(address, &tls.Config{InsecureSkipVerify: true}); err == nil {
+		t.Error("peer without certificate was let in")
+	}
+}
+
+func TestReloadKeepsConnections(t *testing.T) {
+	files := issue(t)
+	server := open(t, files)
+	now := newManualTime()
+	server.now = now.read
+	address := echo(t, server.Server())
+	old, err := dial(address, open(t, files).Client())
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := issue(t)
+	replace(t, files, next, now.read().Add(time.Minute))
+	now.advance(2 * checkInterval)
+	if _, err := dial(address, open(t, next).Client()); err != nil {
+		t.Errorf("new connection after the change: %v", err)
+	}
+	if err := ping(old); err != nil {
+		t.Errorf("old connection was cut: %v", err)
+	}
+}
+
+func TestBrokenFilesKeepTheOldContent(t *testing.T) {
+	files := issue(t)
+	client := open(t, files).Client()
+	failures := 0
+	server, err := Open(files, func(error) { failures++ })
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := newManualTime()
+	server.now = now.read
+	address := echo(t, server.Server())
+	if err := os.WriteFile(files.Certificate, []byte("broken"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Chtimes(files.Certificate, now.read(), now.read().Add(time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	now.advance(2 * checkInterval)
+	if _, err := dial(address, client); err != nil {
+		t.Errorf("connection with the old content: %v", err)
+	}
+	if failures == 0 {
+		t.Error("the broken file was not reported")
+	}
+}
+
+// replace copies the content of one set of files over another.
+func replace(t *testing.T, to, from Files, modified time.Time) {
+	t.Helper()
+	for target, source := range map[string]string{to.Certificate: from.Certificate, to.Key: from.Key, to.Authority: from.Authority} {
+		content, err := os.ReadFile(source)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(target, content, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chtimes(target, modified, modified); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
