--- a/cmd/lagoonshift/processes.go
+++ b/cmd/lagoonshift/processes.go
@@ -11,6 +11,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
 	"github.com/lagoonshift/lagoonshift/internal/role/controlrole"
 	"github.com/lagoonshift/lagoonshift/internal/role/entryrole"
+	"github.com/lagoonshift/lagoonshift/internal/telemetry"
 )
 
 // settingsError marks an error in a settings file.
@@ -50,12 +51,7 @@
 		if err != nil {
 			return &settingsError{err: err}
 		}
-		log := hclog.New(&hclog.LoggerOptions{
-			Name:       f.name,
-			Level:      hclog.LevelFromString(d.Log.Level),
-			JSONFormat: d.Log.JSON,
-		})
-		return r(ctx, d, f.name, log)
+		return r(ctx, d, f.name, telemetry.NewLogger(f.name, d.Log.Level, d.Log.JSON))
 	}
 }
 
--- a/internal/role/entryrole/entry.go
+++ b/internal/role/entryrole/entry.go
@@ -16,6 +16,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/telemetry"
 	"github.com/lagoonshift/lagoonshift/internal/transport/backendhttp"
 	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
@@ -37,6 +38,7 @@
 	lease       *lease.Holder
 	tracker     *routing.Tracker
 	backends    *backendhttp.Client
+	metrics     *telemetry.Metrics
 	log         hclog.Logger
 }
 
@@ -59,6 +61,7 @@
 	group.Go(func() error { return every(ctx, renewInterval, e.renew) })
 	group.Go(func() error { return every(ctx, loadInterval, e.pollLoads) })
 	group.Go(func() error { return serve.HTTP(ctx, self.CallerAddress, e.callerServer(d).Handler()) })
+	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, e.adminHandler()) })
 	log.Info("entry started", "caller_address", self.CallerAddress, "settings_version", e.settings.Load().Version)
 	return group.Wait()
 }
@@ -73,6 +76,7 @@
 		lease:       lease.NewHolder(c),
 		tracker:     routing.NewTracker(c),
 		backends:    backendhttp.New(),
+		metrics:     telemetry.NewMetrics("entry", self.Name, log),
 		log:         log,
 	}
 }
--- /dev/null
+++ b/scripts/deployment.sh
@@ -0,0 +1,82 @@
+#!/usr/bin/env bash
+# Starts a whole local deployment on loopback addresses: stand-ins for engines
+# and services, three control processes and eight entries. Ctrl-C stops it.
+#
+#   scripts/deployment.sh reseat-works|tui-lane
+#
+# With READY_FILE set, that file is made once the deployment serves.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+name=${1:?name of the example: reseat-works or tui-lane}
+example=examples/$name
+case $name in
+  reseat-works) net=127.0.1 engines=12 model=drafting ;;
+  tui-lane) net=127.0.2 engines=18 model=gardens ;;
+  *) echo "no example named $name" >&2; exit 2 ;;
+esac
+services=3
+controls=3
+entries=8
+admin=http://$net.1:7401
+logs=out/$name
+binary=bin/lagoonshift
+
+mkdir -p "$logs" data
+go build -o $binary ./cmd/lagoonshift
+$binary check $example/deployment.jsonc
+
+pids=()
+# stop ends entries first, then control, then the stand-ins, so that no
+# request is cut.
+stop() {
+  trap - EXIT INT TERM
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+    kill -TERM "${pids[$i]}" 2>/dev/null || true
+  done
+  wait
+}
+trap stop EXIT
+trap 'exit 0' INT TERM
+
+# start runs one process in the background with its own log file.
+start() {
+  local log=$logs/$1.log
+  shift
+  $binary "$@" >>"$log" 2>&1 &
+  pids+=($!)
+}
+
+# await repeats a command until it succeeds.
+await() {
+  for _ in $(seq 200); do
+    if "$@" >/dev/null 2>&1; then return; fi
+    sleep 0.1
+  done
+  echo "gave up waiting for: $*" >&2
+  exit 1
+}
+
+for i in $(seq $engines); do
+  start engine-$i fake engine --listen $net.$((100 + i)):9000 --name "$(printf 'engine-%02d' "$i")" --model $model
+done
+for i in $(seq $services); do
+  start service-$i fake service --listen $net.$((150 + i)):9100
+done
+if [ ! -d data/"$name"/control-1 ]; then
+  $binary control init --deployment $example/deployment.jsonc --name control-1
+fi
+for i in $(seq $controls); do
+  start control-$i control --deployment $example/deployment.jsonc --name control-$i
+done
+await curl -fs $admin/readyz
+$binary config apply --admin $admin $example/settings.jsonc
+for i in $(seq $entries); do
+  start entry-$i entry --deployment $example/deployment.jsonc --name entry-$i
+done
+for i in $(seq $entries); do
+  await curl -fs http://$net.$((10 + i)):8081/readyz
+done
+echo "$name serves at $net.11:8080 to $net.$((10 + entries)):8080; administration at $admin; logs in $logs"
+if [ -n "${READY_FILE:-}" ]; then : >"$READY_FILE"; fi
+wait
