Key files in the static settings and a command that makes them

Cause: TLS needs to be set for each listener, and small operators have no authority at hand. Ruled out: one key for all processes, since a stolen one could not be told. Before: none. Conclusion: wire into listeners after the role packages settle.

--- a/cmd/lagoonshift/main.go
+++ b/cmd/lagoonshift/main.go
@@ -26,6 +26,7 @@
 	addEntry(app, commands)
 	addCheck(app, commands)
 	addConfig(app, commands)
+	addKeys(app, commands)
 	addLoad(app, commands)
 	addFake(app, commands)
 
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
 
 	"github.com/lagoonshift/lagoonshift/internal/strictjson"
+	"github.com/lagoonshift/lagoonshift/internal/transport/tlsfiles"
 )
 
 // Deployment is the content of a deployment file.
@@ -28,6 +30,41 @@
 	Platform string `json:"platform,omitempty"`
 	// Log configures logging for every process.
 	Log Log `json:"log"`
+	// TLS names the key files of the listeners; a listener without any
+	// speaks plain TCP.
+	TLS TLS `json:"tls,omitempty"`
+}
+
+// TLS holds the key files by listener. In each path "{name}" stands for the
+// name of the process.
+type TLS struct {
+	// Callers is for the caller API and Administration for the
+	// administration addresses; their users prove who they are by tokens.
+	Callers        *KeyFiles `json:"callers,omitempty"`
+	Administration *KeyFiles `json:"administration,omitempty"`
+	// Peers is for connections between processes. Both sides must show a
+	// certificate of the authority.
+	Peers *KeyFiles `json:"peers,omitempty"`
+}
+
+// KeyFiles names PEM files.
+type KeyFiles struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	// Authority is needed for peers and otherwise optional.
+	Authority string `json:"authority,omitempty"`
+}
+
+// namePlaceholder stands for a process's name in the path of a key file.
+const namePlaceholder = "{name}"
+
+// For returns the files of the process with the given name.
+func (k *KeyFiles) For(name string) tlsfiles.Files {
+	return tlsfiles.Files{
+		Certificate: strings.ReplaceAll(k.Certificate, namePlaceholder, name),
+		Key:         strings.ReplaceAll(k.Key, namePlaceholder, name),
+		Authority:   strings.ReplaceAll(k.Authority, namePlaceholder, name),
+	}
 }
 
 // Control describes one control process.
@@ -105,6 +142,9 @@
 		c.address(at+"/caller_address", p.CallerAddress)
 		c.address(at+"/admin_address", p.AdminAddress)
 	}
+	c.keyFiles("/tls/callers", d.TLS.Callers, false)
+	c.keyFiles("/tls/administration", d.TLS.Administration, false)
+	c.keyFiles("/tls/peers", d.TLS.Peers, true)
 	return c.err
 }
 
@@ -167,6 +207,18 @@
 	}
 }
 
+func (c *checker) keyFiles(at string, k *KeyFiles, mutual bool) {
+	switch {
+	case k == nil:
+	case k.Certificate == "":
+		c.fail(at+"/certificate", "expected a file")
+	case k.Key == "":
+		c.fail(at+"/key", "expected a file")
+	case mutual && k.Authority == "":
+		c.fail(at+"/authority", "expected a file: both sides must show a certificate")
+	}
+}
+
 func (c *checker) address(at, address string) {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil || net.ParseIP(host) == nil {
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -25,6 +25,7 @@
 		{"doubled field", `"region": "r"`, `"region": "r", "region": "s"`, "/region: field is given twice"},
 		{"unknown zone", `"e1", "zone": "a"`, `"e1", "zone": "b"`, `:5: /entries/0/zone: zone "b" is not listed`},
 		{"overlapping address", "127.0.0.1:4", "127.0.0.1:1", "/entries/0/admin_address: address 127.0.0.1:1 is already used"},
+		{"peers without authority", `"region"`, `"tls": {"peers": {"certificate": "c", "key": "k"}}, "region"`, "/tls/peers/authority: expected a file"},
 		{"host name", "127.0.0.1:4", "localhost:4", "/entries/0/admin_address: expected IP:port"},
 	}
 	for _, test := range tests {
