--- /dev/null
+++ b/internal/state/disk/disk.go
@@ -0,0 +1,148 @@
+// Package disk is the narrow view of a data folder that the write-ahead log
+// and the snapshots need, so that tests can put faults beneath them.
+package disk
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// ErrLocked means that another process uses the folder.
+var ErrLocked = errors.New("disk: folder is in use by another process")
+
+const (
+	filePermission   = 0o600
+	folderPermission = 0o700
+	lockName         = "lock"
+)
+
+// Folder is a flat folder of files. Changes to the set of names last only
+// after Sync, content only after File.Sync.
+type Folder interface {
+	// Create makes a new file, open for writing; it fails if the name exists.
+	Create(name string) (File, error)
+	// OpenAppend opens an existing file for writing at its end.
+	OpenAppend(name string) (File, error)
+	ReadFile(name string) ([]byte, error)
+	// Rename gives a file another name, replacing the file that has it.
+	Rename(from, to string) error
+	Remove(name string) error
+	// List returns the names of all files, sorted.
+	List() ([]string, error)
+	// Sync makes all creations, renames and removals durable.
+	Sync() error
+	// Lock keeps other processes out until the result is closed. It fails
+	// with ErrLocked if one is in.
+	Lock() (io.Closer, error)
+}
+
+// File is an open file.
+type File interface {
+	io.Writer
+	// Sync makes the content durable.
+	Sync() error
+	// Truncate cuts the file to size bytes.
+	Truncate(size int64) error
+	Close() error
+}
+
+// OSFolder is a folder of the operating system.
+type OSFolder struct {
+	path string
+}
+
+// Open returns the folder at path and creates it if it is missing.
+func Open(path string) (*OSFolder, error) {
+	if err := os.MkdirAll(path, folderPermission); err != nil {
+		return nil, fmt.Errorf("create folder: %w", err)
+	}
+	if err := syncPath(filepath.Dir(path)); err != nil {
+		return nil, err
+	}
+	return &OSFolder{path: path}, nil
+}
+
+// Create implements Folder.
+func (f *OSFolder) Create(name string) (File, error) {
+	return open(f.join(name), os.O_WRONLY|os.O_CREATE|os.O_EXCL|os.O_APPEND)
+}
+
+// OpenAppend implements Folder.
+func (f *OSFolder) OpenAppend(name string) (File, error) {
+	return open(f.join(name), os.O_WRONLY|os.O_APPEND)
+}
+
+// ReadFile implements Folder.
+func (f *OSFolder) ReadFile(name string) ([]byte, error) {
+	return os.ReadFile(f.join(name))
+}
+
+// Rename implements Folder.
+func (f *OSFolder) Rename(from, to string) error {
+	return os.Rename(f.join(from), f.join(to))
+}
+
+// Remove implements Folder.
+func (f *OSFolder) Remove(name string) error {
+	return os.Remove(f.join(name))
+}
+
+// List implements Folder.
+func (f *OSFolder) List() ([]string, error) {
+	entries, err := os.ReadDir(f.path)
+	if err != nil {
+		return nil, fmt.Errorf("list folder: %w", err)
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+// Sync implements Folder.
+func (f *OSFolder) Sync() error {
+	return syncPath(f.path)
+}
+
+// Lock implements Folder. The kernel releases the lock of a dead process.
+func (f *OSFolder) Lock() (io.Closer, error) {
+	file, err := os.OpenFile(f.join(lockName), os.O_RDWR|os.O_CREATE, filePermission)
+	if err != nil {
+		return nil, fmt.Errorf("open lock: %w", err)
+	}
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = file.Close()
+		return nil, fmt.Errorf("%w: %s: %w", ErrLocked, f.path, err)
+	}
+	return file, nil
+}
+
+func (f *OSFolder) join(name string) string {
+	return filepath.Join(f.path, name)
+}
+
+// open returns a nil interface with an error, unlike os.OpenFile.
+func open(path string, flags int) (File, error) {
+	file, err := os.OpenFile(path, flags, filePermission)
+	if err != nil {
+		return nil, err
+	}
+	return file, nil
+}
+
+func syncPath(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("open folder to sync: %w", err)
+	}
+	defer folder.Close()
+	if err := folder.Sync(); err != nil {
+		return fmt.Errorf("sync folder: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/state/wal/frame.go
@@ -0,0 +1,107 @@
+package wal
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+)
+
+// A frame is what one sync makes durable: a header and a batch of records,
+// each with its length. A crash can damage the last frame only, because the
+// next one is written after the sync.
+const (
+	frameMagic = 0x4c53_5746
+	// Offsets of the header's fields, in bytes.
+	lengthAt      = 4
+	sequenceAt    = 8
+	checksumAt    = 16
+	frameHeader   = 20
+	maxFrameBytes = 64 << 20
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// errBadFrame means that the bytes at an offset are no whole frame.
+var errBadFrame = errors.New("wal: bad frame")
+
+// frame is a decoded frame.
+type frame struct {
+	sequence uint64
+	payload  []byte
+	// size is the whole frame's length in bytes.
+	size int
+}
+
+// appendFrame appends an encoded frame to out.
+func appendFrame(out []byte, sequence uint64, records [][]byte) []byte {
+	start := len(out)
+	out = binary.BigEndian.AppendUint32(out, frameMagic)
+	out = binary.BigEndian.AppendUint32(out, 0)
+	out = binary.BigEndian.AppendUint64(out, sequence)
+	out = binary.BigEndian.AppendUint32(out, 0)
+	for _, r := range records {
+		out = binary.AppendUvarint(out, uint64(len(r)))
+		out = append(out, r...)
+	}
+	header, payload := out[start:start+frameHeader], out[start+frameHeader:]
+	binary.BigEndian.PutUint32(header[lengthAt:], uint32(len(payload)))
+	binary.BigEndian.PutUint32(header[checksumAt:], checksum(header, payload))
+	return out
+}
+
+// checksum covers length, sequence and payload.
+func checksum(header, payload []byte) uint32 {
+	sum := crc32.Checksum(header[lengthAt:checksumAt], castagnoli)
+	return crc32.Update(sum, castagnoli, payload)
+}
+
+// decodeFrame decodes the frame at the start of b.
+func decodeFrame(b []byte) (frame, error) {
+	if len(b) < frameHeader || binary.BigEndian.Uint32(b) != frameMagic {
+		return frame{}, errBadFrame
+	}
+	length := int(binary.BigEndian.Uint32(b[lengthAt:]))
+	if length > maxFrameBytes || length > len(b)-frameHeader {
+		return frame{}, errBadFrame
+	}
+	payload := b[frameHeader : frameHeader+length]
+	if binary.BigEndian.Uint32(b[checksumAt:]) != checksum(b, payload) {
+		return frame{}, errBadFrame
+	}
+	return frame{
+		sequence: binary.BigEndian.Uint64(b[sequenceAt:]),
+		payload:  payload,
+		size:     frameHeader + length,
+	}, nil
+}
+
+// records splits a frame's payload.
+func (f frame) records() ([][]byte, error) {
+	var out [][]byte
+	rest := f.payload
+	for len(rest) > 0 {
+		length, n := binary.Uvarint(rest)
+		if n <= 0 || length > uint64(len(rest)-n) {
+			return nil, errBadFrame
+		}
+		rest = rest[n:]
+		out = append(out, rest[:length])
+		rest = rest[length:]
+	}
+	return out, nil
+}
+
+// hasFrameAfter reports whether a whole frame with a sequence from least on
+// starts anywhere behind the start of b. If so, what stands before it was
+// once synced and a later crash can't have torn it.
+func hasFrameAfter(b []byte, least uint64) bool {
+	for at := 1; at+frameHeader <= len(b); at++ {
+		if b[at] != frameMagic>>24 {
+			continue
+		}
+		if f, err := decodeFrame(b[at:]); err == nil && f.sequence >= least {
+			return true
+		}
+	}
+	return false
+}
