Add consensus core, its driver and its storage

Written from the Raft paper. The core takes instants with its events and does no input or output. A replica answers only after the sync; the leader sends entries to others while it syncs them itself.

--- /dev/null
+++ b/internal/coordination/raft/applier.go
@@ -0,0 +1,147 @@
+package raft
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+)
+
+// applier calls the state machine from one goroutine, apart from the loop, so
+// that a long snapshot delays no heartbeat.
+type applier struct {
+	machine    replog.StateMachine
+	storage    Storage
+	compaction Compaction
+	waiters    *waiters
+	// taken is told of each stored snapshot.
+	taken func(ctx context.Context, index uint64)
+
+	mu    sync.Mutex // guards queue
+	queue []work
+	// wake has room for one value.
+	wake chan struct{}
+
+	// The fields below belong to run's goroutine.
+	meta         SnapshotMeta
+	logBytes     int
+	snapshotSize int
+	isSettings   func([]byte) bool
+}
+
+// work is a snapshot to restore, or entries to apply.
+type work struct {
+	snapshot *Snapshot
+	entries  []Entry
+}
+
+func newApplier(o Options, w *waiters, taken func(context.Context, uint64)) *applier {
+	return &applier{
+		machine:    o.Machine,
+		storage:    o.Storage,
+		compaction: o.Compaction,
+		waiters:    w,
+		taken:      taken,
+		wake:       make(chan struct{}, 1),
+		isSettings: o.IsSettings,
+	}
+}
+
+// startAt notes the snapshot that the state machine holds.
+func (a *applier) startAt(s Snapshot) {
+	a.meta = s.Meta
+	a.snapshotSize = len(s.Data)
+	a.logBytes = 0
+	a.waiters.restored(s.Meta.Index)
+}
+
+// add queues the work of a Ready.
+func (a *applier) add(ready Ready) {
+	if ready.Snapshot == nil && len(ready.Committed) == 0 {
+		return
+	}
+	a.mu.Lock()
+	if ready.Snapshot != nil {
+		a.queue = append(a.queue, work{snapshot: ready.Snapshot})
+	}
+	if len(ready.Committed) > 0 {
+		a.queue = append(a.queue, work{entries: ready.Committed})
+	}
+	a.mu.Unlock()
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (a *applier) take() []work {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := a.queue
+	a.queue = nil
+	return out
+}
+
+func (a *applier) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.wake:
+		}
+		for _, w := range a.take() {
+			if err := a.do(w); err != nil {
+				return err
+			}
+		}
+		if err := a.maybeSnapshot(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+func (a *applier) do(w work) error {
+	if w.snapshot != nil {
+		if err := a.machine.Restore(w.snapshot.Data); err != nil {
+			return fmt.Errorf("restore snapshot at index %d: %w", w.snapshot.Meta.Index, err)
+		}
+		a.startAt(*w.snapshot)
+	}
+	for _, e := range w.entries {
+		a.apply(e)
+	}
+	return nil
+}
+
+func (a *applier) apply(e Entry) {
+	var result []byte
+	switch e.Kind {
+	case KindCommand:
+		result = a.machine.Apply(e.Index, e.Data)
+		if a.isSettings(e.Data) {
+			a.meta.SettingsIndex = e.Index
+		}
+	case KindMembers:
+		a.meta.Members, a.meta.MembersIndex = decodeMembers(e.Data), e.Index
+	}
+	a.meta.Index, a.meta.Term = e.Index, e.Term
+	a.logBytes += e.size()
+	a.waiters.appliedEntry(e, result)
+}
+
+func (a *applier) maybeSnapshot(ctx context.Context) error {
+	if a.logBytes < max(a.compaction.LogBytes, a.snapshotSize) {
+		return nil
+	}
+	data, err := a.machine.Snapshot()
+	if err != nil {
+		return fmt.Errorf("take snapshot at index %d: %w", a.meta.Index, err)
+	}
+	if err := a.storage.SaveSnapshot(Snapshot{Meta: a.meta, Data: data}); err != nil {
+		return fmt.Errorf("store snapshot at index %d: %w", a.meta.Index, err)
+	}
+	a.logBytes, a.snapshotSize = 0, len(data)
+	a.taken(ctx, a.meta.Index)
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/raft/election.go
@@ -0,0 +1,123 @@
+package raft
+
+import "github.com/lagoonshift/lagoonshift/internal/clock"
+
+// startPreVote asks whether a campaign could succeed, without a new term
+// (dissertation, section 9.6).
+func (c *Core) startPreVote(now clock.Instant) {
+	c.resetElection(now)
+	if !c.isVoter() || now.Before(c.voteAfter) {
+		return
+	}
+	c.role = preCandidate
+	c.leaderID = 0
+	c.votes = map[uint64]bool{c.id: true}
+	if c.wonVotes() {
+		c.campaign(now, false)
+		return
+	}
+	c.askVotes(MsgPreVote, c.term+1, false)
+}
+
+// campaign starts a new term and asks for votes (Raft paper, section 5.2).
+func (c *Core) campaign(now clock.Instant, force bool) {
+	c.resetElection(now)
+	c.role = candidate
+	c.leaderID = 0
+	c.term++
+	c.vote = c.id
+	c.votes = map[uint64]bool{c.id: true}
+	c.lead.forced = force
+	if c.wonVotes() {
+		c.becomeLeader(now)
+		return
+	}
+	c.askVotes(MsgVote, c.term, force)
+}
+
+func (c *Core) askVotes(kind MessageType, term uint64, force bool) {
+	for _, id := range c.voters() {
+		if id == c.id {
+			continue
+		}
+		c.send(Message{
+			Type:    kind,
+			To:      id,
+			Term:    term,
+			Index:   c.log.last(),
+			LogTerm: c.log.lastTerm(),
+			Force:   force,
+		})
+	}
+}
+
+// upToDate reports whether a candidate's log is at least as new as this one
+// (Raft paper, section 5.4.1).
+func (c *Core) upToDate(m Message) bool {
+	if m.LogTerm != c.log.lastTerm() {
+		return m.LogTerm > c.log.lastTerm()
+	}
+	return m.Index >= c.log.last()
+}
+
+func (c *Core) handlePreVote(now clock.Instant, m Message) {
+	grant := m.Term > c.term && !c.leaderMayLive(now) && c.upToDate(m)
+	reply := Message{Type: MsgPreVoteReply, To: m.From, Term: m.Term, Reject: !grant}
+	if !grant {
+		reply.Term = c.term
+	}
+	c.send(reply)
+}
+
+func (c *Core) handlePreVoteReply(now clock.Instant, m Message) {
+	if c.role != preCandidate || m.Reject || m.Term != c.term+1 {
+		return
+	}
+	c.votes[m.From] = true
+	if c.wonVotes() {
+		c.campaign(now, false)
+	}
+}
+
+func (c *Core) handleVote(now clock.Instant, m Message) {
+	free := c.vote == 0 || c.vote == m.From
+	blocked := !m.Force && c.leaderMayLive(now)
+	grant := free && !blocked && c.upToDate(m)
+	if grant {
+		c.becomeFollower(now, c.term, 0)
+		c.vote = m.From
+		c.resetElection(now)
+	}
+	c.send(Message{Type: MsgVoteReply, To: m.From, Reject: !grant})
+}
+
+func (c *Core) handleVoteReply(now clock.Instant, m Message) {
+	if c.role != candidate || m.Reject {
+		return
+	}
+	c.votes[m.From] = true
+	if c.wonVotes() {
+		c.becomeLeader(now)
+	}
+}
+
+// wonVotes reports whether a majority of the voters granted.
+func (c *Core) wonVotes() bool {
+	voters := c.voters()
+	granted := 0
+	for _, id := range voters {
+		if c.votes[id] {
+			granted++
+		}
+	}
+	return granted > len(voters)/2
+}
+
+// handleTimeoutNow campaigns at once because the leader hands over. The
+// forced votes pass over the leases that voters support; becomeLeader makes
+// up for it by waiting before it takes authority.
+func (c *Core) handleTimeoutNow(now clock.Instant) {
+	if c.role == follower && c.isVoter() {
+		c.campaign(now, true)
+	}
+}
--- /dev/null
+++ b/internal/coordination/raft/entrylog.go
@@ -0,0 +1,182 @@
+package raft
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// membersAt is a membership with the index of its entry.
+type membersAt struct {
+	index   uint64
+	members Members
+}
+
+// entryLog holds the entries after the newest compaction in memory, with the
+// memberships and settings commands among them.
+type entryLog struct {
+	isSettings func(command []byte) bool
+	// base and baseTerm are those of the last compacted entry.
+	base     uint64
+	baseTerm uint64
+	// entries holds the entries from base+1 on.
+	entries []Entry
+	// handed is the last index that was given out to be stored.
+	handed uint64
+	// memberships ascends by index; the first one is at or below base.
+	memberships []membersAt
+	// settings ascends; the first one is the newest at or below base.
+	settings []uint64
+}
+
+func newEntryLog(isSettings func([]byte) bool, stored Stored) (*entryLog, error) {
+	l := &entryLog{isSettings: isSettings}
+	l.reset(SnapshotMeta{})
+	if stored.Snapshot != nil {
+		l.reset(stored.Snapshot.Meta)
+	}
+	for _, e := range stored.Entries {
+		if e.Index != l.last()+1 {
+			return nil, fmt.Errorf("raft: stored log jumps from index %d to %d", l.last(), e.Index)
+		}
+		l.append(e)
+	}
+	l.handed = l.last()
+	return l, nil
+}
+
+// reset empties the log so that it continues after a snapshot.
+func (l *entryLog) reset(meta SnapshotMeta) {
+	l.base, l.baseTerm = meta.Index, meta.Term
+	l.entries = nil
+	l.handed = meta.Index
+	l.memberships = []membersAt{{index: meta.MembersIndex, members: meta.Members}}
+	l.settings = []uint64{meta.SettingsIndex}
+}
+
+func (l *entryLog) last() uint64 {
+	return l.base + uint64(len(l.entries))
+}
+
+func (l *entryLog) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// term returns the term of the entry at index; it fails with ErrCompacted
+// below base.
+func (l *entryLog) term(index uint64) (uint64, error) {
+	switch {
+	case index < l.base:
+		return 0, ErrCompacted
+	case index == l.base:
+		return l.baseTerm, nil
+	case index > l.last():
+		return 0, fmt.Errorf("raft: index %d is beyond the log's end %d", index, l.last())
+	}
+	return l.entries[index-l.base-1].Term, nil
+}
+
+// matches reports whether the log holds an entry with this index and term.
+func (l *entryLog) matches(index, term uint64) bool {
+	have, err := l.term(index)
+	return err == nil && have == term
+}
+
+// slice returns the entries from first to last, both included.
+func (l *entryLog) slice(first, last uint64) []Entry {
+	if first > last {
+		return nil
+	}
+	return l.entries[first-l.base-1 : last-l.base : last-l.base]
+}
+
+// batch returns entries from first on, at least one and at most maxBytes.
+func (l *entryLog) batch(first uint64, maxBytes int) []Entry {
+	size := 0
+	for index := first; index <= l.last(); index++ {
+		size += l.entries[index-l.base-1].size()
+		if size > maxBytes && index > first {
+			return l.slice(first, index-1)
+		}
+	}
+	return l.slice(first, l.last())
+}
+
+func (l *entryLog) append(e Entry) {
+	l.entries = append(l.entries, e)
+	switch {
+	case e.Kind == KindMembers:
+		l.memberships = append(l.memberships, membersAt{index: e.Index, members: decodeMembers(e.Data)})
+	case e.Kind == KindCommand && l.isSettings(e.Data):
+		l.settings = append(l.settings, e.Index)
+	}
+}
+
+// truncate removes the entries from index on.
+func (l *entryLog) truncate(index uint64) {
+	// Readers may share the tail, so a later append must not overwrite it.
+	l.entries = slices.Clip(l.entries[:index-l.base-1])
+	l.handed = min(l.handed, index-1)
+	for len(l.memberships) > 1 && l.memberships[len(l.memberships)-1].index >= index {
+		l.memberships = l.memberships[:len(l.memberships)-1]
+	}
+	for len(l.settings) > 1 && l.settings[len(l.settings)-1] >= index {
+		l.settings = l.settings[:len(l.settings)-1]
+	}
+}
+
+// unstored returns the entries that were not handed out yet and marks them.
+func (l *entryLog) unstored() []Entry {
+	out := l.slice(l.handed+1, l.last())
+	l.handed = l.last()
+	return out
+}
+
+// compact drops the entries up to index.
+func (l *entryLog) compact(index uint64) {
+	if index <= l.base {
+		return
+	}
+	term, err := l.term(index)
+	if err != nil {
+		return
+	}
+	l.entries = slices.Clone(l.entries[index-l.base:])
+	l.base, l.baseTerm = index, term
+	for len(l.memberships) > 1 && l.memberships[1].index <= index {
+		l.memberships = l.memberships[1:]
+	}
+	for len(l.settings) > 1 && l.settings[1] <= index {
+		l.settings = l.settings[1:]
+	}
+}
+
+// newestMembers returns the newest membership, committed or not.
+func (l *entryLog) newestMembers() membersAt {
+	return l.memberships[len(l.memberships)-1]
+}
+
+func (l *entryLog) settingsIndex() uint64 {
+	return l.settings[len(l.settings)-1]
+}
+
+// EncodeMembers returns the data of a KindMembers entry.
+func EncodeMembers(m Members) []byte {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		// Members are plain fields; failing here is a programming error.
+		panic("raft: encode members: " + err.Error())
+	}
+	return data
+}
+
+func decodeMembers(data []byte) Members {
+	var m Members
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		// The entry's checksum was right, so another version wrote it.
+		panic("raft: decode members: " + err.Error())
+	}
+	return m
+}
--- /dev/null
+++ b/internal/coordination/raft/lease.go
@@ -0,0 +1,75 @@
+package raft
+
+import (
+	"slices"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+)
+
+// quorumAck returns the newest instant such that a majority of the voters,
+// this replica included, answered a message sent at or after it. The replica
+// itself counts as having answered at now.
+func (c *Core) quorumAck(now clock.Instant) (sent clock.Instant, ok bool) {
+	voters := c.voters()
+	var acks []clock.Instant
+	for _, id := range voters {
+		if id == c.id {
+			acks = append(acks, now)
+			continue
+		}
+		if p := c.lead.peers[id]; p != nil && p.acked {
+			acks = append(acks, p.ackSent)
+		}
+	}
+	majority := len(voters)/2 + 1
+	if len(acks) < majority {
+		return 0, false
+	}
+	slices.Sort(acks)
+	return acks[len(acks)-majority], true
+}
+
+// quorumHeard reports whether the leader still has its quorum: a majority
+// answered a message of the last election timeout.
+func (c *Core) quorumHeard(now clock.Instant) bool {
+	heard := c.lead.since
+	if sent, ok := c.quorumAck(now); ok {
+		heard = max(heard, sent)
+	}
+	return now.Sub(heard) < c.timing.ElectionTimeout
+}
+
+// Lease returns the end of the leader's authority. A majority refuses its
+// votes until an election timeout after the instant at which it answered, so
+// no other leader exists before the end. A leader that came by a transfer
+// first waits until its predecessor's lease has ended.
+func (c *Core) Lease(now clock.Instant) (until clock.Instant, ok bool) {
+	if c.role != leader || c.lead.transferTo != 0 || c.commit < c.lead.noop {
+		return 0, false
+	}
+	if c.lead.forced && now.Before(c.lead.since.Add(c.timing.ElectionTimeout)) {
+		return 0, false
+	}
+	sent, ok := c.quorumAck(now)
+	if !ok {
+		return 0, false
+	}
+	return sent.Add(c.timing.ElectionTimeout - c.timing.LeaseMargin), true
+}
+
+// active reports whether a replica answered within an election timeout or had
+// no time to do so yet.
+func (c *Core) active(now clock.Instant, id uint64) bool {
+	if id == c.id {
+		return true
+	}
+	p := c.lead.peers[id]
+	if p == nil {
+		return false
+	}
+	heard := c.lead.since
+	if p.acked {
+		heard = max(heard, p.ackSent)
+	}
+	return now.Sub(heard) < c.timing.ElectionTimeout
+}
--- /dev/null
+++ b/internal/coordination/raft/loop.go
@@ -0,0 +1,188 @@
+package raft
+
+import (
+	"context"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+)
+
+// loop feeds events to the core and does what its Ready asks for.
+func (n *Node) loop(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		n.handleEvents(ctx, timer)
+		if err := n.settle(ctx); err != nil {
+			return err
+		}
+		timer.Reset(n.untilNextTick())
+	}
+	return nil
+}
+
+func (n *Node) untilNextTick() time.Duration {
+	next := n.core.NextTick()
+	if len(n.openReads) > 0 {
+		next = min(next, n.readsAgain)
+	}
+	return max(0, next.Sub(n.options.Clock.Now()))
+}
+
+// handleEvents waits for an event and handles it with those that are there
+// already, so that they share one sync.
+func (n *Node) handleEvents(ctx context.Context, timer *time.Timer) {
+	var first events
+	select {
+	case <-ctx.Done():
+		return
+	case <-timer.C:
+	case m := <-n.inbox:
+		first.messages = append(first.messages, m)
+	case p := <-n.acceptProposals():
+		first.add(p)
+	case r := <-n.reads:
+		first.reads = append(first.reads, r)
+	case call := <-n.calls:
+		first.calls = append(first.calls, call)
+	}
+	n.drain(&first)
+	now := n.options.Clock.Now()
+	n.core.Tick(now)
+	for _, m := range first.messages {
+		n.core.Step(now, m)
+	}
+	for _, call := range first.calls {
+		call(now)
+	}
+	n.propose(now, first.proposals)
+	n.startReads(now, first.reads)
+}
+
+// acceptProposals returns nil, which blocks, while too many entries wait.
+func (n *Node) acceptProposals() chan proposal {
+	if n.core.log.last()-n.core.commit > maxUncommitted {
+		return nil
+	}
+	return n.proposals
+}
+
+// events are handled together.
+type events struct {
+	messages      []Message
+	proposals     []proposal
+	proposalBytes int
+	reads         []openRead
+	calls         []func(clock.Instant)
+}
+
+func (e *events) add(p proposal) {
+	e.proposals = append(e.proposals, p)
+	e.proposalBytes += len(p.command)
+}
+
+// drain adds the events that can be had without waiting.
+func (n *Node) drain(e *events) {
+	for len(e.messages) < maxBatchMessages {
+		proposals := n.acceptProposals()
+		if e.proposalBytes >= maxBatchBytes {
+			proposals = nil
+		}
+		select {
+		case m := <-n.inbox:
+			e.messages = append(e.messages, m)
+		case p := <-proposals:
+			e.add(p)
+		case r := <-n.reads:
+			e.reads = append(e.reads, r)
+		default:
+			return
+		}
+	}
+}
+
+// settle does everything that the core asks for.
+func (n *Node) settle(ctx context.Context) error {
+	for {
+		n.failLostWaiters()
+		now := n.options.Clock.Now()
+		ready, ok := n.core.Ready()
+		n.publish(now)
+		if !ok {
+			return nil
+		}
+		n.sendAll(ready.Early)
+		if err := n.store(ready); err != nil {
+			return err
+		}
+		n.core.Persisted(n.options.Clock.Now())
+		n.publish(n.options.Clock.Now())
+		n.sendAll(ready.Messages)
+		n.applier.add(ready)
+		n.answerReads(ready.Reads)
+		for _, id := range ready.SnapshotTo {
+			n.sendSnapshot(ctx, id)
+		}
+	}
+}
+
+// store makes a Ready durable.
+func (n *Node) store(ready Ready) error {
+	if ready.Snapshot != nil {
+		if err := n.options.Storage.Install(*ready.Snapshot, n.core.saved); err != nil {
+			return err
+		}
+	}
+	if ready.HardState == nil && len(ready.Entries) == 0 {
+		return nil
+	}
+	return n.options.Storage.Save(ready.HardState, ready.Entries)
+}
+
+// sendAll hands messages to the transport, those to one replica together.
+func (n *Node) sendAll(messages []Message) {
+	if len(messages) == 0 {
+		return
+	}
+	byReplica := make(map[uint64][]Message)
+	for _, m := range messages {
+		byReplica[m.To] = append(byReplica[m.To], m)
+	}
+	members := n.core.Members()
+	for id, batch := range byReplica {
+		member, ok := members.find(id)
+		if !ok {
+			// A joining replica answers before it knows the membership.
+			member = Member{ID: id}
+		}
+		n.options.Transport.Send(member, batch)
+	}
+}
+
+// propose appends the commands of one batch.
+func (n *Node) propose(now clock.Instant, batch []proposal) {
+	if len(batch) == 0 {
+		return
+	}
+	commands := make([][]byte, len(batch))
+	for i, p := range batch {
+		commands[i] = p.command
+	}
+	first, term, err := n.core.Propose(now, commands)
+	for i, p := range batch {
+		if err != nil {
+			p.waiter.finish(replog.Applied{}, replog.ErrNotLeader)
+			continue
+		}
+		n.waiters.add(first+uint64(i), term, p.waiter)
+	}
+}
+
+// failLostWaiters tells the waiters of a lost leadership that the outcome of
+// what was not committed is unknown.
+func (n *Node) failLostWaiters() {
+	if !n.core.IsLeader() {
+		n.waiters.failAbove(n.core.commit)
+	}
+}
--- /dev/null
+++ b/internal/coordination/raft/membership.go
@@ -0,0 +1,86 @@
+package raft
+
+import "github.com/lagoonshift/lagoonshift/internal/clock"
+
+// caughtUpEntries is how far behind the commit index a replica may be to
+// become a voter.
+const caughtUpEntries = 256
+
+// AddLearner adds a replica that receives the log and doesn't vote. Adding it
+// again is no change. A learner of the same name is replaced; a voter of the
+// same name must be gone.
+func (c *Core) AddLearner(now clock.Instant, added Member) error {
+	if c.role != leader || c.lead.transferTo != 0 || c.commit < c.lead.noop {
+		return errNotLeader
+	}
+	members := c.Members()
+	if _, ok := members.find(added.ID); ok {
+		return nil
+	}
+	if c.membershipBusy() {
+		return ErrMembershipBusy
+	}
+	if old, ok := members.voterNamed(added.Name); ok && c.active(now, old.ID) {
+		return ErrNameInUse
+	}
+	added.Voter = false
+	rest := members.without(func(m Member) bool { return !m.Voter && m.Name == added.Name })
+	c.changeMembers(now, rest.with(added))
+	return nil
+}
+
+// membershipBusy reports whether the newest membership is not committed. Only
+// one voter changes at a time, so that majorities of old and new memberships
+// overlap (dissertation, section 4.1).
+func (c *Core) membershipBusy() bool {
+	return c.log.newestMembers().index > c.commit
+}
+
+func (c *Core) changeMembers(now clock.Instant, next Members) {
+	c.appendOwn(Entry{Kind: KindMembers, Data: EncodeMembers(next)})
+	c.syncPeers()
+	c.sendEntries(now)
+}
+
+// advanceMembership promotes a learner that has caught up. Where it replaces
+// a voter of the same name, that voter is removed first, by its own change.
+func (c *Core) advanceMembership(now clock.Instant) {
+	if c.membershipBusy() || c.commit < c.lead.noop || c.lead.transferTo != 0 {
+		return
+	}
+	members := c.Members()
+	for _, m := range members {
+		if m.Voter || !c.caughtUp(now, m.ID) {
+			continue
+		}
+		old, replaces := members.voterNamed(m.Name)
+		if replaces && c.active(now, old.ID) {
+			continue
+		}
+		next := members.with(Member{ID: m.ID, Name: m.Name, Address: m.Address, Voter: true})
+		if replaces {
+			next = members.without(func(other Member) bool { return other.ID == old.ID })
+		}
+		if c.majorityActive(now, next) {
+			c.changeMembers(now, next)
+			return
+		}
+	}
+}
+
+func (c *Core) caughtUp(now clock.Instant, id uint64) bool {
+	p := c.lead.peers[id]
+	return p != nil && p.acked && c.active(now, id) && p.flow == replicating && p.match+caughtUpEntries >= c.commit
+}
+
+// majorityActive reports whether a membership could commit entries now.
+func (c *Core) majorityActive(now clock.Instant, members Members) bool {
+	voters := members.Voters()
+	alive := 0
+	for _, id := range voters {
+		if c.active(now, id) {
+			alive++
+		}
+	}
+	return alive > len(voters)/2
+}
--- /dev/null
+++ b/internal/coordination/raft/node.go
@@ -0,0 +1,262 @@
+package raft
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+)
+
+const (
+	// MaxCommandBytes bounds one command.
+	MaxCommandBytes = 1 << 20
+	// maxBatchBytes bounds the commands that share one sync.
+	maxBatchBytes = 4 << 20
+	// maxBatchMessages bounds the messages handled between two syncs.
+	maxBatchMessages = 256
+	// maxUncommitted bounds the entries that wait for their commit.
+	maxUncommitted = 32768
+	queueLength    = 4096
+)
+
+// Options configures a Node.
+type Options struct {
+	// ID is the replica's identity and ClusterID the group's.
+	ID        uint64
+	ClusterID string
+	Machine   replog.StateMachine
+	Storage   Storage
+	Transport Transport
+	Clock     clock.Clock
+	// IsSettings reports whether a command is a settings command.
+	IsSettings func(command []byte) bool
+	Timing     Timing
+	Compaction Compaction
+	// Seed spreads the election timeouts.
+	Seed uint64
+	Log  hclog.Logger
+}
+
+// Compaction decides when the log is replaced by a snapshot.
+type Compaction struct {
+	// LogBytes is the size of the log at which a snapshot is taken. A
+	// snapshot larger than that must be paid for by as much log first, so
+	// that snapshots at most double the bytes written.
+	LogBytes int
+	// TrailingEntries is the number of entries kept before the snapshot, so
+	// that a replica that is a little behind needs none.
+	TrailingEntries uint64
+}
+
+// DefaultCompaction suits a control process.
+var DefaultCompaction = Compaction{LogBytes: 16 << 20, TrailingEntries: 8192}
+
+// Node is one replica. It implements replog.Log.
+type Node struct {
+	options Options
+	// core is used by the goroutine of loop only.
+	core *Core
+	// applier owns the calls to the state machine.
+	applier *applier
+	waiters *waiters
+
+	inbox     chan Message
+	proposals chan proposal
+	reads     chan openRead
+	calls     chan func(now clock.Instant)
+	done      chan struct{}
+
+	view      atomic.Pointer[replog.View]
+	authority atomic.Pointer[replog.Authority]
+
+	// openReads holds the reads that wait for the leader's answer, by ID; of
+	// the goroutine of loop.
+	openReads  map[uint64][]openRead
+	lastRead   uint64
+	readsAgain clock.Instant
+
+	background sync.WaitGroup
+}
+
+type proposal struct {
+	command []byte
+	waiter  *waiter
+}
+
+// New returns a node that continues from its storage. Run starts it.
+func New(o Options) (*Node, error) {
+	stored, err := o.Storage.Load()
+	if err != nil {
+		return nil, fmt.Errorf("replica %x: load: %w", o.ID, err)
+	}
+	core, err := NewCore(CoreOptions{
+		ID:         o.ID,
+		Timing:     o.Timing,
+		Rand:       rand.New(rand.NewPCG(o.Seed, o.ID)),
+		IsSettings: o.IsSettings,
+	}, stored, o.Clock.Now())
+	if err != nil {
+		return nil, fmt.Errorf("replica %x: load: %w", o.ID, err)
+	}
+	n := &Node{
+		options:   o,
+		core:      core,
+		waiters:   newWaiters(),
+		inbox:     make(chan Message, queueLength),
+		proposals: make(chan proposal, queueLength),
+		reads:     make(chan openRead, queueLength),
+		calls:     make(chan func(clock.Instant)),
+		done:      make(chan struct{}),
+		openReads: make(map[uint64][]openRead),
+	}
+	n.applier = newApplier(o, n.waiters, n.snapshotTaken)
+	if stored.Snapshot != nil {
+		if err := o.Machine.Restore(stored.Snapshot.Data); err != nil {
+			return nil, fmt.Errorf("replica %x: restore snapshot at index %d: %w", o.ID, stored.Snapshot.Meta.Index, err)
+		}
+		n.applier.startAt(*stored.Snapshot)
+	}
+	n.publish(o.Clock.Now())
+	return n, nil
+}
+
+// Run runs the replica until ctx ends or its storage fails. After a storage
+// error nothing more is answered; only a restart tells what was stored.
+func (n *Node) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.applier.run(ctx) })
+	group.Go(func() error { return n.loop(ctx) })
+	err := group.Wait()
+	n.authority.Store(nil)
+	close(n.done)
+	n.waiters.failAll()
+	n.background.Wait()
+	if err != nil {
+		return fmt.Errorf("replica %x: %w", n.options.ID, err)
+	}
+	return nil
+}
+
+// Deliver hands a received message to the replica. It blocks while the
+// replica is busy.
+func (n *Node) Deliver(m Message) {
+	select {
+	case n.inbox <- m:
+	case <-n.done:
+	}
+}
+
+// View implements replog.Log.
+func (n *Node) View() replog.View {
+	view := *n.view.Load()
+	view.AppliedIndex = n.waiters.applied()
+	return view
+}
+
+// Authority implements replog.Log.
+func (n *Node) Authority() (replog.Authority, bool) {
+	authority := n.authority.Load()
+	if authority == nil || !n.options.Clock.Now().Before(authority.Until) {
+		return replog.Authority{}, false
+	}
+	return *authority, true
+}
+
+// Members returns the newest membership in the replica's log.
+func (n *Node) Members(ctx context.Context) (Members, error) {
+	var members Members
+	err := n.call(ctx, func(clock.Instant) { members = n.core.Members() })
+	return members, err
+}
+
+// Join adds a replica as a non-voter; it is promoted once it has caught up.
+// It fails with replog.ErrNotLeader, ErrMembershipBusy or ErrNameInUse.
+func (n *Node) Join(ctx context.Context, added Member) error {
+	var err error
+	if callErr := n.call(ctx, func(now clock.Instant) { err = n.core.AddLearner(now, added) }); callErr != nil {
+		return callErr
+	}
+	if err == errNotLeader {
+		return replog.ErrNotLeader
+	}
+	return err
+}
+
+// HandOver moves leadership to another replica, if this one leads, and
+// returns when it is done or can't be done within an election timeout.
+func (n *Node) HandOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.options.Timing.ElectionTimeout)
+	defer cancel()
+	started := false
+	if err := n.call(ctx, func(now clock.Instant) { started = n.core.Transfer(now) }); err != nil || !started {
+		return
+	}
+	ticker := time.NewTicker(n.options.Timing.Heartbeat / handOverPolls)
+	defer ticker.Stop()
+	for n.View().LeaderID == n.options.ID || n.View().LeaderID == 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.done:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// handOverPolls is the number of looks per heartbeat for the new leader.
+const handOverPolls = 10
+
+// call runs do between two steps of the core.
+func (n *Node) call(ctx context.Context, do func(now clock.Instant)) error {
+	finished := make(chan struct{})
+	wrapped := func(now clock.Instant) {
+		do(now)
+		close(finished)
+	}
+	select {
+	case n.calls <- wrapped:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.done:
+		return replog.ErrStopped
+	}
+	select {
+	case <-finished:
+		return nil
+	case <-n.done:
+		return replog.ErrStopped
+	}
+}
+
+// publish makes the core's state visible to readers.
+func (n *Node) publish(now clock.Instant) {
+	c := n.core
+	newest := c.log.newestMembers()
+	leaderMember, _ := newest.members.find(c.leaderID)
+	n.view.Store(&replog.View{
+		ReplicaID:        n.options.ID,
+		ClusterID:        n.options.ClusterID,
+		Term:             c.term,
+		LeaderID:         c.leaderID,
+		LeaderAddress:    leaderMember.Address,
+		Voters:           newest.members.Voters(),
+		VotersIndex:      newest.index,
+		LogSettingsIndex: c.log.settingsIndex(),
+		CommitIndex:      c.commit,
+	})
+	until, ok := c.Lease(now)
+	if !ok {
+		n.authority.Store(nil)
+		return
+	}
+	n.authority.Store(&replog.Authority{Term: c.term, Until: until})
+}
--- /dev/null
+++ b/internal/coordination/raft/waiters.go
@@ -0,0 +1,142 @@
+package raft
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+)
+
+// waiter waits for the outcome of one submitted command.
+type waiter struct {
+	// outcome has room for one value, so that finish never blocks.
+	outcome chan outcome
+}
+
+type outcome struct {
+	applied replog.Applied
+	err     error
+}
+
+func (w *waiter) finish(applied replog.Applied, err error) {
+	w.outcome <- outcome{applied: applied, err: err}
+}
+
+// waiters holds what waits for log entries to be applied.
+type waiters struct {
+	mu      sync.Mutex // guards the fields below
+	index   uint64
+	stopped bool
+	// commands holds waiters by log index.
+	commands map[uint64]commandWaiter
+	// barriers are closed once their index is applied.
+	barriers map[chan struct{}]uint64
+}
+
+type commandWaiter struct {
+	term uint64
+	*waiter
+}
+
+func newWaiters() *waiters {
+	return &waiters{
+		commands: make(map[uint64]commandWaiter),
+		barriers: make(map[chan struct{}]uint64),
+	}
+}
+
+func (w *waiters) applied() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.index
+}
+
+func (w *waiters) add(index, term uint64, added *waiter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.commands[index] = commandWaiter{term: term, waiter: added}
+}
+
+// appliedEntry notes an applied entry and answers its waiter. Another term at
+// the waiter's index means that a later leader replaced the command.
+func (w *waiters) appliedEntry(e Entry, result []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.index = e.Index
+	if waiting, ok := w.commands[e.Index]; ok {
+		delete(w.commands, e.Index)
+		if waiting.term == e.Term {
+			waiting.finish(replog.Applied{Index: e.Index, Result: result}, nil)
+		} else {
+			waiting.finish(replog.Applied{}, replog.ErrUnknown)
+		}
+	}
+	w.releaseBarriers()
+}
+
+// restored notes that a snapshot up to index replaced the state; what was
+// submitted before it is unknown here.
+func (w *waiters) restored(index uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.index = index
+	w.fail(func(at uint64) bool { return at <= index })
+	w.releaseBarriers()
+}
+
+// releaseBarriers needs w.mu.
+func (w *waiters) releaseBarriers() {
+	for barrier, index := range w.barriers {
+		if index <= w.index {
+			close(barrier)
+			delete(w.barriers, barrier)
+		}
+	}
+}
+
+func (w *waiters) failAbove(index uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fail(func(at uint64) bool { return at > index })
+}
+
+func (w *waiters) failAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.fail(func(uint64) bool { return true })
+}
+
+// fail needs w.mu.
+func (w *waiters) fail(selected func(index uint64) bool) {
+	for index, waiting := range w.commands {
+		if selected(index) {
+			delete(w.commands, index)
+			waiting.finish(replog.Applied{}, replog.ErrUnknown)
+		}
+	}
+}
+
+// waitApplied waits until index is applied.
+func (w *waiters) waitApplied(ctx context.Context, index uint64, done <-chan struct{}) error {
+	w.mu.Lock()
+	if index <= w.index {
+		w.mu.Unlock()
+		return nil
+	}
+	barrier := make(chan struct{})
+	w.barriers[barrier] = index
+	w.mu.Unlock()
+	select {
+	case <-barrier:
+		return nil
+	case <-done:
+		return replog.ErrStopped
+	case <-ctx.Done():
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.barriers, barrier)
+	return fmt.Errorf("wait for index %d to be applied: %w", index, ctx.Err())
+}
--- /dev/null
+++ b/internal/coordination/raftstore/load.go
@@ -0,0 +1,106 @@
+package raftstore
+
+import (
+	"fmt"
+
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
+	"github.com/lagoonshift/lagoonshift/internal/state/wal"
+)
+
+// load reads the newest snapshot and replays the log on top of it.
+func (s *Store) load(o Options) error {
+	snapshot, ok, err := s.loadSnapshot()
+	if err != nil {
+		return err
+	}
+	if ok {
+		s.stored.Snapshot = &snapshot
+		s.snapshotIndex = snapshot.Meta.Index
+	}
+	s.log, err = wal.Open(wal.Options{
+		Folder:       s.folder,
+		Owner:        s.identity.owner(),
+		SegmentBytes: o.SegmentBytes,
+	}, s.replay)
+	if err != nil {
+		return err
+	}
+	s.stored.HardState = s.state
+	return s.joinSnapshot()
+}
+
+func (s *Store) replay(segment uint64, record []byte) error {
+	if len(record) == 0 {
+		return errBadRecord
+	}
+	body := record[1:]
+	switch recordType(record[0]) {
+	case recordState:
+		state, err := decodeState(body)
+		s.state = state
+		return err
+	case recordEntry:
+		e, err := decodeEntry(body)
+		if err != nil {
+			return err
+		}
+		s.noteNewest(segment, e.Index)
+		return s.replayEntry(e)
+	case recordReset:
+		_, err := decodeReset(body)
+		s.stored.Entries = nil
+		return err
+	}
+	return fmt.Errorf("%w: type %d", errBadRecord, record[0])
+}
+
+// replayEntry adds an entry, which replaces all those from its index on.
+func (s *Store) replayEntry(e raft.Entry) error {
+	entries := s.stored.Entries
+	if len(entries) == 0 {
+		s.stored.Entries = append(entries, e)
+		return nil
+	}
+	first := entries[0].Index
+	if e.Index > first+uint64(len(entries)) {
+		return fmt.Errorf("%w: entry %d follows entry %d", errBadRecord, e.Index, first+uint64(len(entries))-1)
+	}
+	// An older leader's compacted entries may be replaced as a whole.
+	keep := max(e.Index, first) - first
+	s.stored.Entries = append(entries[:keep], e)
+	return nil
+}
+
+// joinSnapshot removes the entries that the snapshot covers. A log that does
+// not reach or contradicts the snapshot was to be replaced by it when the
+// process was killed.
+func (s *Store) joinSnapshot() error {
+	if s.stored.Snapshot == nil {
+		return s.checkStart(0)
+	}
+	meta := s.stored.Snapshot.Meta
+	covered := 0
+	agrees := false
+	for _, e := range s.stored.Entries {
+		if e.Index > meta.Index {
+			break
+		}
+		covered++
+		agrees = e.Index == meta.Index && e.Term == meta.Term
+	}
+	if covered > 0 && !agrees {
+		s.stored.Entries = nil
+		return s.reset(meta.Index)
+	}
+	s.stored.Entries = s.stored.Entries[covered:]
+	return s.checkStart(meta.Index)
+}
+
+// checkStart refuses a log that does not continue after index.
+func (s *Store) checkStart(index uint64) error {
+	if len(s.stored.Entries) == 0 || s.stored.Entries[0].Index == index+1 {
+		return nil
+	}
+	return fmt.Errorf("%w: log starts at index %d but the snapshot ends at %d",
+		wal.ErrCorrupt, s.stored.Entries[0].Index, index)
+}
