Add a group of replicas under virtual time

Tests of several packages need the real consensus and storage code with kills, lost disks, cuts and freezes, without real time. Disks, network and clock are stand-ins.

--- /dev/null
+++ b/internal/fake/fakegroup/group.go
@@ -0,0 +1,267 @@
+// Package fakegroup runs a whole group of control replicas in one process,
+// with disks and a network in memory, under the virtual time of
+// testing/synctest. The replicas run the real consensus, log and snapshot
+// code; only disks, network and clock are stand-ins.
+//
+// All calls must be made inside the synctest bubble in which New was called.
+package fakegroup
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raftstore"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+	"github.com/lagoonshift/lagoonshift/internal/fake/memdisk"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+const (
+	deploymentName = "fake"
+	clusterID      = "fake-cluster"
+	pollInterval   = 10 * time.Millisecond
+	joinInterval   = 100 * time.Millisecond
+	// patience is the virtual time after which waiting for a leader or for
+	// voters fails the test.
+	patience = 2 * time.Minute
+)
+
+// Options configures a Group. Zero values mean the defaults.
+type Options struct {
+	// Replicas is the number of replicas; the default is 3.
+	Replicas int
+	// Seed draws election timeouts, lost messages and crash damage.
+	Seed       uint64
+	Timing     raft.Timing
+	Compaction raft.Compaction
+	// Latency is the one-way delay of a message; the default is 1 ms.
+	Latency time.Duration
+	// SegmentBytes is the size of a log segment.
+	SegmentBytes int
+}
+
+func (o *Options) setDefaults() {
+	if o.Replicas == 0 {
+		o.Replicas = 3
+	}
+	if o.Timing == (raft.Timing{}) {
+		o.Timing = raft.DefaultTiming
+	}
+	if o.Compaction == (raft.Compaction{}) {
+		o.Compaction = raft.DefaultCompaction
+	}
+	if o.Latency == 0 {
+		o.Latency = time.Millisecond
+	}
+	if o.SegmentBytes == 0 {
+		o.SegmentBytes = raftstore.DefaultOptions.SegmentBytes
+	}
+}
+
+// Group is a group of replicas, numbered from zero.
+type Group struct {
+	t       testing.TB
+	options Options
+	clock   clock.Clock
+	network *network
+	joining sync.WaitGroup
+
+	mu       sync.Mutex // guards the fields below
+	replicas []*replica
+}
+
+// replica is one VM: a disk that may be lost and a process that may die.
+type replica struct {
+	disk *memdisk.Disk
+	// identity is the one on the disk; losses counts lost disks.
+	identity raftstore.Identity
+	losses   uint64
+	process  *process
+}
+
+// New starts a group and waits until every replica is a voter and one leads.
+// The group is stopped when the test ends.
+func New(t testing.TB, o Options) *Group {
+	t.Helper()
+	o.setDefaults()
+	g := &Group{t: t, options: o, clock: clock.NewRuntime()}
+	g.network = newNetwork(g, o.Latency, o.Seed)
+	for i := range o.Replicas {
+		g.replicas = append(g.replicas, &replica{disk: memdisk.New(o.Seed + uint64(i)), identity: identityOf(i, 0)})
+	}
+	first := g.replicas[0]
+	folder := first.disk.Open(nil)
+	g.must(raftstore.SaveIdentity(folder, first.identity))
+	g.must(raftstore.Init(folder, first.identity, address(0), g.storeOptions()))
+	for i := range g.replicas {
+		g.Restart(i)
+	}
+	t.Cleanup(g.Stop)
+	g.WaitVoters()
+	return g
+}
+
+func identityOf(i int, losses uint64) raftstore.Identity {
+	return raftstore.Identity{
+		Deployment: deploymentName,
+		Name:       fmt.Sprintf("control-%d", i+1),
+		ReplicaID:  uint64(i+1) + 100*losses,
+		ClusterID:  clusterID,
+	}
+}
+
+func address(i int) string {
+	return fmt.Sprintf("192.0.2.%d:7400", i+1)
+}
+
+func (g *Group) storeOptions() raftstore.Options {
+	return raftstore.Options{SegmentBytes: g.options.SegmentBytes}
+}
+
+func (g *Group) must(err error) {
+	g.t.Helper()
+	if err != nil {
+		g.t.Fatalf("fakegroup: %v", err)
+	}
+}
+
+// Size returns the number of replicas, running or not.
+func (g *Group) Size() int {
+	return g.options.Replicas
+}
+
+// Clock returns the clock that all replicas share. It never blocks.
+func (g *Group) Clock() clock.Clock {
+	return g.clock
+}
+
+// Log returns a replica's log. It is replaced by Restart.
+func (g *Group) Log(i int) replog.Log {
+	return g.Node(i)
+}
+
+// Node returns a replica's node, its log with the membership calls.
+func (g *Group) Node(i int) *raft.Node {
+	return g.process(i).node
+}
+
+// Store returns a replica's state. It is replaced by Restart.
+func (g *Group) Store(i int) *store.Store {
+	return g.process(i).store
+}
+
+// Disk returns a replica's disk.
+func (g *Group) Disk(i int) *memdisk.Disk {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.replicas[i].disk
+}
+
+// process returns a replica's newest process, which may be dead.
+func (g *Group) process(i int) *process {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.replicas[i].process
+}
+
+// Running reports whether a replica is neither killed nor frozen.
+func (g *Group) Running(i int) bool {
+	p := g.process(i)
+	return !p.dead() && !p.gate.closed()
+}
+
+// Leader waits until a running replica leads and returns its number. While a
+// cut lets an old leader believe in itself, the one with the newest term is
+// returned.
+func (g *Group) Leader() int {
+	g.t.Helper()
+	for start := g.clock.Now(); g.clock.Now().Sub(start) < patience; time.Sleep(pollInterval) {
+		if i := g.CurrentLeader(); i >= 0 {
+			return i
+		}
+	}
+	g.t.Fatalf("fakegroup: no leader after %v", patience)
+	return -1
+}
+
+// CurrentLeader returns the running replica that leads in the newest term, or
+// -1 if none does.
+func (g *Group) CurrentLeader() int {
+	found, term := -1, uint64(0)
+	for i := range g.Size() {
+		if !g.Running(i) {
+			continue
+		}
+		view := g.Node(i).View()
+		if view.LeaderID == view.ReplicaID && view.Term >= term {
+			found, term = i, view.Term
+		}
+	}
+	return found
+}
+
+// WaitVoters waits until every replica is a voter under its newest identity
+// and no other voter is left, as the leader sees it.
+func (g *Group) WaitVoters() {
+	g.t.Helper()
+	for start := g.clock.Now(); g.clock.Now().Sub(start) < patience; time.Sleep(pollInterval) {
+		if i := g.CurrentLeader(); i >= 0 && g.allVoters(g.Node(i).View()) {
+			return
+		}
+	}
+	g.t.Fatalf("fakegroup: not all replicas are voters after %v", patience)
+}
+
+func (g *Group) allVoters(view replog.View) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(view.Voters) != len(g.replicas) || view.VotersIndex > view.CommitIndex {
+		return false
+	}
+	current := make(map[uint64]bool)
+	for _, r := range g.replicas {
+		current[r.identity.ReplicaID] = true
+	}
+	for _, id := range view.Voters {
+		if !current[id] {
+			return false
+		}
+	}
+	return true
+}
+
+// Submit submits a command at replica i, which forwards it once to the leader
+// as the gRPC server does.
+func (g *Group) Submit(ctx context.Context, i int, command []byte) (replog.Applied, error) {
+	applied, err := g.Log(i).Submit(ctx, command)
+	if !errors.Is(err, replog.ErrNotLeader) {
+		return applied, err
+	}
+	to := g.byID(g.Log(i).View().LeaderID)
+	if to < 0 || to == i || g.network.isCut(i, to) {
+		return replog.Applied{}, replog.ErrNotLeader
+	}
+	time.Sleep(g.options.Latency)
+	applied, err = g.Log(to).Submit(ctx, command)
+	if g.network.isCut(to, i) && err == nil {
+		return replog.Applied{}, replog.ErrUnknown
+	}
+	return applied, err
+}
+
+func (g *Group) byID(id uint64) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, r := range g.replicas {
+		if r.identity.ReplicaID == id {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/fake/fakegroup/process.go
@@ -0,0 +1,282 @@
+package fakegroup
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raftstore"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+// process is one run of a replica.
+type process struct {
+	id       uint64
+	node     *raft.Node
+	store    *store.Store
+	storage  *raftstore.Store
+	gate     *gate
+	killed   atomic.Bool
+	cancel   context.CancelFunc
+	finished chan struct{}
+	// err is what the node's Run returned; valid once finished is closed.
+	err error
+}
+
+// dead reports whether the process has ended.
+func (p *process) dead() bool {
+	select {
+	case <-p.finished:
+		return true
+	default:
+		return p.killed.Load()
+	}
+}
+
+// gate stops a process at its next use of clock, disk, network or state.
+type gate struct {
+	mu sync.Mutex // guards opened
+	// opened is nil while the process may run.
+	opened chan struct{}
+}
+
+func (g *gate) pass() {
+	for {
+		g.mu.Lock()
+		opened := g.opened
+		g.mu.Unlock()
+		if opened == nil {
+			return
+		}
+		<-opened
+	}
+}
+
+func (g *gate) closed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.opened != nil
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened == nil {
+		g.opened = make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened != nil {
+		close(g.opened)
+		g.opened = nil
+	}
+}
+
+// gatedClock is the clock as a process that may be frozen reads it.
+type gatedClock struct {
+	clock.Clock
+	gate *gate
+}
+
+func (c gatedClock) Now() clock.Instant {
+	c.gate.pass()
+	return c.Clock.Now()
+}
+
+// gatedMachine is the state machine of a process that may be frozen.
+type gatedMachine struct {
+	replog.StateMachine
+	gate *gate
+}
+
+func (m gatedMachine) Apply(index uint64, command []byte) []byte {
+	m.gate.pass()
+	return m.StateMachine.Apply(index, command)
+}
+
+// Restart starts a replica's process from its disk. With an empty disk it
+// joins the group under a new identity.
+func (g *Group) Restart(i int) {
+	g.t.Helper()
+	if err := g.TryRestart(i); err != nil {
+		g.t.Fatalf("fakegroup: restart replica %d: %v", i, err)
+	}
+}
+
+// TryRestart is like Restart but returns the error with which the process
+// refuses to start.
+func (g *Group) TryRestart(i int) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.replicas[i]
+	if r.process != nil && !r.process.dead() {
+		return errors.New("it is running")
+	}
+	p, err := g.start(i, r)
+	if err != nil {
+		return err
+	}
+	r.process = p
+	g.joining.Go(func() { g.join(i, p) })
+	return nil
+}
+
+// start needs g.mu.
+func (g *Group) start(i int, r *replica) (*process, error) {
+	p := &process{id: r.identity.ReplicaID, store: store.New(), gate: &gate{}, finished: make(chan struct{})}
+	folder := r.disk.Open(p.gate.pass)
+	_, found, err := raftstore.LoadIdentity(folder, r.identity.Deployment, r.identity.Name)
+	if err != nil {
+		return nil, err
+	}
+	if !found {
+		if err := raftstore.SaveIdentity(folder, r.identity); err != nil {
+			return nil, err
+		}
+	}
+	p.storage, err = raftstore.Open(folder, r.identity, g.storeOptions())
+	if err != nil {
+		return nil, err
+	}
+	p.node, err = raft.New(raft.Options{
+		ID:         p.id,
+		ClusterID:  clusterID,
+		Machine:    gatedMachine{StateMachine: p.store, gate: p.gate},
+		Storage:    p.storage,
+		Transport:  &endpoint{network: g.network, from: i, process: p},
+		Clock:      gatedClock{Clock: g.clock, gate: p.gate},
+		IsSettings: store.IsSettings,
+		Timing:     g.options.Timing,
+		Compaction: g.options.Compaction,
+		Seed:       g.options.Seed,
+		Log:        hclog.NewNullLogger(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	go func() {
+		p.err = p.node.Run(ctx)
+		_ = p.storage.Close()
+		close(p.finished)
+	}()
+	return p, nil
+}
+
+// join asks the leader to add the replica until it is a member.
+func (g *Group) join(i int, p *process) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	added := raft.Member{ID: p.id, Name: identityOf(i, 0).Name, Address: address(i)}
+	for !p.dead() && !p.member(ctx) {
+		if to := g.CurrentLeader(); to >= 0 && to != i && !g.network.isCut(i, to) {
+			_ = g.Node(to).Join(ctx, added)
+		}
+		time.Sleep(joinInterval)
+	}
+}
+
+// member reports whether the replica is in its own membership.
+func (p *process) member(ctx context.Context) bool {
+	members, err := p.node.Members(ctx)
+	if err != nil {
+		return false
+	}
+	for _, m := range members {
+		if m.ID == p.id {
+			return true
+		}
+	}
+	return false
+}
+
+// Kill ends a replica's process at once, as SIGKILL does. What it had not
+// synced may be lost.
+func (g *Group) Kill(i int) {
+	p := g.process(i)
+	if p.dead() {
+		return
+	}
+	p.killed.Store(true)
+	g.Disk(i).Crash()
+	g.end(p)
+}
+
+// end lets a process's goroutines run out.
+func (g *Group) end(p *process) {
+	p.cancel()
+	p.gate.open()
+	<-p.finished
+}
+
+// Stop stops the whole group.
+func (g *Group) Stop() {
+	for i := range g.Size() {
+		if p := g.process(i); p != nil {
+			p.killed.Store(true)
+			g.end(p)
+		}
+	}
+	g.joining.Wait()
+	g.network.stop()
+}
+
+// StopGracefully hands leadership over and ends a replica's process, as
+// SIGTERM does.
+func (g *Group) StopGracefully(i int) {
+	p := g.process(i)
+	p.node.HandOver(context.Background())
+	g.end(p)
+}
+
+// LoseDisk kills a replica and empties its disk. Restart then brings it back
+// under a new identity.
+func (g *Group) LoseDisk(i int) {
+	g.Kill(i)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.replicas[i]
+	r.disk.Lose()
+	r.losses++
+	r.identity = identityOf(i, r.losses)
+}
+
+// LoseMemory plants a fault: like LoseDisk, but Restart brings the replica
+// back under its old identity, with its votes forgotten.
+func (g *Group) LoseMemory(i int) {
+	g.Kill(i)
+	g.Disk(i).Lose()
+}
+
+// Freeze stops a replica's process until Thaw, as SIGSTOP does. Time goes on
+// and messages to it pile up. A call on a frozen replica's log blocks.
+func (g *Group) Freeze(i int) {
+	g.process(i).gate.close()
+}
+
+// Thaw lets a frozen replica go on.
+func (g *Group) Thaw(i int) {
+	g.process(i).gate.open()
+}
+
+// Err returns the error with which a replica's process ended by itself.
+func (g *Group) Err(i int) error {
+	p := g.process(i)
+	select {
+	case <-p.finished:
+		return p.err
+	default:
+		return nil
+	}
+}
