Settings: changes of several subtrees, operators' tokens, updates and members

Cause: the thin path kept whole subtrees with every answer for ever, sent the whole tree on each change and had no operators, members or leaving VMs. A change now holds a list of edits and is accepted or refused whole; answers, history and removals are bounded; entries get updates by version; members and leaving VMs are part of the tree, so that the settings lease covers them. The lease is judged over a set of agreeing answers that is a majority of every set of voters named in it.

--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -1,11 +1,14 @@
 // Package lease keeps the settings lease by which an entry may take new work.
 //
 // An entry renews its lease by asking every control replica directly. Each
-// replica answers with the newest settings index in its log. The lease is
-// renewed if a majority of the voters answered and none of the answers names
-// an index above the settings that the entry has in force. Since a change is
-// committed only after a majority has it in the log, every lease that was
-// granted on older settings ends within one lease duration after the commit.
+// replica answers with the newest settings index and the newest voters in its
+// log. The lease is renewed by a set of answers of which none names an index
+// above the settings that the entry has in force, and which is a majority of
+// every set of voters that one of them names. Since a change is committed only
+// after a majority has it in the log, every lease that was granted on older
+// settings ends within one lease duration after the commit. An answer that
+// names a higher index is left out of the set: it may come from a replica that
+// was cut off with a command that never will be committed.
 package lease
 
 import (
@@ -43,28 +46,34 @@
 // Judge decides a round from the answers that came in.
 func Judge(answers []Answer, inForce uint64) Verdict {
 	var verdict Verdict
-	newest := Answer{}
+	var agreeing []Answer
 	for _, a := range answers {
 		verdict.NewestIndex = max(verdict.NewestIndex, a.LogSettingsIndex)
-		if a.VotersIndex >= newest.VotersIndex {
-			newest = a
+		if a.LogSettingsIndex <= inForce && len(a.Voters) > 0 {
+			agreeing = append(agreeing, a)
 		}
 	}
-	answered := 0
-	for _, a := range answers {
-		if !slices.Contains(newest.Voters, a.Replica) {
-			continue
-		}
-		answered++
+	verdict.Granted = len(agreeing) > 0
+	for _, a := range agreeing {
+		verdict.Granted = verdict.Granted && isMajority(agreeing, a.Voters)
 		if verdict.Duration == 0 || a.Duration < verdict.Duration {
 			verdict.Duration = a.Duration
 		}
 	}
-	majority := len(newest.Voters)/2 + 1
-	verdict.Granted = len(newest.Voters) > 0 && answered >= majority && verdict.NewestIndex <= inForce
 	return verdict
 }
 
+// isMajority reports whether the answers come from a majority of the voters.
+func isMajority(answers []Answer, voters []uint64) bool {
+	answered := make(map[uint64]bool, len(answers))
+	for _, a := range answers {
+		if slices.Contains(voters, a.Replica) {
+			answered[a.Replica] = true
+		}
+	}
+	return len(answered) > len(voters)/2
+}
+
 // Holder is the entry's side of the lease. It is safe for concurrent use.
 type Holder struct {
 	clock clock.Clock
--- /dev/null
+++ b/internal/state/settings/authorize.go
@@ -0,0 +1,49 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"slices"
+)
+
+// RootOperator is the operator whose token the deployment file gives.
+const RootOperator = "root"
+
+// HashToken returns the hex SHA-256 of a token, as operators' subtrees keep it.
+func HashToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// FindOperator returns the name of the operator with the given token hash.
+func (c *Configuration) FindOperator(tokenSHA256 string) (name string, ok bool) {
+	for name, operator := range c.Operators {
+		if sameHash(operator.TokenSHA256, tokenSHA256) {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// authentic reports whether the change carries its operator's token.
+func (t *Tree) authentic(c *Change) bool {
+	operator, ok := t.current.Operators[c.Operator]
+	return ok && sameHash(operator.TokenSHA256, c.TokenSHA256)
+}
+
+// uncovered returns the first edited path that the operator may not change.
+func (t *Tree) uncovered(c *Change) (path string, ok bool) {
+	prefixes := t.current.Operators[c.Operator].Subtrees
+	for _, e := range c.Edits {
+		allowed := func(prefix string) bool { return covers(prefix, e.Path) }
+		if !slices.ContainsFunc(prefixes, allowed) {
+			return clip(e.Path), true
+		}
+	}
+	return "", false
+}
+
+func sameHash(a, b string) bool {
+	return a != "" && subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+}
--- a/internal/state/settings/check.go
+++ b/internal/state/settings/check.go
@@ -2,93 +2,341 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
+	"net"
 	"net/url"
+	"slices"
+	"strings"
+	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/strictjson"
 )
 
-// Check verifies the rules that span several fields. It returns a
-// *strictjson.FieldError for the first one that is broken.
+// Bounds of durations that operators may set.
+const (
+	minAddressTTL      = time.Second
+	maxAddressTTL      = 10 * time.Minute
+	minLeavingGrace    = 4 * time.Second
+	maxLeavingGrace    = time.Hour
+	minLedgerRetention = time.Minute
+	maxLedgerRetention = 90 * 24 * time.Hour
+	maxExpectedWait    = 24 * time.Hour
+	maxCallTimeout     = time.Hour
+)
+
+// Defaults of the system subtree.
+const (
+	defaultAddressTTL      = 30 * time.Second
+	defaultLeavingGrace    = 5 * time.Second
+	defaultLedgerRetention = 72 * time.Hour
+)
+
+// withDefaults fills in what the system subtree leaves out.
+func (s System) withDefaults() System {
+	setDefault(&s.AddressTTL, defaultAddressTTL)
+	setDefault(&s.LeavingGrace, defaultLeavingGrace)
+	setDefault(&s.LedgerRetention, defaultLedgerRetention)
+	return s
+}
+
+func setDefault(d *strictjson.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = strictjson.Duration(value)
+	}
+}
+
+// Check verifies every field and the rules that span several of them. It
+// returns a *strictjson.FieldError for the first one that is broken, in the
+// order of the paths.
 func (c *Configuration) Check() error {
-	for name, team := range c.Teams {
-		if err := c.checkTeam("/teams/"+name, team); err != nil {
+	if err := c.checkSystem(); err != nil {
+		return err
+	}
+	if err := checkEach("/teams", c.Teams, c.checkTeam); err != nil {
+		return err
+	}
+	if err := checkEach("/models", c.Models, c.checkModel); err != nil {
+		return err
+	}
+	if err := checkEach("/services", c.Services, c.checkService); err != nil {
+		return err
+	}
+	if err := checkEach("/operators", c.Operators, checkOperator); err != nil {
+		return err
+	}
+	return c.checkUnique()
+}
+
+// checkEach checks the members of a map in the order of their names.
+func checkEach[T any](at string, group map[string]T, check func(at string, value T) error) error {
+	for _, name := range sortedKeys(group) {
+		if err := checkName(at+"/"+name, name); err != nil {
 			return err
 		}
-	}
-	for name, model := range c.Models {
-		if err := checkModel("/models/"+name, model); err != nil {
+		if err := check(at+"/"+name, group[name]); err != nil {
 			return err
 		}
 	}
-	for name, service := range c.Services {
-		if err := checkService("/services/"+name, service); err != nil {
+	return nil
+}
+
+func sortedKeys[T any](m map[string]T) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
+func (c *Configuration) checkSystem() error {
+	s := c.System
+	if err := checkDuration("/system/address_ttl", s.AddressTTL, minAddressTTL, maxAddressTTL); err != nil {
+		return err
+	}
+	if err := checkDuration("/system/leaving_grace", s.LeavingGrace, minLeavingGrace, maxLeavingGrace); err != nil {
+		return err
+	}
+	if err := checkDuration("/system/ledger_retention", s.LedgerRetention, minLedgerRetention, maxLedgerRetention); err != nil {
+		return err
+	}
+	for i, address := range s.OldSystem {
+		at := fmt.Sprintf("/system/old_system/%d", i)
+		if err := checkURL(at, address); err != nil {
 			return err
 		}
+		if first := slices.Index(s.OldSystem, address); first < i {
+			return fieldError(at, "URL %s is already used at /system/old_system/%d", address, first)
+		}
 	}
 	return nil
 }
 
 func (c *Configuration) checkTeam(at string, team Team) error {
-	for name, class := range team.Classes {
-		at := at + "/classes/" + name
-		if _, ok := c.Models[class.Model]; !ok {
-			return fieldError(at+"/model", "no model %q", class.Model)
-		}
-		if class.ExpectedWait <= 0 {
-			return fieldError(at+"/expected_wait", "expected a positive duration")
-		}
-		if class.Worth <= 0 {
-			return fieldError(at+"/worth", "expected a positive number")
-		}
-		if class.OldSystemShare < 0 || class.OldSystemShare > 1 {
-			return fieldError(at+"/old_system_share", "expected a number from 0 to 1")
+	if err := checkEach(at+"/classes", team.Classes, c.checkClass); err != nil {
+		return err
+	}
+	return checkEach(at+"/customers", team.Customers, c.checkCustomer)
+}
+
+func (c *Configuration) checkClass(at string, class Class) error {
+	if _, ok := c.Models[class.Model]; !ok {
+		return fieldError(at+"/model", "no model %q", class.Model)
+	}
+	if err := checkDuration(at+"/expected_wait", class.ExpectedWait, time.Nanosecond, maxExpectedWait); err != nil {
+		return err
+	}
+	if !positive(class.Worth) {
+		return fieldError(at+"/worth", "expected a positive number")
+	}
+	return c.checkShare(at+"/old_system_share", class.OldSystemShare)
+}
+
+func (c *Configuration) checkCustomer(at string, customer Customer) error {
+	if !positive(customer.Share) {
+		return fieldError(at+"/share", "expected a positive number")
+	}
+	if customer.MaxConcurrent < 0 {
+		return fieldError(at+"/max_concurrent", "expected zero or more")
+	}
+	if customer.OldSystemShare == nil {
+		return nil
+	}
+	return c.checkShare(at+"/old_system_share", *customer.OldSystemShare)
+}
+
+// checkShare verifies a share of callers sent to the old system.
+func (c *Configuration) checkShare(at string, share float64) error {
+	if !(share >= 0 && share <= 1) {
+		return fieldError(at, "expected a number from 0 to 1")
+	}
+	if share > 0 && len(c.System.OldSystem) == 0 {
+		return fieldError(at, "expected 0, because /system/old_system lists no address")
+	}
+	return nil
+}
+
+func (c *Configuration) checkModel(at string, model Model) error {
+	if err := checkEach(at+"/engines", model.Engines, c.checkEngine); err != nil {
+		return err
+	}
+	if !(model.RolePrice >= 0) || math.IsInf(model.RolePrice, 0) {
+		return fieldError(at+"/role_price", "expected zero or more")
+	}
+	return checkMinimums(at, model)
+}
+
+// checkMinimums verifies that the lower bounds can be met together.
+func checkMinimums(at string, model Model) error {
+	if model.MinPrefill < 0 {
+		return fieldError(at+"/min_prefill", "expected zero or more")
+	}
+	if model.MinDecode < 0 {
+		return fieldError(at+"/min_decode", "expected zero or more")
+	}
+	free, prefill, decode := 0, 0, 0
+	for _, engine := range model.Engines {
+		switch engine.Role {
+		case RolePrefill:
+			prefill++
+		case RoleDecode:
+			decode++
+		case "":
+			free++
 		}
 	}
+	missingPrefill := max(0, model.MinPrefill-prefill)
+	missingDecode := max(0, model.MinDecode-decode)
+	switch {
+	case missingPrefill > free:
+		return fieldError(at+"/min_prefill", "expected at most %d, the engines that may take the role", prefill+free)
+	case missingPrefill+missingDecode > free:
+		return fieldError(at+"/min_decode", "expected at most %d, the engines left for the role", decode+free-missingPrefill)
+	}
 	return nil
 }
 
-func checkModel(at string, model Model) error {
-	for name, engine := range model.Engines {
-		at := at + "/engines/" + name
-		if err := checkURL(at+"/url", engine.URL); err != nil {
+func (c *Configuration) checkEngine(at string, engine Engine) error {
+	if err := checkURL(at+"/url", engine.URL); err != nil {
+		return err
+	}
+	if err := c.checkZone(at+"/zone", engine.Zone); err != nil {
+		return err
+	}
+	switch engine.Authority {
+	case AuthorityLagoonshift, AuthorityOldSystem:
+	default:
+		return fieldError(at+"/authority", "expected %q or %q", AuthorityLagoonshift, AuthorityOldSystem)
+	}
+	switch engine.Role {
+	case "", RolePrefill, RoleDecode, RoleMixed:
+	default:
+		return fieldError(at+"/role", "expected %q, %q or %q", RolePrefill, RoleDecode, RoleMixed)
+	}
+	return nil
+}
+
+func (c *Configuration) checkService(at string, service Service) error {
+	if err := checkEach(at+"/backends", service.Backends, c.checkBackend); err != nil {
+		return err
+	}
+	for _, path := range sortedKeys(service.Calls) {
+		if err := checkCall(at+"/calls/"+path, path, service.Calls[path]); err != nil {
 			return err
 		}
-		switch engine.Authority {
-		case AuthorityLagoonshift, AuthorityOldSystem:
-		default:
-			return fieldError(at+"/authority", "expected %q or %q", AuthorityLagoonshift, AuthorityOldSystem)
+	}
+	return nil
+}
+
+func (c *Configuration) checkBackend(at string, backend Backend) error {
+	if err := checkURL(at+"/url", backend.URL); err != nil {
+		return err
+	}
+	return c.checkZone(at+"/zone", backend.Zone)
+}
+
+func checkCall(at, path string, call Call) error {
+	for segment := range strings.SplitSeq(path, "/") {
+		if err := checkName(at, segment); err != nil {
+			return err
 		}
-		switch engine.Role {
-		case "", RolePrefill, RoleDecode, RoleMixed:
-		default:
-			return fieldError(at+"/role", "expected %q, %q or %q", RolePrefill, RoleDecode, RoleMixed)
+	}
+	return checkDuration(at+"/timeout", call.Timeout, time.Millisecond, maxCallTimeout)
+}
+
+func checkOperator(at string, operator Operator) error {
+	if !isHash(operator.TokenSHA256) {
+		return fieldError(at+"/token_sha256", "expected 64 lower-case hex digits")
+	}
+	if len(operator.Subtrees) == 0 {
+		return fieldError(at+"/subtrees", "expected at least one subtree")
+	}
+	for i, prefix := range operator.Subtrees {
+		if err := checkPrefix(fmt.Sprintf("%s/subtrees/%d", at, i), prefix); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-func checkService(at string, service Service) error {
-	for name, backend := range service.Backends {
-		if err := checkURL(at+"/backends/"+name+"/url", backend.URL); err != nil {
-			return err
+func isHash(text string) bool {
+	return len(text) == 64 && strings.Trim(text, "0123456789abcdef") == ""
+}
+
+func (c *Configuration) checkZone(at, zone string) error {
+	if c.Zones == nil || slices.Contains(c.Zones, zone) {
+		return nil
+	}
+	return fieldError(at, "expected one of the deployment's zones %s, got %q", strings.Join(c.Zones, ", "), zone)
+}
+
+// checkUnique verifies that no two models share an engine's name, and that no
+// URL or token is given twice.
+func (c *Configuration) checkUnique() error {
+	urls, engines, tokens := make(usedAt), make(usedAt), make(usedAt)
+	for _, model := range sortedKeys(c.Models) {
+		for _, name := range sortedKeys(c.Models[model].Engines) {
+			at := "/models/" + model + "/engines/" + name
+			if err := engines.take("engine", name, at, at); err != nil {
+				return err
+			}
+			if err := urls.take("URL", c.Models[model].Engines[name].URL, at+"/url", at+"/url"); err != nil {
+				return err
+			}
+		}
+	}
+	for _, service := range sortedKeys(c.Services) {
+		for _, name := range sortedKeys(c.Services[service].Backends) {
+			at := "/services/" + service + "/backends/" + name + "/url"
+			if err := urls.take("URL", c.Services[service].Backends[name].URL, at, at); err != nil {
+				return err
+			}
 		}
 	}
-	for path, call := range service.Calls {
-		if call.Timeout <= 0 {
-			return fieldError(at+"/calls/"+path+"/timeout", "expected a positive duration")
+	for _, name := range sortedKeys(c.Operators) {
+		at := "/operators/" + name
+		if err := tokens.take("token", c.Operators[name].TokenSHA256, at+"/token_sha256", at); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// usedAt holds where a value is used.
+type usedAt map[string]string
+
+// take notes that a value is used at a path; it fails if it is taken.
+func (u usedAt) take(kind, value, at, shown string) error {
+	if first, ok := u[value]; ok {
+		return fieldError(at, "%s is already used at %s", kind, first)
+	}
+	u[value] = shown
+	return nil
+}
+
+func checkDuration(at string, d strictjson.Duration, shortest, longest time.Duration) error {
+	if d.Std() < shortest || d.Std() > longest {
+		return fieldError(at, "expected a duration from %s to %s, got %s", shortest, longest, d.Std())
+	}
+	return nil
+}
+
+// checkURL allows base URLs whose host is an IP address, as the platform and
+// the callers name VMs.
 func checkURL(at, text string) error {
 	u, err := url.Parse(text)
 	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
 		return fieldError(at, "expected an http or https URL, got %q", text)
 	}
+	if net.ParseIP(u.Hostname()) == nil {
+		return fieldError(at, "expected a URL with an IP address, got %q", text)
+	}
+	if strings.HasSuffix(u.Path, "/") || u.RawQuery != "" || u.Fragment != "" || u.User != nil {
+		return fieldError(at, "expected a base URL without a final slash, query or user, got %q", text)
+	}
 	return nil
 }
 
+func positive(x float64) bool {
+	return x > 0 && !math.IsInf(x, 0)
+}
+
 func fieldError(at, format string, args ...any) error {
 	return &strictjson.FieldError{Path: at, Reason: fmt.Sprintf(format, args...)}
 }
--- a/internal/state/settings/configuration.go
+++ b/internal/state/settings/configuration.go
@@ -4,6 +4,7 @@
 package settings
 
 import (
+	"github.com/lagoonshift/lagoonshift/internal/state/member"
 	"github.com/lagoonshift/lagoonshift/internal/strictjson"
 )
 
@@ -22,8 +23,24 @@
 	Models map[string]Model `json:"models"`
 	// Services holds the plain services.
 	Services map[string]Service `json:"services"`
-	// Operators holds who may change which subtrees.
+	// Operators holds who may change which subtrees. Entries do not get it.
 	Operators map[string]Operator `json:"operators"`
+	// Zones lists the availability zones that the settings may name; nil
+	// means that they are not known here.
+	Zones []string `json:"-"`
+	// Members holds the entry processes by name.
+	Members map[string]member.Member `json:"-"`
+	// VMs holds the VMs that were seen leaving, by IP address.
+	VMs map[string]member.VM `json:"-"`
+
+	// leaving holds the URLs of backend servers on leaving VMs.
+	leaving map[string]bool
+}
+
+// Leaving reports whether the engine or backend server with the given base
+// URL is on a VM that is leaving, so that it gets no new work.
+func (c *Configuration) Leaving(baseURL string) bool {
+	return c.leaving[baseURL]
 }
 
 // System holds deployment-wide settings.
--- /dev/null
+++ b/internal/state/settings/fleet.go
@@ -0,0 +1,129 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/lagoonshift/lagoonshift/internal/state/member"
+)
+
+// Bootstrap brings what the deployment file says into the tree, so that every
+// replica judges changes by the same values.
+type Bootstrap struct {
+	// RootTokenSHA256 is the root operator's hashed token. A value other than
+	// the last one replaces the root operator.
+	RootTokenSHA256 string `cbor:"1,keyasint"`
+	// Zones lists the deployment's availability zones.
+	Zones []string `cbor:"2,keyasint"`
+}
+
+// NeedsBootstrap reports whether applying b would change the tree.
+func (t *Tree) NeedsBootstrap(b Bootstrap) bool {
+	return b.RootTokenSHA256 != t.RootTokenSHA256 || !slices.Equal(t.zonesWith(b.Zones), t.Zones)
+}
+
+// Bootstrap executes a committed Bootstrap.
+func (t *Tree) Bootstrap(index uint64, b Bootstrap) {
+	t.advance(index)
+	t.Zones = t.zonesWith(b.Zones)
+	t.current.Zones = t.Zones
+	if b.RootTokenSHA256 == "" || b.RootTokenSHA256 == t.RootTokenSHA256 {
+		return
+	}
+	t.RootTokenSHA256 = b.RootTokenSHA256
+	root := Operator{TokenSHA256: b.RootTokenSHA256, Subtrees: []string{RootPath}}
+	t.write(index, Path{Group: OperatorsGroup, Name: RootOperator}, root)
+}
+
+// zonesWith returns the given zones and those that subtrees still name.
+func (t *Tree) zonesWith(zones []string) []string {
+	all := make(map[string]bool)
+	for _, z := range zones {
+		all[z] = true
+	}
+	for z := range t.current.zonesInUse() {
+		all[z] = true
+	}
+	return slices.Sorted(maps.Keys(all))
+}
+
+// Register executes a committed registration.
+func (t *Tree) Register(index uint64, r member.Register) member.Result {
+	t.advance(index)
+	current, ok := t.current.Members[r.Member.Name]
+	if ok && current.Incarnation == r.Member.Incarnation {
+		return member.Result{Accepted: true, Current: current}
+	}
+	if current.Incarnation != r.Replaces {
+		return member.Result{Current: current}
+	}
+	r.Member.State = member.Live
+	t.write(index, Path{Group: groupMembers, Name: r.Member.Name}, r.Member)
+	return member.Result{Accepted: true, Current: r.Member}
+}
+
+// Retire executes a committed departure.
+func (t *Tree) Retire(index uint64, r member.Retire) member.Result {
+	t.advance(index)
+	current, ok := t.current.Members[r.Name]
+	if !ok || current.Incarnation != r.Incarnation {
+		return member.Result{Current: current}
+	}
+	p := Path{Group: groupMembers, Name: r.Name}
+	if r.Gone {
+		t.remove(index, p)
+		return member.Result{Accepted: true}
+	}
+	if current.State != member.Leaving {
+		current.State = member.Leaving
+		t.write(index, p, current)
+	}
+	return member.Result{Accepted: true, Current: current}
+}
+
+// ObserveVMs executes a committed observation of the platform's list.
+func (t *Tree) ObserveVMs(index uint64, seen []member.Observation) {
+	t.advance(index)
+	for _, o := range seen {
+		next, changed := t.current.VMs[o.Address].Observe(o)
+		if changed {
+			t.write(index, Path{Group: groupVMs, Name: o.Address}, next)
+		}
+	}
+}
+
+// News returns the observations that would change the tree.
+func (t *Tree) News(seen []member.Observation) []member.Observation {
+	var out []member.Observation
+	for _, o := range seen {
+		if _, changed := t.current.VMs[o.Address].Observe(o); changed {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// write stores a subtree that the system itself made.
+func (t *Tree) write(index uint64, p Path, value any) {
+	content, err := json.Marshal(value)
+	if err != nil {
+		// The values are plain structs; failing here is a programming error.
+		panic(fmt.Sprintf("settings: encode %s at index %d: %v", p, index, err))
+	}
+	t.store(index, p, content)
+}
+
+func (t *Tree) remove(index uint64, p Path) {
+	t.store(index, p, nil)
+}
+
+func (t *Tree) store(index uint64, p Path, content []byte) {
+	d := newDraft(t.current, index)
+	if err := d.set(p, content); err != nil {
+		panic(fmt.Sprintf("settings: store %s at index %d: %v", p, index, err))
+	}
+	t.put(index, p.String(), content)
+	t.current = d.finish()
+}
--- a/internal/state/settings/tree.go
+++ b/internal/state/settings/tree.go
@@ -1,200 +1,230 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
+	"errors"
 	"fmt"
-	"maps"
-	"slices"
 	"strings"
 
 	"github.com/lagoonshift/lagoonshift/internal/strictjson"
 )
 
-// Change is one operator's change of one subtree.
-type Change struct {
-	// Operator is the name of the operator.
-	Operator string `cbor:"1,keyasint"`
-	// Number identifies the change among the operator's changes. The same
-	// number with the same content returns the first answer again.
-	Number uint64 `cbor:"2,keyasint"`
-	// Path is the subtree, such as "teams/desk" or "system".
-	Path string `cbor:"3,keyasint"`
-	// BaseVersion is the subtree's version that the change was made against;
-	// zero for a new subtree.
-	BaseVersion uint64 `cbor:"4,keyasint"`
-	// Content is the subtree's new content in JSON; empty removes it.
-	Content []byte `cbor:"5,keyasint"`
-}
-
-// Outcome tells what became of a change.
-type Outcome string
-
-const (
-	// Accepted means that the change is part of the tree.
-	Accepted Outcome = "accepted"
-	// Conflict means that the subtree changed since BaseVersion.
-	Conflict Outcome = "conflict"
-	// NumberTaken means that the operator's number was used for other content.
-	NumberTaken Outcome = "number-taken"
-	// Invalid means that the whole tree would not be valid.
-	Invalid Outcome = "invalid"
-)
-
-// ChangeResult is the answer to a Change.
-type ChangeResult struct {
-	Outcome Outcome `cbor:"1,keyasint"`
-	// Version is the subtree's version after an accepted change, and its
-	// current version otherwise.
-	Version uint64 `cbor:"2,keyasint"`
-	// Current is the subtree's current content after a refusal.
-	Current []byte `cbor:"3,keyasint,omitempty"`
-	// Reason explains a refusal, with the path of the offending field.
-	Reason string `cbor:"4,keyasint,omitempty"`
-}
-
 // Subtree is one stored subtree.
 type Subtree struct {
-	// Version is the log index of the change that wrote the content.
+	// Version is the log index of the command that wrote the content.
 	Version uint64 `cbor:"1,keyasint"`
 	// Content is compact JSON.
 	Content []byte `cbor:"2,keyasint"`
 }
 
-// Tree is the replicated settings tree. It is not safe for concurrent use.
+// Tree is everything that entries hold under the settings lease: the
+// operators' settings, the members and the leaving VMs. It is replicated and
+// not safe for concurrent use.
 type Tree struct {
 	// Version is the index of the newest settings command applied, accepted
 	// or refused.
 	Version uint64 `cbor:"1,keyasint"`
 	// Subtrees holds the content by path.
 	Subtrees map[string]Subtree `cbor:"2,keyasint"`
-	// Answers holds the changes answered so far by operator and number.
-	Answers map[string]map[uint64]Answer `cbor:"3,keyasint"`
-}
-
-// Answer is a change that was answered, kept to answer it again.
-type Answer struct {
-	Change Change       `cbor:"1,keyasint"`
-	Result ChangeResult `cbor:"2,keyasint"`
+	// Removed remembers removed paths for updates.
+	Removed Removals `cbor:"3,keyasint"`
+	// Answers holds the newest changes answered.
+	Answers Answers `cbor:"4,keyasint"`
+	// History holds the newest changes accepted.
+	History History `cbor:"5,keyasint"`
+	// Zones lists the availability zones that subtrees may name.
+	Zones []string `cbor:"6,keyasint"`
+	// RootTokenSHA256 is the root operator's token as the deployment file
+	// gave it last.
+	RootTokenSHA256 string `cbor:"7,keyasint"`
+
+	// current is derived from the fields above.
+	current *Configuration
 }
 
 // NewTree returns an empty tree.
 func NewTree() *Tree {
-	return &Tree{
+	t := &Tree{
 		Subtrees: make(map[string]Subtree),
-		Answers:  make(map[string]map[uint64]Answer),
+		Removed:  Removals{Versions: make(map[string]uint64)},
+		Answers:  newAnswers(),
 	}
+	t.current = newDraft(&Configuration{}, 0).finish()
+	return t
+}
+
+// Rebuild derives what a decoded snapshot does not hold.
+func (t *Tree) Rebuild() error {
+	if t.Subtrees == nil {
+		t.Subtrees = make(map[string]Subtree)
+	}
+	if t.Removed.Versions == nil {
+		t.Removed.Versions = make(map[string]uint64)
+	}
+	if t.Answers.Operators == nil {
+		t.Answers = newAnswers()
+	}
+	current, err := build(t.Version, t.Zones, t.Subtrees)
+	if err != nil {
+		return err
+	}
+	t.current = current
+	return nil
+}
+
+// Configuration returns the current tree, decoded.
+func (t *Tree) Configuration() *Configuration {
+	return t.current
 }
 
 // Apply executes the change committed at the given log index.
 func (t *Tree) Apply(index uint64, c Change) ChangeResult {
-	t.Version = index
-	if answer, ok := t.Answers[c.Operator][c.Number]; ok {
-		return t.repeat(answer, c)
+	if c.Rules > RulesVersion {
+		panic(fmt.Sprintf("settings: change at index %d needs rules version %d, this binary has %d", index, c.Rules, RulesVersion))
+	}
+	t.advance(index)
+	if !t.authentic(&c) {
+		return ChangeResult{Outcome: Denied, Reason: "unknown operator or wrong token"}
+	}
+	digest := c.digest()
+	if answer, ok := t.Answers.find(c.Operator, c.Number); ok {
+		return repeat(&answer, digest, &c)
 	}
-	result := t.decide(index, c)
+	if forgotten := t.Answers.forgotten(c.Operator); c.Number <= forgotten {
+		reason := fmt.Sprintf("number %d may have been used before; use one above %d", c.Number, forgotten)
+		return ChangeResult{Outcome: NumberTooOld, Reason: reason}
+	}
+	result := t.decide(index, &c)
+	t.Answers.remember(c.Operator, Answer{
+		Index:  index,
+		Number: c.Number,
+		Digest: digest,
+		Path:   firstPath(&c),
+		Edits:  len(c.Edits),
+		Result: result,
+	})
 	if result.Outcome == Accepted {
-		t.remember(c, result)
+		t.History.add(index, &c)
 	}
 	return result
 }
 
-func (t *Tree) repeat(answer Answer, c Change) ChangeResult {
-	if sameChange(answer.Change, c) {
+// advance makes index the tree's version; every settings command does so.
+func (t *Tree) advance(index uint64) {
+	t.Version = index
+	next := *t.current
+	next.Version = index
+	t.current = &next
+}
+
+// Skip passes over a settings command that could not be executed.
+func (t *Tree) Skip(index uint64) {
+	t.advance(index)
+}
+
+func repeat(answer *Answer, digest Digest, c *Change) ChangeResult {
+	if answer.Digest == digest {
 		return answer.Result
 	}
 	return ChangeResult{
 		Outcome: NumberTaken,
 		Version: answer.Result.Version,
-		Current: answer.Change.Content,
-		Reason:  fmt.Sprintf("number %d of %s was used for %s", c.Number, c.Operator, answer.Change.Path),
+		Path:    answer.Path,
+		Reason:  fmt.Sprintf("number %d of %s was used for another change", c.Number, c.Operator),
+		Winner: &Winner{
+			Outcome: answer.Result.Outcome,
+			Version: answer.Result.Version,
+			Path:    answer.Path,
+			Edits:   answer.Edits,
+		},
 	}
 }
 
-func (t *Tree) decide(index uint64, c Change) ChangeResult {
-	current := t.Subtrees[c.Path]
-	if current.Version != c.BaseVersion {
-		return ChangeResult{Outcome: Conflict, Version: current.Version, Current: current.Content}
+// decide checks the change against the tree and carries it out.
+func (t *Tree) decide(index uint64, c *Change) ChangeResult {
+	if path, ok := t.uncovered(c); ok {
+		return ChangeResult{Outcome: Denied, Path: "/" + path, Reason: "the operator may not change this subtree"}
+	}
+	if result, ok := t.conflict(c); ok {
+		return result
 	}
-	next := maps.Clone(t.Subtrees)
-	if len(c.Content) == 0 {
-		delete(next, c.Path)
-	} else {
-		next[c.Path] = Subtree{Version: index, Content: c.Content}
+	next, err := t.next(index, c)
+	if err != nil {
+		return invalid(err)
 	}
-	if _, err := decode(index, next); err != nil {
-		return ChangeResult{Outcome: Invalid, Version: current.Version, Current: current.Content, Reason: err.Error()}
+	for _, e := range c.Edits {
+		t.put(index, e.Path, e.Content)
 	}
-	t.Subtrees = next
+	t.current = next
 	return ChangeResult{Outcome: Accepted, Version: index}
 }
 
-func (t *Tree) remember(c Change, result ChangeResult) {
-	if t.Answers[c.Operator] == nil {
-		t.Answers[c.Operator] = make(map[uint64]Answer)
+func (t *Tree) conflict(c *Change) (ChangeResult, bool) {
+	for _, e := range c.Edits {
+		current := t.Subtrees[e.Path].Version
+		if current == e.BaseVersion {
+			continue
+		}
+		reason := fmt.Sprintf("made against version %d, the current one is %d", e.BaseVersion, current)
+		return ChangeResult{Outcome: Conflict, Version: current, Path: "/" + e.Path, Reason: clip(reason)}, true
 	}
-	t.Answers[c.Operator][c.Number] = Answer{Change: c, Result: result}
+	return ChangeResult{}, false
 }
 
-// Configuration decodes the current tree.
-func (t *Tree) Configuration() (*Configuration, error) {
-	return decode(t.Version, t.Subtrees)
-}
-
-// Document returns the current tree as one JSON document, as Parse reads it.
-func (t *Tree) Document() ([]byte, error) {
-	return document(t.Subtrees)
+// next returns the configuration that the change would lead to.
+func (t *Tree) next(index uint64, c *Change) (*Configuration, error) {
+	if len(c.Edits) == 0 {
+		return nil, fieldError("/", "expected at least one edit")
+	}
+	d := newDraft(t.current, index)
+	seen := make(map[string]bool, len(c.Edits))
+	for _, e := range c.Edits {
+		p, err := ParsePath(e.Path)
+		if err != nil {
+			return nil, err
+		}
+		if seen[e.Path] {
+			return nil, fieldError("/"+e.Path, "subtree is given twice")
+		}
+		seen[e.Path] = true
+		if err := d.set(p, e.Content); err != nil {
+			return nil, err
+		}
+	}
+	return d.finishChecked()
 }
 
-// Parse reads a whole configuration from JSON and checks it.
-func Parse(version uint64, content []byte) (*Configuration, error) {
-	c := Configuration{Version: version}
-	if err := strictjson.Decode(content, &c); err != nil {
-		return nil, err
+// put stores or removes one subtree.
+func (t *Tree) put(index uint64, path string, content []byte) {
+	if len(content) > 0 {
+		t.Subtrees[path] = Subtree{Version: index, Content: content}
+		t.Removed.forget(path)
+		return
 	}
-	if err := c.Check(); err != nil {
-		return nil, err
+	if _, ok := t.Subtrees[path]; !ok {
+		return
 	}
-	return &c, nil
+	delete(t.Subtrees, path)
+	t.Removed.add(path, index)
 }
 
-func decode(version uint64, subtrees map[string]Subtree) (*Configuration, error) {
-	content, err := document(subtrees)
-	if err != nil {
-		return nil, err
+func invalid(err error) ChangeResult {
+	var field *strictjson.FieldError
+	if errors.As(err, &field) {
+		return ChangeResult{Outcome: Invalid, Path: clip(field.Path), Reason: clip(field.Reason)}
 	}
-	return Parse(version, content)
+	return ChangeResult{Outcome: Invalid, Reason: clip(err.Error())}
 }
 
-// document joins subtrees such as "teams/desk" into one JSON object.
-func document(subtrees map[string]Subtree) ([]byte, error) {
-	top := make(map[string]json.RawMessage)
-	groups := make(map[string]map[string]json.RawMessage)
-	for _, path := range slices.Sorted(maps.Keys(subtrees)) {
-		group, name, nested := strings.Cut(path, "/")
-		content := json.RawMessage(subtrees[path].Content)
-		if !nested {
-			top[group] = content
-			continue
-		}
-		if groups[group] == nil {
-			groups[group] = make(map[string]json.RawMessage)
-		}
-		groups[group][name] = content
+func clip(text string) string {
+	if len(text) <= maxReason {
+		return text
 	}
-	for group, members := range groups {
-		if _, ok := top[group]; ok {
-			return nil, &strictjson.FieldError{Path: "/" + group, Reason: "is given whole and in parts"}
-		}
-		encoded, err := json.Marshal(members)
-		if err != nil {
-			return nil, fmt.Errorf("encode %s: %w", group, err)
-		}
-		top[group] = encoded
-	}
-	return json.Marshal(top)
+	return strings.ToValidUTF8(text[:maxReason], "")
 }
 
-func sameChange(a, b Change) bool {
-	return a.Path == b.Path && a.BaseVersion == b.BaseVersion && bytes.Equal(a.Content, b.Content)
+func firstPath(c *Change) string {
+	if len(c.Edits) == 0 {
+		return ""
+	}
+	return clip(c.Edits[0].Path)
 }
--- /dev/null
+++ b/internal/state/store/settings.go
@@ -0,0 +1,74 @@
+package store
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// encoding sorts map keys, so that equal states have equal snapshots.
+var encoding = newEncoding()
+
+func newEncoding() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		// The options are constant; failing here is a programming error.
+		panic("store: encoding options: " + err.Error())
+	}
+	return mode
+}
+
+// kind decodes only which command is set.
+type kind struct {
+	Change    cbor.RawMessage `cbor:"1,keyasint"`
+	Bootstrap cbor.RawMessage `cbor:"20,keyasint"`
+	Register  cbor.RawMessage `cbor:"21,keyasint"`
+	Retire    cbor.RawMessage `cbor:"22,keyasint"`
+	Observe   cbor.RawMessage `cbor:"23,keyasint"`
+}
+
+// IsSettings reports whether an encoded command concerns what entries hold
+// under the settings lease: settings, members and leaving VMs.
+func IsSettings(encoded []byte) bool {
+	var k kind
+	if cbor.Unmarshal(encoded, &k) != nil {
+		return false
+	}
+	return k.Change != nil || k.Bootstrap != nil || k.Register != nil || k.Retire != nil || k.Observe != nil
+}
+
+// isSettings is IsSettings for a decoded command.
+func (c *Command) isSettings() bool {
+	return c.Change != nil || c.Bootstrap != nil || c.Register != nil || c.Retire != nil || c.Observe != nil
+}
+
+// executeSettings executes a settings command. The caller holds mu.
+func (s *Store) executeSettings(index uint64, c *Command) Result {
+	switch {
+	case c.Change != nil:
+		result := s.tree.Apply(index, *c.Change)
+		return Result{Change: &result}
+	case c.Bootstrap != nil:
+		s.tree.Bootstrap(index, *c.Bootstrap)
+		return Result{}
+	case c.Register != nil:
+		result := s.tree.Register(index, *c.Register)
+		return Result{Member: &result}
+	case c.Retire != nil:
+		result := s.tree.Retire(index, *c.Retire)
+		return Result{Member: &result}
+	case c.Observe != nil:
+		s.tree.ObserveVMs(index, c.Observe)
+		return Result{}
+	}
+	return Result{Error: fmt.Sprintf("unknown settings command at index %d", index)}
+}
+
+// skip passes over a command that can't be decoded. If the log counts it as a
+// settings command, the tree must reach its index, or no entry could renew its
+// lease again. The caller holds mu.
+func (s *Store) skip(index uint64, encoded []byte) {
+	if IsSettings(encoded) {
+		s.tree.Skip(index)
+	}
+}
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -4,12 +4,14 @@
 package store
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+	"github.com/lagoonshift/lagoonshift/internal/state/member"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
@@ -18,6 +20,14 @@
 	Change  *settings.Change `cbor:"1,keyasint,omitempty"`
 	Reserve *ledger.Reserve  `cbor:"2,keyasint,omitempty"`
 	Settle  *ledger.Settle   `cbor:"3,keyasint,omitempty"`
+
+	// The commands below and Change are settings commands, see IsSettings.
+
+	Bootstrap *settings.Bootstrap `cbor:"20,keyasint,omitempty"`
+	Register  *member.Register    `cbor:"21,keyasint,omitempty"`
+	Retire    *member.Retire      `cbor:"22,keyasint,omitempty"`
+	// Observe is what the platform's list of VMs shows newly.
+	Observe []member.Observation `cbor:"23,keyasint,omitempty"`
 }
 
 // Result is the result of a command. The field for the command's kind is set,
@@ -25,12 +35,13 @@
 type Result struct {
 	Change *settings.ChangeResult `cbor:"1,keyasint,omitempty"`
 	Ledger *ledger.Result         `cbor:"2,keyasint,omitempty"`
+	Member *member.Result         `cbor:"20,keyasint,omitempty"`
 	Error  string                 `cbor:"15,keyasint,omitempty"`
 }
 
 // Encode returns the command as it stands in the log.
 func (c *Command) Encode() ([]byte, error) {
-	encoded, err := cbor.Marshal(c)
+	encoded, err := encoding.Marshal(c)
 	if err != nil {
 		return nil, fmt.Errorf("encode command: %w", err)
 	}
@@ -49,12 +60,6 @@
 	return r, nil
 }
 
-// IsSettings reports whether an encoded command is a settings change.
-func IsSettings(encoded []byte) bool {
-	var c Command
-	return cbor.Unmarshal(encoded, &c) == nil && c.Change != nil
-}
-
 // snapshot is the encoded form of the whole state.
 type snapshot struct {
 	Tree   *settings.Tree `cbor:"1,keyasint"`
@@ -77,7 +82,7 @@
 // Apply implements replog.StateMachine.
 func (s *Store) Apply(index uint64, encoded []byte) []byte {
 	result := s.execute(index, encoded)
-	out, err := cbor.Marshal(result)
+	out, err := encoding.Marshal(result)
 	if err != nil {
 		// Results consist of plain fields; failing here is a programming error.
 		panic(fmt.Sprintf("store: encode result at index %d: %v", index, err))
@@ -87,15 +92,17 @@
 
 func (s *Store) execute(index uint64, encoded []byte) Result {
 	var c Command
-	if err := cbor.Unmarshal(encoded, &c); err != nil {
-		return Result{Error: fmt.Sprintf("decode command at index %d: %v", index, err)}
-	}
+	err := cbor.Unmarshal(encoded, &c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err != nil {
+		s.skip(index, encoded)
+		return Result{Error: fmt.Sprintf("decode command at index %d: %v", index, err)}
+	}
+	if c.isSettings() {
+		return s.executeSettings(index, &c)
+	}
 	switch {
-	case c.Change != nil:
-		result := s.tree.Apply(index, *c.Change)
-		return Result{Change: &result}
 	case c.Reserve != nil:
 		result := s.ledger.Reserve(*c.Reserve)
 		return Result{Ledger: &result}
@@ -110,7 +117,7 @@
 func (s *Store) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	encoded, err := cbor.Marshal(snapshot{Tree: s.tree, Ledger: s.ledger.Encode()})
+	encoded, err := encoding.Marshal(snapshot{Tree: s.tree, Ledger: s.ledger.Encode()})
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
@@ -123,6 +130,12 @@
 	if err := cbor.Unmarshal(encoded, &content); err != nil {
 		return fmt.Errorf("decode snapshot: %w", err)
 	}
+	if content.Tree == nil {
+		return errors.New("decode snapshot: no settings tree")
+	}
+	if err := content.Tree.Rebuild(); err != nil {
+		return fmt.Errorf("decode snapshot: %w", err)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tree = content.Tree
--- a/internal/transport/peergrpc/client.go
+++ b/internal/transport/peergrpc/client.go
@@ -18,8 +18,12 @@
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
-// retryPause is the pause between rounds over all replicas.
-const retryPause = 50 * time.Millisecond
+const (
+	// retryPause is the pause between rounds over all replicas.
+	retryPause = 50 * time.Millisecond
+	// attemptTimeout bounds a call to one replica before the next is tried.
+	attemptTimeout = 2 * time.Second
+)
 
 // ControlClient talks to all control replicas. It is safe for concurrent use.
 type ControlClient struct {
@@ -39,7 +43,11 @@
 func DialControl(addresses []string) (*ControlClient, error) {
 	c := &ControlClient{}
 	for _, address := range addresses {
-		conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		conn, err := grpc.NewClient(
+			address,
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+		)
 		if err != nil {
 			c.Close()
 			return nil, fmt.Errorf("prepare connection to control %s: %w", address, err)
@@ -58,7 +66,12 @@
 
 // Renew asks every replica to renew a lease and returns the answers that came
 // in before ctx ended.
-func (c *ControlClient) Renew(ctx context.Context, request *peerpb.RenewRequest) []lease.Answer {
+func (c *ControlClient) Renew(ctx context.Context, renewal lease.Renewal) []lease.Answer {
+	request := &peerpb.RenewRequest{
+		Member:          renewal.Member,
+		Incarnation:     renewal.Incarnation,
+		SettingsVersion: renewal.Version,
+	}
 	answers := make([]*lease.Answer, len(c.replicas))
 	var group errgroup.Group
 	for i, r := range c.replicas {
@@ -90,20 +103,6 @@
 	}
 }
 
-// Settings returns the newest accepted settings, or no content if the caller
-// holds them already.
-func (c *ControlClient) Settings(ctx context.Context, have uint64) (version uint64, content []byte, err error) {
-	err = c.each(ctx, func(r replica) error {
-		response, err := r.control.Settings(ctx, &peerpb.SettingsRequest{HaveVersion: have})
-		if err != nil {
-			return fmt.Errorf("read settings from %s: %w", r.address, err)
-		}
-		version, content = response.GetVersion(), response.GetContent()
-		return nil
-	})
-	return version, content, err
-}
-
 // Submit commits a command and returns its result. After an error that
 // matches replog.ErrUnknown the command may have been committed; all commands
 // are idempotent, so it may be submitted again.
@@ -114,7 +113,7 @@
 	}
 	var result store.Result
 	uncertain := false
-	err = c.each(ctx, func(r replica) error {
+	err = c.each(ctx, func(ctx context.Context, r replica) error {
 		response, err := r.control.Submit(ctx, &peerpb.SubmitRequest{Command: encoded})
 		if err != nil {
 			uncertain = uncertain || !surelyNotRun(err)
@@ -136,13 +135,13 @@
 
 // each calls do with one replica after the other, starting with the one that
 // answered last, until do succeeds or ctx ends.
-func (c *ControlClient) each(ctx context.Context, do func(replica) error) error {
+func (c *ControlClient) each(ctx context.Context, do func(context.Context, replica) error) error {
 	for {
 		start := int(c.preferred.Load())
 		var last error
 		for i := range c.replicas {
 			at := (start + i) % len(c.replicas)
-			last = do(c.replicas[at])
+			last = attempt(ctx, c.replicas[at], do)
 			if last == nil {
 				c.preferred.Store(int32(at))
 				return nil
@@ -158,3 +157,9 @@
 		}
 	}
 }
+
+func attempt(ctx context.Context, r replica, do func(context.Context, replica) error) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return do(ctx, r)
+}
--- a/internal/transport/peergrpc/server.go
+++ b/internal/transport/peergrpc/server.go
@@ -11,8 +11,6 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
-	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
-	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
@@ -26,6 +24,15 @@
 
 	log   replog.Log
 	store *store.Store
+	// renewals may be nil.
+	renewals Renewals
+}
+
+// Renewals is told of every lease renewal that a replica answers.
+type Renewals interface {
+	// Renewed notes that a member asked to renew its lease with the given
+	// settings version in force.
+	Renewed(member string, incarnation, version uint64)
 }
 
 // NewControlServer returns a server for the replica behind log and store.
@@ -33,42 +40,16 @@
 	return &ControlServer{log: log, store: s}
 }
 
+// Observe sets who is told of renewals; it must be called before Register.
+func (c *ControlServer) Observe(r Renewals) {
+	c.renewals = r
+}
+
 // Register adds the service to a gRPC server.
 func (c *ControlServer) Register(server *grpc.Server) {
 	peerpb.RegisterControlServer(server, c)
 }
 
-// Renew implements peerpb.ControlServer.
-func (c *ControlServer) Renew(context.Context, *peerpb.RenewRequest) (*peerpb.RenewResponse, error) {
-	view := c.log.View()
-	return &peerpb.RenewResponse{
-		ReplicaId:          view.ReplicaID,
-		LogSettingsVersion: view.LogSettingsIndex,
-		Voters:             view.Voters,
-		VotersIndex:        view.VotersIndex,
-		LeaseMs:            uint64(LeaseDuration.Milliseconds()),
-	}, nil
-}
-
-// Settings implements peerpb.ControlServer.
-func (c *ControlServer) Settings(ctx context.Context, request *peerpb.SettingsRequest) (*peerpb.SettingsResponse, error) {
-	if err := c.log.ReadBarrier(ctx); err != nil {
-		return nil, toStatus("settings read barrier", err)
-	}
-	response := &peerpb.SettingsResponse{}
-	var err error
-	c.store.View(func(tree *settings.Tree, _ *ledger.Ledger) {
-		response.Version = tree.Version
-		if tree.Version != request.GetHaveVersion() {
-			response.Content, err = tree.Document()
-		}
-	})
-	if err != nil {
-		return nil, status.Errorf(codes.Internal, "encode settings: %v", err)
-	}
-	return response, nil
-}
-
 // Submit implements peerpb.ControlServer.
 func (c *ControlServer) Submit(ctx context.Context, request *peerpb.SubmitRequest) (*peerpb.SubmitResponse, error) {
 	applied, err := c.log.Submit(ctx, request.GetCommand())
