--- a/cmd/lagoonshift/config.go
+++ b/cmd/lagoonshift/config.go
@@ -1,100 +1,93 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
-	"maps"
-	"net/http"
 	"os"
-	"slices"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/tailscale/hujson"
 
+	"github.com/lagoonshift/lagoonshift/internal/operatorcli"
 	"github.com/lagoonshift/lagoonshift/internal/transport/adminhttp"
 )
 
-func addConfig(app *kingpin.Application, commands map[string]command) {
-	config := app.Command("config", "Read and change settings.")
-	get := config.Command("get", "Print the settings.")
-	getURL := adminFlag(get)
-	commands["config get"] = func(ctx context.Context) error { return printSettings(ctx, *getURL) }
-
-	apply := config.Command("apply", "Apply every subtree of a settings file.")
-	applyURL := adminFlag(apply)
-	operator := apply.Flag("operator", "Name of the operator.").Default("operator").String()
-	file := apply.Arg("file", "Settings file, JSON with comments.").Required().String()
-	commands["config apply"] = func(ctx context.Context) error { return applySettings(ctx, *applyURL, *operator, *file) }
+// adminFlags are the flags of every command that talks to the administration
+// API.
+type adminFlags struct {
+	urls  []string
+	token string
 }
 
-func adminFlag(c *kingpin.CmdClause) *string {
-	return c.Flag("admin", "Base URL of a control process's administration API.").Required().String()
+func (f *adminFlags) add(c *kingpin.CmdClause) {
+	c.Flag("admin", "Base URL of a control process's administration API; may be given several times.").Required().StringsVar(&f.urls)
+	c.Flag("token-file", "File with the operator's token.").Required().StringVar(&f.token)
 }
 
-func printSettings(ctx context.Context, base string) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/settings", nil)
-	if err != nil {
-		return fmt.Errorf("make request to %s: %w", base, err)
-	}
-	response, err := http.DefaultClient.Do(request)
+func (f *adminFlags) client() (*adminhttp.Client, error) {
+	token, err := operatorcli.ReadToken(f.token)
 	if err != nil {
-		return fmt.Errorf("read settings of %s: %w", base, err)
-	}
-	defer response.Body.Close()
-	if _, err := io.Copy(os.Stdout, response.Body); err != nil {
-		return fmt.Errorf("read settings of %s: %w", base, err)
+		return nil, err
 	}
-	return nil
+	return adminhttp.NewClient(adminhttp.ClientOptions{BaseURLs: f.urls, Token: token}), nil
 }
 
-func applySettings(ctx context.Context, base, operator, file string) error {
-	content, err := os.ReadFile(file)
-	if err != nil {
-		return &settingsError{err: fmt.Errorf("read settings file: %w", err)}
-	}
-	standard, err := hujson.Standardize(content)
-	if err != nil {
-		return &settingsError{err: fmt.Errorf("%s: %w", file, err)}
-	}
-	var subtrees map[string]json.RawMessage
-	if err := json.Unmarshal(standard, &subtrees); err != nil {
-		return &settingsError{err: fmt.Errorf("%s: %w", file, err)}
-	}
-	number := uint64(time.Now().UnixNano())
-	for i, path := range slices.Sorted(maps.Keys(subtrees)) {
-		change := adminhttp.ChangeRequest{Operator: operator, Number: number + uint64(i), Path: path, Content: subtrees[path]}
-		if err := postChange(ctx, base, change); err != nil {
+// with returns a command that is given a client.
+func (f *adminFlags) with(do func(ctx context.Context, client *adminhttp.Client) error) command {
+	return func(ctx context.Context) error {
+		client, err := f.client()
+		if err != nil {
 			return err
 		}
+		return do(ctx, client)
 	}
-	return nil
 }
 
-func postChange(ctx context.Context, base string, change adminhttp.ChangeRequest) error {
-	encoded, err := json.Marshal(change)
-	if err != nil {
-		return fmt.Errorf("encode change of %s: %w", change.Path, err)
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/settings/changes", bytes.NewReader(encoded))
-	if err != nil {
-		return fmt.Errorf("make request to %s: %w", base, err)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return fmt.Errorf("change %s at %s: %w", change.Path, base, err)
-	}
-	defer response.Body.Close()
-	answer, err := io.ReadAll(response.Body)
-	if err != nil {
-		return fmt.Errorf("change %s at %s: %w", change.Path, base, err)
-	}
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("change %s at %s: %s", change.Path, base, answer)
-	}
-	fmt.Printf("%s: %s", change.Path, answer)
-	return nil
+func addConfig(app *kingpin.Application, commands map[string]command) {
+	config := app.Command("config", "Read and change settings.")
+	addConfigApply(config, commands)
+	addConfigHistory(config, commands)
+
+	flags := &adminFlags{}
+	flags.add(config.Command("get", "Print the settings as a file that apply reads."))
+	commands["config get"] = flags.with(func(ctx context.Context, client *adminhttp.Client) error {
+		return operatorcli.Get(ctx, client, os.Stdout)
+	})
+	config.Command("token", "Make an operator's token and print it with its hash.")
+	commands["config token"] = func(context.Context) error { return operatorcli.NewToken(os.Stdout) }
+}
+
+func addConfigApply(config *kingpin.CmdClause, commands map[string]command) {
+	clause := config.Command("apply", "Change the settings to what a file holds, in one change.")
+	flags := &adminFlags{}
+	flags.add(clause)
+	o := operatorcli.ApplyOptions{Out: os.Stdout}
+	clause.Arg("file", "Settings file, JSON with comments: subtrees by path.").Required().StringVar(&o.File)
+	clause.Flag("deployment", "Deployment file whose zones the settings file is checked against.").StringVar(&o.Deployment)
+	clause.Flag("number", "Change number, to send a change again; by default a new one.").Uint64Var(&o.Number)
+	clause.Flag("prune", "Remove subtrees that the file does not hold; operators are kept.").BoolVar(&o.Prune)
+	clause.Flag("dry-run", "Only check the file and show what would change.").BoolVar(&o.DryRun)
+	clause.Flag("wait", "Wait until the change is in force everywhere.").BoolVar(&o.Wait)
+	clause.Flag("timeout", "Longest time for the whole command, with its unit.").Default("30s").DurationVar(&o.Timeout)
+	commands["config apply"] = flags.with(func(ctx context.Context, client *adminhttp.Client) error {
+		o.Client = client
+		return operatorcli.Apply(ctx, o)
+	})
+}
+
+func addConfigHistory(config *kingpin.CmdClause, commands map[string]command) {
+	clause := config.Command("history", "List accepted changes, newest first.")
+	flags := &adminFlags{}
+	flags.add(clause)
+	path := clause.Flag("path", "Only changes of this subtree, such as teams/desk.").String()
+	limit := clause.Flag("limit", "Number of changes.").Default("50").Int()
+	commands["config history"] = flags.with(func(ctx context.Context, client *adminhttp.Client) error {
+		return operatorcli.History(ctx, client, os.Stdout, *path, *limit)
+	})
+}
+
+func addStatus(app *kingpin.Application, commands map[string]command) {
+	flags := &adminFlags{}
+	flags.add(app.Command("status", "Show replicas, entries, leases and the settings in force."))
+	commands["status"] = flags.with(func(ctx context.Context, client *adminhttp.Client) error {
+		return operatorcli.Status(ctx, client, os.Stdout)
+	})
 }
--- a/cmd/lagoonshift/fake.go
+++ b/cmd/lagoonshift/fake.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"crypto/rand"
+	"net/http"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
+	"github.com/lagoonshift/lagoonshift/internal/fake/fakeplatform"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeservice"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 )
@@ -15,6 +17,7 @@
 	fake := app.Command("fake", "Run stand-ins for tests and trials.")
 	addFakeEngine(fake, commands)
 	addFakeService(fake, commands)
+	addFakePlatform(fake, commands)
 }
 
 func addFakeEngine(fake *kingpin.CmdClause, commands map[string]command) {
@@ -44,3 +47,17 @@
 		return serve.HTTP(ctx, *address, fakeservice.New(*delay).Handler())
 	}
 }
+
+func addFakePlatform(fake *kingpin.CmdClause, commands map[string]command) {
+	clause := fake.Command("platform", "Run a stand-in for the platform: a list of VMs that lags and flaps.")
+	address := clause.Flag("listen", "Address as IP:port.").Required().String()
+	o := fakeplatform.Options{}
+	clause.Flag("lag", "How old the list is, with its unit.").Default("1s").DurationVar(&o.Lag)
+	clause.Flag("flap", "Probability that an answer shows a VM as it was before, 0 to 1.").Default("0").Float64Var(&o.Flap)
+	clause.Flag("seed", "Seed of the flapping.").Default("1").Uint64Var(&o.Seed)
+	commands["fake platform"] = func(ctx context.Context) error {
+		mux := http.NewServeMux()
+		fakeplatform.New(o).Register(mux)
+		return serve.HTTP(ctx, *address, mux)
+	}
+}
--- a/cmd/lagoonshift/processes.go
+++ b/cmd/lagoonshift/processes.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
+	"github.com/lagoonshift/lagoonshift/internal/operatorcli"
 	"github.com/lagoonshift/lagoonshift/internal/role/controlrole"
 	"github.com/lagoonshift/lagoonshift/internal/role/entryrole"
 )
@@ -24,7 +25,8 @@
 
 func exitCode(err error) int {
 	var wrong *settingsError
-	if errors.As(err, &wrong) {
+	var file *operatorcli.FileError
+	if errors.As(err, &wrong) || errors.As(err, &file) {
 		return exitUsage
 	}
 	return 1
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
 
 	"github.com/lagoonshift/lagoonshift/internal/strictjson"
 )
@@ -26,6 +27,9 @@
 	// Platform is the base URL of the platform: live and leaving VMs, and
 	// the weight store.
 	Platform string `json:"platform,omitempty"`
+	// RootTokenSHA256 is the hex SHA-256 of the root operator's token; see
+	// "lagoonshift config token". Without it nobody can change settings.
+	RootTokenSHA256 string `json:"root_token_sha256,omitempty"`
 	// Log configures logging for every process.
 	Log Log `json:"log"`
 }
@@ -89,6 +93,9 @@
 	if len(d.Entries) == 0 {
 		return &strictjson.FieldError{Path: "/entries", Reason: "expected at least one entry process"}
 	}
+	if d.RootTokenSHA256 != "" && !isHash(d.RootTokenSHA256) {
+		return &strictjson.FieldError{Path: "/root_token_sha256", Reason: "expected 64 lower-case hex digits"}
+	}
 	c := newChecker(d.Zones)
 	for i, p := range d.Control {
 		at := fmt.Sprintf("/control/%d", i)
@@ -108,6 +115,10 @@
 	return c.err
 }
 
+func isHash(text string) bool {
+	return len(text) == 64 && strings.Trim(text, "0123456789abcdef") == ""
+}
+
 // FindControl returns the control process with the given name.
 func (d *Deployment) FindControl(name string) (Control, error) {
 	for _, p := range d.Control {
--- /dev/null
+++ b/internal/fake/fakeplatform/vms.go
@@ -0,0 +1,99 @@
+// Package fakeplatform is a small stand-in for the platform: a list of VMs
+// that lags and flaps.
+package fakeplatform
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/transport/platformhttp"
+)
+
+// Options configures a fake platform.
+type Options struct {
+	// Lag is how old the list is that callers see.
+	Lag time.Duration
+	// Flap is the probability, from 0 to 1, that an answer shows a leaving
+	// VM as it was before.
+	Flap float64
+	// Seed seeds the flapping.
+	Seed uint64
+	// Now reads the time; nil stands for time.Now.
+	Now func() time.Time
+}
+
+// event is one change of a VM.
+type event struct {
+	at time.Time
+	vm platformhttp.VM
+}
+
+// Platform is a fake platform. It is safe for concurrent use.
+type Platform struct {
+	options Options
+
+	mu     sync.Mutex // guards the fields below
+	events map[string][]event
+	random *rand.Rand
+}
+
+// New returns a platform without VMs.
+func New(o Options) *Platform {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return &Platform{
+		options: o,
+		events:  make(map[string][]event),
+		random:  rand.New(rand.NewPCG(o.Seed, 0)),
+	}
+}
+
+// Set changes a VM; the list shows it after the lag.
+func (p *Platform) Set(vm platformhttp.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.events[vm.Address] = append(p.events[vm.Address], event{at: p.options.Now(), vm: vm})
+}
+
+// List returns the list as a caller sees it now.
+func (p *Platform) List() platformhttp.VMList {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := platformhttp.VMList{VMs: []platformhttp.VM{}}
+	shown := p.options.Now().Add(-p.options.Lag)
+	for _, events := range p.events {
+		seen := slices.IndexFunc(events, func(e event) bool { return e.at.After(shown) })
+		if seen < 0 {
+			seen = len(events)
+		}
+		if seen > 1 && p.random.Float64() < p.options.Flap {
+			seen--
+		}
+		if seen > 0 {
+			list.VMs = append(list.VMs, events[seen-1].vm)
+		}
+	}
+	return list
+}
+
+// Register adds the platform's HTTP interface to mux. PUT /v1/vms changes one
+// VM and is for tests only.
+func (p *Platform) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/vms", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(p.List())
+	})
+	mux.HandleFunc("PUT /v1/vms", func(w http.ResponseWriter, r *http.Request) {
+		var vm platformhttp.VM
+		if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
+			http.Error(w, "decode VM: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		p.Set(vm)
+	})
+}
--- /dev/null
+++ b/internal/operatorcli/apply.go
@@ -0,0 +1,189 @@
+package operatorcli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/strictjson"
+	"github.com/lagoonshift/lagoonshift/internal/transport/adminhttp"
+)
+
+// resendInterval is the pause before a change whose answer was lost is sent
+// again under the same number.
+const resendInterval = 500 * time.Millisecond
+
+// ApplyOptions holds what Apply needs.
+type ApplyOptions struct {
+	Client *adminhttp.Client
+	Out    io.Writer
+	// File is the settings file and Deployment the deployment file whose
+	// zones it is checked against; Deployment may be empty.
+	File       string
+	Deployment string
+	// Number is the change number; zero takes one from the wall clock.
+	Number uint64
+	// Prune removes subtrees that the file does not hold.
+	Prune bool
+	// DryRun only checks the file and shows what would change.
+	DryRun bool
+	// Wait waits until the change is in force everywhere.
+	Wait bool
+	// Timeout bounds the whole command.
+	Timeout time.Duration
+}
+
+// Apply changes the settings to what a file holds, in one change.
+func Apply(ctx context.Context, o ApplyOptions) error {
+	file, err := readFile(o.File, o.Deployment)
+	if err != nil {
+		return err
+	}
+	if o.Number == 0 {
+		o.Number = uint64(time.Now().UnixNano())
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
+	defer cancel()
+	current, err := o.Client.Settings(ctx)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	edits, err := file.edits(&current, o.Prune)
+	if err != nil {
+		return err
+	}
+	for _, e := range edits {
+		fmt.Fprintf(o.Out, "%s: %s\n", e.Path, describe(e))
+	}
+	if len(edits) == 0 {
+		fmt.Fprintf(o.Out, "nothing to change at settings version %d\n", current.Version)
+		return nil
+	}
+	if o.DryRun {
+		return nil
+	}
+	answer, err := send(ctx, &o, adminhttp.ChangeRequest{Number: o.Number, Edits: edits})
+	if err != nil {
+		return err
+	}
+	if answer.Outcome != settings.Accepted {
+		return file.refusal(o.Number, &answer)
+	}
+	fmt.Fprintf(o.Out, "accepted as settings version %d, change number %d\n", answer.Version, o.Number)
+	if !o.Wait {
+		return nil
+	}
+	return wait(ctx, &o, answer.Version)
+}
+
+func describe(e adminhttp.EditRequest) string {
+	switch {
+	case e.BaseVersion == 0:
+		return "add"
+	case len(e.Content) == 0:
+		return "remove"
+	}
+	return fmt.Sprintf("change from version %d", e.BaseVersion)
+}
+
+// edits returns what leads from the current settings to the file's. A subtree
+// that changed after the file was printed is a conflict.
+func (f *settingsFile) edits(current *adminhttp.SettingsAnswer, prune bool) ([]adminhttp.EditRequest, error) {
+	var edits []adminhttp.EditRequest
+	for _, path := range slices.Sorted(maps.Keys(f.subtrees)) {
+		now := current.Subtrees[path]
+		if sameJSON(now.Content, f.subtrees[path]) {
+			continue
+		}
+		if f.version != 0 && now.Version > f.version {
+			return nil, f.conflict(path, &now)
+		}
+		edits = append(edits, adminhttp.EditRequest{Path: path, BaseVersion: now.Version, Content: f.subtrees[path]})
+	}
+	if !prune {
+		return edits, nil
+	}
+	for _, path := range slices.Sorted(maps.Keys(current.Subtrees)) {
+		_, kept := f.subtrees[path]
+		if kept || strings.HasPrefix(path, settings.OperatorsGroup+"/") {
+			continue
+		}
+		now := current.Subtrees[path]
+		if f.version != 0 && now.Version > f.version {
+			return nil, f.conflict(path, &now)
+		}
+		edits = append(edits, adminhttp.EditRequest{Path: path, BaseVersion: now.Version})
+	}
+	return edits, nil
+}
+
+func (f *settingsFile) conflict(path string, now *adminhttp.Subtree) error {
+	return fmt.Errorf("conflict: %s:%d: /%s changed after the file was printed; now at version %d: %s",
+		f.name, strictjson.Locate(f.content, "/"+path), path, now.Version, now.Content)
+}
+
+func sameJSON(a, b json.RawMessage) bool {
+	var compactA, compactB bytes.Buffer
+	if json.Compact(&compactA, a) != nil || json.Compact(&compactB, b) != nil {
+		return false
+	}
+	return bytes.Equal(compactA.Bytes(), compactB.Bytes())
+}
+
+// send sends the change until an answer arrives. The number makes sure that it
+// is carried out once.
+func send(ctx context.Context, o *ApplyOptions, request adminhttp.ChangeRequest) (adminhttp.ChangeAnswer, error) {
+	for {
+		answer, err := o.Client.Change(ctx, request)
+		if err == nil || !adminhttp.Retryable(err) {
+			return answer, err
+		}
+		select {
+		case <-ctx.Done():
+			return answer, fmt.Errorf("change number %d has no answer yet; apply again with --number %d: %w", request.Number, request.Number, err)
+		case <-time.After(resendInterval):
+		}
+	}
+}
+
+// refusal describes a refused change.
+func (f *settingsFile) refusal(number uint64, answer *adminhttp.ChangeAnswer) error {
+	switch answer.Outcome {
+	case settings.Invalid:
+		return f.error(&strictjson.FieldError{Path: answer.Path, Reason: answer.Reason})
+	case settings.Conflict:
+		if answer.Current != nil {
+			return fmt.Errorf("conflict: %s: %s; now at version %d: %s", answer.Path, answer.Reason, answer.Current.Version, answer.Current.Content)
+		}
+	case settings.NumberTaken:
+		w := answer.Winner
+		return fmt.Errorf("number-taken: change number %d: %s; the winner edits %d subtrees from %s on and was answered %s, version %d",
+			number, answer.Reason, w.Edits, w.Path, w.Outcome, w.Version)
+	}
+	return fmt.Errorf("%s: %s: %s", answer.Outcome, answer.Path, answer.Reason)
+}
+
+// wait reports when the version is in force everywhere.
+func wait(ctx context.Context, o *ApplyOptions, version uint64) error {
+	deadline, _ := ctx.Deadline()
+	report, err := o.Client.InForce(ctx, version, time.Until(deadline).Truncate(time.Millisecond)/2)
+	if err != nil {
+		return fmt.Errorf("wait for settings version %d: %w", version, err)
+	}
+	fmt.Fprintf(o.Out, "acknowledged by %d entries: %s\n", len(report.Acknowledged), strings.Join(report.Acknowledged, ", "))
+	if len(report.Lapsed) > 0 {
+		fmt.Fprintf(o.Out, "lease lapsed without an acknowledgement: %s\n", strings.Join(report.Lapsed, ", "))
+	}
+	if !report.InForce {
+		return fmt.Errorf("settings version %d is accepted but not in force everywhere yet; waiting for %s", version, strings.Join(report.Waiting, ", "))
+	}
+	fmt.Fprintf(o.Out, "settings version %d is in force everywhere\n", version)
+	return nil
+}
--- a/internal/protocol/routing/tracker.go
+++ b/internal/protocol/routing/tracker.go
@@ -46,7 +46,7 @@
 			}
 			e.Model = model
 			e.Zone = engine.Zone
-			e.Accepting = !engine.Drain && !e.Report.Draining
+			e.Accepting = !engine.Drain && !e.Report.Draining && !c.Leaving(engine.URL)
 			next[name] = e
 		}
 	}
--- a/internal/role/controlrole/control.go
+++ b/internal/role/controlrole/control.go
@@ -5,12 +5,14 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/inforce"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
 	"github.com/lagoonshift/lagoonshift/internal/fake/memlog"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
@@ -28,7 +30,15 @@
 	state := store.New()
 	replicated := memlog.New(state, clock.Boot{}, store.IsSettings)
 	server := grpc.NewServer()
-	peergrpc.NewControlServer(replicated, state).Register(server)
+	tracker := inforce.New(inforce.Options{Clock: clock.Boot{}, Lease: peergrpc.LeaseDuration})
+	control := peergrpc.NewControlServer(replicated, state)
+	control.Observe(tracker)
+	control.Register(server)
+	peers, err := peergrpc.DialControl(peerAddresses(d))
+	if err != nil {
+		return err
+	}
+	defer peers.Close()
 	listener, err := net.Listen("tcp", self.PeerAddress)
 	if err != nil {
 		return fmt.Errorf("listen for peers at %s: %w", self.PeerAddress, err)
@@ -40,8 +50,27 @@
 		server.GracefulStop()
 		return nil
 	})
-	admin := adminhttp.New(replicated, state)
-	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, admin.Handler()) })
+	fleet := newFleet(d, clock.Boot{}, replicated, state, tracker, log)
+	group.Go(func() error { return fleet.follow(ctx) })
+	group.Go(func() error { return fleet.lead(ctx) })
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	adminhttp.New(adminhttp.Options{
+		Log:     replicated,
+		Store:   state,
+		Control: peers,
+		Tracker: tracker,
+		Clock:   clock.Boot{},
+	}).Register(mux)
+	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, mux) })
 	log.Info("control started", "peer_address", self.PeerAddress, "admin_address", self.AdminAddress)
 	return group.Wait()
 }
+
+func peerAddresses(d *deployment.Deployment) []string {
+	var out []string
+	for _, c := range d.Control {
+		out = append(out, c.PeerAddress)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/role/controlrole/fleet.go
@@ -0,0 +1,151 @@
+package controlrole
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/inforce"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/member"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/vmwatch"
+	"github.com/lagoonshift/lagoonshift/internal/deployment"
+	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+	memberstate "github.com/lagoonshift/lagoonshift/internal/state/member"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+	"github.com/lagoonshift/lagoonshift/internal/transport/platformhttp"
+)
+
+const (
+	// applyPoll is the time between two looks at the applied settings.
+	applyPoll = 50 * time.Millisecond
+	// dutyInterval is the time between two rounds of a leader's duties.
+	dutyInterval = time.Second
+	// dutyTimeout bounds one round.
+	dutyTimeout = 5 * time.Second
+)
+
+// fleet carries out what a control replica does about settings, members and
+// VMs besides answering requests.
+type fleet struct {
+	clock     clock.Clock
+	log       replog.Log
+	state     *store.Store
+	tracker   *inforce.Tracker
+	bootstrap settings.Bootstrap
+	// platform lists the VMs; nil if the deployment names no platform.
+	platform *platformhttp.Client
+	logger   hclog.Logger
+}
+
+func newFleet(d *deployment.Deployment, c clock.Clock, l replog.Log, s *store.Store, t *inforce.Tracker, logger hclog.Logger) *fleet {
+	f := &fleet{
+		clock:     c,
+		log:       l,
+		state:     s,
+		tracker:   t,
+		bootstrap: settings.Bootstrap{RootTokenSHA256: d.RootTokenSHA256, Zones: d.Zones},
+		logger:    logger,
+	}
+	if d.Platform != "" {
+		f.platform = platformhttp.New(d.Platform)
+	}
+	return f
+}
+
+// follow tells the tracker what this replica has applied, until ctx ends.
+func (f *fleet) follow(ctx context.Context) error {
+	ticker := time.NewTicker(applyPoll)
+	defer ticker.Stop()
+	for {
+		c := f.configuration()
+		f.tracker.Applied(c.Version, c.Members)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// lead carries out the leader's duties while this replica leads, until ctx
+// ends. A command that a former leader sends late is harmless: each names the
+// incarnation that it is about.
+func (f *fleet) lead(ctx context.Context) error {
+	ticker := time.NewTicker(dutyInterval)
+	defer ticker.Stop()
+	var monitor *member.Monitor
+	for {
+		if view := f.log.View(); view.LeaderID != view.ReplicaID {
+			monitor = nil
+		} else if monitor == nil {
+			monitor = member.NewMonitor(f.clock, f.tracker, f)
+		}
+		if monitor != nil {
+			f.duties(ctx, monitor)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (f *fleet) duties(ctx context.Context, monitor *member.Monitor) {
+	ctx, cancel := context.WithTimeout(ctx, dutyTimeout)
+	defer cancel()
+	if err := f.bring(ctx); err != nil {
+		f.logger.Warn("deployment file not brought into the settings", "error", err)
+	}
+	if err := monitor.Check(ctx, f.configuration().Members); err != nil {
+		f.logger.Warn("members not checked", "error", err)
+	}
+	if f.platform == nil {
+		return
+	}
+	watch := vmwatch.Watch{List: f.platform.VMs, News: f.news, Control: f}
+	if err := watch.Round(ctx); err != nil {
+		f.logger.Warn("leaving VMs not read", "error", err)
+	}
+}
+
+// bring commits what the deployment file says, unless it is committed already.
+func (f *fleet) bring(ctx context.Context) error {
+	var needed bool
+	f.state.View(func(tree *settings.Tree, _ *ledger.Ledger) { needed = tree.NeedsBootstrap(f.bootstrap) })
+	if !needed {
+		return nil
+	}
+	_, err := f.Submit(ctx, &store.Command{Bootstrap: &f.bootstrap})
+	return err
+}
+
+func (f *fleet) configuration() *settings.Configuration {
+	var c *settings.Configuration
+	f.state.View(func(tree *settings.Tree, _ *ledger.Ledger) { c = tree.Configuration() })
+	return c
+}
+
+// Submit commits a command if this replica leads.
+func (f *fleet) Submit(ctx context.Context, command *store.Command) (store.Result, error) {
+	encoded, err := command.Encode()
+	if err != nil {
+		return store.Result{}, err
+	}
+	applied, err := f.log.Submit(ctx, encoded)
+	if err != nil {
+		return store.Result{}, err
+	}
+	return store.DecodeResult(applied.Result)
+}
+
+// news returns the observations that would change the settings.
+func (f *fleet) news(seen []memberstate.Observation) []memberstate.Observation {
+	var out []memberstate.Observation
+	f.state.View(func(tree *settings.Tree, _ *ledger.Ledger) { out = tree.News(seen) })
+	return out
+}
--- a/internal/role/entryrole/entry.go
+++ b/internal/role/entryrole/entry.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -12,19 +11,19 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/settingsync"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
-	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/transport/backendhttp"
 	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
 )
 
 const (
-	renewInterval = time.Second
-	renewTimeout  = 800 * time.Millisecond
-	loadInterval  = 500 * time.Millisecond
+	loadInterval = 500 * time.Millisecond
+	// deregisterTimeout bounds the last command of a stop.
+	deregisterTimeout = 2 * time.Second
 )
 
 // entry is the state of a running entry process.
@@ -33,8 +32,9 @@
 	incarnation uint64
 	clock       clock.Clock
 	control     *peergrpc.ControlClient
-	settings    atomic.Pointer[settings.Configuration]
+	agent       *settingsync.Agent
 	lease       *lease.Holder
+	gate        *lease.Gate
 	tracker     *routing.Tracker
 	backends    *backendhttp.Client
 	log         hclog.Logger
@@ -52,20 +52,22 @@
 	}
 	defer control.Close()
 	e := newEntry(self, control, log)
-	if err := e.fetchSettings(ctx); err != nil {
+	if err := e.agent.Start(ctx); err != nil {
 		return fmt.Errorf("start entry %s: %w", name, err)
 	}
+	defer e.deregister()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return every(ctx, renewInterval, e.renew) })
+	group.Go(func() error { return e.agent.Run(ctx) })
 	group.Go(func() error { return every(ctx, loadInterval, e.pollLoads) })
 	group.Go(func() error { return serve.HTTP(ctx, self.CallerAddress, e.callerServer(d).Handler()) })
-	log.Info("entry started", "caller_address", self.CallerAddress, "settings_version", e.settings.Load().Version)
+	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, e.adminHandler()) })
+	log.Info("entry started", "caller_address", self.CallerAddress, "settings_version", e.agent.Settings().Load().Version)
 	return group.Wait()
 }
 
 func newEntry(self deployment.Entry, control *peergrpc.ControlClient, log hclog.Logger) *entry {
 	c := clock.Boot{}
-	return &entry{
+	e := &entry{
 		self:        self,
 		incarnation: uint64(c.Now()),
 		clock:       c,
@@ -75,6 +77,9 @@
 		backends:    backendhttp.New(),
 		log:         log,
 	}
+	e.gate = lease.NewGate(e.lease)
+	e.agent = e.newAgent()
+	return e
 }
 
 func (e *entry) callerServer(d *deployment.Deployment) *callerhttp.Server {
@@ -83,7 +88,7 @@
 		Zone:        e.self.Zone,
 		Incarnation: e.incarnation,
 		Addresses:   callerAddresses(d),
-		Settings:    &e.settings,
+		Settings:    e.agent.Settings(),
 		Lease:       e.lease,
 		Tracker:     e.tracker,
 		Picker:      routing.LeastRequests{},
--- a/internal/role/entryrole/settings.go
+++ b/internal/role/entryrole/settings.go
@@ -2,48 +2,43 @@
 
 import (
 	"context"
-	"fmt"
+	"net/http"
 
-	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
-	"github.com/lagoonshift/lagoonshift/internal/state/settings"
-	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/settingsync"
+	"github.com/lagoonshift/lagoonshift/internal/state/member"
+	"github.com/lagoonshift/lagoonshift/internal/transport/adminhttp"
 )
 
-// renew runs one round of lease renewal and fetches newer settings.
-func (e *entry) renew(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+// newAgent returns what keeps the entry's settings, lease and registration.
+func (e *entry) newAgent() *settingsync.Agent {
+	return settingsync.New(settingsync.Options{
+		Self: member.Member{
+			Name:          e.self.Name,
+			Incarnation:   e.incarnation,
+			Zone:          e.self.Zone,
+			CallerAddress: e.self.CallerAddress,
+		},
+		Control: e.control,
+		Clock:   e.clock,
+		Holder:  e.lease,
+		Gate:    e.gate,
+		Changed: e.tracker.Configure,
+		Log:     e.log,
+	})
+}
+
+// deregister takes the entry out of the member table after its last request.
+func (e *entry) deregister() {
+	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancel()
-	start := e.clock.Now()
-	inForce := e.settings.Load().Version
-	answers := e.control.Renew(ctx, &peerpb.RenewRequest{Member: e.self.Name, Incarnation: e.incarnation, SettingsVersion: inForce})
-	verdict := lease.Judge(answers, inForce)
-	if verdict.Granted {
-		e.lease.Extend(start, verdict.Duration)
-		return
-	}
-	if err := e.fetchSettings(ctx); err != nil {
-		e.log.Warn("settings not fetched", "error", err)
+	if err := e.agent.Deregister(ctx); err != nil {
+		e.log.Warn("not deregistered; control removes the entry when its lease lapsed", "error", err)
 	}
 }
 
-// fetchSettings replaces the settings in force by the newest accepted ones.
-func (e *entry) fetchSettings(ctx context.Context) error {
-	have := uint64(0)
-	if current := e.settings.Load(); current != nil {
-		have = current.Version
-	}
-	version, content, err := e.control.Settings(ctx, have)
-	if err != nil {
-		return err
-	}
-	if content == nil {
-		return nil
-	}
-	next, err := settings.Parse(version, content)
-	if err != nil {
-		return fmt.Errorf("parse settings version %d: %w", version, err)
-	}
-	e.tracker.Configure(next)
-	e.settings.Store(next)
-	return nil
+func (e *entry) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	(&adminhttp.Entry{Name: e.self.Name, Agent: e.agent, Holder: e.lease}).Register(mux)
+	return mux
 }
--- a/internal/state/settings/authorize.go
+++ b/internal/state/settings/authorize.go
@@ -47,3 +47,16 @@
 func sameHash(a, b string) bool {
 	return a != "" && subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
 }
+
+// Readable reports whether the operator may read the subtree at path: all of
+// the operators' settings, but other operators only if it may change them.
+func (t *Tree) Readable(operator, path string) bool {
+	if !isOperatorGroup(splitPath(path).Group) && path != SystemPath {
+		return false
+	}
+	if !covers(OperatorsGroup, path) || path == OperatorsGroup+"/"+operator {
+		return true
+	}
+	allowed := func(prefix string) bool { return covers(prefix, path) }
+	return slices.ContainsFunc(t.current.Operators[operator].Subtrees, allowed)
+}
--- /dev/null
+++ b/internal/transport/adminhttp/messages.go
@@ -0,0 +1,106 @@
+package adminhttp
+
+import (
+	"encoding/json"
+
+	"github.com/lagoonshift/lagoonshift/internal/coordination/inforce"
+	"github.com/lagoonshift/lagoonshift/internal/state/member"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+// Problem is a refusal as problem details (RFC 9457).
+type Problem struct {
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	if p.Detail == "" {
+		return p.Title
+	}
+	return p.Title + ": " + p.Detail
+}
+
+// Subtree is one subtree with its version.
+type Subtree struct {
+	Version uint64          `json:"version"`
+	Content json.RawMessage `json:"content"`
+}
+
+// SettingsAnswer holds the settings by subtree.
+type SettingsAnswer struct {
+	// Version is the newest settings version.
+	Version  uint64             `json:"version"`
+	Subtrees map[string]Subtree `json:"subtrees"`
+}
+
+// EditRequest is one subtree of a ChangeRequest.
+type EditRequest struct {
+	Path        string `json:"path"`
+	BaseVersion uint64 `json:"base_version"`
+	// Content is the new content; null removes the subtree.
+	Content json.RawMessage `json:"content"`
+}
+
+// ChangeRequest is the body of a settings change.
+type ChangeRequest struct {
+	// Number identifies the change among the operator's changes.
+	Number uint64        `json:"number"`
+	Edits  []EditRequest `json:"edits"`
+}
+
+// ChangeAnswer is the answer to a settings change.
+type ChangeAnswer struct {
+	settings.ChangeResult
+	// Current is the subtree at Path after a conflict, as it is now.
+	Current *Subtree `json:"current,omitempty"`
+}
+
+// HistoryAnswer lists accepted changes, newest first.
+type HistoryAnswer struct {
+	Changes []settings.HistoryEntry `json:"changes"`
+}
+
+// StatusAnswer describes the deployment as one control replica sees it.
+type StatusAnswer struct {
+	Replica ReplicaStatus `json:"replica"`
+	// Settings tells how far the newest settings version is in force.
+	Settings inforce.Report `json:"settings"`
+	Members  []MemberStatus `json:"members"`
+	// LeavingVMs lists the addresses of VMs that get no new work.
+	LeavingVMs []string `json:"leaving_vms"`
+}
+
+// ReplicaStatus describes a replica and its group.
+type ReplicaStatus struct {
+	ID            uint64   `json:"id"`
+	ClusterID     string   `json:"cluster_id"`
+	Term          uint64   `json:"term"`
+	LeaderID      uint64   `json:"leader_id"`
+	LeaderAddress string   `json:"leader_address,omitempty"`
+	Voters        []uint64 `json:"voters"`
+	CommitIndex   uint64   `json:"commit_index"`
+	AppliedIndex  uint64   `json:"applied_index"`
+}
+
+// MemberStatus describes one entry.
+type MemberStatus struct {
+	member.Member
+	// SettingsVersion is the version that it has in force.
+	SettingsVersion uint64 `json:"settings_version"`
+	// RenewedMillisAgo is how long ago it renewed its lease at the answering
+	// replica, in milliseconds; negative if it did not yet.
+	RenewedMillisAgo int64 `json:"renewed_ms_ago"`
+}
+
+// EntryAnswer is what an entry has in force.
+type EntryAnswer struct {
+	Name string `json:"name"`
+	// Lease tells whether the entry may take new work now.
+	Lease    bool                    `json:"lease"`
+	Version  uint64                  `json:"version"`
+	Settings *settings.Configuration `json:"settings"`
+	Members  []member.Member         `json:"members"`
+}
--- a/internal/transport/adminhttp/server.go
+++ b/internal/transport/adminhttp/server.go
@@ -1,123 +1,162 @@
-// Package adminhttp serves the administration API of a control process.
+// Package adminhttp serves the administration API of control and entry
+// processes, and is its client.
 package adminhttp
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
+	"time"
 
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/inforce"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
 )
 
-// maxBody bounds a request's body, in bytes.
-const maxBody = 4 << 20
+const (
+	// maxBody bounds a request's body, in bytes.
+	maxBody = 8 << 20
+	// commitTimeout bounds the commit of a change and readTimeout a read.
+	commitTimeout = 15 * time.Second
+	readTimeout   = 5 * time.Second
+)
+
+// Submitter commits state commands, at whichever replica leads.
+type Submitter interface {
+	Submit(ctx context.Context, command *store.Command) (store.Result, error)
+}
+
+// Options holds what a Server needs.
+type Options struct {
+	Log     replog.Log
+	Store   *store.Store
+	Control Submitter
+	Tracker *inforce.Tracker
+	Clock   clock.Clock
+}
 
-// Server handles operators' requests.
+// Server handles operators' requests to a control process.
 type Server struct {
-	log   replog.Log
-	store *store.Store
+	Options
 }
 
-// New returns a server for the replica behind log and state.
-func New(log replog.Log, state *store.Store) *Server {
-	return &Server{log: log, store: state}
+// New returns a server.
+func New(o Options) *Server {
+	return &Server{Options: o}
 }
 
-// Handler returns the administration API.
-func (s *Server) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/settings", s.get)
-	mux.HandleFunc("POST /v1/settings/changes", s.change)
-	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
-	return mux
+// Register adds the administration API to mux. Every request needs an
+// operator's token.
+func (s *Server) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/settings", s.authenticated(s.settings))
+	mux.HandleFunc("POST /v1/settings/changes", s.authenticated(s.change))
+	mux.HandleFunc("GET /v1/settings/history", s.authenticated(s.history))
+	mux.HandleFunc("GET /v1/settings/in-force", s.authenticated(s.inForce))
+	mux.HandleFunc("GET /v1/status", s.authenticated(s.status))
 }
 
-// ChangeRequest is the body of a settings change.
-type ChangeRequest struct {
-	Operator    string          `json:"operator"`
-	Number      uint64          `json:"number"`
-	Path        string          `json:"path"`
-	BaseVersion uint64          `json:"base_version"`
-	Content     json.RawMessage `json:"content"`
+// operator is who sent a request.
+type operator struct {
+	name string
+	// tokenSHA256 is the hex SHA-256 of the token presented.
+	tokenSHA256 string
 }
 
-// ChangeAnswer is the answer to a settings change.
-type ChangeAnswer struct {
-	Outcome settings.Outcome `json:"outcome"`
-	Version uint64           `json:"version"`
-	Current json.RawMessage  `json:"current,omitempty"`
-	Reason  string           `json:"reason,omitempty"`
+// handler handles an authenticated request; an error is answered as a problem.
+type handler func(w http.ResponseWriter, r *http.Request, by operator) error
+
+// authenticated finds the operator by its token in settings that are at least
+// as new as the request. A change is authorized once more at commit.
+func (s *Server) authenticated(next handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		by, err := s.operator(r)
+		if err == nil {
+			err = next(w, r, by)
+		}
+		if err != nil {
+			writeProblem(w, err)
+		}
+	}
 }
 
-func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	if err := s.log.ReadBarrier(r.Context()); err != nil {
-		http.Error(w, "read settings: "+err.Error(), http.StatusServiceUnavailable)
-		return
+func (s *Server) operator(r *http.Request) (operator, error) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return operator{}, &Problem{Title: "operator's token missing", Status: http.StatusUnauthorized}
 	}
-	var content []byte
-	var err error
-	s.store.View(func(tree *settings.Tree, _ *ledger.Ledger) { content, err = tree.Document() })
-	if err != nil {
-		http.Error(w, "encode settings: "+err.Error(), http.StatusInternalServerError)
-		return
+	if err := s.barrier(r.Context()); err != nil {
+		return operator{}, err
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(content)
+	by := operator{tokenSHA256: settings.HashToken(token)}
+	var known bool
+	s.Store.View(func(tree *settings.Tree, _ *ledger.Ledger) {
+		by.name, known = tree.Configuration().FindOperator(by.tokenSHA256)
+	})
+	if !known {
+		return operator{}, &Problem{Title: "operator's token unknown", Status: http.StatusUnauthorized}
+	}
+	return by, nil
 }
 
-func (s *Server) change(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil {
-		http.Error(w, "read change: "+err.Error(), http.StatusBadRequest)
-		return
-	}
-	var request ChangeRequest
-	if err := json.Unmarshal(body, &request); err != nil {
-		http.Error(w, "decode change: "+err.Error(), http.StatusBadRequest)
-		return
+// barrier waits until the local state includes all that was committed before.
+func (s *Server) barrier(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if err := s.Log.ReadBarrier(ctx); err != nil {
+		return &Problem{Title: "no quorum of control replicas", Status: http.StatusServiceUnavailable, Detail: err.Error()}
 	}
-	command := store.Command{Change: &settings.Change{
-		Operator:    request.Operator,
-		Number:      request.Number,
-		Path:        request.Path,
-		BaseVersion: request.BaseVersion,
-		Content:     request.Content,
-	}}
-	encoded, err := command.Encode()
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	return nil
+}
+
+// readJSON decodes a request's body strictly.
+func readJSON(w http.ResponseWriter, r *http.Request, out any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(out)
+	if err == nil {
+		_, err = decoder.Token()
 	}
-	applied, err := s.log.Submit(r.Context(), encoded)
-	if err != nil {
-		http.Error(w, "commit change: "+err.Error(), http.StatusServiceUnavailable)
-		return
+	if errors.Is(err, io.EOF) {
+		return nil
 	}
-	result, err := store.DecodeResult(applied.Result)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
+	if err == nil {
+		err = errors.New("unexpected content after the document")
 	}
-	answer := ChangeAnswer{
-		Outcome: result.Change.Outcome,
-		Version: result.Change.Version,
-		Current: result.Change.Current,
-		Reason:  result.Change.Reason,
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &Problem{Title: "body too large", Status: http.StatusRequestEntityTooLarge, Detail: fmt.Sprintf("at most %d bytes", maxBody)}
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(changeStatus(answer.Outcome))
-	_ = json.NewEncoder(w).Encode(answer)
+	return badRequest("decode body: " + err.Error())
+}
+
+func badRequest(detail string) error {
+	return &Problem{Title: "bad request", Status: http.StatusBadRequest, Detail: detail}
 }
 
-func changeStatus(outcome settings.Outcome) int {
-	switch outcome {
-	case settings.Accepted:
-		return http.StatusOK
-	case settings.Invalid:
-		return http.StatusUnprocessableEntity
+func writeProblem(w http.ResponseWriter, err error) {
+	var p *Problem
+	if !errors.As(err, &p) {
+		p = &Problem{Title: "internal error", Status: http.StatusInternalServerError, Detail: err.Error()}
 	}
-	return http.StatusConflict
+	w.Header().Set("Content-Type", "application/problem+json")
+	if p.Status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) error {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The status is sent; a caller that went away is not told more.
+	_ = json.NewEncoder(w).Encode(value)
+	return nil
 }
--- /dev/null
+++ b/internal/transport/adminhttp/settings.go
@@ -0,0 +1,173 @@
+package adminhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+const (
+	// defaultHistory and maxHistory bound the changes that one answer lists.
+	defaultHistory = 50
+	maxHistory     = 1000
+	// maxWait bounds how long a request waits for a version to be in force.
+	maxWait = time.Minute
+	// waitPoll is the time between two looks at the version.
+	waitPoll = 50 * time.Millisecond
+)
+
+func (s *Server) settings(w http.ResponseWriter, r *http.Request, by operator) error {
+	answer := SettingsAnswer{Subtrees: make(map[string]Subtree)}
+	path := r.URL.Query().Get("path")
+	s.Store.View(func(tree *settings.Tree, _ *ledger.Ledger) {
+		answer.Version = tree.Version
+		for at, subtree := range tree.Subtrees {
+			if tree.Readable(by.name, at) && (path == "" || path == at) {
+				answer.Subtrees[at] = Subtree{Version: subtree.Version, Content: subtree.Content}
+			}
+		}
+	})
+	return writeJSON(w, http.StatusOK, answer)
+}
+
+func (s *Server) change(w http.ResponseWriter, r *http.Request, by operator) error {
+	var request ChangeRequest
+	if err := readJSON(w, r, &request); err != nil {
+		return err
+	}
+	change, err := toChange(&request)
+	if err != nil {
+		return err
+	}
+	change.Operator = by.name
+	change.TokenSHA256 = by.tokenSHA256
+	change.AtUnixMilli = s.Clock.Wall().UnixMilli()
+	result, err := s.commit(r.Context(), change)
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, changeStatus(result.Outcome), s.answer(r.Context(), result))
+}
+
+func toChange(request *ChangeRequest) (*settings.Change, error) {
+	if request.Number == 0 {
+		return nil, badRequest("number: expected a positive number")
+	}
+	change := &settings.Change{Number: request.Number, Rules: settings.RulesVersion}
+	for _, e := range request.Edits {
+		content, err := compact(e.Content)
+		if err != nil {
+			return nil, badRequest(fmt.Sprintf("content of %s: %v", e.Path, err))
+		}
+		change.Edits = append(change.Edits, settings.Edit{Path: e.Path, BaseVersion: e.BaseVersion, Content: content})
+	}
+	return change, nil
+}
+
+// compact returns content without white space, and nothing for null.
+func compact(content json.RawMessage) ([]byte, error) {
+	if len(content) == 0 || string(content) == "null" {
+		return nil, nil
+	}
+	var out bytes.Buffer
+	if err := json.Compact(&out, content); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+func (s *Server) commit(ctx context.Context, change *settings.Change) (settings.ChangeResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	result, err := s.Control.Submit(ctx, &store.Command{Change: change})
+	switch {
+	case errors.Is(err, replog.ErrUnknown):
+		detail := fmt.Sprintf("send number %d again to learn what became of it: %v", change.Number, err)
+		return settings.ChangeResult{}, &Problem{Title: "outcome unknown", Status: http.StatusGatewayTimeout, Detail: detail}
+	case err != nil:
+		return settings.ChangeResult{}, &Problem{Title: "change not accepted", Status: http.StatusServiceUnavailable, Detail: err.Error()}
+	}
+	return *result.Change, nil
+}
+
+// answer adds the current subtree to a conflict.
+func (s *Server) answer(ctx context.Context, result settings.ChangeResult) ChangeAnswer {
+	answer := ChangeAnswer{ChangeResult: result}
+	if result.Outcome != settings.Conflict || s.barrier(ctx) != nil {
+		return answer
+	}
+	s.Store.View(func(tree *settings.Tree, _ *ledger.Ledger) {
+		current := tree.Subtrees[strings.TrimPrefix(result.Path, "/")]
+		answer.Current = &Subtree{Version: current.Version, Content: current.Content}
+	})
+	return answer
+}
+
+func changeStatus(outcome settings.Outcome) int {
+	switch outcome {
+	case settings.Accepted:
+		return http.StatusOK
+	case settings.Invalid:
+		return http.StatusUnprocessableEntity
+	case settings.Denied:
+		return http.StatusForbidden
+	}
+	return http.StatusConflict
+}
+
+func (s *Server) history(w http.ResponseWriter, r *http.Request, _ operator) error {
+	limit := defaultHistory
+	if text := r.URL.Query().Get("limit"); text != "" {
+		parsed, err := strconv.Atoi(text)
+		if err != nil || parsed < 1 || parsed > maxHistory {
+			return badRequest(fmt.Sprintf("limit: expected a number from 1 to %d, got %q", maxHistory, text))
+		}
+		limit = parsed
+	}
+	var answer HistoryAnswer
+	s.Store.View(func(tree *settings.Tree, _ *ledger.Ledger) {
+		answer.Changes = tree.History.Newest(r.URL.Query().Get("path"), limit)
+	})
+	return writeJSON(w, http.StatusOK, answer)
+}
+
+// inForce waits until a version is in force everywhere, for as long as the
+// request asks, and answers how far it has come.
+func (s *Server) inForce(w http.ResponseWriter, r *http.Request, _ operator) error {
+	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		return badRequest(fmt.Sprintf("version: expected a whole number, got %q", r.URL.Query().Get("version")))
+	}
+	wait := time.Duration(0)
+	if text := r.URL.Query().Get("wait"); text != "" {
+		wait, err = time.ParseDuration(text)
+		if err != nil || wait < 0 || wait > maxWait {
+			return badRequest(fmt.Sprintf("wait: expected a duration up to %s with its unit, got %q", maxWait, text))
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	ticker := time.NewTicker(waitPoll)
+	defer ticker.Stop()
+	for {
+		report := s.Tracker.Report(version)
+		if report.InForce || ctx.Err() != nil {
+			return writeJSON(w, http.StatusOK, report)
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -198,7 +198,8 @@
 		s.leaseProblem().write(w)
 		return
 	}
-	service, ok := s.Settings.Load().Services[r.PathValue("service")]
+	inForce := s.Settings.Load()
+	service, ok := inForce.Services[r.PathValue("service")]
 	if !ok {
 		badRequest("unknown service").write(w)
 		return
@@ -214,7 +215,7 @@
 		return
 	}
 	for _, b := range service.Backends {
-		if b.Drain {
+		if b.Drain || inForce.Leaving(b.URL) {
 			continue
 		}
 		s.callService(w, r, call, b, body)
