--- /dev/null
+++ b/internal/coordination/settingsync/agent_test.go
@@ -0,0 +1,268 @@
+package settingsync
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
+	"github.com/lagoonshift/lagoonshift/internal/state/member"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+const leaseDuration = 3 * time.Second
+
+var errCut = errors.New("cut off")
+
+// fakeControl is a control group of three replicas with one tree.
+type fakeControl struct {
+	mu    sync.Mutex // guards the fields below
+	tree  *settings.Tree
+	index uint64
+	// answering is how many replicas answer renewals.
+	answering uint64
+	// readable tells whether reads and commits succeed.
+	readable bool
+	// stale, if set, is answered to reads, as by a lagging follower.
+	stale *settings.Update
+}
+
+func newFakeControl() *fakeControl {
+	return &fakeControl{tree: settings.NewTree(), answering: 3, readable: true}
+}
+
+func (f *fakeControl) Renew(context.Context, lease.Renewal) []lease.Answer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []lease.Answer
+	for replica := range f.answering {
+		out = append(out, lease.Answer{
+			Replica:          replica + 1,
+			LogSettingsIndex: f.index,
+			Voters:           []uint64{1, 2, 3},
+			VotersIndex:      1,
+			Duration:         leaseDuration,
+		})
+	}
+	return out
+}
+
+func (f *fakeControl) Settings(_ context.Context, have uint64) (settings.Update, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stale != nil {
+		return *f.stale, nil
+	}
+	if !f.readable {
+		return settings.Update{}, errCut
+	}
+	return f.tree.Since(have), nil
+}
+
+func (f *fakeControl) Submit(_ context.Context, command *store.Command) (store.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.readable {
+		return store.Result{}, errCut
+	}
+	f.index++
+	if command.Register != nil {
+		result := f.tree.Register(f.index, *command.Register)
+		return store.Result{Member: &result}, nil
+	}
+	result := f.tree.Retire(f.index, *command.Retire)
+	return store.Result{Member: &result}, nil
+}
+
+// change commits a settings command that changes nothing but the version.
+func (f *fakeControl) change() {
+	f.set(func() {
+		f.index++
+		f.tree.Bootstrap(f.index, settings.Bootstrap{})
+	})
+}
+
+// set changes fields while no call runs.
+func (f *fakeControl) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// frozenClock adds the time for which the process was frozen.
+type frozenClock struct {
+	*clock.Runtime
+	// frozen is in nanoseconds.
+	frozen atomic.Int64
+}
+
+func (c *frozenClock) Now() clock.Instant { return c.Runtime.Now().Add(time.Duration(c.frozen.Load())) }
+
+type bench struct {
+	control *fakeControl
+	clock   *frozenClock
+	holder  *lease.Holder
+	gate    *lease.Gate
+	agent   *Agent
+}
+
+func newBench(control *fakeControl, incarnation uint64) *bench {
+	c := &frozenClock{Runtime: clock.NewRuntime()}
+	b := &bench{control: control, clock: c, holder: lease.NewHolder(c)}
+	b.gate = lease.NewGate(b.holder)
+	b.agent = New(Options{
+		Self:    member.Member{Name: "entry-1", Incarnation: incarnation},
+		Control: control,
+		Clock:   c,
+		Holder:  b.holder,
+		Gate:    b.gate,
+		Log:     hclog.NewNullLogger(),
+	})
+	return b
+}
+
+// run starts an agent under virtual time and calls check while it runs.
+func run(t *testing.T, check func(t *testing.T, b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(newFakeControl(), 7)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		if err := b.agent.Start(ctx); err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = b.agent.Run(ctx) }()
+		synctest.Wait()
+		check(t, b)
+	})
+}
+
+func (b *bench) version() uint64 {
+	return b.agent.Settings().Load().Version
+}
+
+func TestChangeIsInForceAfterOneRenewal(t *testing.T) {
+	run(t, func(t *testing.T, b *bench) {
+		before := b.version()
+		b.control.change()
+		time.Sleep(RenewInterval)
+		synctest.Wait()
+		if b.version() != before+1 || b.gate.Check(before+1) != nil {
+			t.Errorf("version %d, gate %v, want version %d in force", b.version(), b.gate.Check(before+1), before+1)
+		}
+		if err := b.gate.Check(before); !errors.Is(err, lease.ErrSuperseded) {
+			t.Errorf("gate for the old version = %v, want superseded", err)
+		}
+	})
+}
+
+func TestCutOffEntryStopsTakingWork(t *testing.T) {
+	run(t, func(t *testing.T, b *bench) {
+		b.control.set(func() { b.control.answering = 1 })
+		time.Sleep(leaseDuration)
+		if err := b.gate.Check(b.version()); !errors.Is(err, lease.ErrLapsed) {
+			t.Errorf("gate = %v, want lapsed", err)
+		}
+		b.control.set(func() { b.control.answering = 2 })
+		time.Sleep(RenewInterval)
+		synctest.Wait()
+		if err := b.gate.Check(b.version()); err != nil {
+			t.Errorf("gate = %v after the cut healed", err)
+		}
+	})
+}
+
+func TestFrozenEntryWakesWithoutLease(t *testing.T) {
+	run(t, func(t *testing.T, b *bench) {
+		b.control.change()
+		b.clock.frozen.Add(int64(time.Hour))
+		if err := b.gate.Check(b.version()); !errors.Is(err, lease.ErrLapsed) {
+			t.Errorf("gate = %v, want lapsed", err)
+		}
+	})
+}
+
+func TestElectionDoesNotStopServing(t *testing.T) {
+	run(t, func(t *testing.T, b *bench) {
+		b.control.set(func() { b.control.readable = false })
+		time.Sleep(10 * leaseDuration)
+		synctest.Wait()
+		if err := b.gate.Check(b.version()); err != nil {
+			t.Errorf("gate = %v while a majority answers without a leader", err)
+		}
+	})
+}
+
+func TestSettingsNeverRevert(t *testing.T) {
+	run(t, func(t *testing.T, b *bench) {
+		before := b.version()
+		b.control.set(func() { b.control.stale = &settings.Update{Version: before - 1, Whole: true} })
+		b.control.change()
+		time.Sleep(leaseDuration)
+		synctest.Wait()
+		if b.version() != before {
+			t.Errorf("version = %d, want %d", b.version(), before)
+		}
+		if err := b.gate.Check(before); !errors.Is(err, lease.ErrLapsed) {
+			t.Errorf("gate = %v, want lapsed on settings that are not the newest", err)
+		}
+	})
+}
+
+func TestRemovedEntryRegistersAgain(t *testing.T) {
+	run(t, func(t *testing.T, b *bench) {
+		if err := b.agent.Deregister(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * RenewInterval)
+		synctest.Wait()
+		if got := b.agent.Directory().Live(); len(got) != 1 || b.gate.Check(b.version()) != nil {
+			t.Errorf("live = %v, gate %v, want the entry again", got, b.gate.Check(b.version()))
+		}
+		if err := b.agent.Leave(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(RenewInterval)
+		synctest.Wait()
+		if got := b.agent.Directory(); len(got.Live()) != 0 || len(got.Members()) != 1 {
+			t.Errorf("members = %v, want one that is leaving", got.Members())
+		}
+	})
+}
+
+func TestReplacedEntryEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		control := newFakeControl()
+		old, next := newBench(control, 7), newBench(control, 8)
+		for _, b := range []*bench{old, next} {
+			if err := b.agent.Start(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := old.agent.Run(t.Context()); !errors.Is(err, ErrReplaced) {
+			t.Errorf("Run = %v, want replaced", err)
+		}
+		if _, err := next.agent.Round(t.Context()); err != nil || next.gate.Check(next.version()) != nil {
+			t.Errorf("the new process has no lease: %v, %v", err, next.gate.Check(next.version()))
+		}
+	})
+}
+
+func TestStartWaitsForQuorum(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(newFakeControl(), 7)
+		b.control.set(func() { b.control.readable = false })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if err := b.agent.Start(ctx); !errors.Is(err, errCut) || b.agent.Settings().Load() != nil {
+			t.Errorf("Start = %v, want it to end without settings", err)
+		}
+	})
+}
--- a/internal/operatorcli/apply.go
+++ b/internal/operatorcli/apply.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/lagoonshift/lagoonshift/internal/coordination/inforce"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/strictjson"
 	"github.com/lagoonshift/lagoonshift/internal/transport/adminhttp"
@@ -177,13 +178,18 @@
 	if err != nil {
 		return fmt.Errorf("wait for settings version %d: %w", version, err)
 	}
-	fmt.Fprintf(o.Out, "acknowledged by %d entries: %s\n", len(report.Acknowledged), strings.Join(report.Acknowledged, ", "))
+	return show(o.Out, &report)
+}
+
+// show prints how far a version is in force; it fails if it is not.
+func show(out io.Writer, report *inforce.Report) error {
+	fmt.Fprintf(out, "acknowledged by %d entries: %s\n", len(report.Acknowledged), strings.Join(report.Acknowledged, ", "))
 	if len(report.Lapsed) > 0 {
-		fmt.Fprintf(o.Out, "lease lapsed without an acknowledgement: %s\n", strings.Join(report.Lapsed, ", "))
+		fmt.Fprintf(out, "lease lapsed without an acknowledgement: %s\n", strings.Join(report.Lapsed, ", "))
 	}
 	if !report.InForce {
-		return fmt.Errorf("settings version %d is accepted but not in force everywhere yet; waiting for %s", version, strings.Join(report.Waiting, ", "))
+		return fmt.Errorf("settings version %d is accepted but not in force everywhere yet; waiting for %s", report.Version, strings.Join(report.Waiting, ", "))
 	}
-	fmt.Fprintf(o.Out, "settings version %d is in force everywhere\n", version)
+	fmt.Fprintf(out, "settings version %d is in force everywhere\n", report.Version)
 	return nil
 }
--- a/internal/transport/platformhttp/vms.go
+++ b/internal/transport/platformhttp/vms.go
@@ -40,8 +40,8 @@
 type VM struct {
 	// Address is the VM's IP address.
 	Address string `json:"address"`
-	// Incarnation is new at each start of the VM.
-	Incarnation string `json:"incarnation"`
+	// Incarnation is higher at each start of the VM, such as its start time.
+	Incarnation uint64 `json:"incarnation"`
 	// State is VMLive or VMLeaving.
 	State string `json:"state"`
 }
@@ -82,7 +82,7 @@
 	var out []member.Observation
 	for _, vm := range vms {
 		known := vm.State == VMLive || vm.State == VMLeaving
-		if vm.Address == "" || vm.Incarnation == "" || !known {
+		if vm.Address == "" || vm.Incarnation == 0 || !known {
 			continue
 		}
 		out = append(out, member.Observation{Address: vm.Address, Incarnation: vm.Incarnation, Leaving: vm.State == VMLeaving})
--- a/scripts/thin.sh
+++ b/scripts/thin.sh
@@ -16,7 +16,7 @@
 start fake service --listen 127.0.1.51:9100
 start control --deployment $example/deployment.jsonc --name control-1
 until curl -fs $admin/healthz; do sleep 0.1; done
-bin/lagoonshift config apply --admin $admin $example/settings.jsonc
+bin/lagoonshift config apply --admin $admin --token-file $example/operator.token $example/settings.jsonc
 start entry --deployment $example/deployment.jsonc --name entry-1
 start entry --deployment $example/deployment.jsonc --name entry-2
 until curl -fs http://127.0.1.11:8080/v1/addresses; do sleep 0.1; done
