--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -2,13 +2,10 @@
 package examples
 
 import (
-	"encoding/json"
 	"os"
 	"path/filepath"
 	"testing"
 
-	"github.com/tailscale/hujson"
-
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
 	"github.com/lagoonshift/lagoonshift/internal/load"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
@@ -42,19 +39,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		standard, err := hujson.Standardize(content)
+		d, err := deployment.Load(filepath.Join(folder, "deployment.jsonc"))
 		if err != nil {
-			t.Fatalf("%s: %v", folder, err)
-		}
-		var subtrees map[string]json.RawMessage
-		if err := json.Unmarshal(standard, &subtrees); err != nil {
-			t.Fatalf("%s: %v", folder, err)
-		}
-		tree := settings.NewTree()
-		for path, subtree := range subtrees {
-			tree.Subtrees[path] = settings.Subtree{Version: 1, Content: subtree}
+			t.Fatal(err)
 		}
-		if _, err := tree.Configuration(); err != nil {
+		if _, err := settings.ParseSubtrees(content, d.Zones); err != nil {
 			t.Errorf("%s: %v", folder, err)
 		}
 	}
--- a/internal/role/entryrole/admin.go
+++ b/internal/role/entryrole/admin.go
@@ -5,15 +5,17 @@
 	"net/http"
 
 	"github.com/lagoonshift/lagoonshift/internal/telemetry"
+	"github.com/lagoonshift/lagoonshift/internal/transport/adminhttp"
 )
 
 var errNoLease = errors.New("no settings lease")
 
-// adminHandler serves health, metrics and profiles.
+// adminHandler serves health, metrics, profiles and the settings in force.
 func (e *entry) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	admin := &telemetry.Admin{Metrics: e.metrics, Log: e.log, Ready: e.ready}
 	admin.Register(mux)
+	(&adminhttp.Entry{Name: e.self.Name, Agent: e.agent, Holder: e.lease}).Register(mux)
 	return mux
 }
 
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -71,7 +71,8 @@
   start control-$i control --deployment $example/deployment.jsonc --name control-$i
 done
 await curl -fs $admin/readyz
-$binary config apply --admin $admin $example/settings.jsonc
+$binary config apply --admin $admin --token-file $example/operator.token \
+  --deployment $example/deployment.jsonc $example/settings.jsonc
 for i in $(seq $entries); do
   start entry-$i entry --deployment $example/deployment.jsonc --name entry-$i
 done
