--- a/cmd/lagoonshift/main.go
+++ b/cmd/lagoonshift/main.go
@@ -26,6 +26,7 @@
 	addEntry(app, commands)
 	addCheck(app, commands)
 	addConfig(app, commands)
+	addLedger(app, commands)
 	addFake(app, commands)
 
 	selected, err := app.Parse(os.Args[1:])
--- a/internal/fake/fakeengine/engine.go
+++ b/internal/fake/fakeengine/engine.go
@@ -1,6 +1,7 @@
 // Package fakeengine is a small stand-in for a model engine. It speaks the
 // engines' published HTTP protocol and produces deterministic text, so that a
-// stream can be resumed at another engine.
+// stream can be resumed at another engine. Faults can be switched on while it
+// runs.
 package fakeengine
 
 import (
@@ -16,6 +17,9 @@
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
+// BytesPerToken is the mean length of a token of prompt text.
+const BytesPerToken = 4
+
 // Options configures a fake engine.
 type Options struct {
 	Name  string
@@ -26,21 +30,29 @@
 	PrefillRate float64
 	// TokenInterval is the time between two output tokens of a stream.
 	TokenInterval time.Duration
+	// Slots bounds the requests that run at once; 0 is no bound. Requests
+	// that wait are taken by priority.
+	Slots int
 }
 
 // Engine is a fake engine. It is safe for concurrent use.
 type Engine struct {
 	options Options
-
-	mu      sync.Mutex // guards the fields below
-	queued  int
-	running int
-	prompt  int
+	slots   *slots
+
+	mu        sync.Mutex // guards the fields below
+	queued    int
+	running   int
+	prompt    int
+	cancelled int
+	faults    Faults
+	// moving is closed when running streams are to be given back.
+	moving chan struct{}
 }
 
 // New returns an idle engine.
 func New(o Options) *Engine {
-	return &Engine{options: o}
+	return &Engine{options: o, slots: newSlots(o.Slots), moving: make(chan struct{})}
 }
 
 // Handler returns the engine's HTTP interface.
@@ -48,6 +60,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", e.complete)
 	mux.HandleFunc("GET /v1/load", e.load)
+	mux.HandleFunc("POST /fake/faults", e.takeFaults)
 	return mux
 }
 
@@ -56,12 +69,36 @@
 	return fmt.Sprintf("%04x ", xxhash.Sum64String(fmt.Sprintf("%d:%s", offset, prompt))&0xffff)
 }
 
+// Answer returns the whole answer to a prompt.
+func Answer(prompt string, tokens int) string {
+	text := ""
+	for offset := range tokens {
+		text += Token(prompt, offset)
+	}
+	return text
+}
+
+// Cancelled counts the requests whose caller went away before their end.
+func (e *Engine) Cancelled() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cancelled
+}
+
+// Running counts the requests that wait or run.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.queued + e.running
+}
+
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	report := backend.LoadReport{
 		Incarnation:        e.options.Incarnation,
 		Model:              e.options.Model,
 		Role:               settings.RoleMixed,
+		Draining:           e.faults.Draining,
 		Queued:             e.queued,
 		Running:            e.running,
 		QueuedPromptTokens: e.prompt,
@@ -78,47 +115,46 @@
 		http.Error(w, "decode completion request: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	if e.current().Draining {
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
-	stream := &stream{w: w, flush: http.NewResponseController(w)}
 	if !e.prefill(r, &request) {
+		e.gone()
 		return
 	}
+	defer e.slots.release()
 	defer e.count(0, -1, 0)
-	digest := backend.NewDigest()
-	for offset := range request.MaxTokens {
-		text := Token(request.Prompt, offset)
-		digest.Add(text)
-		if offset < request.ResumeFrom {
-			continue
-		}
-		event := backend.TokenEvent{Attempt: request.Attempt, Offset: offset, Text: text}
-		if stream.send(backend.EventToken, offset, event) != nil {
-			return
-		}
-		if !sleep(r, e.options.TokenInterval) {
-			return
-		}
+	out := &stream{w: w, flush: http.NewResponseController(w), engine: e, request: &request}
+	if !out.run(r.Context()) {
+		e.gone()
 	}
-	done := backend.DoneEvent{Attempt: request.Attempt, Tokens: request.MaxTokens, Digest: digest.Hex()}
-	_ = stream.send(backend.EventDone, request.MaxTokens, done)
 }
 
-// prefill waits as long as the prompt takes. It reports false if the caller
-// went away.
+// prefill waits for a slot and then as long as the prompt takes. It reports
+// false if the caller went away.
 func (e *Engine) prefill(r *http.Request, request *backend.CompletionRequest) bool {
 	tokens := len(request.Prompt) / BytesPerToken
 	e.count(1, 0, tokens)
-	ok := sleep(r, time.Duration(float64(tokens)/e.options.PrefillRate*float64(time.Second)))
-	e.count(-1, 0, -tokens)
-	if ok {
-		e.count(0, 1, 0)
+	defer e.count(-1, 0, -tokens)
+	if !e.slots.acquire(r.Context(), request.Priority) {
+		return false
 	}
-	return ok
+	if !sleep(r.Context(), time.Duration(float64(tokens)/e.options.PrefillRate*float64(time.Second))) {
+		e.slots.release()
+		return false
+	}
+	e.count(0, 1, 0)
+	return true
 }
 
-// BytesPerToken is the mean length of a token of prompt text.
-const BytesPerToken = 4
+func (e *Engine) gone() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancelled++
+}
 
 func (e *Engine) count(queued, running, prompt int) {
 	e.mu.Lock()
@@ -127,29 +163,3 @@
 	e.running += running
 	e.prompt += prompt
 }
-
-func sleep(r *http.Request, d time.Duration) bool {
-	select {
-	case <-r.Context().Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
-// stream writes server-sent events.
-type stream struct {
-	w     http.ResponseWriter
-	flush *http.ResponseController
-}
-
-func (s *stream) send(event string, id int, data any) error {
-	encoded, err := json.Marshal(data)
-	if err != nil {
-		return fmt.Errorf("encode %s event: %w", event, err)
-	}
-	if _, err := fmt.Fprintf(s.w, "id: %d\nevent: %s\ndata: %s\n\n", id, event, encoded); err != nil {
-		return fmt.Errorf("write %s event: %w", event, err)
-	}
-	return s.flush.Flush()
-}
--- /dev/null
+++ b/internal/fake/fakeengine/slots.go
@@ -0,0 +1,73 @@
+package fakeengine
+
+import (
+	"context"
+	"slices"
+	"sync"
+)
+
+// slots bounds the requests that run at once and hands free slots to the
+// waiting request with the highest priority, the oldest first.
+type slots struct {
+	mu      sync.Mutex // guards the fields below
+	free    int
+	endless bool
+	waiting []*waiter
+}
+
+// waiter is one request that waits for a slot.
+type waiter struct {
+	priority int
+	ready    chan struct{}
+}
+
+func newSlots(count int) *slots {
+	return &slots{free: count, endless: count == 0}
+}
+
+// acquire takes a slot. It reports false if ctx ended first.
+func (s *slots) acquire(ctx context.Context, priority int) bool {
+	s.mu.Lock()
+	if s.endless || s.free > 0 {
+		s.free--
+		s.mu.Unlock()
+		return true
+	}
+	w := &waiter{priority: priority, ready: make(chan struct{})}
+	s.waiting = append(s.waiting, w)
+	slices.SortStableFunc(s.waiting, func(a, b *waiter) int { return b.priority - a.priority })
+	s.mu.Unlock()
+	select {
+	case <-w.ready:
+		return true
+	case <-ctx.Done():
+		return s.leave(w)
+	}
+}
+
+// leave takes a waiter off the list. A slot that it got meanwhile goes on to
+// the next one.
+func (s *slots) leave(w *waiter) bool {
+	s.mu.Lock()
+	at := slices.Index(s.waiting, w)
+	if at >= 0 {
+		s.waiting = slices.Delete(s.waiting, at, at+1)
+	}
+	s.mu.Unlock()
+	if at < 0 {
+		s.release()
+	}
+	return false
+}
+
+func (s *slots) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.waiting) == 0 {
+		s.free++
+		return
+	}
+	next := s.waiting[0]
+	s.waiting = s.waiting[1:]
+	close(next.ready)
+}
--- a/internal/fake/fakeservice/service.go
+++ b/internal/fake/fakeservice/service.go
@@ -1,12 +1,13 @@
 // Package fakeservice is a small stand-in for a plain service such as a
 // booking service. It records every call that it runs, so that tests can tell
-// how often a call was executed.
+// how often a call was executed. Faults can be switched on while it runs.
 package fakeservice
 
 import (
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -14,6 +15,7 @@
 // Execution is one call that the service ran.
 type Execution struct {
 	Path           string `json:"path"`
+	Customer       string `json:"customer"`
 	IdempotencyKey string `json:"idempotency_key"`
 	Attempt        string `json:"attempt"`
 	Body           string `json:"body"`
@@ -27,24 +29,40 @@
 	Path   string `json:"path"`
 }
 
+// Faults says what the service does wrong with new calls.
+type Faults struct {
+	// Late delays answers, after the call was run.
+	Late time.Duration `json:"late_ns"`
+	// NoAnswer runs calls and never answers.
+	NoAnswer bool `json:"no_answer"`
+	// Crash runs calls and breaks the connection.
+	Crash bool `json:"crash"`
+	// Twice sends each answer twice on the connection.
+	Twice bool `json:"twice"`
+}
+
 // Service is a fake service. It is safe for concurrent use.
 type Service struct {
-	// Delay is how long a call takes.
+	// delay is how long a call takes.
 	delay time.Duration
 
-	mu   sync.Mutex // guards runs
-	runs []Execution
+	mu       sync.Mutex // guards the fields below
+	runs     []Execution
+	receipts map[string]Receipt
+	faults   Faults
 }
 
 // New returns a service whose calls take delay.
 func New(delay time.Duration) *Service {
-	return &Service{delay: delay}
+	return &Service{delay: delay, receipts: make(map[string]Receipt)}
 }
 
 // Handler returns the service's HTTP interface.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /record", s.record)
+	mux.HandleFunc("GET /lookup", s.lookup)
+	mux.HandleFunc("POST /fake/faults", s.takeFaults)
 	mux.HandleFunc("/", s.call)
 	return mux
 }
@@ -56,31 +74,98 @@
 	return append([]Execution(nil), s.runs...)
 }
 
+// SetFaults replaces the faults in force.
+func (s *Service) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+func (s *Service) takeFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, "decode faults: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
 func (s *Service) record(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, s.Executions())
 }
 
+// lookup answers with the receipt of a key that was run.
+func (s *Service) lookup(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	receipt, ok := s.receipts[keyOf(r)]
+	s.mu.Unlock()
+	if !ok {
+		http.Error(w, "key not known", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, receipt)
+}
+
 func (s *Service) call(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	number := s.run(Execution{
+	receipt, faults := s.run(r, Execution{
 		Path:           r.URL.Path,
+		Customer:       r.Header.Get("Lagoonshift-Customer"),
 		IdempotencyKey: r.Header.Get("Idempotency-Key"),
 		Attempt:        r.Header.Get("Lagoonshift-Attempt"),
 		Body:           string(body),
 		AtUnixMilli:    time.Now().UnixMilli(),
 	})
-	time.Sleep(s.delay)
-	writeJSON(w, Receipt{Number: number, Path: r.URL.Path})
+	time.Sleep(s.delay + faults.Late)
+	switch {
+	case faults.Crash:
+		panic(http.ErrAbortHandler)
+	case faults.NoAnswer:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case faults.Twice:
+		answerTwice(w, receipt)
+	default:
+		writeJSON(w, receipt)
+	}
 }
 
-func (s *Service) run(e Execution) int {
+// run records an execution.
+func (s *Service) run(r *http.Request, e Execution) (Receipt, Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs = append(s.runs, e)
-	return len(s.runs)
+	receipt := Receipt{Number: len(s.runs), Path: r.URL.Path}
+	if e.IdempotencyKey != "" {
+		s.receipts[keyOf(r)] = receipt
+	}
+	return receipt, s.faults
+}
+
+func keyOf(r *http.Request) string {
+	return r.Header.Get("Lagoonshift-Customer") + "\x00" + r.Header.Get("Idempotency-Key")
+}
+
+// answerTwice writes the whole answer, status line and all, two times.
+func answerTwice(w http.ResponseWriter, receipt Receipt) {
+	body, err := json.Marshal(receipt)
+	if err != nil {
+		return
+	}
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	for range 2 {
+		_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n")
+		_, _ = buffered.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
+		_, _ = buffered.Write(body)
+	}
+	_ = buffered.Flush()
 }
 
 func writeJSON(w http.ResponseWriter, value any) {
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -66,6 +66,7 @@
 const (
 	EventToken = "token"
 	EventDone  = "done"
+	EventMoved = "moved"
 	EventError = "error"
 )
 
--- /dev/null
+++ b/internal/protocol/outlier/outlier.go
@@ -0,0 +1,146 @@
+// Package outlier ejects backend servers that keep failing and probes them
+// before they get work again.
+package outlier
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+)
+
+const (
+	// threshold is the number of consecutive failures that eject a backend.
+	threshold = 3
+	// firstEjection is the length of a first ejection; it doubles with each
+	// failed probe up to maxEjection.
+	firstEjection = 500 * time.Millisecond
+	maxEjection   = 30 * time.Second
+)
+
+// Health is one backend server's record. It is immutable.
+type Health struct {
+	// Failures counts consecutive failures.
+	Failures int
+	// Ejections counts ejections without a success in between.
+	Ejections int
+	// Until is the end of the current ejection.
+	Until clock.Instant
+	// Probing is true while one attempt tests an ejected backend.
+	Probing bool
+}
+
+// Ejected reports whether the backend gets no work at the instant now.
+func (h Health) Ejected(now clock.Instant) bool {
+	return now.Before(h.Until)
+}
+
+// Failed returns the record after a failure. Failures of attempts that began
+// before an ejection change nothing; a failed probe ejects for longer.
+func (h Health) Failed(now clock.Instant) Health {
+	if h.Ejected(now) && !h.Probing {
+		return h
+	}
+	h.Failures++
+	if h.Failures < threshold && h.Ejections == 0 {
+		return h
+	}
+	h.Until = now.Add(ejection(h.Ejections))
+	h.Ejections++
+	h.Probing = false
+	return h
+}
+
+// Probed returns the record after a probe started: the backend stays ejected
+// for everybody else until the probe ends or its time is over.
+func (h Health) Probed(now clock.Instant) Health {
+	h.Until = now.Add(ejection(h.Ejections))
+	h.Probing = true
+	return h
+}
+
+func ejection(count int) time.Duration {
+	d := firstEjection
+	for range count {
+		d = min(2*d, maxEjection)
+	}
+	return d
+}
+
+// Set holds the records of all backend servers. It is safe for concurrent use;
+// backends that never failed cost one atomic load.
+type Set struct {
+	clock clock.Clock
+	// ailing holds the records of backends that failed lately, replaced
+	// whole.
+	ailing atomic.Pointer[map[string]Health]
+	mu     sync.Mutex // serialises writers
+}
+
+// NewSet returns a set in which every backend is healthy.
+func NewSet(c clock.Clock) *Set {
+	s := &Set{clock: c}
+	s.ailing.Store(&map[string]Health{})
+	return s
+}
+
+// Ejected returns the names of the backends that get no work now.
+func (s *Set) Ejected() []string {
+	ailing := *s.ailing.Load()
+	if len(ailing) == 0 {
+		return nil
+	}
+	now := s.clock.Now()
+	var out []string
+	for name, health := range ailing {
+		if health.Ejected(now) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Start tells that an attempt goes to a backend. If it is the first after an
+// ejection, it is a probe and the others keep off.
+func (s *Set) Start(name string) {
+	if _, ok := (*s.ailing.Load())[name]; !ok {
+		return
+	}
+	s.change(name, func(h Health, now clock.Instant) (Health, bool) {
+		if h.Ejections == 0 || h.Ejected(now) {
+			return h, true
+		}
+		return h.Probed(now), true
+	})
+}
+
+// Success tells that a backend answered well.
+func (s *Set) Success(name string) {
+	if _, ok := (*s.ailing.Load())[name]; !ok {
+		return
+	}
+	s.change(name, func(Health, clock.Instant) (Health, bool) { return Health{}, false })
+}
+
+// Failure tells that a backend failed an attempt.
+func (s *Set) Failure(name string) {
+	s.change(name, func(h Health, now clock.Instant) (Health, bool) { return h.Failed(now), true })
+}
+
+// change replaces one record; keep is false if the record is dropped.
+func (s *Set) change(name string, edit func(Health, clock.Instant) (next Health, keep bool)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := *s.ailing.Load()
+	next := make(map[string]Health, len(current)+1)
+	for other, health := range current {
+		next[other] = health
+	}
+	health, keep := edit(current[name], s.clock.Now())
+	delete(next, name)
+	if keep {
+		next[name] = health
+	}
+	s.ailing.Store(&next)
+}
--- /dev/null
+++ b/internal/protocol/servicecall/checker_test.go
@@ -0,0 +1,128 @@
+package servicecall
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+)
+
+// outcome is what a caller was told.
+type outcome struct {
+	// receipt is the answer, if there is one.
+	receipt  string
+	executed refusal.Executed
+}
+
+// history records what callers were told, for the checker.
+type history struct {
+	mu  sync.Mutex // guards ops
+	ops []porcupine.Operation
+}
+
+// told is one caller's call and answer as the history keeps it.
+type told struct {
+	key string
+	outcome
+}
+
+func (h *history) add(client int, key string, start, end time.Duration, answer Answer, err error) outcome {
+	o := outcome{receipt: string(answer.Body)}
+	var refused *refusal.Error
+	if errors.As(err, &refused) {
+		o = outcome{executed: refused.Executed}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{
+		ClientId: client,
+		Input:    key,
+		Call:     int64(start),
+		Output:   told{key: key, outcome: o},
+		Return:   int64(end),
+	})
+	return o
+}
+
+// States of the at-most-once register; any other state is the receipt.
+const (
+	notRun         = ""
+	runUnseen      = "run, receipt not seen"
+	operationLimit = 20 * time.Second
+)
+
+// register is a register that is written at most once: a call runs or finds
+// the one earlier run. A call with an unknown outcome may have run or not.
+var register = porcupine.NondeterministicModel{
+	Partition: func(ops []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[string][]porcupine.Operation)
+		for _, op := range ops {
+			byKey[op.Input.(string)] = append(byKey[op.Input.(string)], op)
+		}
+		var out [][]porcupine.Operation
+		for _, list := range byKey {
+			out = append(out, list)
+		}
+		return out
+	},
+	Init: func() []any { return []any{notRun} },
+	Step: func(state, _, output any) []any {
+		s, o := state.(string), output.(told)
+		switch {
+		case o.receipt != "" && (s == notRun || s == runUnseen || s == o.receipt):
+			return []any{o.receipt}
+		case o.receipt == "" && o.executed == refusal.No && s == notRun:
+			return []any{notRun}
+		case o.receipt == "" && o.executed == refusal.Unknown && s == notRun:
+			return []any{notRun, runUnseen}
+		case o.receipt == "" && o.executed != refusal.No:
+			return []any{s}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// check judges a run by the callers' history and by the service's record.
+func check(w *world, h *history) error {
+	model := register.ToModel()
+	if result := porcupine.CheckOperationsTimeout(model, h.ops, operationLimit); result != porcupine.Ok {
+		return fmt.Errorf("history is not that of an at-most-once register (%s): %+v", result, h.ops)
+	}
+	runs := make(map[string][]execution)
+	for _, e := range w.executions {
+		runs[e.key] = append(runs[e.key], e)
+	}
+	for _, e := range w.executions {
+		if w.cancelled[e.attempt] {
+			return fmt.Errorf("key %s: attempt %s was cancelled and ran", e.key, e.attempt)
+		}
+	}
+	for key, list := range runs {
+		if len(list) > 1 {
+			return fmt.Errorf("key %s was run %d times: %+v", key, len(list), list)
+		}
+	}
+	return checkRefusals(h, runs)
+}
+
+// checkRefusals finds refusals that say "not run" although the service had
+// run the key before.
+func checkRefusals(h *history, runs map[string][]execution) error {
+	for _, op := range h.ops {
+		o := op.Output.(told)
+		if o.executed != refusal.No {
+			continue
+		}
+		for _, e := range runs[o.key] {
+			if int64(e.at) <= op.Call {
+				return fmt.Errorf("key %s: told at %d that it was not run, ran at %d", o.key, op.Return, e.at)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/protocol/servicecall/dispatch.go
@@ -0,0 +1,109 @@
+package servicecall
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+)
+
+// dispatch sends the call. The attempt holds the reservation, so nobody else
+// sends under this key.
+func (a *attempt) dispatch(ctx context.Context) (Answer, error) {
+	if a.caller.Err() != nil {
+		return a.cancel(ctx, refusal.DeadlinePassed, a.caller.Err())
+	}
+	owned, err := a.claim(ctx)
+	if err != nil {
+		return a.cancel(ctx, refusal.Unavailable, err)
+	}
+	if !owned {
+		return a.leaveToOldSystem(ctx)
+	}
+	var last error
+	for _, t := range a.p.targets(a.service) {
+		a.p.Outliers.Start(t.name)
+		answer, err := a.p.Services.CallOnce(ctx, a.call.to(t.url, a.id))
+		a.p.judge(t, err)
+		if err == nil {
+			return a.store(ctx, answer)
+		}
+		if !errors.Is(err, backend.ErrNotSent) {
+			return a.lost(ctx, t, err)
+		}
+		last = err
+	}
+	return a.cancel(ctx, refusal.Unavailable, last)
+}
+
+// store commits the answer and returns it. If the caller's time ends first,
+// the caller gets the answer, which is true, and the commit goes on.
+func (a *attempt) store(ctx context.Context, answer backend.ServiceAnswer) (Answer, error) {
+	stop := context.AfterFunc(a.caller, func() { a.report(Answer{ServiceAnswer: answer}, nil) })
+	defer stop()
+	if _, err := a.settle(ctx, outcomeOf(answer)); err != nil {
+		return Answer{ServiceAnswer: answer}, nil
+	}
+	return Answer{ServiceAnswer: answer}, nil
+}
+
+func outcomeOf(answer backend.ServiceAnswer) ledger.Outcome {
+	outcome := ledger.Outcome{
+		State:       ledger.Settled,
+		Status:      answer.Status,
+		ContentType: answer.ContentType,
+		Body:        answer.Body,
+	}
+	if len(outcome.Body) > ledger.MaxAnswer {
+		outcome.Body = nil
+		outcome.Oversized = true
+	}
+	return outcome
+}
+
+// lost handles a call that was sent and not answered: it asks the service, if
+// the settings name a lookup, and else records that nobody knows.
+func (a *attempt) lost(ctx context.Context, t target, cause error) (Answer, error) {
+	if answer, found := a.lookup(ctx, t); found {
+		return a.store(ctx, answer)
+	}
+	unknown := &refusal.Error{
+		Kind:     refusal.OutcomeUnknown,
+		Executed: refusal.Unknown,
+		Detail:   "the call was sent and its answer lost; it is not sent again",
+		Cause:    fmt.Errorf("call %s at backend server %s: %w", a.call.Path, t.name, cause),
+	}
+	a.report(Answer{}, unknown)
+	_, _ = a.settle(ctx, ledger.Outcome{State: ledger.Unknown})
+	return Answer{}, unknown
+}
+
+// cancel gives the key back. Only a committed cancellation allows the answer
+// that the call was not run.
+func (a *attempt) cancel(ctx context.Context, kind refusal.Kind, cause error) (Answer, error) {
+	stop := context.AfterFunc(a.caller, func() { a.report(a.late()) })
+	defer stop()
+	refused := &refusal.Error{Kind: kind, Executed: refusal.Unknown, Detail: "the call was not sent", RetryAfter: retryAfter, Cause: cause}
+	result, err := a.settle(ctx, ledger.Outcome{State: ledger.Cancelled})
+	if err == nil && result.Verdict == ledger.Stored {
+		refused.Executed = refusal.No
+	}
+	return Answer{}, refused
+}
+
+// lookup asks the service for the outcome of the key. Only a found outcome
+// counts: a service that does not know the key may still get the call.
+func (a *attempt) lookup(ctx context.Context, t target) (backend.ServiceAnswer, bool) {
+	if a.rule.Lookup == "" {
+		return backend.ServiceAnswer{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.rule.Timeout.Std())
+	defer cancel()
+	call := a.call.to(t.url, a.id)
+	call.URL = t.url + "/" + a.rule.Lookup
+	answer, found, err := a.p.Services.Lookup(ctx, call)
+	return answer, found && err == nil
+}
--- /dev/null
+++ b/internal/protocol/servicecall/follow.go
@@ -0,0 +1,59 @@
+package servicecall
+
+import (
+	"context"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+)
+
+// follow answers a call whose key another attempt holds. It reports false if
+// that attempt may still bring an outcome.
+func (a *attempt) follow(ctx context.Context, record ledger.Record) (Answer, bool, error) {
+	switch record.Outcome.State {
+	case ledger.Settled:
+		answer, err := repeated(record.Outcome)
+		return answer, true, err
+	case ledger.OldSystem:
+		answer, err := a.forward(ctx)
+		return answer, true, err
+	case ledger.Unknown:
+		return a.resolve(ctx, record)
+	}
+	if a.p.Holders != nil && a.p.Holders.Gone(record.Reserve.Entry, record.Reserve.Incarnation) {
+		return a.resolve(ctx, record)
+	}
+	return Answer{}, false, nil
+}
+
+func repeated(outcome ledger.Outcome) (Answer, error) {
+	if outcome.Oversized {
+		return Answer{}, &refusal.Error{Kind: refusal.AnswerNotKept, Executed: refusal.Yes, Detail: "the call was run; its answer was too large to be kept"}
+	}
+	answer := backend.ServiceAnswer{Status: outcome.Status, ContentType: outcome.ContentType, Body: outcome.Body}
+	return Answer{ServiceAnswer: answer, Repeated: true}, nil
+}
+
+// resolve looks for the outcome of a call whose holder can't tell it.
+func (a *attempt) resolve(ctx context.Context, record ledger.Record) (Answer, bool, error) {
+	holder := *a
+	holder.id = record.Reserve.Attempt
+	for _, t := range a.p.targets(a.service) {
+		answer, found := a.lookup(ctx, t)
+		if !found {
+			continue
+		}
+		result, err := holder.settle(a.caller, outcomeOf(answer))
+		if err == nil && result.Verdict == ledger.Stored {
+			answer, err := repeated(result.Record.Outcome)
+			return answer, true, err
+		}
+		break
+	}
+	return Answer{}, true, &refusal.Error{
+		Kind:     refusal.OutcomeUnknown,
+		Executed: refusal.Unknown,
+		Detail:   "the call may have been run and its answer is lost; it is not sent again",
+	}
+}
--- /dev/null
+++ b/internal/protocol/servicecall/oldsystem.go
@@ -0,0 +1,63 @@
+package servicecall
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+)
+
+// errNoOldSystemClient means that the settings name an old system that this
+// process can't reach.
+var errNoOldSystemClient = errors.New("servicecall: no client for the old system")
+
+// oldCall returns the call as it goes to the old system, whose caller API has
+// the same paths; its URL lacks the base.
+func (a *attempt) oldCall() backend.ServiceCall {
+	return a.call.to("/v1/services/"+a.call.Service, a.id)
+}
+
+// claim takes the key from the old system's key memory before the first send.
+// While both systems run, a key belongs to the one that took it first, so a
+// call whose claim is not answered is not sent.
+func (a *attempt) claim(ctx context.Context) (bool, error) {
+	if len(a.config.System.OldSystem) == 0 {
+		return true, nil
+	}
+	if a.p.OldSystem == nil {
+		return false, errNoOldSystemClient
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.rule.Timeout.Std())
+	defer cancel()
+	owned, err := a.p.OldSystem.Claim(ctx, a.config.System.OldSystem, a.oldCall())
+	if err != nil {
+		return false, fmt.Errorf("claim key at the old system: %w", err)
+	}
+	return owned, nil
+}
+
+// leaveToOldSystem records that the old system has the key and gets its
+// answer.
+func (a *attempt) leaveToOldSystem(ctx context.Context) (Answer, error) {
+	if _, err := a.settle(ctx, ledger.Outcome{State: ledger.OldSystem}); err != nil {
+		return Answer{}, &refusal.Error{Kind: refusal.LedgerUnreachable, Executed: refusal.Unknown, Detail: "the old system has the key", RetryAfter: retryAfter, Cause: err}
+	}
+	return a.forward(ctx)
+}
+
+// forward asks the old system for the answer to a call that it has taken.
+func (a *attempt) forward(ctx context.Context) (Answer, error) {
+	if a.p.OldSystem == nil {
+		return Answer{}, &refusal.Error{Kind: refusal.OutcomeUnknown, Executed: refusal.Unknown, Detail: "the old system has the key", Cause: errNoOldSystemClient}
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.rule.Timeout.Std())
+	defer cancel()
+	answer, err := a.p.OldSystem.Forward(ctx, a.config.System.OldSystem, a.oldCall())
+	if err != nil {
+		return Answer{}, &refusal.Error{Kind: refusal.OutcomeUnknown, Executed: refusal.Unknown, Detail: "the old system has the key and did not answer", RetryAfter: retryAfter, Cause: err}
+	}
+	return Answer{ServiceAnswer: answer, Repeated: true}, nil
+}
--- /dev/null
+++ b/internal/protocol/servicecall/refusal_test.go
@@ -0,0 +1,77 @@
+package servicecall
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+)
+
+func wantRefusal(t *testing.T, err error, kind refusal.Kind, executed refusal.Executed) {
+	t.Helper()
+	var refused *refusal.Error
+	if !errors.As(err, &refused) || refused.Kind != kind || refused.Executed != executed {
+		t.Errorf("error is %v, want refusal %s with executed %s", err, kind, executed)
+	}
+}
+
+// TestUnreachableServiceIsNotRun shows that a call whose backend servers all
+// refuse the connection is refused as not run, and that its key is free again.
+func TestUnreachableServiceIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		down := true
+		w.service = func(*rand.Rand) serviceFault {
+			if down {
+				return serviceRefusesConnection
+			}
+			return serviceWorks
+		}
+		h := &history{}
+		e := w.entry("first", stop{})
+		if o := book(h, 0, e, "van-1"); o.executed != refusal.No {
+			t.Errorf("told executed %q, want %q", o.executed, refusal.No)
+		}
+		down = false
+		if o := book(h, 0, w.entry("second", stop{}), "van-1"); o.receipt == "" {
+			t.Errorf("repeat got %+v, want a receipt", o)
+		}
+	})
+}
+
+// TestLateAnswerIsStored shows that the answer to a call whose caller was
+// told "unknown" is kept for a repeat.
+func TestLateAnswerIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(3)
+		w.service = func(*rand.Rand) serviceFault { return serviceLate }
+		h := &history{}
+		e := w.entry("first", stop{})
+		if o := book(h, 0, e, "van-1"); o.executed != refusal.Unknown {
+			t.Errorf("told %+v, want executed %q", o, refusal.Unknown)
+		}
+		time.Sleep(time.Minute)
+		if o := book(h, 0, w.entry("second", stop{}), "van-1"); o.receipt == "" {
+			t.Errorf("repeat got %+v, want the late receipt", o)
+		}
+		finish(w)
+	})
+}
+
+// TestRefusedAtOnce shows that a caller is told at once that the outcome is
+// unknown, and not held until its time is over.
+func TestRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		w.service = func(*rand.Rand) serviceFault { return serviceCrashes }
+		start := time.Now()
+		o := book(&history{}, 0, w.entry("first", stop{}), "van-1")
+		if waited := time.Since(start); o.executed != refusal.Unknown || waited > callTimeout/4 {
+			t.Errorf("told %+v after %v", o, waited)
+		}
+		finish(w)
+	})
+}
--- /dev/null
+++ b/internal/protocol/servicecall/repeatable.go
@@ -0,0 +1,71 @@
+package servicecall
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+const (
+	// maxAttempts bounds the attempts of one idempotent call.
+	maxAttempts = 3
+	// retryAfter is what a caller is told when no backlog is known.
+	retryAfter = time.Second
+)
+
+// backoff spaces the attempts of one call.
+var backoff = retry.Backoff{Base: 20 * time.Millisecond, Max: 500 * time.Millisecond}
+
+// Repeatable runs a call that may be repeated. An error is a *refusal.Error.
+func (p *Protocol) Repeatable(ctx context.Context, call *Call, service settings.Service, rule settings.Call) (Answer, error) {
+	targets := p.targets(service)
+	executed := refusal.No
+	var last error
+	for i := range min(maxAttempts, len(targets)) {
+		if i > 0 && !p.mayRetry(ctx, i-1) {
+			break
+		}
+		answer, err := p.tryOnce(ctx, call, targets[i], rule)
+		if err == nil {
+			p.Budget.Success()
+			return Answer{ServiceAnswer: answer}, nil
+		}
+		last = err
+		if !errors.Is(err, backend.ErrNotSent) {
+			executed = refusal.Unknown
+		}
+		if ctx.Err() != nil {
+			return Answer{}, &refusal.Error{Kind: refusal.DeadlinePassed, Executed: executed, Detail: "the time for the call ran out", RetryAfter: retryAfter, Cause: err}
+		}
+	}
+	return Answer{}, &refusal.Error{Kind: refusal.Unavailable, Executed: executed, Detail: "no backend server of the service answered", RetryAfter: retryAfter, Cause: last}
+}
+
+func (p *Protocol) mayRetry(ctx context.Context, retry int) bool {
+	return p.Budget.Spend() && sleep(ctx, backoff.Pause(retry, p.Random))
+}
+
+func (p *Protocol) tryOnce(ctx context.Context, call *Call, t target, rule settings.Call) (backend.ServiceAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, rule.Timeout.Std())
+	defer cancel()
+	p.Outliers.Start(t.name)
+	answer, err := p.Services.Call(ctx, call.to(t.url, p.NewAttempt()))
+	p.judge(t, err)
+	return answer, err
+}
+
+// judge tells the outlier set how a backend server did.
+func (p *Protocol) judge(t target, err error) {
+	switch {
+	case err == nil:
+		p.Outliers.Success(t.name)
+	case errors.Is(err, context.Canceled):
+	default:
+		p.Outliers.Failure(t.name)
+	}
+}
--- a/internal/role/entryrole/entry.go
+++ b/internal/role/entryrole/entry.go
@@ -8,16 +8,13 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
-	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/transport/backendhttp"
-	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
 )
 
@@ -37,7 +34,12 @@
 	lease       *lease.Holder
 	tracker     *routing.Tracker
 	backends    *backendhttp.Client
-	log         hclog.Logger
+	// leaving is closed when the entry begins to leave.
+	leaving chan struct{}
+	// longestTTL is the longest time, in nanoseconds, for which a caller may
+	// keep an address answer by any settings that were in force here.
+	longestTTL atomic.Int64
+	log        hclog.Logger
 }
 
 // Run runs an entry process until ctx ends.
@@ -55,12 +57,8 @@
 	if err := e.fetchSettings(ctx); err != nil {
 		return fmt.Errorf("start entry %s: %w", name, err)
 	}
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return every(ctx, renewInterval, e.renew) })
-	group.Go(func() error { return every(ctx, loadInterval, e.pollLoads) })
-	group.Go(func() error { return serve.HTTP(ctx, self.CallerAddress, e.callerServer(d).Handler()) })
 	log.Info("entry started", "caller_address", self.CallerAddress, "settings_version", e.settings.Load().Version)
-	return group.Wait()
+	return e.run(ctx, d)
 }
 
 func newEntry(self deployment.Entry, control *peergrpc.ControlClient, log hclog.Logger) *entry {
@@ -73,26 +71,11 @@
 		lease:       lease.NewHolder(c),
 		tracker:     routing.NewTracker(c),
 		backends:    backendhttp.New(),
+		leaving:     make(chan struct{}),
 		log:         log,
 	}
 }
 
-func (e *entry) callerServer(d *deployment.Deployment) *callerhttp.Server {
-	return callerhttp.New(callerhttp.Options{
-		Name:        e.self.Name,
-		Zone:        e.self.Zone,
-		Incarnation: e.incarnation,
-		Addresses:   callerAddresses(d),
-		Settings:    &e.settings,
-		Lease:       e.lease,
-		Tracker:     e.tracker,
-		Picker:      routing.LeastRequests{},
-		Backends:    e.backends,
-		Control:     e.control,
-		Log:         e.log,
-	})
-}
-
 // every calls do at once and then at the interval until ctx ends.
 func every(ctx context.Context, interval time.Duration, do func(context.Context)) error {
 	ticker := time.NewTicker(interval)
@@ -114,11 +97,3 @@
 	}
 	return out
 }
-
-func callerAddresses(d *deployment.Deployment) []string {
-	var out []string
-	for _, e := range d.Entries {
-		out = append(out, e.CallerAddress)
-	}
-	return out
-}
--- a/internal/role/entryrole/settings.go
+++ b/internal/role/entryrole/settings.go
@@ -15,7 +15,7 @@
 	defer cancel()
 	start := e.clock.Now()
 	inForce := e.settings.Load().Version
-	answers := e.control.Renew(ctx, &peerpb.RenewRequest{Member: e.self.Name, Incarnation: e.incarnation, SettingsVersion: inForce})
+	answers := e.control.Renew(ctx, &peerpb.RenewRequest{Member: e.self.Name, Incarnation: e.incarnation, SettingsVersion: inForce, Leaving: e.isLeaving()})
 	verdict := lease.Judge(answers, inForce)
 	if verdict.Granted {
 		e.lease.Extend(start, verdict.Duration)
@@ -44,6 +44,7 @@
 		return fmt.Errorf("parse settings version %d: %w", version, err)
 	}
 	e.tracker.Configure(next)
+	e.keepLongestTTL(next)
 	e.settings.Store(next)
 	return nil
 }
--- a/internal/role/serve/serve.go
+++ b/internal/role/serve/serve.go
@@ -9,13 +9,19 @@
 	"net"
 	"net/http"
 	"time"
+
+	"golang.org/x/net/netutil"
 )
 
 const (
 	// headerTimeout bounds how long a caller may take to send its headers.
 	headerTimeout = 10 * time.Second
+	// idleTimeout bounds how long a connection may be idle.
+	idleTimeout = 90 * time.Second
 	// maxHeader bounds a request's headers, in bytes.
 	maxHeader = 64 << 10
+	// maxConnections bounds the connections of one listener.
+	maxConnections = 16 << 10
 )
 
 // HTTP serves handler at address until ctx ends; it then stops accepting and
@@ -25,13 +31,24 @@
 	if err != nil {
 		return fmt.Errorf("listen at %s: %w", address, err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
+	return On(ctx, listener, handler)
+}
+
+// On serves handler on a listener, as HTTP does.
+func On(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	address := listener.Addr()
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
 	stopped := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() {
-		stopped <- server.Shutdown(context.Background())
+		stopped <- server.Shutdown(context.WithoutCancel(ctx))
 	})
 	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(netutil.LimitListener(listener, maxConnections)); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve at %s: %w", address, err)
 	}
 	if err := <-stopped; err != nil {
--- /dev/null
+++ b/internal/transport/adminhttp/ledger.go
@@ -0,0 +1,55 @@
+package adminhttp
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+// unsettledAfter is the age from which a reservation without an outcome
+// counts as unknown: longer than any attempt waits for a late answer.
+const unsettledAfter = 5 * time.Minute
+
+// LedgerAnswer lists records of the idempotency ledger.
+type LedgerAnswer struct {
+	// Records are ordered by key, without the stored answers' bodies.
+	Records []ledger.Record `json:"records"`
+	// Total and Pruned count the records and the pruned keys that are still
+	// remembered.
+	Total  int `json:"total"`
+	Pruned int `json:"pruned"`
+}
+
+// ledger lists the calls whose outcome is unknown, or with all=true all calls.
+func (s *Server) ledger(w http.ResponseWriter, r *http.Request) {
+	if err := s.log.ReadBarrier(r.Context()); err != nil {
+		http.Error(w, "read ledger: "+err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	keep := unsettled(time.Now())
+	if r.URL.Query().Get("all") == "true" {
+		keep = nil
+	}
+	answer := LedgerAnswer{}
+	s.store.View(func(_ *settings.Tree, l *ledger.Ledger) {
+		answer.Records = l.List(keep)
+		answer.Total, answer.Pruned = l.Len()
+	})
+	for i := range answer.Records {
+		answer.Records[i].Outcome.Body = nil
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// unsettled selects the records whose outcome nobody knows any more.
+func unsettled(now time.Time) func(ledger.Record) bool {
+	return func(record ledger.Record) bool {
+		reserved := time.UnixMilli(record.Reserve.AtUnixMilli)
+		stuck := record.Outcome.State == ledger.Reserved && now.Sub(reserved) > unsettledAfter
+		return stuck || record.Outcome.State == ledger.Unknown
+	}
+}
--- a/internal/transport/adminhttp/server.go
+++ b/internal/transport/adminhttp/server.go
@@ -31,6 +31,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/settings", s.get)
 	mux.HandleFunc("POST /v1/settings/changes", s.change)
+	mux.HandleFunc("GET /v1/ledger", s.ledger)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	return mux
 }
--- /dev/null
+++ b/internal/transport/backendhttp/oldsystem.go
@@ -0,0 +1,54 @@
+package backendhttp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+)
+
+// errOldSystem means that no address of the old system answered.
+var errOldSystem = errors.New("backendhttp: old system not reached")
+
+// Claim takes a key for this system in the old system's key memory. It
+// reports false if the old system took the key first.
+func (c *Client) Claim(ctx context.Context, baseURLs []string, call backend.ServiceCall) (bool, error) {
+	query := url.Values{"customer": {call.Customer}, "key": {call.IdempotencyKey}, "path": {call.URL}}
+	call.Method = http.MethodPut
+	call.URL = "/v1/keys/claim?" + query.Encode()
+	call.Body = nil
+	answer, err := c.eachOldSystem(ctx, baseURLs, call)
+	switch {
+	case err != nil:
+		return false, err
+	case answer.Status == http.StatusOK:
+		return true, nil
+	case answer.Status == http.StatusConflict:
+		return false, nil
+	}
+	return false, fmt.Errorf("claim key: %w: status %d", errOldSystem, answer.Status)
+}
+
+// Forward sends a call whose key the old system has taken. The old system's
+// key memory keeps it from being run twice.
+func (c *Client) Forward(ctx context.Context, baseURLs []string, call backend.ServiceCall) (backend.ServiceAnswer, error) {
+	return c.eachOldSystem(ctx, baseURLs, call)
+}
+
+// eachOldSystem sends a call to one address after the other until one answers.
+func (c *Client) eachOldSystem(ctx context.Context, baseURLs []string, call backend.ServiceCall) (backend.ServiceAnswer, error) {
+	last := errOldSystem
+	for _, base := range baseURLs {
+		out := call
+		out.URL = base + call.URL
+		answer, err := send(ctx, c.http, out)
+		if err == nil {
+			return answer, nil
+		}
+		last = err
+	}
+	return backend.ServiceAnswer{}, last
+}
--- /dev/null
+++ b/internal/transport/backendhttp/stream.go
@@ -0,0 +1,95 @@
+package backendhttp
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+)
+
+// maxEvent bounds one line of a stream, in bytes.
+const maxEvent = 64 << 10
+
+// errLongEvent means that an engine sent a line above maxEvent.
+var errLongEvent = errors.New("backendhttp: event too long")
+
+var (
+	fieldEvent = []byte("event: ")
+	fieldData  = []byte("data: ")
+	eventEnd   = []byte("\n\n")
+)
+
+// stream is a completion stream in server-sent events.
+type stream struct {
+	url    string
+	body   io.ReadCloser
+	reader *bufio.Reader
+}
+
+func newStream(url string, body io.ReadCloser) *stream {
+	return &stream{url: url, body: body, reader: bufio.NewReaderSize(body, maxEvent)}
+}
+
+// Next implements backend.Stream.
+func (s *stream) Next(e *backend.Event) error {
+	e.Kind = backend.KindOther
+	for {
+		line, err := s.reader.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			err = errLongEvent
+		}
+		if err != nil {
+			return fmt.Errorf("read stream of %s: %w", s.url, errors.Join(backend.ErrTruncated, err))
+		}
+		line = bytes.TrimSuffix(line, eventEnd[:1])
+		if kind, ok := bytes.CutPrefix(line, fieldEvent); ok {
+			e.Kind = kindOf(kind)
+		} else if data, ok := bytes.CutPrefix(line, fieldData); ok {
+			return s.decode(e, data)
+		}
+	}
+}
+
+func kindOf(name []byte) backend.EventKind {
+	switch string(name) {
+	case backend.EventToken:
+		return backend.KindToken
+	case backend.EventDone:
+		return backend.KindDone
+	case backend.EventMoved:
+		return backend.KindMoved
+	}
+	return backend.KindOther
+}
+
+func (s *stream) decode(e *backend.Event, data []byte) error {
+	e.Data = data
+	var err error
+	switch e.Kind {
+	case backend.KindToken:
+		err = json.Unmarshal(data, &e.Token)
+	case backend.KindDone:
+		err = json.Unmarshal(data, &e.Done)
+	case backend.KindMoved:
+		err = json.Unmarshal(data, &e.Moved)
+	}
+	if err != nil {
+		return fmt.Errorf("decode event of %s: %w", s.url, err)
+	}
+	return nil
+}
+
+// Pending implements backend.Stream.
+func (s *stream) Pending() bool {
+	buffered, _ := s.reader.Peek(s.reader.Buffered())
+	return bytes.Contains(bytes.TrimPrefix(buffered, eventEnd[:1]), eventEnd)
+}
+
+// Close implements backend.Stream.
+func (s *stream) Close() {
+	_ = s.body.Close()
+}
--- /dev/null
+++ b/internal/transport/callerhttp/completions.go
@@ -0,0 +1,123 @@
+package callerhttp
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/request"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+// defaultPatience is the time limit of a request without one, in expected
+// waits of its class.
+const defaultPatience = 3
+
+// CompletionCall is the body of a completion request.
+type CompletionCall struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+func (s *Server) completions(w http.ResponseWriter, r *http.Request) {
+	call, class, err := s.readCompletion(w, r)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	executed := executedBefore(call)
+	if !s.Lease.Valid() {
+		refuse(w, noLease(executed))
+		return
+	}
+	leave, err := s.enter(call.Team, call.Customer)
+	if err != nil {
+		refuse(w, limited(err, executed))
+		return
+	}
+	defer leave()
+	patience, err := patience(r, defaultPatience*class.ExpectedWait.Std())
+	if err != nil {
+		refuse(w, invalid(err.Error(), executed))
+		return
+	}
+	ctx, cancel := withTimeout(r, patience)
+	defer cancel()
+	sink := newSink(w)
+	if err := s.Requests.Run(ctx, call, class, sink); err != nil {
+		s.Log.Debug("completion not whole", "team", call.Team, "class", call.Class, "error", err)
+		sink.fail(err)
+	}
+}
+
+// executedBefore returns what can be said of a request before it is sent: a
+// resumed one was run in part by the attempt before.
+func executedBefore(call *request.Call) refusal.Executed {
+	if call.From > 0 {
+		return refusal.Unknown
+	}
+	return refusal.No
+}
+
+// readCompletion decodes and checks a completion request.
+func (s *Server) readCompletion(w http.ResponseWriter, r *http.Request) (*request.Call, settings.Class, error) {
+	content, err := readBody(w, r)
+	if err != nil {
+		return nil, settings.Class{}, invalid("read body: "+err.Error(), refusal.No)
+	}
+	var body CompletionCall
+	if err := json.Unmarshal(content, &body); err != nil {
+		return nil, settings.Class{}, invalid("decode body: "+err.Error(), refusal.No)
+	}
+	call := &request.Call{
+		Labels:    request.Labels{Team: r.Header.Get(HeaderTeam), Class: r.Header.Get(HeaderClass), Customer: r.Header.Get(HeaderCustomer)},
+		Prompt:    body.Prompt,
+		MaxTokens: body.MaxTokens,
+	}
+	class, ok := s.Settings.Load().Teams[call.Team].Classes[call.Class]
+	if !ok {
+		return nil, class, invalid("unknown team or class", refusal.No)
+	}
+	from, err := resumeOffset(r)
+	if err != nil {
+		return nil, class, invalid(err.Error(), refusal.No)
+	}
+	call.From = from
+	if call.MaxTokens < 1 || call.From > call.MaxTokens {
+		return nil, class, invalid("max_tokens must be at least 1 and reach the offset to resume from", refusal.No)
+	}
+	return call, class, nil
+}
+
+// errHeader means that a header's value can't be read.
+var errHeader = errors.New("bad header")
+
+// resumeOffset returns the offset after the last event that the caller has.
+func resumeOffset(r *http.Request) (int, error) {
+	text := r.Header.Get(HeaderResume)
+	if text == "" {
+		return 0, nil
+	}
+	last, err := strconv.Atoi(text)
+	if err != nil || last < 0 {
+		return 0, fmt.Errorf("%w: %s is not the id of an event: %q", errHeader, HeaderResume, text)
+	}
+	return last + 1, nil
+}
+
+// patience returns how long the caller waits.
+func patience(r *http.Request, standard time.Duration) (time.Duration, error) {
+	text := r.Header.Get(HeaderTimeout)
+	if text == "" {
+		return standard, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		return 0, fmt.Errorf("%w: %s is not a positive duration with its unit: %q", errHeader, HeaderTimeout, text)
+	}
+	return d, nil
+}
--- a/internal/transport/callerhttp/problem.go
+++ b/internal/transport/callerhttp/problem.go
@@ -2,44 +2,103 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
-)
 
-// Executed tells a caller whether its refused request was run.
-type Executed string
-
-const (
-	// ExecutedNo means that no byte of the request went to a backend server
-	// that could execute it.
-	ExecutedNo Executed = "no"
-	// ExecutedUnknown means that it may have been run.
-	ExecutedUnknown Executed = "unknown"
-	// ExecutedYes means that it was run.
-	ExecutedYes Executed = "yes"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
 )
 
 // Problem is a refusal as problem details (RFC 9457).
 type Problem struct {
+	// Type names the kind of refusal.
+	Type   string `json:"type"`
 	Title  string `json:"title"`
 	Status int    `json:"status"`
 	Detail string `json:"detail,omitempty"`
 	// Executed tells whether the request was run.
-	Executed Executed `json:"executed"`
-	// RetryAfter is when the caller may try again; it is also sent as the
-	// Retry-After header, in whole seconds.
-	RetryAfter time.Duration `json:"-"`
+	Executed refusal.Executed `json:"executed"`
+	// RetryAfter is when the caller may try again, in whole seconds; it is
+	// also sent as the Retry-After header.
+	RetryAfter int `json:"retry_after_s,omitempty"`
+}
+
+// problemType is the prefix of problem types.
+const problemType = "urn:lagoonshift:problem:"
+
+// newProblem returns the problem details of a refusal.
+func newProblem(r *refusal.Error) *Problem {
+	return &Problem{
+		Type:       problemType + string(r.Kind),
+		Title:      string(r.Kind),
+		Status:     statusOf(r.Kind),
+		Detail:     r.Detail,
+		Executed:   r.Executed,
+		RetryAfter: int(math.Ceil(r.RetryAfter.Seconds())),
+	}
+}
+
+// statusOf returns the HTTP status of a kind of refusal.
+func statusOf(kind refusal.Kind) int {
+	switch kind {
+	case refusal.Invalid:
+		return http.StatusBadRequest
+	case refusal.Limited:
+		return http.StatusTooManyRequests
+	case refusal.DeadlinePassed:
+		return http.StatusGatewayTimeout
+	case refusal.BackendFailed, refusal.Corrupt:
+		return http.StatusBadGateway
+	case refusal.KeyReused:
+		return http.StatusUnprocessableEntity
+	case refusal.KeyTooOld, refusal.AnswerNotKept:
+		return http.StatusGone
+	case refusal.OutcomeUnknown, refusal.InProgress:
+		return http.StatusConflict
+	}
+	return http.StatusServiceUnavailable
 }
 
 // write sends the problem as the whole answer.
 func (p *Problem) write(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/problem+json")
 	if p.RetryAfter > 0 {
-		seconds := int(math.Ceil(p.RetryAfter.Seconds()))
-		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+		w.Header().Set("Retry-After", strconv.Itoa(p.RetryAfter))
 	}
 	w.WriteHeader(p.Status)
 	_ = json.NewEncoder(w).Encode(p)
 }
+
+// refuse sends an error as the whole answer.
+func refuse(w http.ResponseWriter, err error) {
+	var r *refusal.Error
+	if !errors.As(err, &r) {
+		r = &refusal.Error{Kind: refusal.BackendFailed, Executed: refusal.Unknown, Detail: "internal error"}
+	}
+	newProblem(r).write(w)
+}
+
+func invalid(detail string, executed refusal.Executed) *refusal.Error {
+	return &refusal.Error{Kind: refusal.Invalid, Executed: executed, Detail: detail}
+}
+
+func noLease(executed refusal.Executed) *refusal.Error {
+	return &refusal.Error{
+		Kind:       refusal.NoLease,
+		Executed:   executed,
+		Detail:     "this entry may not take new work; use another address",
+		RetryAfter: time.Second,
+	}
+}
+
+// limited returns the refusal for an error of the limit package.
+func limited(err error, executed refusal.Executed) *refusal.Error {
+	kind := refusal.Limited
+	if errors.Is(err, limit.ErrFull) {
+		kind = refusal.Overloaded
+	}
+	return &refusal.Error{Kind: kind, Executed: executed, Detail: err.Error(), RetryAfter: time.Second}
+}
--- /dev/null
+++ b/internal/transport/callerhttp/service.go
@@ -0,0 +1,105 @@
+package callerhttp
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/servicecall"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	service, rule, ok := s.findCall(r)
+	if !ok {
+		refuse(w, invalid("unknown service or call", refusal.No))
+		return
+	}
+	if !rule.Idempotent && r.Header.Get(HeaderKey) == "" {
+		refuse(w, invalid("a non-idempotent call needs the header "+HeaderKey, refusal.No))
+		return
+	}
+	executed := executedUnasked(rule)
+	call, err := readCall(w, r)
+	if err != nil {
+		refuse(w, invalid("read body: "+err.Error(), executed))
+		return
+	}
+	if !s.Lease.Valid() {
+		refuse(w, noLease(executed))
+		return
+	}
+	leave, err := s.enter(r.Header.Get(HeaderTeam), call.Customer)
+	if err != nil {
+		refuse(w, limited(err, executed))
+		return
+	}
+	defer leave()
+	s.runCall(w, r, call, service, rule)
+}
+
+// executedUnasked returns what can be said of a call before the ledger was
+// asked: another entry may have run a non-idempotent one under the same key.
+func executedUnasked(rule settings.Call) refusal.Executed {
+	if rule.Idempotent {
+		return refusal.No
+	}
+	return refusal.Unknown
+}
+
+func (s *Server) findCall(r *http.Request) (settings.Service, settings.Call, bool) {
+	service, ok := s.Settings.Load().Services[r.PathValue("service")]
+	if !ok {
+		return settings.Service{}, settings.Call{}, false
+	}
+	rule, ok := service.Calls[r.PathValue("path")]
+	return service, rule, ok
+}
+
+func readCall(w http.ResponseWriter, r *http.Request) (*servicecall.Call, error) {
+	body, err := readBody(w, r)
+	if err != nil {
+		return nil, err
+	}
+	return &servicecall.Call{
+		Service:     r.PathValue("service"),
+		Path:        r.PathValue("path"),
+		Query:       r.URL.RawQuery,
+		Method:      r.Method,
+		ContentType: r.Header.Get("Content-Type"),
+		Customer:    r.Header.Get(HeaderCustomer),
+		Key:         r.Header.Get(HeaderKey),
+		Body:        body,
+	}, nil
+}
+
+func (s *Server) runCall(w http.ResponseWriter, r *http.Request, call *servicecall.Call, service settings.Service, rule settings.Call) {
+	wait, err := patience(r, rule.Timeout.Std())
+	if err != nil {
+		refuse(w, invalid(err.Error(), executedUnasked(rule)))
+		return
+	}
+	ctx, cancel := withTimeout(r, wait)
+	defer cancel()
+	run := s.Services.Once
+	if rule.Idempotent {
+		run = s.Services.Repeatable
+	}
+	answer, err := run(ctx, call, service, rule)
+	if err != nil {
+		s.Log.Debug("call not answered", "service", call.Service, "call", call.Path, "error", err)
+		refuse(w, err)
+		return
+	}
+	writeAnswer(w, answer)
+}
+
+func writeAnswer(w http.ResponseWriter, answer servicecall.Answer) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.Header().Set("Content-Type", answer.ContentType)
+	if answer.Repeated {
+		w.Header().Set(HeaderRepeated, "true")
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
--- /dev/null
+++ b/internal/transport/callerhttp/sink.go
@@ -0,0 +1,115 @@
+package callerhttp
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+)
+
+// deadlineSlack is how much of a write deadline may be used up before it is
+// set anew; setting it for each token would cost too much.
+const deadlineSlack = time.Second
+
+// sink writes an answer to a caller as server-sent events. It implements
+// request.Sink; one goroutine uses it.
+type sink struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	// begun tells whether the status line was written.
+	begun bool
+	// deadline is the write deadline in force.
+	deadline time.Time
+	buffer   []byte
+}
+
+func newSink(w http.ResponseWriter) *sink {
+	return &sink{w: w, control: http.NewResponseController(w)}
+}
+
+// Token implements request.Sink. The engine's encoded token goes on as it is.
+func (s *sink) Token(e *backend.Event) error {
+	return s.write(backend.EventToken, e.Token.Offset, e.Data)
+}
+
+// Done implements request.Sink.
+func (s *sink) Done(d backend.DoneEvent) error {
+	encoded, err := json.Marshal(d)
+	if err != nil {
+		return fmt.Errorf("encode last event: %w", err)
+	}
+	if err := s.write(backend.EventDone, d.Tokens, encoded); err != nil {
+		return err
+	}
+	return s.Flush()
+}
+
+// Flush implements request.Sink.
+func (s *sink) Flush() error {
+	if err := s.control.Flush(); err != nil {
+		return fmt.Errorf("flush: %w", err)
+	}
+	return nil
+}
+
+// write sends one event and extends the write deadline.
+func (s *sink) write(kind string, id int, data []byte) error {
+	s.begin()
+	s.extend()
+	b := append(s.buffer[:0], "id: "...)
+	b = strconv.AppendInt(b, int64(id), 10)
+	b = append(b, "\nevent: "...)
+	b = append(b, kind...)
+	b = append(b, "\ndata: "...)
+	b = append(b, data...)
+	b = append(b, "\n\n"...)
+	s.buffer = b
+	if _, err := s.w.Write(b); err != nil {
+		return fmt.Errorf("write %s event: %w", kind, err)
+	}
+	return nil
+}
+
+func (s *sink) begin() {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	s.w.Header().Set("Content-Type", "text/event-stream")
+	s.w.Header().Set("Cache-Control", "no-store")
+}
+
+func (s *sink) extend() {
+	now := time.Now()
+	if s.deadline.Sub(now) > writeTimeout-deadlineSlack {
+		return
+	}
+	s.deadline = now.Add(writeTimeout)
+	_ = s.control.SetWriteDeadline(s.deadline)
+}
+
+// fail ends an answer that is not whole: by problem details if nothing was
+// written yet, and else by an error event, so that the caller sees the cut.
+func (s *sink) fail(err error) {
+	var refused *refusal.Error
+	if !errors.As(err, &refused) {
+		return
+	}
+	if !s.begun {
+		refuse(s.w, refused)
+		return
+	}
+	encoded, err := json.Marshal(newProblem(refused))
+	if err != nil {
+		return
+	}
+	s.extend()
+	if _, err := fmt.Fprintf(s.w, "event: %s\ndata: %s\n\n", backend.EventError, encoded); err == nil {
+		_ = s.Flush()
+	}
+}
