--- /dev/null
+++ b/internal/transport/backendhttp/once_test.go
@@ -0,0 +1,143 @@
+package backendhttp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+)
+
+// acceptor counts requests and lets a test decide what each connection does.
+func acceptor(t *testing.T, handle func(net.Conn)) (url string, requests *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	requests = new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil && request.Method == http.MethodPost {
+					requests.Add(1)
+					handle(conn)
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String(), requests
+}
+
+func call(url string) backend.ServiceCall {
+	return backend.ServiceCall{URL: url + "/bookings", Method: http.MethodPost, IdempotencyKey: "van-1", Attempt: "a", Body: []byte("{}")}
+}
+
+// TestCallOnceIsNeverResent shows that a call goes out once, whatever the
+// backend server does after it has read it.
+func TestCallOnceIsNeverResent(t *testing.T) {
+	const redirect = "HTTP/1.1 307 Temporary Redirect\r\nLocation: /bookings\r\nContent-Length: 0\r\n\r\n"
+	answers := map[string]string{
+		"closes at once":           "",
+		"cuts the status line":     "HTTP/1.1 20",
+		"cuts the body":            "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nab",
+		"asks to come again":       "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		"redirects to itself":      redirect,
+		"answers twice":            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"sends nonsense":           "nonsense\r\n\r\n",
+		"refuses without reason":   "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n",
+		"promises and never comes": "HTTP/1.1 102 Processing\r\n\r\n",
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			url, requests := acceptor(t, func(conn net.Conn) { _, _ = conn.Write([]byte(answer)) })
+			c := New()
+			_, err := c.CallOnce(t.Context(), call(url))
+			if errors.Is(err, backend.ErrNotSent) {
+				t.Errorf("a call that arrived counts as not sent: %v", err)
+			}
+			if n := requests.Load(); n != 1 {
+				t.Errorf("the call arrived %d times", n)
+			}
+		})
+	}
+}
+
+// TestKeptConnectionsResend shows the fault that CallOnce avoids: over kept
+// connections net/http sends a call with an idempotency key again.
+func TestKeptConnectionsResend(t *testing.T) {
+	var requests atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && requests.Add(1) <= 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	c := New()
+	warm := call(server.URL)
+	warm.Method = http.MethodGet
+	if _, err := c.Call(t.Context(), warm); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = c.Call(t.Context(), call(server.URL))
+	if n := requests.Load(); n != 2 {
+		t.Errorf("a call over a kept connection arrived %d times, want 2", n)
+	}
+	requests.Store(0)
+	_, _ = c.CallOnce(t.Context(), call(server.URL))
+	if n := requests.Load(); n != 1 {
+		t.Errorf("a call that is sent once arrived %d times", n)
+	}
+}
+
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	if _, err := New().CallOnce(t.Context(), call("http://"+listener.Addr().String())); !errors.Is(err, backend.ErrNotSent) {
+		t.Errorf("error is %v, want one that matches ErrNotSent", err)
+	}
+}
+
+// TestNotSentIsFinal gives calls up at any moment and shows that a call which
+// counts as not sent never arrives.
+func TestNotSentIsFinal(t *testing.T) {
+	url, requests := acceptor(t, func(net.Conn) {})
+	c := New()
+	sent := int64(0)
+	for range 200 {
+		ctx, cancel := context.WithCancel(t.Context())
+		go cancel()
+		if _, err := c.CallOnce(ctx, call(url)); !errors.Is(err, backend.ErrNotSent) {
+			sent++
+		}
+	}
+	// One more call that is answered comes after everything before it.
+	_, _ = c.CallOnce(t.Context(), call(url))
+	if n := requests.Load(); n > sent+1 {
+		t.Errorf("%d calls arrived, %d of them count as sent", n, sent+1)
+	}
+}
+
+func TestGate(t *testing.T) {
+	var written, shut writeGate
+	if !written.pass() || !written.pass() || written.shut() {
+		t.Error("a gate that let a write pass does not count as used")
+	}
+	if !shut.shut() || shut.pass() {
+		t.Error("a shut gate lets a write pass")
+	}
+}
