--- a/cmd/lagoonshift/main.go
+++ b/cmd/lagoonshift/main.go
@@ -27,6 +27,8 @@
 	addCheck(app, commands)
 	addConfig(app, commands)
 	addLedger(app, commands)
+	addStatus(app, commands)
+	addLoad(app, commands)
 	addFake(app, commands)
 
 	selected, err := app.Parse(os.Args[1:])
--- a/internal/protocol/request/relay.go
+++ b/internal/protocol/request/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
@@ -56,6 +57,21 @@
 	}
 }
 
+// decide chooses an engine on the settings in force.
+func (s *relay) decide() (routing.Choice, error) {
+	for {
+		version := s.p.Settings.Load().Version
+		choice, err := s.pick()
+		if err != nil {
+			return choice, err
+		}
+		err = s.p.Gate.Check(version)
+		if !errors.Is(err, lease.ErrSuperseded) {
+			return choice, err
+		}
+	}
+}
+
 // pick chooses an engine. Engines that failed lately are passed over unless
 // there is no other; a stream that has begun is never refused for load.
 func (s *relay) pick() (routing.Choice, error) {
@@ -94,6 +110,9 @@
 	if errors.Is(cause, errDigest) {
 		return s.refuse(refusal.Corrupt, "the answer does not match its digest", retryAfter, cause)
 	}
+	if errors.Is(cause, lease.ErrLapsed) {
+		return s.refuse(refusal.NoLease, "this entry may not take new work; use another address", retryAfter, cause)
+	}
 	if refused, ok := s.refusedByRouting(cause); ok {
 		return refused
 	}
--- a/internal/protocol/request/request.go
+++ b/internal/protocol/request/request.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"sync/atomic"
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
@@ -52,6 +53,14 @@
 	Complete(ctx context.Context, baseURL string, r *backend.CompletionRequest) (backend.Stream, error)
 }
 
+// Gate is what new work passes right before it is sent to an engine.
+type Gate interface {
+	// Check returns nil if work that was decided on the given settings
+	// version may be sent now, lease.ErrSuperseded if it must be decided
+	// again and lease.ErrLapsed if it may not be sent.
+	Check(version uint64) error
+}
+
 // Observer is told how requests fare. Its methods must not block.
 type Observer interface {
 	// FirstToken gives the time from the request's arrival to its first
@@ -76,6 +85,8 @@
 	// Zone is the entry's availability zone.
 	Zone     string
 	Clock    clock.Clock
+	Settings *atomic.Pointer[settings.Configuration]
+	Gate     Gate
 	Tracker  *routing.Tracker
 	Picker   routing.Picker
 	Engines  Engines
@@ -111,7 +122,7 @@
 func (p *Protocol) Run(ctx context.Context, call *Call, class settings.Class, sink Sink) error {
 	s := newRelay(p, call, class, sink)
 	for {
-		choice, err := s.pick()
+		choice, err := s.decide()
 		if err == nil {
 			err = s.attempt(ctx, choice)
 		}
--- a/internal/protocol/request/world_test.go
+++ b/internal/protocol/request/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
@@ -170,6 +171,12 @@
 // Close implements backend.Stream.
 func (s *script) Close() { s.engines.count(-1) }
 
+// open is a gate that lets everything pass.
+type open struct{}
+
+// Check implements Gate.
+func (open) Check(uint64) error { return nil }
+
 // entry returns an entry's protocol over the fake engines.
 func (f *engines) entry(count int) *Protocol {
 	c := clock.NewRuntime()
@@ -179,7 +186,11 @@
 		config.Models["drafting"].Engines[fmt.Sprintf("engine-%d", i)] = settings.Engine{URL: fmt.Sprintf("http://engine-%d", i)}
 	}
 	tracker.Configure(config)
+	inForce := &atomic.Pointer[settings.Configuration]{}
+	inForce.Store(config)
 	return New(Options{
+		Settings: inForce,
+		Gate:     open{},
 		Clock:    c,
 		Tracker:  tracker,
 		Picker:   routing.LeastRequests{},
--- a/internal/protocol/servicecall/dispatch.go
+++ b/internal/protocol/servicecall/dispatch.go
@@ -23,8 +23,24 @@
 	if !owned {
 		return a.leaveToOldSystem(ctx)
 	}
-	var last error
-	for _, t := range a.p.targets(a.service) {
+	return a.send(ctx)
+}
+
+// send tries one backend server after the other until one is connected to,
+// and sends the call there.
+func (a *attempt) send(ctx context.Context) (Answer, error) {
+	tried := make(map[string]bool)
+	last := errNoBackend
+	for {
+		targets, err := a.p.decide(a.call.Service)
+		if err != nil {
+			return a.cancel(ctx, refusal.NoLease, err)
+		}
+		t, ok := first(targets, tried)
+		if !ok {
+			return a.cancel(ctx, refusal.Unavailable, last)
+		}
+		tried[t.name] = true
 		a.p.Outliers.Start(t.name)
 		answer, err := a.p.Services.CallOnce(ctx, a.call.to(t.url, a.id))
 		a.p.judge(t, err)
@@ -36,7 +52,19 @@
 		}
 		last = err
 	}
-	return a.cancel(ctx, refusal.Unavailable, last)
+}
+
+// errNoBackend means that no backend server of a service takes new work.
+var errNoBackend = errors.New("servicecall: no backend server takes new work")
+
+// first returns the first target that was not tried yet.
+func first(targets []target, tried map[string]bool) (target, bool) {
+	for _, t := range targets {
+		if !tried[t.name] {
+			return t, true
+		}
+	}
+	return target{}, false
 }
 
 // store commits the answer and returns it. If the caller's time ends first,
--- a/internal/protocol/servicecall/follow.go
+++ b/internal/protocol/servicecall/follow.go
@@ -39,7 +39,7 @@
 func (a *attempt) resolve(ctx context.Context, record ledger.Record) (Answer, bool, error) {
 	holder := *a
 	holder.id = record.Reserve.Attempt
-	for _, t := range a.p.targets(a.service) {
+	for _, t := range a.p.targets(a.p.Settings.Load(), a.call.Service) {
 		answer, found := a.lookup(ctx, t)
 		if !found {
 			continue
--- a/internal/protocol/servicecall/once.go
+++ b/internal/protocol/servicecall/once.go
@@ -25,14 +25,13 @@
 // attempt is one caller's try to have a non-idempotent call run. Its goroutine
 // outlives the caller, so that an outcome is stored even if the caller left.
 type attempt struct {
-	p       *Protocol
-	call    *Call
-	service settings.Service
-	rule    settings.Call
-	config  *settings.Configuration
-	id      string
-	key     ledger.Key
-	digest  []byte
+	p      *Protocol
+	call   *Call
+	rule   settings.Call
+	config *settings.Configuration
+	id     string
+	key    ledger.Key
+	digest []byte
 	// caller ends when the caller's time is over.
 	caller context.Context
 	result chan result
@@ -47,18 +46,17 @@
 // Once runs a non-idempotent call at most once under its key. It returns when
 // the outcome is known or ctx ends, whichever comes first. An error is a
 // *refusal.Error.
-func (p *Protocol) Once(ctx context.Context, call *Call, service settings.Service, rule settings.Call) (Answer, error) {
+func (p *Protocol) Once(ctx context.Context, call *Call, rule settings.Call) (Answer, error) {
 	a := &attempt{
-		p:       p,
-		call:    call,
-		service: service,
-		rule:    rule,
-		config:  p.Settings.Load(),
-		id:      p.NewAttempt(),
-		key:     ledger.Key{Service: call.Service, Customer: call.Customer, IdempotencyKey: call.Key},
-		digest:  call.Digest(),
-		caller:  ctx,
-		result:  make(chan result, 1),
+		p:      p,
+		call:   call,
+		rule:   rule,
+		config: p.Settings.Load(),
+		id:     p.NewAttempt(),
+		key:    ledger.Key{Service: call.Service, Customer: call.Customer, IdempotencyKey: call.Key},
+		digest: call.Digest(),
+		caller: ctx,
+		result: make(chan result, 1),
 	}
 	p.running.Add(1)
 	go func() {
--- a/internal/protocol/servicecall/once_test.go
+++ b/internal/protocol/servicecall/once_test.go
@@ -31,7 +31,7 @@
 	defer cancel()
 	start := time.Duration(e.w.clock.Now())
 	call := &Call{Service: "booking", Path: "collections", Method: "POST", Key: key, Customer: "north", Body: []byte("body of " + key)}
-	answer, err := e.protocol.Once(ctx, call, testService, testRule)
+	answer, err := e.protocol.Once(ctx, call, testRule)
 	return h.add(client, key, start, time.Duration(e.w.clock.Now()), answer, err)
 }
 
@@ -187,7 +187,7 @@
 			t.Errorf("answers are %+v and %+v", one, two)
 		}
 		call := &Call{Service: "booking", Path: "collections", Method: "POST", Key: "van-1", Customer: "north", Body: []byte("other")}
-		_, err := second.protocol.Once(t.Context(), call, testService, testRule)
+		_, err := second.protocol.Once(t.Context(), call, testRule)
 		wantRefusal(t, err, refusal.KeyReused, refusal.Unknown)
 	})
 }
--- a/internal/protocol/servicecall/repeatable.go
+++ b/internal/protocol/servicecall/repeatable.go
@@ -22,15 +22,24 @@
 var backoff = retry.Backoff{Base: 20 * time.Millisecond, Max: 500 * time.Millisecond}
 
 // Repeatable runs a call that may be repeated. An error is a *refusal.Error.
-func (p *Protocol) Repeatable(ctx context.Context, call *Call, service settings.Service, rule settings.Call) (Answer, error) {
-	targets := p.targets(service)
+func (p *Protocol) Repeatable(ctx context.Context, call *Call, rule settings.Call) (Answer, error) {
+	tried := make(map[string]bool)
 	executed := refusal.No
-	var last error
-	for i := range min(maxAttempts, len(targets)) {
-		if i > 0 && !p.mayRetry(ctx, i-1) {
+	last := errNoBackend
+	for try := range maxAttempts {
+		if try > 0 && !p.mayRetry(ctx, try-1) {
 			break
 		}
-		answer, err := p.tryOnce(ctx, call, targets[i], rule)
+		targets, err := p.decide(call.Service)
+		if err != nil {
+			return Answer{}, &refusal.Error{Kind: refusal.NoLease, Executed: executed, Detail: "this entry may not take new work; use another address", RetryAfter: retryAfter, Cause: err}
+		}
+		t, ok := first(targets, tried)
+		if !ok {
+			break
+		}
+		tried[t.name] = true
+		answer, err := p.tryOnce(ctx, call, t, rule)
 		if err == nil {
 			p.Budget.Success()
 			return Answer{ServiceAnswer: answer}, nil
--- a/internal/protocol/servicecall/servicecall.go
+++ b/internal/protocol/servicecall/servicecall.go
@@ -8,12 +8,14 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/binary"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
@@ -59,6 +61,14 @@
 	Lookup(ctx context.Context, call backend.ServiceCall) (answer backend.ServiceAnswer, found bool, err error)
 }
 
+// Gate is what new work passes right before it is sent to a backend server.
+type Gate interface {
+	// Check returns nil if work that was decided on the given settings
+	// version may be sent now, lease.ErrSuperseded if it must be decided
+	// again and lease.ErrLapsed if it may not be sent.
+	Check(version uint64) error
+}
+
 // Holders tells which runs of entries may still finish what they reserved.
 type Holders interface {
 	// Gone reports that the given run of an entry has ended for good.
@@ -82,6 +92,7 @@
 	Zone        string
 	Clock       clock.Clock
 	Settings    *atomic.Pointer[settings.Configuration]
+	Gate        Gate
 	Ledger      Ledger
 	Services    Services
 	// Holders may be nil; then every holder may still be running.
@@ -159,12 +170,25 @@
 	zone string
 }
 
+// decide returns the backend servers for one call in the order to try them, by
+// the settings in force. It fails if this entry may not send now.
+func (p *Protocol) decide(service string) ([]target, error) {
+	for {
+		config := p.Settings.Load()
+		targets := p.targets(config, service)
+		err := p.Gate.Check(config.Version)
+		if !errors.Is(err, lease.ErrSuperseded) {
+			return targets, err
+		}
+	}
+}
+
 // targets orders the backend servers for one call: own zone first, then at
 // random; those that keep failing go last.
-func (p *Protocol) targets(service settings.Service) []target {
+func (p *Protocol) targets(config *settings.Configuration, service string) []target {
 	var out []target
-	for name, b := range service.Backends {
-		if !b.Drain {
+	for name, b := range config.Services[service].Backends {
+		if !b.Drain && !config.Leaving(b.URL) {
 			out = append(out, target{name: name, url: b.URL, zone: b.Zone})
 		}
 	}
--- a/internal/protocol/servicecall/world_test.go
+++ b/internal/protocol/servicecall/world_test.go
@@ -149,6 +149,12 @@
 	return backend.ServiceAnswer{Status: 200, Body: fmt.Appendf(nil, "%d", len(w.executions))}
 }
 
+// open is a gate that lets everything pass.
+type open struct{}
+
+// Check implements Gate.
+func (open) Check(uint64) error { return nil }
+
 // entry is one entry process. It implements Ledger and Services.
 type entry struct {
 	w        *world
@@ -162,13 +168,17 @@
 func (w *world) entry(name string, s stop) *entry {
 	e := &entry{w: w, name: name, stop: s}
 	config := &atomic.Pointer[settings.Configuration]{}
-	config.Store(&settings.Configuration{System: settings.System{LedgerRetention: strictjson.Duration(testRetention)}})
+	config.Store(&settings.Configuration{
+		System:   settings.System{LedgerRetention: strictjson.Duration(testRetention)},
+		Services: map[string]settings.Service{"booking": testService},
+	})
 	attempts := atomic.Int64{}
 	e.protocol = New(Options{
 		Entry:       name,
 		Incarnation: 1,
 		Clock:       w.clock,
 		Settings:    config,
+		Gate:        open{},
 		Ledger:      e,
 		Services:    e,
 		Outliers:    outlier.NewSet(w.clock),
--- a/internal/role/entryrole/callers.go
+++ b/internal/role/entryrole/callers.go
@@ -3,14 +3,12 @@
 import (
 	"math/rand/v2"
 
-	"github.com/lagoonshift/lagoonshift/internal/deployment"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/limit"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/request"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/servicecall"
-	"github.com/lagoonshift/lagoonshift/internal/state/member"
 	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
 )
 
@@ -29,14 +27,15 @@
 }
 
 // newCallers assembles the caller API.
-func (e *entry) newCallers(d *deployment.Deployment) callers {
+func (e *entry) newCallers() callers {
 	outliers := outlier.NewSet(e.clock)
 	services := servicecall.New(servicecall.Options{
 		Entry:       e.self.Name,
 		Incarnation: e.incarnation,
 		Zone:        e.self.Zone,
 		Clock:       e.clock,
-		Settings:    &e.settings,
+		Settings:    e.agent.Settings(),
+		Gate:        e.gate,
 		Ledger:      e.control,
 		Services:    e.backends,
 		OldSystem:   e.backends,
@@ -47,6 +46,8 @@
 	requests := request.New(request.Options{
 		Zone:     e.self.Zone,
 		Clock:    e.clock,
+		Settings: e.agent.Settings(),
+		Gate:     e.gate,
 		Tracker:  e.tracker,
 		Picker:   routing.LeastRequests{},
 		Engines:  e.backends,
@@ -56,8 +57,8 @@
 	})
 	server := callerhttp.New(callerhttp.Options{
 		Zone:      e.self.Zone,
-		Directory: &staticDirectory{entry: e, entries: d.Entries},
-		Settings:  &e.settings,
+		Directory: e.agent.Directory(),
+		Settings:  e.agent.Settings(),
 		Lease:     e.lease,
 		Requests:  requests,
 		Services:  services,
@@ -67,23 +68,3 @@
 	})
 	return callers{server: server, services: services}
 }
-
-// staticDirectory lists the entries of the deployment file; of their states
-// it knows only this entry's own.
-type staticDirectory struct {
-	entry   *entry
-	entries []deployment.Entry
-}
-
-// Members implements callerhttp.Directory.
-func (s *staticDirectory) Members() []member.Member {
-	out := make([]member.Member, 0, len(s.entries))
-	for _, e := range s.entries {
-		m := member.Member{Name: e.Name, Zone: e.Zone, CallerAddress: e.CallerAddress, State: member.Live}
-		if e.Name == s.entry.self.Name && s.entry.isLeaving() {
-			m.State = member.Leaving
-		}
-		out = append(out, m)
-	}
-	return out
-}
--- a/internal/role/entryrole/entry.go
+++ b/internal/role/entryrole/entry.go
@@ -11,17 +11,17 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/settingsync"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
-	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/transport/backendhttp"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
 )
 
 const (
-	renewInterval = time.Second
-	renewTimeout  = 800 * time.Millisecond
-	loadInterval  = 500 * time.Millisecond
+	loadInterval = 500 * time.Millisecond
+	// deregisterTimeout bounds the last command of a stop.
+	deregisterTimeout = 2 * time.Second
 )
 
 // entry is the state of a running entry process.
@@ -30,8 +30,9 @@
 	incarnation uint64
 	clock       clock.Clock
 	control     *peergrpc.ControlClient
-	settings    atomic.Pointer[settings.Configuration]
+	agent       *settingsync.Agent
 	lease       *lease.Holder
+	gate        *lease.Gate
 	tracker     *routing.Tracker
 	backends    *backendhttp.Client
 	// leaving is closed when the entry begins to leave.
@@ -54,16 +55,17 @@
 	}
 	defer control.Close()
 	e := newEntry(self, control, log)
-	if err := e.fetchSettings(ctx); err != nil {
+	if err := e.agent.Start(ctx); err != nil {
 		return fmt.Errorf("start entry %s: %w", name, err)
 	}
-	log.Info("entry started", "caller_address", self.CallerAddress, "settings_version", e.settings.Load().Version)
-	return e.run(ctx, d)
+	defer e.deregister()
+	log.Info("entry started", "caller_address", self.CallerAddress, "settings_version", e.agent.Settings().Load().Version)
+	return e.run(ctx)
 }
 
 func newEntry(self deployment.Entry, control *peergrpc.ControlClient, log hclog.Logger) *entry {
 	c := clock.Boot{}
-	return &entry{
+	e := &entry{
 		self:        self,
 		incarnation: uint64(c.Now()),
 		clock:       c,
@@ -74,6 +76,9 @@
 		leaving:     make(chan struct{}),
 		log:         log,
 	}
+	e.gate = lease.NewGate(e.lease)
+	e.agent = e.newAgent()
+	return e
 }
 
 // every calls do at once and then at the interval until ctx ends.
--- a/internal/role/entryrole/run.go
+++ b/internal/role/entryrole/run.go
@@ -8,30 +8,33 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/lagoonshift/lagoonshift/internal/deployment"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
-	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
-// directoryLag is the longest time for which another entry may still name
-// this one after it said that it leaves.
-const directoryLag = 5 * time.Second
+const (
+	// directoryLag is the longest time for which another entry may still name
+	// this one after the mark was committed: a lease and a round of renewal.
+	directoryLag = 5 * time.Second
+	// retirePause is the pause between two tries to commit the mark.
+	retirePause = 500 * time.Millisecond
+)
 
 // run serves until ctx ends and then leaves: the entry drops out of address
 // answers, accepts until the longest answer given has expired, finishes what
 // it has and only then ends its own upkeep.
-func (e *entry) run(ctx context.Context, d *deployment.Deployment) error {
+func (e *entry) run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", e.self.CallerAddress)
 	if err != nil {
 		return fmt.Errorf("listen for callers at %s: %w", e.self.CallerAddress, err)
 	}
 	upkeep, endUpkeep := context.WithCancel(context.WithoutCancel(ctx))
 	group, upkeep := errgroup.WithContext(upkeep)
-	group.Go(func() error { return every(upkeep, renewInterval, e.renew) })
+	group.Go(func() error { return e.agent.Run(upkeep) })
 	group.Go(func() error { return every(upkeep, loadInterval, e.pollLoads) })
+	group.Go(func() error { return serve.HTTP(upkeep, e.self.AdminAddress, e.adminHandler()) })
 	group.Go(func() error {
 		defer endUpkeep()
-		return e.serveCallers(ctx, upkeep, listener, e.newCallers(d))
+		return e.serveCallers(ctx, upkeep, listener, e.newCallers())
 	})
 	return group.Wait()
 }
@@ -45,7 +48,7 @@
 	context.AfterFunc(stop, func() {
 		close(e.leaving)
 		e.log.Info("leaving", "accepts_for", e.leaveAfter())
-		e.renew(life)
+		e.retire(life)
 		time.AfterFunc(e.leaveAfter(), endAccepting)
 	})
 	if err := serve.On(accepting, listener, c.server.Handler()); err != nil {
@@ -56,21 +59,23 @@
 	return nil
 }
 
-// leaveAfter is how long a leaving entry still accepts.
-func (e *entry) leaveAfter() time.Duration {
-	return time.Duration(e.longestTTL.Load()) + directoryLag
-}
-
-func (e *entry) isLeaving() bool {
-	select {
-	case <-e.leaving:
-		return true
-	default:
-		return false
+// retire tells the other entries that this one leaves. It tries until that is
+// committed, so that the time counts from when they may know.
+func (e *entry) retire(ctx context.Context) {
+	for {
+		err := e.agent.Leave(ctx)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		e.log.Warn("not marked as leaving yet", "error", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(retirePause):
+		}
 	}
 }
 
-// keepLongestTTL takes note of how long callers may keep address answers.
-func (e *entry) keepLongestTTL(c *settings.Configuration) {
-	e.longestTTL.Store(max(e.longestTTL.Load(), int64(c.System.AddressTTL.Std())))
+// leaveAfter is how long a leaving entry still accepts.
+func (e *entry) leaveAfter() time.Duration {
+	return time.Duration(e.longestTTL.Load()) + directoryLag
 }
--- a/internal/transport/adminhttp/ledger.go
+++ b/internal/transport/adminhttp/ledger.go
@@ -1,8 +1,9 @@
 package adminhttp
 
 import (
-	"encoding/json"
+	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
@@ -24,25 +25,20 @@
 }
 
 // ledger lists the calls whose outcome is unknown, or with all=true all calls.
-func (s *Server) ledger(w http.ResponseWriter, r *http.Request) {
-	if err := s.log.ReadBarrier(r.Context()); err != nil {
-		http.Error(w, "read ledger: "+err.Error(), http.StatusServiceUnavailable)
-		return
-	}
+func (s *Server) ledger(w http.ResponseWriter, r *http.Request, _ operator) error {
 	keep := unsettled(time.Now())
 	if r.URL.Query().Get("all") == "true" {
 		keep = nil
 	}
 	answer := LedgerAnswer{}
-	s.store.View(func(_ *settings.Tree, l *ledger.Ledger) {
+	s.Store.View(func(_ *settings.Tree, l *ledger.Ledger) {
 		answer.Records = l.List(keep)
 		answer.Total, answer.Pruned = l.Len()
 	})
 	for i := range answer.Records {
 		answer.Records[i].Outcome.Body = nil
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer)
+	return writeJSON(w, http.StatusOK, answer)
 }
 
 // unsettled selects the records whose outcome nobody knows any more.
@@ -53,3 +49,10 @@
 		return stuck || record.Outcome.State == ledger.Unknown
 	}
 }
+
+// Ledger returns the calls whose outcome is unknown, or all calls.
+func (c *Client) Ledger(ctx context.Context, all bool) (LedgerAnswer, error) {
+	var answer LedgerAnswer
+	err := c.get(ctx, "/v1/ledger?all="+strconv.FormatBool(all), &answer)
+	return answer, err
+}
--- a/internal/transport/backendhttp/once_test.go
+++ b/internal/transport/backendhttp/once_test.go
@@ -134,7 +134,12 @@
 
 func TestGate(t *testing.T) {
 	var written, shut writeGate
-	if !written.pass() || !written.pass() || written.shut() {
+	for range 2 {
+		if !written.pass() {
+			t.Error("a gate that was not shut lets no write pass")
+		}
+	}
+	if written.shut() {
 		t.Error("a gate that let a write pass does not count as used")
 	}
 	if !shut.shut() || shut.pass() {
--- a/internal/transport/callerhttp/service.go
+++ b/internal/transport/callerhttp/service.go
@@ -10,7 +10,7 @@
 )
 
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
-	service, rule, ok := s.findCall(r)
+	rule, ok := s.findCall(r)
 	if !ok {
 		refuse(w, invalid("unknown service or call", refusal.No))
 		return
@@ -35,7 +35,7 @@
 		return
 	}
 	defer leave()
-	s.runCall(w, r, call, service, rule)
+	s.runCall(w, r, call, rule)
 }
 
 // executedUnasked returns what can be said of a call before the ledger was
@@ -47,13 +47,9 @@
 	return refusal.Unknown
 }
 
-func (s *Server) findCall(r *http.Request) (settings.Service, settings.Call, bool) {
-	service, ok := s.Settings.Load().Services[r.PathValue("service")]
-	if !ok {
-		return settings.Service{}, settings.Call{}, false
-	}
-	rule, ok := service.Calls[r.PathValue("path")]
-	return service, rule, ok
+func (s *Server) findCall(r *http.Request) (settings.Call, bool) {
+	rule, ok := s.Settings.Load().Services[r.PathValue("service")].Calls[r.PathValue("path")]
+	return rule, ok
 }
 
 func readCall(w http.ResponseWriter, r *http.Request) (*servicecall.Call, error) {
@@ -73,7 +69,7 @@
 	}, nil
 }
 
-func (s *Server) runCall(w http.ResponseWriter, r *http.Request, call *servicecall.Call, service settings.Service, rule settings.Call) {
+func (s *Server) runCall(w http.ResponseWriter, r *http.Request, call *servicecall.Call, rule settings.Call) {
 	wait, err := patience(r, rule.Timeout.Std())
 	if err != nil {
 		refuse(w, invalid(err.Error(), executedUnasked(rule)))
@@ -85,7 +81,7 @@
 	if rule.Idempotent {
 		run = s.Services.Repeatable
 	}
-	answer, err := run(ctx, call, service, rule)
+	answer, err := run(ctx, call, rule)
 	if err != nil {
 		s.Log.Debug("call not answered", "service", call.Service, "call", call.Path, "error", err)
 		refuse(w, err)
