--- a/cmd/lagoonshift/main.go
+++ b/cmd/lagoonshift/main.go
@@ -27,6 +27,7 @@
 	addCheck(app, commands)
 	addConfig(app, commands)
 	addKeys(app, commands)
+	addLedger(app, commands)
 	addStatus(app, commands)
 	addLoad(app, commands)
 	addFake(app, commands)
--- a/internal/role/entryrole/entry.go
+++ b/internal/role/entryrole/entry.go
@@ -4,20 +4,18 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/settingsync"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
-	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 	"github.com/lagoonshift/lagoonshift/internal/telemetry"
 	"github.com/lagoonshift/lagoonshift/internal/transport/backendhttp"
-	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
 )
 
@@ -39,7 +37,12 @@
 	tracker     *routing.Tracker
 	backends    *backendhttp.Client
 	metrics     *telemetry.Metrics
-	log         hclog.Logger
+	// leaving is closed when the entry begins to leave.
+	leaving chan struct{}
+	// longestTTL is the longest time, in nanoseconds, for which a caller may
+	// keep an address answer by any settings that were in force here.
+	longestTTL atomic.Int64
+	log        hclog.Logger
 }
 
 // Run runs an entry process until ctx ends.
@@ -58,13 +61,8 @@
 		return fmt.Errorf("start entry %s: %w", name, err)
 	}
 	defer e.deregister()
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return e.agent.Run(ctx) })
-	group.Go(func() error { return every(ctx, loadInterval, e.pollLoads) })
-	group.Go(func() error { return serve.HTTP(ctx, self.CallerAddress, e.callerServer(d).Handler()) })
-	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, e.adminHandler()) })
 	log.Info("entry started", "caller_address", self.CallerAddress, "settings_version", e.agent.Settings().Load().Version)
-	return group.Wait()
+	return e.run(ctx)
 }
 
 func newEntry(self deployment.Entry, control *peergrpc.ControlClient, log hclog.Logger) *entry {
@@ -78,6 +76,7 @@
 		tracker:     routing.NewTracker(c),
 		backends:    backendhttp.New(),
 		metrics:     telemetry.NewMetrics("entry", self.Name, log),
+		leaving:     make(chan struct{}),
 		log:         log,
 	}
 	e.gate = lease.NewGate(e.lease)
@@ -85,22 +84,6 @@
 	return e
 }
 
-func (e *entry) callerServer(d *deployment.Deployment) *callerhttp.Server {
-	return callerhttp.New(callerhttp.Options{
-		Name:        e.self.Name,
-		Zone:        e.self.Zone,
-		Incarnation: e.incarnation,
-		Addresses:   callerAddresses(d),
-		Settings:    e.agent.Settings(),
-		Lease:       e.lease,
-		Tracker:     e.tracker,
-		Picker:      routing.LeastRequests{},
-		Backends:    e.backends,
-		Control:     e.control,
-		Log:         e.log,
-	})
-}
-
 // every calls do at once and then at the interval until ctx ends.
 func every(ctx context.Context, interval time.Duration, do func(context.Context)) error {
 	ticker := time.NewTicker(interval)
@@ -122,11 +105,3 @@
 	}
 	return out
 }
-
-func callerAddresses(d *deployment.Deployment) []string {
-	var out []string
-	for _, e := range d.Entries {
-		out = append(out, e.CallerAddress)
-	}
-	return out
-}
--- a/internal/role/entryrole/settings.go
+++ b/internal/role/entryrole/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/coordination/settingsync"
 	"github.com/lagoonshift/lagoonshift/internal/state/member"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
 // newAgent returns what keeps the entry's settings, lease and registration.
@@ -20,11 +21,17 @@
 		Clock:   e.clock,
 		Holder:  e.lease,
 		Gate:    e.gate,
-		Changed: e.tracker.Configure,
+		Changed: e.configure,
 		Log:     e.log,
 	})
 }
 
+// configure takes a new configuration before it is in force.
+func (e *entry) configure(c *settings.Configuration) {
+	e.tracker.Configure(c)
+	e.longestTTL.Store(max(e.longestTTL.Load(), int64(c.System.AddressTTL.Std())))
+}
+
 // deregister takes the entry out of the member table after its last request.
 func (e *entry) deregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
--- a/internal/transport/adminhttp/server.go
+++ b/internal/transport/adminhttp/server.go
@@ -60,6 +60,7 @@
 	mux.HandleFunc("GET /v1/settings/history", s.authenticated(s.history))
 	mux.HandleFunc("GET /v1/settings/in-force", s.authenticated(s.inForce))
 	mux.HandleFunc("GET /v1/status", s.authenticated(s.status))
+	mux.HandleFunc("GET /v1/ledger", s.authenticated(s.ledger))
 }
 
 // operator is who sent a request.
