TLS on every listener and between processes

Cause: key files could be set but no listener used them. Ruled out: ServeTLS, which would take the connection limit off the raw listener. Before: plain TCP only.

--- a/cmd/lagoonshift/fake.go
+++ b/cmd/lagoonshift/fake.go
@@ -35,7 +35,7 @@
 			PrefillRate:   *rate,
 			TokenInterval: *interval,
 		})
-		return serve.HTTP(ctx, *address, engine.Handler())
+		return serve.HTTP(ctx, *address, engine.Handler(), nil)
 	}
 }
 
@@ -44,7 +44,7 @@
 	address := clause.Flag("listen", "Address as IP:port.").Required().String()
 	delay := clause.Flag("delay", "How long a call takes, with its unit.").Default("20ms").Duration()
 	commands["fake service"] = func(ctx context.Context) error {
-		return serve.HTTP(ctx, *address, fakeservice.New(*delay).Handler())
+		return serve.HTTP(ctx, *address, fakeservice.New(*delay).Handler(), nil)
 	}
 }
 
@@ -58,6 +58,6 @@
 	commands["fake platform"] = func(ctx context.Context) error {
 		mux := http.NewServeMux()
 		fakeplatform.New(o).Register(mux)
-		return serve.HTTP(ctx, *address, mux)
+		return serve.HTTP(ctx, *address, mux, nil)
 	}
 }
--- a/internal/role/controlrole/control.go
+++ b/internal/role/controlrole/control.go
@@ -27,14 +27,18 @@
 	if err != nil {
 		return err
 	}
+	keys, err := serve.OpenKeys(d, name, log)
+	if err != nil {
+		return err
+	}
 	state := store.New()
 	replicated := memlog.New(state, clock.Boot{}, store.IsSettings)
-	server := grpc.NewServer()
+	server := grpc.NewServer(grpc.Creds(keys.PeerServer()))
 	tracker := inforce.New(inforce.Options{Clock: clock.Boot{}, Lease: peergrpc.LeaseDuration})
 	control := peergrpc.NewControlServer(replicated, state)
 	control.Observe(tracker)
 	control.Register(server)
-	peers, err := peergrpc.DialControl(peerAddresses(d))
+	peers, err := peergrpc.DialControl(peerAddresses(d), keys.PeerClient())
 	if err != nil {
 		return err
 	}
@@ -62,7 +66,7 @@
 		Tracker: tracker,
 		Clock:   clock.Boot{},
 	}).Register(mux)
-	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, mux) })
+	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, mux, keys.Administration()) })
 	log.Info("control started", "peer_address", self.PeerAddress, "admin_address", self.AdminAddress)
 	return group.Wait()
 }
--- a/internal/role/entryrole/entry.go
+++ b/internal/role/entryrole/entry.go
@@ -14,6 +14,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/coordination/settingsync"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 	"github.com/lagoonshift/lagoonshift/internal/telemetry"
 	"github.com/lagoonshift/lagoonshift/internal/transport/backendhttp"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
@@ -31,6 +32,7 @@
 	incarnation uint64
 	clock       clock.Clock
 	control     *peergrpc.ControlClient
+	keys        *serve.Keys
 	agent       *settingsync.Agent
 	lease       *lease.Holder
 	gate        *lease.Gate
@@ -51,12 +53,16 @@
 	if err != nil {
 		return err
 	}
-	control, err := peergrpc.DialControl(peerAddresses(d))
+	keys, err := serve.OpenKeys(d, name, log)
+	if err != nil {
+		return err
+	}
+	control, err := peergrpc.DialControl(peerAddresses(d), keys.PeerClient())
 	if err != nil {
 		return err
 	}
 	defer control.Close()
-	e := newEntry(self, control, log)
+	e := newEntry(self, control, keys, log)
 	if err := e.agent.Start(ctx); err != nil {
 		return fmt.Errorf("start entry %s: %w", name, err)
 	}
@@ -65,13 +71,14 @@
 	return e.run(ctx)
 }
 
-func newEntry(self deployment.Entry, control *peergrpc.ControlClient, log hclog.Logger) *entry {
+func newEntry(self deployment.Entry, control *peergrpc.ControlClient, keys *serve.Keys, log hclog.Logger) *entry {
 	c := clock.Boot{}
 	e := &entry{
 		self:        self,
 		incarnation: uint64(c.Now()),
 		clock:       c,
 		control:     control,
+		keys:        keys,
 		lease:       lease.NewHolder(c),
 		tracker:     routing.NewTracker(c),
 		backends:    backendhttp.New(),
--- a/internal/role/entryrole/run.go
+++ b/internal/role/entryrole/run.go
@@ -31,7 +31,7 @@
 	group, upkeep := errgroup.WithContext(upkeep)
 	group.Go(func() error { return e.agent.Run(upkeep) })
 	group.Go(func() error { return every(upkeep, loadInterval, e.pollLoads) })
-	group.Go(func() error { return serve.HTTP(upkeep, e.self.AdminAddress, e.adminHandler()) })
+	group.Go(func() error { return serve.HTTP(upkeep, e.self.AdminAddress, e.adminHandler(), e.keys.Administration()) })
 	group.Go(func() error {
 		defer endUpkeep()
 		return e.serveCallers(ctx, upkeep, listener, e.newCallers())
@@ -51,7 +51,7 @@
 		e.retire(life)
 		time.AfterFunc(e.leaveAfter(), endAccepting)
 	})
-	if err := serve.On(accepting, listener, c.server.Handler()); err != nil {
+	if err := serve.On(accepting, listener, c.server.Handler(), e.keys.Callers()); err != nil {
 		return err
 	}
 	c.services.Wait(life)
--- /dev/null
+++ b/internal/role/serve/keys.go
@@ -0,0 +1,77 @@
+package serve
+
+import (
+	"crypto/tls"
+
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/lagoonshift/lagoonshift/internal/deployment"
+	"github.com/lagoonshift/lagoonshift/internal/tlsfiles"
+)
+
+// Keys holds a process's open key files by listener; those that are not set
+// are nil.
+type Keys struct {
+	callers        *tlsfiles.Source
+	administration *tlsfiles.Source
+	peers          *tlsfiles.Source
+}
+
+// OpenKeys opens the key files of the process with the given name. Changed
+// files that can't be read later on are logged.
+func OpenKeys(d *deployment.Deployment, name string, log hclog.Logger) (*Keys, error) {
+	open := func(k *deployment.KeyFiles) (*tlsfiles.Source, error) {
+		if k == nil {
+			return nil, nil
+		}
+		return tlsfiles.Open(k.For(name), func(err error) { log.Error("changed key files not taken up", "error", err) })
+	}
+	keys := &Keys{}
+	var err error
+	if keys.callers, err = open(d.TLS.Callers); err != nil {
+		return nil, err
+	}
+	if keys.administration, err = open(d.TLS.Administration); err != nil {
+		return nil, err
+	}
+	if keys.peers, err = open(d.TLS.Peers); err != nil {
+		return nil, err
+	}
+	return keys, nil
+}
+
+// Callers returns the TLS configuration for callers; nil means plain TCP.
+func (k *Keys) Callers() *tls.Config {
+	return server(k.callers)
+}
+
+// Administration returns the TLS configuration of the administration address;
+// nil means plain TCP.
+func (k *Keys) Administration() *tls.Config {
+	return server(k.administration)
+}
+
+func server(s *tlsfiles.Source) *tls.Config {
+	if s == nil {
+		return nil
+	}
+	return s.Server()
+}
+
+// PeerServer returns the credentials of the listener for other processes.
+func (k *Keys) PeerServer() credentials.TransportCredentials {
+	if k.peers == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(k.peers.Server())
+}
+
+// PeerClient returns the credentials for connections to other processes.
+func (k *Keys) PeerClient() credentials.TransportCredentials {
+	if k.peers == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(k.peers.Client())
+}
--- a/internal/role/serve/serve.go
+++ b/internal/role/serve/serve.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -25,18 +26,23 @@
 )
 
 // HTTP serves handler at address until ctx ends; it then stops accepting and
-// returns when the last request is finished.
-func HTTP(ctx context.Context, address string, handler http.Handler) error {
+// returns when the last request is finished. Without a TLS configuration it
+// speaks plain TCP.
+func HTTP(ctx context.Context, address string, handler http.Handler, config *tls.Config) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen at %s: %w", address, err)
 	}
-	return On(ctx, listener, handler)
+	return On(ctx, listener, handler, config)
 }
 
 // On serves handler on a listener, as HTTP does.
-func On(ctx context.Context, listener net.Listener, handler http.Handler) error {
+func On(ctx context.Context, listener net.Listener, handler http.Handler, config *tls.Config) error {
 	address := listener.Addr()
+	listener = netutil.LimitListener(listener, maxConnections)
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
@@ -48,7 +54,7 @@
 		stopped <- server.Shutdown(context.WithoutCancel(ctx))
 	})
 	defer stop()
-	if err := server.Serve(netutil.LimitListener(listener, maxConnections)); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve at %s: %w", address, err)
 	}
 	if err := <-stopped; err != nil {
--- a/internal/transport/peergrpc/client.go
+++ b/internal/transport/peergrpc/client.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/status"
 
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
@@ -40,12 +40,12 @@
 
 // DialControl prepares connections to the control replicas at the given
 // addresses. No connection is made yet.
-func DialControl(addresses []string) (*ControlClient, error) {
+func DialControl(addresses []string, creds credentials.TransportCredentials) (*ControlClient, error) {
 	c := &ControlClient{}
 	for _, address := range addresses {
 		conn, err := grpc.NewClient(
 			address,
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithTransportCredentials(creds),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		)
 		if err != nil {
