Use connections to engines again after a whole stream

Cause: the entry closed a stream's body right after the last message, so net/http dropped the connection and each request dialled a new one.

--- a/internal/transport/backendhttp/stream.go
+++ b/internal/transport/backendhttp/stream.go
@@ -32,6 +32,8 @@
 	url    string
 	body   io.ReadCloser
 	reader *bufio.Reader
+	// done tells that the last message was read.
+	done bool
 }
 
 func newStream(url string, body io.ReadCloser) *stream {
@@ -91,6 +93,7 @@
 	case backend.KindToken:
 		err = decodeToken(data, &e.Token)
 	case backend.KindDone:
+		s.done = true
 		err = json.Unmarshal(data, &e.Done)
 	case backend.KindMoved:
 		err = json.Unmarshal(data, &e.Moved)
@@ -107,7 +110,11 @@
 	return bytes.Contains(bytes.TrimPrefix(buffered, eventEnd[:1]), eventEnd)
 }
 
-// Close implements backend.Stream.
+// Close implements backend.Stream. After the last message it reads the
+// stream's end, so that the connection can be used again.
 func (s *stream) Close() {
+	if s.done {
+		_, _ = io.CopyN(io.Discard, s.reader, maxEvent)
+	}
 	_ = s.body.Close()
 }
