--- /dev/null
+++ b/internal/protocol/address/address_test.go
@@ -0,0 +1,87 @@
+package address
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/lagoonshift/lagoonshift/internal/state/member"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+// TestOrder draws members and shows that only live ones are named, each once,
+// the caller's zone first and within it the less loaded first.
+func TestOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		byAddress := make(map[string]member.Member)
+		var members []member.Member
+		loads := make(map[string]int)
+		live := 0
+		for i := range rapid.IntRange(0, 10).Draw(t, "members") {
+			m := member.Member{
+				Name:          fmt.Sprint(i),
+				CallerAddress: fmt.Sprint(i),
+				Zone:          rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"),
+				State:         rapid.SampledFrom([]member.State{member.Live, member.Leaving}).Draw(t, "state"),
+			}
+			loads[m.Name] = rapid.IntRange(0, 100).Draw(t, "load")
+			members, byAddress[m.CallerAddress] = append(members, m), m
+			if m.State == member.Live {
+				live++
+			}
+		}
+		load := func(name string) (int, bool) { return loads[name], true }
+		got := Order(members, "a", load, rapid.Uint64().Draw(t, "spread"))
+		rank := func(address string) int {
+			m := byAddress[address]
+			far := 0
+			if m.Zone != "a" {
+				far = 1000
+			}
+			return far + loads[m.Name]/loadStep
+		}
+		if len(got) != live || !slices.IsSortedFunc(got, func(a, b string) int { return rank(a) - rank(b) }) {
+			t.Fatalf("order of %+v with loads %v is %v", members, loads, got)
+		}
+		for _, address := range got {
+			if byAddress[address].State != member.Live {
+				t.Fatalf("address %s of a leaving entry is named", address)
+			}
+		}
+	})
+}
+
+// TestSpread shows that callers spread over entries that are equal.
+func TestSpread(t *testing.T) {
+	members := []member.Member{{Name: "1", CallerAddress: "1", State: member.Live}, {Name: "2", CallerAddress: "2", State: member.Live}}
+	unknown := func(string) (int, bool) { return 0, false }
+	first := make(map[string]int)
+	for spread := range uint64(10) {
+		first[Order(members, "", unknown, spread)[0]]++
+	}
+	if first["1"] != 5 || first["2"] != 5 {
+		t.Errorf("first addresses are %v", first)
+	}
+}
+
+// TestShareMovesFewest draws two shares and shows that only customers between
+// them change sides.
+func TestShareMovesFewest(t *testing.T) {
+	at := func(share float64, customer string) bool {
+		team := settings.Team{Classes: map[string]settings.Class{"quote": {OldSystemShare: share}}}
+		return ToOldSystem(team, "desk", "quote", customer)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		low := rapid.Float64Range(0, 1).Draw(t, "low")
+		high := rapid.Float64Range(low, 1).Draw(t, "high")
+		customer := rapid.String().Draw(t, "customer")
+		if at(low, customer) && !at(high, customer) {
+			t.Fatalf("customer %q goes to the old system at %v and not at %v", customer, low, high)
+		}
+		if at(0, customer) || !at(1, customer) {
+			t.Fatalf("customer %q is on the wrong side at 0 or 1", customer)
+		}
+	})
+}
--- /dev/null
+++ b/internal/protocol/limit/limit_test.go
@@ -0,0 +1,81 @@
+package limit
+
+import (
+	"errors"
+	"testing"
+)
+
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name   string
+		bounds Bounds
+		use    Use
+		want   error
+	}{
+		{"idle", Bounds{}, Use{Weights: 1}, nil},
+		{"at the customer's limit", Bounds{MaxConcurrent: 3}, Use{Customer: 3, Total: 3, Weights: 1}, ErrCustomerLimit},
+		{"alone above half", Bounds{}, Use{Customer: 60, Total: 60, Weights: 1}, nil},
+		{"above its share", Bounds{Share: 1}, Use{Customer: 50, Total: 60, Weights: 2}, ErrFairShare},
+		{"above its share while there is room", Bounds{Share: 1}, Use{Customer: 49, Total: 49, Weights: 10}, nil},
+		{"within its larger share", Bounds{Share: 3}, Use{Customer: 50, Total: 60, Weights: 4}, nil},
+		{"full", Bounds{}, Use{Customer: 1, Total: 100, Weights: 2}, ErrFull},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := Decide(test.bounds, test.use, 100); !errors.Is(got, test.want) {
+				t.Errorf("Decide = %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestGreedyCustomerLeavesRoom shows that a customer which takes all it can
+// get leaves the others their share.
+func TestGreedyCustomerLeavesRoom(t *testing.T) {
+	g := NewGate(100)
+	greedy, modest := Tenant{Team: "desk", Customer: "greedy"}, Tenant{Team: "desk", Customer: "modest"}
+	if _, err := g.Enter(modest, Bounds{}); err != nil {
+		t.Fatal(err)
+	}
+	taken := 0
+	for {
+		if _, err := g.Enter(greedy, Bounds{}); err != nil {
+			break
+		}
+		taken++
+	}
+	if taken != 50 {
+		t.Errorf("the greedy customer got %d of 100", taken)
+	}
+	for range 49 {
+		if _, err := g.Enter(modest, Bounds{}); err != nil {
+			t.Fatalf("the modest customer is refused with %d in progress: %v", g.Total(), err)
+		}
+	}
+}
+
+func TestLeaveGivesRoomBack(t *testing.T) {
+	g := NewGate(1)
+	for range 3 {
+		leave, err := g.Enter(Tenant{}, Bounds{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		leave()
+	}
+	if g.Total() != 0 || g.weights.Load() != 0 {
+		t.Errorf("%d requests with weight %d are left", g.Total(), g.weights.Load())
+	}
+}
+
+func BenchmarkEnter(b *testing.B) {
+	g := NewGate(1000)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if leave, err := g.Enter(Tenant{Team: "desk", Customer: "north"}, Bounds{}); err == nil {
+				leave()
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/protocol/outlier/outlier_test.go
@@ -0,0 +1,57 @@
+package outlier
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+)
+
+// TestEjectProbeReturn follows one backend through failure, a failed probe and
+// recovery.
+func TestEjectProbeReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewSet(clock.NewRuntime())
+		ejected := func() bool { return slices.Contains(s.Ejected(), "a") }
+		for i := range threshold {
+			if ejected() {
+				t.Errorf("ejected after %d failures", i)
+			}
+			s.Failure("a")
+		}
+		if !ejected() {
+			t.Fatal("not ejected")
+		}
+		// Attempts that began before fail too and must not lengthen it.
+		for range 50 {
+			s.Failure("a")
+		}
+		time.Sleep(firstEjection)
+		if ejected() {
+			t.Fatal("no probe is allowed")
+		}
+		s.Start("a")
+		if !ejected() {
+			t.Error("others may use the backend during the probe")
+		}
+		s.Failure("a")
+		time.Sleep(firstEjection)
+		if !ejected() {
+			t.Error("the ejection after a failed probe is not longer")
+		}
+		time.Sleep(firstEjection)
+		s.Start("a")
+		s.Success("a")
+		if ejected() || len(*s.ailing.Load()) != 0 {
+			t.Error("a backend that passed its probe is still ejected")
+		}
+	})
+}
+
+func TestEjectionIsBounded(t *testing.T) {
+	if got := ejection(100); got != maxEjection {
+		t.Errorf("ejection is %v, want %v", got, maxEjection)
+	}
+}
--- a/internal/protocol/request/request.go
+++ b/internal/protocol/request/request.go
@@ -123,6 +123,9 @@
 	s := newRelay(p, call, class, sink)
 	for {
 		choice, err := s.decide()
+		if err == nil {
+			err = ctx.Err()
+		}
 		if err == nil {
 			err = s.attempt(ctx, choice)
 		}
--- a/internal/transport/callerhttp/rig_test.go
+++ b/internal/transport/callerhttp/rig_test.go
@@ -99,6 +99,16 @@
 	c := clock.NewRuntime()
 	r.holder = lease.NewHolder(c)
 	r.holder.Extend(c.Now(), time.Hour)
+	r.serve(t, c)
+}
+
+func (r *rig) startWithoutLease(t testing.TB) {
+	c := clock.NewRuntime()
+	r.holder = lease.NewHolder(c)
+	r.serve(t, c)
+}
+
+func (r *rig) serve(t testing.TB, c clock.Clock) {
 	gate := lease.NewGate(r.holder)
 	inForce := &atomic.Pointer[settings.Configuration]{}
 	inForce.Store(r.config)
--- /dev/null
+++ b/internal/transport/callerhttp/server_test.go
@@ -0,0 +1,226 @@
+package callerhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+	"github.com/lagoonshift/lagoonshift/internal/state/member"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+const quoteBody = `{"prompt": "reseat", "max_tokens": 5}`
+
+// post sends a request as the desk team's caller, with more headers in pairs.
+func (r *rig) post(t *testing.T, ctx context.Context, path, body string, headers ...string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(HeaderTeam, "desk")
+	request.Header.Set(HeaderClass, "quote")
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { response.Body.Close() })
+	return response
+}
+
+func read(t *testing.T, response *http.Response) string {
+	t.Helper()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
+}
+
+func wantProblem(t *testing.T, response *http.Response, kind refusal.Kind, executed refusal.Executed) {
+	t.Helper()
+	var p Problem
+	if err := json.Unmarshal([]byte(read(t, response)), &p); err != nil {
+		t.Fatal(err)
+	}
+	if p.Title != string(kind) || p.Executed != executed || p.Status != response.StatusCode {
+		t.Errorf("problem is %+v with status %d, want %s with executed %s", p, response.StatusCode, kind, executed)
+	}
+	if p.RetryAfter > 0 && response.Header.Get("Retry-After") == "" {
+		t.Error("no Retry-After header")
+	}
+}
+
+func TestStreamIsWholeAndResumable(t *testing.T) {
+	r := newRig(t, 2, nil)
+	whole := read(t, r.post(t, t.Context(), "/v1/completions", quoteBody))
+	for offset := range 5 {
+		if !strings.Contains(whole, fakeengine.Token("reseat", offset)) {
+			t.Errorf("token %d is missing in %s", offset, whole)
+		}
+	}
+	rest := read(t, r.post(t, t.Context(), "/v1/completions", quoteBody, HeaderResume, "2"))
+	if strings.Contains(rest, `"offset":2`) || !strings.Contains(rest, `"offset":3`) {
+		t.Errorf("resumed after event 2: %s", rest)
+	}
+	_, end, _ := strings.Cut(whole, `"tokens":5`)
+	if end == "" || !strings.HasSuffix(rest, end) {
+		t.Errorf("last events differ: %s and %s", whole, rest)
+	}
+}
+
+func TestCrashMovesStream(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.engines[0].SetFaults(fakeengine.Faults{CrashAfter: 2})
+	body := read(t, r.post(t, t.Context(), "/v1/completions", quoteBody))
+	if strings.Count(body, "event: token") != 5 || !strings.Contains(body, "event: done") {
+		t.Errorf("answer is %s", body)
+	}
+}
+
+func TestDrainMovesStream(t *testing.T) {
+	r := newRig(t, 2, nil)
+	response := r.post(t, t.Context(), "/v1/completions", `{"prompt": "reseat", "max_tokens": 200}`)
+	if _, err := io.ReadFull(response.Body, make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	r.engines[0].SetFaults(fakeengine.Faults{Draining: true, Move: true})
+	if body := read(t, response); !strings.Contains(body, "event: done") {
+		t.Errorf("answer ends with %s", body[max(0, len(body)-200):])
+	}
+}
+
+func TestCorruptAnswerEndsInError(t *testing.T) {
+	r := newRig(t, 1, nil)
+	r.engines[0].SetFaults(fakeengine.Faults{CorruptAt: 3})
+	body := read(t, r.post(t, t.Context(), "/v1/completions", quoteBody))
+	if strings.Contains(body, "event: done") || !strings.Contains(body, "event: error") {
+		t.Errorf("answer is %s", body)
+	}
+}
+
+func TestDisconnectReachesEngine(t *testing.T) {
+	r := newRig(t, 1, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	response := r.post(t, ctx, "/v1/completions", `{"prompt": "reseat", "max_tokens": 1000000}`)
+	if _, err := io.ReadFull(response.Body, make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	for r.engines[0].Running() > 0 {
+		if t.Context().Err() != nil {
+			t.Fatal("the engine is still running")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if r.engines[0].Cancelled() != 1 {
+		t.Error("the engine did not see the request cancelled")
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	r := newRig(t, 1, nil)
+	large := `{"prompt": "` + strings.Repeat("x", maxBody) + `"}`
+	wantProblem(t, r.post(t, t.Context(), "/v1/completions", large), refusal.Invalid, refusal.No)
+	wantProblem(t, r.post(t, t.Context(), "/v1/completions", quoteBody, HeaderClass, "other"), refusal.Invalid, refusal.No)
+	wantProblem(t, r.post(t, t.Context(), "/v1/completions", quoteBody, HeaderTimeout, "soon"), refusal.Invalid, refusal.No)
+	wantProblem(t, r.post(t, t.Context(), "/v1/services/booking/collections", "{}"), refusal.Invalid, refusal.No)
+	wantProblem(t, r.post(t, t.Context(), "/v1/completions", quoteBody, HeaderTimeout, "1ns"), refusal.DeadlinePassed, refusal.No)
+}
+
+// TestNoLeaseRefusesNewWork shows what an entry says that may not take new
+// work: of a booking it can't know whether another entry ran it.
+func TestNoLeaseRefusesNewWork(t *testing.T) {
+	r := newRig(t, 1, nil)
+	r.url, r.holder = "", nil
+	r.startWithoutLease(t)
+	wantProblem(t, r.post(t, t.Context(), "/v1/completions", quoteBody), refusal.NoLease, refusal.No)
+	wantProblem(t, r.post(t, t.Context(), "/v1/completions", quoteBody, HeaderResume, "1"), refusal.NoLease, refusal.Unknown)
+	wantProblem(t, r.post(t, t.Context(), "/v1/services/booking/collections", "{}", HeaderKey, "van-1"), refusal.NoLease, refusal.Unknown)
+}
+
+func TestCustomerLimit(t *testing.T) {
+	r := newRig(t, 1, nil)
+	first := r.post(t, t.Context(), "/v1/completions", `{"prompt": "reseat", "max_tokens": 1000000}`, HeaderCustomer, "north")
+	if _, err := io.ReadFull(first.Body, make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	wantProblem(t, r.post(t, t.Context(), "/v1/completions", quoteBody, HeaderCustomer, "north"), refusal.Limited, refusal.No)
+	if body := read(t, r.post(t, t.Context(), "/v1/completions", quoteBody, HeaderCustomer, "south")); !strings.Contains(body, "event: done") {
+		t.Errorf("another customer got %s", body)
+	}
+}
+
+func TestBookingRunsOnce(t *testing.T) {
+	r := newRig(t, 1, nil)
+	const path = "/v1/services/booking/collections"
+	first := read(t, r.post(t, t.Context(), path, `{"day": 1}`, HeaderKey, "van-1"))
+	again := r.post(t, t.Context(), path, `{"day": 1}`, HeaderKey, "van-1")
+	if got := read(t, again); got != first || again.Header.Get(HeaderRepeated) != "true" {
+		t.Errorf("repeat got %s with headers %v, want %s", got, again.Header, first)
+	}
+	wantProblem(t, r.post(t, t.Context(), path, `{"day": 2}`, HeaderKey, "van-1"), refusal.KeyReused, refusal.Unknown)
+	if n := len(r.service.Executions()); n != 1 {
+		t.Errorf("the service ran %d calls", n)
+	}
+}
+
+func TestAddresses(t *testing.T) {
+	all := 1.0
+	r := newRig(t, 1, func(c *settings.Configuration) {
+		c.System.OldSystem = []string{"http://old"}
+		c.Teams["desk"].Customers["moved"] = settings.Customer{OldSystemShare: &all}
+	})
+	r.members = members{
+		{Name: "one", Zone: "b", CallerAddress: "1", State: member.Live},
+		{Name: "two", Zone: "a", CallerAddress: "2", State: member.Live},
+		{Name: "three", Zone: "a", CallerAddress: "3", State: member.Leaving},
+	}
+	if got := r.addresses(t, ""); got != "2 1" {
+		t.Errorf("addresses are %s", got)
+	}
+	if got := r.addresses(t, "moved"); got != "http://old" {
+		t.Errorf("addresses of a customer of the old system are %s", got)
+	}
+}
+
+func (r *rig) addresses(t *testing.T, customer string) string {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, r.url+"/v1/addresses", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(HeaderTeam, "desk")
+	request.Header.Set(HeaderCustomer, customer)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var answer AddressAnswer
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		t.Fatal(err)
+	}
+	return strings.Join(answer.Addresses, " ")
+}
+
+// TestLeavingClosesConnections shows that an entry that leaves asks its
+// callers to give up their connections.
+func TestLeavingClosesConnections(t *testing.T) {
+	r := newRig(t, 1, nil)
+	close(r.leaving)
+	response := r.post(t, t.Context(), "/v1/completions", quoteBody)
+	if !response.Close || !bytes.Contains([]byte(read(t, response)), []byte("event: done")) {
+		t.Error("a leaving entry keeps its connection or does not answer")
+	}
+}
