Keep a key with the side that took it first beside an old system

Cause: while callers move between the two systems, both could run a key. Weighed: a lookup at the old system before the first run leaves a window in which the old system starts the call after it was asked; a share of customers fixed by hash does not hold across changes of share. Taken: the key is claimed in the old system's key memory between reservation and send, and the lease gate sees to it that the settings naming an old system are in force. A key whose claim got no answer is refused as unknown, not as not run: the old system may have run it.

--- a/cmd/lagoonshift/fake.go
+++ b/cmd/lagoonshift/fake.go
@@ -8,6 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
+	"github.com/lagoonshift/lagoonshift/internal/fake/fakeoldsystem"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeplatform"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeservice"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
@@ -18,6 +19,7 @@
 	addFakeEngine(fake, commands)
 	addFakeService(fake, commands)
 	addFakePlatform(fake, commands)
+	addFakeOldSystem(fake, commands)
 }
 
 func addFakeEngine(fake *kingpin.CmdClause, commands map[string]command) {
@@ -27,6 +29,7 @@
 	model := clause.Flag("model", "Model that it serves.").Required().String()
 	rate := clause.Flag("prefill-rate", "Prompt tokens per second.").Default("20000").Float64()
 	interval := clause.Flag("token-interval", "Time between two tokens of a stream, with its unit.").Default("5ms").Duration()
+	slots := clause.Flag("slots", "Requests that run at once; 0 is no bound.").Default("0").Int()
 	commands["fake engine"] = func(ctx context.Context) error {
 		engine := fakeengine.New(fakeengine.Options{
 			Name:          *name,
@@ -34,6 +37,7 @@
 			Incarnation:   rand.Text(),
 			PrefillRate:   *rate,
 			TokenInterval: *interval,
+			Slots:         *slots,
 		})
 		return serve.HTTP(ctx, *address, engine.Handler())
 	}
@@ -61,3 +65,15 @@
 		return serve.HTTP(ctx, *address, mux)
 	}
 }
+
+func addFakeOldSystem(fake *kingpin.CmdClause, commands map[string]command) {
+	clause := fake.Command("old-system", "Run a stand-in for the old serving system beside this one.")
+	address := clause.Flag("listen", "Address as IP:port.").Required().String()
+	o := fakeoldsystem.Options{}
+	clause.Flag("engine", "Base URL of an engine; may be given several times.").StringsVar(&o.Engines)
+	clause.Flag("service", "Plain service as name=base URL; may be given several times.").StringMapVar(&o.Services)
+	clause.Flag("lagoonshift", "Base URL of an entry; may be given several times.").StringsVar(&o.Lagoonshift)
+	commands["fake old-system"] = func(ctx context.Context) error {
+		return serve.HTTP(ctx, *address, fakeoldsystem.New(o).Handler())
+	}
+}
--- a/internal/protocol/servicecall/dispatch.go
+++ b/internal/protocol/servicecall/dispatch.go
@@ -16,26 +16,30 @@
 	if a.caller.Err() != nil {
 		return a.cancel(ctx, refusal.DeadlinePassed, a.caller.Err())
 	}
-	owned, err := a.claim(ctx)
-	if err != nil {
-		return a.cancel(ctx, refusal.Unavailable, err)
-	}
-	if !owned {
-		return a.leaveToOldSystem(ctx)
-	}
 	return a.send(ctx)
 }
 
 // send tries one backend server after the other until one is connected to,
-// and sends the call there.
+// and sends the call there. If the settings in force name an old system, the
+// key is claimed there first.
 func (a *attempt) send(ctx context.Context) (Answer, error) {
 	tried := make(map[string]bool)
 	last := errNoBackend
 	for {
-		targets, err := a.p.decide(a.call.Service)
+		targets, config, err := a.p.decide(a.call.Service)
 		if err != nil {
 			return a.cancel(ctx, refusal.NoLease, err)
 		}
+		if !a.claimed && len(config.System.OldSystem) > 0 {
+			a.claimed, err = a.claim(ctx, config)
+			switch {
+			case err != nil:
+				return a.cancel(ctx, refusal.Unavailable, err)
+			case !a.claimed:
+				return a.leaveToOldSystem(ctx)
+			}
+			continue
+		}
 		t, ok := first(targets, tried)
 		if !ok {
 			return a.cancel(ctx, refusal.Unavailable, last)
@@ -110,18 +114,27 @@
 }
 
 // cancel gives the key back. Only a committed cancellation allows the answer
-// that the call was not run.
+// that the call was not run, and beside an old system only a claimed key.
 func (a *attempt) cancel(ctx context.Context, kind refusal.Kind, cause error) (Answer, error) {
 	stop := context.AfterFunc(a.caller, func() { a.report(a.late()) })
 	defer stop()
 	refused := &refusal.Error{Kind: kind, Executed: refusal.Unknown, Detail: "the call was not sent", RetryAfter: retryAfter, Cause: cause}
 	result, err := a.settle(ctx, ledger.Outcome{State: ledger.Cancelled})
 	if err == nil && result.Verdict == ledger.Stored {
-		refused.Executed = refusal.No
+		refused.Executed = a.neverRun()
 	}
 	return Answer{}, refused
 }
 
+// neverRun returns what may be said of a key that nobody ran on this side: the
+// old system may have run one that was not claimed.
+func (a *attempt) neverRun() refusal.Executed {
+	if len(a.p.Settings.Load().System.OldSystem) > 0 && !a.claimed {
+		return refusal.Unknown
+	}
+	return refusal.No
+}
+
 // lookup asks the service for the outcome of the key. Only a found outcome
 // counts: a service that does not know the key may still get the call.
 func (a *attempt) lookup(ctx context.Context, t target) (backend.ServiceAnswer, bool) {
--- a/internal/protocol/servicecall/oldsystem.go
+++ b/internal/protocol/servicecall/oldsystem.go
@@ -8,6 +8,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
 // errNoOldSystemClient means that the settings name an old system that this
@@ -23,16 +24,13 @@
 // claim takes the key from the old system's key memory before the first send.
 // While both systems run, a key belongs to the one that took it first, so a
 // call whose claim is not answered is not sent.
-func (a *attempt) claim(ctx context.Context) (bool, error) {
-	if len(a.config.System.OldSystem) == 0 {
-		return true, nil
-	}
+func (a *attempt) claim(ctx context.Context, config *settings.Configuration) (bool, error) {
 	if a.p.OldSystem == nil {
 		return false, errNoOldSystemClient
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.rule.Timeout.Std())
 	defer cancel()
-	owned, err := a.p.OldSystem.Claim(ctx, a.config.System.OldSystem, a.oldCall())
+	owned, err := a.p.OldSystem.Claim(ctx, config.System.OldSystem, a.call.Service, a.oldCall())
 	if err != nil {
 		return false, fmt.Errorf("claim key at the old system: %w", err)
 	}
@@ -55,7 +53,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.rule.Timeout.Std())
 	defer cancel()
-	answer, err := a.p.OldSystem.Forward(ctx, a.config.System.OldSystem, a.oldCall())
+	answer, err := a.p.OldSystem.Forward(ctx, a.p.Settings.Load().System.OldSystem, a.oldCall())
 	if err != nil {
 		return Answer{}, &refusal.Error{Kind: refusal.OutcomeUnknown, Executed: refusal.Unknown, Detail: "the old system has the key and did not answer", RetryAfter: retryAfter, Cause: err}
 	}
--- a/internal/protocol/servicecall/once.go
+++ b/internal/protocol/servicecall/once.go
@@ -32,6 +32,8 @@
 	id     string
 	key    ledger.Key
 	digest []byte
+	// claimed tells that the old system's key memory gave the key to us.
+	claimed bool
 	// caller ends when the caller's time is over.
 	caller context.Context
 	result chan result
@@ -117,7 +119,7 @@
 				return answer, err
 			}
 		default:
-			return Answer{}, refuse(reserved.Verdict)
+			return Answer{}, a.refuse(reserved.Verdict)
 		}
 		if !sleep(a.caller, pause) {
 			return Answer{}, inProgress(reserved.Record)
@@ -182,16 +184,16 @@
 }
 
 // refuse returns the refusal for a verdict that ends the call.
-func refuse(verdict ledger.Verdict) error {
+func (a *attempt) refuse(verdict ledger.Verdict) error {
 	switch verdict {
 	case ledger.Mismatch:
 		return &refusal.Error{Kind: refusal.KeyReused, Executed: refusal.Unknown, Detail: "the key belongs to another request, which may have been run"}
 	case ledger.TooOld:
 		return &refusal.Error{Kind: refusal.KeyTooOld, Executed: refusal.Unknown, Detail: "the key is older than the retention of outcomes"}
 	case ledger.Ahead:
-		return &refusal.Error{Kind: refusal.Invalid, Executed: refusal.No, Detail: "the issue time of the key lies in the future"}
+		return &refusal.Error{Kind: refusal.Invalid, Executed: a.neverRun(), Detail: "the issue time of the key lies in the future"}
 	case ledger.Full:
-		return &refusal.Error{Kind: refusal.Overloaded, Executed: refusal.No, Detail: "the idempotency ledger is full", RetryAfter: time.Minute}
+		return &refusal.Error{Kind: refusal.Overloaded, Executed: a.neverRun(), Detail: "the idempotency ledger is full", RetryAfter: time.Minute}
 	}
 	return &refusal.Error{Kind: refusal.OutcomeUnknown, Executed: refusal.Unknown, Detail: "the attempt was cancelled", RetryAfter: retryAfter}
 }
--- a/internal/protocol/servicecall/repeatable.go
+++ b/internal/protocol/servicecall/repeatable.go
@@ -30,7 +30,7 @@
 		if try > 0 && !p.mayRetry(ctx, try-1) {
 			break
 		}
-		targets, err := p.decide(call.Service)
+		targets, _, err := p.decide(call.Service)
 		if err != nil {
 			return Answer{}, &refusal.Error{Kind: refusal.NoLease, Executed: executed, Detail: "this entry may not take new work; use another address", RetryAfter: retryAfter, Cause: err}
 		}
--- a/internal/protocol/servicecall/servicecall.go
+++ b/internal/protocol/servicecall/servicecall.go
@@ -77,9 +77,9 @@
 
 // OldSystem is the old serving system's key memory and its booking path.
 type OldSystem interface {
-	// Claim takes a key for this system. It is idempotent for one key. It
-	// reports false if the old system has taken the key.
-	Claim(ctx context.Context, baseURLs []string, call backend.ServiceCall) (bool, error)
+	// Claim takes a service's key for this system. It is idempotent for one
+	// key. It reports false if the old system has taken the key.
+	Claim(ctx context.Context, baseURLs []string, service string, call backend.ServiceCall) (bool, error)
 	// Forward sends a call that the old system has taken, to get its answer.
 	Forward(ctx context.Context, baseURLs []string, call backend.ServiceCall) (backend.ServiceAnswer, error)
 }
@@ -170,15 +170,16 @@
 	zone string
 }
 
-// decide returns the backend servers for one call in the order to try them, by
-// the settings in force. It fails if this entry may not send now.
-func (p *Protocol) decide(service string) ([]target, error) {
+// decide returns the backend servers for one call in the order to try them,
+// and the settings in force by which that was decided. It fails if this entry
+// may not send now.
+func (p *Protocol) decide(service string) ([]target, *settings.Configuration, error) {
 	for {
 		config := p.Settings.Load()
 		targets := p.targets(config, service)
 		err := p.Gate.Check(config.Version)
 		if !errors.Is(err, lease.ErrSuperseded) {
-			return targets, err
+			return targets, config, err
 		}
 	}
 }
--- a/internal/transport/backendhttp/oldsystem.go
+++ b/internal/transport/backendhttp/oldsystem.go
@@ -15,10 +15,10 @@
 
 // Claim takes a key for this system in the old system's key memory. It
 // reports false if the old system took the key first.
-func (c *Client) Claim(ctx context.Context, baseURLs []string, call backend.ServiceCall) (bool, error) {
-	query := url.Values{"customer": {call.Customer}, "key": {call.IdempotencyKey}, "path": {call.URL}}
+func (c *Client) Claim(ctx context.Context, baseURLs []string, service string, call backend.ServiceCall) (bool, error) {
+	query := url.Values{"customer": {call.Customer}, "key": {call.IdempotencyKey}}
 	call.Method = http.MethodPut
-	call.URL = "/v1/keys/claim?" + query.Encode()
+	call.URL = "/v1/keys/" + url.PathEscape(service) + "?" + query.Encode()
 	call.Body = nil
 	answer, err := c.eachOldSystem(ctx, baseURLs, call)
 	switch {
