Leave messages with odd bytes to the JSON decoder

Cause: the quick token decoder took bytes that are not UTF-8, or control characters, as they stand; the JSON decoder replaces or refuses them. Found by TestDecodeTokenLikeJSON of scripts/test.sh.

--- a/internal/transport/backendhttp/token.go
+++ b/internal/transport/backendhttp/token.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"strconv"
+	"unicode/utf8"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 )
@@ -29,7 +30,7 @@
 // cutToken reports false if the message is not in the usual form.
 func cutToken(data []byte, t *backend.TokenEvent) bool {
 	rest, ok := bytes.CutPrefix(data, tokenHead)
-	if !ok || bytes.IndexByte(data, '\\') >= 0 {
+	if !ok || !isPlain(data) {
 		return false
 	}
 	attempt, rest, ok := bytes.Cut(rest, tokenOffset)
@@ -44,8 +45,8 @@
 	if !ok || bytes.IndexByte(text, '"') >= 0 || bytes.IndexByte(attempt, '"') >= 0 {
 		return false
 	}
-	offset, err := strconv.Atoi(string(digits))
-	if err != nil || offset < 0 || digits[0] == '+' {
+	offset, ok := parseOffset(digits)
+	if !ok {
 		return false
 	}
 	t.Offset = offset
@@ -56,3 +57,22 @@
 	}
 	return true
 }
+
+// isPlain reports whether JSON strings in data stand for themselves.
+func isPlain(data []byte) bool {
+	for _, b := range data {
+		if b < ' ' || b == '\\' {
+			return false
+		}
+	}
+	return utf8.Valid(data)
+}
+
+// parseOffset reads a number that is not negative, as JSON writes it.
+func parseOffset(digits []byte) (int, bool) {
+	offset, err := strconv.Atoi(string(digits))
+	if err != nil || digits[0] < '0' || digits[0] == '0' && len(digits) > 1 {
+		return 0, false
+	}
+	return offset, true
+}
