--- a/cmd/lagoonshift/fake.go
+++ b/cmd/lagoonshift/fake.go
@@ -74,6 +74,6 @@
 	clause.Flag("service", "Plain service as name=base URL; may be given several times.").StringMapVar(&o.Services)
 	clause.Flag("lagoonshift", "Base URL of an entry; may be given several times.").StringsVar(&o.Lagoonshift)
 	commands["fake old-system"] = func(ctx context.Context) error {
-		return serve.HTTP(ctx, *address, fakeoldsystem.New(o).Handler())
+		return serve.HTTP(ctx, *address, fakeoldsystem.New(o).Handler(), nil)
 	}
 }
