--- /dev/null
+++ b/internal/fake/enginemodel/cache.go
@@ -0,0 +1,45 @@
+package enginemodel
+
+import "container/list"
+
+// cache is a prefix cache with a fixed number of pieces, least recently used
+// out first.
+type cache struct {
+	size   int
+	order  *list.List // of uint64, most recent first
+	pieces map[uint64]*list.Element
+}
+
+func newCache(size int) *cache {
+	return &cache{size: size, order: list.New(), pieces: make(map[uint64]*list.Element, size)}
+}
+
+// match returns how many leading pieces are held and marks them as used.
+func (c *cache) match(hashes []uint64) int {
+	for i, hash := range hashes {
+		element, ok := c.pieces[hash]
+		if !ok {
+			return i
+		}
+		c.order.MoveToFront(element)
+	}
+	return len(hashes)
+}
+
+// insert adds the pieces that are missing and returns what came and went.
+func (c *cache) insert(hashes []uint64) (added, removed []uint64) {
+	for _, hash := range hashes {
+		if _, ok := c.pieces[hash]; ok {
+			continue
+		}
+		c.pieces[hash] = c.order.PushFront(hash)
+		added = append(added, hash)
+		if c.order.Len() <= c.size {
+			continue
+		}
+		oldest := c.order.Remove(c.order.Back()).(uint64)
+		delete(c.pieces, oldest)
+		removed = append(removed, oldest)
+	}
+	return added, removed
+}
--- /dev/null
+++ b/internal/protocol/admission/admission.go
@@ -0,0 +1,211 @@
+// Package admission decides which requests are worth an engine's time when
+// not all can be served. Which engine serves an admitted request is chosen by
+// package routing.
+package admission
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+const (
+	// planInterval is the time between two plans of what to admit.
+	planInterval = 500 * time.Millisecond
+	// rateTime is the time over which arrival rates are averaged.
+	rateTime = 5 * time.Second
+	// sizeWeight is the weight of one request in the mean sizes of its class.
+	sizeWeight = 0.02
+	// defaultHeadroom is the part of the engines' full rate that is planned
+	// with.
+	defaultHeadroom = 1.0
+)
+
+// Options configures a Controller.
+type Options struct {
+	// Picker chooses the engine for an admitted request.
+	Picker routing.Picker
+	Clock  clock.Clock
+	// InProgress counts a customer's requests at engines; nil counts none.
+	InProgress func(team, customer string) int
+	// Headroom scales the engines' rates; 0 selects the default.
+	Headroom float64
+}
+
+// Controller admits requests and lets a picker choose their engine. It is a
+// routing.Picker and safe for concurrent use.
+//
+// Each entry plans for itself: it takes the part of the engines' rates that is
+// equal to its part of their work, and spends it on the classes with the most
+// worth per engine second. Refusals are immediate; nothing is queued here.
+type Controller struct {
+	options Options
+
+	mu       sync.Mutex // guards the fields below
+	settings *settings.Configuration
+	models   map[string]*model
+}
+
+// New returns a controller.
+func New(o Options) *Controller {
+	if o.Headroom == 0 {
+		o.Headroom = defaultHeadroom
+	}
+	return &Controller{options: o, models: make(map[string]*model)}
+}
+
+// Configure takes the customers' shares and limits.
+func (c *Controller) Configure(configuration *settings.Configuration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.settings = configuration
+}
+
+// Pick implements routing.Picker. A request that was admitted before and is
+// tried again, which shows in Exclude, is not counted a second time.
+func (c *Controller) Pick(s *routing.Snapshot, r *routing.Request) (routing.Choice, error) {
+	if len(r.Exclude) > 0 {
+		return c.options.Picker.Pick(s, r)
+	}
+	if err := c.admit(s, r); err != nil {
+		return routing.Choice{}, err
+	}
+	choice, err := c.options.Picker.Pick(s, r)
+	if err == nil {
+		c.observeCached(r, choice.CachedTokens)
+	}
+	return choice, err
+}
+
+// admit returns an *routing.OverloadedError for a request that is not worth
+// its engine time now.
+func (c *Controller) admit(s *routing.Snapshot, r *routing.Request) error {
+	now := c.options.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.model(now, r.Model)
+	view := s.Model(r.Model)
+	class := m.class(r)
+	customer := class.customer(r.Customer, c.customerSettings(r).Share)
+	class.observe(r)
+	customer.seen++
+	if now.Sub(m.planned) >= planInterval {
+		m.plan(now, view, c.options.Headroom)
+	}
+	if c.overLimit(view, r) {
+		return &routing.OverloadedError{RetryAfter: routing.MinRetryAfter}
+	}
+	if !customer.take() {
+		return &routing.OverloadedError{RetryAfter: routing.ClampRetryAfter(view.DrainTime())}
+	}
+	return nil
+}
+
+func (c *Controller) observeCached(r *routing.Request, tokens int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	class := c.model(c.options.Clock.Now(), r.Model).class(r)
+	class.cached += sizeWeight * (float64(tokens) - class.cached)
+}
+
+// overLimit reports whether the customer has its greatest number of requests
+// in progress. This entry grants its share of the limit, rounded up. The
+// caller holds mu.
+func (c *Controller) overLimit(view *routing.ModelView, r *routing.Request) bool {
+	limit := c.customerSettings(r).MaxConcurrent
+	if limit == 0 || c.options.InProgress == nil {
+		return false
+	}
+	granted := max(float64(limit)*min(view.Share, 1), 1)
+	return float64(c.options.InProgress(r.Team, r.Customer)) >= granted
+}
+
+// customerSettings returns the settings of the request's customer. The caller
+// holds mu.
+func (c *Controller) customerSettings(r *routing.Request) settings.Customer {
+	if c.settings == nil {
+		return settings.Customer{}
+	}
+	return c.settings.Teams[r.Team].Customers[r.Customer]
+}
+
+// model returns the record of a model. The caller holds mu.
+func (c *Controller) model(now clock.Instant, name string) *model {
+	m := c.models[name]
+	if m == nil {
+		m = &model{planned: now, classes: make(map[classKey]*class)}
+		c.models[name] = m
+	}
+	return m
+}
+
+// Demand returns what arrived for each model, admitted or not.
+func (c *Controller) Demand() map[string]roleplan.Demand {
+	now := c.options.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]roleplan.Demand, len(c.models))
+	for name, m := range c.models {
+		if now.Sub(m.planned) >= planInterval {
+			m.age(now)
+		}
+		out[name] = m.demand()
+	}
+	return out
+}
+
+// model is the demand for one model at this entry.
+type model struct {
+	classes map[classKey]*class
+	planned clock.Instant
+}
+
+type classKey struct {
+	team  string
+	class string
+}
+
+func (m *model) class(r *routing.Request) *class {
+	key := classKey{team: r.Team, class: r.Class}
+	k := m.classes[key]
+	if k == nil {
+		k = &class{
+			prompt: float64(r.PromptTokens), output: float64(r.OutputTokens),
+			customers: make(map[string]*customer), fraction: 1,
+		}
+		m.classes[key] = k
+	}
+	return k
+}
+
+// age brings the arrival rates up to date.
+func (m *model) age(now clock.Instant) {
+	elapsed := now.Sub(m.planned)
+	m.planned = now
+	for _, k := range m.classes {
+		k.age(elapsed)
+	}
+}
+
+// plan decides which part of each class is admitted until the next plan.
+func (m *model) plan(now clock.Instant, view *routing.ModelView, headroom float64) {
+	m.age(now)
+	capacity := view.Capacity
+	for r := range capacity {
+		capacity[r] *= view.Share * headroom
+	}
+	keys := m.keys()
+	demand := make([]fluid.Class, len(keys))
+	for i, key := range keys {
+		demand[i] = m.classes[key].fluid()
+	}
+	best := fluid.Best(view.Speeds, capacity, demand)
+	for i, key := range keys {
+		m.classes[key].grant(best.Served[i])
+	}
+}
--- /dev/null
+++ b/internal/protocol/admission/class.go
@@ -0,0 +1,157 @@
+package admission
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+)
+
+// forgetRate is the arrival rate, in requests per second, below which a
+// customer is forgotten.
+const forgetRate = 1e-3
+
+// class is the demand of one class of work.
+type class struct {
+	// prompt, output and cached are mean tokens per request.
+	prompt, output, cached float64
+	worth                  float64
+	customers              map[string]*customer
+	// fraction is the part of a new customer's requests that is admitted.
+	fraction float64
+}
+
+// customer is the demand of one customer for one class.
+type customer struct {
+	// seen counts requests since the last plan; rate is per second.
+	seen float64
+	rate float64
+	// share is the customer's weight when capacity is short.
+	share float64
+	// fraction is the part of its requests that is admitted and credit what
+	// is left of it from earlier requests.
+	fraction float64
+	credit   float64
+}
+
+func (k *class) observe(r *routing.Request) {
+	k.prompt += sizeWeight * (float64(r.PromptTokens) - k.prompt)
+	k.output += sizeWeight * (float64(r.OutputTokens) - k.output)
+	k.worth = r.Worth
+}
+
+// defaultShare is the weight of a customer without settings.
+const defaultShare = 1
+
+func (k *class) customer(name string, share float64) *customer {
+	c := k.customers[name]
+	if c == nil {
+		c = &customer{fraction: k.fraction}
+		k.customers[name] = c
+	}
+	c.share = cmp.Or(share, defaultShare)
+	return c
+}
+
+func (k *class) age(elapsed time.Duration) {
+	keep := math.Exp(-elapsed.Seconds() / rateTime.Seconds())
+	for name, c := range k.customers {
+		c.rate = c.rate*keep + c.seen/max(elapsed.Seconds(), planInterval.Seconds())*(1-keep)
+		c.seen = 0
+		if c.rate < forgetRate {
+			delete(k.customers, name)
+		}
+	}
+}
+
+func (k *class) rate() float64 {
+	sum := 0.0
+	for _, name := range slices.Sorted(maps.Keys(k.customers)) {
+		sum += k.customers[name].rate
+	}
+	return sum
+}
+
+func (k *class) fluid() fluid.Class {
+	return fluid.Class{
+		Rate:         k.rate(),
+		PromptTokens: max(k.prompt-k.cached, 0),
+		OutputTokens: k.output,
+		Worth:        k.worth,
+	}
+}
+
+// grant divides a rate among the customers by weighted max-min fairness: each
+// gets its weighted part, and what it does not need goes to the others.
+func (k *class) grant(rate float64) {
+	order := slices.Sorted(maps.Keys(k.customers))
+	slices.SortStableFunc(order, func(a, b string) int {
+		x, y := k.customers[a], k.customers[b]
+		return cmp.Compare(x.rate/x.share, y.rate/y.share)
+	})
+	shares := 0.0
+	for _, name := range order {
+		shares += k.customers[name].share
+	}
+	left := rate
+	for _, name := range order {
+		c := k.customers[name]
+		granted := min(c.rate, left*c.share/shares)
+		c.fraction = fractionOf(granted, c.rate)
+		left -= granted
+		shares -= c.share
+	}
+	k.fraction = fractionOf(rate, k.rate())
+}
+
+// fullFraction is the part from which on every request is admitted, so that
+// rounding refuses none.
+const fullFraction = 0.999
+
+func fractionOf(granted, wanted float64) float64 {
+	if wanted <= 0 || granted >= wanted*fullFraction {
+		return 1
+	}
+	return granted / wanted
+}
+
+// take reports whether the next request is admitted.
+func (c *customer) take() bool {
+	if c.fraction >= 1 {
+		return true
+	}
+	c.credit += c.fraction
+	if c.credit < 1 {
+		return false
+	}
+	c.credit--
+	return true
+}
+
+func (m *model) keys() []classKey {
+	return slices.SortedFunc(maps.Keys(m.classes), func(a, b classKey) int {
+		return cmp.Or(cmp.Compare(a.team, b.team), cmp.Compare(a.class, b.class))
+	})
+}
+
+func (m *model) demand() roleplan.Demand {
+	var d roleplan.Demand
+	for _, key := range m.keys() {
+		k := m.classes[key]
+		f := k.fluid()
+		d.Requests += f.Rate
+		d.PromptTokens += f.Rate * f.PromptTokens
+		d.OutputTokens += f.Rate * f.OutputTokens
+		d.Worth += f.Rate * f.Worth
+		d.Classes = append(d.Classes, roleplan.ClassDemand{
+			Team: key.team, Class: key.class, Requests: f.Rate,
+			PromptTokens: f.PromptTokens, OutputTokens: f.OutputTokens, Worth: f.Worth,
+		})
+	}
+	return d
+}
--- /dev/null
+++ b/internal/protocol/fluid/fluid.go
@@ -0,0 +1,73 @@
+package fluid
+
+import "github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+
+// Class is the demand of one class of work.
+type Class struct {
+	// Rate is in requests per second.
+	Rate float64
+	// PromptTokens, after what prefix caches hold, and OutputTokens are means
+	// per request.
+	PromptTokens float64
+	OutputTokens float64
+	// Worth is the worth of one request.
+	Worth float64
+}
+
+// Capacity is the number of engines in each role, in the order of speed.Roles;
+// a slow engine counts as a part of one.
+type Capacity [len(speed.Roles)]float64
+
+// Total returns the number of engines.
+func (c Capacity) Total() float64 {
+	sum := 0.0
+	for _, n := range c {
+		sum += n
+	}
+	return sum
+}
+
+// Plan is the best use of a capacity.
+type Plan struct {
+	// Worth is the worth served per second.
+	Worth float64
+	// Served is the rate of each class that is served, in requests per second.
+	Served []float64
+}
+
+// Best returns the plan that serves the most worth per second.
+func Best(t *speed.Table, capacity Capacity, classes []Class) Plan {
+	roles := len(speed.Roles)
+	objective := make([]float64, len(classes)*roles)
+	constraints := make([][]float64, roles+len(classes))
+	bounds := make([]float64, roles+len(classes))
+	for i := range constraints {
+		constraints[i] = make([]float64, len(objective))
+	}
+	for r, role := range speed.Roles {
+		bounds[r] = capacity[r]
+		for c := range classes {
+			constraints[r][c*roles+r] = t.Of(role).Cost(classes[c].PromptTokens, classes[c].OutputTokens)
+		}
+	}
+	for c := range classes {
+		bounds[roles+c] = classes[c].Rate
+		for r := range roles {
+			objective[c*roles+r] = classes[c].Worth
+			constraints[roles+c][c*roles+r] = 1
+		}
+	}
+	return read(classes, maximise(objective, constraints, bounds))
+}
+
+func read(classes []Class, x []float64) Plan {
+	roles := len(speed.Roles)
+	p := Plan{Served: make([]float64, len(classes))}
+	for c := range classes {
+		for r := range roles {
+			p.Served[c] += x[c*roles+r]
+		}
+		p.Worth += p.Served[c] * classes[c].Worth
+	}
+	return p
+}
--- /dev/null
+++ b/internal/protocol/fluid/simplex.go
@@ -0,0 +1,104 @@
+// Package fluid works out how much of a demand a set of engines can serve, as
+// if requests were a fluid: the share of each class that is worth serving and
+// the worth per second that results.
+package fluid
+
+// epsilon is the smallest number that counts as non-zero.
+const epsilon = 1e-9
+
+// maxPivots bounds the work of one solution; Bland's rule ends well before.
+const maxPivots = 10000
+
+// maximise solves: maximise c·x with a·x <= b and x >= 0, where b >= 0. It is
+// the tableau simplex method with Bland's rule.
+func maximise(c []float64, a [][]float64, b []float64) []float64 {
+	t := newTableau(c, a, b)
+	for range maxPivots {
+		column := t.entering()
+		if column < 0 {
+			break
+		}
+		row := t.leaving(column)
+		if row < 0 {
+			break
+		}
+		t.pivot(row, column)
+	}
+	return t.solution(len(c))
+}
+
+// tableau holds one row per constraint and the objective as its last row.
+type tableau struct {
+	rows  [][]float64
+	basis []int
+	width int
+}
+
+func newTableau(c []float64, a [][]float64, b []float64) *tableau {
+	t := &tableau{width: len(c) + len(a) + 1}
+	for i, coefficients := range a {
+		row := make([]float64, t.width)
+		copy(row, coefficients)
+		row[len(c)+i] = 1
+		row[t.width-1] = b[i]
+		t.rows = append(t.rows, row)
+		t.basis = append(t.basis, len(c)+i)
+	}
+	objective := make([]float64, t.width)
+	for j, value := range c {
+		objective[j] = -value
+	}
+	t.rows = append(t.rows, objective)
+	return t
+}
+
+func (t *tableau) entering() int {
+	objective := t.rows[len(t.rows)-1]
+	for j := range t.width - 1 {
+		if objective[j] < -epsilon {
+			return j
+		}
+	}
+	return -1
+}
+
+func (t *tableau) leaving(column int) int {
+	best, least := -1, 0.0
+	for i, row := range t.rows[:len(t.rows)-1] {
+		if row[column] <= epsilon {
+			continue
+		}
+		ratio := row[t.width-1] / row[column]
+		if best < 0 || ratio < least-epsilon || ratio < least+epsilon && t.basis[i] < t.basis[best] {
+			best, least = i, ratio
+		}
+	}
+	return best
+}
+
+func (t *tableau) pivot(row, column int) {
+	t.basis[row] = column
+	scale := t.rows[row][column]
+	for j := range t.width {
+		t.rows[row][j] /= scale
+	}
+	for i := range t.rows {
+		factor := t.rows[i][column]
+		if i == row || factor == 0 {
+			continue
+		}
+		for j := range t.width {
+			t.rows[i][j] -= factor * t.rows[row][j]
+		}
+	}
+}
+
+func (t *tableau) solution(n int) []float64 {
+	x := make([]float64, n)
+	for i, j := range t.basis {
+		if j < n {
+			x[j] = t.rows[i][t.width-1]
+		}
+	}
+	return x
+}
--- /dev/null
+++ b/internal/protocol/roleplan/collector.go
@@ -0,0 +1,130 @@
+package roleplan
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+)
+
+const (
+	// reportLife is how long a report counts without a newer one.
+	reportLife = 10 * time.Second
+	// sampleInterval is the time between two samples of the recent demand.
+	sampleInterval = 5 * time.Second
+	// samples is the number of samples kept.
+	samples = 24
+)
+
+// Collector adds up the demand that entries report. It is safe for concurrent
+// use.
+type Collector struct {
+	mu      sync.Mutex // guards the fields below
+	reports map[string]received
+	recent  map[string][]Demand
+	sampled clock.Instant
+	started bool
+}
+
+type received struct {
+	report Report
+	at     clock.Instant
+}
+
+// NewCollector returns a collector without reports.
+func NewCollector() *Collector {
+	return &Collector{reports: make(map[string]received), recent: make(map[string][]Demand)}
+}
+
+// Add takes a report; it replaces the member's earlier one.
+func (c *Collector) Add(now clock.Instant, report Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reports[report.Member] = received{report: report, at: now}
+	c.sample(now)
+}
+
+// Demand returns the demand for a model with its recent past.
+func (c *Collector) Demand(now clock.Instant, model string) Demand {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sample(now)
+	d := c.total(model)
+	d.Recent = slices.Clone(c.recent[model])
+	return d
+}
+
+// sample adds one sample of each model if one is due. The caller holds mu.
+func (c *Collector) sample(now clock.Instant) {
+	if c.started && now.Sub(c.sampled) < sampleInterval {
+		return
+	}
+	c.started = true
+	c.sampled = now
+	maps.DeleteFunc(c.reports, func(_ string, r received) bool { return now.Sub(r.at) > reportLife })
+	models := make(map[string]bool)
+	for _, r := range c.reports {
+		for model := range r.report.Models {
+			models[model] = true
+		}
+	}
+	for model := range c.recent {
+		models[model] = true
+	}
+	for model := range models {
+		recent := append(c.recent[model], c.total(model))
+		c.recent[model] = recent[max(len(recent)-samples, 0):]
+	}
+}
+
+// total adds up the reports on a model, in the order of the members' names.
+// The caller holds mu.
+func (c *Collector) total(model string) Demand {
+	var sum Demand
+	classes := make(map[classKey]*ClassDemand)
+	for _, member := range slices.Sorted(maps.Keys(c.reports)) {
+		d := c.reports[member].report.Models[model]
+		sum.PromptTokens += d.PromptTokens
+		sum.OutputTokens += d.OutputTokens
+		sum.Requests += d.Requests
+		sum.Worth += d.Worth
+		for _, class := range d.Classes {
+			addClass(classes, class)
+		}
+	}
+	for _, class := range classes {
+		sum.Classes = append(sum.Classes, *class)
+	}
+	slices.SortFunc(sum.Classes, func(a, b ClassDemand) int {
+		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Class, b.Class))
+	})
+	return sum
+}
+
+type classKey struct {
+	team  string
+	class string
+}
+
+// addClass merges the demand of one member into the sum; means are weighted
+// by the number of requests.
+func addClass(classes map[classKey]*ClassDemand, d ClassDemand) {
+	key := classKey{team: d.Team, class: d.Class}
+	sum := classes[key]
+	if sum == nil {
+		classes[key] = &d
+		return
+	}
+	requests := sum.Requests + d.Requests
+	if requests <= 0 {
+		return
+	}
+	part := d.Requests / requests
+	sum.PromptTokens += part * (d.PromptTokens - sum.PromptTokens)
+	sum.OutputTokens += part * (d.OutputTokens - sum.OutputTokens)
+	sum.Worth += part * (d.Worth - sum.Worth)
+	sum.Requests = requests
+}
--- /dev/null
+++ b/internal/protocol/roleplan/goodput.go
@@ -0,0 +1,230 @@
+package roleplan
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+// GoodputOptions configures a Goodput planner.
+type GoodputOptions struct {
+	// Horizon is how long a change is expected to be of use.
+	Horizon time.Duration
+	// ChangeTime is how long a change takes an engine away.
+	ChangeTime time.Duration
+	// Dwell is the least time that an engine keeps a role.
+	Dwell time.Duration
+	// Settle is the least time between two changes of one model.
+	Settle time.Duration
+	// Headroom is the part of an engine's full rate that is planned with.
+	Headroom float64
+	// Memory is the age at which a sample of the recent demand has lost all
+	// but 1/e of its weight.
+	Memory time.Duration
+	// MinGain is the least gain worth a change, as a part of the worth that
+	// is served without it.
+	MinGain float64
+}
+
+// DefaultGoodput returns the options of both example deployments.
+func DefaultGoodput() GoodputOptions {
+	return GoodputOptions{
+		Horizon:    2 * time.Minute,
+		ChangeTime: 8 * time.Second,
+		Dwell:      30 * time.Second,
+		Settle:     2 * time.Second,
+		Headroom:   0.85,
+		Memory:     30 * time.Second,
+		MinGain:    0.01,
+	}
+}
+
+// Goodput plans the change with the most goodput over the horizon, less the
+// goodput lost during the change and the model's price of a change. It keeps
+// no state: equal arguments give equal plans.
+type Goodput struct {
+	options GoodputOptions
+}
+
+// NewGoodput returns a planner.
+func NewGoodput(o GoodputOptions) *Goodput {
+	return &Goodput{options: o}
+}
+
+// Plan implements Planner. It returns one move at most.
+func (g *Goodput) Plan(now clock.Instant, model settings.Model, demand Demand, engines []Engine) []Move {
+	if g.unsettled(now, engines) {
+		return nil
+	}
+	f := &fleet{table: speed.FromModel(&model), model: &model, engines: engines, counts: count(engines)}
+	f.samples = g.weigh(demand)
+	best, bestNet := Move{}, 0.0
+	for from := range speed.Roles {
+		name := g.movable(now, f, from)
+		if name == "" || !keepsMinimum(f, demand, from) {
+			continue
+		}
+		for to := range speed.Roles {
+			if to == from {
+				continue
+			}
+			net, gain := g.net(f, from, to)
+			if net > bestNet {
+				reason := fmt.Sprintf("expected gain %.1f, net %.1f worth over %s", gain, net, g.options.Horizon)
+				best, bestNet = Move{Engine: name, Role: speed.Roles[to], Reason: reason}, net
+			}
+		}
+	}
+	if best.Engine == "" {
+		return nil
+	}
+	return []Move{best}
+}
+
+// unsettled reports whether a change runs or ended a short time ago.
+func (g *Goodput) unsettled(now clock.Instant, engines []Engine) bool {
+	for i := range engines {
+		if engines[i].Changing {
+			return true
+		}
+		if engines[i].Since > 0 && now.Sub(engines[i].Since) < g.options.Settle {
+			return true
+		}
+	}
+	return false
+}
+
+// movable returns the engine of a role that has kept it for longest and may
+// change it, or none.
+func (g *Goodput) movable(now clock.Instant, f *fleet, role int) string {
+	var oldest *Engine
+	for i := range f.engines {
+		e := &f.engines[i]
+		s := f.model.Engines[e.Name]
+		pinned := s.Role != "" || s.Drain || s.Authority == settings.AuthorityOldSystem
+		if !e.Available || pinned || e.Role != speed.Roles[role] {
+			continue
+		}
+		if e.Since > 0 && now.Sub(e.Since) < g.options.Dwell {
+			continue
+		}
+		if oldest == nil || e.Since < oldest.Since {
+			oldest = e
+		}
+	}
+	if oldest == nil {
+		return ""
+	}
+	return oldest.Name
+}
+
+// keepsMinimum reports whether a role may lose one engine.
+func keepsMinimum(f *fleet, demand Demand, from int) bool {
+	left := f.counts
+	left[from]--
+	prefill, decode, mixed := left[0], left[1], left[2]
+	switch speed.Roles[from] {
+	case settings.RolePrefill:
+		if prefill < float64(f.model.MinPrefill) {
+			return false
+		}
+	case settings.RoleDecode:
+		if decode < float64(f.model.MinDecode) {
+			return false
+		}
+	}
+	if demand.PromptTokens > 0 && prefill+mixed < 1 {
+		return false
+	}
+	return demand.OutputTokens <= 0 || decode+mixed >= 1
+}
+
+// net returns the worth over the horizon that a change brings after all its
+// costs, and the worth before them.
+func (g *Goodput) net(f *fleet, from, to int) (net, gain float64) {
+	during := f.counts
+	during[from]--
+	after := during
+	after[to]++
+	now := g.served(f, f.counts)
+	gain = (g.served(f, after) - now) * (g.options.Horizon - g.options.ChangeTime).Seconds()
+	if gain < g.options.MinGain*now*g.options.Horizon.Seconds() {
+		return 0, gain
+	}
+	lost := max(now-g.served(f, during), 0) * g.options.ChangeTime.Seconds()
+	return gain - lost - f.model.RolePrice, gain
+}
+
+// served is the mean worth per second that a fleet serves of the recent
+// demand.
+func (g *Goodput) served(f *fleet, counts fluid.Capacity) float64 {
+	for r := range counts {
+		counts[r] *= g.options.Headroom
+	}
+	sum := 0.0
+	for _, s := range f.samples {
+		sum += s.weight * fluid.Best(f.table, counts, s.classes).Worth
+	}
+	return sum
+}
+
+// fleet is what one plan works on.
+type fleet struct {
+	table   *speed.Table
+	model   *settings.Model
+	engines []Engine
+	counts  fluid.Capacity
+	samples []sample
+}
+
+// sample is the demand of one moment; the weights add up to one.
+type sample struct {
+	weight  float64
+	classes []fluid.Class
+}
+
+func (g *Goodput) weigh(demand Demand) []sample {
+	recent := demand.Recent
+	if len(recent) == 0 {
+		recent = []Demand{demand}
+	}
+	out := make([]sample, len(recent))
+	sum := 0.0
+	for i := range recent {
+		age := time.Duration(len(recent)-1-i) * sampleInterval
+		out[i] = sample{weight: math.Exp(-age.Seconds() / g.options.Memory.Seconds()), classes: classesOf(recent[i])}
+		sum += out[i].weight
+	}
+	for i := range out {
+		out[i].weight /= sum
+	}
+	return out
+}
+
+func classesOf(d Demand) []fluid.Class {
+	out := make([]fluid.Class, 0, len(d.Classes))
+	for _, c := range d.Classes {
+		out = append(out, fluid.Class{Rate: c.Requests, PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens, Worth: c.Worth})
+	}
+	return out
+}
+
+func count(engines []Engine) fluid.Capacity {
+	var c fluid.Capacity
+	for i := range engines {
+		if !engines[i].Available {
+			continue
+		}
+		for r, role := range speed.Roles {
+			if engines[i].Role == role {
+				c[r]++
+			}
+		}
+	}
+	return c
+}
--- a/internal/protocol/roleplan/roleplan.go
+++ b/internal/protocol/roleplan/roleplan.go
@@ -15,6 +15,25 @@
 	// Requests is the arrival rate per second and Worth the worth per second.
 	Requests float64 `cbor:"3,keyasint"`
 	Worth    float64 `cbor:"4,keyasint"`
+	// Classes holds the same work by class.
+	Classes []ClassDemand `cbor:"5,keyasint,omitempty"`
+	// Recent holds the demand of the recent past, oldest first. A Collector
+	// fills it; it is not sent.
+	Recent []Demand `cbor:"-"`
+}
+
+// ClassDemand is the work that arrived for one class.
+type ClassDemand struct {
+	Team  string `cbor:"1,keyasint"`
+	Class string `cbor:"2,keyasint"`
+	// Requests is the arrival rate per second.
+	Requests float64 `cbor:"3,keyasint"`
+	// PromptTokens, after what prefix caches held, and OutputTokens are means
+	// per request.
+	PromptTokens float64 `cbor:"4,keyasint"`
+	OutputTokens float64 `cbor:"5,keyasint"`
+	// Worth is the worth of one request.
+	Worth float64 `cbor:"6,keyasint"`
 }
 
 // Report is one entry's account of demand.
@@ -30,6 +49,8 @@
 	Role settings.Role
 	// Available is false while the engine is changing, leaving or failing.
 	Available bool
+	// Changing is true while an order to change its role is unsettled.
+	Changing bool
 	// Since is when the engine took its role.
 	Since clock.Instant
 }
--- /dev/null
+++ b/internal/protocol/routing/customer.go
@@ -0,0 +1,29 @@
+package routing
+
+import "sync/atomic"
+
+// customerKey names one customer of one team.
+type customerKey struct {
+	team     string
+	customer string
+}
+
+// customer returns the counter of a customer's requests in progress.
+func (t *Tracker) customer(team, customer string) *atomic.Int64 {
+	key := customerKey{team: team, customer: customer}
+	if counter, ok := t.customers.Load(key); ok {
+		return counter.(*atomic.Int64)
+	}
+	counter, _ := t.customers.LoadOrStore(key, new(atomic.Int64))
+	return counter.(*atomic.Int64)
+}
+
+// InProgress returns how many requests of a customer this entry has at
+// engines.
+func (t *Tracker) InProgress(team, customer string) int {
+	counter, ok := t.customers.Load(customerKey{team: team, customer: customer})
+	if !ok {
+		return 0
+	}
+	return int(counter.(*atomic.Int64).Load())
+}
--- /dev/null
+++ b/internal/protocol/routing/flight.go
@@ -0,0 +1,108 @@
+package routing
+
+import (
+	"math"
+	"sync/atomic"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+)
+
+const (
+	// learnRate is the weight of one answer in an engine's slowdown.
+	learnRate = 0.05
+	// minSlowdown and maxSlowdown bound it.
+	minSlowdown = 0.5
+	maxSlowdown = 10
+	// minLearnTokens is the length of the shortest answer that is learnt from.
+	minLearnTokens = 16
+)
+
+// Flight is one request in progress at an engine. Its methods may be called
+// from several goroutines.
+type Flight struct {
+	tracker *Tracker
+	engine  *tracked
+	started clock.Instant
+	// step is the predicted time of one token, in seconds.
+	step float64
+	// prompt is the part of the prompt still counted as not prefilled.
+	prompt atomic.Int64
+	first  atomic.Int64
+	done   atomic.Bool
+	// customer counts the customer's requests in progress.
+	customer *atomic.Int64
+}
+
+// Start counts a dispatched request and notes that the engine will hold its
+// prefix.
+func (t *Tracker) Start(engine string, r *Request) *Flight {
+	f := &Flight{tracker: t, started: t.clock.Now()}
+	e, ok := (*t.engines.Load())[engine]
+	if !ok {
+		return f
+	}
+	f.engine = e
+	f.prompt.Store(int64(r.PromptTokens))
+	f.step = t.predictStep(e)
+	f.customer = t.customer(r.Team, r.Customer)
+	f.customer.Add(1)
+	e.own.add(f.started, 1, r.PromptTokens)
+	for _, hash := range r.Prefix {
+		e.prefixes.add(hash, e.number)
+	}
+	return f
+}
+
+// FirstToken tells that the request's prompt is prefilled.
+func (f *Flight) FirstToken() {
+	prompt := f.prompt.Swap(0)
+	if prompt == 0 || f.engine == nil {
+		return
+	}
+	now := f.tracker.clock.Now()
+	f.first.Store(int64(now))
+	f.engine.own.add(now, 0, -int(prompt))
+}
+
+// Finished tells that the whole answer came, with the given number of tokens.
+// The entry learns from it how fast the engine is.
+func (f *Flight) Finished(tokens int) {
+	first := f.first.Load()
+	if f.engine == nil || first == 0 || tokens < minLearnTokens {
+		return
+	}
+	took := f.tracker.clock.Now().Sub(clock.Instant(first)).Seconds()
+	f.engine.learn(took / (float64(tokens) * f.step))
+}
+
+// Done tells that the request left the engine. Only the first call counts.
+func (f *Flight) Done() {
+	if f.done.Swap(true) || f.engine == nil {
+		return
+	}
+	f.customer.Add(-1)
+	f.engine.own.add(f.tracker.clock.Now(), -1, -int(f.prompt.Swap(0)))
+}
+
+// predictStep returns the predicted time of one token, in seconds, with the
+// engine's load as it is now.
+func (t *Tracker) predictStep(e *tracked) float64 {
+	view := &Engine{own: e.own}
+	s := t.snapshot.Load()
+	if n := int(e.number); n < len(s.Engines) && s.Engines[n].Name == e.Name {
+		view = &s.Engines[n]
+	}
+	rates := e.table.Of(view.Role)
+	return rates.Step(min(view.Load().Requests+1, float64(rates.MaxSequences)))
+}
+
+func (e *tracked) learn(ratio float64) {
+	ratio = min(max(ratio, minSlowdown), maxSlowdown)
+	for {
+		old := e.slowdown.Load()
+		next := math.Float64frombits(old)*(1-learnRate) + ratio*learnRate
+		if e.slowdown.CompareAndSwap(old, math.Float64bits(next)) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/protocol/routing/ownwork.go
@@ -0,0 +1,69 @@
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+)
+
+const (
+	// historyStep is the resolution of an engine's history of own work.
+	historyStep = 100 * time.Millisecond
+	// historySteps is its length.
+	historySteps = 256
+)
+
+// ownWork is this entry's work at one engine, now and in the recent past. The
+// current counts are read without a lock.
+type ownWork struct {
+	requests atomic.Int64
+	prompt   atomic.Int64
+
+	mu      sync.Mutex // guards history
+	history [historySteps]ownSample
+}
+
+// ownSample is the work at the end of one step of the history.
+type ownSample struct {
+	step     int32
+	requests int32
+	prompt   int32
+}
+
+// now returns the current work; a nil ownWork has none.
+func (o *ownWork) now() Work {
+	if o == nil {
+		return Work{}
+	}
+	return Work{Requests: float64(o.requests.Load()), PromptTokens: float64(o.prompt.Load())}
+}
+
+// add changes the counts at the instant at.
+func (o *ownWork) add(at clock.Instant, requests, prompt int) {
+	r := o.requests.Add(int64(requests))
+	p := o.prompt.Add(int64(prompt))
+	step := stepOf(at)
+	o.mu.Lock()
+	o.history[step%historySteps] = ownSample{step: step, requests: int32(r), prompt: int32(p)}
+	o.mu.Unlock()
+}
+
+// at returns the work at an instant of the recent past.
+func (o *ownWork) at(at clock.Instant) Work {
+	step := stepOf(at)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for back := range int32(historySteps) {
+		s := o.history[(step-back)&(historySteps-1)]
+		if s.step == step-back && s.step > 0 {
+			return Work{Requests: float64(s.requests), PromptTokens: float64(s.prompt)}
+		}
+	}
+	return Work{}
+}
+
+func stepOf(at clock.Instant) int32 {
+	return int32(time.Duration(at)/historyStep) + 1
+}
--- /dev/null
+++ b/internal/protocol/routing/predict.go
@@ -0,0 +1,94 @@
+package routing
+
+import (
+	"math"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+)
+
+// urgentAheadTokens bounds the prefill that a request with a raised priority
+// waits for: the prompt in progress can't be put aside.
+const urgentAheadTokens = 4000
+
+// Prediction is what a request would meet at an engine. Times are in seconds.
+type Prediction struct {
+	Engine *Engine
+	Load   Work
+	// CachedTokens is the part of the prompt that the engine seems to hold.
+	CachedTokens float64
+	// Prefill is the engine time for the rest of the prompt.
+	Prefill float64
+	// FirstToken and Whole are the times to the first token and to the end.
+	FirstToken float64
+	Whole      float64
+	// OthersDelay is the sum of the delays of the requests already there.
+	OthersDelay float64
+}
+
+// predict works out what a request would meet at an engine that holds the
+// given number of leading pieces of its prompt.
+func predict(table *speed.Table, e *Engine, r *Request, pieces int) Prediction {
+	s := table.Of(e.Role)
+	p := Prediction{Engine: e, Load: e.Load()}
+	p.CachedTokens = math.Min(float64(pieces*PieceTokens), float64(r.PromptTokens))
+	p.Prefill = s.Prefill(float64(r.PromptTokens) - p.CachedTokens)
+	slowdown := max(e.Slowdown, 1)
+	p.FirstToken = (slotWait(s, &p, r) + prefillWait(s, &p, r)) * slowdown
+	p.Whole = p.FirstToken + decodeTime(s, &p, r)*slowdown
+	p.OthersDelay = othersDelay(s, &p, r) * slowdown
+	return p
+}
+
+// prefillWait is the time until the prompt is prefilled.
+func prefillWait(s *speed.Speed, p *Prediction, r *Request) float64 {
+	ahead := p.Load.PromptTokens
+	if r.Priority > 0 {
+		ahead = min(ahead, urgentAheadTokens)
+	}
+	wait := s.Prefill(ahead) + p.Prefill
+	if p.Load.Requests >= 1 {
+		wait /= s.PrefillShare
+	}
+	return wait
+}
+
+// slotWait is the time until the batch has room.
+func slotWait(s *speed.Speed, p *Prediction, r *Request) float64 {
+	slots := float64(s.MaxSequences)
+	excess := p.Load.Requests + 1 - slots
+	if excess <= 0 {
+		return 0
+	}
+	return excess / slots * float64(r.OutputTokens) * s.Step(slots)
+}
+
+func decodeTime(s *speed.Speed, p *Prediction, r *Request) float64 {
+	batch := min(p.Load.Requests+1, float64(s.MaxSequences))
+	return float64(r.OutputTokens) * s.Step(batch)
+}
+
+// othersDelay is how much longer the requests already at the engine take in
+// sum: each waits through the prefill and through the longer decode steps.
+func othersDelay(s *speed.Speed, p *Prediction, r *Request) float64 {
+	batch := min(p.Load.Requests, float64(s.MaxSequences))
+	return batch * (p.Prefill + float64(r.OutputTokens)*s.StepPerSequence)
+}
+
+// DrainTime is how long the model's accepting engines need for the prompts
+// that wait there and for the requests that have no room in a batch, in
+// seconds.
+func (v *ModelView) DrainTime() float64 {
+	var prefill, excess, engines float64
+	for i := range v.Engines {
+		e := &v.Engines[i]
+		if !e.Accepting {
+			continue
+		}
+		s := v.Speeds.Of(e.Role)
+		load := e.Load()
+		engines++
+		prefill += s.Prefill(load.PromptTokens) / s.PrefillShare
+		excess += max(load.Requests-float64(s.MaxSequences), 0) / float64(s.MaxSequences)
+	}
+	return (prefill + excess) / max(engines, 1)
+}
--- /dev/null
+++ b/internal/protocol/routing/prefix.go
@@ -0,0 +1,122 @@
+package routing
+
+import (
+	"encoding/binary"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// PieceTokens is the length of one cached piece of a prompt, in tokens.
+	PieceTokens = 256
+	// BytesPerToken is the mean length of a token of prompt text.
+	BytesPerToken = 4
+	// maxPieces bounds how many pieces of a prompt are looked at.
+	maxPieces = 64
+)
+
+// PrefixHashes returns one hash for each whole piece of a prompt. Each hash
+// covers the prompt from its start to the end of that piece, so that equal
+// hashes mean equal prefixes.
+func PrefixHashes(prompt string) []uint64 {
+	const pieceBytes = PieceTokens * BytesPerToken
+	n := min(len(prompt)/pieceBytes, maxPieces)
+	hashes := make([]uint64, n)
+	var chained [8]byte
+	d := xxhash.New()
+	for i := range hashes {
+		_, _ = d.WriteString(prompt[i*pieceBytes : (i+1)*pieceBytes])
+		hashes[i] = d.Sum64()
+		binary.LittleEndian.PutUint64(chained[:], hashes[i])
+		d.Reset()
+		_, _ = d.Write(chained[:])
+	}
+	return hashes
+}
+
+const (
+	// waysPerBucket is how many holders of one piece are remembered.
+	waysPerBucket = 8
+	// engineBits is the width of an engine's number in an index slot.
+	engineBits = 16
+	engineMask = 1<<engineBits - 1
+)
+
+// prefixIndex remembers which engines may hold which pieces. It is a lossy
+// table of fixed size: new hints overwrite old ones, and a hint may be wrong.
+// Readers and writers use atomics only.
+type prefixIndex struct {
+	slots []atomic.Uint64
+}
+
+// newPrefixIndex returns an index with room for the given number of hints.
+func newPrefixIndex(hints int) *prefixIndex {
+	size := waysPerBucket
+	for size < hints {
+		size *= 2
+	}
+	return &prefixIndex{slots: make([]atomic.Uint64, size)}
+}
+
+func (x *prefixIndex) bucket(hash uint64) []atomic.Uint64 {
+	at := int(hash&uint64(len(x.slots)/waysPerBucket-1)) * waysPerBucket
+	return x.slots[at : at+waysPerBucket]
+}
+
+func slotOf(hash uint64, engine uint16) uint64 {
+	return hash&^engineMask | uint64(engine)
+}
+
+// add notes that an engine holds a piece. The newest hint stands first.
+func (x *prefixIndex) add(hash uint64, engine uint16) {
+	bucket := x.bucket(hash)
+	carried := slotOf(hash, engine)
+	for i := range bucket {
+		old := bucket[i].Swap(carried)
+		if old == slotOf(hash, engine) || old == 0 {
+			return
+		}
+		carried = old
+	}
+}
+
+// remove drops a hint; the gap it leaves is filled by later hints.
+func (x *prefixIndex) remove(hash uint64, engine uint16) {
+	bucket := x.bucket(hash)
+	for i := range bucket {
+		bucket[i].CompareAndSwap(slotOf(hash, engine), 0)
+	}
+}
+
+// clear drops all hints about an engine.
+func (x *prefixIndex) clear(engine uint16) {
+	for i := range x.slots {
+		if slot := x.slots[i].Load(); slot != 0 && uint16(slot&engineMask) == engine {
+			x.slots[i].CompareAndSwap(slot, 0)
+		}
+	}
+}
+
+// match adds, for each engine that seems to hold the start of a prompt, the
+// number of leading pieces it holds.
+func (x *prefixIndex) match(hashes []uint64, held map[uint16]int) {
+	for i, hash := range hashes {
+		bucket := x.bucket(hash)
+		any := false
+		for w := range bucket {
+			slot := bucket[w].Load()
+			if slot == 0 || slot&^engineMask != hash&^engineMask {
+				continue
+			}
+			engine := uint16(slot & engineMask)
+			if held[engine] == i {
+				held[engine] = i + 1
+				any = true
+			}
+		}
+		if !any {
+			return
+		}
+	}
+}
--- a/internal/protocol/routing/routing.go
+++ b/internal/protocol/routing/routing.go
@@ -5,10 +5,13 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
@@ -62,16 +65,92 @@
 	// Report is the newest load report and ReportedAt when it was made.
 	Report     backend.LoadReport
 	ReportedAt clock.Instant
-	// OwnRequests counts this entry's requests in progress there.
-	OwnRequests int
-	// OwnPromptTokens counts their prompt tokens not yet prefilled.
-	OwnPromptTokens int
+	// Foreign estimates the work that others than this entry have there.
+	Foreign Work
+	// Slowdown is the learned ratio of real to predicted times.
+	Slowdown float64
+
+	// number identifies the engine in the prefix index.
+	number uint16
+	// own is this entry's own work there; nil in a hand-made snapshot.
+	own *ownWork
+}
+
+// Work is an amount of work at an engine.
+type Work struct {
+	// Requests counts requests waiting or running.
+	Requests float64
+	// PromptTokens counts prompt tokens not yet prefilled.
+	PromptTokens float64
 }
 
-// Snapshot is an immutable view of all engines, ordered by name.
+// Load returns the estimated work at the engine: what others have there and
+// this entry's own work, which is exact.
+func (e *Engine) Load() Work {
+	own := e.own.now()
+	return Work{
+		Requests:     e.Foreign.Requests + own.Requests,
+		PromptTokens: e.Foreign.PromptTokens + own.PromptTokens,
+	}
+}
+
+// ModelView is the part of a snapshot that concerns one model.
+type ModelView struct {
+	Engines []Engine
+	Speeds  *speed.Table
+	// Capacity counts the accepting engines by role; a slow engine counts as
+	// a part of one.
+	Capacity fluid.Capacity
+	// Share is this entry's part of all work at the model's engines.
+	Share float64
+
+	prefixes *prefixIndex
+}
+
+// Snapshot is an immutable view of all engines, ordered by model and name.
 type Snapshot struct {
 	At      clock.Instant
 	Engines []Engine
+
+	models map[string]*ModelView
+}
+
+// Model returns the view of one model. A snapshot that was made by hand is
+// searched; one of a Tracker holds the views ready.
+func (s *Snapshot) Model(name string) *ModelView {
+	if s.models != nil {
+		if v := s.models[name]; v != nil {
+			return v
+		}
+		return &ModelView{Speeds: &speed.Default}
+	}
+	v := &ModelView{Speeds: &speed.Default, Share: 1}
+	for _, e := range s.Engines {
+		if e.Model == name {
+			v.Engines = append(v.Engines, e)
+		}
+	}
+	v.Capacity = capacityOf(v.Engines)
+	return v
+}
+
+func capacityOf(engines []Engine) fluid.Capacity {
+	var c fluid.Capacity
+	for i := range engines {
+		if !engines[i].Accepting {
+			continue
+		}
+		c[roleIndex(engines[i].Role)] += 1 / max(engines[i].Slowdown, 1)
+	}
+	return c
+}
+
+func roleIndex(role settings.Role) int {
+	at := slices.Index(speed.Roles[:], role)
+	if at < 0 {
+		at = slices.Index(speed.Roles[:], settings.RoleMixed)
+	}
+	return at
 }
 
 // Choice is a picked engine.
@@ -81,6 +160,8 @@
 	FirstToken time.Duration
 	// Whole is the predicted time to the whole answer.
 	Whole time.Duration
+	// CachedTokens is the part of the prompt that the engine seems to hold.
+	CachedTokens int
 }
 
 // Picker chooses the engine for a request.
@@ -96,12 +177,8 @@
 // Pick implements Picker.
 func (LeastRequests) Pick(s *Snapshot, r *Request) (Choice, error) {
 	var best *Engine
-	for i := range s.Engines {
-		e := &s.Engines[i]
-		if !eligible(e, r) {
-			continue
-		}
-		if best == nil || requests(e) < requests(best) {
+	for _, e := range candidates(s.Model(r.Model), r, standardFilters) {
+		if best == nil || e.Load().Requests < best.Load().Requests {
 			best = e
 		}
 	}
@@ -110,19 +187,3 @@
 	}
 	return Choice{Engine: best}, nil
 }
-
-func eligible(e *Engine, r *Request) bool {
-	if !e.Accepting || e.Model != r.Model {
-		return false
-	}
-	for _, name := range r.Exclude {
-		if name == e.Name {
-			return false
-		}
-	}
-	return true
-}
-
-func requests(e *Engine) int {
-	return e.Report.Queued + e.Report.Running + e.OwnRequests
-}
--- /dev/null
+++ b/internal/protocol/routing/score.go
@@ -0,0 +1,156 @@
+package routing
+
+import (
+	"sync/atomic"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+)
+
+// Scorer rates a prediction, in seconds; the least sum is best.
+type Scorer interface {
+	Score(p *Prediction, r *Request) float64
+}
+
+// FinishTime rates by the time to the whole answer.
+type FinishTime struct{}
+
+// Score implements Scorer.
+func (FinishTime) Score(p *Prediction, _ *Request) float64 {
+	return p.Whole
+}
+
+// OthersDelay rates by the delay of the requests already at the engine.
+type OthersDelay struct {
+	// Weight is the rating of one second of delay of one request.
+	Weight float64
+}
+
+// Score implements Scorer.
+func (o OthersDelay) Score(p *Prediction, _ *Request) float64 {
+	return o.Weight * p.OthersDelay
+}
+
+// ZoneDistance rates engines in another zone by a fixed time.
+type ZoneDistance struct {
+	// Seconds is the rating of another zone.
+	Seconds float64
+}
+
+// Score implements Scorer.
+func (z ZoneDistance) Score(p *Prediction, r *Request) float64 {
+	if p.Engine.Zone == r.Zone {
+		return 0
+	}
+	return z.Seconds
+}
+
+// zoneDistanceSeconds is the round trip between two zones of a region.
+const zoneDistanceSeconds = 0.002
+
+// Predictive picks the engine with the least sum of scores among those that
+// should answer within the class's expected wait.
+type Predictive struct {
+	Filters []Filter
+	Scorers []Scorer
+	// Spread is the relative width of the random part of a score. It keeps
+	// entries with equal views from choosing the same engine.
+	Spread float64
+	// Margin scales the expected wait that a prediction has to keep.
+	Margin float64
+
+	state atomic.Uint64
+}
+
+const (
+	defaultSpread = 0.05
+	defaultMargin = 1.0
+)
+
+// NewPredictive returns the standard picker. The seed makes its random part
+// repeatable.
+func NewPredictive(seed uint64) *Predictive {
+	p := &Predictive{
+		Filters: standardFilters,
+		Scorers: []Scorer{FinishTime{}, OthersDelay{Weight: 1}, ZoneDistance{Seconds: zoneDistanceSeconds}},
+		Spread:  defaultSpread,
+		Margin:  defaultMargin,
+	}
+	p.state.Store(seed)
+	return p
+}
+
+// Pick implements Picker.
+func (p *Predictive) Pick(s *Snapshot, r *Request) (Choice, error) {
+	v := s.Model(r.Model)
+	held := v.held(r.Prefix)
+	found := false
+	var best, soonest Prediction
+	var bestScore float64
+	random := p.state.Add(randomStep)
+	for i := range v.Engines {
+		e := &v.Engines[i]
+		if !keepAll(e, r, p.Filters) {
+			continue
+		}
+		prediction := predict(v.Speeds, e, r, held[e.number])
+		if soonest.Engine == nil || prediction.Whole < soonest.Whole {
+			soonest = prediction
+		}
+		if !p.inTime(&prediction, r) {
+			continue
+		}
+		score := p.score(&prediction, r, random+uint64(i))
+		if !found || score < bestScore {
+			found, best, bestScore = true, prediction, score
+		}
+	}
+	if soonest.Engine == nil {
+		return Choice{}, ErrNoEngine
+	}
+	if !found {
+		return Choice{}, &OverloadedError{RetryAfter: retryAfter(&soonest, r)}
+	}
+	return choice(&best), nil
+}
+
+func (p *Predictive) inTime(prediction *Prediction, r *Request) bool {
+	return r.ExpectedWait <= 0 || prediction.Whole <= r.ExpectedWait.Seconds()*p.Margin
+}
+
+func (p *Predictive) score(prediction *Prediction, r *Request, random uint64) float64 {
+	sum := 0.0
+	for _, s := range p.Scorers {
+		sum += s.Score(prediction, r)
+	}
+	return sum * (1 + p.Spread*unit(random))
+}
+
+func choice(p *Prediction) Choice {
+	return Choice{
+		Engine:       p.Engine,
+		FirstToken:   speed.Seconds(p.FirstToken),
+		Whole:        speed.Seconds(p.Whole),
+		CachedTokens: int(p.CachedTokens),
+	}
+}
+
+func (v *ModelView) held(prefix []uint64) map[uint16]int {
+	if v.prefixes == nil || len(prefix) == 0 {
+		return nil
+	}
+	held := make(map[uint16]int, waysPerBucket)
+	v.prefixes.match(prefix, held)
+	return held
+}
+
+// randomStep is the increment of the splitmix64 generator.
+const randomStep = 0x9e3779b97f4a7c15
+
+// unit maps a number to a pseudo-random one from 0 to 1 (splitmix64).
+func unit(x uint64) float64 {
+	x *= randomStep
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	x ^= x >> 31
+	return float64(x>>11) / (1 << 53)
+}
--- a/internal/protocol/routing/tracker.go
+++ b/internal/protocol/routing/tracker.go
@@ -1,35 +1,90 @@
 package routing
 
 import (
-	"maps"
+	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
+const (
+	// publishInterval is the least time between two snapshots that differ
+	// only in load reports.
+	publishInterval = 50 * time.Millisecond
+	// refreshInterval is the greatest age of a snapshot.
+	refreshInterval = 500 * time.Millisecond
+	// trustTime is the age at which the trust in a load report has fallen to
+	// 1/e.
+	trustTime = 6 * time.Second
+	// shareTime is the time over which this entry's share of a model's work
+	// is averaged.
+	shareTime = 30 * time.Second
+	// hintsPerEngine is the room in the prefix index for each engine.
+	hintsPerEngine = 8192
+	// maxHints bounds a prefix index.
+	maxHints = 1 << 20
+)
+
 // Tracker keeps the entry's view of the engines. Writers build a new snapshot
-// under a lock; readers load the current one without any.
+// under a lock; readers load the current one without any. Own work is counted
+// in atomics that all snapshots share.
 type Tracker struct {
-	clock    clock.Clock
-	snapshot atomic.Pointer[Snapshot]
+	clock     clock.Clock
+	snapshot  atomic.Pointer[Snapshot]
+	engines   atomic.Pointer[map[string]*tracked]
+	dirty     atomic.Bool
+	published atomic.Int64 // instant of the current snapshot
+	customers sync.Map     // customerKey to *atomic.Int64
+
+	mu     sync.Mutex // guards the content of tracked engines and models
+	models map[string]*trackedModel
+}
+
+// tracked is the mutable record of one engine.
+type tracked struct {
+	Engine
+	table    *speed.Table
+	prefixes *prefixIndex
+	slowdown atomic.Uint64 // bits of a float64
+	// drain is true if the settings ask that the engine gets no new work.
+	drain bool
+	// cacheSeq is the sequence number of the newest cache event.
+	cacheSeq uint64
+}
 
-	mu      sync.Mutex // guards engines
-	engines map[string]*Engine
+// trackedModel is the mutable record of one model.
+type trackedModel struct {
+	table    *speed.Table
+	prefixes *prefixIndex
+	// own and all are decaying sums of the requests seen in load reports.
+	own, all float64
+	at       clock.Instant
 }
 
 // NewTracker returns a tracker that knows no engine.
 func NewTracker(c clock.Clock) *Tracker {
-	t := &Tracker{clock: c, engines: make(map[string]*Engine)}
-	t.snapshot.Store(&Snapshot{At: c.Now()})
+	t := &Tracker{clock: c, models: make(map[string]*trackedModel)}
+	t.engines.Store(&map[string]*tracked{})
+	t.snapshot.Store(&Snapshot{At: c.Now(), models: map[string]*ModelView{}})
 	return t
 }
 
-// Snapshot returns the current view.
+// Snapshot returns the current view. It builds a new one first if the current
+// one is due and no other goroutine is at it.
 func (t *Tracker) Snapshot() *Snapshot {
+	age := t.clock.Now().Sub(clock.Instant(t.published.Load()))
+	due := age >= refreshInterval || t.dirty.Load() && age >= publishInterval
+	if due && t.mu.TryLock() {
+		t.publish()
+		t.mu.Unlock()
+	}
 	return t.snapshot.Load()
 }
 
@@ -37,82 +92,171 @@
 func (t *Tracker) Configure(c *settings.Configuration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	next := make(map[string]*Engine)
-	for model, deployment := range c.Models {
-		for name, engine := range deployment.Engines {
-			e := t.engines[name]
-			if e == nil || e.URL != engine.URL {
-				e = &Engine{Name: name, URL: engine.URL, Role: settings.RoleMixed, Accepting: true}
-			}
-			e.Model = model
-			e.Zone = engine.Zone
-			e.Accepting = !engine.Drain && !e.Report.Draining
-			next[name] = e
+	old := *t.engines.Load()
+	next := make(map[string]*tracked)
+	for name, model := range c.Models {
+		m := t.configureModel(name, &model)
+		for engine, s := range model.Engines {
+			next[engine] = configureEngine(old[engine], m, name, engine, s)
 		}
 	}
-	t.engines = next
+	number := uint16(0)
+	for _, e := range sorted(next) {
+		e.number = number
+		number++
+	}
+	t.engines.Store(&next)
 	t.publish()
 }
 
-// Report takes an engine's load report.
+func (t *Tracker) configureModel(name string, model *settings.Model) *trackedModel {
+	m := t.models[name]
+	hints := min(len(model.Engines)*hintsPerEngine, maxHints)
+	if m == nil {
+		m = &trackedModel{at: t.clock.Now()}
+		t.models[name] = m
+	}
+	m.table = speed.FromModel(model)
+	// Engines are numbered anew, so older hints mean nothing.
+	m.prefixes = newPrefixIndex(hints)
+	return m
+}
+
+func configureEngine(e *tracked, m *trackedModel, model, name string, s settings.Engine) *tracked {
+	if e == nil || e.URL != s.URL {
+		e = &tracked{Engine: Engine{Name: name, URL: s.URL, Role: settings.RoleMixed, own: &ownWork{}}}
+		e.slowdown.Store(math.Float64bits(1))
+	}
+	next := &tracked{Engine: e.Engine, table: m.table, prefixes: m.prefixes}
+	next.slowdown.Store(e.slowdown.Load())
+	next.Model = model
+	next.Zone = s.Zone
+	next.drain = s.Drain
+	next.Accepting = !s.Drain && !e.Report.Draining
+	return next
+}
+
+// Report takes an engine's load report that was made at the instant at.
 func (t *Tracker) Report(engine string, report backend.LoadReport, at clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, ok := t.engines[engine]
+	e, ok := (*t.engines.Load())[engine]
 	if !ok {
 		return
 	}
+	accepting := !e.drain && !report.Draining
+	urgent := e.Role != report.Role || accepting != e.Accepting
+	if e.Report.Incarnation != report.Incarnation {
+		e.prefixes.clear(e.number)
+		e.cacheSeq = 0
+	}
+	own := e.own.at(at)
+	reported := Work{Requests: float64(report.Queued + report.Running), PromptTokens: float64(report.QueuedPromptTokens)}
 	e.Report = report
 	e.ReportedAt = at
 	e.Role = report.Role
-	if report.Draining {
-		e.Accepting = false
+	e.Foreign = Work{
+		Requests:     max(reported.Requests-own.Requests, 0),
+		PromptTokens: max(reported.PromptTokens-own.PromptTokens, 0),
 	}
+	e.Accepting = accepting
+	t.models[e.Model].observe(t.clock.Now(), own.Requests, reported.Requests)
+	if urgent {
+		t.publish()
+		return
+	}
+	t.dirty.Store(true)
+}
+
+// Failed tells that an engine could not be reached. It gets no new work until
+// its next load report.
+func (t *Tracker) Failed(engine string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := (*t.engines.Load())[engine]
+	if !ok || !e.Accepting {
+		return
+	}
+	e.Accepting = false
 	t.publish()
 }
 
-// Flight is one request in progress at an engine.
-type Flight struct {
-	tracker *Tracker
-	engine  string
-	prompt  int
+func (m *trackedModel) observe(now clock.Instant, own, all float64) {
+	keep := math.Exp(-now.Sub(m.at).Seconds() / shareTime.Seconds())
+	m.at = now
+	m.own = m.own*keep + own
+	m.all = m.all*keep + max(all, own)
 }
 
-// Start counts a dispatched request.
-func (t *Tracker) Start(engine string, r *Request) *Flight {
-	t.add(engine, 1, r.PromptTokens)
-	return &Flight{tracker: t, engine: engine, prompt: r.PromptTokens}
+// share is this entry's part of the model's work; with no work at all the
+// entry counts as the only one.
+func (m *trackedModel) share() float64 {
+	const prior = 1
+	return (m.own + prior) / (m.all + prior)
 }
 
-// FirstToken tells that the request's prompt is prefilled.
-func (f *Flight) FirstToken() {
-	f.tracker.add(f.engine, 0, -f.prompt)
-	f.prompt = 0
+// publish replaces the snapshot. The caller holds mu.
+func (t *Tracker) publish() {
+	t.dirty.Store(false)
+	now := t.clock.Now()
+	all := sorted(*t.engines.Load())
+	s := &Snapshot{At: now, Engines: make([]Engine, 0, len(all)), models: make(map[string]*ModelView, len(t.models))}
+	for _, e := range all {
+		view := e.Engine
+		view.Slowdown = math.Float64frombits(e.slowdown.Load())
+		s.Engines = append(s.Engines, view)
+	}
+	for start := 0; start < len(s.Engines); {
+		end := start + 1
+		for end < len(s.Engines) && s.Engines[end].Model == s.Engines[start].Model {
+			end++
+		}
+		s.models[s.Engines[start].Model] = t.viewModel(now, s.Engines[start:end:end])
+		start = end
+	}
+	t.snapshot.Store(s)
+	t.published.Store(int64(now))
 }
 
-// Done tells that the request left the engine.
-func (f *Flight) Done() {
-	f.tracker.add(f.engine, -1, -f.prompt)
-	f.prompt = 0
+// viewModel corrects the foreign work of a model's engines and describes the
+// model. The caller holds mu.
+func (t *Tracker) viewModel(now clock.Instant, engines []Engine) *ModelView {
+	m := t.models[engines[0].Model]
+	correct(now, engines)
+	return &ModelView{
+		Engines:  engines,
+		Speeds:   m.table,
+		Capacity: capacityOf(engines),
+		Share:    m.share(),
+		prefixes: m.prefixes,
+	}
 }
 
-func (t *Tracker) add(engine string, requests, promptTokens int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e, ok := t.engines[engine]
-	if !ok {
-		return
+// correct moves each engine's foreign work towards the model's mean, the more
+// so the older its report is: old differences between engines have been
+// levelled by the entries since then.
+func correct(now clock.Instant, engines []Engine) {
+	var mean Work
+	for i := range engines {
+		mean.Requests += engines[i].Foreign.Requests / float64(len(engines))
+		mean.PromptTokens += engines[i].Foreign.PromptTokens / float64(len(engines))
+	}
+	for i := range engines {
+		age := max(now.Sub(engines[i].ReportedAt).Seconds(), 0)
+		trust := math.Exp(-age / trustTime.Seconds())
+		f := &engines[i].Foreign
+		f.Requests = mean.Requests + trust*(f.Requests-mean.Requests)
+		f.PromptTokens = mean.PromptTokens + trust*(f.PromptTokens-mean.PromptTokens)
 	}
-	e.OwnRequests += requests
-	e.OwnPromptTokens += promptTokens
-	t.publish()
 }
 
-// publish replaces the snapshot. The caller holds mu.
-func (t *Tracker) publish() {
-	s := &Snapshot{At: t.clock.Now(), Engines: make([]Engine, 0, len(t.engines))}
-	for _, name := range slices.Sorted(maps.Keys(t.engines)) {
-		s.Engines = append(s.Engines, *t.engines[name])
+func sorted(engines map[string]*tracked) []*tracked {
+	out := make([]*tracked, 0, len(engines))
+	for _, e := range engines {
+		out = append(out, e)
 	}
-	t.snapshot.Store(s)
+	slices.SortFunc(out, func(a, b *tracked) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Name, b.Name))
+	})
+	return out
 }
--- a/internal/state/settings/check.go
+++ b/internal/state/settings/check.go
@@ -48,6 +48,11 @@
 }
 
 func checkModel(at string, model Model) error {
+	for role, speed := range model.Speeds {
+		if err := checkSpeed(at+"/speeds/"+string(role), role, speed); err != nil {
+			return err
+		}
+	}
 	for name, engine := range model.Engines {
 		at := at + "/engines/" + name
 		if err := checkURL(at+"/url", engine.URL); err != nil {
@@ -67,6 +72,27 @@
 	return nil
 }
 
+func checkSpeed(at string, role Role, speed Speed) error {
+	switch role {
+	case RolePrefill, RoleDecode, RoleMixed:
+	default:
+		return fieldError(at, "expected the role %q, %q or %q", RolePrefill, RoleDecode, RoleMixed)
+	}
+	if speed.PrefillRate <= 0 {
+		return fieldError(at+"/prefill_rate", "expected a positive number")
+	}
+	if speed.StepBase <= 0 || speed.StepPerSequence <= 0 {
+		return fieldError(at+"/step_base", "expected positive durations for a decode step")
+	}
+	if speed.MaxSequences <= 0 {
+		return fieldError(at+"/max_sequences", "expected a positive number")
+	}
+	if speed.PrefillShare <= 0 || speed.PrefillShare >= 1 {
+		return fieldError(at+"/prefill_share", "expected a number between 0 and 1")
+	}
+	return nil
+}
+
 func checkService(at string, service Service) error {
 	for name, backend := range service.Backends {
 		if err := checkURL(at+"/backends/"+name+"/url", backend.URL); err != nil {
--- a/internal/state/settings/configuration.go
+++ b/internal/state/settings/configuration.go
@@ -81,6 +81,24 @@
 	// from below.
 	MinPrefill int `json:"min_prefill,omitempty"`
 	MinDecode  int `json:"min_decode,omitempty"`
+	// Speeds says how fast the engines work in each role; a role that is not
+	// listed has the speed of package speed's default table.
+	Speeds map[Role]Speed `json:"speeds,omitempty"`
+}
+
+// Speed is how fast one engine works in one role.
+type Speed struct {
+	// PrefillRate is in prompt tokens per second.
+	PrefillRate float64 `json:"prefill_rate"`
+	// StepBase is the part of a decode step that does not depend on the batch.
+	StepBase strictjson.Duration `json:"step_base"`
+	// StepPerSequence is what each sequence of the batch adds to a step.
+	StepPerSequence strictjson.Duration `json:"step_per_sequence"`
+	// MaxSequences bounds the batch.
+	MaxSequences int `json:"max_sequences"`
+	// PrefillShare is the part of the engine's time that prefill takes while
+	// sequences are being decoded, above 0 and below 1.
+	PrefillShare float64 `json:"prefill_share"`
 }
 
 // Engine is one model engine.
