--- a/cmd/lagoonshift/main.go
+++ b/cmd/lagoonshift/main.go
@@ -27,6 +27,7 @@
 	addCheck(app, commands)
 	addConfig(app, commands)
 	addFake(app, commands)
+	addExperiment(app, commands)
 
 	selected, err := app.Parse(os.Args[1:])
 	if err != nil {
--- /dev/null
+++ b/internal/experiment/baseline.go
@@ -0,0 +1,145 @@
+package experiment
+
+import (
+	"math/rand/v2"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+// roundRobin takes the engines in turn.
+type roundRobin struct {
+	next int
+}
+
+// Pick implements routing.Picker.
+func (p *roundRobin) Pick(s *routing.Snapshot, r *routing.Request) (routing.Choice, error) {
+	engines := accepting(s, r)
+	if len(engines) == 0 {
+		return routing.Choice{}, routing.ErrNoEngine
+	}
+	p.next++
+	return routing.Choice{Engine: engines[p.next%len(engines)]}, nil
+}
+
+// leastReported takes the engine with the least reported load, as reported.
+type leastReported struct{}
+
+// Pick implements routing.Picker.
+func (leastReported) Pick(s *routing.Snapshot, r *routing.Request) (routing.Choice, error) {
+	var best *routing.Engine
+	for _, e := range accepting(s, r) {
+		if best == nil || reported(e) < reported(best) {
+			best = e
+		}
+	}
+	if best == nil {
+		return routing.Choice{}, routing.ErrNoEngine
+	}
+	return routing.Choice{Engine: best}, nil
+}
+
+func reported(e *routing.Engine) int {
+	return e.Report.Queued + e.Report.Running
+}
+
+// twoChoices draws two engines and takes the one with less load, reported and
+// own.
+type twoChoices struct {
+	random *rand.Rand
+}
+
+// Pick implements routing.Picker.
+func (p *twoChoices) Pick(s *routing.Snapshot, r *routing.Request) (routing.Choice, error) {
+	engines := accepting(s, r)
+	if len(engines) == 0 {
+		return routing.Choice{}, routing.ErrNoEngine
+	}
+	a := engines[p.random.IntN(len(engines))]
+	b := engines[p.random.IntN(len(engines))]
+	if b.Load().Requests < a.Load().Requests {
+		a = b
+	}
+	return routing.Choice{Engine: a}, nil
+}
+
+func accepting(s *routing.Snapshot, r *routing.Request) []*routing.Engine {
+	var out []*routing.Engine
+	engines := s.Model(r.Model).Engines
+	for i := range engines {
+		if (routing.Accepting{}).Keep(&engines[i], r) && (routing.NotExcluded{}).Keep(&engines[i], r) {
+			out = append(out, &engines[i])
+		}
+	}
+	return out
+}
+
+const (
+	// reactiveInterval is the time between two looks at the queues, in
+	// seconds, and reactiveRest the least time between two changes.
+	reactiveInterval = 5
+	reactiveRest     = 15
+	// reactiveHigh and reactiveLow are the thresholds: seconds of prompts
+	// waiting per prefill engine, and filled part of the batches of decode
+	// engines.
+	reactiveHigh = 0.5
+	reactiveLow  = 0.1
+	batchHigh    = 0.8
+	batchLow     = 0.5
+)
+
+// reactive changes a role when one side's queues are long and the other's are
+// short.
+type reactive struct {
+	last float64
+}
+
+// plan implements rolePolicy.
+func (p *reactive) plan(s *simulation) {
+	now := s.clock.now
+	if now-p.last < reactiveRest || s.changing() {
+		return
+	}
+	prefill, decode := s.byRole(settings.RolePrefill), s.byRole(settings.RoleDecode)
+	waiting, batch := s.waitingSeconds(prefill), s.batchFill(decode)
+	switch {
+	case waiting > reactiveHigh && batch < batchLow && len(decode) > 1:
+		s.changeRole(decode[0], settings.RolePrefill)
+		p.last = now
+	case batch > batchHigh && waiting < reactiveLow && len(prefill) > 1:
+		s.changeRole(prefill[0], settings.RoleDecode)
+		p.last = now
+	}
+}
+
+// interval implements rolePolicy.
+func (p *reactive) interval() float64 { return reactiveInterval }
+
+func (s *simulation) byRole(role settings.Role) []int {
+	var out []int
+	for i, e := range s.engines {
+		if e.model.Up() && e.model.Role() == role {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (s *simulation) waitingSeconds(engines []int) float64 {
+	total := 0.0
+	for _, i := range engines {
+		report := s.engines[i].model.Report(modelName)
+		total += speed.Default.Prefill.Prefill(float64(report.QueuedPromptTokens))
+	}
+	return total / max(float64(len(engines)), 1)
+}
+
+func (s *simulation) batchFill(engines []int) float64 {
+	total := 0.0
+	for _, i := range engines {
+		report := s.engines[i].model.Report(modelName)
+		total += float64(report.Running+report.Queued) / float64(speed.Default.Decode.MaxSequences)
+	}
+	return total / max(float64(len(engines)), 1)
+}
--- /dev/null
+++ b/internal/experiment/bound.go
@@ -0,0 +1,188 @@
+package experiment
+
+import (
+	"math"
+	"sort"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+)
+
+// bisections is the number of steps with which a part of a slot is found.
+const bisections = 8
+
+// Bound returns the worth that a clairvoyant fluid plan can serve of the
+// requests that count. The plan knows all arrivals, splits requests at will,
+// may change roles at no cost, finds every shared prefix cached and fills
+// every batch. What is left are the engines' time and the expected waits, in
+// slots of one second. Work of one second with a release and a deadline is a
+// scheduling matroid, so that taking the work with the most worth per engine
+// second first, as far as it stays feasible, is best.
+func Bound(d *Deployment, c *Cell, arrivals []arrival) float64 {
+	b := newBoundPlan(d, c, arrivals)
+	worth := 0.0
+	for _, class := range b.order {
+		offered := b.work[class]
+		b.takeClass(class)
+		for t := range offered {
+			if offered[t] > 0 {
+				worth += b.worth[class][t] * b.taken[class][t] / offered[t]
+			}
+		}
+	}
+	return worth + b.slack
+}
+
+type boundPlan struct {
+	// capacity is the engine time in each slot; work, taken and worth are by
+	// class and slot of arrival.
+	capacity []float64
+	work     [][]float64
+	taken    [][]float64
+	worth    [][]float64
+	// wait is the number of slots in which work may be done.
+	wait  []int
+	order []int
+	// slack is the worth of what the bisections left open; adding it keeps
+	// the result an upper bound.
+	slack float64
+}
+
+func newBoundPlan(d *Deployment, c *Cell, arrivals []arrival) *boundPlan {
+	slots := int(c.Length) + 1
+	longest := 0
+	b := &boundPlan{}
+	for i := range d.Classes {
+		b.work = append(b.work, make([]float64, slots))
+		b.taken = append(b.taken, make([]float64, slots))
+		b.worth = append(b.worth, make([]float64, slots))
+		b.wait = append(b.wait, int(math.Ceil(d.Classes[i].Wait))+1)
+		longest = max(longest, b.wait[i])
+	}
+	for i := range arrivals {
+		a := &arrivals[i]
+		if a.at < warmUp {
+			continue
+		}
+		slot := int(a.at)
+		b.work[a.class][slot] += speed.Default.Cheapest(float64(a.prompt-a.cachable), float64(a.output))
+		b.worth[a.class][slot] += d.Classes[a.class].Worth
+	}
+	b.capacity = make([]float64, slots+longest)
+	for t := range b.capacity {
+		b.capacity[t] = capacityAt(d, c, float64(t)) * (1 - c.Foreign)
+	}
+	b.sort()
+	return b
+}
+
+func capacityAt(d *Deployment, c *Cell, t float64) float64 {
+	n := float64(d.Engines)
+	for _, l := range c.Losses {
+		if t >= math.Ceil(l.At) && (l.Back == 0 || t < math.Floor(l.Back)) {
+			n--
+		}
+	}
+	return n
+}
+
+// sort orders the classes by worth per engine second, most first.
+func (b *boundPlan) sort() {
+	density := make([]float64, len(b.work))
+	for class := range b.work {
+		b.order = append(b.order, class)
+		work, worth := sum(b.work[class]), sum(b.worth[class])
+		if work > 0 {
+			density[class] = worth / work
+		}
+	}
+	sort.SliceStable(b.order, func(i, j int) bool { return density[b.order[i]] > density[b.order[j]] })
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
+
+// takeClass takes as much of a class as is feasible beside what was taken.
+func (b *boundPlan) takeClass(class int) {
+	copy(b.taken[class], b.work[class])
+	if b.feasible() {
+		return
+	}
+	clear(b.taken[class])
+	for slot, work := range b.work[class] {
+		if work > 0 {
+			b.takeSlot(class, slot, work)
+		}
+	}
+}
+
+func (b *boundPlan) takeSlot(class, slot int, work float64) {
+	b.taken[class][slot] = work
+	if b.feasible() {
+		return
+	}
+	low, high := 0.0, work
+	for range bisections {
+		middle := (low + high) / 2
+		b.taken[class][slot] = middle
+		if b.feasible() {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	b.taken[class][slot] = low
+	b.slack += (high - low) / work * b.worth[class][slot]
+}
+
+// feasible reports whether all taken work can be done in time, by doing the
+// work with the earliest deadline first.
+func (b *boundPlan) feasible() bool {
+	const tolerance = 1e-9
+	heads := make([]int, len(b.taken))
+	rests := make([]float64, len(b.taken))
+	for class := range b.taken {
+		rests[class] = b.taken[class][0]
+	}
+	for t, capacity := range b.capacity {
+		for {
+			class := b.earliest(heads, t)
+			if class < 0 {
+				break
+			}
+			if t >= heads[class]+b.wait[class] && rests[class] > tolerance {
+				return false
+			}
+			done := min(rests[class], capacity)
+			rests[class] -= done
+			capacity -= done
+			if rests[class] > tolerance {
+				break
+			}
+			heads[class]++
+			if heads[class] < len(b.taken[class]) {
+				rests[class] = b.taken[class][heads[class]]
+			}
+		}
+	}
+	return true
+}
+
+// earliest returns the class whose oldest work has the earliest deadline, of
+// the work that arrived by slot t, or -1.
+func (b *boundPlan) earliest(heads []int, t int) int {
+	best := -1
+	for class, head := range heads {
+		if head > t || head >= len(b.taken[class]) {
+			continue
+		}
+		if best < 0 || head+b.wait[class] < heads[best]+b.wait[best] {
+			best = class
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/experiment/cell.go
@@ -0,0 +1,130 @@
+package experiment
+
+import "math"
+
+// Cell is one condition under which policies are compared. Times are in
+// seconds from the start.
+type Cell struct {
+	Name string
+	// Length is the time during which requests arrive.
+	Length float64
+	// Load is the offered engine time as a part of the fleet's, and Shift the
+	// part of the way from the mix heavy in output to the one heavy in
+	// prompts, both over time.
+	Load  func(t float64) float64
+	Shift func(t float64) float64
+	// ReportDelay is how late load reports reach the entries.
+	ReportDelay float64
+	// Foreign is the part of the engines' time that the old system takes.
+	Foreign float64
+	// Losses are crashes of engines.
+	Losses []Loss
+	// Waves makes long drafting and short answers arrive in turns of this
+	// period; 0 is none.
+	Waves float64
+}
+
+// Loss is a crash of one engine.
+type Loss struct {
+	At     float64
+	Engine int
+	// Back is when the engine works again; 0 is never.
+	Back float64
+}
+
+const (
+	// warmUp is the time before the first request that counts.
+	warmUp = 40
+	// usualLoad is the load of an ordinary hour.
+	usualLoad = 0.75
+	// nightLoad is the load of a quiet night.
+	nightLoad = 0.04
+	// shiftTime is the time in which the mix swings.
+	shiftTime = 120
+)
+
+func constant(value float64) func(float64) float64 {
+	return func(float64) float64 { return value }
+}
+
+// swing moves the mix to the heavy prompts within shiftTime, holds it and
+// moves it back.
+func swing(t float64) float64 {
+	const hold = 60
+	period := 2 * (shiftTime + hold)
+	at := math.Mod(t-warmUp+float64(period), float64(period))
+	switch {
+	case at < shiftTime:
+		return at / shiftTime
+	case at < shiftTime+hold:
+		return 1
+	case at < 2*shiftTime+hold:
+		return 1 - (at-shiftTime-hold)/shiftTime
+	}
+	return 0
+}
+
+// surge is the usual load with a rise to the given load for two minutes.
+func surge(height float64) func(float64) float64 {
+	const start, end = warmUp + 60, warmUp + 180
+	return func(t float64) float64 {
+		if t >= start && t < end {
+			return height
+		}
+		return usualLoad
+	}
+}
+
+// Cells returns all cells.
+func Cells() []Cell {
+	const length = 400
+	steady := Cell{Name: "steady", Length: length, Load: constant(usualLoad), Shift: constant(0.3), ReportDelay: 0.2}
+	with := func(name string, change func(c *Cell)) Cell {
+		c := steady
+		c.Name = name
+		change(&c)
+		return c
+	}
+	return []Cell{
+		steady,
+		with("swing", func(c *Cell) { c.Shift = swing }),
+		with("waves", func(c *Cell) { c.Waves = 40 }),
+		with("surge-1.5", func(c *Cell) { c.Load = surge(1.5) }),
+		with("surge-3", func(c *Cell) { c.Load = surge(3) }),
+		with("constant-3", func(c *Cell) { c.Load = constant(3) }),
+		with("lost-in-swing", func(c *Cell) {
+			c.Shift = swing
+			c.Losses = []Loss{{At: 90, Engine: 1, Back: 150}, {At: 110, Engine: 4}}
+		}),
+		with("late-1", func(c *Cell) { c.Shift = swing; c.ReportDelay = 1 }),
+		with("late-5", func(c *Cell) { c.Shift = swing; c.ReportDelay = 5 }),
+		with("late-20", func(c *Cell) { c.Shift = swing; c.ReportDelay = 20 }),
+		with("old-system-50", func(c *Cell) { c.Foreign = 0.5; c.Load = constant(usualLoad / 2) }),
+		with("quiet-night", func(c *Cell) { c.Load = constant(nightLoad); c.Shift = swing; c.Length = 900 }),
+	}
+}
+
+// rates returns the arrival rate of each class at a time, per second.
+func (c *Cell) rates(d *Deployment, t float64) []float64 {
+	shift := c.Shift(t)
+	out := make([]float64, len(d.Classes))
+	for i := range d.Classes {
+		part := d.Output[i] + shift*(d.Prompt[i]-d.Output[i])
+		out[i] = c.Load(t) * part * float64(d.Engines) / d.Classes[i].cost() * c.wave(i, t)
+	}
+	return out
+}
+
+// wave scales a class's rate: the first class drafts, the others answer in
+// between.
+func (c *Cell) wave(class int, t float64) float64 {
+	const height = 0.7
+	if c.Waves == 0 {
+		return 1
+	}
+	s := height * math.Sin(2*math.Pi*t/c.Waves)
+	if class == 0 {
+		return 1 + s
+	}
+	return 1 - s
+}
--- /dev/null
+++ b/internal/experiment/policy.go
@@ -0,0 +1,91 @@
+package experiment
+
+import (
+	"math/rand/v2"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/admission"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+)
+
+// Policy is one way to decide.
+type Policy struct {
+	Name string
+	// picker returns the picker of one entry.
+	picker func(seed uint64) routing.Picker
+	// admits is true for a policy that refuses by worth.
+	admits bool
+	// roles returns the policy for roles; nil leaves them as they are.
+	roles func(d *Deployment) rolePolicy
+}
+
+// rolePolicy changes roles in a simulation.
+type rolePolicy interface {
+	// interval is the time between two plans, in seconds.
+	interval() float64
+	// plan starts the changes that are due.
+	plan(s *simulation)
+}
+
+func predictive(seed uint64) routing.Picker {
+	return routing.NewPredictive(seed)
+}
+
+// Lagoonshift is the policy that the entries and the control run.
+var Lagoonshift = Policy{Name: "lagoonshift", picker: predictive, admits: true, roles: newGoodputRoles}
+
+// Policies returns lagoonshift's policy and the simpler ones.
+func Policies() []Policy {
+	noRoles := func(*Deployment) rolePolicy { return nil }
+	return []Policy{
+		Lagoonshift,
+		{Name: "static-roles", picker: predictive, admits: true, roles: noRoles},
+		{Name: "reactive-roles", picker: predictive, admits: true, roles: newReactive},
+		{Name: "round-robin", picker: func(uint64) routing.Picker { return &roundRobin{} }, roles: noRoles},
+		{Name: "least-reported", picker: func(uint64) routing.Picker { return leastReported{} }, roles: noRoles},
+		{Name: "two-choices", picker: func(seed uint64) routing.Picker {
+			return &twoChoices{random: rand.New(rand.NewPCG(seed, 2))}
+		}, roles: noRoles},
+		{Name: "two-choices-reactive", picker: func(seed uint64) routing.Picker {
+			return &twoChoices{random: rand.New(rand.NewPCG(seed, 2))}
+		}, roles: newReactive},
+	}
+}
+
+func newReactive(*Deployment) rolePolicy { return &reactive{last: -reactiveRest} }
+
+// goodputRoles runs the planner of package roleplan.
+type goodputRoles struct {
+	planner roleplan.Planner
+}
+
+func newGoodputRoles(*Deployment) rolePolicy {
+	return &goodputRoles{planner: roleplan.NewGoodput(roleplan.DefaultGoodput())}
+}
+
+// goodputInterval is the time between two plans, in seconds.
+const goodputInterval = 1
+
+// interval implements rolePolicy.
+func (g *goodputRoles) interval() float64 { return goodputInterval }
+
+// plan implements rolePolicy.
+func (g *goodputRoles) plan(s *simulation) {
+	now := s.clock.Now()
+	demand := s.collector.Demand(now, modelName)
+	moves := g.planner.Plan(now, s.model, demand, s.planEngines())
+	for _, m := range moves {
+		s.changeRole(s.indexOf[m.Engine], m.Role)
+	}
+}
+
+// picking wraps an entry's picker with admission; the demand that arrives is
+// counted for every policy.
+func (p *Policy) picking(e *entry, seed uint64) {
+	inner := p.picker(seed)
+	e.controller = admission.New(admission.Options{Picker: inner, Clock: e.clock, InProgress: e.tracker.InProgress})
+	e.picker = inner
+	if p.admits {
+		e.picker = e.controller
+	}
+}
--- /dev/null
+++ b/internal/experiment/request.go
@@ -0,0 +1,120 @@
+package experiment
+
+import (
+	"errors"
+
+	"github.com/lagoonshift/lagoonshift/internal/fake/enginemodel"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/admission"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+)
+
+type admissionController = admission.Controller
+
+// request is one request on its way.
+type request struct {
+	arrival *arrival
+	entry   *entry
+	class   *Class
+	routing routing.Request
+	job     *enginemodel.Job
+	engine  *engine
+	flight  *routing.Flight
+	tries   int
+	ended   bool
+}
+
+func (s *simulation) arrive(a *arrival) {
+	class := &s.deployment.Classes[a.class]
+	r := &request{arrival: a, entry: s.entries[a.entry], class: class}
+	r.routing = routing.Request{
+		Model: modelName, Team: teamName, Class: class.Name, Customer: engineName(a.customer),
+		PromptTokens: a.prompt, OutputTokens: class.MaxOutput, Prefix: a.prefix,
+		Priority: class.Priority, Worth: class.Worth, ExpectedWait: speed.Seconds(class.Wait),
+		Zone: zoneName(a.entry % s.deployment.Zones),
+	}
+	s.result.offer(a)
+	s.dispatch(r)
+}
+
+// dispatch picks an engine and hands the request to it.
+func (s *simulation) dispatch(r *request) {
+	for ; r.tries < maxAttempts; r.tries++ {
+		choice, err := r.entry.picker.Pick(r.entry.tracker.Snapshot(), &r.routing)
+		if err != nil {
+			s.refuse(r, err)
+			return
+		}
+		e := s.engines[s.indexOf[choice.Engine.Name]]
+		s.advance(e)
+		if s.submit(r, e) {
+			r.tries++
+			return
+		}
+		r.entry.tracker.Failed(e.name)
+		r.routing.Exclude = append(r.routing.Exclude, e.name)
+	}
+	s.refuse(r, routing.ErrNoEngine)
+}
+
+func (s *simulation) submit(r *request, e *engine) bool {
+	job := &enginemodel.Job{
+		Prompt: r.arrival.prompt, Output: r.arrival.output, Priority: r.class.Priority, Prefix: r.arrival.prefix,
+		OnFirst: func(float64) { r.flight.FirstToken() },
+		OnDone:  func(now float64) { s.done(r, now) },
+		OnFail:  func(now float64) { s.failed(r, now) },
+	}
+	r.flight = r.entry.tracker.Start(e.name, &r.routing)
+	r.job, r.engine = job, e
+	if !e.model.Submit(job) {
+		r.flight.Done()
+		return false
+	}
+	s.schedule(e)
+	if r.tries == 0 {
+		s.queue.at(r.arrival.at+r.class.Wait, func() { s.late(r) })
+	}
+	return true
+}
+
+func (s *simulation) done(r *request, now float64) {
+	r.flight.Finished(r.arrival.output)
+	r.flight.Done()
+	r.ended = true
+	s.result.answer(r.arrival, now)
+}
+
+// failed tries the request again elsewhere.
+func (s *simulation) failed(r *request, now float64) {
+	r.flight.Done()
+	r.entry.tracker.Failed(r.engine.name)
+	r.routing.Exclude = append(r.routing.Exclude, r.engine.name)
+	r.routing.ExpectedWait = speed.Seconds(r.arrival.at + r.class.Wait - now)
+	s.queue.at(now, func() {
+		if !r.ended {
+			s.dispatch(r)
+		}
+	})
+}
+
+// late cancels a request whose expected wait is over.
+func (s *simulation) late(r *request) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	s.advance(r.engine)
+	r.engine.model.Cancel(r.job)
+	s.schedule(r.engine)
+	r.flight.Done()
+	s.result.late(r.arrival)
+}
+
+func (s *simulation) refuse(r *request, err error) {
+	r.ended = true
+	var overloaded *routing.OverloadedError
+	if errors.As(err, &overloaded) {
+		s.result.RetryAfter += overloaded.RetryAfter.Seconds()
+	}
+	s.result.refuse(r.arrival, s.clock.now)
+}
--- /dev/null
+++ b/internal/experiment/simulation.go
@@ -0,0 +1,281 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/fake/enginemodel"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/strictjson"
+)
+
+const (
+	modelName = "drafting"
+	teamName  = "team"
+	// reportInterval is the time between two load reports, in seconds.
+	reportInterval = 0.5
+	// demandInterval is the time between two demand reports.
+	demandInterval = 1
+	// roleChangeTime is how long a role change takes an engine away.
+	roleChangeTime = 6
+	// cacheEventDelay is how late cache events are and cacheEventLoss the
+	// part that is lost.
+	cacheEventDelay = 1
+	cacheEventLoss  = 0.02
+	// maxAttempts bounds the engines that one request is tried at.
+	maxAttempts = 3
+)
+
+// engine is one engine of a run.
+type engine struct {
+	name  string
+	model *enginemodel.Engine
+	// wake counts the wake-ups asked for; only the newest counts.
+	wake  int
+	since clock.Instant
+}
+
+// entry is one entry of a run.
+type entry struct {
+	clock      *virtualClock
+	tracker    *routing.Tracker
+	controller *admissionController
+	picker     routing.Picker
+}
+
+// simulation is one run.
+type simulation struct {
+	deployment *Deployment
+	cell       *Cell
+	clock      *virtualClock
+	queue      *queue
+	model      settings.Model
+	engines    []*engine
+	indexOf    map[string]int
+	entries    []*entry
+	collector  *roleplan.Collector
+	result     *Result
+	events     int
+}
+
+// run runs one policy over the arrivals of a cell.
+func run(d *Deployment, c *Cell, p *Policy, arrivals []arrival, seed uint64) *Result {
+	s := newSimulation(d, c, p, seed)
+	end := c.Length
+	s.queue.every(0, reportInterval, end, s.reportLoads)
+	s.queue.every(0, demandInterval, end, s.reportDemand)
+	if roles := p.roles(d); roles != nil {
+		s.queue.every(warmUp/2, roles.interval(), end, func() { roles.plan(s) })
+	}
+	for _, l := range c.Losses {
+		s.queue.at(l.At, func() { s.crash(l.Engine) })
+		if l.Back > 0 {
+			s.queue.at(l.Back, s.engines[l.Engine].model.Restart)
+		}
+	}
+	for i := range arrivals {
+		a := &arrivals[i]
+		s.queue.at(a.at, func() { s.arrive(a) })
+	}
+	s.queue.run()
+	return s.result
+}
+
+func newSimulation(d *Deployment, c *Cell, p *Policy, seed uint64) *simulation {
+	now := &virtualClock{}
+	s := &simulation{
+		deployment: d, cell: c, clock: now, queue: &queue{clock: now},
+		indexOf: make(map[string]int), collector: roleplan.NewCollector(),
+		result: newResult(d),
+	}
+	s.addEngines()
+	configuration := s.configuration()
+	s.model = configuration.Models[modelName]
+	for i := range d.Entries {
+		e := &entry{clock: now, tracker: routing.NewTracker(now)}
+		e.tracker.Configure(configuration)
+		p.picking(e, seed*1000+uint64(i))
+		s.entries = append(s.entries, e)
+	}
+	return s
+}
+
+func (s *simulation) addEngines() {
+	table := speed.Default
+	for i, role := range startRoles(s.deployment, s.cell) {
+		e := &engine{name: engineName(i), model: enginemodel.New(&table, role)}
+		e.model.SetForeign(s.cell.Foreign)
+		s.indexOf[e.name] = i
+		s.engines = append(s.engines, e)
+	}
+}
+
+func engineName(i int) string { return fmt.Sprintf("engine-%04d", i) }
+
+func zoneName(i int) string { return string(rune('a' + i)) }
+
+func (s *simulation) configuration() *settings.Configuration {
+	model := settings.Model{Engines: make(map[string]settings.Engine), RolePrice: s.deployment.RolePrice, MinPrefill: 1, MinDecode: 1}
+	for i, e := range s.engines {
+		model.Engines[e.name] = settings.Engine{
+			URL: "http://" + e.name, Zone: zoneName(i % s.deployment.Zones), Authority: settings.AuthorityLagoonshift,
+		}
+	}
+	classes := make(map[string]settings.Class)
+	for _, k := range s.deployment.Classes {
+		classes[k.Name] = settings.Class{Model: modelName, ExpectedWait: strictjson.Duration(speed.Seconds(k.Wait)), Worth: k.Worth}
+	}
+	return &settings.Configuration{
+		Models: map[string]settings.Model{modelName: model},
+		Teams:  map[string]settings.Team{teamName: {Classes: classes}},
+	}
+}
+
+// startRoles returns the roles with which a fluid plan serves most of the
+// cell's mean mix at full load. All policies start with them.
+func startRoles(d *Deployment, c *Cell) []settings.Role {
+	mixes := meanMixes(d, c)
+	var best fluid.Capacity
+	most := -1.0
+	for prefill := 1; prefill < d.Engines; prefill++ {
+		for decode := 1; prefill+decode <= d.Engines; decode++ {
+			capacity := fluid.Capacity{float64(prefill), float64(decode), float64(d.Engines - prefill - decode)}
+			worth := 0.0
+			for _, classes := range mixes {
+				worth += fluid.Best(&speed.Default, capacity, classes).Worth
+			}
+			if worth > most {
+				best, most = capacity, worth
+			}
+		}
+	}
+	var out []settings.Role
+	for r, n := range best {
+		for range int(n) {
+			out = append(out, speed.Roles[r])
+		}
+	}
+	return out
+}
+
+// meanMixes returns the demand at some moments of the cell, scaled to the
+// whole fleet.
+func meanMixes(d *Deployment, c *Cell) [][]fluid.Class {
+	const moments = 8
+	full := *c
+	full.Load = constant(1)
+	full.Waves = 0
+	var out [][]fluid.Class
+	for i := range moments {
+		t := warmUp + (c.Length-warmUp)*float64(i)/moments
+		var classes []fluid.Class
+		for k, rate := range full.rates(d, t) {
+			class := &d.Classes[k]
+			classes = append(classes, fluid.Class{
+				Rate: rate, PromptTokens: float64(class.OwnTokens),
+				OutputTokens: float64(class.MaxOutput) * meanOutput, Worth: class.Worth,
+			})
+		}
+		out = append(out, classes)
+	}
+	return out
+}
+
+// reportLoads takes every engine's load report and delivers it late.
+func (s *simulation) reportLoads() {
+	for _, e := range s.engines {
+		s.advance(e)
+		if !e.model.Up() {
+			continue
+		}
+		report := e.model.Report(modelName)
+		events := e.model.CacheEvents()
+		at := s.clock.Now()
+		s.queue.at(s.clock.now+s.cell.ReportDelay, func() {
+			for _, n := range s.entries {
+				n.tracker.Report(e.name, report, at)
+			}
+		})
+		s.queue.at(s.clock.now+cacheEventDelay, func() { s.deliverCacheEvents(e.name, events) })
+	}
+}
+
+func (s *simulation) deliverCacheEvents(name string, events []routing.CacheEvent) {
+	for _, event := range events {
+		s.events++
+		if s.events%int(1/cacheEventLoss) == 0 {
+			continue
+		}
+		for _, n := range s.entries {
+			n.tracker.CacheEvent(name, event)
+		}
+	}
+}
+
+func (s *simulation) reportDemand() {
+	for i, n := range s.entries {
+		s.collector.Add(s.clock.Now(), roleplan.Report{Member: engineName(i), Models: n.controller.Demand()})
+	}
+}
+
+func (s *simulation) planEngines() []roleplan.Engine {
+	out := make([]roleplan.Engine, 0, len(s.engines))
+	for _, e := range s.engines {
+		changing := e.model.Changing()
+		out = append(out, roleplan.Engine{
+			Name: e.name, Role: e.model.Role(), Available: e.model.Up() && !changing, Changing: changing, Since: e.since,
+		})
+	}
+	return out
+}
+
+func (s *simulation) changing() bool {
+	for _, e := range s.engines {
+		if e.model.Changing() {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *simulation) changeRole(i int, role settings.Role) {
+	e := s.engines[i]
+	s.advance(e)
+	e.model.ChangeRole(role, roleChangeTime)
+	e.since = s.clock.Now().Add(speed.Seconds(roleChangeTime))
+	s.result.RoleChanges++
+	s.schedule(e)
+}
+
+func (s *simulation) crash(i int) {
+	e := s.engines[i]
+	s.advance(e)
+	e.model.Crash()
+}
+
+// advance brings an engine to the present.
+func (s *simulation) advance(e *engine) {
+	e.model.Advance(s.clock.now)
+}
+
+// schedule asks for a wake-up at the engine's next event.
+func (s *simulation) schedule(e *engine) {
+	e.wake++
+	wake := e.wake
+	next := e.model.Next()
+	if math.IsInf(next, 1) {
+		return
+	}
+	s.queue.at(next, func() {
+		if e.wake != wake {
+			return
+		}
+		s.advance(e)
+		s.schedule(e)
+	})
+}
