--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -81,9 +81,9 @@
 
 // picking wraps an entry's picker with admission; the demand that arrives is
 // counted for every policy.
-func (p *Policy) picking(e *entry, seed uint64) {
+func (p *Policy) picking(e *entry, entries int, seed uint64) {
 	inner := p.picker(seed)
-	e.controller = admission.New(admission.Options{Picker: inner, Clock: e.clock, InProgress: e.tracker.InProgress})
+	e.controller = admission.New(admission.Options{Picker: inner, Clock: e.clock, InProgress: e.tracker.InProgress, Entries: func() int { return entries }})
 	e.picker = inner
 	if p.admits {
 		e.picker = e.controller
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -63,6 +63,8 @@
 	events     int
 }
 
+var debug func(*simulation)
+
 // run runs one policy over the arrivals of a cell.
 func run(d *Deployment, c *Cell, p *Policy, arrivals []arrival, seed uint64) *Result {
 	s := newSimulation(d, c, p, seed)
@@ -82,6 +84,9 @@
 		a := &arrivals[i]
 		s.queue.at(a.at, func() { s.arrive(a) })
 	}
+	if debug != nil {
+		s.queue.every(20, 60, end, func() { debug(s) })
+	}
 	s.queue.run()
 	return s.result
 }
@@ -99,7 +104,7 @@
 	for i := range d.Entries {
 		e := &entry{clock: now, tracker: routing.NewTracker(now)}
 		e.tracker.Configure(configuration)
-		p.picking(e, seed*1000+uint64(i))
+		p.picking(e, d.Entries, seed*1000+uint64(i))
 		s.entries = append(s.entries, e)
 	}
 	return s
--- a/internal/protocol/admission/admission.go
+++ b/internal/protocol/admission/admission.go
@@ -33,6 +33,9 @@
 	Clock  clock.Clock
 	// InProgress counts a customer's requests at engines; nil counts none.
 	InProgress func(team, customer string) int
+	// Entries returns the number of entries that share the engines; nil
+	// counts this one only.
+	Entries func() int
 	// Headroom scales the engines' rates; 0 selects the default.
 	Headroom float64
 }
@@ -40,9 +43,8 @@
 // Controller admits requests and lets a picker choose their engine. It is a
 // routing.Picker and safe for concurrent use.
 //
-// Each entry plans for itself: it takes the part of the engines' rates that is
-// equal to its part of their work, and spends it on the classes with the most
-// worth per engine second. Refusals are immediate; nothing is queued here.
+// Each entry plans for itself: it takes an equal part of the engines' rates and
+// spends it on the classes with the most worth per engine second. Refusals are immediate; nothing is queued here.
 type Controller struct {
 	options Options
 
@@ -95,12 +97,12 @@
 	class.observe(r)
 	customer.seen++
 	if now.Sub(m.planned) >= planInterval {
-		m.plan(now, view, c.options.Headroom)
+		m.plan(now, view, c.options.Headroom/float64(c.entries()))
 	}
-	if c.overLimit(view, r) {
+	if c.overLimit(r) {
 		return &routing.OverloadedError{RetryAfter: routing.MinRetryAfter}
 	}
-	if !customer.take() {
+	if !class.take(customer) {
 		return &routing.OverloadedError{RetryAfter: routing.ClampRetryAfter(view.DrainTime())}
 	}
 	return nil
@@ -114,17 +116,24 @@
 }
 
 // overLimit reports whether the customer has its greatest number of requests
-// in progress. This entry grants its share of the limit, rounded up. The
+// in progress. This entry grants its part of the limit, at least one. The
 // caller holds mu.
-func (c *Controller) overLimit(view *routing.ModelView, r *routing.Request) bool {
+func (c *Controller) overLimit(r *routing.Request) bool {
 	limit := c.customerSettings(r).MaxConcurrent
 	if limit == 0 || c.options.InProgress == nil {
 		return false
 	}
-	granted := max(float64(limit)*min(view.Share, 1), 1)
+	granted := max(float64(limit)/float64(c.entries()), 1)
 	return float64(c.options.InProgress(r.Team, r.Customer)) >= granted
 }
 
+func (c *Controller) entries() int {
+	if c.options.Entries == nil {
+		return 1
+	}
+	return max(c.options.Entries(), 1)
+}
+
 // customerSettings returns the settings of the request's customer. The caller
 // holds mu.
 func (c *Controller) customerSettings(r *routing.Request) settings.Customer {
@@ -192,12 +201,13 @@
 	}
 }
 
-// plan decides which part of each class is admitted until the next plan.
-func (m *model) plan(now clock.Instant, view *routing.ModelView, headroom float64) {
+// plan decides which part of each class is admitted until the next plan, when
+// this entry may use the given part of the engines.
+func (m *model) plan(now clock.Instant, view *routing.ModelView, part float64) {
 	m.age(now)
 	capacity := view.Capacity
 	for r := range capacity {
-		capacity[r] *= view.Share * headroom
+		capacity[r] *= part
 	}
 	keys := m.keys()
 	demand := make([]fluid.Class, len(keys))
--- a/internal/protocol/admission/class.go
+++ b/internal/protocol/admission/class.go
@@ -21,6 +21,8 @@
 	// prompt, output and cached are mean tokens per request.
 	prompt, output, cached float64
 	worth                  float64
+	// seen counts requests since the last plan; rate is per second.
+	seen, rate float64
 	customers              map[string]*customer
 	// fraction is the part of a new customer's requests that is admitted.
 	fraction float64
@@ -43,6 +45,7 @@
 	k.prompt += sizeWeight * (float64(r.PromptTokens) - k.prompt)
 	k.output += sizeWeight * (float64(r.OutputTokens) - k.output)
 	k.worth = r.Worth
+	k.seen++
 }
 
 // defaultShare is the weight of a customer without settings.
@@ -60,8 +63,11 @@
 
 func (k *class) age(elapsed time.Duration) {
 	keep := math.Exp(-elapsed.Seconds() / rateTime.Seconds())
+	perSecond := (1 - keep) / max(elapsed, planInterval).Seconds()
+	k.rate = k.rate*keep + k.seen*perSecond
+	k.seen = 0
 	for name, c := range k.customers {
-		c.rate = c.rate*keep + c.seen/max(elapsed.Seconds(), planInterval.Seconds())*(1-keep)
+		c.rate = c.rate*keep + c.seen*perSecond
 		c.seen = 0
 		if c.rate < forgetRate {
 			delete(k.customers, name)
@@ -69,17 +75,9 @@
 	}
 }
 
-func (k *class) rate() float64 {
-	sum := 0.0
-	for _, name := range slices.Sorted(maps.Keys(k.customers)) {
-		sum += k.customers[name].rate
-	}
-	return sum
-}
-
 func (k *class) fluid() fluid.Class {
 	return fluid.Class{
-		Rate:         k.rate(),
+		Rate:         k.rate,
 		PromptTokens: max(k.prompt-k.cached, 0),
 		OutputTokens: k.output,
 		Worth:        k.worth,
@@ -89,6 +87,10 @@
 // grant divides a rate among the customers by weighted max-min fairness: each
 // gets its weighted part, and what it does not need goes to the others.
 func (k *class) grant(rate float64) {
+	k.fraction = fractionOf(rate, k.rate)
+	if k.fraction >= 1 {
+		return
+	}
 	order := slices.Sorted(maps.Keys(k.customers))
 	slices.SortStableFunc(order, func(a, b string) int {
 		x, y := k.customers[a], k.customers[b]
@@ -106,7 +108,6 @@
 		left -= granted
 		shares -= c.share
 	}
-	k.fraction = fractionOf(rate, k.rate())
 }
 
 // fullFraction is the part from which on every request is admitted, so that
@@ -120,9 +121,9 @@
 	return granted / wanted
 }
 
-// take reports whether the next request is admitted.
-func (c *customer) take() bool {
-	if c.fraction >= 1 {
+// take reports whether the customer's next request is admitted.
+func (k *class) take(c *customer) bool {
+	if k.fraction >= 1 || c.fraction >= 1 {
 		return true
 	}
 	c.credit += c.fraction
--- a/internal/protocol/routing/ownwork.go
+++ b/internal/protocol/routing/ownwork.go
@@ -50,18 +50,28 @@
 	o.mu.Unlock()
 }
 
-// at returns the work at an instant of the recent past.
+// at returns the work at an instant of the recent past: the mean of the ends
+// of the step in which the instant lies and of the step before.
 func (o *ownWork) at(at clock.Instant) Work {
 	step := stepOf(at)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	after, before := o.endOf(step), o.endOf(step-1)
+	return Work{
+		Requests:     float64(after.requests+before.requests) / 2,
+		PromptTokens: float64(after.prompt+before.prompt) / 2,
+	}
+}
+
+// endOf returns the work at the end of a step. The caller holds mu.
+func (o *ownWork) endOf(step int32) ownSample {
 	for back := range int32(historySteps) {
 		s := o.history[(step-back)&(historySteps-1)]
 		if s.step == step-back && s.step > 0 {
-			return Work{Requests: float64(s.requests), PromptTokens: float64(s.prompt)}
+			return s
 		}
 	}
-	return Work{}
+	return ownSample{}
 }
 
 func stepOf(at clock.Instant) int32 {
--- a/internal/protocol/routing/routing.go
+++ b/internal/protocol/routing/routing.go
@@ -101,8 +101,6 @@
 	// Capacity counts the accepting engines by role; a slow engine counts as
 	// a part of one.
 	Capacity fluid.Capacity
-	// Share is this entry's part of all work at the model's engines.
-	Share float64
 
 	prefixes *prefixIndex
 }
@@ -124,7 +122,7 @@
 		}
 		return &ModelView{Speeds: &speed.Default}
 	}
-	v := &ModelView{Speeds: &speed.Default, Share: 1}
+	v := &ModelView{Speeds: &speed.Default}
 	for _, e := range s.Engines {
 		if e.Model == name {
 			v.Engines = append(v.Engines, e)
@@ -134,13 +132,17 @@
 	return v
 }
 
+// interference is the slowdown that prefill beside decode explains; only what
+// goes beyond it means that an engine is slow.
+const interference = 1.4
+
 func capacityOf(engines []Engine) fluid.Capacity {
 	var c fluid.Capacity
 	for i := range engines {
 		if !engines[i].Accepting {
 			continue
 		}
-		c[roleIndex(engines[i].Role)] += 1 / max(engines[i].Slowdown, 1)
+		c[roleIndex(engines[i].Role)] += min(interference/max(engines[i].Slowdown, 1), 1)
 	}
 	return c
 }
--- a/internal/protocol/routing/tracker.go
+++ b/internal/protocol/routing/tracker.go
@@ -23,9 +23,6 @@
 	// trustTime is the age at which the trust in a load report has fallen to
 	// 1/e.
 	trustTime = 6 * time.Second
-	// shareTime is the time over which this entry's share of a model's work
-	// is averaged.
-	shareTime = 30 * time.Second
 	// hintsPerEngine is the room in the prefix index for each engine.
 	hintsPerEngine = 8192
 	// maxHints bounds a prefix index.
@@ -63,9 +60,6 @@
 type trackedModel struct {
 	table    *speed.Table
 	prefixes *prefixIndex
-	// own and all are decaying sums of the requests seen in load reports.
-	own, all float64
-	at       clock.Instant
 }
 
 // NewTracker returns a tracker that knows no engine.
@@ -113,7 +107,7 @@
 	m := t.models[name]
 	hints := min(len(model.Engines)*hintsPerEngine, maxHints)
 	if m == nil {
-		m = &trackedModel{at: t.clock.Now()}
+		m = &trackedModel{}
 		t.models[name] = m
 	}
 	m.table = speed.FromModel(model)
@@ -160,7 +154,6 @@
 		PromptTokens: max(reported.PromptTokens-own.PromptTokens, 0),
 	}
 	e.Accepting = accepting
-	t.models[e.Model].observe(t.clock.Now(), own.Requests, reported.Requests)
 	if urgent {
 		t.publish()
 		return
@@ -181,20 +174,6 @@
 	t.publish()
 }
 
-func (m *trackedModel) observe(now clock.Instant, own, all float64) {
-	keep := math.Exp(-now.Sub(m.at).Seconds() / shareTime.Seconds())
-	m.at = now
-	m.own = m.own*keep + own
-	m.all = m.all*keep + max(all, own)
-}
-
-// share is this entry's part of the model's work; with no work at all the
-// entry counts as the only one.
-func (m *trackedModel) share() float64 {
-	const prior = 1
-	return (m.own + prior) / (m.all + prior)
-}
-
 // publish replaces the snapshot. The caller holds mu.
 func (t *Tracker) publish() {
 	t.dirty.Store(false)
@@ -227,7 +206,6 @@
 		Engines:  engines,
 		Speeds:   m.table,
 		Capacity: capacityOf(engines),
-		Share:    m.share(),
 		prefixes: m.prefixes,
 	}
 }
