Learn the lengths of answers and the cached part of prompts faster

Cause: admission planned with the greatest length of an answer and took 50 requests a class to learn how much of a prompt is cached, so it refused long drafts while batches were a fifth full.

--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -83,7 +83,7 @@
 // counted for every policy.
 func (p *Policy) picking(e *entry, entries int, seed uint64) {
 	inner := p.picker(seed)
-	e.controller = admission.New(admission.Options{Picker: inner, Clock: e.clock, InProgress: e.tracker.InProgress, Entries: func() int { return entries }})
+	e.controller = admission.New(admission.Options{Picker: inner, Clock: e.clock, Tracker: e.tracker, Entries: func() int { return entries }})
 	e.picker = inner
 	if p.admits {
 		e.picker = e.controller
--- a/internal/protocol/admission/admission.go
+++ b/internal/protocol/admission/admission.go
@@ -19,7 +19,8 @@
 	planInterval = 500 * time.Millisecond
 	// rateTime is the time over which arrival rates are averaged.
 	rateTime = 5 * time.Second
-	// sizeWeight is the weight of one request in the mean sizes of its class.
+	// sizeWeight is the least weight of one request in the mean sizes of its
+	// class; the first ones weigh more.
 	sizeWeight = 0.02
 	// defaultHeadroom is the part of the engines' full rate that is planned
 	// with.
@@ -31,8 +32,9 @@
 	// Picker chooses the engine for an admitted request.
 	Picker routing.Picker
 	Clock  clock.Clock
-	// InProgress counts a customer's requests at engines; nil counts none.
-	InProgress func(team, customer string) int
+	// Tracker knows the requests in progress and the lengths of answers; nil
+	// knows nothing.
+	Tracker *routing.Tracker
 	// Entries returns the number of entries that share the engines; nil
 	// counts this one only.
 	Entries func() int
@@ -71,6 +73,9 @@
 // Pick implements routing.Picker. A request that was admitted before and is
 // tried again, which shows in Exclude, is not counted a second time.
 func (c *Controller) Pick(s *routing.Snapshot, r *routing.Request) (routing.Choice, error) {
+	if c.options.Tracker != nil {
+		r.OutputRatio = c.options.Tracker.OutputRatio(r.Team, r.Class)
+	}
 	if len(r.Exclude) > 0 {
 		return c.options.Picker.Pick(s, r)
 	}
@@ -112,7 +117,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	class := c.model(c.options.Clock.Now(), r.Model).class(r)
-	class.cached += sizeWeight * (float64(tokens) - class.cached)
+	class.picked++
+	class.cached += max(sizeWeight, 1/class.picked) * (float64(tokens) - class.cached)
 }
 
 // overLimit reports whether the customer has its greatest number of requests
@@ -120,11 +126,11 @@
 // caller holds mu.
 func (c *Controller) overLimit(r *routing.Request) bool {
 	limit := c.customerSettings(r).MaxConcurrent
-	if limit == 0 || c.options.InProgress == nil {
+	if limit == 0 || c.options.Tracker == nil {
 		return false
 	}
 	granted := max(float64(limit)/float64(c.entries()), 1)
-	return float64(c.options.InProgress(r.Team, r.Customer)) >= granted
+	return float64(c.options.Tracker.InProgress(r.Team, r.Customer)) >= granted
 }
 
 func (c *Controller) entries() int {
--- a/internal/protocol/admission/class.go
+++ b/internal/protocol/admission/class.go
@@ -20,6 +20,8 @@
 type class struct {
 	// prompt, output and cached are mean tokens per request.
 	prompt, output, cached float64
+	// observed and picked count requests.
+	observed, picked float64
 	worth                  float64
 	// seen counts requests since the last plan; rate is per second.
 	seen, rate float64
@@ -42,8 +44,10 @@
 }
 
 func (k *class) observe(r *routing.Request) {
-	k.prompt += sizeWeight * (float64(r.PromptTokens) - k.prompt)
-	k.output += sizeWeight * (float64(r.OutputTokens) - k.output)
+	k.observed++
+	weight := max(sizeWeight, 1/k.observed)
+	k.prompt += weight * (float64(r.PromptTokens) - k.prompt)
+	k.output += weight * (float64(r.OutputTokens)*cmp.Or(r.OutputRatio, 1) - k.output)
 	k.worth = r.Worth
 	k.seen++
 }
--- a/internal/protocol/routing/flight.go
+++ b/internal/protocol/routing/flight.go
@@ -29,6 +29,10 @@
 	prompt atomic.Int64
 	first  atomic.Int64
 	done   atomic.Bool
+	// team, class and bound are the request's, for its length.
+	team  string
+	class string
+	bound int
 	// customer counts the customer's requests in progress.
 	customer *atomic.Int64
 }
@@ -42,6 +46,7 @@
 		return f
 	}
 	f.engine = e
+	f.team, f.class, f.bound = r.Team, r.Class, r.OutputTokens
 	f.prompt.Store(int64(r.PromptTokens))
 	f.step = t.predictStep(e)
 	f.customer = t.customer(r.Team, r.Customer)
@@ -68,7 +73,13 @@
 // The entry learns from it how fast the engine is.
 func (f *Flight) Finished(tokens int) {
 	first := f.first.Load()
-	if f.engine == nil || first == 0 || tokens < minLearnTokens {
+	if f.engine == nil || first == 0 {
+		return
+	}
+	if f.bound > 0 {
+		f.tracker.lengths.learn(f.team, f.class, float64(tokens)/float64(f.bound))
+	}
+	if tokens < minLearnTokens {
 		return
 	}
 	took := f.tracker.clock.Now().Sub(clock.Instant(first)).Seconds()
--- a/internal/protocol/routing/predict.go
+++ b/internal/protocol/routing/predict.go
@@ -59,19 +59,19 @@
 	if excess <= 0 {
 		return 0
 	}
-	return excess / slots * float64(r.OutputTokens) * s.Step(slots)
+	return excess / slots * r.expectedOutput() * s.Step(slots)
 }
 
 func decodeTime(s *speed.Speed, p *Prediction, r *Request) float64 {
 	batch := min(p.Load.Requests+1, float64(s.MaxSequences))
-	return float64(r.OutputTokens) * s.Step(batch)
+	return r.expectedOutput() * s.Step(batch)
 }
 
 // othersDelay is how much longer the requests already at the engine take in
 // sum: each waits through the prefill and through the longer decode steps.
 func othersDelay(s *speed.Speed, p *Prediction, r *Request) float64 {
 	batch := min(p.Load.Requests, float64(s.MaxSequences))
-	return batch * (p.Prefill + float64(r.OutputTokens)*s.StepPerSequence)
+	return batch * (p.Prefill + r.expectedOutput()*s.StepPerSequence)
 }
 
 // DrainTime is how long the model's accepting engines need for the prompts
--- a/internal/protocol/routing/routing.go
+++ b/internal/protocol/routing/routing.go
@@ -38,6 +38,9 @@
 	// PromptTokens and OutputTokens are counts; OutputTokens is an upper bound.
 	PromptTokens int
 	OutputTokens int
+	// OutputRatio is the expected length of the answer as a part of
+	// OutputTokens; 0 counts as 1. Package admission sets it.
+	OutputRatio float64
 	// Prefix holds the hashes of the prompt's prefixes, piece by piece.
 	Prefix []uint64
 	// Priority is the class's priority.
@@ -52,6 +55,14 @@
 	Exclude []string
 }
 
+// expectedOutput is the expected length of the answer, in tokens.
+func (r *Request) expectedOutput() float64 {
+	if r.OutputRatio == 0 {
+		return float64(r.OutputTokens)
+	}
+	return r.OutputRatio * float64(r.OutputTokens)
+}
+
 // Engine is one engine as an entry sees it.
 type Engine struct {
 	Name  string
--- a/internal/protocol/routing/tracker.go
+++ b/internal/protocol/routing/tracker.go
@@ -39,6 +39,7 @@
 	dirty     atomic.Bool
 	published atomic.Int64 // instant of the current snapshot
 	customers sync.Map     // customerKey to *atomic.Int64
+	lengths   lengths
 
 	mu     sync.Mutex // guards the content of tracked engines and models
 	models map[string]*trackedModel
