Refuse by worth only where the engines' load confirms the plan

Cause: an entry sees two drafts a second at most, so its arrival rates are noisy, and the plan refused work while batches were a third full.

--- a/internal/experiment/dbg_test.go
+++ b/internal/experiment/dbg_test.go
@@ -29,6 +29,7 @@
 		seen[fmt.Sprintf("%s predicted=%v", r.class.Name, err2 != nil)]++
 		if r.class.Name == "triage" && len(seen) > 0 && seen["triage predicted=false"]%400 == 0 {
 			v := r.entry.tracker.Snapshot().Model(modelName)
+			if s2 == nil { return }
 			fmt.Println("REF", s2.clock.now, v.Capacity, r.entry.controller.String())
 		}
 	}
@@ -44,7 +45,7 @@
 		for i := range v.Engines {
 			e := &v.Engines[i]
 			rep := s.engines[i].model.Report("")
-			fmt.Printf("  %s q%d r%d p%d | %.1f %.0f slow %.2f\n", e.Role[:1], rep.Queued, rep.Running, rep.QueuedPromptTokens, e.Load().Requests, e.Load().PromptTokens, e.Slowdown)
+			fmt.Printf("  %s q%d r%d p%d hit %.2f busy %.2f | %.1f %.0f slow %.2f\n", e.Role[:1], rep.Queued, rep.Running, rep.QueuedPromptTokens, float64(s.engines[i].model.Cached)/float64(s.engines[i].model.Prompted+1), s.engines[i].model.Busy/s.clock.now, e.Load().Requests, e.Load().PromptTokens, e.Slowdown)
 		}
 	}
 	r := run(d, &c, &p, arr, 1)
--- a/internal/fake/enginemodel/engine.go
+++ b/internal/fake/enginemodel/engine.go
@@ -68,6 +68,11 @@
 	cache    *cache
 	events   []routing.CacheEvent
 	eventSeq uint64
+
+	// Prompted, Cached and Busy add up prompt tokens, those found in the
+	// cache, and seconds with work.
+	Prompted, Cached int
+	Busy             float64
 }
 
 // New returns an idle engine.
@@ -211,6 +216,9 @@
 func (e *Engine) Advance(now float64) {
 	elapsed := now - e.now
 	if e.up && !e.stalled && elapsed > 0 {
+		if e.prefill != nil || len(e.running) > 0 {
+			e.Busy += elapsed
+		}
 		prefillRate, decodeRate := e.rates()
 		e.progress += decodeRate * elapsed
 		if e.prefill != nil {
@@ -277,6 +285,8 @@
 		}
 		held := e.cache.match(j.Prefix) * routing.PieceTokens
 		j.left = max(float64(j.Prompt-held), 1)
+		e.Prompted += j.Prompt
+		e.Cached += j.Prompt - int(j.left)
 		e.prefill = j
 	}
 }
--- a/internal/protocol/admission/admission.go
+++ b/internal/protocol/admission/admission.go
@@ -221,7 +221,22 @@
 		demand[i] = m.classes[key].fluid()
 	}
 	best := fluid.Best(view.Speeds, capacity, demand)
+	strict := strictness(view.Pressure())
 	for i, key := range keys {
-		m.classes[key].grant(best.Served[i])
+		m.classes[key].grant(best.Served[i]*strict + demand[i].Rate*(1-strict))
 	}
 }
+
+const (
+	// easyPressure is the pressure up to which nothing is refused by worth,
+	// and fullPressure that from which on the plan is kept strictly.
+	easyPressure = 0.35
+	fullPressure = 0.7
+)
+
+// strictness is the part of the plan's refusals that the pressure on the
+// engines confirms. The plan rests on one entry's noisy arrival rates, the
+// pressure on late load reports; a request is refused when both agree.
+func strictness(pressure float64) float64 {
+	return min(max((pressure-easyPressure)/(fullPressure-easyPressure), 0), 1)
+}
--- a/internal/protocol/routing/predict.go
+++ b/internal/protocol/routing/predict.go
@@ -78,17 +78,29 @@
 // that wait there and for the requests that have no room in a batch, in
 // seconds.
 func (v *ModelView) DrainTime() float64 {
-	var prefill, excess, engines float64
+	return v.mean(func(s *speed.Speed, load Work) float64 {
+		excess := max(load.Requests/float64(s.MaxSequences)-1, 0)
+		return s.Prefill(load.PromptTokens)/s.PrefillShare + excess
+	})
+}
+
+// Pressure tells how near the model's accepting engines are to full batches,
+// or to a second's worth of waiting prompts if that is nearer: 1 is full.
+func (v *ModelView) Pressure() float64 {
+	return v.mean(func(s *speed.Speed, load Work) float64 {
+		return max(load.Requests/float64(s.MaxSequences), s.Prefill(load.PromptTokens))
+	})
+}
+
+// mean is the mean of a value over the accepting engines.
+func (v *ModelView) mean(value func(s *speed.Speed, load Work) float64) float64 {
+	sum, engines := 0.0, 0.0
 	for i := range v.Engines {
 		e := &v.Engines[i]
-		if !e.Accepting {
-			continue
+		if e.Accepting {
+			sum += value(v.Speeds.Of(e.Role), e.Load())
+			engines++
 		}
-		s := v.Speeds.Of(e.Role)
-		load := e.Load()
-		engines++
-		prefill += s.Prefill(load.PromptTokens) / s.PrefillShare
-		excess += max(load.Requests-float64(s.MaxSequences), 0) / float64(s.MaxSequences)
 	}
-	return (prefill + excess) / max(engines, 1)
+	return sum / max(engines, 1)
 }
--- a/internal/protocol/routing/tracker.go
+++ b/internal/protocol/routing/tracker.go
@@ -24,9 +24,9 @@
 	// 1/e.
 	trustTime = 6 * time.Second
 	// hintsPerEngine is the room in the prefix index for each engine.
-	hintsPerEngine = 8192
+	hintsPerEngine = 16384
 	// maxHints bounds a prefix index.
-	maxHints = 1 << 20
+	maxHints = 1 << 19
 )
 
 // Tracker keeps the entry's view of the engines. Writers build a new snapshot
