Predict waits by priority level and bound one engine's part in the pressure

Cause: every raised priority was predicted to overtake all prompts, so one prefill engine took 300 sorting requests, and its backlog alone made the whole fleet count as full.

--- a/internal/protocol/routing/flight.go
+++ b/internal/protocol/routing/flight.go
@@ -23,6 +23,8 @@
 	tracker *Tracker
 	engine  *tracked
 	started clock.Instant
+	// priority is the request's.
+	priority int
 	// step is the predicted time of one token, in seconds.
 	step float64
 	// prompt is the part of the prompt still counted as not prefilled.
@@ -51,7 +53,8 @@
 	f.step = t.predictStep(e)
 	f.customer = t.customer(r.Team, r.Customer)
 	f.customer.Add(1)
-	e.own.add(f.started, 1, r.PromptTokens)
+	f.priority = r.Priority
+	e.own.add(f.started, f.priority, 1, r.PromptTokens)
 	for _, hash := range r.Prefix {
 		e.prefixes.add(hash, e.number)
 	}
@@ -66,7 +69,7 @@
 	}
 	now := f.tracker.clock.Now()
 	f.first.Store(int64(now))
-	f.engine.own.add(now, 0, -int(prompt))
+	f.engine.own.add(now, f.priority, 0, -int(prompt))
 }
 
 // Finished tells that the whole answer came, with the given number of tokens.
@@ -92,7 +95,7 @@
 		return
 	}
 	f.customer.Add(-1)
-	f.engine.own.add(f.tracker.clock.Now(), -1, -int(f.prompt.Swap(0)))
+	f.engine.own.add(f.tracker.clock.Now(), f.priority, -1, -int(f.prompt.Swap(0)))
 }
 
 // predictStep returns the predicted time of one token, in seconds, with the
--- a/internal/protocol/routing/ownwork.go
+++ b/internal/protocol/routing/ownwork.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/bits"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,8 @@
 type ownWork struct {
 	requests atomic.Int64
 	prompt   atomic.Int64
+	// levels holds the prompt tokens by level of priority.
+	levels [priorityLevels]atomic.Int64
 
 	mu      sync.Mutex // guards history
 	history [historySteps]ownSample
@@ -40,8 +43,30 @@
 	return Work{Requests: float64(o.requests.Load()), PromptTokens: float64(o.prompt.Load())}
 }
 
+// priorityLevels is the number of levels of priority that are told apart.
+const priorityLevels = 8
+
+// levelOf returns the level of a priority: 0 for none, then one for each power
+// of two.
+func levelOf(priority int) int {
+	return min(bits.Len(uint(max(priority, 0))), priorityLevels-1)
+}
+
+// atOrAbove returns the prompt tokens at the level of a priority and above.
+func (o *ownWork) atOrAbove(priority int) float64 {
+	if o == nil {
+		return 0
+	}
+	sum := int64(0)
+	for level := levelOf(priority); level < priorityLevels; level++ {
+		sum += o.levels[level].Load()
+	}
+	return float64(sum)
+}
+
 // add changes the counts at the instant at.
-func (o *ownWork) add(at clock.Instant, requests, prompt int) {
+func (o *ownWork) add(at clock.Instant, priority, requests, prompt int) {
+	o.levels[levelOf(priority)].Add(int64(prompt))
 	r := o.requests.Add(int64(requests))
 	p := o.prompt.Add(int64(prompt))
 	step := stepOf(at)
--- a/internal/protocol/routing/predict.go
+++ b/internal/protocol/routing/predict.go
@@ -6,9 +6,14 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
 )
 
-// urgentAheadTokens bounds the prefill that a request with a raised priority
-// waits for: the prompt in progress can't be put aside.
-const urgentAheadTokens = 4000
+const (
+	// promptInProgress is a prompt's mean length, in tokens: the one in
+	// progress can't be put aside for a raised priority.
+	promptInProgress = 2000
+	// levelPrior is the weight, in tokens, of the assumption that half of the
+	// foreign prompts have at least the request's priority.
+	levelPrior = 4000
+)
 
 // Prediction is what a request would meet at an engine. Times are in seconds.
 type Prediction struct {
@@ -41,17 +46,27 @@
 
 // prefillWait is the time until the prompt is prefilled.
 func prefillWait(s *speed.Speed, p *Prediction, r *Request) float64 {
-	ahead := p.Load.PromptTokens
-	if r.Priority > 0 {
-		ahead = min(ahead, urgentAheadTokens)
-	}
-	wait := s.Prefill(ahead) + p.Prefill
+	wait := s.Prefill(promptsAhead(p, r)) + p.Prefill
 	if p.Load.Requests >= 1 {
 		wait /= s.PrefillShare
 	}
 	return wait
 }
 
+// promptsAhead is the number of prompt tokens that are prefilled before the
+// request. Its own entry's are known by priority; others' are taken to have
+// the same composition.
+func promptsAhead(p *Prediction, r *Request) float64 {
+	total := p.Load.PromptTokens
+	if levelOf(r.Priority) == 0 {
+		return total
+	}
+	own := p.Engine.own.now().PromptTokens
+	above := p.Engine.own.atOrAbove(r.Priority)
+	part := (above + levelPrior/2) / (own + levelPrior)
+	return min(above+p.Engine.Foreign.PromptTokens*part+promptInProgress, total)
+}
+
 // slotWait is the time until the batch has room.
 func slotWait(s *speed.Speed, p *Prediction, r *Request) float64 {
 	slots := float64(s.MaxSequences)
@@ -88,7 +103,7 @@
 // or to a second's worth of waiting prompts if that is nearer: 1 is full.
 func (v *ModelView) Pressure() float64 {
 	return v.mean(func(s *speed.Speed, load Work) float64 {
-		return max(load.Requests/float64(s.MaxSequences), s.Prefill(load.PromptTokens))
+		return min(max(load.Requests/float64(s.MaxSequences), s.Prefill(load.PromptTokens)), 1)
 	})
 }
 
