--- /dev/null
+++ b/internal/protocol/admission/admission_test.go
@@ -0,0 +1,183 @@
+package admission
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+type fixedClock struct {
+	now clock.Instant
+}
+
+func (c *fixedClock) Now() clock.Instant { return c.now }
+
+func (c *fixedClock) Wall() time.Time { return time.Unix(0, int64(c.now)) }
+
+// anyEngine admits whatever reaches it.
+type anyEngine struct{}
+
+func (anyEngine) Pick(s *routing.Snapshot, _ *routing.Request) (routing.Choice, error) {
+	return routing.Choice{Engine: &s.Engines[0]}, nil
+}
+
+// busy returns a snapshot of engines whose batches are full.
+func busy(now clock.Instant, engines int) *routing.Snapshot {
+	s := &routing.Snapshot{At: now}
+	for i := range engines {
+		s.Engines = append(s.Engines, routing.Engine{
+			Name: fmt.Sprintf("engine-%d", i), Model: "m", Role: settings.RoleMixed, Accepting: true,
+			Foreign: routing.Work{Requests: 60}, Report: backend.LoadReport{Running: 48},
+		})
+	}
+	return s
+}
+
+// offered counts what one class offered and what was admitted.
+type offered struct {
+	request  routing.Request
+	perTick  int
+	count    int
+	admitted int
+}
+
+// offer sends the classes' requests for half a minute and counts the last ten
+// seconds.
+func offer(t interface{ Fatalf(string, ...any) }, c *Controller, now *fixedClock, classes []*offered) {
+	const tick = 100 * time.Millisecond
+	s := busy(now.now, 2)
+	for i := range 300 {
+		now.now = now.now.Add(tick)
+		for _, k := range classes {
+			for range k.perTick {
+				r := k.request
+				before := now.now
+				_, err := c.Pick(s, &r)
+				checkRefusal(t, err)
+				if now.now != before {
+					t.Fatalf("a decision took time")
+				}
+				if i < 200 {
+					continue
+				}
+				k.count++
+				if err == nil {
+					k.admitted++
+				}
+			}
+		}
+	}
+}
+
+func checkRefusal(t interface{ Fatalf(string, ...any) }, err error) {
+	var overloaded *routing.OverloadedError
+	if err == nil {
+		return
+	}
+	if !errors.As(err, &overloaded) {
+		t.Fatalf("error %v, want an OverloadedError", err)
+	}
+	if overloaded.RetryAfter < routing.MinRetryAfter || overloaded.RetryAfter > routing.MaxRetryAfter {
+		t.Fatalf("retry after %s is out of bounds", overloaded.RetryAfter)
+	}
+}
+
+func (o *offered) part() float64 {
+	return float64(o.admitted) / float64(max(o.count, 1))
+}
+
+// TestMonotoneInWorth checks that of two classes of the same size the one with
+// more worth is admitted at least as much.
+func TestMonotoneInWorth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := &fixedClock{now: clock.Instant(time.Hour)}
+		c := New(Options{Picker: anyEngine{}, Clock: now})
+		base := routing.Request{Model: "m", Team: "t", PromptTokens: rapid.IntRange(100, 5000).Draw(t, "prompt"), OutputTokens: rapid.IntRange(1, 500).Draw(t, "output")}
+		perTick := rapid.IntRange(1, 20).Draw(t, "rate")
+		low := &offered{request: base, perTick: perTick}
+		low.request.Class, low.request.Worth = "low", 1
+		high := &offered{request: base, perTick: perTick}
+		high.request.Class, high.request.Worth = "high", rapid.Float64Range(1.1, 9).Draw(t, "worth")
+		offer(t, c, now, []*offered{low, high})
+		if high.part() < low.part()-0.02 {
+			t.Fatalf("admitted %.2f of the more and %.2f of the less worth", high.part(), low.part())
+		}
+	})
+}
+
+// TestFairShares checks that a customer with many requests doesn't crowd out
+// one with few, and that shares weigh.
+func TestFairShares(t *testing.T) {
+	now := &fixedClock{now: clock.Instant(time.Hour)}
+	c := New(Options{Picker: anyEngine{}, Clock: now})
+	c.Configure(&settings.Configuration{Teams: map[string]settings.Team{"t": {Customers: map[string]settings.Customer{
+		"heavy": {Share: 1}, "double": {Share: 2},
+	}}}})
+	make := func(customer string, perTick int) *offered {
+		return &offered{perTick: perTick, request: routing.Request{
+			Model: "m", Team: "t", Class: "c", Customer: customer, PromptTokens: 2000, OutputTokens: 200, Worth: 1,
+		}}
+	}
+	few, heavy, double := make("few", 1), make("heavy", 20), make("double", 20)
+	few.perTick = 1
+	offer(t, c, now, []*offered{few, heavy, double})
+	if double.admitted < heavy.admitted*18/10 || double.admitted > heavy.admitted*22/10 {
+		t.Errorf("admitted %d with share 2 and %d with share 1", double.admitted, heavy.admitted)
+	}
+	if few.part() <= heavy.part() {
+		t.Errorf("admitted %.2f of the few and %.2f of the many", few.part(), heavy.part())
+	}
+}
+
+// TestNothingRefusedByWorthWithoutPressure checks that idle engines get
+// whatever comes.
+func TestNothingRefusedByWorthWithoutPressure(t *testing.T) {
+	now := &fixedClock{now: clock.Instant(time.Hour)}
+	c := New(Options{Picker: anyEngine{}, Clock: now})
+	s := &routing.Snapshot{Engines: []routing.Engine{{Name: "e", Model: "m", Accepting: true}}}
+	for range 1000 {
+		now.now = now.now.Add(time.Millisecond)
+		if _, err := c.Pick(s, &routing.Request{Model: "m", Class: "c", PromptTokens: 5000, OutputTokens: 500, Worth: 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestMaxConcurrent checks the bound on a customer's requests in progress.
+func TestMaxConcurrent(t *testing.T) {
+	now := &fixedClock{now: clock.Instant(time.Hour)}
+	tracker := routing.NewTracker(now)
+	configuration := &settings.Configuration{
+		Models: map[string]settings.Model{"m": {Engines: map[string]settings.Engine{"e": {URL: "http://e"}}}},
+		Teams:  map[string]settings.Team{"t": {Customers: map[string]settings.Customer{"k": {Share: 1, MaxConcurrent: 2}}}},
+	}
+	tracker.Configure(configuration)
+	c := New(Options{Picker: routing.NewPredictive(1), Clock: now, Tracker: tracker})
+	c.Configure(configuration)
+	request := func() *routing.Request {
+		return &routing.Request{Model: "m", Team: "t", Class: "c", Customer: "k", PromptTokens: 10, OutputTokens: 2, Worth: 1}
+	}
+	var flights []*routing.Flight
+	for range 2 {
+		choice, err := c.Pick(tracker.Snapshot(), request())
+		if err != nil {
+			t.Fatal(err)
+		}
+		flights = append(flights, tracker.Start(choice.Engine.Name, request()))
+	}
+	if _, err := c.Pick(tracker.Snapshot(), request()); err == nil {
+		t.Error("a third request was admitted")
+	}
+	flights[0].Done()
+	if _, err := c.Pick(tracker.Snapshot(), request()); err != nil {
+		t.Errorf("after the end of one: %v", err)
+	}
+}
--- a/internal/protocol/roleplan/goodput.go
+++ b/internal/protocol/roleplan/goodput.go
@@ -123,25 +123,22 @@
 	return oldest.Name
 }
 
-// keepsMinimum reports whether a role may lose one engine.
+// keepsMinimum reports whether a role may lose one engine: the bounds of the
+// settings are kept, and work of a kind that arrives keeps an engine whose
+// role serves it.
 func keepsMinimum(f *fleet, demand Demand, from int) bool {
 	left := f.counts
 	left[from]--
 	prefill, decode, mixed := left[0], left[1], left[2]
+	prompts := demand.PromptTokens <= 0 || prefill+mixed >= 1
+	outputs := demand.OutputTokens <= 0 || decode+mixed >= 1
 	switch speed.Roles[from] {
 	case settings.RolePrefill:
-		if prefill < float64(f.model.MinPrefill) {
-			return false
-		}
+		return prompts && prefill >= float64(f.model.MinPrefill)
 	case settings.RoleDecode:
-		if decode < float64(f.model.MinDecode) {
-			return false
-		}
-	}
-	if demand.PromptTokens > 0 && prefill+mixed < 1 {
-		return false
+		return outputs && decode >= float64(f.model.MinDecode)
 	}
-	return demand.OutputTokens <= 0 || decode+mixed >= 1
+	return prompts && outputs
 }
 
 // net returns the worth over the horizon that a change brings after all its
--- /dev/null
+++ b/internal/protocol/roleplan/roleplan_test.go
@@ -0,0 +1,189 @@
+package roleplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+const start = clock.Instant(time.Hour)
+
+func fleetOf(roles ...settings.Role) ([]Engine, settings.Model) {
+	model := settings.Model{Engines: make(map[string]settings.Engine), MinPrefill: 1, MinDecode: 1}
+	var engines []Engine
+	for i, role := range roles {
+		name := fmt.Sprintf("engine-%02d", i)
+		engines = append(engines, Engine{Name: name, Role: role, Available: true})
+		model.Engines[name] = settings.Engine{Authority: settings.AuthorityLagoonshift}
+	}
+	return engines, model
+}
+
+func repeated(role settings.Role, n int) []settings.Role {
+	out := make([]settings.Role, n)
+	for i := range out {
+		out[i] = role
+	}
+	return out
+}
+
+func demandOf(classes ...ClassDemand) Demand {
+	d := Demand{Classes: classes}
+	for _, c := range classes {
+		d.Requests += c.Requests
+		d.PromptTokens += c.Requests * c.PromptTokens
+		d.OutputTokens += c.Requests * c.OutputTokens
+		d.Worth += c.Requests * c.Worth
+	}
+	return d
+}
+
+var (
+	prompts = ClassDemand{Class: "prompts", Requests: 200, PromptTokens: 2000, OutputTokens: 2, Worth: 4}
+	drafts  = ClassDemand{Class: "drafts", Requests: 20, PromptTokens: 500, OutputTokens: 500, Worth: 4}
+)
+
+func TestMovesTowardsTheWork(t *testing.T) {
+	engines, model := fleetOf(repeated(settings.RoleDecode, 8)...)
+	moves := NewGoodput(DefaultGoodput()).Plan(start, model, demandOf(prompts), engines)
+	if len(moves) != 1 || moves[0].Role != settings.RolePrefill {
+		t.Fatalf("moves %+v, want one to prefill", moves)
+	}
+}
+
+func TestPriceKeepsTheFleetStill(t *testing.T) {
+	engines, model := fleetOf(repeated(settings.RoleDecode, 8)...)
+	model.RolePrice = 1e6
+	if moves := NewGoodput(DefaultGoodput()).Plan(start, model, demandOf(prompts), engines); moves != nil {
+		t.Fatalf("moves %+v, want none at this price", moves)
+	}
+}
+
+func TestPinnedEnginesStay(t *testing.T) {
+	engines, model := fleetOf(repeated(settings.RoleDecode, 3)...)
+	for name, e := range model.Engines {
+		e.Authority = settings.AuthorityOldSystem
+		model.Engines[name] = e
+	}
+	if moves := NewGoodput(DefaultGoodput()).Plan(start, model, demandOf(prompts), engines); moves != nil {
+		t.Fatalf("moves %+v, want none without authority", moves)
+	}
+}
+
+// TestInvariants draws fleets and demands and checks what must hold of every
+// plan: one move at most, none while another runs, none within the dwell
+// time, never below the minimum, none when all demand is served.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "engines")
+		roles := rapid.SliceOfN(rapid.SampledFrom(speed.Roles[:]), n, n).Draw(t, "roles")
+		engines, model := fleetOf(roles...)
+		model.RolePrice = rapid.Float64Range(0, 500).Draw(t, "price")
+		now := start
+		for step := range 20 {
+			demand := drawDemand(t, step)
+			for i := range engines {
+				engines[i].Available = engines[i].Available != (rapid.IntRange(0, 9).Draw(t, "flip") == 0)
+			}
+			moves := NewGoodput(DefaultGoodput()).Plan(now, model, demand, engines)
+			check(t, now, model, engines, moves)
+			apply(now, engines, moves)
+			now = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "pause")) * time.Second)
+			if rapid.Bool().Draw(t, "settled") {
+				settle(now, engines)
+			}
+		}
+	})
+}
+
+func drawDemand(t *rapid.T, step int) Demand {
+	p, d := prompts, drafts
+	p.Requests = rapid.Float64Range(0, 300).Draw(t, fmt.Sprintf("prompts %d", step))
+	d.Requests = rapid.Float64Range(0, 60).Draw(t, fmt.Sprintf("drafts %d", step))
+	return demandOf(p, d)
+}
+
+func check(t *rapid.T, now clock.Instant, model settings.Model, engines []Engine, moves []Move) {
+	if len(moves) > 1 {
+		t.Fatalf("%d moves at once", len(moves))
+	}
+	left := make(map[settings.Role]int)
+	for _, e := range engines {
+		if e.Available {
+			left[e.Role]++
+		}
+		if e.Changing && len(moves) > 0 {
+			t.Fatalf("a move while %s changes", e.Name)
+		}
+	}
+	for _, m := range moves {
+		for _, e := range engines {
+			if e.Name != m.Engine {
+				continue
+			}
+			left[e.Role]--
+			if !e.Available || e.Since > 0 && now.Sub(e.Since) < DefaultGoodput().Dwell {
+				t.Fatalf("moved %+v at %d", e, now)
+			}
+			if e.Role == settings.RolePrefill && left[e.Role] < model.MinPrefill || e.Role == settings.RoleDecode && left[e.Role] < model.MinDecode {
+				t.Fatalf("left %v after %+v", left, m)
+			}
+		}
+	}
+}
+
+func apply(now clock.Instant, engines []Engine, moves []Move) {
+	for _, m := range moves {
+		for i := range engines {
+			if engines[i].Name == m.Engine {
+				engines[i].Changing, engines[i].Available = true, false
+				engines[i].Role = m.Role
+			}
+		}
+	}
+	_ = now
+}
+
+func settle(now clock.Instant, engines []Engine) {
+	for i := range engines {
+		if engines[i].Changing {
+			engines[i].Changing, engines[i].Available = false, true
+			engines[i].Since = now
+		}
+	}
+}
+
+// TestQuietNight checks that a fleet which serves everything is left alone,
+// whatever the mix does and even at no price.
+func TestQuietNight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engines, model := fleetOf(append(repeated(settings.RolePrefill, 6), repeated(settings.RoleDecode, 6)...)...)
+		p, d := prompts, drafts
+		p.Requests = rapid.Float64Range(0, 10).Draw(t, "prompts")
+		d.Requests = rapid.Float64Range(0, 2).Draw(t, "drafts")
+		if moves := NewGoodput(DefaultGoodput()).Plan(start, model, demandOf(p, d), engines); moves != nil {
+			t.Fatalf("moves %+v in a quiet night", moves)
+		}
+	})
+}
+
+func TestCollectorAddsUpAndForgets(t *testing.T) {
+	c := NewCollector()
+	for _, member := range []string{"a", "b"} {
+		c.Add(start, Report{Member: member, Models: map[string]Demand{"m": demandOf(drafts)}})
+	}
+	d := c.Demand(start, "m")
+	if d.Requests != 2*drafts.Requests || len(d.Classes) != 1 || d.Classes[0].Requests != 2*drafts.Requests {
+		t.Errorf("demand %+v, want twice %+v", d, drafts)
+	}
+	later := c.Demand(start.Add(reportLife+sampleInterval), "m")
+	if later.Requests != 0 || len(later.Recent) != 2 {
+		t.Errorf("demand %g with %d samples, want none with 2", later.Requests, len(later.Recent))
+	}
+}
--- a/internal/protocol/routing/tracker.go
+++ b/internal/protocol/routing/tracker.go
@@ -22,7 +22,7 @@
 	refreshInterval = 500 * time.Millisecond
 	// trustTime is the age at which the trust in a load report has fallen to
 	// 1/e.
-	trustTime = 6 * time.Second
+	trustTime = 2 * time.Second
 	// hintsPerEngine is the room in the prefix index for each engine.
 	hintsPerEngine = 16384
 	// maxHints bounds a prefix index.
