Trust only a fifth of the difference between fresh load reports

Cause: eight entries that all believe the same report send to the same engines until the next one; late reports did better than fresh ones.

--- a/internal/protocol/admission/class.go
+++ b/internal/protocol/admission/class.go
@@ -22,10 +22,10 @@
 	prompt, output, cached float64
 	// observed and picked count requests.
 	observed, picked float64
-	worth                  float64
+	worth            float64
 	// seen counts requests since the last plan; rate is per second.
 	seen, rate float64
-	customers              map[string]*customer
+	customers  map[string]*customer
 	// fraction is the part of a new customer's requests that is admitted.
 	fraction float64
 }
--- a/internal/protocol/routing/tracker.go
+++ b/internal/protocol/routing/tracker.go
@@ -20,6 +20,10 @@
 	publishInterval = 50 * time.Millisecond
 	// refreshInterval is the greatest age of a snapshot.
 	refreshInterval = 500 * time.Millisecond
+	// maxTrust is the trust in the difference between an engine's fresh report
+	// and the model's mean. Entries that trusted it fully would all send to
+	// the same engines until the next report.
+	maxTrust = 0.2
 	// trustTime is the age at which the trust in a load report has fallen to
 	// 1/e.
 	trustTime = 2 * time.Second
@@ -212,8 +216,8 @@
 }
 
 // correct moves each engine's foreign work towards the model's mean, the more
-// so the older its report is: old differences between engines have been
-// levelled by the entries since then.
+// so the older its report is: the entries level differences between engines by
+// themselves, and this entry's own work is known exactly.
 func correct(now clock.Instant, engines []Engine) {
 	var mean Work
 	for i := range engines {
@@ -222,7 +226,7 @@
 	}
 	for i := range engines {
 		age := max(now.Sub(engines[i].ReportedAt).Seconds(), 0)
-		trust := math.Exp(-age / trustTime.Seconds())
+		trust := maxTrust * math.Exp(-age/trustTime.Seconds())
 		f := &engines[i].Foreign
 		f.Requests = mean.Requests + trust*(f.Requests-mean.Requests)
 		f.PromptTokens = mean.PromptTokens + trust*(f.PromptTokens-mean.PromptTokens)
