Learn an engine's slowness from answers that were given up on too

Cause: prefill engines at half speed finished no quick question in time, so nothing was learnt about them and they counted as fast.

--- a/internal/protocol/routing/flight.go
+++ b/internal/protocol/routing/flight.go
@@ -31,10 +31,14 @@
 	prompt atomic.Int64
 	first  atomic.Int64
 	done   atomic.Bool
+	// finished is true once the whole answer came.
+	finished atomic.Bool
 	// team, class and bound are the request's, for its length.
 	team  string
 	class string
 	bound int
+	// expected is the expected length of the answer, in tokens.
+	expected float64
 	// customer counts the customer's requests in progress.
 	customer *atomic.Int64
 }
@@ -49,6 +53,7 @@
 	}
 	f.engine = e
 	f.team, f.class, f.bound = r.Team, r.Class, r.OutputTokens
+	f.expected = r.expectedOutput()
 	f.prompt.Store(int64(r.PromptTokens))
 	f.step = t.predictStep(e)
 	f.customer = t.customer(r.Team, r.Customer)
@@ -85,19 +90,39 @@
 	if tokens < minLearnTokens {
 		return
 	}
-	took := f.tracker.clock.Now().Sub(clock.Instant(first)).Seconds()
-	f.engine.learn(took / (float64(tokens) * f.step))
+	f.finished.Store(true)
+	f.engine.learn(f.sinceFirst(first) / (float64(tokens) * f.step))
 }
 
-// Done tells that the request left the engine. Only the first call counts.
+// sinceFirst returns the seconds since the first token.
+func (f *Flight) sinceFirst(first int64) float64 {
+	return f.tracker.clock.Now().Sub(clock.Instant(first)).Seconds()
+}
+
+// Done tells that the request left the engine. Only the first call counts. An
+// answer that was given up on after more than its expected time also shows
+// that the engine is slow; without it a slow engine that finishes nothing in
+// time would count as a fast one.
 func (f *Flight) Done() {
 	if f.done.Swap(true) || f.engine == nil {
 		return
 	}
+	f.learnUnfinished()
 	f.customer.Add(-1)
 	f.engine.own.add(f.tracker.clock.Now(), f.priority, -1, -int(f.prompt.Swap(0)))
 }
 
+func (f *Flight) learnUnfinished() {
+	first := f.first.Load()
+	if first == 0 || f.finished.Load() || f.expected < minLearnTokens {
+		return
+	}
+	ratio := f.sinceFirst(first) / (f.expected * f.step)
+	if ratio > math.Float64frombits(f.engine.slowdown.Load()) {
+		f.engine.learn(ratio)
+	}
+}
+
 // predictStep returns the predicted time of one token, in seconds, with the
 // engine's load as it is now.
 func (t *Tracker) predictStep(e *tracked) float64 {
--- a/internal/protocol/routing/predict.go
+++ b/internal/protocol/routing/predict.go
@@ -93,27 +93,29 @@
 // that wait there and for the requests that have no room in a batch, in
 // seconds.
 func (v *ModelView) DrainTime() float64 {
-	return v.mean(func(s *speed.Speed, load Work) float64 {
+	return v.mean(func(s *speed.Speed, _ *Engine, load Work) float64 {
 		excess := max(load.Requests/float64(s.MaxSequences)-1, 0)
 		return s.Prefill(load.PromptTokens)/s.PrefillShare + excess
 	})
 }
 
 // Pressure tells how near the model's accepting engines are to full batches,
-// or to a second's worth of waiting prompts if that is nearer: 1 is full.
+// or to a second's worth of waiting prompts if that is nearer: 1 is full. An
+// engine that is slower than prefill beside decode explains fills sooner.
 func (v *ModelView) Pressure() float64 {
-	return v.mean(func(s *speed.Speed, load Work) float64 {
-		return min(max(load.Requests/float64(s.MaxSequences), s.Prefill(load.PromptTokens)), 1)
+	return v.mean(func(s *speed.Speed, e *Engine, load Work) float64 {
+		fill := max(load.Requests/float64(s.MaxSequences), s.Prefill(load.PromptTokens))
+		return min(fill*max(e.Slowdown/interference, 1), 1)
 	})
 }
 
 // mean is the mean of a value over the accepting engines.
-func (v *ModelView) mean(value func(s *speed.Speed, load Work) float64) float64 {
+func (v *ModelView) mean(value func(s *speed.Speed, e *Engine, load Work) float64) float64 {
 	sum, engines := 0.0, 0.0
 	for i := range v.Engines {
 		e := &v.Engines[i]
 		if e.Accepting {
-			sum += value(v.Speeds.Of(e.Role), e.Load())
+			sum += value(v.Speeds.Of(e.Role), e, e.Load())
 			engines++
 		}
 	}
--- a/internal/protocol/routing/routing.go
+++ b/internal/protocol/routing/routing.go
@@ -145,7 +145,7 @@
 
 // interference is the slowdown that prefill beside decode explains; only what
 // goes beyond it means that an engine is slow.
-const interference = 2.0
+const interference = 1.5
 
 func capacityOf(engines []Engine) fluid.Capacity {
 	var c fluid.Capacity
