--- a/cmd/lagoonshift/fake.go
+++ b/cmd/lagoonshift/fake.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"crypto/rand"
+	"net/http"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
+	"github.com/lagoonshift/lagoonshift/internal/fake/fakeoldsystem"
+	"github.com/lagoonshift/lagoonshift/internal/fake/fakeplatform"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeservice"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 )
@@ -15,6 +18,8 @@
 	fake := app.Command("fake", "Run stand-ins for tests and trials.")
 	addFakeEngine(fake, commands)
 	addFakeService(fake, commands)
+	addFakePlatform(fake, commands)
+	addFakeOldSystem(fake, commands)
 }
 
 func addFakeEngine(fake *kingpin.CmdClause, commands map[string]command) {
@@ -24,6 +29,7 @@
 	model := clause.Flag("model", "Model that it serves.").Required().String()
 	rate := clause.Flag("prefill-rate", "Prompt tokens per second.").Default("20000").Float64()
 	interval := clause.Flag("token-interval", "Time between two tokens of a stream, with its unit.").Default("5ms").Duration()
+	slots := clause.Flag("slots", "Requests that run at once; 0 is no bound.").Default("0").Int()
 	commands["fake engine"] = func(ctx context.Context) error {
 		engine := fakeengine.New(fakeengine.Options{
 			Name:          *name,
@@ -31,6 +37,7 @@
 			Incarnation:   rand.Text(),
 			PrefillRate:   *rate,
 			TokenInterval: *interval,
+			Slots:         *slots,
 		})
 		return serve.HTTP(ctx, *address, engine.Handler())
 	}
@@ -44,3 +51,29 @@
 		return serve.HTTP(ctx, *address, fakeservice.New(*delay).Handler())
 	}
 }
+
+func addFakePlatform(fake *kingpin.CmdClause, commands map[string]command) {
+	clause := fake.Command("platform", "Run a stand-in for the platform: a list of VMs that lags and flaps.")
+	address := clause.Flag("listen", "Address as IP:port.").Required().String()
+	o := fakeplatform.Options{}
+	clause.Flag("lag", "How old the list is, with its unit.").Default("1s").DurationVar(&o.Lag)
+	clause.Flag("flap", "Probability that an answer shows a VM as it was before, 0 to 1.").Default("0").Float64Var(&o.Flap)
+	clause.Flag("seed", "Seed of the flapping.").Default("1").Uint64Var(&o.Seed)
+	commands["fake platform"] = func(ctx context.Context) error {
+		mux := http.NewServeMux()
+		fakeplatform.New(o).Register(mux)
+		return serve.HTTP(ctx, *address, mux)
+	}
+}
+
+func addFakeOldSystem(fake *kingpin.CmdClause, commands map[string]command) {
+	clause := fake.Command("old-system", "Run a stand-in for the old serving system beside this one.")
+	address := clause.Flag("listen", "Address as IP:port.").Required().String()
+	o := fakeoldsystem.Options{}
+	clause.Flag("engine", "Base URL of an engine; may be given several times.").StringsVar(&o.Engines)
+	clause.Flag("service", "Plain service as name=base URL; may be given several times.").StringMapVar(&o.Services)
+	clause.Flag("lagoonshift", "Base URL of an entry; may be given several times.").StringsVar(&o.Lagoonshift)
+	commands["fake old-system"] = func(ctx context.Context) error {
+		return serve.HTTP(ctx, *address, fakeoldsystem.New(o).Handler())
+	}
+}
--- a/internal/experiment/request.go
+++ b/internal/experiment/request.go
@@ -41,6 +41,7 @@
 func (s *simulation) dispatch(r *request) {
 	for ; r.tries < maxAttempts; r.tries++ {
 		choice, err := r.entry.picker.Pick(r.entry.tracker.Snapshot(), &r.routing)
+		r.routing.Retry = true
 		if err != nil {
 			s.refuse(r, err)
 			return
--- a/internal/protocol/admission/admission.go
+++ b/internal/protocol/admission/admission.go
@@ -71,12 +71,12 @@
 }
 
 // Pick implements routing.Picker. A request that was admitted before and is
-// tried again, which shows in Exclude, is not counted a second time.
+// tried again is not counted a second time.
 func (c *Controller) Pick(s *routing.Snapshot, r *routing.Request) (routing.Choice, error) {
 	if c.options.Tracker != nil {
 		r.OutputRatio = c.options.Tracker.OutputRatio(r.Team, r.Class)
 	}
-	if len(r.Exclude) > 0 {
+	if r.Retry {
 		return c.options.Picker.Pick(s, r)
 	}
 	if err := c.admit(s, r); err != nil {
--- a/internal/protocol/routing/routing.go
+++ b/internal/protocol/routing/routing.go
@@ -51,6 +51,8 @@
 	ExpectedWait time.Duration
 	// Zone is the zone of the entry that decides.
 	Zone string
+	// Retry is true if the request was admitted before and is tried again.
+	Retry bool
 	// Exclude names engines that already failed this request.
 	Exclude []string
 }
--- a/internal/protocol/routing/tracker.go
+++ b/internal/protocol/routing/tracker.go
@@ -55,7 +55,8 @@
 	table    *speed.Table
 	prefixes *prefixIndex
 	slowdown atomic.Uint64 // bits of a float64
-	// drain is true if the settings ask that the engine gets no new work.
+	// drain is true if the settings or the platform's list of leaving VMs ask
+	// that the engine gets no new work.
 	drain bool
 	// cacheSeq is the sequence number of the newest cache event.
 	cacheSeq uint64
@@ -96,6 +97,7 @@
 	for name, model := range c.Models {
 		m := t.configureModel(name, &model)
 		for engine, s := range model.Engines {
+			s.Drain = s.Drain || c.Leaving(s.URL)
 			next[engine] = configureEngine(old[engine], m, name, engine, s)
 		}
 	}
--- /dev/null
+++ b/internal/role/entryrole/callers.go
@@ -0,0 +1,69 @@
+package entryrole
+
+import (
+	"math/rand/v2"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/request"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/servicecall"
+	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
+)
+
+const (
+	// requestCapacity is the room of one entry, in requests in progress.
+	requestCapacity = 8 << 10
+	// streamRetryReserve is the number of retries of streams that may be
+	// saved up: a lost engine takes all its streams at once.
+	streamRetryReserve = 200
+)
+
+// callers is the part of the entry that serves callers.
+type callers struct {
+	server   *callerhttp.Server
+	services *servicecall.Protocol
+}
+
+// newCallers assembles the caller API.
+func (e *entry) newCallers() callers {
+	outliers := outlier.NewSet(e.clock)
+	services := servicecall.New(servicecall.Options{
+		Entry:       e.self.Name,
+		Incarnation: e.incarnation,
+		Zone:        e.self.Zone,
+		Clock:       e.clock,
+		Settings:    e.agent.Settings(),
+		Gate:        e.gate,
+		Ledger:      e.control,
+		Services:    e.backends,
+		OldSystem:   e.backends,
+		Outliers:    outliers,
+		Budget:      retry.NewBudget(retry.DefaultShare, retry.DefaultReserve),
+		Random:      rand.Float64,
+	})
+	requests := request.New(request.Options{
+		Zone:     e.self.Zone,
+		Clock:    e.clock,
+		Settings: e.agent.Settings(),
+		Gate:     e.gate,
+		Tracker:  e.tracker,
+		Picker:   e.admission,
+		Engines:  e.backends,
+		Outliers: outliers,
+		Budget:   retry.NewBudget(retry.DefaultShare, streamRetryReserve),
+		Random:   rand.Float64,
+	})
+	server := callerhttp.New(callerhttp.Options{
+		Zone:      e.self.Zone,
+		Directory: e.agent.Directory(),
+		Settings:  e.agent.Settings(),
+		Lease:     e.lease,
+		Requests:  requests,
+		Services:  services,
+		Gate:      limit.NewGate(requestCapacity),
+		Leaving:   e.leaving,
+		Log:       e.log,
+	})
+	return callers{server: server, services: services}
+}
--- a/internal/role/entryrole/entry.go
+++ b/internal/role/entryrole/entry.go
@@ -8,23 +8,21 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/settingsync"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/admission"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
-	"github.com/lagoonshift/lagoonshift/internal/role/serve"
-	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/transport/backendhttp"
-	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
 )
 
 const (
-	renewInterval = time.Second
-	renewTimeout  = 800 * time.Millisecond
-	loadInterval  = 500 * time.Millisecond
+	loadInterval = 500 * time.Millisecond
+	// deregisterTimeout bounds the last command of a stop.
+	deregisterTimeout = 2 * time.Second
 )
 
 // entry is the state of a running entry process.
@@ -33,11 +31,18 @@
 	incarnation uint64
 	clock       clock.Clock
 	control     *peergrpc.ControlClient
-	settings    atomic.Pointer[settings.Configuration]
+	agent       *settingsync.Agent
 	lease       *lease.Holder
+	gate        *lease.Gate
 	tracker     *routing.Tracker
+	admission   *admission.Controller
 	backends    *backendhttp.Client
-	log         hclog.Logger
+	// leaving is closed when the entry begins to leave.
+	leaving chan struct{}
+	// longestTTL is the longest time, in nanoseconds, for which a caller may
+	// keep an address answer by any settings that were in force here.
+	longestTTL atomic.Int64
+	log        hclog.Logger
 }
 
 // Run runs an entry process until ctx ends.
@@ -52,20 +57,17 @@
 	}
 	defer control.Close()
 	e := newEntry(self, control, log)
-	if err := e.fetchSettings(ctx); err != nil {
+	if err := e.agent.Start(ctx); err != nil {
 		return fmt.Errorf("start entry %s: %w", name, err)
 	}
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return every(ctx, renewInterval, e.renew) })
-	group.Go(func() error { return every(ctx, loadInterval, e.pollLoads) })
-	group.Go(func() error { return serve.HTTP(ctx, self.CallerAddress, e.callerServer(d).Handler()) })
-	log.Info("entry started", "caller_address", self.CallerAddress, "settings_version", e.settings.Load().Version)
-	return group.Wait()
+	defer e.deregister()
+	log.Info("entry started", "caller_address", self.CallerAddress, "settings_version", e.agent.Settings().Load().Version)
+	return e.run(ctx)
 }
 
 func newEntry(self deployment.Entry, control *peergrpc.ControlClient, log hclog.Logger) *entry {
 	c := clock.Boot{}
-	return &entry{
+	e := &entry{
 		self:        self,
 		incarnation: uint64(c.Now()),
 		clock:       c,
@@ -73,24 +75,23 @@
 		lease:       lease.NewHolder(c),
 		tracker:     routing.NewTracker(c),
 		backends:    backendhttp.New(),
+		leaving:     make(chan struct{}),
 		log:         log,
 	}
+	e.gate = lease.NewGate(e.lease)
+	e.agent = e.newAgent()
+	e.admission = admission.New(admission.Options{
+		Picker:  routing.NewPredictive(e.incarnation),
+		Clock:   c,
+		Tracker: e.tracker,
+		Entries: e.liveEntries,
+	})
+	return e
 }
 
-func (e *entry) callerServer(d *deployment.Deployment) *callerhttp.Server {
-	return callerhttp.New(callerhttp.Options{
-		Name:        e.self.Name,
-		Zone:        e.self.Zone,
-		Incarnation: e.incarnation,
-		Addresses:   callerAddresses(d),
-		Settings:    &e.settings,
-		Lease:       e.lease,
-		Tracker:     e.tracker,
-		Picker:      routing.LeastRequests{},
-		Backends:    e.backends,
-		Control:     e.control,
-		Log:         e.log,
-	})
+// liveEntries is the number of entries that share the engines.
+func (e *entry) liveEntries() int {
+	return len(e.agent.Directory().Live())
 }
 
 // every calls do at once and then at the interval until ctx ends.
@@ -114,11 +115,3 @@
 	}
 	return out
 }
-
-func callerAddresses(d *deployment.Deployment) []string {
-	var out []string
-	for _, e := range d.Entries {
-		out = append(out, e.CallerAddress)
-	}
-	return out
-}
