--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -3,10 +3,7 @@
 // simpler policies and against an upper bound.
 package experiment
 
-import (
-	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
-)
+import "github.com/lagoonshift/lagoonshift/internal/protocol/speed"
 
 // Class describes one class of a deployment's work.
 type Class struct {
@@ -40,11 +37,6 @@
 	return speed.Default.Cheapest(float64(c.OwnTokens), float64(c.MaxOutput)*meanOutput)
 }
 
-// promptTokens is the mean length of a whole prompt.
-func (c *Class) promptTokens() int {
-	return (c.PrefixPieces+c.CustomerPieces)*routing.PieceTokens + c.OwnTokens
-}
-
 // Deployment is a fleet and its work.
 type Deployment struct {
 	Name      string
