--- a/cmd/lagoonshift/main.go
+++ b/cmd/lagoonshift/main.go
@@ -31,6 +31,7 @@
 	addStatus(app, commands)
 	addLoad(app, commands)
 	addFake(app, commands)
+	addExperiment(app, commands)
 
 	selected, err := app.Parse(os.Args[1:])
 	if err != nil {
--- a/internal/role/entryrole/entry.go
+++ b/internal/role/entryrole/entry.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/settingsync"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/admission"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 	"github.com/lagoonshift/lagoonshift/internal/telemetry"
@@ -37,6 +38,7 @@
 	lease       *lease.Holder
 	gate        *lease.Gate
 	tracker     *routing.Tracker
+	admission   *admission.Controller
 	backends    *backendhttp.Client
 	metrics     *telemetry.Metrics
 	// leaving is closed when the entry begins to leave.
@@ -88,9 +90,20 @@
 	}
 	e.gate = lease.NewGate(e.lease)
 	e.agent = e.newAgent()
+	e.admission = admission.New(admission.Options{
+		Picker:  routing.NewPredictive(e.incarnation),
+		Clock:   c,
+		Tracker: e.tracker,
+		Entries: e.liveEntries,
+	})
 	return e
 }
 
+// liveEntries is the number of entries that share the engines.
+func (e *entry) liveEntries() int {
+	return len(e.agent.Directory().Live())
+}
+
 // every calls do at once and then at the interval until ctx ends.
 func every(ctx context.Context, interval time.Duration, do func(context.Context)) error {
 	ticker := time.NewTicker(interval)
--- a/internal/role/entryrole/run.go
+++ b/internal/role/entryrole/run.go
@@ -32,6 +32,7 @@
 	group.Go(func() error { return e.agent.Run(upkeep) })
 	group.Go(func() error { return every(upkeep, loadInterval, e.pollLoads) })
 	group.Go(func() error { return serve.HTTP(upkeep, e.self.AdminAddress, e.adminHandler(), e.keys.Administration()) })
+	group.Go(func() error { return every(upkeep, demandInterval, e.reportDemand) })
 	group.Go(func() error {
 		defer endUpkeep()
 		return e.serveCallers(ctx, upkeep, listener, e.newCallers())
--- a/internal/transport/peergrpc/client.go
+++ b/internal/transport/peergrpc/client.go
@@ -128,6 +128,17 @@
 	return result, err
 }
 
+// ReportLoad hands an encoded roleplan.Report to the control leader.
+func (c *ControlClient) ReportLoad(ctx context.Context, member string, incarnation uint64, digest []byte) error {
+	request := &peerpb.LoadReport{Member: member, Incarnation: incarnation, Digest: digest}
+	return c.each(ctx, func(ctx context.Context, r replica) error {
+		if _, err := r.control.ReportLoad(ctx, request); err != nil {
+			return fmt.Errorf("report load to %s: %w", r.address, err)
+		}
+		return nil
+	})
+}
+
 // surelyNotRun reports whether a failed call certainly appended nothing.
 func surelyNotRun(err error) bool {
 	return status.Code(err) == codes.FailedPrecondition
