Carry consensus messages over gRPC and forward commands to the leader

Cause: replicas had no transport. One stream to each replica carries batches in order; the receiver refuses another cluster's messages and those for another identity. A connection whose data stays unacknowledged for two seconds is closed, since TCP's backoff would otherwise outlast a healed partition by many seconds. A follower forwards a command once and marks it. Ruled out: gRPC keepalive, whose shortest interval is ten seconds.

--- a/cmd/lagoonshift/processes.go
+++ b/cmd/lagoonshift/processes.go
@@ -61,8 +61,12 @@
 
 func addControl(app *kingpin.Application, commands map[string]command) {
 	flags := &processFlags{}
-	flags.add(app.Command("control", "Run a control process."))
-	commands["control"] = flags.run(controlrole.Run)
+	control := app.Command("control", "Run a control process.")
+	flags.add(control)
+	control.Command("run", "Run a control process; with an empty data folder it joins the others.").Default()
+	commands["control run"] = flags.run(controlrole.Run)
+	control.Command("init", "Make the data folder of the deployment's first control process.")
+	commands["control init"] = flags.run(controlrole.Init)
 }
 
 func addEntry(app *kingpin.Application, commands map[string]command) {
--- a/internal/transport/peergrpc/client.go
+++ b/internal/transport/peergrpc/client.go
@@ -9,7 +9,6 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
@@ -39,10 +38,10 @@
 func DialControl(addresses []string) (*ControlClient, error) {
 	c := &ControlClient{}
 	for _, address := range addresses {
-		conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		conn, err := dial(address)
 		if err != nil {
 			c.Close()
-			return nil, fmt.Errorf("prepare connection to control %s: %w", address, err)
+			return nil, err
 		}
 		c.replicas = append(c.replicas, replica{address: address, conn: conn, control: peerpb.NewControlClient(conn)})
 	}
--- /dev/null
+++ b/internal/transport/peergrpc/dial.go
@@ -0,0 +1,103 @@
+package peergrpc
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+const (
+	// userTimeout ends a connection whose data is not acknowledged, so that
+	// a healed partition is not followed by a long wait for TCP's next
+	// retransmission.
+	userTimeout       = 2 * time.Second
+	connectTimeout    = time.Second
+	reconnectDelay    = 50 * time.Millisecond
+	maxReconnectDelay = 500 * time.Millisecond
+	reconnectFactor   = 1.6
+	reconnectJitter   = 0.2
+	// maxMessageBytes bounds one gRPC message.
+	maxMessageBytes = 8 << 20
+)
+
+// dial prepares a connection to a peer address. None is made yet.
+func dial(address string) (*grpc.ClientConn, error) {
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(dialTCP),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay:  reconnectDelay,
+				Multiplier: reconnectFactor,
+				Jitter:     reconnectJitter,
+				MaxDelay:   maxReconnectDelay,
+			},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
+	if err != nil {
+		return nil, fmt.Errorf("prepare connection to %s: %w", address, err)
+	}
+	return conn, nil
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: connectTimeout, Control: setUserTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
+// Pool keeps one connection for each peer address. It is safe for concurrent
+// use.
+type Pool struct {
+	mu    sync.Mutex // guards conns
+	conns map[string]*grpc.ClientConn
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{conns: make(map[string]*grpc.ClientConn)}
+}
+
+// conn returns the connection to an address.
+func (p *Pool) conn(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn := p.conns[address]; conn != nil {
+		return conn, nil
+	}
+	conn, err := dial(address)
+	if err != nil {
+		return nil, err
+	}
+	p.conns[address] = conn
+	return conn, nil
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.conns {
+		_ = conn.Close()
+	}
+	clear(p.conns)
+}
--- /dev/null
+++ b/internal/transport/peergrpc/join.go
@@ -0,0 +1,49 @@
+package peergrpc
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
+)
+
+const (
+	joinTimeout = 2 * time.Second
+	joinPause   = 500 * time.Millisecond
+)
+
+// Join asks the replicas at the given addresses in turn to add a new replica
+// until one does, and returns the group's cluster id.
+func Join(ctx context.Context, pool *Pool, addresses []string, request *peerpb.JoinRequest, log hclog.Logger) (string, error) {
+	for {
+		for _, address := range addresses {
+			clusterID, err := joinAt(ctx, pool, address, request)
+			if err == nil {
+				return clusterID, nil
+			}
+			log.Info("not joined yet", "peer", address, "error", err)
+		}
+		select {
+		case <-ctx.Done():
+			return "", fmt.Errorf("join group: %w", ctx.Err())
+		case <-time.After(joinPause):
+		}
+	}
+}
+
+func joinAt(ctx context.Context, pool *Pool, address string, request *peerpb.JoinRequest) (string, error) {
+	conn, err := pool.conn(address)
+	if err != nil {
+		return "", err
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	response, err := peerpb.NewReplicaClient(conn).Join(ctx, request)
+	if err != nil {
+		return "", fmt.Errorf("join at %s: %w", address, err)
+	}
+	return response.GetClusterId(), nil
+}
--- /dev/null
+++ b/internal/transport/peergrpc/replicaserver.go
@@ -0,0 +1,152 @@
+package peergrpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"slices"
+	"sync"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
+)
+
+// ReplicaOptions configures a ReplicaServer.
+type ReplicaOptions struct {
+	Node      *raft.Node
+	Transport *ReplicaTransport
+	ClusterID string
+	ReplicaID uint64
+	// Deployment is the deployment's name and Names those of its control
+	// processes; nobody else may join.
+	Deployment string
+	Names      []string
+}
+
+// ReplicaServer serves the Replica service of one replica.
+type ReplicaServer struct {
+	peerpb.UnimplementedReplicaServer
+
+	options ReplicaOptions
+	once    sync.Once
+	stopped chan struct{}
+}
+
+// NewReplicaServer returns a server for one replica.
+func NewReplicaServer(o ReplicaOptions) *ReplicaServer {
+	return &ReplicaServer{options: o, stopped: make(chan struct{})}
+}
+
+// Register adds the service to a gRPC server.
+func (r *ReplicaServer) Register(server *grpc.Server) {
+	peerpb.RegisterReplicaServer(server, r)
+}
+
+// Stop ends all open streams, which would keep a graceful stop waiting.
+func (r *ReplicaServer) Stop() {
+	r.once.Do(func() { close(r.stopped) })
+}
+
+// Deliver implements peerpb.ReplicaServer.
+func (r *ReplicaServer) Deliver(stream grpc.ClientStreamingServer[peerpb.Envelope, peerpb.DeliverResponse]) error {
+	ended := make(chan error, 1)
+	go func() { ended <- r.receive(stream) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-r.stopped:
+		return status.Error(codes.Unavailable, "replica is stopping")
+	}
+}
+
+func (r *ReplicaServer) receive(stream grpc.ClientStreamingServer[peerpb.Envelope, peerpb.DeliverResponse]) error {
+	for {
+		envelope, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return stream.SendAndClose(&peerpb.DeliverResponse{})
+		}
+		if err != nil {
+			return err
+		}
+		if err := r.check(envelope.GetClusterId(), envelope.GetTo()); err != nil {
+			return err
+		}
+		for _, m := range envelope.GetMessages() {
+			r.options.Transport.learn(m.GetFrom(), envelope.GetFromAddress())
+			r.options.Node.Deliver(fromProto(m))
+		}
+	}
+}
+
+// check refuses messages for another group or for a replica that was here
+// before.
+func (r *ReplicaServer) check(clusterID string, to uint64) error {
+	if clusterID != r.options.ClusterID {
+		return status.Errorf(codes.FailedPrecondition, "message for cluster %q reached cluster %q", clusterID, r.options.ClusterID)
+	}
+	if to != r.options.ReplicaID {
+		return status.Errorf(codes.FailedPrecondition, "message for replica %x reached replica %x", to, r.options.ReplicaID)
+	}
+	return nil
+}
+
+// InstallSnapshot implements peerpb.ReplicaServer.
+func (r *ReplicaServer) InstallSnapshot(stream grpc.ClientStreamingServer[peerpb.SnapshotChunk, peerpb.DeliverResponse]) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if err := r.check(first.GetClusterId(), first.GetTo()); err != nil {
+		return err
+	}
+	data, err := receiveData(stream, first)
+	if err != nil {
+		return fmt.Errorf("receive snapshot from %s: %w", first.GetFromAddress(), err)
+	}
+	r.options.Transport.learn(first.GetFrom(), first.GetFromAddress())
+	r.options.Node.Deliver(fromChunks(first, data))
+	return stream.SendAndClose(&peerpb.DeliverResponse{})
+}
+
+// receiveData collects a snapshot's data until its last chunk.
+func receiveData(stream grpc.ClientStreamingServer[peerpb.SnapshotChunk, peerpb.DeliverResponse], chunk *peerpb.SnapshotChunk) ([]byte, error) {
+	data := chunk.GetData()
+	for !chunk.GetLast() {
+		var err error
+		if chunk, err = stream.Recv(); err != nil {
+			return nil, err
+		}
+		data = append(data, chunk.GetData()...)
+	}
+	if crc32.Checksum(data, castagnoli) != chunk.GetChecksum() {
+		return nil, status.Error(codes.DataLoss, "checksum differs")
+	}
+	return data, nil
+}
+
+// Join implements peerpb.ReplicaServer.
+func (r *ReplicaServer) Join(ctx context.Context, request *peerpb.JoinRequest) (*peerpb.JoinResponse, error) {
+	if request.GetDeployment() != r.options.Deployment || !slices.Contains(r.options.Names, request.GetName()) {
+		return nil, status.Errorf(codes.PermissionDenied, "join: %q of deployment %q is no control process of deployment %q",
+			request.GetName(), request.GetDeployment(), r.options.Deployment)
+	}
+	added := raft.Member{ID: request.GetReplicaId(), Name: request.GetName(), Address: request.GetAddress()}
+	err := r.options.Node.Join(ctx, added)
+	switch {
+	case errors.Is(err, replog.ErrNotLeader):
+		leader := r.options.Node.View().LeaderAddress
+		return nil, status.Errorf(codes.FailedPrecondition, "join: the leader is %q", leader)
+	case errors.Is(err, raft.ErrNameInUse):
+		return nil, status.Errorf(codes.AlreadyExists, "join: %v", err)
+	case err != nil:
+		return nil, status.Errorf(codes.Unavailable, "join: %v", err)
+	}
+	return &peerpb.JoinResponse{ClusterId: r.options.ClusterID}, nil
+}
--- a/internal/transport/peergrpc/server.go
+++ b/internal/transport/peergrpc/server.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
@@ -69,9 +70,14 @@
 	return response, nil
 }
 
-// Submit implements peerpb.ControlServer.
+// Submit implements peerpb.ControlServer. A command that was forwarded to this
+// replica is not forwarded again.
 func (c *ControlServer) Submit(ctx context.Context, request *peerpb.SubmitRequest) (*peerpb.SubmitResponse, error) {
-	applied, err := c.log.Submit(ctx, request.GetCommand())
+	log := c.log
+	if forwarding, ok := log.(*ForwardingLog); ok && request.GetForwarded() {
+		log = forwarding.Log
+	}
+	applied, err := log.Submit(ctx, request.GetCommand())
 	if err != nil {
 		return nil, toStatus("submit command", err)
 	}
@@ -86,8 +92,12 @@
 // toStatus maps a log error to a gRPC status that the client maps back.
 func toStatus(step string, err error) error {
 	switch {
+	case errors.Is(err, replog.ErrUnknown):
+		return status.Errorf(codes.Unknown, "%s: %v", step, err)
 	case errors.Is(err, replog.ErrNotLeader), errors.Is(err, replog.ErrStopped):
 		return status.Errorf(codes.FailedPrecondition, "%s: %v", step, err)
+	case errors.Is(err, raft.ErrTooLarge):
+		return status.Errorf(codes.InvalidArgument, "%s: %v", step, err)
 	case errors.Is(err, context.DeadlineExceeded):
 		return status.Errorf(codes.DeadlineExceeded, "%s: %v", step, err)
 	}
--- a/scripts/thin.sh
+++ b/scripts/thin.sh
@@ -14,6 +14,9 @@
 start fake engine --listen 127.0.1.31:9000 --model drafting
 start fake engine --listen 127.0.1.32:9000 --model drafting
 start fake service --listen 127.0.1.51:9100
+if [ ! -e data/reseat-works/control-1/identity ]; then
+  bin/lagoonshift control init --deployment $example/deployment.jsonc --name control-1
+fi
 start control --deployment $example/deployment.jsonc --name control-1
 until curl -fs $admin/healthz; do sleep 0.1; done
 bin/lagoonshift config apply --admin $admin $example/settings.jsonc
