Run control on the replicated log

Cause: control kept its state in memory. 'control init' makes the first replica's folder; every other start with an empty folder joins under a new identity. On SIGTERM leadership is handed over before the servers stop.

--- a/internal/coordination/raft/node.go
+++ b/internal/coordination/raft/node.go
@@ -242,6 +242,9 @@
 	c := n.core
 	newest := c.log.newestMembers()
 	leaderMember, _ := newest.members.find(c.leaderID)
+	if old := n.view.Load(); old != nil && old.LeaderID != c.leaderID {
+		n.options.Log.Info("leader changed", "term", c.term, "leader", leaderMember.Name, "address", leaderMember.Address)
+	}
 	n.view.Store(&replog.View{
 		ReplicaID:        n.options.ID,
 		ClusterID:        n.options.ClusterID,
--- a/internal/role/controlrole/control.go
+++ b/internal/role/controlrole/control.go
@@ -3,16 +3,11 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/grpc"
 
-	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
-	"github.com/lagoonshift/lagoonshift/internal/fake/memlog"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
 	"github.com/lagoonshift/lagoonshift/internal/transport/adminhttp"
@@ -26,22 +21,41 @@
 		return err
 	}
 	state := store.New()
-	replicated := memlog.New(state, clock.Boot{}, store.IsSettings)
-	server := grpc.NewServer()
-	peergrpc.NewControlServer(replicated, state).Register(server)
-	listener, err := net.Listen("tcp", self.PeerAddress)
+	replica, err := openReplica(ctx, d, self, state, log)
 	if err != nil {
-		return fmt.Errorf("listen for peers at %s: %w", self.PeerAddress, err)
+		return err
 	}
+	server := newPeerServer()
+	replica.register(server.Server)
+	peergrpc.NewControlServer(replica.log, state).Register(server.Server)
+	admin := adminhttp.New(replica.log, state)
+
+	// The replica outlives the servers, whose last calls need it.
+	replicaCtx, stopReplica := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopReplica()
+	ended := make(chan error, 1)
+	go func() { ended <- replica.run(replicaCtx) }()
+
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error { return server.listen(self.PeerAddress) })
+	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, admin.Handler()) })
 	group.Go(func() error {
-		<-ctx.Done()
-		server.GracefulStop()
+		select {
+		case err := <-ended:
+			server.Stop()
+			ended <- err
+			return err
+		case <-ctx.Done():
+		}
+		replica.node.HandOver(replicaCtx)
+		server.stop(replica.server.Stop)
 		return nil
 	})
-	admin := adminhttp.New(replicated, state)
-	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, admin.Handler()) })
 	log.Info("control started", "peer_address", self.PeerAddress, "admin_address", self.AdminAddress)
-	return group.Wait()
+	err = group.Wait()
+	stopReplica()
+	if endErr := <-ended; err == nil {
+		err = endErr
+	}
+	return err
 }
--- /dev/null
+++ b/internal/role/controlrole/peers.go
@@ -0,0 +1,54 @@
+package controlrole
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+
+	"google.golang.org/grpc"
+)
+
+// maxMessageBytes bounds one message between peers.
+const maxMessageBytes = 8 << 20
+
+// peerServer serves other processes and stops without cutting their calls.
+type peerServer struct {
+	*grpc.Server
+	// calls counts the unary calls in progress; streams between replicas
+	// never end by themselves.
+	calls sync.WaitGroup
+}
+
+func newPeerServer() *peerServer {
+	s := &peerServer{}
+	s.Server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.UnaryInterceptor(s.count))
+	return s
+}
+
+func (s *peerServer) count(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	s.calls.Add(1)
+	defer s.calls.Done()
+	return handler(ctx, request)
+}
+
+func (s *peerServer) listen(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen for peers at %s: %w", address, err)
+	}
+	return s.Serve(listener)
+}
+
+// stop refuses new calls, waits for those in progress and calls endStreams
+// for the rest.
+func (s *peerServer) stop(endStreams func()) {
+	stopped := make(chan struct{})
+	go func() {
+		s.GracefulStop()
+		close(stopped)
+	}()
+	s.calls.Wait()
+	endStreams()
+	<-stopped
+}
--- /dev/null
+++ b/internal/role/controlrole/replica.go
@@ -0,0 +1,184 @@
+package controlrole
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/grpc"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raftstore"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+	"github.com/lagoonshift/lagoonshift/internal/deployment"
+	"github.com/lagoonshift/lagoonshift/internal/state/disk"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
+	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
+)
+
+// ErrInitialized means that a data folder belongs to a replica already.
+var ErrInitialized = errors.New("data folder is initialized already")
+
+// Init makes the data folder of a deployment's first control replica. All
+// other replicas join it.
+func Init(_ context.Context, d *deployment.Deployment, name string, log hclog.Logger) error {
+	self, err := d.FindControl(name)
+	if err != nil {
+		return err
+	}
+	folder, err := disk.Open(self.DataFolder)
+	if err != nil {
+		return err
+	}
+	_, found, err := raftstore.LoadIdentity(folder, d.Name, name)
+	if err == nil && found {
+		err = ErrInitialized
+	}
+	if err != nil {
+		return fmt.Errorf("initialize %s: %w", self.DataFolder, err)
+	}
+	identity := raftstore.NewIdentity(d.Name, name)
+	identity.ClusterID = rand.Text()
+	if err := raftstore.Init(folder, identity, self.PeerAddress, raftstore.DefaultOptions); err != nil {
+		return fmt.Errorf("initialize %s: %w", self.DataFolder, err)
+	}
+	// The identity comes last: a folder with an identity is complete.
+	if err := raftstore.SaveIdentity(folder, identity); err != nil {
+		return fmt.Errorf("initialize %s: %w", self.DataFolder, err)
+	}
+	log.Info("control initialized", "data_folder", self.DataFolder, "cluster", identity.ClusterID)
+	return nil
+}
+
+// replica is this process's part in the replicated log.
+type replica struct {
+	identity  raftstore.Identity
+	storage   *raftstore.Store
+	pool      *peergrpc.Pool
+	transport *peergrpc.ReplicaTransport
+	node      *raft.Node
+	server    *peergrpc.ReplicaServer
+	// log forwards to the leader.
+	log *peergrpc.ForwardingLog
+}
+
+// openReplica opens the data folder. With an empty one it first joins the
+// group as a non-voter under a new identity.
+func openReplica(ctx context.Context, d *deployment.Deployment, self deployment.Control, state *store.Store, log hclog.Logger) (*replica, error) {
+	folder, err := disk.Open(self.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	r := &replica{pool: peergrpc.NewPool()}
+	if r.identity, err = r.identify(ctx, folder, d, self, log); err != nil {
+		return nil, fmt.Errorf("data folder %s: %w", self.DataFolder, err)
+	}
+	if r.storage, err = raftstore.Open(folder, r.identity, raftstore.DefaultOptions); err != nil {
+		return nil, fmt.Errorf("data folder %s: %w", self.DataFolder, err)
+	}
+	r.transport = peergrpc.NewReplicaTransport(r.pool, r.identity.ClusterID, self.PeerAddress, log)
+	if r.node, err = raft.New(r.nodeOptions(state, log)); err != nil {
+		return nil, err
+	}
+	r.log = peergrpc.NewForwardingLog(r.node, r.pool)
+	r.server = peergrpc.NewReplicaServer(peergrpc.ReplicaOptions{
+		Node:       r.node,
+		Transport:  r.transport,
+		ClusterID:  r.identity.ClusterID,
+		ReplicaID:  r.identity.ReplicaID,
+		Deployment: d.Name,
+		Names:      controlNames(d),
+	})
+	log.Info("replica opened", "replica", fmt.Sprintf("%016x", r.identity.ReplicaID), "cluster", r.identity.ClusterID)
+	return r, nil
+}
+
+func (r *replica) nodeOptions(machine replog.StateMachine, log hclog.Logger) raft.Options {
+	return raft.Options{
+		ID:         r.identity.ReplicaID,
+		ClusterID:  r.identity.ClusterID,
+		Machine:    machine,
+		Storage:    r.storage,
+		Transport:  r.transport,
+		Clock:      clock.Boot{},
+		IsSettings: store.IsSettings,
+		Timing:     raft.DefaultTiming,
+		Compaction: raft.DefaultCompaction,
+		Seed:       randomSeed(),
+		Log:        log,
+	}
+}
+
+func randomSeed() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return binary.BigEndian.Uint64(b[:])
+}
+
+// identify returns the folder's identity and makes a new one, bound to the
+// group that the replica joins, if there is none.
+func (r *replica) identify(ctx context.Context, folder disk.Folder, d *deployment.Deployment, self deployment.Control, log hclog.Logger) (raftstore.Identity, error) {
+	identity, found, err := raftstore.LoadIdentity(folder, d.Name, self.Name)
+	if err != nil {
+		return raftstore.Identity{}, err
+	}
+	if !found {
+		identity = raftstore.NewIdentity(d.Name, self.Name)
+		if err := raftstore.SaveIdentity(folder, identity); err != nil {
+			return raftstore.Identity{}, err
+		}
+	}
+	if identity.ClusterID != "" {
+		return identity, nil
+	}
+	log.Info("joining the group; a new deployment needs 'control init' on one of its control VMs first")
+	identity.ClusterID, err = peergrpc.Join(ctx, r.pool, otherPeers(d, self), &peerpb.JoinRequest{
+		Name:       self.Name,
+		ReplicaId:  identity.ReplicaID,
+		Address:    self.PeerAddress,
+		Deployment: d.Name,
+	}, log)
+	if err != nil {
+		return raftstore.Identity{}, err
+	}
+	return identity, raftstore.SaveIdentity(folder, identity)
+}
+
+// register adds the replica's service to a gRPC server.
+func (r *replica) register(server *grpc.Server) {
+	r.server.Register(server)
+}
+
+// run runs the replica until ctx ends or its storage fails.
+func (r *replica) run(ctx context.Context) error {
+	err := r.node.Run(ctx)
+	r.transport.Close()
+	r.pool.Close()
+	if closeErr := r.storage.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+func otherPeers(d *deployment.Deployment, self deployment.Control) []string {
+	var out []string
+	for _, c := range d.Control {
+		if c.Name != self.Name {
+			out = append(out, c.PeerAddress)
+		}
+	}
+	return out
+}
+
+func controlNames(d *deployment.Deployment) []string {
+	var out []string
+	for _, c := range d.Control {
+		out = append(out, c.Name)
+	}
+	return out
+}
