--- a/internal/fake/fakegroup/group_test.go
+++ b/internal/fake/fakegroup/group_test.go
@@ -70,7 +70,7 @@
 func has(s *store.Store, key string) bool {
 	found := false
 	s.View(func(_ *settings.Tree, l *ledger.Ledger) {
-		_, found = l.Records[ledger.Key{IdempotencyKey: key}]
+		_, found = l.Lookup(ledger.Key{IdempotencyKey: key})
 	})
 	return found
 }
--- a/internal/load/records.go
+++ b/internal/load/records.go
@@ -7,7 +7,7 @@
 	"net/http"
 
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeservice"
-	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
 )
 
 // Executions reads what the fake services ran, by idempotency key.
@@ -36,7 +36,7 @@
 		if runs[r.Arrival.Key] > 1 {
 			doubled++
 		}
-		if r.Kind == Refused && r.Executed == string(callerhttp.ExecutedNo) && runs[r.Arrival.Key] > 0 {
+		if r.Kind == Refused && r.Executed == string(refusal.No) && runs[r.Arrival.Key] > 0 {
 			falseNo++
 		}
 	}
--- /dev/null
+++ b/internal/protocol/servicecall/dispatch.go
@@ -0,0 +1,150 @@
+package servicecall
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+)
+
+// dispatch sends the call. The attempt holds the reservation, so nobody else
+// sends under this key.
+func (a *attempt) dispatch(ctx context.Context) (Answer, error) {
+	if a.caller.Err() != nil {
+		return a.cancel(ctx, refusal.DeadlinePassed, a.caller.Err())
+	}
+	return a.send(ctx)
+}
+
+// send tries one backend server after the other until one is connected to,
+// and sends the call there. If the settings in force name an old system, the
+// key is claimed there first.
+func (a *attempt) send(ctx context.Context) (Answer, error) {
+	tried := make(map[string]bool)
+	last := errNoBackend
+	for {
+		targets, config, err := a.p.decide(a.call.Service)
+		if err != nil {
+			return a.cancel(ctx, refusal.NoLease, err)
+		}
+		if !a.claimed && len(config.System.OldSystem) > 0 {
+			a.claimed, err = a.claim(ctx, config)
+			switch {
+			case err != nil:
+				return a.cancel(ctx, refusal.Unavailable, err)
+			case !a.claimed:
+				return a.leaveToOldSystem(ctx)
+			}
+			continue
+		}
+		t, ok := first(targets, tried)
+		if !ok {
+			return a.cancel(ctx, refusal.Unavailable, last)
+		}
+		tried[t.name] = true
+		a.p.Outliers.Start(t.name)
+		answer, err := a.p.Services.CallOnce(ctx, a.call.to(t.url, a.id))
+		a.p.judge(t, err)
+		if err == nil {
+			return a.store(ctx, answer)
+		}
+		if !errors.Is(err, backend.ErrNotSent) {
+			return a.lost(ctx, t, err)
+		}
+		last = err
+	}
+}
+
+// errNoBackend means that no backend server of a service takes new work.
+var errNoBackend = errors.New("servicecall: no backend server takes new work")
+
+// first returns the first target that was not tried yet.
+func first(targets []target, tried map[string]bool) (target, bool) {
+	for _, t := range targets {
+		if !tried[t.name] {
+			return t, true
+		}
+	}
+	return target{}, false
+}
+
+// store commits the answer and returns it. If the caller's time ends first,
+// the caller gets the answer, which is true, and the commit goes on.
+func (a *attempt) store(ctx context.Context, answer backend.ServiceAnswer) (Answer, error) {
+	stop := context.AfterFunc(a.caller, func() { a.report(Answer{ServiceAnswer: answer}, nil) })
+	defer stop()
+	if _, err := a.settle(ctx, outcomeOf(answer)); err != nil {
+		return Answer{ServiceAnswer: answer}, nil
+	}
+	return Answer{ServiceAnswer: answer}, nil
+}
+
+func outcomeOf(answer backend.ServiceAnswer) ledger.Outcome {
+	outcome := ledger.Outcome{
+		State:       ledger.Settled,
+		Status:      answer.Status,
+		ContentType: answer.ContentType,
+		Body:        answer.Body,
+	}
+	if len(outcome.Body) > ledger.MaxAnswer {
+		outcome.Body = nil
+		outcome.Oversized = true
+	}
+	return outcome
+}
+
+// lost handles a call that was sent and not answered: it asks the service, if
+// the settings name a lookup, and else records that nobody knows.
+func (a *attempt) lost(ctx context.Context, t target, cause error) (Answer, error) {
+	if answer, found := a.lookup(ctx, t); found {
+		return a.store(ctx, answer)
+	}
+	unknown := &refusal.Error{
+		Kind:     refusal.OutcomeUnknown,
+		Executed: refusal.Unknown,
+		Detail:   "the call was sent and its answer lost; it is not sent again",
+		Cause:    fmt.Errorf("call %s at backend server %s: %w", a.call.Path, t.name, cause),
+	}
+	a.report(Answer{}, unknown)
+	_, _ = a.settle(ctx, ledger.Outcome{State: ledger.Unknown})
+	return Answer{}, unknown
+}
+
+// cancel gives the key back. Only a committed cancellation allows the answer
+// that the call was not run, and beside an old system only a claimed key.
+func (a *attempt) cancel(ctx context.Context, kind refusal.Kind, cause error) (Answer, error) {
+	stop := context.AfterFunc(a.caller, func() { a.report(a.late()) })
+	defer stop()
+	refused := &refusal.Error{Kind: kind, Executed: refusal.Unknown, Detail: "the call was not sent", RetryAfter: retryAfter, Cause: cause}
+	result, err := a.settle(ctx, ledger.Outcome{State: ledger.Cancelled})
+	if err == nil && result.Verdict == ledger.Stored {
+		refused.Executed = a.neverRun()
+	}
+	return Answer{}, refused
+}
+
+// neverRun returns what may be said of a key that nobody ran on this side: the
+// old system may have run one that was not claimed.
+func (a *attempt) neverRun() refusal.Executed {
+	if len(a.p.Settings.Load().System.OldSystem) > 0 && !a.claimed {
+		return refusal.Unknown
+	}
+	return refusal.No
+}
+
+// lookup asks the service for the outcome of the key. Only a found outcome
+// counts: a service that does not know the key may still get the call.
+func (a *attempt) lookup(ctx context.Context, t target) (backend.ServiceAnswer, bool) {
+	if a.rule.Lookup == "" {
+		return backend.ServiceAnswer{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.rule.Timeout.Std())
+	defer cancel()
+	call := a.call.to(t.url, a.id)
+	call.URL = t.url + "/" + a.rule.Lookup
+	answer, found, err := a.p.Services.Lookup(ctx, call)
+	return answer, found && err == nil
+}
--- a/internal/role/controlrole/control.go
+++ b/internal/role/controlrole/control.go
@@ -3,10 +3,13 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/inforce"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
@@ -25,37 +28,47 @@
 	if err != nil {
 		return err
 	}
+	stopReplica := replica.start(ctx)
 	server := newPeerServer()
 	replica.register(server.Server)
-	peergrpc.NewControlServer(replica.log, state).Register(server.Server)
-	admin := adminhttp.New(replica.log, state)
-
-	// The replica outlives the servers, whose last calls need it.
-	replicaCtx, stopReplica := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopReplica()
-	ended := make(chan error, 1)
-	go func() { ended <- replica.run(replicaCtx) }()
+	tracker := inforce.New(inforce.Options{Clock: clock.Boot{}, Lease: peergrpc.LeaseDuration})
+	control := peergrpc.NewControlServer(replica.log, state)
+	control.Observe(tracker)
+	control.Register(server.Server)
+	peers, err := peergrpc.DialControl(peerAddresses(d))
+	if err != nil {
+		return err
+	}
+	defer peers.Close()
 
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return server.listen(self.PeerAddress) })
-	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, admin.Handler()) })
-	group.Go(func() error {
-		select {
-		case err := <-ended:
-			server.Stop()
-			ended <- err
-			return err
-		case <-ctx.Done():
-		}
-		replica.node.HandOver(replicaCtx)
-		server.stop(replica.server.Stop)
-		return nil
-	})
+	group.Go(func() error { return replica.stopServer(ctx, server) })
+	fleet := newFleet(d, clock.Boot{}, replica.log, state, tracker, log)
+	group.Go(func() error { return fleet.follow(ctx) })
+	group.Go(func() error { return fleet.lead(ctx) })
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	adminhttp.New(adminhttp.Options{
+		Log:     replica.log,
+		Store:   state,
+		Control: peers,
+		Tracker: tracker,
+		Clock:   clock.Boot{},
+	}).Register(mux)
+	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, mux) })
 	log.Info("control started", "peer_address", self.PeerAddress, "admin_address", self.AdminAddress)
 	err = group.Wait()
-	stopReplica()
-	if endErr := <-ended; err == nil {
-		err = endErr
+	if stopErr := stopReplica(); err == nil {
+		err = stopErr
 	}
 	return err
 }
+
+func peerAddresses(d *deployment.Deployment) []string {
+	var out []string
+	for _, c := range d.Control {
+		out = append(out, c.PeerAddress)
+	}
+	return out
+}
--- a/internal/role/controlrole/replica.go
+++ b/internal/role/controlrole/replica.go
@@ -65,6 +65,9 @@
 	server    *peergrpc.ReplicaServer
 	// log forwards to the leader.
 	log *peergrpc.ForwardingLog
+	// ended is closed when the replica has stopped, for the reason err.
+	ended chan struct{}
+	err   error
 }
 
 // openReplica opens the data folder. With an empty one it first joins the
@@ -74,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{pool: peergrpc.NewPool()}
+	r := &replica{pool: peergrpc.NewPool(), ended: make(chan struct{})}
 	if r.identity, err = r.identify(ctx, folder, d, self, log); err != nil {
 		return nil, fmt.Errorf("data folder %s: %w", self.DataFolder, err)
 	}
@@ -154,6 +157,35 @@
 	r.server.Register(server)
 }
 
+// start runs the replica in the background. It outlives ctx, since the last
+// calls to the servers need it, and ends when stop is called.
+func (r *replica) start(ctx context.Context) (stop func() error) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	go func() {
+		r.err = r.run(ctx)
+		close(r.ended)
+	}()
+	return func() error {
+		cancel()
+		<-r.ended
+		return r.err
+	}
+}
+
+// stopServer waits until ctx ends, hands leadership over and then stops the
+// server. It stops everything with an error if the replica ends by itself.
+func (r *replica) stopServer(ctx context.Context, server *peerServer) error {
+	select {
+	case <-r.ended:
+		server.Stop()
+		return r.err
+	case <-ctx.Done():
+	}
+	r.node.HandOver(context.WithoutCancel(ctx))
+	server.stop(r.server.Stop)
+	return nil
+}
+
 // run runs the replica until ctx ends or its storage fails.
 func (r *replica) run(ctx context.Context) error {
 	err := r.node.Run(ctx)
--- a/internal/transport/peergrpc/dial.go
+++ b/internal/transport/peergrpc/dial.go
@@ -24,8 +24,6 @@
 	maxReconnectDelay = 500 * time.Millisecond
 	reconnectFactor   = 1.6
 	reconnectJitter   = 0.2
-	// maxMessageBytes bounds one gRPC message.
-	maxMessageBytes = 8 << 20
 )
 
 // dial prepares a connection to a peer address. None is made yet.
@@ -42,7 +40,7 @@
 			},
 			MinConnectTimeout: connectTimeout,
 		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
 	if err != nil {
 		return nil, fmt.Errorf("prepare connection to %s: %w", address, err)
 	}
