--- a/scripts/thin.sh
+++ b/scripts/thin.sh
@@ -19,7 +19,7 @@
 fi
 start control --deployment $example/deployment.jsonc --name control-1
 until curl -fs $admin/healthz; do sleep 0.1; done
-bin/lagoonshift config apply --admin $admin --token-file $example/operator.token $example/settings.jsonc
+until bin/lagoonshift config apply --admin $admin --token-file $example/operator.token $example/settings.jsonc; do sleep 0.5; done
 start entry --deployment $example/deployment.jsonc --name entry-1
 start entry --deployment $example/deployment.jsonc --name entry-2
 until curl -fs http://127.0.1.11:8080/v1/addresses; do sleep 0.1; done
