--- a/internal/role/controlrole/control.go
+++ b/internal/role/controlrole/control.go
@@ -3,18 +3,14 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 	"net/http"
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/grpc"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/inforce"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
-	"github.com/lagoonshift/lagoonshift/internal/fake/memlog"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
 	"github.com/lagoonshift/lagoonshift/internal/transport/adminhttp"
@@ -32,35 +28,33 @@
 		return err
 	}
 	state := store.New()
-	replicated := memlog.New(state, clock.Boot{}, store.IsSettings)
-	server := grpc.NewServer(grpc.Creds(keys.PeerServer()))
+	replica, err := openReplica(ctx, d, self, keys, state, log)
+	if err != nil {
+		return err
+	}
+	stopReplica := replica.start(ctx)
+	server := newPeerServer(keys.PeerServer())
+	replica.register(server.Server)
 	tracker := inforce.New(inforce.Options{Clock: clock.Boot{}, Lease: peergrpc.LeaseDuration})
-	control := peergrpc.NewControlServer(replicated, state)
+	control := peergrpc.NewControlServer(replica.log, state)
 	control.Observe(tracker)
-	control.Register(server)
+	control.Register(server.Server)
 	peers, err := peergrpc.DialControl(peerAddresses(d), keys.PeerClient())
 	if err != nil {
 		return err
 	}
 	defer peers.Close()
-	listener, err := net.Listen("tcp", self.PeerAddress)
-	if err != nil {
-		return fmt.Errorf("listen for peers at %s: %w", self.PeerAddress, err)
-	}
+
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return server.Serve(listener) })
-	group.Go(func() error {
-		<-ctx.Done()
-		server.GracefulStop()
-		return nil
-	})
-	fleet := newFleet(d, clock.Boot{}, replicated, state, tracker, log)
+	group.Go(func() error { return server.listen(self.PeerAddress) })
+	group.Go(func() error { return replica.stopServer(ctx, server) })
+	fleet := newFleet(d, clock.Boot{}, replica.log, state, tracker, log)
 	group.Go(func() error { return fleet.follow(ctx) })
 	group.Go(func() error { return fleet.lead(ctx) })
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	registerTelemetry(mux, name, replica.log, log)
 	adminhttp.New(adminhttp.Options{
-		Log:     replicated,
+		Log:     replica.log,
 		Store:   state,
 		Control: peers,
 		Tracker: tracker,
@@ -68,7 +62,11 @@
 	}).Register(mux)
 	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, mux, keys.Administration()) })
 	log.Info("control started", "peer_address", self.PeerAddress, "admin_address", self.AdminAddress)
-	return group.Wait()
+	err = group.Wait()
+	if stopErr := stopReplica(); err == nil {
+		err = stopErr
+	}
+	return err
 }
 
 func peerAddresses(d *deployment.Deployment) []string {
--- a/internal/role/entryrole/run.go
+++ b/internal/role/entryrole/run.go
@@ -31,7 +31,9 @@
 	group, upkeep := errgroup.WithContext(upkeep)
 	group.Go(func() error { return e.agent.Run(upkeep) })
 	group.Go(func() error { return every(upkeep, loadInterval, e.pollLoads) })
-	group.Go(func() error { return serve.HTTP(upkeep, e.self.AdminAddress, e.adminHandler(), e.keys.Administration()) })
+	group.Go(func() error {
+		return serve.HTTP(upkeep, e.self.AdminAddress, e.adminHandler(), e.keys.Administration())
+	})
 	group.Go(func() error { return every(upkeep, demandInterval, e.reportDemand) })
 	group.Go(func() error {
 		defer endUpkeep()
--- a/internal/transport/peergrpc/client.go
+++ b/internal/transport/peergrpc/client.go
@@ -43,14 +43,10 @@
 func DialControl(addresses []string, creds credentials.TransportCredentials) (*ControlClient, error) {
 	c := &ControlClient{}
 	for _, address := range addresses {
-		conn, err := grpc.NewClient(
-			address,
-			grpc.WithTransportCredentials(creds),
-			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
-		)
+		conn, err := dial(address, creds)
 		if err != nil {
 			c.Close()
-			return nil, fmt.Errorf("prepare connection to control %s: %w", address, err)
+			return nil, err
 		}
 		c.replicas = append(c.replicas, replica{address: address, conn: conn, control: peerpb.NewControlClient(conn)})
 	}
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -70,7 +70,9 @@
 for i in $(seq $controls); do
   start control-$i control --deployment $example/deployment.jsonc --name control-$i
 done
-await curl -fs $admin/readyz
+for i in $(seq $controls); do
+  await curl -fs http://$net.$i:7401/readyz
+done
 $binary config apply --admin $admin --token-file $example/operator.token \
   --deployment $example/deployment.jsonc $example/settings.jsonc
 for i in $(seq $entries); do
