Stop a local deployment in order: entries, control, stand-ins

Cause: control got its signal while entries were still leaving, so they could not deregister. Before: warnings at each stop.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -26,25 +26,37 @@
 go build -o $binary ./cmd/lagoonshift
 $binary check $example/deployment.jsonc
 
-pids=()
+entry_pids=()
+control_pids=()
+stand_in_pids=()
+
+# end_all sends SIGTERM to processes and waits for their ends.
+end_all() {
+  kill -TERM "$@" 2>/dev/null || true
+  for pid in "$@"; do
+    while kill -0 "$pid" 2>/dev/null; do sleep 0.1; done
+  done
+}
+
 # stop ends entries first, then control, then the stand-ins, so that no
 # request is cut.
 stop() {
   trap - EXIT INT TERM
-  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
-    kill -TERM "${pids[$i]}" 2>/dev/null || true
-  done
-  wait
+  end_all "${entry_pids[@]}"
+  end_all "${control_pids[@]}"
+  end_all "${stand_in_pids[@]}"
 }
 trap stop EXIT
 trap 'exit 0' INT TERM
 
-# start runs one process in the background with its own log and pid file.
+# start runs one process in the background with its own log and pid file. It
+# adds the pid to the named list.
 start() {
-  local process=$1
-  shift
+  local -n list=$1
+  local process=$2
+  shift 2
   $binary "$@" >>"$logs/$process.log" 2>&1 &
-  pids+=($!)
+  list+=($!)
   echo $! >"$logs/$process.pid"
 }
 
@@ -59,16 +71,16 @@
 }
 
 for i in $(seq $engines); do
-  start engine-$i fake engine --listen $net.$((100 + i)):9000 --name "$(printf 'engine-%02d' "$i")" --model $model
+  start stand_in_pids engine-$i fake engine --listen $net.$((100 + i)):9000 --name "$(printf 'engine-%02d' "$i")" --model $model
 done
 for i in $(seq $services); do
-  start service-$i fake service --listen $net.$((150 + i)):9100
+  start stand_in_pids service-$i fake service --listen $net.$((150 + i)):9100
 done
 if [ ! -d data/"$name"/control-1 ]; then
   $binary control init --deployment $example/deployment.jsonc --name control-1
 fi
 for i in $(seq $controls); do
-  start control-$i control --deployment $example/deployment.jsonc --name control-$i
+  start control_pids control-$i control --deployment $example/deployment.jsonc --name control-$i
 done
 for i in $(seq $controls); do
   await curl -fs http://$net.$i:7401/readyz
@@ -76,7 +88,7 @@
 $binary config apply --admin $admin --token-file $example/operator.token \
   --deployment $example/deployment.jsonc $example/settings.jsonc
 for i in $(seq $entries); do
-  start entry-$i entry --deployment $example/deployment.jsonc --name entry-$i
+  start entry_pids entry-$i entry --deployment $example/deployment.jsonc --name entry-$i
 done
 for i in $(seq $entries); do
   await curl -fs http://$net.$((10 + i)):8081/readyz
