--- a/internal/protocol/servicecall/once_test.go
+++ b/internal/protocol/servicecall/once_test.go
@@ -49,9 +49,11 @@
 	return last
 }
 
-// finish lets stragglers act and ends stopped entries.
-func finish(w *world) {
-	time.Sleep(settleTime)
+// finish lets stragglers act for settleTime and ends stopped entries.
+func finish(w *world) { finishAfter(w, settleTime) }
+
+func finishAfter(w *world, d time.Duration) {
+	time.Sleep(d)
 	close(w.release)
 	synctest.Wait()
 }
