--- a/internal/protocol/request/request.go
+++ b/internal/protocol/request/request.go
@@ -147,6 +147,7 @@
 		Class:        call.Class,
 		Customer:     call.Customer,
 		PromptTokens: len(call.Prompt) / bytesPerToken,
+		Prefix:       routing.PrefixHashes(call.Prompt),
 		OutputTokens: call.MaxTokens - call.From,
 		Priority:     class.Priority,
 		Worth:        class.Worth,
--- a/internal/protocol/routing/routing.go
+++ b/internal/protocol/routing/routing.go
@@ -5,10 +5,13 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
@@ -35,6 +38,9 @@
 	// PromptTokens and OutputTokens are counts; OutputTokens is an upper bound.
 	PromptTokens int
 	OutputTokens int
+	// OutputRatio is the expected length of the answer as a part of
+	// OutputTokens; 0 counts as 1. Package admission sets it.
+	OutputRatio float64
 	// Prefix holds the hashes of the prompt's prefixes, piece by piece.
 	Prefix []uint64
 	// Priority is the class's priority.
@@ -45,10 +51,20 @@
 	ExpectedWait time.Duration
 	// Zone is the zone of the entry that decides.
 	Zone string
+	// Retry is true if the request was admitted before and is tried again.
+	Retry bool
 	// Exclude names engines that already failed this request.
 	Exclude []string
 }
 
+// expectedOutput is the expected length of the answer, in tokens.
+func (r *Request) expectedOutput() float64 {
+	if r.OutputRatio == 0 {
+		return float64(r.OutputTokens)
+	}
+	return r.OutputRatio * float64(r.OutputTokens)
+}
+
 // Engine is one engine as an entry sees it.
 type Engine struct {
 	Name  string
@@ -62,16 +78,94 @@
 	// Report is the newest load report and ReportedAt when it was made.
 	Report     backend.LoadReport
 	ReportedAt clock.Instant
-	// OwnRequests counts this entry's requests in progress there.
-	OwnRequests int
-	// OwnPromptTokens counts their prompt tokens not yet prefilled.
-	OwnPromptTokens int
+	// Foreign estimates the work that others than this entry have there.
+	Foreign Work
+	// Slowdown is the learned ratio of real to predicted times.
+	Slowdown float64
+
+	// number identifies the engine in the prefix index.
+	number uint16
+	// own is this entry's own work there; nil in a hand-made snapshot.
+	own *ownWork
+}
+
+// Work is an amount of work at an engine.
+type Work struct {
+	// Requests counts requests waiting or running.
+	Requests float64
+	// PromptTokens counts prompt tokens not yet prefilled.
+	PromptTokens float64
 }
 
-// Snapshot is an immutable view of all engines, ordered by name.
+// Load returns the estimated work at the engine: what others have there and
+// this entry's own work, which is exact.
+func (e *Engine) Load() Work {
+	own := e.own.now()
+	return Work{
+		Requests:     e.Foreign.Requests + own.Requests,
+		PromptTokens: e.Foreign.PromptTokens + own.PromptTokens,
+	}
+}
+
+// ModelView is the part of a snapshot that concerns one model.
+type ModelView struct {
+	Engines []Engine
+	Speeds  *speed.Table
+	// Capacity counts the accepting engines by role; a slow engine counts as
+	// a part of one.
+	Capacity fluid.Capacity
+
+	prefixes *prefixIndex
+}
+
+// Snapshot is an immutable view of all engines, ordered by model and name.
 type Snapshot struct {
 	At      clock.Instant
 	Engines []Engine
+
+	models map[string]*ModelView
+}
+
+// Model returns the view of one model. A snapshot that was made by hand is
+// searched; one of a Tracker holds the views ready.
+func (s *Snapshot) Model(name string) *ModelView {
+	if s.models != nil {
+		if v := s.models[name]; v != nil {
+			return v
+		}
+		return &ModelView{Speeds: &speed.Default}
+	}
+	v := &ModelView{Speeds: &speed.Default}
+	for _, e := range s.Engines {
+		if e.Model == name {
+			v.Engines = append(v.Engines, e)
+		}
+	}
+	v.Capacity = capacityOf(v.Engines)
+	return v
+}
+
+// interference is the slowdown that prefill beside decode explains; only what
+// goes beyond it means that an engine is slow.
+const interference = 1.5
+
+func capacityOf(engines []Engine) fluid.Capacity {
+	var c fluid.Capacity
+	for i := range engines {
+		if !engines[i].Accepting {
+			continue
+		}
+		c[roleIndex(engines[i].Role)] += min(interference/max(engines[i].Slowdown, 1), 1)
+	}
+	return c
+}
+
+func roleIndex(role settings.Role) int {
+	at := slices.Index(speed.Roles[:], role)
+	if at < 0 {
+		at = slices.Index(speed.Roles[:], settings.RoleMixed)
+	}
+	return at
 }
 
 // Choice is a picked engine.
@@ -81,6 +175,8 @@
 	FirstToken time.Duration
 	// Whole is the predicted time to the whole answer.
 	Whole time.Duration
+	// CachedTokens is the part of the prompt that the engine seems to hold.
+	CachedTokens int
 }
 
 // Picker chooses the engine for a request.
@@ -96,12 +192,8 @@
 // Pick implements Picker.
 func (LeastRequests) Pick(s *Snapshot, r *Request) (Choice, error) {
 	var best *Engine
-	for i := range s.Engines {
-		e := &s.Engines[i]
-		if !eligible(e, r) {
-			continue
-		}
-		if best == nil || requests(e) < requests(best) {
+	for _, e := range candidates(s.Model(r.Model), r, standardFilters) {
+		if best == nil || e.Load().Requests < best.Load().Requests {
 			best = e
 		}
 	}
@@ -110,19 +202,3 @@
 	}
 	return Choice{Engine: best}, nil
 }
-
-func eligible(e *Engine, r *Request) bool {
-	if !e.Accepting || e.Model != r.Model {
-		return false
-	}
-	for _, name := range r.Exclude {
-		if name == e.Name {
-			return false
-		}
-	}
-	return true
-}
-
-func requests(e *Engine) int {
-	return e.Report.Queued + e.Report.Running + e.OwnRequests
-}
--- a/internal/state/settings/check.go
+++ b/internal/state/settings/check.go
@@ -156,12 +156,38 @@
 	if err := checkEach(at+"/engines", model.Engines, c.checkEngine); err != nil {
 		return err
 	}
+	for role, speed := range model.Speeds {
+		if err := checkSpeed(at+"/speeds/"+string(role), role, speed); err != nil {
+			return err
+		}
+	}
 	if !(model.RolePrice >= 0) || math.IsInf(model.RolePrice, 0) {
 		return fieldError(at+"/role_price", "expected zero or more")
 	}
 	return checkMinimums(at, model)
 }
 
+func checkSpeed(at string, role Role, speed Speed) error {
+	switch role {
+	case RolePrefill, RoleDecode, RoleMixed:
+	default:
+		return fieldError(at, "expected the role %q, %q or %q", RolePrefill, RoleDecode, RoleMixed)
+	}
+	if !(speed.PrefillRate > 0) || math.IsInf(speed.PrefillRate, 0) {
+		return fieldError(at+"/prefill_rate", "expected a positive number")
+	}
+	if speed.StepBase <= 0 || speed.StepPerSequence <= 0 {
+		return fieldError(at+"/step_base", "expected positive durations for a decode step")
+	}
+	if speed.MaxSequences <= 0 {
+		return fieldError(at+"/max_sequences", "expected a positive number")
+	}
+	if !(speed.PrefillShare > 0 && speed.PrefillShare < 1) {
+		return fieldError(at+"/prefill_share", "expected a number between 0 and 1")
+	}
+	return nil
+}
+
 // checkMinimums verifies that the lower bounds can be met together.
 func checkMinimums(at string, model Model) error {
 	if model.MinPrefill < 0 {
