Control is ready only once operators' tokens are known

Ruled out: a retry in the command, which would hide a wrong token. The trial's load also lasts as long as its restarts now.

--- a/cmd/lagoonshift/load.go
+++ b/cmd/lagoonshift/load.go
@@ -5,17 +5,20 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/load"
+	"github.com/lagoonshift/lagoonshift/internal/strictjson"
 )
 
 // loadFlags are the flags of "load run".
 type loadFlags struct {
-	mix  string
-	json string
-	plot string
+	mix      string
+	json     string
+	plot     string
+	duration time.Duration
 }
 
 func addLoad(app *kingpin.Application, commands map[string]command) {
@@ -23,6 +26,7 @@
 	flags := &loadFlags{}
 	clause.Arg("file", "Mix file, JSON with comments.").Required().StringVar(&flags.mix)
 	clause.Flag("json", "File for the report as JSON.").StringVar(&flags.json)
+	clause.Flag("duration", "How long requests arrive, with its unit, in place of the mix file's duration.").DurationVar(&flags.duration)
 	clause.Flag("plot", "File for a plot of goodput over time, such as out/run.png.").StringVar(&flags.plot)
 	commands["load run"] = flags.run
 }
@@ -32,6 +36,9 @@
 	if err != nil {
 		return &settingsError{err: err}
 	}
+	if f.duration > 0 {
+		mix.Duration = strictjson.Duration(f.duration)
+	}
 	runner := load.NewRunner(mix, load.NewHTTPClient(), os.Stderr)
 	results := runner.Run(ctx)
 	runs, err := runner.Executions(context.WithoutCancel(ctx))
--- a/internal/role/controlrole/control.go
+++ b/internal/role/controlrole/control.go
@@ -52,7 +52,7 @@
 	group.Go(func() error { return fleet.follow(ctx) })
 	group.Go(func() error { return fleet.lead(ctx) })
 	mux := http.NewServeMux()
-	registerTelemetry(mux, name, replica.log, log)
+	registerTelemetry(mux, name, fleet, log)
 	adminhttp.New(adminhttp.Options{
 		Log:     replica.log,
 		Store:   state,
--- a/internal/role/controlrole/fleet.go
+++ b/internal/role/controlrole/fleet.go
@@ -115,15 +115,21 @@
 
 // bring commits what the deployment file says, unless it is committed already.
 func (f *fleet) bring(ctx context.Context) error {
-	var needed bool
-	f.state.View(func(tree *settings.Tree, _ *ledger.Ledger) { needed = tree.NeedsBootstrap(f.bootstrap) })
-	if !needed {
+	if !f.needsBootstrap() {
 		return nil
 	}
 	_, err := f.Submit(ctx, &store.Command{Bootstrap: &f.bootstrap})
 	return err
 }
 
+// needsBootstrap reports whether this replica's state lacks what the
+// deployment file says.
+func (f *fleet) needsBootstrap() bool {
+	var needed bool
+	f.state.View(func(tree *settings.Tree, _ *ledger.Ledger) { needed = tree.NeedsBootstrap(f.bootstrap) })
+	return needed
+}
+
 func (f *fleet) configuration() *settings.Configuration {
 	var c *settings.Configuration
 	f.state.View(func(tree *settings.Tree, _ *ledger.Ledger) { c = tree.Configuration() })
--- a/scripts/trials/faults.sh
+++ b/scripts/trials/faults.sh
@@ -4,6 +4,8 @@
 # to look at are wrong answers, calls run twice and false "not run".
 #
 #   scripts/trials/faults.sh reseat-works|tui-lane [planned|crashes|all]
+#
+# DURATION sets how long requests arrive; 100s by default.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 
@@ -21,9 +23,18 @@
 READY_FILE=$ready scripts/deployment.sh "$name" &
 deployment=$!
 restarted=()
+
+# end sends SIGTERM to a process and waits for its end.
+end() {
+  kill -TERM "$1" 2>/dev/null || true
+  while kill -0 "$1" 2>/dev/null; do sleep 0.1; done
+}
+
+# stop ends the restarted entries before the deployment with its control.
 stop() {
-  for pid in "${restarted[@]}" $deployment; do kill -TERM "$pid" 2>/dev/null || true; done
-  wait
+  for pid in "${restarted[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${restarted[@]}"; do end "$pid"; done
+  end $deployment
 }
 trap stop EXIT
 until [ -e "$ready" ]; do kill -0 $deployment; sleep 0.2; done
@@ -49,8 +60,14 @@
 }
 
 planned() {
-  for i in $(seq $entries); do restart TERM entry "entry-$i"; sleep 0.5; done
-  for i in $(seq $controls); do restart TERM control "control-$i"; sleep 3; done
+  for i in $(seq 1 2 $entries); do
+    restart TERM entry "entry-$i"
+    restart TERM entry "entry-$((i + 1))"
+  done
+  for i in $(seq $controls); do
+    restart TERM control "control-$i"
+    sleep 3
+  done
 }
 
 crashes() {
@@ -65,7 +82,7 @@
   restart KILL entry entry-3
 }
 
-$binary load run "$example/mix.jsonc" --json "out/$name-$faults.json" --plot "out/$name-$faults.png" &
+$binary load run "$example/mix.jsonc" --duration "${DURATION:-100s}" --json "out/$name-$faults.json" --plot "out/$name-$faults.png" &
 load=$!
 sleep 3
 case $faults in
