Check the properties of the Raft paper on the core

Drawn schedules of ticks, lost, doubled and late messages, cuts, restarts, lost disks with rejoining, compaction and leader transfers; after each event election safety, log matching, leader completeness, state machine safety and exclusive authority are checked.

--- /dev/null
+++ b/internal/coordination/raft/sim_test.go
@@ -0,0 +1,434 @@
+package raft
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+)
+
+// fault is a fault that a test plants to see the checks report it.
+type fault int
+
+const (
+	noFault fault = iota
+	// ackBeforeSync loses entries and votes that were answered for.
+	ackBeforeSync
+	// voteAfterAmnesia restarts a replica under its identity without its disk.
+	voteAfterAmnesia
+	// voteAfterRestart lets a restarted replica vote at once.
+	voteAfterRestart
+	// commitOldTerm commits entries of older terms by counting.
+	commitOldTerm
+	// noTransferWait gives authority at once after a leader transfer.
+	noTransferWait
+)
+
+// simReplica is one replica with what its disk holds.
+type simReplica struct {
+	core  *Core
+	state HardState
+	// entries hold the whole log; the simulation keeps them for the checks.
+	entries  []Entry
+	snapshot *Snapshot
+	// unsynced is what a planted fault lets a crash leave.
+	unsynced *simReplica
+	// member is how a replica without a membership asks to join.
+	member Member
+	gone   bool
+	cut    bool
+}
+
+// sim runs cores with a drawn schedule of events and checks the properties
+// of the Raft paper, figure 3, and that of the lease after each one.
+type sim struct {
+	fault    fault
+	now      clock.Instant
+	replicas []*simReplica
+	first    Entry
+	inFlight []Message
+	rand     *rand.Rand
+	proposed int
+
+	leaders   map[uint64]uint64
+	committed map[uint64]Entry
+	newest    uint64
+	// authority is the last granted one and its holder.
+	authority       clock.Instant
+	authorityHolder uint64
+	err             error
+}
+
+func newSim(n int, f fault) *sim {
+	s := &sim{
+		fault:     f,
+		rand:      rand.New(rand.NewPCG(1, 2)),
+		leaders:   make(map[uint64]uint64),
+		committed: make(map[uint64]Entry),
+	}
+	var members Members
+	for i := range n {
+		members = members.with(Member{ID: uint64(i + 1), Name: fmt.Sprint(i), Voter: true})
+	}
+	first := Entry{Index: 1, Term: 1, Kind: KindMembers, Data: EncodeMembers(members)}
+	s.first = first
+	for i := range n {
+		s.replicas = append(s.replicas, s.fresh())
+		s.start(i)
+	}
+	return s
+}
+
+// fresh returns a replica as it was when the group was made.
+func (s *sim) fresh() *simReplica {
+	return &simReplica{state: HardState{Term: 1}, entries: []Entry{s.first}}
+}
+
+// start starts a replica from its disk.
+func (s *sim) start(i int) {
+	r := s.replicas[i]
+	core, err := NewCore(CoreOptions{
+		ID:         uint64(i + 1),
+		Timing:     DefaultTiming,
+		Rand:       s.rand,
+		IsSettings: func([]byte) bool { return false },
+	}, Stored{HardState: r.state, Snapshot: r.snapshot, Entries: r.entries}, s.now)
+	if err != nil {
+		s.fail("start: %v", err)
+		return
+	}
+	core.commitAnyTerm = s.fault == commitOldTerm
+	if s.fault == voteAfterRestart {
+		core.voteAfter = s.now
+	}
+	r.core = core
+}
+
+func (s *sim) fail(format string, args ...any) {
+	if s.err == nil {
+		s.err = fmt.Errorf(format, args...)
+	}
+}
+
+// run executes a schedule, one event for each number.
+func (s *sim) run(schedule []uint32) (err error) {
+	defer func() {
+		p := recover()
+		if text, ok := p.(string); ok && strings.HasPrefix(text, "raft:") {
+			err = errors.New(text)
+		} else if p != nil {
+			panic(p)
+		}
+	}()
+	for _, event := range schedule {
+		s.step(event%16, int(event/16))
+		s.checkAll()
+		if s.err != nil {
+			return s.err
+		}
+	}
+	return nil
+}
+
+func (s *sim) step(kind uint32, argument int) {
+	i := argument % len(s.replicas)
+	r := s.replicas[i]
+	switch kind {
+	case 0:
+		s.pass(time.Duration(argument%3000) * time.Millisecond)
+	case 1, 10, 11:
+		s.pass(time.Duration(argument%100) * time.Millisecond)
+	case 2:
+		s.propose(r)
+	case 3:
+		s.crash(i, argument/len(s.replicas))
+	case 4:
+		if argument%3 == 0 {
+			s.takeMessage(argument)
+		} else {
+			s.cut(r, argument%2 == 0)
+		}
+	case 5:
+		if len(s.inFlight) > 0 {
+			s.inFlight = append(s.inFlight, s.inFlight[argument%len(s.inFlight)])
+		}
+	case 6:
+		s.housekeeping(i, argument/len(s.replicas))
+	case 7:
+		s.deliver(s.takeMessage(argument))
+	default:
+		for range 1 + argument%12 {
+			s.deliver(s.takeMessage(0))
+		}
+	}
+}
+
+// cut heals all cuts and may cut one replica off.
+func (s *sim) cut(r *simReplica, cut bool) {
+	for _, other := range s.replicas {
+		other.cut = false
+	}
+	r.cut = cut
+}
+
+// whole reports whether a leader has all its voters and no change under way,
+// so that the group survives the loss of any one disk.
+func (s *sim) whole() bool {
+	for _, r := range s.replicas {
+		if r.gone || r.core.role != leader || r.core.membershipBusy() {
+			continue
+		}
+		voters := r.core.voters()
+		lost := slices.ContainsFunc(voters, func(id uint64) bool { return s.replicas[id-1].gone })
+		return !lost && len(voters) >= 3
+	}
+	return false
+}
+
+// pass lets time go by in steps of heartbeats.
+func (s *sim) pass(d time.Duration) {
+	for d > 0 {
+		step := min(d, DefaultTiming.Heartbeat)
+		s.now = s.now.Add(step)
+		s.tickAll()
+		d -= step
+		for range len(s.replicas) * 4 {
+			s.deliver(s.takeMessage(0))
+		}
+	}
+}
+
+func (s *sim) tickAll() {
+	for _, r := range s.replicas {
+		if !r.gone {
+			r.core.Tick(s.now)
+			s.settle(r)
+		}
+	}
+}
+
+func (s *sim) propose(r *simReplica) {
+	s.proposed++
+	if !r.gone {
+		_, _, _ = r.core.Propose(s.now, [][]byte{fmt.Append(nil, s.proposed)})
+		s.settle(r)
+	}
+}
+
+func (s *sim) takeMessage(at int) Message {
+	if len(s.inFlight) == 0 {
+		return Message{}
+	}
+	at %= len(s.inFlight)
+	m := s.inFlight[at]
+	s.inFlight = append(s.inFlight[:at], s.inFlight[at+1:]...)
+	return m
+}
+
+func (s *sim) deliver(m Message) {
+	if m.To == 0 || int(m.To) > len(s.replicas) {
+		return
+	}
+	r := s.replicas[m.To-1]
+	if from := s.replicas[m.From-1]; !r.gone && !r.cut && !from.cut {
+		r.core.Tick(s.now)
+		r.core.Step(s.now, m)
+		s.settle(r)
+	}
+}
+
+// crash restarts a replica, or replaces it by one without a disk.
+func (s *sim) crash(i, how int) {
+	r := s.replicas[i]
+	switch {
+	case r.gone:
+	case how%2 == 0 && s.fault != voteAfterAmnesia && s.whole():
+		r.gone = true
+		member, _ := r.core.Members().find(r.core.id)
+		s.replicas = append(s.replicas, &simReplica{})
+		s.start(len(s.replicas) - 1)
+		added := s.replicas[len(s.replicas)-1]
+		added.member = Member{ID: uint64(len(s.replicas)), Name: member.Name}
+		s.join(added.member)
+	case how%2 == 0 && s.fault == voteAfterAmnesia:
+		*r = *s.fresh()
+		s.start(i)
+	case s.fault == ackBeforeSync && r.unsynced != nil:
+		*r = *r.unsynced
+		s.start(i)
+	default:
+		s.start(i)
+	}
+}
+
+// join lets every leader know of a new replica.
+func (s *sim) join(added Member) {
+	for _, r := range s.replicas {
+		if !r.gone {
+			_ = r.core.AddLearner(s.now, added)
+			s.settle(r)
+		}
+	}
+}
+
+// housekeeping hands leadership over, compacts the log or lets a replica that
+// has no membership yet ask again to join.
+func (s *sim) housekeeping(i, how int) {
+	r := s.replicas[i]
+	switch {
+	case r.gone:
+	case len(r.core.Members()) == 0:
+		s.join(r.member)
+	case how%2 == 0:
+		r.core.Transfer(s.now)
+		if s.fault == noTransferWait {
+			r.core.lead.forced = false
+		}
+	default:
+		s.compact(r)
+	}
+	if !r.gone {
+		s.settle(r)
+	}
+}
+
+// compact takes a snapshot at the last applied index.
+func (s *sim) compact(r *simReplica) {
+	index := r.core.given
+	term, err := r.core.log.term(index)
+	if err != nil || index == r.core.log.base {
+		return
+	}
+	meta := SnapshotMeta{Index: index, Term: term}
+	for _, m := range r.core.log.memberships {
+		if m.index <= index {
+			meta.Members, meta.MembersIndex = m.members, m.index
+		}
+	}
+	r.snapshot = &Snapshot{Meta: meta}
+	r.entries = append([]Entry(nil), r.entries[index-r.core.log.base:]...)
+	r.core.Compact(index)
+}
+
+// settle does what the Ready asks for.
+func (s *sim) settle(r *simReplica) {
+	for {
+		if s.fault == noTransferWait {
+			r.core.lead.forced = false
+		}
+		ready, ok := r.core.Ready()
+		if !ok {
+			return
+		}
+		s.inFlight = append(s.inFlight, ready.Early...)
+		r.unsynced = &simReplica{state: r.state, entries: r.entries, snapshot: r.snapshot}
+		r.save(ready)
+		r.core.Persisted(s.now)
+		s.inFlight = append(s.inFlight, ready.Messages...)
+		for _, e := range ready.Committed {
+			s.checkCommitted(e)
+		}
+		for _, id := range ready.SnapshotTo {
+			s.sendSnapshot(r, id)
+		}
+	}
+}
+
+func (s *sim) sendSnapshot(r *simReplica, id uint64) {
+	if r.snapshot == nil {
+		r.core.SnapshotSent(id, 0)
+		return
+	}
+	s.inFlight = append(s.inFlight, Message{
+		Type: MsgSnapshot, From: r.core.id, To: id, Term: r.core.term, Snapshot: r.snapshot,
+	})
+	r.core.SnapshotSent(id, r.snapshot.Meta.Index)
+}
+
+// save stores a Ready on the replica's disk.
+func (r *simReplica) save(ready Ready) {
+	if ready.Snapshot != nil {
+		r.snapshot, r.entries = ready.Snapshot, nil
+	}
+	if ready.HardState != nil {
+		r.state = *ready.HardState
+	}
+	if len(ready.Entries) == 0 {
+		return
+	}
+	base := uint64(0)
+	if r.snapshot != nil {
+		base = r.snapshot.Meta.Index
+	}
+	keep := min(ready.Entries[0].Index-base-1, uint64(len(r.entries)))
+	r.entries = append(append([]Entry(nil), r.entries[:keep]...), ready.Entries...)
+}
+
+// checkCommitted is State Machine Safety.
+func (s *sim) checkCommitted(e Entry) {
+	old, ok := s.committed[e.Index]
+	if ok && (old.Term != e.Term || !bytes.Equal(old.Data, e.Data)) {
+		s.fail("index %d was committed in term %d and in term %d", e.Index, old.Term, e.Term)
+	}
+	s.committed[e.Index] = e
+	s.newest = max(s.newest, e.Index)
+}
+
+func (s *sim) checkAll() {
+	for _, r := range s.replicas {
+		if !r.gone && r.core.role == leader {
+			s.checkLeader(r.core)
+		}
+	}
+	for i, a := range s.replicas {
+		for _, b := range s.replicas[i+1:] {
+			s.checkLogMatching(a.core.log, b.core.log)
+		}
+	}
+}
+
+// checkLeader is Election Safety and Leader Completeness, and that no two
+// replicas hold authority at the same time.
+func (s *sim) checkLeader(c *Core) {
+	if id, ok := s.leaders[c.term]; ok && id != c.id {
+		s.fail("replicas %d and %d both lead term %d", id, c.id, c.term)
+	} else if !ok {
+		s.leaders[c.term] = c.id
+		s.checkComplete(c)
+	}
+	until, ok := c.Lease(s.now)
+	if !ok || !s.now.Before(until) {
+		return
+	}
+	if c.id != s.authorityHolder && s.now.Before(s.authority) {
+		s.fail("replica %d has authority before that of %d ended", c.id, s.authorityHolder)
+	}
+	s.authority, s.authorityHolder = until, c.id
+}
+
+func (s *sim) checkComplete(c *Core) {
+	for index := c.log.base + 1; index <= s.newest; index++ {
+		if e, ok := s.committed[index]; ok && !c.log.matches(index, e.Term) {
+			s.fail("leader of term %d lacks committed index %d", c.term, index)
+		}
+	}
+}
+
+// checkLogMatching is Log Matching: below the highest index at which two logs
+// have the same term, they are equal.
+func (s *sim) checkLogMatching(a, b *entryLog) {
+	equal := false
+	for index := min(a.last(), b.last()); index > max(a.base, b.base); index-- {
+		ea, eb := a.slice(index, index)[0], b.slice(index, index)[0]
+		same := ea.Term == eb.Term
+		equal = equal || same
+		if equal && (!same || !bytes.Equal(ea.Data, eb.Data)) {
+			s.fail("logs differ at index %d before an equal entry", index)
+		}
+	}
+}
