Check histories of a whole group and the loss of disks

Clients reserve and read ledger keys through any replica while replicas are killed, frozen, cut off, lose messages, lose disks and hand leadership over; porcupine judges the history. Syncs that do nothing, votes after amnesia and reads without ReadIndex are each planted and reported. A replica that finds its leader contradicting a committed entry stops with ErrDiverged.

--- /dev/null
+++ b/internal/coordination/raft/commit_test.go
@@ -0,0 +1,97 @@
+package raft
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// oldTermCommitted plays the end of the Raft paper's figure 8: a new leader
+// finds an entry of an earlier term on a majority. It reports whether that
+// alone commits the entry.
+func oldTermCommitted(t *testing.T, f fault) bool {
+	t.Helper()
+	s := newSim(5, f)
+	r := s.replicas[0]
+	r.state = HardState{Term: 2, Vote: 1}
+	r.entries = append(r.entries, Entry{Index: 2, Term: 2, Kind: KindCommand})
+	s.start(0)
+	c := r.core
+	s.now = s.now.Add(2 * time.Second)
+	c.campaign(s.now, false)
+	for _, id := range []uint64{2, 3} {
+		c.Step(s.now, Message{Type: MsgVoteReply, From: id, To: 1, Term: 3})
+	}
+	s.settle(r)
+	for _, id := range []uint64{2, 3} {
+		c.Step(s.now, Message{Type: MsgAppendReply, From: id, To: 1, Term: 3, Index: 2})
+	}
+	if !c.IsLeader() {
+		t.Fatal("the replica does not lead")
+	}
+	return c.commit >= 2
+}
+
+func TestOldTermIsNotCommittedByCounting(t *testing.T) {
+	if oldTermCommitted(t, noFault) {
+		t.Error("an entry of an old term was committed by counting")
+	}
+	if !oldTermCommitted(t, commitOldTerm) {
+		t.Error("the planted fault was not reported")
+	}
+}
+
+func TestSettingsIndexFollowsTruncationAndSnapshot(t *testing.T) {
+	isSettings := func(command []byte) bool { return string(command) == "settings" }
+	l, err := newEntryLog(isSettings, Stored{Snapshot: &Snapshot{Meta: SnapshotMeta{Index: 10, Term: 1, SettingsIndex: 7}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	expect := func(want uint64) {
+		t.Helper()
+		if got := l.settingsIndex(); got != want {
+			t.Errorf("settings index is %d, want %d", got, want)
+		}
+	}
+	add := func(data string) {
+		l.append(Entry{Index: l.last() + 1, Term: 1, Kind: KindCommand, Data: []byte(data)})
+	}
+	expect(7)
+	add("other")
+	add("settings")
+	add("settings")
+	expect(13)
+	l.truncate(13)
+	expect(12)
+	l.compact(12)
+	expect(12)
+	l.truncate(13)
+	expect(12)
+	add("settings")
+	expect(13)
+	l.truncate(13)
+	expect(12)
+}
+
+func TestElectionTimeoutsDiffer(t *testing.T) {
+	seen := make(map[time.Duration]bool)
+	for seed := range uint64(10) {
+		c, err := NewCore(CoreOptions{
+			ID:         1,
+			Timing:     DefaultTiming,
+			Rand:       rand.New(rand.NewPCG(seed, 0)),
+			IsSettings: func([]byte) bool { return false },
+		}, Stored{}, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wait := c.NextTick().Sub(0)
+		if wait < DefaultTiming.ElectionTimeout || wait >= 2*DefaultTiming.ElectionTimeout {
+			t.Errorf("first campaign after %v", wait)
+		}
+		seen[wait] = true
+	}
+	if len(seen) < 10 {
+		t.Errorf("%d different timeouts for 10 seeds", len(seen))
+	}
+}
--- a/internal/coordination/raft/core.go
+++ b/internal/coordination/raft/core.go
@@ -63,6 +63,9 @@
 	saved   HardState
 	pending Ready
 
+	// failed is set if the replica can't go on.
+	failed error
+
 	// commitAnyTerm plants the fault of the Raft paper's figure 8; only
 	// tests set it.
 	commitAnyTerm bool
--- a/internal/coordination/raft/follower.go
+++ b/internal/coordination/raft/follower.go
@@ -1,6 +1,10 @@
 package raft
 
-import "github.com/lagoonshift/lagoonshift/internal/clock"
+import (
+	"fmt"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+)
 
 func (c *Core) handleAppend(now clock.Instant, m Message) {
 	c.heardLeader(now, m)
@@ -12,6 +16,9 @@
 		return
 	}
 	c.appendNew(m.Entries)
+	if c.failed != nil {
+		return
+	}
 	reply.Index = m.Index + uint64(len(m.Entries))
 	c.commit = max(c.commit, min(m.Commit, reply.Index))
 	c.send(reply)
@@ -27,7 +34,8 @@
 		}
 		if e.Index <= c.log.last() {
 			if e.Index <= c.commit {
-				panic("raft: a leader replaces a committed entry")
+				c.failed = fmt.Errorf("%w: index %d, term %d", ErrDiverged, e.Index, e.Term)
+				return
 			}
 			c.log.truncate(e.Index)
 		}
--- /dev/null
+++ b/internal/coordination/raft/history_test.go
@@ -0,0 +1,324 @@
+package raft_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+	"github.com/lagoonshift/lagoonshift/internal/fake/fakegroup"
+	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+const (
+	clients          = 4
+	keys             = 25
+	operationTimeout = 2 * time.Second
+	checkTimeout     = 20 * time.Second
+)
+
+// input is one operation on a key of the ledger: a reservation by an attempt,
+// or a read if attempt is empty.
+type input struct {
+	key     string
+	attempt string
+}
+
+// output is the attempt that holds the key, as the answer tells; unknown is
+// set if the answer was lost.
+type output struct {
+	holder  string
+	unknown bool
+}
+
+// reserveModel is a register that the first attempt sets for good.
+var reserveModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[string][]porcupine.Operation)
+		for _, o := range history {
+			key := o.Input.(input).key
+			byKey[key] = append(byKey[key], o)
+		}
+		var out [][]porcupine.Operation
+		for _, part := range byKey {
+			out = append(out, part)
+		}
+		return out
+	},
+	Init: func() any { return "" },
+	Step: func(state, in, out any) (bool, any) {
+		next := state.(string)
+		if next == "" {
+			next = in.(input).attempt
+		}
+		return out.(output).unknown || out.(output).holder == next, next
+	},
+}
+
+// event is one disturbance of the group, with the time until the next.
+type event struct {
+	kind    int
+	replica int
+	wait    time.Duration
+}
+
+const eventKinds = 10
+
+// plan is a whole test case.
+type plan struct {
+	replicas int
+	seed     uint64
+	events   []event
+	// The rest plants faults.
+	lyingDisks bool
+	amnesia    bool
+	localReads bool
+}
+
+func drawPlan(t *rapid.T) plan {
+	seeds := rapid.SliceOfN(rapid.Uint64(), 2, 2).Draw(t, "seeds")
+	n := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "replicas")
+	return newPlan(n, seeds[0], seeds[1])
+}
+
+func newPlan(n int, seed1, seed2 uint64) plan {
+	r := rand.New(rand.NewPCG(seed1, seed2))
+	p := plan{replicas: n, seed: r.Uint64()}
+	for range 6 + r.IntN(10) {
+		p.events = append(p.events, event{
+			kind:    r.IntN(eventKinds),
+			replica: r.IntN(n),
+			wait:    time.Duration(r.IntN(3000)) * time.Millisecond,
+		})
+	}
+	return p
+}
+
+// world is one run of a plan.
+type world struct {
+	plan
+	group *fakegroup.Group
+	stop  atomic.Bool
+	ticks atomic.Int64
+
+	mu      sync.Mutex // guards history
+	history []porcupine.Operation
+}
+
+// run runs a plan and returns the history's judgement. It is illegal as well
+// if a replica finds that another leader contradicts it.
+func run(t *testing.T, p plan) porcupine.CheckResult {
+	w := &world{plan: p}
+	diverged := false
+	synctest.Test(t, func(t *testing.T) {
+		w.group = fakegroup.New(t, fakegroup.Options{
+			Replicas: p.replicas,
+			Seed:     p.seed,
+			Compaction: raft.Compaction{
+				LogBytes:        6000,
+				TrailingEntries: 5,
+			},
+			SegmentBytes: 4000,
+		})
+		for i := range p.replicas {
+			w.group.Disk(i).SetLying(p.lyingDisks)
+		}
+		var running sync.WaitGroup
+		for c := range clients {
+			running.Go(func() { w.client(c) })
+		}
+		for _, e := range p.events {
+			w.disturb(e)
+			time.Sleep(e.wait)
+		}
+		w.mend()
+		w.stop.Store(true)
+		running.Wait()
+		if !p.amnesia && !p.lyingDisks {
+			w.group.WaitVoters()
+		}
+		w.readAll()
+		for i := range p.replicas {
+			diverged = diverged || errors.Is(w.group.Err(i), raft.ErrDiverged)
+		}
+	})
+	if diverged {
+		return porcupine.Illegal
+	}
+	return porcupine.CheckOperationsTimeout(reserveModel, w.history, checkTimeout)
+}
+
+// disturb does one event. A disk is lost only while the group is whole: the
+// loss of a majority's disks is beyond what any log can survive.
+func (w *world) disturb(e event) {
+	g := w.group
+	switch e.kind {
+	case 0, 1:
+		g.Kill(e.replica)
+	case 2, 3:
+		w.revive()
+	case 4:
+		g.CutOff(e.replica)
+	case 5:
+		g.Heal()
+	case 6:
+		g.Freeze(e.replica)
+	case 7:
+		if g.Running(e.replica) {
+			ctx, cancel := context.WithTimeout(context.Background(), operationTimeout)
+			defer cancel()
+			g.Node(e.replica).HandOver(ctx)
+		}
+	case 8:
+		g.SetDrop(0.2)
+	case 9:
+		w.loseDisk(e.replica)
+	}
+}
+
+func (w *world) loseDisk(i int) {
+	switch {
+	case w.amnesia:
+		w.group.LoseMemory(i)
+	case w.group.Whole():
+		w.group.LoseDisk(i)
+	}
+}
+
+// revive thaws and restarts everything.
+func (w *world) revive() {
+	for i := range w.replicas {
+		w.group.Thaw(i)
+		if !w.group.Running(i) {
+			// With a planted fault a disk may be refused.
+			_ = w.group.TryRestart(i)
+		}
+	}
+}
+
+func (w *world) mend() {
+	w.group.Heal()
+	w.revive()
+	time.Sleep(5 * time.Second)
+}
+
+func (w *world) client(c int) {
+	r := rand.New(rand.NewPCG(w.seed, uint64(c)))
+	for n := 0; !w.stop.Load(); n++ {
+		in := input{key: fmt.Sprint(n % keys)}
+		if r.IntN(3) > 0 {
+			in.attempt = fmt.Sprintf("%d-%d", c, n)
+		}
+		w.operate(c, r.IntN(w.replicas), in)
+		time.Sleep(time.Duration(r.IntN(400)) * time.Millisecond)
+	}
+}
+
+// operate does one operation at replica i and records it.
+func (w *world) operate(c, i int, in input) {
+	ctx, cancel := context.WithTimeout(context.Background(), operationTimeout)
+	defer cancel()
+	o := porcupine.Operation{ClientId: c, Input: in, Call: w.ticks.Add(1)}
+	out, err := w.execute(ctx, i, in)
+	o.Return = w.ticks.Add(1)
+	switch {
+	case errors.Is(err, replog.ErrUnknown):
+		out.unknown = true
+		o.Return = math.MaxInt64
+	case err != nil:
+		return // Nothing was run; the history shows if that is untrue.
+	}
+	o.Output = out
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.history = append(w.history, o)
+}
+
+func (w *world) execute(ctx context.Context, i int, in input) (output, error) {
+	key := ledger.Key{IdempotencyKey: in.key}
+	if in.attempt == "" {
+		return w.read(ctx, i, key)
+	}
+	command := store.Command{Reserve: &ledger.Reserve{Key: key, Attempt: in.attempt}}
+	encoded, err := command.Encode()
+	if err != nil {
+		return output{}, err
+	}
+	applied, err := w.group.Submit(ctx, i, encoded)
+	if err != nil {
+		return output{}, err
+	}
+	result, err := store.DecodeResult(applied.Result)
+	if err != nil {
+		return output{}, err
+	}
+	return output{holder: result.Ledger.Record.Reserve.Attempt}, nil
+}
+
+func (w *world) read(ctx context.Context, i int, key ledger.Key) (output, error) {
+	if !w.group.Running(i) {
+		return output{}, replog.ErrStopped
+	}
+	s := w.group.Store(i)
+	if !w.localReads {
+		if err := w.group.Log(i).ReadBarrier(ctx); err != nil {
+			return output{}, err
+		}
+	}
+	var out output
+	s.View(func(_ *settings.Tree, l *ledger.Ledger) {
+		record, _ := l.Lookup(key)
+		out.holder = record.Reserve.Attempt
+	})
+	return out, nil
+}
+
+// readAll reads every key at every replica at the end.
+func (w *world) readAll() {
+	for i := range w.replicas {
+		for k := range keys {
+			w.operate(clients+i, i, input{key: fmt.Sprint(k)})
+		}
+	}
+}
+
+func TestHistoriesAreLinearizable(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		if result := run(t, drawPlan(rt)); result != porcupine.Ok {
+			rt.Fatalf("history is %v", result)
+		}
+	})
+}
+
+func TestHistoryCheckSeesPlantedFaults(t *testing.T) {
+	for name, plant := range map[string]func(*plan){
+		"no sync before the answer": func(p *plan) { p.lyingDisks = true },
+		"vote after amnesia":        func(p *plan) { p.amnesia = true },
+		"read without ReadIndex":    func(p *plan) { p.localReads = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(100) {
+				p := newPlan(3, seed, 0)
+				plant(&p)
+				if run(t, p) == porcupine.Illegal {
+					t.Logf("reported at seed %d", seed)
+					return
+				}
+			}
+			t.Error("not reported in 100 schedules")
+		})
+	}
+}
--- a/internal/coordination/raft/loop.go
+++ b/internal/coordination/raft/loop.go
@@ -14,6 +14,9 @@
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		n.handleEvents(ctx, timer)
+		if n.core.failed != nil {
+			return n.core.failed
+		}
 		if err := n.settle(ctx); err != nil {
 			return err
 		}
--- a/internal/coordination/raft/sim_test.go
+++ b/internal/coordination/raft/sim_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
@@ -116,15 +114,7 @@
 }
 
 // run executes a schedule, one event for each number.
-func (s *sim) run(schedule []uint32) (err error) {
-	defer func() {
-		p := recover()
-		if text, ok := p.(string); ok && strings.HasPrefix(text, "raft:") {
-			err = errors.New(text)
-		} else if p != nil {
-			panic(p)
-		}
-	}()
+func (s *sim) run(schedule []uint32) error {
 	for _, event := range schedule {
 		s.step(event%16, int(event/16))
 		s.checkAll()
@@ -381,6 +371,9 @@
 
 func (s *sim) checkAll() {
 	for _, r := range s.replicas {
+		if r.core.failed != nil {
+			s.fail("replica %d: %v", r.core.id, r.core.failed)
+		}
 		if !r.gone && r.core.role == leader {
 			s.checkLeader(r.core)
 		}
--- a/internal/coordination/raft/types.go
+++ b/internal/coordination/raft/types.go
@@ -15,6 +15,9 @@
 	ErrMembershipBusy = errors.New("raft: a membership change is in progress")
 	// ErrNameInUse means that a live voter has the name of a joining replica.
 	ErrNameInUse = errors.New("raft: a live voter has this name")
+	// ErrDiverged means that the leader's log contradicts what this replica
+	// knows to be committed: some replica lost what it had answered for.
+	ErrDiverged = errors.New("raft: leader replaces a committed entry")
 	// ErrTooLarge means that a command exceeds MaxCommandBytes.
 	ErrTooLarge = errors.New("raft: command is too large")
 )
--- a/internal/fake/fakegroup/group.go
+++ b/internal/fake/fakegroup/group.go
@@ -173,7 +173,7 @@
 // Running reports whether a replica is neither killed nor frozen.
 func (g *Group) Running(i int) bool {
 	p := g.process(i)
-	return !p.dead() && !p.gate.closed()
+	return p != nil && !p.dead() && !p.gate.closed()
 }
 
 // Leader waits until a running replica leads and returns its number. While a
@@ -211,13 +211,20 @@
 func (g *Group) WaitVoters() {
 	g.t.Helper()
 	for start := g.clock.Now(); g.clock.Now().Sub(start) < patience; time.Sleep(pollInterval) {
-		if i := g.CurrentLeader(); i >= 0 && g.allVoters(g.Node(i).View()) {
+		if g.Whole() {
 			return
 		}
 	}
 	g.t.Fatalf("fakegroup: not all replicas are voters after %v", patience)
 }
 
+// Whole reports whether a leader has every replica as a voter under its newest
+// identity, so that the loss of any one disk loses nothing.
+func (g *Group) Whole() bool {
+	i := g.CurrentLeader()
+	return i >= 0 && g.allVoters(g.Node(i).View())
+}
+
 func (g *Group) allVoters(view replog.View) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/fake/fakegroup/network.go
+++ b/internal/fake/fakegroup/network.go
@@ -147,7 +147,7 @@
 func (n *network) deliver(to int, messages []raft.Message) {
 	target := n.group.process(to)
 	for _, m := range messages {
-		if !target.dead() && m.To == target.id {
+		if target != nil && !target.dead() && m.To == target.id {
 			target.node.Deliver(m)
 		}
 	}
