--- a/internal/protocol/request/attempt.go
+++ b/internal/protocol/request/attempt.go
@@ -109,6 +109,7 @@
 		case backend.KindMoved:
 			return backend.ErrMoved
 		case backend.KindDone:
+			s.finished(flight)
 			return s.done(e.Done)
 		}
 	}
@@ -120,6 +121,13 @@
 	s.p.Observer.FirstToken(s.call.Labels, dispatched.Sub(s.arrived), s.p.Clock.Now().Sub(s.arrived))
 }
 
+// finished tells the tracker of an answer that one engine gave whole.
+func (s *relay) finished(flight *routing.Flight) {
+	if s.attempts == 1 {
+		flight.Finished(s.next - s.call.From)
+	}
+}
+
 // token gives one token to the caller. More is true if the next message has
 // already arrived, so that one write can carry both.
 func (s *relay) token(e *backend.Event, now time.Time, more bool) error {
--- a/internal/protocol/request/relay.go
+++ b/internal/protocol/request/relay.go
@@ -78,6 +78,8 @@
 	snapshot := s.p.Tracker.Snapshot()
 	request := s.request
 	request.Exclude = append(slices.Clip(s.request.Exclude), s.p.Outliers.Ejected()...)
+	request.Retry = s.request.Retry
+	s.request.Retry = true
 	choice, err := s.p.Picker.Pick(snapshot, &request)
 	if errors.Is(err, routing.ErrNoEngine) && len(request.Exclude) > len(s.request.Exclude) {
 		choice, err = s.p.Picker.Pick(snapshot, &s.request)
