--- a/internal/fake/fakegroup/group.go
+++ b/internal/fake/fakegroup/group.go
@@ -173,7 +173,7 @@
 // Running reports whether a replica is neither killed nor frozen.
 func (g *Group) Running(i int) bool {
 	p := g.process(i)
-	return !p.dead() && !p.gate.closed()
+	return p != nil && !p.dead() && !p.gate.closed()
 }
 
 // Leader waits until a running replica leads and returns its number. While a
