Check the lease rule against a model with changes of voters

Cause: the rule of the thin path, a majority of the voters with the highest index, lets an entry work on old settings beside a leader that was cut off with voters that never were committed; the played schedule shows it. The rule that counts a majority of every set of voters named holds.

--- /dev/null
+++ b/internal/coordination/lease/model_test.go
@@ -0,0 +1,451 @@
+package lease
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+)
+
+// modelLease is the length of a lease in ticks of the model.
+const modelLease = 4
+
+// logEntry is one entry of a replica's log: voters, or a settings command, or
+// neither for the entry with which a leader starts its term.
+type logEntry struct {
+	term     uint64
+	settings bool
+	voters   []uint64
+}
+
+// modelReplica is one replica of a group that follows the consensus rules.
+type modelReplica struct {
+	id   uint64
+	term uint64
+	log  []logEntry
+	// leads is the term in which the replica leads, or zero.
+	leads  uint64
+	commit int
+	// match holds how much of the leader's log each replica is known to have.
+	match map[uint64]int
+}
+
+// model is a group with one entry. It knows nothing of messages: an action
+// happens at two replicas at once or not at all.
+type model struct {
+	replicas map[uint64]*modelReplica
+	now      clock.Instant
+	// committedAt holds when a log index with settings was committed.
+	committedAt map[int]clock.Instant
+	// inForce, until, start and answers belong to the entry.
+	inForce int
+	until   clock.Instant
+	start   clock.Instant
+	answers []Answer
+	judge   func([]Answer, uint64) Verdict
+	// fromAnswer plants the fault that a lease counts from the last answer.
+	fromAnswer bool
+}
+
+const modelReplicas = 6
+
+func newModel(judge func([]Answer, uint64) Verdict, voters ...uint64) *model {
+	m := &model{replicas: make(map[uint64]*modelReplica), committedAt: make(map[int]clock.Instant), judge: judge}
+	for id := uint64(1); id <= modelReplicas; id++ {
+		r := &modelReplica{id: id, commit: 1}
+		if slices.Contains(voters, id) {
+			r.log = []logEntry{{voters: voters}}
+		}
+		m.replicas[id] = r
+	}
+	return m
+}
+
+// voters returns the newest voters in the log and their index, from one on.
+func (r *modelReplica) voters() (voters []uint64, index int) {
+	for i, e := range slices.Backward(r.log) {
+		if e.voters != nil {
+			return e.voters, i + 1
+		}
+	}
+	return nil, 0
+}
+
+func (r *modelReplica) newestSettings() int {
+	for i, e := range slices.Backward(r.log) {
+		if e.settings {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+func (r *modelReplica) lastTerm() uint64 {
+	if len(r.log) == 0 {
+		return 0
+	}
+	return r.log[len(r.log)-1].term
+}
+
+func (r *modelReplica) observe(term uint64) {
+	if term > r.term {
+		r.term, r.leads = term, 0
+	}
+}
+
+// elect lets a replica stand for a new term with the given ones in reach.
+func (m *model) elect(id uint64, reach []uint64) {
+	candidate := m.replicas[id]
+	voters, _ := candidate.voters()
+	term := uint64(0)
+	for _, r := range m.replicas {
+		term = max(term, r.term)
+	}
+	term++
+	candidate.observe(term)
+	votes := 0
+	for _, other := range reach {
+		r := m.replicas[other]
+		r.observe(term)
+		upToDate := candidate.lastTerm() > r.lastTerm() || candidate.lastTerm() == r.lastTerm() && len(candidate.log) >= len(r.log)
+		if slices.Contains(voters, other) && upToDate {
+			votes++
+		}
+	}
+	if votes <= len(voters)/2 {
+		return
+	}
+	candidate.leads = term
+	candidate.match = make(map[uint64]int)
+	candidate.log = append(slices.Clone(candidate.log), logEntry{term: term})
+	m.advance(candidate)
+}
+
+func (m *model) append(id uint64, e logEntry) {
+	leader := m.replicas[id]
+	if leader.leads == 0 {
+		return
+	}
+	e.term = leader.leads
+	leader.log = append(slices.Clone(leader.log), e)
+	m.advance(leader)
+}
+
+// changeVoters adds or removes one voter, as the rules allow: the voters
+// before are committed, and so is an entry of the leader's term.
+func (m *model) changeVoters(id, changed uint64) {
+	leader := m.replicas[id]
+	voters, index := leader.voters()
+	if leader.leads == 0 || index > leader.commit || leader.log[leader.commit-1].term != leader.leads {
+		return
+	}
+	next := slices.DeleteFunc(slices.Clone(voters), func(v uint64) bool { return v == changed })
+	if len(next) == len(voters) {
+		next = append(next, changed)
+	}
+	if len(next) > 0 {
+		m.append(id, logEntry{voters: next})
+	}
+}
+
+// replicate brings the leader's log up to the given length to another replica.
+func (m *model) replicate(from, to uint64, length int) {
+	leader, r := m.replicas[from], m.replicas[to]
+	if leader.leads == 0 || r.term > leader.leads || from == to {
+		return
+	}
+	r.observe(leader.leads)
+	length = min(length, len(leader.log))
+	for i := range length {
+		if i < len(r.log) && r.log[i].term == leader.log[i].term {
+			continue
+		}
+		r.log = slices.Clone(leader.log[:length])
+		break
+	}
+	leader.match[to] = max(leader.match[to], length)
+	m.advance(leader)
+}
+
+// advance moves the leader's commit index.
+func (m *model) advance(leader *modelReplica) {
+	voters, _ := leader.voters()
+	leader.match[leader.id] = len(leader.log)
+	for length := len(leader.log); length > leader.commit; length-- {
+		have := 0
+		for _, v := range voters {
+			if leader.match[v] >= length {
+				have++
+			}
+		}
+		if have <= len(voters)/2 || leader.log[length-1].term != leader.leads {
+			continue
+		}
+		m.commit(leader, length)
+		return
+	}
+}
+
+func (m *model) commit(leader *modelReplica, length int) {
+	leader.commit = length
+	for i, e := range leader.log[:length] {
+		if _, known := m.committedAt[i+1]; e.settings && !known {
+			m.committedAt[i+1] = m.now
+		}
+	}
+}
+
+// begin starts a round of renewal, ask takes one answer and finish judges.
+func (m *model) begin() {
+	m.start, m.answers = m.now, nil
+}
+
+func (m *model) ask(id uint64) {
+	r := m.replicas[id]
+	voters, index := r.voters()
+	m.answers = append(m.answers, Answer{
+		Replica:          id,
+		LogSettingsIndex: uint64(r.newestSettings()),
+		Voters:           voters,
+		VotersIndex:      uint64(index),
+		Duration:         modelLease,
+	})
+}
+
+func (m *model) finish() {
+	if m.fromAnswer {
+		m.start = m.now
+	}
+	if verdict := m.judge(m.answers, uint64(m.inForce)); verdict.Granted {
+		m.until = max(m.until, m.start.Add(verdict.Duration))
+	}
+	m.answers = nil
+}
+
+// fetch reads the newest accepted settings.
+func (m *model) fetch() {
+	for index := range m.committedAt {
+		m.inForce = max(m.inForce, index)
+	}
+}
+
+// check reports work on settings older than a change that was committed more
+// than a lease duration ago.
+func (m *model) check() error {
+	if !m.now.Before(m.until) {
+		return nil
+	}
+	for index, at := range m.committedAt {
+		if index > m.inForce && m.now.Sub(at) > modelLease {
+			return fmt.Errorf("at %d the entry works on %d, though %d was committed at %d", m.now, m.inForce, index, at)
+		}
+	}
+	return nil
+}
+
+// subsets holds every set of replicas.
+var subsets = func() [][]uint64 {
+	var out [][]uint64
+	for mask := range 1 << modelReplicas {
+		var set []uint64
+		for i := range modelReplicas {
+			if mask&(1<<i) != 0 {
+				set = append(set, uint64(i+1))
+			}
+		}
+		out = append(out, set)
+	}
+	return out
+}()
+
+// leaders returns the replicas that believe to lead.
+func (m *model) leaders() []uint64 {
+	var out []uint64
+	for id := uint64(1); id <= modelReplicas; id++ {
+		if m.replicas[id].leads != 0 {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+var modelActions = []string{
+	"elect", "append", "append", "voters", "voters", "replicate", "replicate", "replicate", "replicate",
+	"begin", "ask", "ask", "finish", "fetch", "pass", "pass", "renew", "renew",
+}
+
+// act draws and carries out one action.
+func (m *model) act(t *rapid.T) {
+	action := rapid.SampledFrom(modelActions).Draw(t, "action")
+	set := rapid.SampledFrom(subsets).Draw(t, "replicas")
+	leaders := m.leaders()
+	if action == "elect" || len(leaders) == 0 {
+		if len(set) > 0 {
+			m.elect(rapid.SampledFrom(set).Draw(t, "candidate"), set)
+		}
+		return
+	}
+	leader := rapid.SampledFrom(leaders).Draw(t, "leader")
+	switch action {
+	case "append":
+		m.append(leader, logEntry{settings: true})
+	case "voters":
+		m.changeVoters(leader, rapid.SampledFrom([]uint64{1, 2, 3, 4, 5, 6}).Draw(t, "voter"))
+	case "replicate":
+		length := len(m.replicas[leader].log) - rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(t, "missing")
+		for _, to := range set {
+			m.replicate(leader, to, max(1, length))
+		}
+	case "begin":
+		m.begin()
+	case "ask":
+		for _, id := range set {
+			m.ask(id)
+		}
+	case "finish":
+		m.finish()
+	case "fetch":
+		m.fetch()
+	case "pass":
+		m.now = m.now.Add(modelLease / 2)
+	case "renew":
+		m.renew(set...)
+	}
+}
+
+// TestLeaseModel draws elections, commits and changes of voters beside rounds
+// of renewal whose answers are taken at any time.
+func TestLeaseModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(Judge, 1, 2, 3)
+		m.elect(1, []uint64{1, 2, 3})
+		for range rapid.IntRange(50, 400).Draw(t, "actions") {
+			m.act(t)
+			if err := m.check(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// newestVoters is a wrong rule: a majority of the voters with the highest
+// index, which may never have been committed.
+func newestVoters(answers []Answer, inForce uint64) Verdict {
+	newest := Answer{}
+	for _, a := range answers {
+		if a.VotersIndex >= newest.VotersIndex {
+			newest = a
+		}
+	}
+	return ruleOf(newest.Voters, answers, inForce)
+}
+
+// firstVoters is a wrong rule: a majority of the voters at the start.
+func firstVoters(answers []Answer, inForce uint64) Verdict {
+	return ruleOf([]uint64{1, 2, 3, 4}, answers, inForce)
+}
+
+func ruleOf(voters []uint64, answers []Answer, inForce uint64) Verdict {
+	granted := isMajority(answers, voters)
+	for _, a := range answers {
+		granted = granted && a.LogSettingsIndex <= inForce
+	}
+	return Verdict{Granted: granted, Duration: modelLease}
+}
+
+// TestLeaseModelFindsPlantedFaults plays schedules in which a wrong rule lets
+// an entry work on old settings, and the right one does not.
+func TestLeaseModelFindsPlantedFaults(t *testing.T) {
+	tests := []struct {
+		name       string
+		judge      func([]Answer, uint64) Verdict
+		fromAnswer bool
+		play       func(*model)
+	}{
+		{"voters that were not committed", newestVoters, false, playUncommittedVoters},
+		{"voters of an old configuration", firstVoters, false, playOldVoters},
+		{"lease counted from the answer", Judge, true, playLateAnswer},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			faulty := newModel(test.judge, 1, 2, 3, 4)
+			faulty.fromAnswer = test.fromAnswer
+			test.play(faulty)
+			if faulty.check() == nil {
+				t.Error("the checker missed the planted fault")
+			}
+			right := newModel(Judge, 1, 2, 3, 4)
+			test.play(right)
+			if err := right.check(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// playUncommittedVoters cuts a leader off with a fifth voter that never was
+// committed; the others remove a fourth and go on.
+func playUncommittedVoters(m *model) {
+	m.elect(1, []uint64{1, 2, 3, 4})
+	m.replicate(1, 2, 2)
+	m.replicate(1, 3, 2)
+	m.replicate(1, 4, 2)
+	m.changeVoters(1, 5)
+	m.replicate(1, 5, 3)
+	m.elect(2, []uint64{2, 3, 4})
+	m.replicate(2, 3, 3)
+	m.replicate(2, 4, 3)
+	m.changeVoters(2, 4)
+	m.replicate(2, 3, 4)
+	m.append(2, logEntry{settings: true})
+	m.replicate(2, 3, 5)
+	m.now = m.now.Add(2 * modelLease)
+	m.renew(1, 5, 4)
+}
+
+// playOldVoters replaces two of four voters. The two that were removed still
+// answer, with the voters they knew.
+func playOldVoters(m *model) {
+	m.elect(1, []uint64{1, 2, 3, 4})
+	for i, changed := range []uint64{5, 6, 3, 4} {
+		for _, to := range []uint64{2, 5, 6} {
+			m.replicate(1, to, 2+i)
+		}
+		m.replicate(1, 3, 2)
+		m.changeVoters(1, changed)
+	}
+	for _, to := range []uint64{2, 5, 6} {
+		m.replicate(1, to, 6)
+	}
+	m.append(1, logEntry{settings: true})
+	m.replicate(1, 5, 7)
+	m.replicate(1, 6, 7)
+	m.now = m.now.Add(2 * modelLease)
+	m.renew(2, 3, 4)
+}
+
+// playLateAnswer commits a change after the answers and before the round ends.
+func playLateAnswer(m *model) {
+	m.elect(1, []uint64{1, 2, 3, 4})
+	m.begin()
+	m.ask(2)
+	m.ask(3)
+	m.ask(4)
+	m.append(1, logEntry{settings: true})
+	m.replicate(1, 2, 3)
+	m.replicate(1, 3, 3)
+	m.now = m.now.Add(modelLease / 2)
+	m.finish()
+	m.now = m.now.Add(modelLease/2 + 1)
+}
+
+func (m *model) renew(replicas ...uint64) {
+	m.begin()
+	for _, id := range replicas {
+		m.ask(id)
+	}
+	m.finish()
+}
