Check settings as a register with porcupine across leader kills and cuts

Cause: resent and racing changes with equal numbers were tested at one tree only. Three operators that share a name and numbers race over drawn schedules; the checker reports a read without a barrier and a change sent again under a new number.

--- a/internal/coordination/settingsync/group_test.go
+++ b/internal/coordination/settingsync/group_test.go
@@ -59,6 +59,8 @@
 	shortPeriod
 	// followerRead reads settings without a read barrier.
 	followerRead
+	// newNumber sends a change again under another number.
+	newNumber
 )
 
 // world is a control group with entries around it, under virtual time.
--- /dev/null
+++ b/internal/coordination/settingsync/register_test.go
@@ -0,0 +1,261 @@
+package settingsync_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+const (
+	registerPath = "models/m"
+	// racers is the number of operators that share a name, a token and their
+	// change numbers.
+	racers = 3
+	// numbers is the number of change numbers that they draw from.
+	numbers = 24
+	// checkTimeout bounds the check of one history.
+	checkTimeout = time.Minute
+)
+
+// request is one operation on the settings subtree, a versioned register.
+type request struct {
+	read   bool
+	number uint64
+	base   uint64
+	value  string
+}
+
+// response is what the operator was told.
+type response struct {
+	// version and value are what a read showed.
+	version uint64
+	value   string
+	result  settings.ChangeResult
+}
+
+// registerState is the register's state in the model. It is immutable.
+type registerState struct {
+	version uint64
+	value   string
+	// answers holds the first answer to each number.
+	answers map[uint64]answered
+}
+
+type answered struct {
+	request request
+	outcome settings.Outcome
+	version uint64
+}
+
+var registerModel = porcupine.Model{
+	Init: func() any { return registerState{} },
+	Step: func(state, input, output any) (bool, any) {
+		return stepRegister(state.(registerState), input.(request), output.(response))
+	},
+	Equal: func(a, b any) bool {
+		x, y := a.(registerState), b.(registerState)
+		return x.version == y.version && x.value == y.value && maps.Equal(x.answers, y.answers)
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v: %+v", input, output) },
+}
+
+func stepRegister(s registerState, in request, out response) (bool, registerState) {
+	if in.read {
+		return out.version == s.version && out.value == s.value, s
+	}
+	if first, ok := s.answers[in.number]; ok {
+		if first.request == in {
+			return out.result.Outcome == first.outcome && out.result.Version == first.version, s
+		}
+		winner := out.result.Winner
+		return out.result.Outcome == settings.NumberTaken && winner.Outcome == first.outcome && winner.Version == first.version, s
+	}
+	next := registerState{version: s.version, value: s.value, answers: maps.Clone(s.answers)}
+	if next.answers == nil {
+		next.answers = make(map[uint64]answered)
+	}
+	next.answers[in.number] = answered{request: in, outcome: out.result.Outcome, version: out.result.Version}
+	if in.base != s.version {
+		return out.result.Outcome == settings.Conflict && out.result.Version == s.version, next
+	}
+	next.version, next.value = out.result.Version, in.value
+	return out.result.Outcome == settings.Accepted && out.result.Version > s.version, next
+}
+
+// operators is the operators' side of a run.
+type operators struct {
+	world *world
+	// order gives each call and return its place in the history.
+	order atomic.Int64
+
+	mu      sync.Mutex // guards history
+	history []porcupine.Operation
+}
+
+// racer is one operator that races the others.
+type racer struct {
+	all    *operators
+	id     int
+	random *rand.Rand
+	// path reaches the replicas like an entry does.
+	path *entry
+	seen uint64
+	// last is the change that the racer sent last.
+	last request
+}
+
+// run sends operations until ctx ends; each is sent until it is answered.
+func (r *racer) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.operate(r.draw())
+		time.Sleep(time.Duration(r.random.IntN(400)) * time.Millisecond)
+	}
+}
+
+func (r *racer) draw() request {
+	switch kind := r.random.IntN(10); {
+	case kind < 4:
+		return request{read: true}
+	case kind < 6 && r.last.number != 0:
+		return r.last
+	}
+	r.last = request{
+		number: 1 + r.random.Uint64N(numbers),
+		base:   r.seen,
+		value:  fmt.Sprintf(`{"engines":{},"role_price":%d}`, r.random.IntN(1000)),
+	}
+	return r.last
+}
+
+func (r *racer) operate(in request) {
+	call := r.all.order.Add(1)
+	out := r.send(in)
+	operation := porcupine.Operation{ClientId: r.id, Input: in, Call: call, Output: out, Return: r.all.order.Add(1)}
+	r.all.mu.Lock()
+	defer r.all.mu.Unlock()
+	r.all.history = append(r.all.history, operation)
+	r.seen = max(r.seen, out.version, out.result.Version)
+}
+
+// send sends an operation until an answer arrives. Lost answers are common.
+func (r *racer) send(in request) response {
+	number := in.number
+	for {
+		var out response
+		err := r.path.each(context.Background(), func(ctx context.Context, i int) (err error) {
+			if in.read {
+				out.version, out.value, err = r.all.world.readRegister(ctx, i)
+				return err
+			}
+			out.result, err = r.all.world.changeRegister(ctx, i, in, number)
+			return err
+		})
+		if err == nil {
+			return out
+		}
+		if r.all.world.fault == newNumber {
+			number += numbers
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (w *world) readRegister(ctx context.Context, i int) (version uint64, value string, err error) {
+	if _, err := w.read(ctx, i, 0); err != nil {
+		return 0, "", err
+	}
+	w.group.Store(i).View(func(tree *settings.Tree, _ *ledger.Ledger) {
+		current := tree.Subtrees[registerPath]
+		version, value = current.Version, string(current.Content)
+	})
+	return version, value, nil
+}
+
+func (w *world) changeRegister(ctx context.Context, i int, in request, number uint64) (settings.ChangeResult, error) {
+	result, err := w.submit(ctx, i, &store.Command{Change: &settings.Change{
+		Operator:    settings.RootOperator,
+		TokenSHA256: settings.HashToken("root"),
+		Number:      number,
+		Edits:       []settings.Edit{{Path: registerPath, BaseVersion: in.base, Content: []byte(in.value)}},
+	}})
+	if err != nil {
+		return settings.ChangeResult{}, err
+	}
+	return *result.Change, nil
+}
+
+// race runs a schedule while operators race, and returns their history.
+func race(t *testing.T, seed uint64, replicas int, schedule []event, f fault) []porcupine.Operation {
+	var all *operators
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, seed, replicas, 1, f)
+		defer w.stop()
+		bootstrap := &store.Command{Bootstrap: &settings.Bootstrap{RootTokenSHA256: settings.HashToken("root")}}
+		if _, err := w.submit(t.Context(), w.group.Leader(), bootstrap); err != nil {
+			t.Fatal(err)
+		}
+		all = &operators{world: w}
+		ctx, cancel := context.WithCancel(t.Context())
+		var racing sync.WaitGroup
+		for i := range racers {
+			r := &racer{all: all, id: i, random: rand.New(rand.NewPCG(seed, uint64(i))), path: &entry{world: w, name: "operator", frozen: &pause{}}}
+			racing.Go(func() { r.run(ctx) })
+		}
+		for _, e := range schedule {
+			time.Sleep(e.Wait)
+			w.do(e)
+		}
+		w.calm()
+		time.Sleep(settled / 4)
+		cancel()
+		racing.Wait()
+	})
+	return all.history
+}
+
+// TestSettingsAreARegister draws schedules while operators race with equal
+// numbers, lose answers and send changes again.
+func TestSettingsAreARegister(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		seed := rapid.Uint64().Draw(r, "seed")
+		replicas := rapid.SampledFrom([]int{3, 3, 5}).Draw(r, "replicas")
+		history := race(t, seed, replicas, drawSchedule(r), sound)
+		if got := porcupine.CheckOperationsTimeout(registerModel, history, checkTimeout); got != porcupine.Ok {
+			r.Fatalf("history of %d operations is %s: %v", len(history), got, history)
+		}
+		if len(history) < racers {
+			r.Fatalf("nothing was checked: %d operations", len(history))
+		}
+	})
+}
+
+// TestRegisterCheckerFindsPlantedFaults plants a read without a barrier, and a
+// new number for a change that is sent again.
+func TestRegisterCheckerFindsPlantedFaults(t *testing.T) {
+	const tries = 20
+	second := time.Second
+	schedule := []event{{Kind: "slow"}, {Wait: second, Kind: "cut replica"}, {Wait: 4 * second, Kind: "heal"}, {Wait: second, Kind: "drop"}, {Wait: 4 * second, Kind: "kill leader"}, {Wait: 4 * second, Kind: "fast"}}
+	for name, f := range map[string]fault{"read at a follower": followerRead, "new number": newNumber} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(tries) {
+				if porcupine.CheckOperationsTimeout(registerModel, race(t, seed, 3, schedule, f), checkTimeout) == porcupine.Illegal {
+					return
+				}
+			}
+			t.Errorf("the checker missed the fault in %d tries", tries)
+		})
+	}
+}
