--- a/cmd/lagoonshift/main.go
+++ b/cmd/lagoonshift/main.go
@@ -26,9 +26,12 @@
 	addEntry(app, commands)
 	addCheck(app, commands)
 	addConfig(app, commands)
+	addKeys(app, commands)
+	addLedger(app, commands)
 	addStatus(app, commands)
 	addLoad(app, commands)
 	addFake(app, commands)
+	addExperiment(app, commands)
 
 	selected, err := app.Parse(os.Args[1:])
 	if err != nil {
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/lagoonshift/lagoonshift/internal/strictjson"
+	"github.com/lagoonshift/lagoonshift/internal/tlsfiles"
 )
 
 // Deployment is the content of a deployment file.
@@ -32,6 +33,41 @@
 	RootTokenSHA256 string `json:"root_token_sha256,omitempty"`
 	// Log configures logging for every process.
 	Log Log `json:"log"`
+	// TLS names the key files of the listeners; a listener without any
+	// speaks plain TCP.
+	TLS TLS `json:"tls,omitempty"`
+}
+
+// TLS holds the key files by listener. In each path "{name}" stands for the
+// name of the process.
+type TLS struct {
+	// Callers is for the caller API and Administration for the
+	// administration addresses; their users prove who they are by tokens.
+	Callers        *KeyFiles `json:"callers,omitempty"`
+	Administration *KeyFiles `json:"administration,omitempty"`
+	// Peers is for connections between processes. Both sides must show a
+	// certificate of the authority.
+	Peers *KeyFiles `json:"peers,omitempty"`
+}
+
+// KeyFiles names PEM files.
+type KeyFiles struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	// Authority is needed for peers and otherwise optional.
+	Authority string `json:"authority,omitempty"`
+}
+
+// namePlaceholder stands for a process's name in the path of a key file.
+const namePlaceholder = "{name}"
+
+// For returns the files of the process with the given name.
+func (k *KeyFiles) For(name string) tlsfiles.Files {
+	return tlsfiles.Files{
+		Certificate: strings.ReplaceAll(k.Certificate, namePlaceholder, name),
+		Key:         strings.ReplaceAll(k.Key, namePlaceholder, name),
+		Authority:   strings.ReplaceAll(k.Authority, namePlaceholder, name),
+	}
 }
 
 // Control describes one control process.
@@ -112,6 +148,9 @@
 		c.address(at+"/caller_address", p.CallerAddress)
 		c.address(at+"/admin_address", p.AdminAddress)
 	}
+	c.keyFiles("/tls/callers", d.TLS.Callers, false)
+	c.keyFiles("/tls/administration", d.TLS.Administration, false)
+	c.keyFiles("/tls/peers", d.TLS.Peers, true)
 	return c.err
 }
 
@@ -178,6 +217,18 @@
 	}
 }
 
+func (c *checker) keyFiles(at string, k *KeyFiles, mutual bool) {
+	switch {
+	case k == nil:
+	case k.Certificate == "":
+		c.fail(at+"/certificate", "expected a file")
+	case k.Key == "":
+		c.fail(at+"/key", "expected a file")
+	case mutual && k.Authority == "":
+		c.fail(at+"/authority", "expected a file: both sides must show a certificate")
+	}
+}
+
 func (c *checker) address(at, address string) {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil || net.ParseIP(host) == nil {
--- a/internal/role/entryrole/entry.go
+++ b/internal/role/entryrole/entry.go
@@ -4,19 +4,20 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/settingsync"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/admission"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
+	"github.com/lagoonshift/lagoonshift/internal/telemetry"
 	"github.com/lagoonshift/lagoonshift/internal/transport/backendhttp"
-	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
 )
 
@@ -32,12 +33,20 @@
 	incarnation uint64
 	clock       clock.Clock
 	control     *peergrpc.ControlClient
+	keys        *serve.Keys
 	agent       *settingsync.Agent
 	lease       *lease.Holder
 	gate        *lease.Gate
 	tracker     *routing.Tracker
+	admission   *admission.Controller
 	backends    *backendhttp.Client
-	log         hclog.Logger
+	metrics     *telemetry.Metrics
+	// leaving is closed when the entry begins to leave.
+	leaving chan struct{}
+	// longestTTL is the longest time, in nanoseconds, for which a caller may
+	// keep an address answer by any settings that were in force here.
+	longestTTL atomic.Int64
+	log        hclog.Logger
 }
 
 // Run runs an entry process until ctx ends.
@@ -46,56 +55,53 @@
 	if err != nil {
 		return err
 	}
-	control, err := peergrpc.DialControl(peerAddresses(d))
+	keys, err := serve.OpenKeys(d, name, log)
+	if err != nil {
+		return err
+	}
+	control, err := peergrpc.DialControl(peerAddresses(d), keys.PeerClient())
 	if err != nil {
 		return err
 	}
 	defer control.Close()
-	e := newEntry(self, control, log)
+	e := newEntry(self, control, keys, log)
 	if err := e.agent.Start(ctx); err != nil {
 		return fmt.Errorf("start entry %s: %w", name, err)
 	}
 	defer e.deregister()
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return e.agent.Run(ctx) })
-	group.Go(func() error { return every(ctx, loadInterval, e.pollLoads) })
-	group.Go(func() error { return serve.HTTP(ctx, self.CallerAddress, e.callerServer(d).Handler()) })
-	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, e.adminHandler()) })
 	log.Info("entry started", "caller_address", self.CallerAddress, "settings_version", e.agent.Settings().Load().Version)
-	return group.Wait()
+	return e.run(ctx)
 }
 
-func newEntry(self deployment.Entry, control *peergrpc.ControlClient, log hclog.Logger) *entry {
+func newEntry(self deployment.Entry, control *peergrpc.ControlClient, keys *serve.Keys, log hclog.Logger) *entry {
 	c := clock.Boot{}
 	e := &entry{
 		self:        self,
 		incarnation: uint64(c.Now()),
 		clock:       c,
 		control:     control,
+		keys:        keys,
 		lease:       lease.NewHolder(c),
 		tracker:     routing.NewTracker(c),
 		backends:    backendhttp.New(),
+		metrics:     telemetry.NewMetrics("entry", self.Name, log),
+		leaving:     make(chan struct{}),
 		log:         log,
 	}
 	e.gate = lease.NewGate(e.lease)
 	e.agent = e.newAgent()
+	e.admission = admission.New(admission.Options{
+		Picker:  routing.NewPredictive(e.incarnation),
+		Clock:   c,
+		Tracker: e.tracker,
+		Entries: e.liveEntries,
+	})
 	return e
 }
 
-func (e *entry) callerServer(d *deployment.Deployment) *callerhttp.Server {
-	return callerhttp.New(callerhttp.Options{
-		Name:        e.self.Name,
-		Zone:        e.self.Zone,
-		Incarnation: e.incarnation,
-		Addresses:   callerAddresses(d),
-		Settings:    e.agent.Settings(),
-		Lease:       e.lease,
-		Tracker:     e.tracker,
-		Picker:      routing.LeastRequests{},
-		Backends:    e.backends,
-		Control:     e.control,
-		Log:         e.log,
-	})
+// liveEntries is the number of entries that share the engines.
+func (e *entry) liveEntries() int {
+	return len(e.agent.Directory().Live())
 }
 
 // every calls do at once and then at the interval until ctx ends.
@@ -119,11 +125,3 @@
 	}
 	return out
 }
-
-func callerAddresses(d *deployment.Deployment) []string {
-	var out []string
-	for _, e := range d.Entries {
-		out = append(out, e.CallerAddress)
-	}
-	return out
-}
--- a/internal/role/entryrole/settings.go
+++ b/internal/role/entryrole/settings.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/lagoonshift/lagoonshift/internal/coordination/settingsync"
 	"github.com/lagoonshift/lagoonshift/internal/state/member"
-	"github.com/lagoonshift/lagoonshift/internal/transport/adminhttp"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
 // newAgent returns what keeps the entry's settings, lease and registration.
@@ -22,11 +21,18 @@
 		Clock:   e.clock,
 		Holder:  e.lease,
 		Gate:    e.gate,
-		Changed: e.tracker.Configure,
+		Changed: e.configure,
 		Log:     e.log,
 	})
 }
 
+// configure takes a new configuration before it is in force.
+func (e *entry) configure(c *settings.Configuration) {
+	e.tracker.Configure(c)
+	e.admission.Configure(c)
+	e.longestTTL.Store(max(e.longestTTL.Load(), int64(c.System.AddressTTL.Std())))
+}
+
 // deregister takes the entry out of the member table after its last request.
 func (e *entry) deregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
@@ -35,10 +41,3 @@
 		e.log.Warn("not deregistered; control removes the entry when its lease lapsed", "error", err)
 	}
 }
-
-func (e *entry) adminHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
-	(&adminhttp.Entry{Name: e.self.Name, Agent: e.agent, Holder: e.lease}).Register(mux)
-	return mux
-}
--- a/internal/transport/peergrpc/client.go
+++ b/internal/transport/peergrpc/client.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/status"
 
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
@@ -40,17 +40,13 @@
 
 // DialControl prepares connections to the control replicas at the given
 // addresses. No connection is made yet.
-func DialControl(addresses []string) (*ControlClient, error) {
+func DialControl(addresses []string, creds credentials.TransportCredentials) (*ControlClient, error) {
 	c := &ControlClient{}
 	for _, address := range addresses {
-		conn, err := grpc.NewClient(
-			address,
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
-		)
+		conn, err := dial(address, creds)
 		if err != nil {
 			c.Close()
-			return nil, fmt.Errorf("prepare connection to control %s: %w", address, err)
+			return nil, err
 		}
 		c.replicas = append(c.replicas, replica{address: address, conn: conn, control: peerpb.NewControlClient(conn)})
 	}
@@ -128,6 +124,17 @@
 	return result, err
 }
 
+// ReportLoad hands an encoded roleplan.Report to the control leader.
+func (c *ControlClient) ReportLoad(ctx context.Context, member string, incarnation uint64, digest []byte) error {
+	request := &peerpb.LoadReport{Member: member, Incarnation: incarnation, Digest: digest}
+	return c.each(ctx, func(ctx context.Context, r replica) error {
+		if _, err := r.control.ReportLoad(ctx, request); err != nil {
+			return fmt.Errorf("report load to %s: %w", r.address, err)
+		}
+		return nil
+	})
+}
+
 // surelyNotRun reports whether a failed call certainly appended nothing.
 func surelyNotRun(err error) bool {
 	return status.Code(err) == codes.FailedPrecondition
