--- a/internal/protocol/servicecall/once_test.go
+++ b/internal/protocol/servicecall/once_test.go
@@ -18,7 +18,7 @@
 
 var (
 	testService = settings.Service{Backends: map[string]settings.Backend{"a": {URL: "http://a"}, "b": {URL: "http://b"}}}
-	testRule    = settings.Call{Timeout: strictjson.Duration(callTimeout)}
+	testRule    = settings.Call{Timeout: strictjson.Duration(callTimeout), Lookup: "lookup"}
 )
 
 // settleTime is longer than any attempt, late answers and frozen entries
@@ -93,6 +93,7 @@
 	// ledgerFaults and serviceFaults are in percent of the commands.
 	ledgerFaults  int
 	serviceFaults int
+	lookup        bool
 	stops         []stop
 }
 
@@ -104,6 +105,7 @@
 		keys:          rapid.IntRange(1, 3).Draw(t, "keys"),
 		ledgerFaults:  rapid.IntRange(0, 60).Draw(t, "ledger faults"),
 		serviceFaults: rapid.IntRange(0, 80).Draw(t, "service faults"),
+		lookup:        rapid.Bool().Draw(t, "lookup"),
 	}
 	for range p.entries - 1 {
 		at := rapid.SampledFrom(append([]step{"never"}, allSteps...)).Draw(t, "stop at")
@@ -119,6 +121,7 @@
 	synctest.Test(t, func(*testing.T) {
 		w := newWorld(p.seed)
 		w.planted = planted
+		w.lookup = p.lookup
 		w.network = func(r *rand.Rand) ledgerFault {
 			if r.IntN(100) < p.ledgerFaults {
 				return ledgerFault(1 + r.IntN(3))
--- a/internal/protocol/servicecall/refusal_test.go
+++ b/internal/protocol/servicecall/refusal_test.go
@@ -75,3 +75,54 @@
 		finish(w)
 	})
 }
+
+// goneHolders says of every run of an entry that it has ended.
+type goneHolders struct{}
+
+// Gone implements Holders.
+func (goneHolders) Gone(string, uint64) bool { return true }
+
+// TestGoneHolderIsToldAtOnce shows that a repeat of a call whose entry is gone
+// is told at once that the outcome is unknown.
+func TestGoneHolderIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		h := &history{}
+		book(h, 0, w.entry("first", stop{at: beforeSend}), "van-1")
+		second := w.entry("second", stop{})
+		second.protocol.Holders = goneHolders{}
+		start := time.Now()
+		o := book(h, 0, second, "van-1")
+		if waited := time.Since(start); o.executed != refusal.Unknown || waited > callTimeout/4 {
+			t.Errorf("told %+v after %v", o, waited)
+		}
+		finish(w)
+		if err := check(w, h); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestLookupSettlesLostAnswer shows that a service that knows the key brings
+// the lost answer back, to the caller and to repeats.
+func TestLookupSettlesLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		w.service = func(*rand.Rand) serviceFault { return serviceCrashes }
+		w.lookup = true
+		first, second := w.entry("first", stop{}), w.entry("second", stop{})
+		call := &Call{Service: "booking", Path: "collections", Method: "POST", Key: "van-1"}
+		one, err := first.protocol.Once(t.Context(), call, testRule)
+		if err != nil || len(one.Body) == 0 {
+			t.Errorf("answer is %+v, %v", one, err)
+		}
+		two, err := second.protocol.Once(t.Context(), call, testRule)
+		if err != nil || string(two.Body) != string(one.Body) || !two.Repeated {
+			t.Errorf("repeat got %+v, %v", two, err)
+		}
+		if len(w.executions) != 1 {
+			t.Errorf("ran %d times", len(w.executions))
+		}
+		finish(w)
+	})
+}
--- a/internal/protocol/servicecall/world_test.go
+++ b/internal/protocol/servicecall/world_test.go
@@ -61,6 +61,8 @@
 	service func(r *rand.Rand) serviceFault
 	// planted switches a fault on that the checker has to find.
 	planted plantedFault
+	// lookup tells whether the service answers lookups.
+	lookup  bool
 	release chan struct{}
 
 	mu         sync.Mutex // guards the fields below and applies
@@ -284,6 +286,13 @@
 }
 
 // Lookup implements Services.
-func (e *entry) Lookup(context.Context, backend.ServiceCall) (backend.ServiceAnswer, bool, error) {
+func (e *entry) Lookup(_ context.Context, call backend.ServiceCall) (backend.ServiceAnswer, bool, error) {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	for i, ran := range e.w.executions {
+		if e.w.lookup && ran.key == call.IdempotencyKey {
+			return backend.ServiceAnswer{Status: 200, Body: fmt.Appendf(nil, "%d", i+1)}, true, nil
+		}
+	}
 	return backend.ServiceAnswer{}, false, nil
 }
--- a/internal/role/entryrole/callers.go
+++ b/internal/role/entryrole/callers.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/lagoonshift/lagoonshift/internal/coordination/member"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/limit"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/request"
@@ -23,6 +24,7 @@
 type callers struct {
 	server   *callerhttp.Server
 	services *servicecall.Protocol
+	peers    *peers
 }
 
 // newCallers assembles the caller API.
@@ -37,6 +39,7 @@
 		Gate:        e.gate,
 		Ledger:      e.control,
 		Services:    e.backends,
+		Holders:     holders{directory: e.agent.Directory()},
 		OldSystem:   e.backends,
 		Outliers:    outliers,
 		Budget:      retry.NewBudget(retry.DefaultShare, retry.DefaultReserve),
@@ -54,6 +57,14 @@
 		Budget:   retry.NewBudget(retry.DefaultShare, streamRetryReserve),
 		Random:   rand.Float64,
 	})
+	gate := limit.NewGate(requestCapacity)
+	peers := &peers{
+		self: e.self.Name,
+		zone: e.self.Zone,
+		gate: gate,
+		list: e.agent.Directory().Members,
+		ask:  e.backends.EntryLoad,
+	}
 	server := callerhttp.New(callerhttp.Options{
 		Zone:      e.self.Zone,
 		Directory: e.agent.Directory(),
@@ -61,9 +72,27 @@
 		Lease:     e.lease,
 		Requests:  requests,
 		Services:  services,
-		Gate:      limit.NewGate(requestCapacity),
+		Loads:     peers.load,
+		Gate:      gate,
 		Leaving:   e.leaving,
 		Log:       e.log,
 	})
-	return callers{server: server, services: services}
+	return callers{server: server, services: services, peers: peers}
+}
+
+// holders tells from the member table which runs of entries have ended. A run
+// that the table does not name may still be frozen and go on later; so nothing
+// is ever run again because of it, its callers are only told sooner.
+type holders struct {
+	directory *member.Directory
+}
+
+// Gone implements servicecall.Holders.
+func (h holders) Gone(entry string, incarnation uint64) bool {
+	for _, m := range h.directory.Members() {
+		if m.Name == entry && m.Incarnation == incarnation {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/role/entryrole/run.go
+++ b/internal/role/entryrole/run.go
@@ -33,9 +33,11 @@
 	group.Go(func() error { return every(upkeep, loadInterval, e.pollLoads) })
 	group.Go(func() error { return every(upkeep, demandInterval, e.reportDemand) })
 	group.Go(func() error { return serve.HTTP(upkeep, e.self.AdminAddress, e.adminHandler()) })
+	callers := e.newCallers()
+	group.Go(func() error { return every(upkeep, peerInterval, callers.peers.round) })
 	group.Go(func() error {
 		defer endUpkeep()
-		return e.serveCallers(ctx, upkeep, listener, e.newCallers())
+		return e.serveCallers(ctx, upkeep, listener, callers)
 	})
 	return group.Wait()
 }
--- a/internal/transport/callerhttp/addresses.go
+++ b/internal/transport/callerhttp/addresses.go
@@ -25,7 +25,7 @@
 	if len(config.System.OldSystem) > 0 && address.ToOldSystem(config.Teams[team], team, r.Header.Get(HeaderClass), r.Header.Get(HeaderCustomer)) {
 		answer.Addresses = config.System.OldSystem
 	} else {
-		answer.Addresses = address.Order(s.Directory.Members(), s.callerZone(r), s.Load, s.asked.Add(1))
+		answer.Addresses = address.Order(s.Directory.Members(), s.callerZone(r), s.Loads, s.asked.Add(1))
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(answer)
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -56,8 +56,8 @@
 	// Zone is the entry's availability zone.
 	Zone      string
 	Directory Directory
-	// Load tells the load of entries; nil if it is not known.
-	Load     address.Load
+	// Loads tells the load of entries; nil if it is not known.
+	Loads    address.Load
 	Settings *atomic.Pointer[settings.Configuration]
 	Lease    *lease.Holder
 	Requests *request.Protocol
@@ -77,8 +77,8 @@
 
 // New returns a server.
 func New(o Options) *Server {
-	if o.Load == nil {
-		o.Load = func(string) (int, bool) { return 0, false }
+	if o.Loads == nil {
+		o.Loads = func(string) (int, bool) { return 0, false }
 	}
 	return &Server{Options: o}
 }
@@ -87,6 +87,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/addresses", s.addresses)
+	mux.HandleFunc("GET /v1/load", s.load)
 	mux.HandleFunc("POST /v1/completions", s.completions)
 	mux.HandleFunc("POST /v1/services/{service}/{path...}", s.service)
 	return s.prepare(mux)
