--- a/internal/protocol/address/address_test.go
+++ b/internal/protocol/address/address_test.go
@@ -71,7 +71,8 @@
 func TestShareMovesFewest(t *testing.T) {
 	at := func(share float64, customer string) bool {
 		team := settings.Team{Classes: map[string]settings.Class{"quote": {OldSystemShare: share}}}
-		return ToOldSystem(team, "desk", "quote", customer)
+		config := &settings.Configuration{Teams: map[string]settings.Team{"desk": team}}
+		return ToOldSystem(config, Caller{Team: "desk", Class: "quote", Customer: customer})
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		low := rapid.Float64Range(0, 1).Draw(t, "low")
@@ -85,3 +86,26 @@
 		}
 	})
 }
+
+// TestCustomersOwnShare shows that a customer's share goes before its class's,
+// also if the caller names no team.
+func TestCustomersOwnShare(t *testing.T) {
+	none := 0.0
+	config := &settings.Configuration{Teams: map[string]settings.Team{
+		"desk": {
+			Classes:   map[string]settings.Class{"quote": {OldSystemShare: 1}},
+			Customers: map[string]settings.Customer{"stays": {OldSystemShare: &none}},
+		},
+	}}
+	for caller, want := range map[Caller]bool{
+		{Team: "desk", Class: "quote", Customer: "moves"}: true,
+		{Team: "desk", Class: "quote", Customer: "stays"}: false,
+		{Team: "desk", Class: "other", Customer: "moves"}: false,
+		{Customer: "stays"}: false,
+		{Customer: "moves"}: false,
+	} {
+		if got := ToOldSystem(config, caller); got != want {
+			t.Errorf("caller %+v: ToOldSystem = %v, want %v", caller, got, want)
+		}
+	}
+}
--- a/internal/protocol/address/side.go
+++ b/internal/protocol/address/side.go
@@ -1,6 +1,9 @@
 package address
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
@@ -9,15 +12,36 @@
 // sides is the number of steps in which a share may move.
 const sides = 1 << 20
 
-// ToOldSystem reports whether a customer's callers of a class belong to the
-// old system. A customer has a fixed place in the order of moving, so raising
+// Caller names who asks for addresses; Team and Class may be empty.
+type Caller struct {
+	Team     string
+	Class    string
+	Customer string
+}
+
+// ToOldSystem reports whether a caller belongs to the old system. A customer
+// has a fixed place in the order of moving, the same for all teams, so raising
 // or lowering a share moves no more customers than needed, and the same ones
 // come back.
-func ToOldSystem(team settings.Team, teamName, className, customer string) bool {
-	share := team.Classes[className].OldSystemShare
-	if own := team.Customers[customer].OldSystemShare; own != nil {
-		share = *own
+func ToOldSystem(c *settings.Configuration, caller Caller) bool {
+	place := xxhash.Sum64String(caller.Customer) % sides
+	return float64(place) < share(c, caller)*sides
+}
+
+// share returns the customer's own share or else its class's. For a caller
+// that names no team, the first team that gives the customer a share decides.
+func share(c *settings.Configuration, caller Caller) float64 {
+	if caller.Team != "" {
+		team := c.Teams[caller.Team]
+		if own := team.Customers[caller.Customer].OldSystemShare; own != nil {
+			return *own
+		}
+		return team.Classes[caller.Class].OldSystemShare
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Teams)) {
+		if own := c.Teams[name].Customers[caller.Customer].OldSystemShare; own != nil {
+			return *own
+		}
 	}
-	place := xxhash.Sum64String(teamName+"\x00"+customer) % sides
-	return float64(place) < share*sides
+	return 0
 }
--- a/internal/transport/callerhttp/addresses.go
+++ b/internal/transport/callerhttp/addresses.go
@@ -21,8 +21,8 @@
 func (s *Server) addresses(w http.ResponseWriter, r *http.Request) {
 	config := s.Settings.Load()
 	answer := AddressAnswer{TTLSeconds: config.System.AddressTTL.Std().Seconds()}
-	team := r.Header.Get(HeaderTeam)
-	if len(config.System.OldSystem) > 0 && address.ToOldSystem(config.Teams[team], team, r.Header.Get(HeaderClass), r.Header.Get(HeaderCustomer)) {
+	caller := address.Caller{Team: r.Header.Get(HeaderTeam), Class: r.Header.Get(HeaderClass), Customer: r.Header.Get(HeaderCustomer)}
+	if len(config.System.OldSystem) > 0 && address.ToOldSystem(config, caller) {
 		answer.Addresses = config.System.OldSystem
 	} else {
 		answer.Addresses = address.Order(s.Directory.Members(), s.callerZone(r), s.Loads, s.asked.Add(1))
