--- a/cmd/lagoonshift/fake.go
+++ b/cmd/lagoonshift/fake.go
@@ -69,7 +69,7 @@
 func addFakeOldSystem(fake *kingpin.CmdClause, commands map[string]command) {
 	clause := fake.Command("old-system", "Run a stand-in for the old serving system beside this one.")
 	address := clause.Flag("listen", "Address as IP:port.").Required().String()
-	o := fakeoldsystem.Options{}
+	o := fakeoldsystem.Options{Services: make(map[string]string)}
 	clause.Flag("engine", "Base URL of an engine; may be given several times.").StringsVar(&o.Engines)
 	clause.Flag("service", "Plain service as name=base URL; may be given several times.").StringMapVar(&o.Services)
 	clause.Flag("lagoonshift", "Base URL of an entry; may be given several times.").StringsVar(&o.Lagoonshift)
