--- /dev/null
+++ b/internal/role/entryrole/admin.go
@@ -0,0 +1,28 @@
+package entryrole
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/lagoonshift/lagoonshift/internal/telemetry"
+	"github.com/lagoonshift/lagoonshift/internal/transport/adminhttp"
+)
+
+var errNoLease = errors.New("no settings lease")
+
+// adminHandler serves health, metrics, profiles and the settings in force.
+func (e *entry) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	admin := &telemetry.Admin{Metrics: e.metrics, Log: e.log, Ready: e.ready}
+	admin.Register(mux)
+	(&adminhttp.Entry{Name: e.self.Name, Agent: e.agent, Holder: e.lease}).Register(mux)
+	return mux
+}
+
+// ready reports nil while the entry may take new work.
+func (e *entry) ready() error {
+	if !e.lease.Valid() {
+		return errNoLease
+	}
+	return nil
+}
--- a/internal/role/entryrole/peers.go
+++ b/internal/role/entryrole/peers.go
@@ -37,15 +37,16 @@
 	loads atomic.Pointer[map[string]int]
 }
 
-// load implements address.Load.
+// load implements address.Load. Until a round was made no load is known, not
+// even this entry's own.
 func (p *peers) load(name string) (int, bool) {
-	if name == p.self {
-		return int(p.gate.Total()), true
-	}
 	known := p.loads.Load()
 	if known == nil {
 		return 0, false
 	}
+	if name == p.self {
+		return int(p.gate.Total()), true
+	}
 	inFlight, ok := (*known)[name]
 	return inFlight, ok
 }
--- a/internal/role/entryrole/run.go
+++ b/internal/role/entryrole/run.go
@@ -31,10 +31,16 @@
 	group, upkeep := errgroup.WithContext(upkeep)
 	group.Go(func() error { return e.agent.Run(upkeep) })
 	group.Go(func() error { return every(upkeep, loadInterval, e.pollLoads) })
+	group.Go(func() error {
+		return serve.HTTP(upkeep, e.self.AdminAddress, e.adminHandler(), e.keys.Administration())
+	})
 	group.Go(func() error { return every(upkeep, demandInterval, e.reportDemand) })
-	group.Go(func() error { return serve.HTTP(upkeep, e.self.AdminAddress, e.adminHandler()) })
 	callers := e.newCallers()
-	group.Go(func() error { return every(upkeep, peerInterval, callers.peers.round) })
+	if e.keys.Callers() == nil {
+		// Under TLS an entry holds no authority to verify the others by, and
+		// addresses are ordered by zone alone.
+		group.Go(func() error { return every(upkeep, peerInterval, callers.peers.round) })
+	}
 	group.Go(func() error {
 		defer endUpkeep()
 		return e.serveCallers(ctx, upkeep, listener, callers)
@@ -54,7 +60,7 @@
 		e.retire(life)
 		time.AfterFunc(e.leaveAfter(), endAccepting)
 	})
-	if err := serve.On(accepting, listener, c.server.Handler()); err != nil {
+	if err := serve.On(accepting, listener, c.server.Handler(), e.keys.Callers()); err != nil {
 		return err
 	}
 	c.services.Wait(life)
--- a/internal/role/entryrole/settings.go
+++ b/internal/role/entryrole/settings.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/lagoonshift/lagoonshift/internal/coordination/settingsync"
 	"github.com/lagoonshift/lagoonshift/internal/state/member"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
-	"github.com/lagoonshift/lagoonshift/internal/transport/adminhttp"
 )
 
 // newAgent returns what keeps the entry's settings, lease and registration.
@@ -43,10 +41,3 @@
 		e.log.Warn("not deregistered; control removes the entry when its lease lapsed", "error", err)
 	}
 }
-
-func (e *entry) adminHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
-	(&adminhttp.Entry{Name: e.self.Name, Agent: e.agent, Holder: e.lease}).Register(mux)
-	return mux
-}
