--- a/internal/role/entryrole/run.go
+++ b/internal/role/entryrole/run.go
@@ -35,9 +35,15 @@
 		return serve.HTTP(upkeep, e.self.AdminAddress, e.adminHandler(), e.keys.Administration())
 	})
 	group.Go(func() error { return every(upkeep, demandInterval, e.reportDemand) })
+	callers := e.newCallers()
+	if e.keys.Callers() == nil {
+		// Under TLS an entry holds no authority to verify the others by, and
+		// addresses are ordered by zone alone.
+		group.Go(func() error { return every(upkeep, peerInterval, callers.peers.round) })
+	}
 	group.Go(func() error {
 		defer endUpkeep()
-		return e.serveCallers(ctx, upkeep, listener, e.newCallers())
+		return e.serveCallers(ctx, upkeep, listener, callers)
 	})
 	return group.Wait()
 }
