Record orders to engines in a replicated order book

An order is committed before it is sent, under its log index as fencing token. Placing an order that interrupts an engine counts as a settings change: no entry's lease outlives it unless the entry closed the engine.

--- /dev/null
+++ b/internal/state/orderbook/book.go
@@ -0,0 +1,240 @@
+package orderbook
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+// HistoryPerEngine is the number of settled orders kept for each engine.
+const HistoryPerEngine = 4
+
+// Place records an order before it is sent. Placing the same ID again repeats
+// the first answer while the order is outstanding.
+type Place struct {
+	Order Order `cbor:"1,keyasint"`
+	// Version is the store's version on which the decision rests. An order
+	// that was decided on an older version is refused.
+	Version uint64 `cbor:"2,keyasint"`
+	// RateLimit is the weight store's whole rate in bytes per second.
+	RateLimit int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Release allows an order to be sent. It is committed when the engine is
+// closed to new work and idle.
+type Release struct {
+	Engine string `cbor:"1,keyasint"`
+	ID     string `cbor:"2,keyasint"`
+}
+
+// Settle ends an order.
+type Settle struct {
+	Engine  string  `cbor:"1,keyasint"`
+	ID      string  `cbor:"2,keyasint"`
+	Outcome Outcome `cbor:"3,keyasint"`
+	Detail  string  `cbor:"4,keyasint,omitempty"`
+}
+
+// HandOver passes the authority to order an engine to another side.
+type HandOver struct {
+	Engine string                  `cbor:"1,keyasint"`
+	To     settings.OrderAuthority `cbor:"2,keyasint"`
+}
+
+// Verdict is the answer to a command.
+type Verdict string
+
+const (
+	// Accepted means that the command took effect, now or when it was first
+	// executed.
+	Accepted Verdict = "accepted"
+	// Busy means that the engine has another outstanding order.
+	Busy Verdict = "busy"
+	// ModelBusy means that another engine of the model is being changed.
+	ModelBusy Verdict = "model-busy"
+	// NotHolder means that the other side may order the engine.
+	NotHolder Verdict = "not-holder"
+	// RateSpent means that outstanding loads use the weight store's rate.
+	RateSpent Verdict = "rate-spent"
+	// Stale means that the command refers to an older state.
+	Stale Verdict = "stale"
+)
+
+// Result is the answer to every command of the order book.
+type Result struct {
+	Verdict Verdict `cbor:"1,keyasint"`
+	// Order is the engine's outstanding order after the command, if any.
+	Order *Order `cbor:"2,keyasint,omitempty"`
+}
+
+// Book holds the orders of all engines. It is not safe for concurrent use.
+type Book struct {
+	// Outstanding holds the orders not yet settled by engine.
+	Outstanding map[string]Order `cbor:"1,keyasint"`
+	// History holds the newest settled orders by engine, oldest first.
+	History map[string][]Record `cbor:"2,keyasint"`
+	// Holders holds who may order an engine; nobody may until a HandOver.
+	Holders map[string]Holder `cbor:"3,keyasint"`
+}
+
+// New returns an empty book.
+func New() *Book {
+	b := &Book{}
+	b.Restored()
+	return b
+}
+
+// Restored prepares a book that was decoded from a snapshot.
+func (b *Book) Restored() {
+	if b.Outstanding == nil {
+		b.Outstanding = make(map[string]Order)
+	}
+	if b.History == nil {
+		b.History = make(map[string][]Record)
+	}
+	if b.Holders == nil {
+		b.Holders = make(map[string]Holder)
+	}
+}
+
+// Clone returns a copy that shares nothing which a command changes.
+func (b *Book) Clone() *Book {
+	history := make(map[string][]Record, len(b.History))
+	for engine, records := range b.History {
+		history[engine] = slices.Clone(records)
+	}
+	return &Book{Outstanding: maps.Clone(b.Outstanding), History: history, Holders: maps.Clone(b.Holders)}
+}
+
+// Place executes a committed Place at the given log index. The version is the
+// store's version before the command.
+func (b *Book) Place(index, version uint64, p Place) Result {
+	current, busy := b.Outstanding[p.Order.Engine]
+	if busy && current.ID == p.Order.ID {
+		return Result{Verdict: Accepted, Order: &current}
+	}
+	if verdict := b.mayPlace(version, p); verdict != Accepted {
+		return b.result(p.Order.Engine, verdict)
+	}
+	order := p.Order
+	order.Fence = index
+	order.Phase = Released
+	if order.Wanted.Interrupts() {
+		order.Phase = Closing
+	}
+	b.Outstanding[order.Engine] = order
+	return Result{Verdict: Accepted, Order: &order}
+}
+
+func (b *Book) mayPlace(version uint64, p Place) Verdict {
+	order := p.Order
+	if _, busy := b.Outstanding[order.Engine]; busy {
+		return Busy
+	}
+	if p.Version != version || b.settled(order.Engine, order.ID) {
+		return Stale
+	}
+	if b.Holders[order.Engine].Side != settings.AuthorityLagoonshift {
+		return NotHolder
+	}
+	if order.Wanted.Interrupts() && b.Changing(order.Model) {
+		return ModelBusy
+	}
+	if order.Wanted.Rate > 0 && b.SpentRate()+order.Wanted.Rate > p.RateLimit {
+		return RateSpent
+	}
+	return Accepted
+}
+
+// Changing reports whether an engine of the model has an outstanding order
+// that interrupts its work.
+func (b *Book) Changing(model string) bool {
+	for _, order := range b.Outstanding {
+		if order.Model == model && order.Wanted.Interrupts() {
+			return true
+		}
+	}
+	return false
+}
+
+// SpentRate returns the part of the weight store's rate that outstanding loads
+// may use, in bytes per second.
+func (b *Book) SpentRate() int64 {
+	var spent int64
+	for _, order := range b.Outstanding {
+		spent += order.Wanted.Rate
+	}
+	return spent
+}
+
+// Release executes a committed Release.
+func (b *Book) Release(r Release) Result {
+	order, ok := b.Outstanding[r.Engine]
+	if !ok || order.ID != r.ID {
+		return b.result(r.Engine, Stale)
+	}
+	order.Phase = Released
+	b.Outstanding[r.Engine] = order
+	return Result{Verdict: Accepted, Order: &order}
+}
+
+// Settle executes a committed Settle at the given log index. A released order
+// can't be cancelled, because it may have been sent.
+func (b *Book) Settle(index uint64, s Settle) Result {
+	order, ok := b.Outstanding[s.Engine]
+	if !ok || order.ID != s.ID {
+		if b.settled(s.Engine, s.ID) {
+			return b.result(s.Engine, Accepted)
+		}
+		return b.result(s.Engine, Stale)
+	}
+	if s.Outcome == Cancelled && order.Phase == Released {
+		return b.result(s.Engine, Busy)
+	}
+	delete(b.Outstanding, s.Engine)
+	record := Record{Order: order, Outcome: s.Outcome, Detail: s.Detail, SettledAt: index}
+	history := append(b.History[s.Engine], record)
+	if len(history) > HistoryPerEngine {
+		history = slices.Clone(history[len(history)-HistoryPerEngine:])
+	}
+	b.History[s.Engine] = history
+	return Result{Verdict: Accepted}
+}
+
+// HandOver executes a committed HandOver at the given log index. It is refused
+// while an order is outstanding.
+func (b *Book) HandOver(index uint64, h HandOver) Result {
+	if b.Holders[h.Engine].Side == h.To {
+		return b.result(h.Engine, Accepted)
+	}
+	if _, busy := b.Outstanding[h.Engine]; busy {
+		return b.result(h.Engine, Busy)
+	}
+	b.Holders[h.Engine] = Holder{Side: h.To, Since: index}
+	return Result{Verdict: Accepted}
+}
+
+// Closed returns the engines that take no new work because an outstanding
+// order interrupts them, in order of name.
+func (b *Book) Closed() []string {
+	var closed []string
+	for engine, order := range b.Outstanding {
+		if order.Wanted.Interrupts() {
+			closed = append(closed, engine)
+		}
+	}
+	slices.Sort(closed)
+	return closed
+}
+
+func (b *Book) settled(engine, id string) bool {
+	return slices.ContainsFunc(b.History[engine], func(r Record) bool { return r.Order.ID == id })
+}
+
+func (b *Book) result(engine string, v Verdict) Result {
+	if order, ok := b.Outstanding[engine]; ok {
+		return Result{Verdict: v, Order: &order}
+	}
+	return Result{Verdict: v}
+}
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
@@ -18,6 +19,7 @@
 	Change  *settings.Change `cbor:"1,keyasint,omitempty"`
 	Reserve *ledger.Reserve  `cbor:"2,keyasint,omitempty"`
 	Settle  *ledger.Settle   `cbor:"3,keyasint,omitempty"`
+	Order   *OrderCommand    `cbor:"10,keyasint,omitempty"`
 }
 
 // Result is the result of a command. The field for the command's kind is set,
@@ -25,6 +27,7 @@
 type Result struct {
 	Change *settings.ChangeResult `cbor:"1,keyasint,omitempty"`
 	Ledger *ledger.Result         `cbor:"2,keyasint,omitempty"`
+	Order  *orderbook.Result      `cbor:"10,keyasint,omitempty"`
 	Error  string                 `cbor:"15,keyasint,omitempty"`
 }
 
@@ -49,16 +52,21 @@
 	return r, nil
 }
 
-// IsSettings reports whether an encoded command is a settings change.
+// IsSettings reports whether an encoded command changes what entries put in
+// force: the settings, or which engines an order closes to new work.
 func IsSettings(encoded []byte) bool {
 	var c Command
-	return cbor.Unmarshal(encoded, &c) == nil && c.Change != nil
+	if cbor.Unmarshal(encoded, &c) != nil {
+		return false
+	}
+	return c.Change != nil || c.Order != nil && c.Order.changesClosure()
 }
 
 // snapshot is the encoded form of the whole state.
 type snapshot struct {
-	Tree   *settings.Tree `cbor:"1,keyasint"`
-	Ledger ledger.Encoded `cbor:"2,keyasint"`
+	Tree   *settings.Tree  `cbor:"1,keyasint"`
+	Ledger ledger.Encoded  `cbor:"2,keyasint"`
+	Orders *orderbook.Book `cbor:"10,keyasint"`
 }
 
 // Store is the replicated state. The log applies commands from one goroutine;
@@ -67,11 +75,12 @@
 	mu     sync.RWMutex // guards the fields below
 	tree   *settings.Tree
 	ledger *ledger.Ledger
+	orders *orderbook.Book
 }
 
 // New returns an empty state.
 func New() *Store {
-	return &Store{tree: settings.NewTree(), ledger: ledger.New()}
+	return &Store{tree: settings.NewTree(), ledger: ledger.New(), orders: orderbook.New()}
 }
 
 // Apply implements replog.StateMachine.
@@ -102,6 +111,8 @@
 	case c.Settle != nil:
 		result := s.ledger.Settle(*c.Settle)
 		return Result{Ledger: &result}
+	case c.Order != nil:
+		return s.executeOrder(index, c.Order)
 	}
 	return Result{Error: fmt.Sprintf("unknown command at index %d", index)}
 }
@@ -110,7 +121,7 @@
 func (s *Store) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	encoded, err := cbor.Marshal(snapshot{Tree: s.tree, Ledger: s.ledger.Encode()})
+	encoded, err := cbor.Marshal(snapshot{Tree: s.tree, Ledger: s.ledger.Encode(), Orders: s.orders})
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
@@ -127,6 +138,11 @@
 	defer s.mu.Unlock()
 	s.tree = content.Tree
 	s.ledger = ledger.Decode(content.Ledger)
+	s.orders = content.Orders
+	if s.orders == nil {
+		s.orders = orderbook.New()
+	}
+	s.orders.Restored()
 	return nil
 }
 
--- a/internal/transport/peergrpc/server.go
+++ b/internal/transport/peergrpc/server.go
@@ -11,8 +11,6 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
-	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
-	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
@@ -55,18 +53,14 @@
 	if err := c.log.ReadBarrier(ctx); err != nil {
 		return nil, toStatus("settings read barrier", err)
 	}
-	response := &peerpb.SettingsResponse{}
-	var err error
-	c.store.View(func(tree *settings.Tree, _ *ledger.Ledger) {
-		response.Version = tree.Version
-		if tree.Version != request.GetHaveVersion() {
-			response.Content, err = tree.Document()
-		}
-	})
+	version, content, err := c.store.EntryDocument()
 	if err != nil {
 		return nil, status.Errorf(codes.Internal, "encode settings: %v", err)
 	}
-	return response, nil
+	if version == request.GetHaveVersion() {
+		content = nil
+	}
+	return &peerpb.SettingsResponse{Version: version, Content: content}, nil
 }
 
 // Submit implements peerpb.ControlServer.
