Drive orders to engines from the leader's loop

Decisions about one order are pure; a driver per outstanding order carries them out. Writes are bounded by the leader's authority with a kernel timer.

--- /dev/null
+++ b/internal/coordination/guard/guard_test.go
@@ -0,0 +1,47 @@
+package guard
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+)
+
+func TestKernelWritesInsideTheLeaseOnly(t *testing.T) {
+	k, err := NewKernel()
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := clock.Boot{}.Now()
+	written := 0
+	if err := k.Do(now.Add(time.Hour), func() { written++ }); err != nil || written != 1 {
+		t.Fatalf("inside the lease: %d writes, error %v", written, err)
+	}
+	if err := k.Do(now, func() { written++ }); !errors.Is(err, ErrLapsed) || written != 1 {
+		t.Fatalf("after the lease: %d writes, error %v", written, err)
+	}
+}
+
+func BenchmarkKernel(b *testing.B) {
+	k, err := NewKernel()
+	if err != nil {
+		b.Fatal(err)
+	}
+	until := clock.Boot{}.Now().Add(time.Hour)
+	for b.Loop() {
+		if err := k.Do(until, func() {}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	check := Check{Clock: clock.Boot{}}
+	until := clock.Boot{}.Now().Add(time.Hour)
+	for b.Loop() {
+		if err := check.Do(until, func() {}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/reconcile/driver.go
@@ -0,0 +1,169 @@
+package reconcile
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/order"
+	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+// driver takes one outstanding order to its end, or as far as the leadership
+// lasts. It runs in one goroutine.
+type driver struct {
+	*leadership
+
+	snapshot order.Snapshot
+	url      string
+	now      clock.Instant
+}
+
+func newDriver(l *leadership, o orderbook.Order) *driver {
+	now := l.options.Clock.Now()
+	return &driver{
+		leadership: l,
+		now:        now,
+		snapshot:   order.Snapshot{Order: o, Limits: l.options.Limits, GainedAt: l.gainedAt, SeenAt: now},
+	}
+}
+
+func (d *driver) run(ctx context.Context) {
+	defer d.setWaiting(d.snapshot.Order.Engine, "")
+	for ctx.Err() == nil {
+		d.now = d.options.Clock.Now()
+		settled, err := d.advance(ctx)
+		if settled {
+			return
+		}
+		if err != nil {
+			d.setWaiting(d.snapshot.Order.Engine, err.Error())
+			d.options.Logger.Warn("order not advanced", "order", d.snapshot.Order.ID, "engine", d.snapshot.Order.Engine, "error", err)
+		}
+		if !sleep(ctx, pollInterval) {
+			return
+		}
+	}
+}
+
+// advance acts until it has to wait. It reports whether the order is settled.
+func (d *driver) advance(ctx context.Context) (settled bool, err error) {
+	if err := d.configure(); err != nil {
+		return false, err
+	}
+	for ctx.Err() == nil {
+		action := order.Next(d.snapshot, d.now)
+		switch action.Kind {
+		case order.Wait:
+			d.setWaiting(d.snapshot.Order.Engine, action.Reason)
+			return false, nil
+		case order.Settle:
+			return d.settle(ctx, action)
+		}
+		event, err := d.do(ctx, action)
+		if err != nil {
+			return false, err
+		}
+		d.now = d.options.Clock.Now()
+		d.snapshot = order.Observe(d.snapshot, event, d.now)
+	}
+	return false, ctx.Err()
+}
+
+// configure takes the engine's settings of now.
+func (d *driver) configure() error {
+	orders, err := d.options.Store.Orders()
+	if err != nil {
+		return err
+	}
+	var engine settings.Engine
+	engine, _, d.snapshot.Listed = findEngine(orders.Settings, d.snapshot.Order.Engine)
+	d.snapshot.ChecksFencing = engine.ChecksFencing
+	d.url = engine.URL
+	return nil
+}
+
+func (d *driver) do(ctx context.Context, action order.Action) (order.Event, error) {
+	switch action.Kind {
+	case order.Read:
+		return d.read(ctx)
+	case order.Release:
+		return d.release(ctx)
+	}
+	return d.send(ctx)
+}
+
+func (d *driver) read(ctx context.Context) (order.Event, error) {
+	state, err := d.options.Engines.State(ctx, d.url)
+	if err != nil {
+		return order.Event{}, err
+	}
+	return order.Event{Read: &state}, nil
+}
+
+func (d *driver) release(ctx context.Context) (order.Event, error) {
+	o := d.snapshot.Order
+	result, err := d.commit(ctx, store.OrderCommand{Release: &orderbook.Release{Engine: o.Engine, ID: o.ID}})
+	if err != nil {
+		return order.Event{}, fmt.Errorf("release order %s: %w", o.ID, err)
+	}
+	if result.Verdict != orderbook.Accepted {
+		return order.Event{}, fmt.Errorf("release order %s: %s", o.ID, result.Verdict)
+	}
+	return order.Event{Released: result.Order}, nil
+}
+
+// send makes one attempt inside this term's authority.
+func (d *driver) send(ctx context.Context) (order.Event, error) {
+	authority, ok := d.options.Log.Authority()
+	if !ok || authority.Term != d.term {
+		return order.Event{}, fmt.Errorf("send order %s: %w", d.snapshot.Order.ID, errAuthorityLost)
+	}
+	d.snapshot = order.Sent(d.snapshot, d.now)
+	answer, err := d.options.Engines.Order(ctx, d.url, authority.Until, d.request())
+	switch {
+	case errors.Is(err, ErrUnsent):
+		d.options.Logger.Warn("order not sent", "order", d.snapshot.Order.ID, "error", err)
+		return order.Event{Unsent: true}, nil
+	case err != nil:
+		d.options.Logger.Warn("order unanswered", "order", d.snapshot.Order.ID, "error", err)
+		return order.Event{Unanswered: true}, nil
+	}
+	return order.Event{Answer: &answer}, nil
+}
+
+// errAuthorityLost is returned when the leadership ended before an attempt.
+var errAuthorityLost = errors.New("authority lost")
+
+func (d *driver) request() backend.OrderRequest {
+	o := d.snapshot.Order
+	return backend.OrderRequest{
+		ID:      o.ID,
+		Fence:   o.Fence,
+		Kind:    string(o.Wanted.Kind),
+		Role:    o.Wanted.Role,
+		Name:    o.Wanted.Name,
+		Version: o.Wanted.Version,
+		Rate:    o.Wanted.Rate,
+		Sender:  fmt.Sprintf("%s/%d", d.options.Replica, d.term),
+		Term:    d.term,
+	}
+}
+
+func (d *driver) settle(ctx context.Context, action order.Action) (bool, error) {
+	o := d.snapshot.Order
+	command := orderbook.Settle{Engine: o.Engine, ID: o.ID, Outcome: action.Outcome, Detail: action.Detail}
+	result, err := d.commit(ctx, store.OrderCommand{Settle: &command})
+	if err != nil {
+		return false, fmt.Errorf("settle order %s: %w", o.ID, err)
+	}
+	d.options.Logger.Info("order settled", "order", o.ID, "engine", o.Engine, "outcome", action.Outcome, "detail", action.Detail, "verdict", result.Verdict)
+	d.noteSettled(o.Engine, d.options.Clock.Now())
+	// A refusal means that the order is not outstanding or was released; the
+	// next driver starts from the book.
+	return true, nil
+}
--- /dev/null
+++ b/internal/coordination/reconcile/leadership.go
@@ -0,0 +1,122 @@
+package reconcile
+
+import (
+	"context"
+	"sync"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+// leadership is one term in which this replica has authority.
+type leadership struct {
+	*Reconciler
+
+	term     uint64
+	gainedAt clock.Instant
+	// context ends with the leadership; the drivers run under it.
+	context context.Context
+	cancel  context.CancelFunc
+	drivers sync.WaitGroup
+
+	// loadedAt is when each model last got a load. Only step uses it.
+	loadedAt map[string]clock.Instant
+
+	mu      sync.Mutex // guards the fields below
+	driving map[string]bool
+	// settled is when the newest order of an engine was settled.
+	settled map[string]clock.Instant
+}
+
+// end stops the drivers. It is safe on a nil leadership.
+func (l *leadership) end() {
+	if l == nil {
+		return
+	}
+	l.cancel()
+	l.drivers.Wait()
+}
+
+// step runs one round: it takes outstanding orders forward, hands over
+// authority and places new orders.
+func (l *leadership) step(ctx context.Context) {
+	orders, err := l.options.Store.Orders()
+	if err != nil {
+		l.options.Logger.Warn("orders not reconciled", "error", err)
+		return
+	}
+	for _, o := range orders.Book.Outstanding {
+		l.startDriver(o)
+	}
+	l.observed.refresh(l.context, orders.Settings)
+	l.handOver(ctx, orders)
+	l.planRoles(ctx, orders)
+	l.planLoads(ctx, orders)
+}
+
+// startDriver starts the driver of an outstanding order unless it runs.
+func (l *leadership) startDriver(o orderbook.Order) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.driving[o.Engine] {
+		return
+	}
+	l.driving[o.Engine] = true
+	l.drivers.Go(func() {
+		d := newDriver(l, o)
+		d.run(l.context)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.driving, o.Engine)
+	})
+}
+
+// handOver passes the authority over engines to the side that the settings
+// name, except over engines with an outstanding order: the next round tries
+// again when it is settled.
+func (l *leadership) handOver(ctx context.Context, orders store.Orders) {
+	for _, model := range orders.Settings.Models {
+		for name, engine := range model.Engines {
+			if l.mayHandOver(orders, name, engine) {
+				l.commitHandOver(ctx, name, engine.Authority)
+			}
+		}
+	}
+}
+
+func (l *leadership) mayHandOver(orders store.Orders, name string, engine settings.Engine) bool {
+	if orders.Book.Holders[name].Side == engine.Authority {
+		return false
+	}
+	if _, busy := orders.Book.Outstanding[name]; busy {
+		return false
+	}
+	if l.options.Clock.Now().Before(l.quietAt(name)) {
+		return false
+	}
+	if engine.Authority == settings.AuthorityOldSystem {
+		return true
+	}
+	// Taking over waits until the engine carries out no order of the old
+	// system.
+	reading, ok := l.observed.fresh(name)
+	return ok && !reading.Changing
+}
+
+// quietAt returns the instant from which no copy of a settled order to the
+// engine can arrive.
+func (l *leadership) quietAt(engine string) clock.Instant {
+	settled, _ := l.settledAt(engine)
+	return max(settled, l.gainedAt).Add(l.options.Limits.Reach)
+}
+
+func (l *leadership) commitHandOver(ctx context.Context, engine string, to settings.OrderAuthority) {
+	result, err := l.commit(ctx, store.OrderCommand{HandOver: &orderbook.HandOver{Engine: engine, To: to}})
+	if err != nil {
+		l.options.Logger.Warn("authority not handed over", "engine", engine, "to", to, "error", err)
+		return
+	}
+	l.options.Logger.Info("authority handed over", "engine", engine, "to", to, "verdict", result.Verdict)
+}
--- /dev/null
+++ b/internal/coordination/reconcile/loads.go
@@ -0,0 +1,113 @@
+package reconcile
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/order"
+	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+// maxLoads is the number of loads that share the weight store's rate.
+const maxLoads = 8
+
+// missingLoad is a load that an engine still needs.
+type missingLoad struct {
+	view   *modelView
+	engine string
+	wanted orderbook.Wanted
+}
+
+// planLoads places loads of weights. Each outstanding load owns a part of the
+// weight store's rate until it is settled, so that the sum never exceeds the
+// rate whoever leads. The model that uses least of the rate goes first.
+func (l *leadership) planLoads(ctx context.Context, orders store.Orders) {
+	limit := orders.Settings.System.WeightStoreRate
+	missing := l.missingLoads(orders)
+	if limit <= 0 || len(missing) == 0 {
+		return
+	}
+	share := limit / int64(min(maxLoads, len(missing)+outstandingLoads(orders.Book)))
+	spent := orders.Book.SpentRate()
+	used := ratesByModel(orders.Book)
+	for spent+share <= limit && len(missing) > 0 {
+		next := l.fairest(missing, used)
+		load := missing[next]
+		missing = slices.Delete(missing, next, next+1)
+		load.wanted.Rate = share
+		if l.place(ctx, load.view, load.engine, load.wanted, "weights wanted by settings") != orderbook.Accepted {
+			continue
+		}
+		spent += share
+		used[load.view.name] += share
+		l.loadedAt[load.view.name] = l.options.Clock.Now()
+	}
+}
+
+// missingLoads returns at most one load for each engine.
+func (l *leadership) missingLoads(orders store.Orders) []missingLoad {
+	var missing []missingLoad
+	for _, name := range slices.Sorted(maps.Keys(orders.Settings.Models)) {
+		if len(orders.Settings.Models[name].Weights) == 0 {
+			continue
+		}
+		view := l.viewModel(orders, name)
+		for _, engine := range view.engines {
+			if load, ok := l.missingLoad(view, engine.Name); ok {
+				missing = append(missing, load)
+			}
+		}
+	}
+	return missing
+}
+
+func (l *leadership) missingLoad(v *modelView, engine string) (missingLoad, bool) {
+	if !v.orderable(engine) || !l.rested(v, engine) {
+		return missingLoad{}, false
+	}
+	reading := v.readings[engine]
+	for _, weights := range v.settings.Weights {
+		wanted := orderbook.Wanted{Kind: orderbook.Kind(weights.Kind), Name: weights.Name, Version: weights.Version}
+		if order.Loaded(wanted, &reading) {
+			continue
+		}
+		if wanted.Interrupts() && (v.orders.Book.Changing(v.name) || !v.sparable(engine)) {
+			continue
+		}
+		return missingLoad{view: v, engine: engine, wanted: wanted}, true
+	}
+	return missingLoad{}, false
+}
+
+// fairest returns the index of the load whose model uses least of the rate,
+// and among equals of the model that was served longest ago.
+func (l *leadership) fairest(missing []missingLoad, used map[string]int64) int {
+	best := 0
+	for i := range missing {
+		a, b := missing[i].view.name, missing[best].view.name
+		if used[a] < used[b] || used[a] == used[b] && l.loadedAt[a] < l.loadedAt[b] {
+			best = i
+		}
+	}
+	return best
+}
+
+func outstandingLoads(b *orderbook.Book) int {
+	loads := 0
+	for _, o := range b.Outstanding {
+		if o.Wanted.Rate > 0 {
+			loads++
+		}
+	}
+	return loads
+}
+
+func ratesByModel(b *orderbook.Book) map[string]int64 {
+	used := make(map[string]int64)
+	for _, o := range b.Outstanding {
+		used[o.Model] += o.Wanted.Rate
+	}
+	return used
+}
--- /dev/null
+++ b/internal/coordination/reconcile/reconcile.go
@@ -0,0 +1,207 @@
+// Package reconcile drives the engines towards the roles and weights that the
+// settings and the planner ask for. It runs on every control replica and acts
+// only on the one that has authority.
+package reconcile
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/order"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
+	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+// ErrUnsent means that an attempt to send an order ended before anything was
+// written.
+var ErrUnsent = errors.New("reconcile: order not written")
+
+const (
+	// tickInterval is the pause between two rounds of the loop.
+	tickInterval = 200 * time.Millisecond
+	// pollInterval is the pause between two looks at an outstanding order.
+	pollInterval = 250 * time.Millisecond
+	// commitTimeout bounds the commit of one command.
+	commitTimeout = 2 * time.Second
+)
+
+// Engines reaches the engines.
+type Engines interface {
+	// State reads an engine's state.
+	State(ctx context.Context, baseURL string) (backend.EngineState, error)
+	// Order sends an order once, before the instant until. An error that
+	// matches ErrUnsent means that nothing was written; after any other error
+	// the order may have reached the engine.
+	Order(ctx context.Context, baseURL string, until clock.Instant, order backend.OrderRequest) (backend.OrderAnswer, error)
+}
+
+// Options configures a reconciler.
+type Options struct {
+	// Replica names this control process in orders.
+	Replica string
+	Log     replog.Log
+	Store   *store.Store
+	Clock   clock.Clock
+	Engines Engines
+	// Planner plans the roles that the settings leave open; nil plans none.
+	Planner roleplan.Planner
+	Demand  *Demand
+	Limits  order.Limits
+	// NewID returns a unique order ID.
+	NewID  func() string
+	Logger hclog.Logger
+}
+
+// Reconciler is the loop of one control replica.
+type Reconciler struct {
+	options  Options
+	observed *observations
+	drains   *Drains
+
+	mu      sync.Mutex // guards waiting
+	waiting map[string]string
+}
+
+// New returns a reconciler that does nothing until Run.
+func New(o Options) *Reconciler {
+	return &Reconciler{
+		options:  o,
+		observed: newObservations(o.Engines, o.Clock),
+		drains:   NewDrains(o.Clock, o.Limits.Closing),
+		waiting:  make(map[string]string),
+	}
+}
+
+// Run runs the loop until ctx ends.
+func (r *Reconciler) Run(ctx context.Context) error {
+	var term *leadership
+	defer func() { term.end() }()
+	for {
+		term = r.follow(ctx, term)
+		if term != nil {
+			term.step(ctx)
+		}
+		r.trackDrains()
+		if !sleep(ctx, tickInterval) {
+			return nil
+		}
+	}
+}
+
+// follow returns the leadership of the current term, or nil without authority.
+func (r *Reconciler) follow(ctx context.Context, current *leadership) *leadership {
+	authority, ok := r.options.Log.Authority()
+	if !ok {
+		current.end()
+		return nil
+	}
+	if current != nil && current.term == authority.Term {
+		return current
+	}
+	current.end()
+	return r.lead(ctx, authority.Term)
+}
+
+// lead begins a leadership once the local state includes all that earlier
+// leaders committed.
+func (r *Reconciler) lead(ctx context.Context, term uint64) *leadership {
+	barrier, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if err := r.options.Log.ReadBarrier(barrier); err != nil {
+		r.options.Logger.Warn("leadership not begun", "term", term, "error", err)
+		return nil
+	}
+	ctx, cancelDrivers := context.WithCancel(ctx)
+	return &leadership{
+		Reconciler: r,
+		term:       term,
+		gainedAt:   r.options.Clock.Now(),
+		driving:    make(map[string]bool),
+		loadedAt:   make(map[string]clock.Instant),
+		settled:    make(map[string]clock.Instant),
+		context:    ctx,
+		cancel:     cancelDrivers,
+	}
+}
+
+func (r *Reconciler) trackDrains() {
+	orders, err := r.options.Store.Orders()
+	if err != nil {
+		r.options.Logger.Warn("drains not tracked", "error", err)
+		return
+	}
+	r.drains.Track(orders.Settings)
+}
+
+// Drains returns since when this replica knows of drains.
+func (r *Reconciler) Drains() *Drains {
+	return r.drains
+}
+
+// Waiting returns what each outstanding order waits for, by engine. It is
+// empty on a replica that does not lead.
+func (r *Reconciler) Waiting(engine string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.waiting[engine]
+}
+
+func (r *Reconciler) setWaiting(engine, reason string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reason == "" {
+		delete(r.waiting, engine)
+		return
+	}
+	r.waiting[engine] = reason
+}
+
+// commit commits a command of the order book.
+func (r *Reconciler) commit(ctx context.Context, command store.OrderCommand) (orderbook.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	encoded, err := (&store.Command{Order: &command}).Encode()
+	if err != nil {
+		return orderbook.Result{}, err
+	}
+	applied, err := r.options.Log.Submit(ctx, encoded)
+	if err != nil {
+		return orderbook.Result{}, fmt.Errorf("commit order command: %w", err)
+	}
+	result, err := store.DecodeResult(applied.Result)
+	if err != nil {
+		return orderbook.Result{}, err
+	}
+	return *result.Order, nil
+}
+
+// findEngine returns the settings of an engine and its model's name.
+func findEngine(c *settings.Configuration, name string) (engine settings.Engine, model string, ok bool) {
+	for model, deployment := range c.Models {
+		if engine, ok := deployment.Engines[name]; ok {
+			return engine, model, true
+		}
+	}
+	return settings.Engine{}, "", false
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/coordination/reconcile/roles.go
@@ -0,0 +1,181 @@
+package reconcile
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
+	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+// failurePause is how long an engine is left alone after an order to it was
+// cancelled or failed.
+const failurePause = 30 * time.Second
+
+// planRoles places at most one role change for each model.
+func (l *leadership) planRoles(ctx context.Context, orders store.Orders) {
+	for _, name := range slices.Sorted(maps.Keys(orders.Settings.Models)) {
+		if orders.Book.Changing(name) {
+			continue
+		}
+		view := l.viewModel(orders, name)
+		if move, ok := l.nextMove(view); ok {
+			wanted := orderbook.Wanted{Kind: orderbook.ChangeRole, Role: move.Role}
+			l.place(ctx, view, move.Engine, wanted, move.Reason)
+		}
+	}
+}
+
+// modelView is one model as the leader sees it in one round.
+type modelView struct {
+	name     string
+	orders   store.Orders
+	settings settings.Model
+	// readings holds the fresh readings by engine.
+	readings map[string]backend.EngineState
+	// engines are all engines in order of name.
+	engines []roleplan.Engine
+}
+
+func (l *leadership) viewModel(orders store.Orders, name string) *modelView {
+	model := orders.Settings.Models[name]
+	v := &modelView{name: name, orders: orders, settings: model, readings: make(map[string]backend.EngineState)}
+	for _, engine := range slices.Sorted(maps.Keys(model.Engines)) {
+		reading, since, ok := l.observed.freshSince(engine)
+		if ok {
+			v.readings[engine] = reading
+		}
+		v.engines = append(v.engines, roleplan.Engine{Name: engine, Role: reading.Role, Available: v.available(engine), Since: since})
+	}
+	return v
+}
+
+// available reports whether the engine works and is not about to leave.
+func (v *modelView) available(engine string) bool {
+	reading, fresh := v.readings[engine]
+	_, busy := v.orders.Book.Outstanding[engine]
+	return fresh && !busy && !reading.Changing && !reading.Draining && !v.settings.Engines[engine].Drain
+}
+
+// nextMove returns the next role change: roles that settings pin come first.
+func (l *leadership) nextMove(v *modelView) (roleplan.Move, bool) {
+	for _, move := range v.pinned() {
+		if l.allowed(v, move) {
+			return move, true
+		}
+	}
+	if l.options.Planner == nil {
+		return roleplan.Move{}, false
+	}
+	demand := l.options.Demand.Model(v.name)
+	for _, move := range l.options.Planner.Plan(l.options.Clock.Now(), v.settings, demand, v.engines) {
+		if v.settings.Engines[move.Engine].Role == "" && l.allowed(v, move) {
+			return move, true
+		}
+	}
+	return roleplan.Move{}, false
+}
+
+func (v *modelView) pinned() []roleplan.Move {
+	var moves []roleplan.Move
+	for _, engine := range v.engines {
+		if role := v.settings.Engines[engine.Name].Role; role != "" {
+			moves = append(moves, roleplan.Move{Engine: engine.Name, Role: role, Reason: "pinned by settings"})
+		}
+	}
+	return moves
+}
+
+// allowed reports whether a role change may start now.
+func (l *leadership) allowed(v *modelView, move roleplan.Move) bool {
+	reading, fresh := v.readings[move.Engine]
+	return fresh && reading.Role != move.Role && v.orderable(move.Engine) && v.sparable(move.Engine) && l.rested(v, move.Engine)
+}
+
+// orderable reports whether this system may order the engine and the engine
+// can take an order.
+func (v *modelView) orderable(engine string) bool {
+	holder := v.orders.Book.Holders[engine].Side
+	wanted := v.settings.Engines[engine].Authority
+	return v.available(engine) && holder == settings.AuthorityLagoonshift && wanted == settings.AuthorityLagoonshift
+}
+
+// sparable reports whether enough engines of the same role remain while the
+// engine is away.
+func (v *modelView) sparable(engine string) bool {
+	least := 0
+	role := v.readings[engine].Role
+	switch role {
+	case settings.RolePrefill:
+		least = v.settings.MinPrefill
+	case settings.RoleDecode:
+		least = v.settings.MinDecode
+	}
+	remaining := 0
+	for _, other := range v.engines {
+		if other.Name != engine && other.Available && other.Role == role {
+			remaining++
+		}
+	}
+	return remaining >= least
+}
+
+// rested reports whether the pause after a failed order is over.
+func (l *leadership) rested(v *modelView, engine string) bool {
+	history := v.orders.Book.History[engine]
+	if len(history) == 0 {
+		return true
+	}
+	switch history[len(history)-1].Outcome {
+	case orderbook.Failed, orderbook.Cancelled:
+		settled, ok := l.settledAt(engine)
+		since := l.gainedAt
+		if ok {
+			since = settled
+		}
+		return l.options.Clock.Now().Sub(since) >= failurePause
+	}
+	return true
+}
+
+// place commits an order for the engine.
+func (l *leadership) place(ctx context.Context, v *modelView, engine string, wanted orderbook.Wanted, reason string) orderbook.Verdict {
+	o := orderbook.Order{
+		ID:          l.options.NewID(),
+		Engine:      engine,
+		Model:       v.name,
+		Wanted:      wanted,
+		Incarnation: v.readings[engine].Incarnation,
+		Reason:      reason,
+		AtUnixMilli: l.options.Clock.Wall().UnixMilli(),
+	}
+	command := orderbook.Place{Order: o, Version: v.orders.Version, RateLimit: v.orders.Settings.System.WeightStoreRate}
+	result, err := l.commit(ctx, store.OrderCommand{Place: &command})
+	if err != nil {
+		// Whether the order is in the book shows in a later round.
+		l.options.Logger.Warn("order not placed", "engine", engine, "error", err)
+		return ""
+	}
+	l.options.Logger.Info("order placed", "order", o.ID, "engine", engine, "wanted", wanted, "reason", reason, "verdict", result.Verdict)
+	return result.Verdict
+}
+
+// noteSettled remembers when an order of the engine was settled.
+func (l *leadership) noteSettled(engine string, now clock.Instant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settled[engine] = now
+}
+
+func (l *leadership) settledAt(engine string) (clock.Instant, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at, ok := l.settled[engine]
+	return at, ok
+}
--- /dev/null
+++ b/internal/protocol/order/lifecycle.go
@@ -0,0 +1,269 @@
+// Package order decides what a leader does next about an outstanding order to
+// an engine. Decisions are pure functions of what the leader knows, of an event
+// and of the current instant.
+//
+// Three rules hold whatever gets lost, late or doubled. An order is sent only
+// after its release was committed and inside the leader's authority. An order
+// to an engine that ignores fencing tokens is first sent by a new leader when no
+// copy written by an earlier leader can arrive any more. An order is settled
+// only when no copy of it can do harm any more, so that the next order never
+// meets a late copy of this one.
+package order
+
+import (
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
+)
+
+// Limits bounds the steps of an order.
+type Limits struct {
+	// Reach is how long after the end of an attempt, or of an earlier
+	// leader's authority, a written order may still arrive at the engine.
+	Reach time.Duration
+	// Closing is how long after the commit an entry may still send new work
+	// to an engine that is being closed.
+	Closing time.Duration
+	// Idle bounds the wait for the engine's running work to finish. After it
+	// an unsent order is cancelled.
+	Idle time.Duration
+	// Resend is the pause before the same order is sent again.
+	Resend time.Duration
+}
+
+// Snapshot is what the leader knows about one outstanding order. The zero
+// values of the fields after GainedAt mean that nothing happened yet.
+type Snapshot struct {
+	Order orderbook.Order
+	// ChecksFencing tells whether the engine refuses old fencing tokens.
+	ChecksFencing bool
+	// Listed is false if the engine was removed from the settings.
+	Listed bool
+	Limits Limits
+	// GainedAt is when this leader's authority began and SeenAt when it first
+	// saw the order.
+	GainedAt clock.Instant
+	SeenAt   clock.Instant
+
+	// Attempted tells whether this leader sent the order, and SentAt when.
+	Attempted bool
+	SentAt    clock.Instant
+	// Uncertain tells whether an attempt of this leader ended without an
+	// answer, and UncertainAt when the newest one did.
+	Uncertain   bool
+	UncertainAt clock.Instant
+	// Reading is the newest state read from the engine in this leadership;
+	// nil if it must be read first.
+	Reading *backend.EngineState
+	ReadAt  clock.Instant
+	// Refusal is a definite refusal by the engine, empty if there is none.
+	Refusal backend.OrderStatus
+	// RefusalDetail explains it.
+	RefusalDetail string
+}
+
+// Event is what happened. Exactly one field is set, none for the passing of
+// time.
+type Event struct {
+	// Read is a state read from the engine.
+	Read *backend.EngineState
+	// Answer is the engine's answer to an attempt.
+	Answer *backend.OrderAnswer
+	// Unsent means that an attempt ended before anything was written.
+	Unsent bool
+	// Unanswered means that an attempt may have reached the engine.
+	Unanswered bool
+	// Released is the order after its release was committed.
+	Released *orderbook.Order
+}
+
+// ActionKind tells what to do.
+type ActionKind int
+
+const (
+	// Wait means to do nothing until time has passed.
+	Wait ActionKind = iota
+	// Read means to read the engine's state.
+	Read
+	// Release means to commit the order's release.
+	Release
+	// Send means to send the order once.
+	Send
+	// Settle means to commit the order's outcome.
+	Settle
+)
+
+// Action is what the leader does next.
+type Action struct {
+	Kind ActionKind
+	// Outcome and Detail are set for Settle.
+	Outcome orderbook.Outcome
+	Detail  string
+	// Reason tells operators what a Wait is for.
+	Reason string
+}
+
+// Observe returns the snapshot after an event.
+func Observe(s Snapshot, e Event, now clock.Instant) Snapshot {
+	switch {
+	case e.Read != nil:
+		s.Reading = e.Read
+		s.ReadAt = now
+	case e.Released != nil:
+		s.Order = *e.Released
+		s.Reading = nil
+	case e.Unsent:
+		s.Reading = nil
+	case e.Answer != nil && e.Answer.ID == s.Order.ID:
+		s.Reading = nil
+		s.noteRefusal(e.Answer)
+	case e.Answer != nil, e.Unanswered:
+		// An answer to another order says nothing about this one.
+		s.Reading = nil
+		s.Uncertain = true
+		s.UncertainAt = now
+	}
+	return s
+}
+
+func (s *Snapshot) noteRefusal(a *backend.OrderAnswer) {
+	switch a.Status {
+	case backend.OrderFenced, backend.OrderInvalid:
+		s.Refusal = a.Status
+		s.RefusalDetail = a.Detail
+	}
+}
+
+// Sent returns the snapshot after the leader began to send the order.
+func Sent(s Snapshot, now clock.Instant) Snapshot {
+	s.Attempted = true
+	s.SentAt = now
+	return s
+}
+
+// Next decides what to do now.
+func Next(s Snapshot, now clock.Instant) Action {
+	if !s.Listed {
+		return s.settle(now, orderbook.Withdrawn, "the engine was removed from the settings")
+	}
+	if s.Refusal != "" {
+		return s.settle(now, orderbook.Failed, string(s.Refusal)+": "+s.RefusalDetail)
+	}
+	if s.Reading == nil && s.Order.Phase == orderbook.Closing && s.overdue(now) {
+		return s.settle(now, orderbook.Cancelled, "the engine's state could not be read in time")
+	}
+	if s.Reading == nil {
+		return Action{Kind: Read}
+	}
+	if s.Reading.Incarnation != s.Order.Incarnation {
+		return s.settle(now, orderbook.Superseded, "the engine restarted as "+s.Reading.Incarnation)
+	}
+	if s.Reading.Changing {
+		return s.wait(now, "the engine carries out an order")
+	}
+	if Reached(s.Order.Wanted, s.Reading) {
+		return s.settle(now, orderbook.Done, "")
+	}
+	if s.Reading.LastOrder == s.Order.ID && s.Reading.LastFailed {
+		return s.settle(now, orderbook.Failed, "the engine reports that the order failed")
+	}
+	if s.Order.Phase == orderbook.Closing {
+		return s.close(now)
+	}
+	return s.send(now)
+}
+
+// close waits until the engine is idle and no entry sends it new work.
+func (s *Snapshot) close(now clock.Instant) Action {
+	if s.ReadAt.Before(s.SeenAt.Add(s.Limits.Closing)) {
+		return s.wait(now, "entries close the engine to new work")
+	}
+	if idle(s.Reading) {
+		return Action{Kind: Release}
+	}
+	if s.overdue(now) {
+		return s.settle(now, orderbook.Cancelled, "running work did not finish in time")
+	}
+	return s.wait(now, "the engine finishes running work")
+}
+
+// overdue reports whether an unsent order has waited too long.
+func (s *Snapshot) overdue(now clock.Instant) bool {
+	return !now.Before(s.SeenAt.Add(s.Limits.Closing).Add(s.Limits.Idle))
+}
+
+func (s *Snapshot) send(now clock.Instant) Action {
+	if s.Order.Wanted.Interrupts() && !idle(s.Reading) {
+		return s.wait(now, "the engine finishes running work")
+	}
+	if !s.ChecksFencing && now.Before(s.GainedAt.Add(s.Limits.Reach)) {
+		return s.wait(now, "an earlier leader's order may still arrive")
+	}
+	if s.Attempted && now.Before(s.SentAt.Add(s.Limits.Resend)) {
+		return s.wait(now, "pause before the order is sent again")
+	}
+	if s.ReadAt != now {
+		// The decision to send rests on a state read in this step.
+		return Action{Kind: Read}
+	}
+	return Action{Kind: Send}
+}
+
+// settle ends the order once no copy of it can do harm.
+func (s *Snapshot) settle(now clock.Instant, o orderbook.Outcome, detail string) Action {
+	if now.Before(s.quietAt(o)) {
+		return s.wait(now, "a copy of the order may still arrive")
+	}
+	return Action{Kind: Settle, Outcome: o, Detail: detail}
+}
+
+// quietAt returns the instant from which no copy of the order can do harm. An
+// engine that checks fencing tokens refuses a late copy after the next order,
+// unless it restarted and forgot the tokens.
+func (s *Snapshot) quietAt(o orderbook.Outcome) clock.Instant {
+	remembers := o != orderbook.Superseded && o != orderbook.Withdrawn
+	if s.Order.Phase == orderbook.Closing || s.ChecksFencing && remembers {
+		return s.SeenAt
+	}
+	quiet := s.GainedAt.Add(s.Limits.Reach)
+	if s.Uncertain {
+		quiet = max(quiet, s.UncertainAt.Add(s.Limits.Reach))
+	}
+	return quiet
+}
+
+// wait waits on a fresh reading, or reads again when the reading is old.
+func (s *Snapshot) wait(now clock.Instant, reason string) Action {
+	if s.Reading != nil && s.ReadAt.Before(now) {
+		return Action{Kind: Read}
+	}
+	return Action{Kind: Wait, Reason: reason}
+}
+
+// Reached reports whether an engine in the given state is what the order asks
+// for.
+func Reached(w orderbook.Wanted, state *backend.EngineState) bool {
+	if state.Changing {
+		return false
+	}
+	if w.Kind == orderbook.ChangeRole {
+		return state.Role == w.Role
+	}
+	return Loaded(w, state)
+}
+
+// Loaded reports whether the engine has loaded the wanted weights.
+func Loaded(w orderbook.Wanted, state *backend.EngineState) bool {
+	for _, weights := range state.Loaded {
+		if weights.Kind == string(w.Kind) && weights.Name == w.Name && weights.Version == w.Version {
+			return true
+		}
+	}
+	return false
+}
+
+func idle(state *backend.EngineState) bool {
+	return state.Queued == 0 && state.Running == 0
+}
--- a/internal/state/settings/check.go
+++ b/internal/state/settings/check.go
@@ -48,6 +48,13 @@
 }
 
 func checkModel(at string, model Model) error {
+	for i, weights := range model.Weights {
+		switch weights.Kind {
+		case "model", "adapter", "version":
+		default:
+			return fieldError(fmt.Sprintf("%s/weights/%d/kind", at, i), "expected \"model\", \"adapter\" or \"version\"")
+		}
+	}
 	for name, engine := range model.Engines {
 		at := at + "/engines/" + name
 		if err := checkURL(at+"/url", engine.URL); err != nil {
--- a/internal/state/settings/configuration.go
+++ b/internal/state/settings/configuration.go
@@ -37,6 +37,9 @@
 	LedgerRetention strictjson.Duration `json:"ledger_retention"`
 	// OldSystem lists the old system's entry addresses, as base URLs.
 	OldSystem []string `json:"old_system,omitempty"`
+	// WeightStoreRate is what all loads together may take from the weight
+	// store, in bytes per second; zero allows no load.
+	WeightStoreRate int64 `json:"weight_store_rate,omitempty"`
 }
 
 // Team is the subtree of one team.
@@ -81,6 +84,17 @@
 	// from below.
 	MinPrefill int `json:"min_prefill,omitempty"`
 	MinDecode  int `json:"min_decode,omitempty"`
+	// Weights lists what each engine of the model must have loaded.
+	Weights []Weights `json:"weights,omitempty"`
+}
+
+// Weights names weights in the weight store.
+type Weights struct {
+	// Kind is "model", "adapter" or "version".
+	Kind string `json:"kind"`
+	// Name and Version identify the weights.
+	Name    string `json:"name"`
+	Version string `json:"version"`
 }
 
 // Engine is one model engine.
--- a/internal/state/store/orders.go
+++ b/internal/state/store/orders.go
@@ -64,13 +64,27 @@
 func (s *Store) Orders() (Orders, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	configuration, err := s.tree.Configuration()
+	configuration, err := s.configuration()
 	if err != nil {
-		return Orders{}, fmt.Errorf("decode settings at version %d: %w", s.tree.Version, err)
+		return Orders{}, err
 	}
 	return Orders{Version: s.tree.Version, Book: s.orders.Clone(), Settings: configuration}, nil
 }
 
+// configuration returns the decoded settings, decoding each version once. The
+// caller holds mu.
+func (s *Store) configuration() (*settings.Configuration, error) {
+	if cached := s.decoded.Load(); cached != nil && cached.Version == s.tree.Version {
+		return cached, nil
+	}
+	configuration, err := s.tree.Configuration()
+	if err != nil {
+		return nil, fmt.Errorf("decode settings at version %d: %w", s.tree.Version, err)
+	}
+	s.decoded.Store(configuration)
+	return configuration, nil
+}
+
 // EntryDocument returns the settings as entries put them in force: the tree,
 // with every engine drained that an outstanding order closes to new work.
 func (s *Store) EntryDocument() (version uint64, content []byte, err error) {
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -72,6 +73,9 @@
 // Store is the replicated state. The log applies commands from one goroutine;
 // readers use View.
 type Store struct {
+	// decoded is the newest decoded configuration.
+	decoded atomic.Pointer[settings.Configuration]
+
 	mu     sync.RWMutex // guards the fields below
 	tree   *settings.Tree
 	ledger *ledger.Ledger
--- /dev/null
+++ b/internal/transport/backendhttp/orders.go
@@ -0,0 +1,169 @@
+package backendhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/guard"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/reconcile"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+)
+
+const (
+	// orderTimeout bounds one attempt to send an order, with its answer.
+	orderTimeout = 2 * time.Second
+	// stateTimeout bounds one reading of an engine's state.
+	stateTimeout = time.Second
+	// orderUserTimeout is TCP_USER_TIMEOUT of order connections: how long
+	// written bytes may stay unacknowledged before the kernel drops them.
+	orderUserTimeout = time.Second
+	// retransmitSlack covers a segment that the kernel sent just before the
+	// user timeout and its way through the network.
+	retransmitSlack = time.Second
+	// maxOrderAnswer bounds an answer to an order or a state, in bytes.
+	maxOrderAnswer = 256 << 10
+)
+
+// OrderReach is how long after the end of the sender's authority, or of an
+// attempt, a written order may still arrive at the engine.
+const OrderReach = orderUserTimeout + retransmitSlack
+
+// OrderClient sends orders to engines. Each attempt has its own connection,
+// each write on it is made within the sender's authority, and nothing is
+// redirected or repeated. It implements reconcile.Engines.
+type OrderClient struct {
+	guard  guard.Guard
+	states *http.Client
+}
+
+// NewOrderClient returns a client whose writes are bounded by g.
+func NewOrderClient(g guard.Guard) *OrderClient {
+	return &OrderClient{guard: g, states: &http.Client{Timeout: stateTimeout, CheckRedirect: refuseRedirect}}
+}
+
+func refuseRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// State implements reconcile.Engines.
+func (c *OrderClient) State(ctx context.Context, baseURL string) (backend.EngineState, error) {
+	url := baseURL + "/v1/state"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return backend.EngineState{}, fmt.Errorf("make request to %s: %w", url, err)
+	}
+	response, err := c.states.Do(request)
+	if err != nil {
+		return backend.EngineState{}, fmt.Errorf("read state of %s: %w", url, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return backend.EngineState{}, statusError("read state", url, response)
+	}
+	var state backend.EngineState
+	err = decodeAnswer(response, &state)
+	if err != nil {
+		return backend.EngineState{}, fmt.Errorf("decode state of %s: %w", url, err)
+	}
+	return state, nil
+}
+
+// Order implements reconcile.Engines.
+func (c *OrderClient) Order(ctx context.Context, baseURL string, until clock.Instant, order backend.OrderRequest) (backend.OrderAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	attempt := &attempt{guard: c.guard, until: until}
+	answer, err := attempt.send(ctx, baseURL+"/v1/orders", order)
+	if err != nil && !attempt.written() {
+		return backend.OrderAnswer{}, fmt.Errorf("%w: %w", reconcile.ErrUnsent, err)
+	}
+	return answer, err
+}
+
+// attempt is one try to send an order over a connection of its own.
+type attempt struct {
+	guard guard.Guard
+	until clock.Instant
+	conn  *guard.Conn
+}
+
+func (a *attempt) written() bool {
+	return a.conn != nil && a.conn.Written()
+}
+
+func (a *attempt) send(ctx context.Context, url string, order backend.OrderRequest) (backend.OrderAnswer, error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return backend.OrderAnswer{}, fmt.Errorf("encode order to %s: %w", url, err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return backend.OrderAnswer{}, fmt.Errorf("make order to %s: %w", url, err)
+	}
+	// A body that can't be read again keeps net/http from repeating it.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	transport := &http.Transport{DialContext: a.dial, DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return backend.OrderAnswer{}, fmt.Errorf("send order to %s: %w", url, err)
+	}
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusConflict {
+		return backend.OrderAnswer{}, statusError("send order", url, response)
+	}
+	var answer backend.OrderAnswer
+	if err := decodeAnswer(response, &answer); err != nil {
+		return backend.OrderAnswer{}, fmt.Errorf("decode answer of %s: %w", url, err)
+	}
+	return answer, nil
+}
+
+// dial makes the attempt's only connection.
+func (a *attempt) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", address, err)
+	}
+	if err := setUserTimeout(conn); err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("connect to %s: %w", address, err)
+	}
+	a.conn = guard.NewConn(conn, a.guard, a.until)
+	return a.conn, nil
+}
+
+func setUserTimeout(conn net.Conn) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return fmt.Errorf("connection is %T, not TCP", conn)
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("access socket: %w", err)
+	}
+	var set error
+	err = raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(orderUserTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return fmt.Errorf("access socket: %w", err)
+	}
+	if set != nil {
+		return fmt.Errorf("set TCP_USER_TIMEOUT: %w", set)
+	}
+	return nil
+}
+
+func decodeAnswer(response *http.Response, into any) error {
+	defer response.Body.Close()
+	return json.NewDecoder(io.LimitReader(response.Body, maxOrderAnswer)).Decode(into)
+}
