--- a/cmd/lagoonshift/fake.go
+++ b/cmd/lagoonshift/fake.go
@@ -24,6 +24,8 @@
 	model := clause.Flag("model", "Model that it serves.").Required().String()
 	rate := clause.Flag("prefill-rate", "Prompt tokens per second.").Default("20000").Float64()
 	interval := clause.Flag("token-interval", "Time between two tokens of a stream, with its unit.").Default("5ms").Duration()
+	checks := clause.Flag("checks-fencing", "Refuse orders with an old fencing token.").Default("true").Bool()
+	change := clause.Flag("change-time", "How long a role change or a load takes, with its unit.").Default("3s").Duration()
 	commands["fake engine"] = func(ctx context.Context) error {
 		engine := fakeengine.New(fakeengine.Options{
 			Name:          *name,
@@ -31,6 +33,8 @@
 			Incarnation:   rand.Text(),
 			PrefillRate:   *rate,
 			TokenInterval: *interval,
+			ChecksFencing: *checks,
+			ChangeTime:    *change,
 		})
 		return serve.HTTP(ctx, *address, engine.Handler())
 	}
--- a/internal/fake/fakeengine/engine.go
+++ b/internal/fake/fakeengine/engine.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,11 +27,16 @@
 	PrefillRate float64
 	// TokenInterval is the time between two output tokens of a stream.
 	TokenInterval time.Duration
+	// ChecksFencing and ChangeTime are as in OrderOptions.
+	ChecksFencing bool
+	ChangeTime    time.Duration
 }
 
 // Engine is a fake engine. It is safe for concurrent use.
 type Engine struct {
 	options Options
+	orders  *Orders
+	starts  atomic.Uint64
 
 	mu      sync.Mutex // guards the fields below
 	queued  int
@@ -40,7 +46,27 @@
 
 // New returns an idle engine.
 func New(o Options) *Engine {
-	return &Engine{options: o}
+	e := &Engine{options: o}
+	e.orders = NewOrders(OrderOptions{
+		Model:         o.Model,
+		Role:          settings.RoleMixed,
+		Incarnation:   e.nextIncarnation,
+		ChecksFencing: o.ChecksFencing,
+		ChangeTime:    o.ChangeTime,
+		InFlight:      e.inFlight,
+	})
+	return e
+}
+
+// nextIncarnation names the engine's runs.
+func (e *Engine) nextIncarnation() string {
+	return fmt.Sprintf("%s-%d", e.options.Incarnation, e.starts.Add(1))
+}
+
+func (e *Engine) inFlight() (queued, running int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.queued, e.running
 }
 
 // Handler returns the engine's HTTP interface.
@@ -48,6 +74,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", e.complete)
 	mux.HandleFunc("GET /v1/load", e.load)
+	e.orders.Register(mux)
 	return mux
 }
 
@@ -57,11 +84,13 @@
 }
 
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	state := e.orders.State()
 	e.mu.Lock()
 	report := backend.LoadReport{
-		Incarnation:        e.options.Incarnation,
+		Incarnation:        state.Incarnation,
 		Model:              e.options.Model,
-		Role:               settings.RoleMixed,
+		Role:               state.Role,
+		Draining:           state.Draining || state.Changing,
 		Queued:             e.queued,
 		Running:            e.running,
 		QueuedPromptTokens: e.prompt,
