Prove orders under random schedules of leaders, cuts, freezes and crashes

Found on the way: an order to an engine that checks fencing tokens was settled while a copy was still under way; the engine crashed, forgot the tokens and the copy took effect. Now every order waits until no copy of it can arrive. Ruled out: waiting only after a seen restart, because the crash may come after the settlement.

--- a/internal/coordination/reconcile/driver.go
+++ b/internal/coordination/reconcile/driver.go
@@ -28,7 +28,13 @@
 	return &driver{
 		leadership: l,
 		now:        now,
-		snapshot:   order.Snapshot{Order: o, Limits: l.options.Limits, GainedAt: l.gainedAt, SeenAt: now},
+		snapshot: order.Snapshot{
+			Order:     o,
+			Limits:    l.options.Limits,
+			Inherited: !l.placedHere(o.ID),
+			GainedAt:  l.gainedAt,
+			SeenAt:    now,
+		},
 	}
 }
 
@@ -162,7 +168,7 @@
 		return false, fmt.Errorf("settle order %s: %w", o.ID, err)
 	}
 	d.options.Logger.Info("order settled", "order", o.ID, "engine", o.Engine, "outcome", action.Outcome, "detail", action.Detail, "verdict", result.Verdict)
-	d.noteSettled(o.Engine, d.options.Clock.Now())
+	d.noteSettled(o.Engine, o.ID, d.options.Clock.Now())
 	// A refusal means that the order is not outstanding or was released; the
 	// next driver starts from the book.
 	return true, nil
--- /dev/null
+++ b/internal/coordination/reconcile/history_test.go
@@ -0,0 +1,153 @@
+package reconcile_test
+
+import (
+	"context"
+	"errors"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+// operation is one step of an order as its caller or the engine saw it.
+type operation struct {
+	engine, kind, id string
+}
+
+// outcome is what the caller learned.
+type outcome int
+
+const (
+	happened outcome = iota
+	refused
+	unknown
+)
+
+// history records operations for porcupine.
+type history struct {
+	mu   sync.Mutex // guards the fields below
+	now  int64
+	list []porcupine.Operation
+}
+
+func (h *history) tick() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.now++
+	return h.now
+}
+
+func (h *history) add(call int64, o operation, result outcome) {
+	end := h.tick()
+	if result == unknown {
+		end = math.MaxInt64
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.list = append(h.list, porcupine.Operation{Input: o, Output: result, Call: call, Return: end})
+}
+
+func (h *history) instant(engine, kind, id string) {
+	h.add(h.tick(), operation{engine, kind, id}, happened)
+}
+
+// check asks whether each engine's operations fit a book with one outstanding
+// order in which only that order takes effect.
+func (h *history) check() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if porcupine.CheckOperationsTimeout(model.ToModel(), h.list, 20*time.Second) != porcupine.Ok {
+		return []string{"porcupine: the history fits no book with one outstanding order"}
+	}
+	return nil
+}
+
+var model = porcupine.NondeterministicModel{
+	Partition: func(list []porcupine.Operation) [][]porcupine.Operation {
+		byEngine := make(map[string][]porcupine.Operation)
+		for _, o := range list {
+			engine := o.Input.(operation).engine
+			byEngine[engine] = append(byEngine[engine], o)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byEngine {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		outstanding, o := state.(string), input.(operation)
+		next, legal := step(outstanding, o)
+		switch output.(outcome) {
+		case refused:
+			return []any{outstanding}
+		case unknown:
+			if legal {
+				return []any{outstanding, next}
+			}
+			return []any{outstanding}
+		}
+		if legal {
+			return []any{next}
+		}
+		return nil
+	},
+}
+
+// step returns the outstanding order after the operation.
+func step(outstanding string, o operation) (next string, legal bool) {
+	switch o.kind {
+	case "place":
+		return o.id, outstanding == "" || outstanding == o.id
+	case "settle":
+		if outstanding == o.id {
+			return "", true
+		}
+		return outstanding, true
+	}
+	return outstanding, outstanding == o.id
+}
+
+// recorded is a log whose order commands are recorded.
+type recorded struct {
+	replog.Log
+	ops *history
+}
+
+func (r *recorded) Submit(ctx context.Context, encoded []byte) (replog.Applied, error) {
+	var command store.Command
+	if err := cbor.Unmarshal(encoded, &command); err != nil {
+		return replog.Applied{}, err
+	}
+	call := r.ops.tick()
+	applied, err := r.Log.Submit(ctx, encoded)
+	result := judgeSubmit(applied, err)
+	switch o := command.Order; {
+	case o.Place != nil:
+		r.ops.add(call, operation{o.Place.Order.Engine, "place", o.Place.Order.ID}, result)
+	case o.Settle != nil:
+		r.ops.add(call, operation{o.Settle.Engine, "settle", o.Settle.ID}, result)
+	}
+	return applied, err
+}
+
+func judgeSubmit(applied replog.Applied, err error) outcome {
+	switch {
+	case errors.Is(err, replog.ErrNotLeader):
+		return refused
+	case err != nil:
+		return unknown
+	}
+	result, err := store.DecodeResult(applied.Result)
+	if err != nil || result.Order.Verdict != orderbook.Accepted {
+		return refused
+	}
+	return happened
+}
--- a/internal/coordination/reconcile/leadership.go
+++ b/internal/coordination/reconcile/leadership.go
@@ -28,6 +28,8 @@
 	driving map[string]bool
 	// settled is when the newest order of an engine was settled.
 	settled map[string]clock.Instant
+	// placed holds the IDs of outstanding orders placed in this leadership.
+	placed map[string]bool
 }
 
 // end stops the drivers. It is safe on a nil leadership.
@@ -113,7 +115,9 @@
 }
 
 func (l *leadership) commitHandOver(ctx context.Context, engine string, to settings.OrderAuthority) {
-	result, err := l.commit(ctx, store.OrderCommand{HandOver: &orderbook.HandOver{Engine: engine, To: to}})
+	reading, _ := l.observed.fresh(engine)
+	command := orderbook.HandOver{Engine: engine, To: to, SeenFence: reading.Fence}
+	result, err := l.commit(ctx, store.OrderCommand{HandOver: &command})
 	if err != nil {
 		l.options.Logger.Warn("authority not handed over", "engine", engine, "to", to, "error", err)
 		return
--- a/internal/coordination/reconcile/reconcile.go
+++ b/internal/coordination/reconcile/reconcile.go
@@ -129,6 +129,7 @@
 		driving:    make(map[string]bool),
 		loadedAt:   make(map[string]clock.Instant),
 		settled:    make(map[string]clock.Instant),
+		placed:     make(map[string]bool),
 		context:    ctx,
 		cancel:     cancelDrivers,
 	}
--- a/internal/coordination/reconcile/roles.go
+++ b/internal/coordination/reconcile/roles.go
@@ -156,6 +156,7 @@
 		AtUnixMilli: l.options.Clock.Wall().UnixMilli(),
 	}
 	command := orderbook.Place{Order: o, Version: v.orders.Version, RateLimit: v.orders.Settings.System.WeightStoreRate}
+	l.notePlaced(o.ID)
 	result, err := l.commit(ctx, store.OrderCommand{Place: &command})
 	if err != nil {
 		// Whether the order is in the book shows in a later round.
@@ -166,11 +167,26 @@
 	return result.Verdict
 }
 
-// noteSettled remembers when an order of the engine was settled.
-func (l *leadership) noteSettled(engine string, now clock.Instant) {
+// notePlaced remembers that this leadership chose the order's ID. Nobody else
+// can send the order while this leadership lasts.
+func (l *leadership) notePlaced(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.placed[id] = true
+}
+
+func (l *leadership) placedHere(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.placed[id]
+}
+
+// noteSettled remembers when an order to the engine was settled.
+func (l *leadership) noteSettled(engine, id string, now clock.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settled[engine] = now
+	delete(l.placed, id)
 }
 
 func (l *leadership) settledAt(engine string) (clock.Instant, bool) {
--- a/internal/fake/fakeengine/orders.go
+++ b/internal/fake/fakeengine/orders.go
@@ -24,9 +24,9 @@
 	// InFlight returns the engine's queued and running requests; nil for an
 	// engine that serves none.
 	InFlight func() (queued, running int)
-	// Outstanding tells whether the order book holds the order now; nil if
-	// the engine's record is judged without the book.
-	Outstanding func(engineOrder string) bool
+	// Arrived is called with each arrival before it enters the record and may
+	// complete it; nil if the record is judged without the order book.
+	Arrived func(*Arrival)
 }
 
 // Orders is the part of an engine that takes orders. It is safe for concurrent
@@ -96,9 +96,6 @@
 	arrival := Arrival{Order: request, At: time.Now(), Incarnation: e.state.Incarnation}
 	arrival.Status = e.decide(request)
 	arrival.Interrupted = e.current.ID
-	if e.options.Outstanding != nil {
-		arrival.Unrecorded = !e.options.Outstanding(request.ID)
-	}
 	if e.options.InFlight != nil {
 		queued, running := e.options.InFlight()
 		arrival.InFlight = queued + running
@@ -107,6 +104,9 @@
 		arrival.Effect = true
 		e.carryOut(request)
 	}
+	if e.options.Arrived != nil {
+		e.options.Arrived(&arrival)
+	}
 	e.record.add(arrival)
 	return backend.OrderAnswer{ID: request.ID, Status: arrival.Status, Incarnation: e.state.Incarnation}
 }
@@ -118,6 +118,7 @@
 			return backend.OrderFenced
 		}
 		e.fence = request.Fence
+		e.state.Fence = request.Fence
 		if e.state.Changing && e.current.ID != request.ID {
 			return backend.OrderBusy
 		}
--- /dev/null
+++ b/internal/fake/fakewire/wire.go
@@ -0,0 +1,128 @@
+// Package fakewire is a stand-in for the network between control processes and
+// engines. It delays, loses and crosses messages, and freezes a sender between
+// its check of authority and its write, as scripted. It is for tests under
+// virtual time.
+package fakewire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/reconcile"
+	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+)
+
+const (
+	// Reach is the longest time from a write to its arrival.
+	Reach = 6 * time.Second
+	// answerTimeout is how long a sender waits for an answer.
+	answerTimeout = 2 * time.Second
+	// minDelay is the shortest way of a message.
+	minDelay = time.Millisecond
+)
+
+// ErrLost means that a message or its answer was lost.
+var ErrLost = errors.New("fakewire: lost")
+
+// Fate is what happens to one attempt to send an order.
+type Fate struct {
+	// Freeze is how long the sender stands still between check and write.
+	Freeze time.Duration
+	// Delay is the order's way to the engine, at most Reach.
+	Delay time.Duration
+	// Lost drops the order, AnswerLost its answer.
+	Lost       bool
+	AnswerLost bool
+	// Crossed returns an answer to another order.
+	Crossed bool
+	// Broken fails the sender's connection at once; the order goes its way.
+	Broken bool
+}
+
+// Options configures a wire.
+type Options struct {
+	Clock clock.Clock
+	// Engines are the engines by URL.
+	Engines map[string]*fakeengine.Orders
+	// Next returns the fate of the next attempt; nil lets all go well.
+	Next func() Fate
+	// Unguarded lets a frozen sender write after its authority has ended. It
+	// is a fault to plant.
+	Unguarded bool
+	// Killed is called when the guard kills the sender; nil for none.
+	Killed func()
+}
+
+// Wire implements reconcile.Engines for one control process.
+type Wire struct {
+	options Options
+}
+
+// New returns a wire.
+func New(o Options) *Wire {
+	if o.Next == nil {
+		o.Next = func() Fate { return Fate{} }
+	}
+	return &Wire{options: o}
+}
+
+// State implements reconcile.Engines.
+func (w *Wire) State(_ context.Context, url string) (backend.EngineState, error) {
+	engine, ok := w.options.Engines[url]
+	if !ok {
+		return backend.EngineState{}, fmt.Errorf("read state of %s: no such engine", url)
+	}
+	time.Sleep(minDelay)
+	state := engine.State()
+	time.Sleep(minDelay)
+	return state, nil
+}
+
+// Order implements reconcile.Engines.
+func (w *Wire) Order(ctx context.Context, url string, until clock.Instant, order backend.OrderRequest) (backend.OrderAnswer, error) {
+	engine, ok := w.options.Engines[url]
+	if !ok || !w.options.Clock.Now().Before(until) {
+		return backend.OrderAnswer{}, reconcile.ErrUnsent
+	}
+	fate := w.options.Next()
+	if fate.Freeze > 0 {
+		time.Sleep(fate.Freeze)
+	}
+	if !w.options.Unguarded && !w.options.Clock.Now().Before(until) {
+		if w.options.Killed != nil {
+			w.options.Killed()
+		}
+		return backend.OrderAnswer{}, reconcile.ErrUnsent
+	}
+	return w.deliver(ctx, engine, order, fate)
+}
+
+func (w *Wire) deliver(ctx context.Context, engine *fakeengine.Orders, order backend.OrderRequest, fate Fate) (backend.OrderAnswer, error) {
+	answers := make(chan backend.OrderAnswer, 1)
+	if !fate.Lost {
+		time.AfterFunc(min(max(fate.Delay, minDelay), Reach), func() { answers <- engine.Order(order) })
+	}
+	if fate.Broken {
+		return backend.OrderAnswer{}, ErrLost
+	}
+	timer := time.NewTimer(answerTimeout)
+	defer timer.Stop()
+	select {
+	case answer := <-answers:
+		if fate.AnswerLost {
+			return backend.OrderAnswer{}, ErrLost
+		}
+		if fate.Crossed {
+			answer.ID = "crossed-" + answer.ID
+		}
+		return answer, nil
+	case <-timer.C:
+		return backend.OrderAnswer{}, ErrLost
+	case <-ctx.Done():
+		return backend.OrderAnswer{}, ctx.Err()
+	}
+}
--- a/internal/protocol/backend/orders.go
+++ b/internal/protocol/backend/orders.go
@@ -66,6 +66,9 @@
 	Changing bool `json:"changing"`
 	// Draining means that the engine takes no new work.
 	Draining bool `json:"draining"`
+	// Fence is the newest fencing token that the engine has seen; zero if it
+	// ignores them.
+	Fence uint64 `json:"fence,omitempty"`
 	// Queued and Running count requests, of every sender.
 	Queued  int `json:"queued"`
 	Running int `json:"running"`
--- a/internal/protocol/order/lifecycle.go
+++ b/internal/protocol/order/lifecycle.go
@@ -42,6 +42,8 @@
 	// Listed is false if the engine was removed from the settings.
 	Listed bool
 	Limits Limits
+	// Inherited is false if the order was placed in this leadership.
+	Inherited bool
 	// GainedAt is when this leader's authority began and SeenAt when it first
 	// saw the order.
 	GainedAt clock.Instant
@@ -198,7 +200,7 @@
 	if s.Order.Wanted.Interrupts() && !idle(s.Reading) {
 		return s.wait(now, "the engine finishes running work")
 	}
-	if !s.ChecksFencing && now.Before(s.GainedAt.Add(s.Limits.Reach)) {
+	if now.Before(s.sendableAt()) {
 		return s.wait(now, "an earlier leader's order may still arrive")
 	}
 	if s.Attempted && now.Before(s.SentAt.Add(s.Limits.Resend)) {
@@ -211,29 +213,41 @@
 	return Action{Kind: Send}
 }
 
-// settle ends the order once no copy of it can do harm.
+// settle ends the order once no copy of it can arrive.
 func (s *Snapshot) settle(now clock.Instant, o orderbook.Outcome, detail string) Action {
-	if now.Before(s.quietAt(o)) {
+	if now.Before(s.quietAt()) {
 		return s.wait(now, "a copy of the order may still arrive")
 	}
 	return Action{Kind: Settle, Outcome: o, Detail: detail}
 }
 
-// quietAt returns the instant from which no copy of the order can do harm. An
-// engine that checks fencing tokens refuses a late copy after the next order,
-// unless it restarted and forgot the tokens.
-func (s *Snapshot) quietAt(o orderbook.Outcome) clock.Instant {
-	remembers := o != orderbook.Superseded && o != orderbook.Withdrawn
-	if s.Order.Phase == orderbook.Closing || s.ChecksFencing && remembers {
+// quietAt returns the instant from which no copy of the order can arrive. It
+// holds for every engine: one that checks fencing tokens forgets them when it
+// crashes.
+func (s *Snapshot) quietAt() clock.Instant {
+	if s.Order.Phase == orderbook.Closing {
 		return s.SeenAt
 	}
-	quiet := s.GainedAt.Add(s.Limits.Reach)
+	quiet := s.SeenAt
+	if s.Inherited {
+		quiet = s.GainedAt.Add(s.Limits.Reach)
+	}
 	if s.Uncertain {
 		quiet = max(quiet, s.UncertainAt.Add(s.Limits.Reach))
 	}
 	return quiet
 }
 
+// sendableAt returns the instant from which this leader may send the order. An
+// inherited order waits until no copy by an earlier leader can arrive, and so
+// does every order to an engine that ignores fencing tokens.
+func (s *Snapshot) sendableAt() clock.Instant {
+	if s.ChecksFencing && !s.Inherited {
+		return s.SeenAt
+	}
+	return s.GainedAt.Add(s.Limits.Reach)
+}
+
 // wait waits on a fresh reading, or reads again when the reading is old.
 func (s *Snapshot) wait(now clock.Instant, reason string) Action {
 	if s.Reading != nil && s.ReadAt.Before(now) {
--- a/internal/state/orderbook/book.go
+++ b/internal/state/orderbook/book.go
@@ -40,6 +40,8 @@
 type HandOver struct {
 	Engine string                  `cbor:"1,keyasint"`
 	To     settings.OrderAuthority `cbor:"2,keyasint"`
+	// SeenFence is the newest fencing token that the engine reported.
+	SeenFence uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Verdict is the answer to a command.
@@ -118,7 +120,7 @@
 		return b.result(p.Order.Engine, verdict)
 	}
 	order := p.Order
-	order.Fence = index
+	order.Fence = b.Holders[order.Engine].FenceBase + index
 	order.Phase = Released
 	if order.Wanted.Interrupts() {
 		order.Phase = Closing
@@ -205,13 +207,14 @@
 // HandOver executes a committed HandOver at the given log index. It is refused
 // while an order is outstanding.
 func (b *Book) HandOver(index uint64, h HandOver) Result {
-	if b.Holders[h.Engine].Side == h.To {
+	current := b.Holders[h.Engine]
+	if current.Side == h.To {
 		return b.result(h.Engine, Accepted)
 	}
 	if _, busy := b.Outstanding[h.Engine]; busy {
 		return b.result(h.Engine, Busy)
 	}
-	b.Holders[h.Engine] = Holder{Side: h.To, Since: index}
+	b.Holders[h.Engine] = Holder{Side: h.To, Since: index, FenceBase: max(current.FenceBase, h.SeenFence)}
 	return Result{Verdict: Accepted}
 }
 
--- a/internal/state/orderbook/order.go
+++ b/internal/state/orderbook/order.go
@@ -57,7 +57,8 @@
 	Engine string `cbor:"2,keyasint"`
 	// Model is the model deployment to which the engine belongs.
 	Model string `cbor:"3,keyasint"`
-	// Fence is the fencing token: the log index at which the order was placed.
+	// Fence is the fencing token: the log index at which the order was placed
+	// plus the holder's base.
 	Fence  uint64 `cbor:"4,keyasint"`
 	Wanted Wanted `cbor:"5,keyasint"`
 	// Incarnation is the engine's incarnation for which the order was made.
@@ -99,4 +100,7 @@
 	Side settings.OrderAuthority `cbor:"1,keyasint"`
 	// Since is the log index at which it took over.
 	Since uint64 `cbor:"2,keyasint"`
+	// FenceBase is added to log indexes, so that fencing tokens exceed those
+	// that the old system used at the engine.
+	FenceBase uint64 `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/state/store/orders.go
+++ b/internal/state/store/orders.go
@@ -71,6 +71,14 @@
 	return Orders{Version: s.tree.Version, Book: s.orders.Clone(), Settings: configuration}, nil
 }
 
+// SubtreeVersion returns the version of one subtree of the settings, zero if
+// there is none.
+func (s *Store) SubtreeVersion(path string) uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.tree.Subtrees[path].Version
+}
+
 // configuration returns the decoded settings, decoding each version once. The
 // caller holds mu.
 func (s *Store) configuration() (*settings.Configuration, error) {
