--- a/internal/coordination/reconcile/driver.go
+++ b/internal/coordination/reconcile/driver.go
@@ -58,9 +58,7 @@
 
 // advance acts until it has to wait. It reports whether the order is settled.
 func (d *driver) advance(ctx context.Context) (settled bool, err error) {
-	if err := d.configure(); err != nil {
-		return false, err
-	}
+	d.configure()
 	for ctx.Err() == nil {
 		action := order.Next(d.snapshot, d.now)
 		switch action.Kind {
@@ -81,16 +79,12 @@
 }
 
 // configure takes the engine's settings of now.
-func (d *driver) configure() error {
-	orders, err := d.options.Store.Orders()
-	if err != nil {
-		return err
-	}
+func (d *driver) configure() {
+	orders := d.options.Store.Orders()
 	var engine settings.Engine
 	engine, _, d.snapshot.Listed = findEngine(orders.Settings, d.snapshot.Order.Engine)
 	d.snapshot.ChecksFencing = engine.ChecksFencing
 	d.url = engine.URL
-	return nil
 }
 
 func (d *driver) do(ctx context.Context, action order.Action) (order.Event, error) {
--- a/internal/coordination/reconcile/leadership.go
+++ b/internal/coordination/reconcile/leadership.go
@@ -44,11 +44,7 @@
 // step runs one round: it takes outstanding orders forward, hands over
 // authority and places new orders.
 func (l *leadership) step(ctx context.Context) {
-	orders, err := l.options.Store.Orders()
-	if err != nil {
-		l.options.Logger.Warn("orders not reconciled", "error", err)
-		return
-	}
+	orders := l.options.Store.Orders()
 	for _, o := range orders.Book.Outstanding {
 		l.startDriver(o)
 	}
--- a/internal/coordination/reconcile/reconcile.go
+++ b/internal/coordination/reconcile/reconcile.go
@@ -136,11 +136,7 @@
 }
 
 func (r *Reconciler) trackDrains() {
-	orders, err := r.options.Store.Orders()
-	if err != nil {
-		r.options.Logger.Warn("drains not tracked", "error", err)
-		return
-	}
+	orders := r.options.Store.Orders()
 	r.drains.Track(orders.Settings)
 }
 
--- a/internal/coordination/reconcile/schedule_test.go
+++ b/internal/coordination/reconcile/schedule_test.go
@@ -117,7 +117,7 @@
 	case "kill":
 		p.restart(ctx)
 	case "crash":
-		w.engines["http://"+name].Crash()
+		w.engines[base+name].Crash()
 	case "pin":
 		w.setPin(name, func(s *settings.Engine) {
 			s.Role = []settings.Role{settings.RolePrefill, settings.RoleDecode, settings.RoleMixed}[e.pick/4]
--- a/internal/coordination/reconcile/world_test.go
+++ b/internal/coordination/reconcile/world_test.go
@@ -21,6 +21,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakewire"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/order"
+	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
 )
@@ -31,6 +32,8 @@
 	changeTime = 300 * time.Millisecond
 	replicas   = 3
 	weightRate = 1000
+	base       = "http://10.0.0.1/"
+	rootToken  = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
 )
 
 var limits = order.Limits{Reach: fakewire.Reach, Closing: closing, Idle: 20 * time.Second, Resend: time.Second}
@@ -91,13 +94,14 @@
 		p.replica = w.group.Add(p.store)
 		w.control = append(w.control, p)
 	}
+	w.commit(&store.Command{Bootstrap: &settings.Bootstrap{RootTokenSHA256: rootToken, Zones: []string{"a"}}})
 	w.group.Elect(w.control[0].replica)
 	return w
 }
 
 func (w *world) addEngine(name string, checks bool) {
 	starts := 0
-	w.engines["http://"+name] = fakeengine.NewOrders(fakeengine.OrderOptions{
+	w.engines[base+name] = fakeengine.NewOrders(fakeengine.OrderOptions{
 		Role: settings.RoleMixed, ChecksFencing: checks, ChangeTime: changeTime,
 		Incarnation: func() string { starts++; return fmt.Sprintf("%s/%d", name, starts) },
 		InFlight:    func() (int, int) { w.mu.Lock(); defer w.mu.Unlock(); return 0, w.streams[name] },
@@ -107,15 +111,12 @@
 	if strings.HasSuffix(name, "1") {
 		role = settings.RoleDecode
 	}
-	w.pins[name] = settings.Engine{URL: "http://" + name, Zone: "a", ChecksFencing: checks, Authority: settings.AuthorityLagoonshift, Role: role}
+	w.pins[name] = settings.Engine{URL: base + name, Zone: "a", ChecksFencing: checks, Authority: settings.AuthorityLagoonshift, Role: role}
 }
 
 // arrived compares an order with the book.
 func (w *world) arrived(engine string, a *fakeengine.Arrival) {
-	orders, err := w.truth.Orders()
-	if err != nil {
-		panic(err)
-	}
+	orders := w.truth.Orders()
 	if strings.HasPrefix(a.Order.ID, "old-") {
 		a.Unrecorded = orders.Book.Holders[engine].Side != settings.AuthorityOldSystem
 		return
@@ -205,13 +206,23 @@
 		panic(err)
 	}
 	w.changes++
-	change := settings.Change{Operator: "o", Number: w.changes, Path: path, Content: encoded}
-	change.BaseVersion = w.truth.SubtreeVersion(path)
-	command, err := (&store.Command{Change: &change}).Encode()
+	edit := settings.Edit{Path: path, Content: encoded}
+	w.truth.View(func(tree *settings.Tree, _ *ledger.Ledger) { edit.BaseVersion = tree.Subtrees[path].Version })
+	change := settings.Change{Operator: settings.RootOperator, TokenSHA256: rootToken, Number: w.changes, Edits: []settings.Edit{edit}}
+	w.commit(&store.Command{Change: &change})
+	w.truth.View(func(tree *settings.Tree, _ *ledger.Ledger) {
+		if tree.Subtrees[path].Version == edit.BaseVersion {
+			panic("change of " + path + " refused")
+		}
+	})
+}
+
+func (w *world) commit(command *store.Command) {
+	encoded, err := command.Encode()
 	if err != nil {
 		panic(err)
 	}
-	w.group.Commit(command)
+	w.group.Commit(encoded)
 }
 
 // serve plays the entries: they send streams to each engine until its closing
@@ -219,7 +230,7 @@
 func (w *world) serve(ctx context.Context) {
 	since := make(map[string]clock.Instant)
 	for ctx.Err() == nil {
-		orders, _ := w.truth.Orders()
+		orders := w.truth.Orders()
 		closed := orders.Book.Closed()
 		for name := range w.pins {
 			if !slices.Contains(closed, name) {
@@ -247,9 +258,9 @@
 func (w *world) playOldSystem(ctx context.Context) {
 	for ctx.Err() == nil {
 		time.Sleep(500*time.Millisecond + w.draw(time.Second))
-		orders, _ := w.truth.Orders()
+		orders := w.truth.Orders()
 		for name := range w.engines {
-			engine := strings.TrimPrefix(name, "http://")
+			engine := strings.TrimPrefix(name, base)
 			held := orders.Book.Holders[engine].Side == settings.AuthorityOldSystem
 			if held && w.pinned(engine).Authority == settings.AuthorityOldSystem && w.idle(engine) && !w.engines[name].State().Changing {
 				w.engines[name].Order(w.nextOldOrder(w.engines[name].Record()))
@@ -284,7 +295,7 @@
 func (w *world) watch(ctx context.Context, roles bool) {
 	reached := make(map[string]bool)
 	for ctx.Err() == nil {
-		orders, _ := w.truth.Orders()
+		orders := w.truth.Orders()
 		if rate := orders.Book.SpentRate(); rate > weightRate {
 			w.report("loads use rate %d", rate)
 		}
@@ -303,10 +314,10 @@
 }
 
 func (w *world) countRole(model string, role settings.Role) int {
-	orders, _ := w.truth.Orders()
+	orders := w.truth.Orders()
 	count := 0
 	for url, engine := range w.engines {
-		name := strings.TrimPrefix(url, "http://")
+		name := strings.TrimPrefix(url, base)
 		state := engine.State()
 		away := state.Changing && orders.Book.Outstanding[name].Wanted.Interrupts()
 		if strings.HasPrefix(name, model) && state.Role == role && !away {
@@ -339,12 +350,12 @@
 // unfinished returns what is not as the settings want it.
 func (w *world) unfinished() []string {
 	var left []string
-	orders, _ := w.truth.Orders()
+	orders := w.truth.Orders()
 	for engine, o := range orders.Book.Outstanding {
 		left = append(left, fmt.Sprintf("order %s to %s is %s", o.ID, engine, o.Phase))
 	}
 	for name, engine := range w.pins {
-		state := w.engines["http://"+name].State()
+		state := w.engines[base+name].State()
 		if orders.Book.Holders[name].Side != engine.Authority {
 			left = append(left, name+" is not handed over")
 		}
--- a/internal/state/store/orders.go
+++ b/internal/state/store/orders.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"encoding/json"
 	"fmt"
 
 	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
@@ -31,18 +30,25 @@
 
 // executeOrder executes a command of the order book. The caller holds mu.
 func (s *Store) executeOrder(index uint64, c *OrderCommand) Result {
+	s.shared.Store(nil)
 	version := s.tree.Version
 	if c.changesClosure() {
-		s.tree.Version = index
+		s.tree.Skip(index)
 	}
 	var result orderbook.Result
 	switch {
 	case c.Place != nil:
 		result = s.orders.Place(index, version, *c.Place)
+		if result.Verdict == orderbook.Accepted && result.Order.Wanted.Interrupts() {
+			s.tree.CloseEngine(index, result.Order.Engine, result.Order.ID)
+		}
 	case c.Release != nil:
 		result = s.orders.Release(*c.Release)
 	case c.Settle != nil:
 		result = s.orders.Settle(index, *c.Settle)
+		if _, outstanding := s.orders.Outstanding[c.Settle.Engine]; !outstanding {
+			s.tree.OpenEngine(index, c.Settle.Engine)
+		}
 	case c.HandOver != nil:
 		result = s.orders.HandOver(index, *c.HandOver)
 	default:
@@ -51,99 +57,23 @@
 	return Result{Order: &result}
 }
 
-// Orders is a consistent copy of the order book.
+// Orders is a consistent view of the order book and the settings. Its parts
+// are shared and must not be changed.
 type Orders struct {
-	// Version is the version on which decisions that use this copy rest.
-	Version uint64
-	Book    *orderbook.Book
-	// Settings are the settings at that version.
+	// Version is the version on which decisions that use this view rest.
+	Version  uint64
+	Book     *orderbook.Book
 	Settings *settings.Configuration
 }
 
 // Orders returns the order book and the settings of the same instant.
-func (s *Store) Orders() (Orders, error) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	configuration, err := s.configuration()
-	if err != nil {
-		return Orders{}, err
-	}
-	return Orders{Version: s.tree.Version, Book: s.orders.Clone(), Settings: configuration}, nil
-}
-
-// SubtreeVersion returns the version of one subtree of the settings, zero if
-// there is none.
-func (s *Store) SubtreeVersion(path string) uint64 {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.tree.Subtrees[path].Version
-}
-
-// configuration returns the decoded settings, decoding each version once. The
-// caller holds mu.
-func (s *Store) configuration() (*settings.Configuration, error) {
-	if cached := s.decoded.Load(); cached != nil && cached.Version == s.tree.Version {
-		return cached, nil
-	}
-	configuration, err := s.tree.Configuration()
-	if err != nil {
-		return nil, fmt.Errorf("decode settings at version %d: %w", s.tree.Version, err)
-	}
-	s.decoded.Store(configuration)
-	return configuration, nil
-}
-
-// EntryDocument returns the settings as entries put them in force: the tree,
-// with every engine drained that an outstanding order closes to new work.
-func (s *Store) EntryDocument() (version uint64, content []byte, err error) {
+func (s *Store) Orders() Orders {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	content, err = s.tree.Document()
-	if err != nil {
-		return 0, nil, err
-	}
-	closed := s.orders.Closed()
-	if len(closed) == 0 {
-		return s.tree.Version, content, nil
-	}
-	content, err = drainEngines(content, closed)
-	return s.tree.Version, content, err
-}
-
-// drainEngines sets the drain flag of the named engines in a settings document.
-func drainEngines(content []byte, engines []string) ([]byte, error) {
-	var top map[string]json.RawMessage
-	if err := json.Unmarshal(content, &top); err != nil {
-		return nil, fmt.Errorf("decode settings: %w", err)
-	}
-	var models map[string]map[string]json.RawMessage
-	if err := json.Unmarshal(top["models"], &models); err != nil {
-		return nil, fmt.Errorf("decode models: %w", err)
-	}
-	for name, model := range models {
-		drained, err := drainModel(model["engines"], engines)
-		if err != nil {
-			return nil, fmt.Errorf("drain engines of model %s: %w", name, err)
-		}
-		model["engines"] = drained
-	}
-	encoded, err := json.Marshal(models)
-	if err != nil {
-		return nil, fmt.Errorf("encode models: %w", err)
-	}
-	top["models"] = encoded
-	return json.Marshal(top)
-}
-
-func drainModel(content json.RawMessage, engines []string) (json.RawMessage, error) {
-	var members map[string]map[string]json.RawMessage
-	if err := json.Unmarshal(content, &members); err != nil {
-		return nil, fmt.Errorf("decode engines: %w", err)
-	}
-	for _, name := range engines {
-		if engine, ok := members[name]; ok {
-			engine["drain"] = json.RawMessage("true")
-		}
+	book := s.shared.Load()
+	if book == nil {
+		book = s.orders.Clone()
+		s.shared.Store(book)
 	}
-	return json.Marshal(members)
+	return Orders{Version: s.tree.Version, Book: book, Settings: s.tree.Configuration()}
 }
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -4,6 +4,7 @@
 package store
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+	"github.com/lagoonshift/lagoonshift/internal/state/member"
 	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
@@ -21,6 +23,14 @@
 	Reserve *ledger.Reserve  `cbor:"2,keyasint,omitempty"`
 	Settle  *ledger.Settle   `cbor:"3,keyasint,omitempty"`
 	Order   *OrderCommand    `cbor:"10,keyasint,omitempty"`
+
+	// The commands below and Change are settings commands, see IsSettings.
+
+	Bootstrap *settings.Bootstrap `cbor:"20,keyasint,omitempty"`
+	Register  *member.Register    `cbor:"21,keyasint,omitempty"`
+	Retire    *member.Retire      `cbor:"22,keyasint,omitempty"`
+	// Observe is what the platform's list of VMs shows newly.
+	Observe []member.Observation `cbor:"23,keyasint,omitempty"`
 }
 
 // Result is the result of a command. The field for the command's kind is set,
@@ -29,12 +39,13 @@
 	Change *settings.ChangeResult `cbor:"1,keyasint,omitempty"`
 	Ledger *ledger.Result         `cbor:"2,keyasint,omitempty"`
 	Order  *orderbook.Result      `cbor:"10,keyasint,omitempty"`
+	Member *member.Result         `cbor:"20,keyasint,omitempty"`
 	Error  string                 `cbor:"15,keyasint,omitempty"`
 }
 
 // Encode returns the command as it stands in the log.
 func (c *Command) Encode() ([]byte, error) {
-	encoded, err := cbor.Marshal(c)
+	encoded, err := encoding.Marshal(c)
 	if err != nil {
 		return nil, fmt.Errorf("encode command: %w", err)
 	}
@@ -53,16 +64,6 @@
 	return r, nil
 }
 
-// IsSettings reports whether an encoded command changes what entries put in
-// force: the settings, or which engines an order closes to new work.
-func IsSettings(encoded []byte) bool {
-	var c Command
-	if cbor.Unmarshal(encoded, &c) != nil {
-		return false
-	}
-	return c.Change != nil || c.Order != nil && c.Order.changesClosure()
-}
-
 // snapshot is the encoded form of the whole state.
 type snapshot struct {
 	Tree   *settings.Tree  `cbor:"1,keyasint"`
@@ -73,13 +74,12 @@
 // Store is the replicated state. The log applies commands from one goroutine;
 // readers use View.
 type Store struct {
-	// decoded is the newest decoded configuration.
-	decoded atomic.Pointer[settings.Configuration]
-
 	mu     sync.RWMutex // guards the fields below
 	tree   *settings.Tree
 	ledger *ledger.Ledger
 	orders *orderbook.Book
+	// shared is a copy of orders for readers; nil after each order command.
+	shared atomic.Pointer[orderbook.Book]
 }
 
 // New returns an empty state.
@@ -90,7 +90,7 @@
 // Apply implements replog.StateMachine.
 func (s *Store) Apply(index uint64, encoded []byte) []byte {
 	result := s.execute(index, encoded)
-	out, err := cbor.Marshal(result)
+	out, err := encoding.Marshal(result)
 	if err != nil {
 		// Results consist of plain fields; failing here is a programming error.
 		panic(fmt.Sprintf("store: encode result at index %d: %v", index, err))
@@ -100,15 +100,17 @@
 
 func (s *Store) execute(index uint64, encoded []byte) Result {
 	var c Command
-	if err := cbor.Unmarshal(encoded, &c); err != nil {
-		return Result{Error: fmt.Sprintf("decode command at index %d: %v", index, err)}
-	}
+	err := cbor.Unmarshal(encoded, &c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err != nil {
+		s.skip(index, encoded)
+		return Result{Error: fmt.Sprintf("decode command at index %d: %v", index, err)}
+	}
+	if c.isSettings() {
+		return s.executeSettings(index, &c)
+	}
 	switch {
-	case c.Change != nil:
-		result := s.tree.Apply(index, *c.Change)
-		return Result{Change: &result}
 	case c.Reserve != nil:
 		result := s.ledger.Reserve(*c.Reserve)
 		return Result{Ledger: &result}
@@ -125,7 +127,7 @@
 func (s *Store) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	encoded, err := cbor.Marshal(snapshot{Tree: s.tree, Ledger: s.ledger.Encode(), Orders: s.orders})
+	encoded, err := encoding.Marshal(snapshot{Tree: s.tree, Ledger: s.ledger.Encode(), Orders: s.orders})
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
@@ -138,6 +140,12 @@
 	if err := cbor.Unmarshal(encoded, &content); err != nil {
 		return fmt.Errorf("decode snapshot: %w", err)
 	}
+	if content.Tree == nil {
+		return errors.New("decode snapshot: no settings tree")
+	}
+	if err := content.Tree.Rebuild(); err != nil {
+		return fmt.Errorf("decode snapshot: %w", err)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tree = content.Tree
@@ -147,6 +155,7 @@
 		s.orders = orderbook.New()
 	}
 	s.orders.Restored()
+	s.shared.Store(nil)
 	return nil
 }
 
