--- a/cmd/lagoonshift/main.go
+++ b/cmd/lagoonshift/main.go
@@ -26,6 +26,7 @@
 	addEntry(app, commands)
 	addCheck(app, commands)
 	addConfig(app, commands)
+	addEngine(app, commands)
 	addLedger(app, commands)
 	addStatus(app, commands)
 	addLoad(app, commands)
--- a/internal/coordination/reconcile/schedule_test.go
+++ b/internal/coordination/reconcile/schedule_test.go
@@ -154,7 +154,7 @@
 }
 
 // plantedRuns is how many schedules a planted fault gets to show itself.
-const plantedRuns = 20
+const plantedRuns = 60
 
 func TestPlantedFaultsAreSeen(t *testing.T) {
 	tests := []struct {
--- a/internal/coordination/reconcile/world_test.go
+++ b/internal/coordination/reconcile/world_test.go
@@ -54,6 +54,7 @@
 	faults  faults
 	control []*process
 	ops     *history
+	names   []string
 	pins    map[string]settings.Engine
 	calm    atomic.Bool
 
@@ -107,6 +108,7 @@
 		InFlight:    func() (int, int) { w.mu.Lock(); defer w.mu.Unlock(); return 0, w.streams[name] },
 		Arrived:     func(a *fakeengine.Arrival) { w.arrived(name, a) },
 	})
+	w.names = append(w.names, name)
 	role := settings.RolePrefill
 	if strings.HasSuffix(name, "1") {
 		role = settings.RoleDecode
@@ -232,7 +234,7 @@
 	for ctx.Err() == nil {
 		orders := w.truth.Orders()
 		closed := orders.Book.Closed()
-		for name := range w.pins {
+		for _, name := range w.names {
 			if !slices.Contains(closed, name) {
 				delete(since, name)
 			} else if _, ok := since[name]; !ok {
--- a/internal/role/controlrole/control.go
+++ b/internal/role/controlrole/control.go
@@ -33,6 +33,11 @@
 	tracker := inforce.New(inforce.Options{Clock: clock.Boot{}, Lease: peergrpc.LeaseDuration})
 	control := peergrpc.NewControlServer(replicated, state)
 	control.Observe(tracker)
+	orders, err := newEngines(name, replicated, state, log)
+	if err != nil {
+		return err
+	}
+	control.CollectDemand(orders.demand)
 	control.Register(server)
 	peers, err := peergrpc.DialControl(peerAddresses(d))
 	if err != nil {
@@ -53,15 +58,18 @@
 	fleet := newFleet(d, clock.Boot{}, replicated, state, tracker, log)
 	group.Go(func() error { return fleet.follow(ctx) })
 	group.Go(func() error { return fleet.lead(ctx) })
+	group.Go(func() error { return orders.reconciler.Run(ctx) })
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
-	adminhttp.New(adminhttp.Options{
+	admin := adminhttp.New(adminhttp.Options{
 		Log:     replicated,
 		Store:   state,
 		Control: peers,
 		Tracker: tracker,
 		Clock:   clock.Boot{},
-	}).Register(mux)
+	})
+	admin.Register(mux)
+	admin.RegisterEngines(mux, orders)
 	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, mux) })
 	log.Info("control started", "peer_address", self.PeerAddress, "admin_address", self.AdminAddress)
 	return group.Wait()
--- /dev/null
+++ b/internal/role/controlrole/orders.go
@@ -0,0 +1,77 @@
+package controlrole
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/guard"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/inforce"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/reconcile"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/order"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+	"github.com/lagoonshift/lagoonshift/internal/transport/backendhttp"
+	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
+)
+
+const (
+	// dispatchSlack is the longest time from an entry's choice of an engine
+	// until the engine counts the request.
+	dispatchSlack = time.Second
+	// idleTimeout bounds the wait for an engine's running work.
+	idleTimeout = 2 * time.Minute
+	// resendPause is the pause before an order is sent again.
+	resendPause = time.Second
+)
+
+// engines is the part of a control process that orders engines.
+type engines struct {
+	client     *backendhttp.OrderClient
+	demand     *reconcile.Demand
+	reconciler *reconcile.Reconciler
+}
+
+func newEngines(replica string, l replog.Log, s *store.Store, logger hclog.Logger) (*engines, error) {
+	kernel, err := guard.NewKernel()
+	if err != nil {
+		return nil, err
+	}
+	e := &engines{client: backendhttp.NewOrderClient(kernel), demand: reconcile.NewDemand(clock.Boot{})}
+	e.reconciler = reconcile.New(reconcile.Options{
+		Replica: replica,
+		Log:     l,
+		Store:   s,
+		Clock:   clock.Boot{},
+		Engines: e.client,
+		Demand:  e.demand,
+		Limits: order.Limits{
+			Reach:   backendhttp.OrderReach,
+			Closing: peergrpc.LeaseDuration + inforce.DriftMargin + dispatchSlack,
+			Idle:    idleTimeout,
+			Resend:  resendPause,
+		},
+		NewID:  rand.Text,
+		Logger: logger.Named("orders"),
+	})
+	return e, nil
+}
+
+// State implements adminhttp.EngineView.
+func (e *engines) State(ctx context.Context, baseURL string) (backend.EngineState, error) {
+	return e.client.State(ctx, baseURL)
+}
+
+// Waiting implements adminhttp.EngineView.
+func (e *engines) Waiting(engine string) string {
+	return e.reconciler.Waiting(engine)
+}
+
+// Drained implements adminhttp.EngineView.
+func (e *engines) Drained(engine string) bool {
+	return e.reconciler.Drains().Closed(engine)
+}
--- /dev/null
+++ b/internal/transport/adminhttp/engines.go
@@ -0,0 +1,141 @@
+package adminhttp
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+// maxStateReads bounds the engines whose state one request reads at once.
+const maxStateReads = 32
+
+// EngineView is what a control replica knows about engines beside the state.
+type EngineView interface {
+	// State reads an engine's state.
+	State(ctx context.Context, baseURL string) (backend.EngineState, error)
+	// Waiting tells what the engine's outstanding order waits for; it is
+	// empty on a replica that does not lead.
+	Waiting(engine string) string
+	// Drained reports whether no entry sends the draining engine new work any
+	// more.
+	Drained(engine string) bool
+}
+
+// DrainState tells how far a drain has come.
+type DrainState string
+
+const (
+	// NotDraining means that the engine takes new work.
+	NotDraining DrainState = "no"
+	// Draining means that the engine still has work or may still get some.
+	Draining DrainState = "draining"
+	// Drained means that the engine has no work and gets none.
+	Drained DrainState = "drained"
+)
+
+// EngineStatus describes one engine.
+type EngineStatus struct {
+	Name  string `json:"name"`
+	Model string `json:"model"`
+	URL   string `json:"url"`
+	Zone  string `json:"zone"`
+	// Authority is the side that the settings name, Holder the side that may
+	// order the engine now; empty before the first handover.
+	Authority settings.OrderAuthority `json:"authority"`
+	Holder    settings.OrderAuthority `json:"holder"`
+	// WantedRole is the pinned role; empty leaves it to the planner.
+	WantedRole settings.Role `json:"wanted_role,omitempty"`
+	Drain      DrainState    `json:"drain"`
+	// State is the engine's own account, or StateError why there is none.
+	State      *backend.EngineState `json:"state,omitempty"`
+	StateError string               `json:"state_error,omitempty"`
+	// Outstanding is the order not yet settled and Waiting what it waits for.
+	Outstanding *orderbook.Order `json:"outstanding,omitempty"`
+	Waiting     string           `json:"waiting,omitempty"`
+	// History holds the newest settled orders, oldest first.
+	History []orderbook.Record `json:"history"`
+}
+
+// EnginesAnswer lists engines in order of name.
+type EnginesAnswer struct {
+	Engines []EngineStatus `json:"engines"`
+}
+
+// RegisterEngines adds the engines' part of the API to mux.
+func (s *Server) RegisterEngines(mux *http.ServeMux, view EngineView) {
+	mux.HandleFunc("GET /v1/engines", s.authenticated(func(w http.ResponseWriter, r *http.Request, _ operator) error {
+		return writeJSON(w, http.StatusOK, EnginesAnswer{Engines: listEngines(r.Context(), s.Store.Orders(), view)})
+	}))
+}
+
+func listEngines(ctx context.Context, orders store.Orders, view EngineView) []EngineStatus {
+	engines := []EngineStatus{}
+	for model, deployment := range orders.Settings.Models {
+		for name, engine := range deployment.Engines {
+			engines = append(engines, describeEngine(orders, model, name, engine))
+		}
+	}
+	slices.SortFunc(engines, func(a, b EngineStatus) int { return strings.Compare(a.Name, b.Name) })
+	var group errgroup.Group
+	group.SetLimit(maxStateReads)
+	for i := range engines {
+		group.Go(func() error {
+			observeEngine(ctx, &engines[i], view)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return engines
+}
+
+func describeEngine(orders store.Orders, model, name string, engine settings.Engine) EngineStatus {
+	status := EngineStatus{
+		Name:       name,
+		Model:      model,
+		URL:        engine.URL,
+		Zone:       engine.Zone,
+		Authority:  engine.Authority,
+		Holder:     orders.Book.Holders[name].Side,
+		WantedRole: engine.Role,
+		Drain:      NotDraining,
+		History:    orders.Book.History[name],
+	}
+	if engine.Drain {
+		status.Drain = Draining
+	}
+	if o, ok := orders.Book.Outstanding[name]; ok {
+		status.Outstanding = &o
+	}
+	return status
+}
+
+// observeEngine adds what is not part of the replicated state. An engine counts
+// as drained by a state read after no entry sends it work any more.
+func observeEngine(ctx context.Context, status *EngineStatus, view EngineView) {
+	closed := view.Drained(status.Name)
+	status.Waiting = view.Waiting(status.Name)
+	state, err := view.State(ctx, status.URL)
+	if err != nil {
+		status.StateError = err.Error()
+		return
+	}
+	status.State = &state
+	if status.Drain == Draining && closed && state.Queued+state.Running == 0 {
+		status.Drain = Drained
+	}
+}
+
+// Engines returns the engines as the first replica that answers sees them.
+func (c *Client) Engines(ctx context.Context) (EnginesAnswer, error) {
+	var answer EnginesAnswer
+	err := c.get(ctx, "/v1/engines", &answer)
+	return answer, err
+}
--- a/internal/transport/peergrpc/server.go
+++ b/internal/transport/peergrpc/server.go
@@ -26,6 +26,14 @@
 	store *store.Store
 	// renewals may be nil.
 	renewals Renewals
+	// demand may be nil.
+	demand Demand
+}
+
+// Demand collects what entries report of their demand.
+type Demand interface {
+	// ReportLoad takes the encoded roleplan.Report of a member.
+	ReportLoad(member string, digest []byte) error
 }
 
 // Renewals is told of every lease renewal that a replica answers.
@@ -45,6 +53,12 @@
 	c.renewals = r
 }
 
+// CollectDemand sets who gets demand reports; it must be called before
+// Register.
+func (c *ControlServer) CollectDemand(d Demand) {
+	c.demand = d
+}
+
 // Register adds the service to a gRPC server.
 func (c *ControlServer) Register(server *grpc.Server) {
 	peerpb.RegisterControlServer(server, c)
@@ -59,8 +73,15 @@
 	return &peerpb.SubmitResponse{Result: applied.Result, Index: applied.Index}, nil
 }
 
-// ReportLoad implements peerpb.ControlServer.
-func (c *ControlServer) ReportLoad(context.Context, *peerpb.LoadReport) (*peerpb.LoadReportResponse, error) {
+// ReportLoad implements peerpb.ControlServer. Only the replica that has
+// authority over engines takes reports; a caller goes on to the next one.
+func (c *ControlServer) ReportLoad(_ context.Context, request *peerpb.LoadReport) (*peerpb.LoadReportResponse, error) {
+	if _, ok := c.log.Authority(); !ok || c.demand == nil {
+		return nil, toStatus("take load report", replog.ErrNotLeader)
+	}
+	if err := c.demand.ReportLoad(request.GetMember(), request.GetDigest()); err != nil {
+		return nil, status.Errorf(codes.InvalidArgument, "take load report: %v", err)
+	}
 	return &peerpb.LoadReportResponse{}, nil
 }
 
