--- a/internal/coordination/reconcile/schedule_test.go
+++ b/internal/coordination/reconcile/schedule_test.go
@@ -79,13 +79,7 @@
 			w.group.Cut(p.replica, false)
 		}
 		w.group.Elect(w.control[0].replica)
-		for waited := time.Duration(0); waited < 5*time.Minute; waited += 5 * time.Second {
-			time.Sleep(5 * time.Second)
-			unfinished = w.unfinished()
-			if len(unfinished) == 0 {
-				break
-			}
-		}
+		unfinished = w.waitFinished()
 		violations = w.judge()
 		cancel()
 		time.Sleep(time.Minute) // virtual time for every goroutine to end
@@ -94,6 +88,18 @@
 	return append(violations, ops.check()...), unfinished
 }
 
+// waitFinished waits until all is as the settings want it. It returns what is
+// not after five minutes.
+func (w *world) waitFinished() (left []string) {
+	for range 5 * 60 {
+		time.Sleep(time.Second)
+		if left = w.unfinished(); len(left) == 0 {
+			break
+		}
+	}
+	return left
+}
+
 func (s schedule) has(kind string) bool {
 	for _, e := range s.events {
 		if e.kind == kind {
--- a/internal/coordination/reconcile/world_test.go
+++ b/internal/coordination/reconcile/world_test.go
@@ -57,6 +57,8 @@
 	names   []string
 	pins    map[string]settings.Engine
 	calm    atomic.Bool
+	// atStep is told of each step of an order; nil if nobody is.
+	atStep func(s orderStep, engine string)
 
 	mu       sync.Mutex // guards the fields below
 	random   *rand.Rand
@@ -124,6 +126,7 @@
 		return
 	}
 	a.Unrecorded = orders.Book.Outstanding[engine].ID != a.Order.ID
+	w.noteEffect(engine, a)
 	if a.Effect {
 		w.ops.instant(engine, "effect", a.Order.ID)
 	}
@@ -175,9 +178,9 @@
 	if w.faults.noClosing {
 		bounds.Closing = 0
 	}
-	wire := fakewire.New(fakewire.Options{Clock: w.clock, Engines: w.engines, Next: w.fate, Unguarded: w.faults.unguarded, Killed: func() { p.restart(world) }})
+	wire := fakewire.New(fakewire.Options{Clock: w.clock, Engines: w.engines, Next: func(url string) fakewire.Fate { return w.fateOf(strings.TrimPrefix(url, base)) }, Unguarded: w.faults.unguarded, Killed: func() { p.restart(world) }})
 	r := reconcile.New(reconcile.Options{
-		Replica: "control", Log: &recorded{Log: p.replica, ops: w.ops}, Store: p.store, Clock: w.clock, Engines: wire,
+		Replica: "control", Log: &recorded{Log: &stepped{Log: p.replica, world: w}, ops: w.ops}, Store: p.store, Clock: w.clock, Engines: wire,
 		Demand: reconcile.NewDemand(w.clock), Limits: bounds, Logger: hclog.NewNullLogger(),
 		NewID: func() string { return fmt.Sprintf("%p-%d", p, p.ids.Add(1)) },
 	})
--- a/internal/fake/fakewire/wire.go
+++ b/internal/fake/fakewire/wire.go
@@ -48,8 +48,9 @@
 	Clock clock.Clock
 	// Engines are the engines by URL.
 	Engines map[string]*fakeengine.Orders
-	// Next returns the fate of the next attempt; nil lets all go well.
-	Next func() Fate
+	// Next returns the fate of the next attempt to reach the engine with the
+	// given URL; nil lets all go well.
+	Next func(url string) Fate
 	// Unguarded lets a frozen sender write after its authority has ended. It
 	// is a fault to plant.
 	Unguarded bool
@@ -65,7 +66,7 @@
 // New returns a wire.
 func New(o Options) *Wire {
 	if o.Next == nil {
-		o.Next = func() Fate { return Fate{} }
+		o.Next = func(string) Fate { return Fate{} }
 	}
 	return &Wire{options: o}
 }
@@ -88,7 +89,7 @@
 	if !ok || !w.options.Clock.Now().Before(until) {
 		return backend.OrderAnswer{}, reconcile.ErrUnsent
 	}
-	fate := w.options.Next()
+	fate := w.options.Next(url)
 	if fate.Freeze > 0 {
 		time.Sleep(fate.Freeze)
 	}
