--- a/cmd/lagoonshift/fake.go
+++ b/cmd/lagoonshift/fake.go
@@ -8,6 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
+	"github.com/lagoonshift/lagoonshift/internal/fake/fakeoldsystem"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeplatform"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeservice"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
@@ -18,6 +19,7 @@
 	addFakeEngine(fake, commands)
 	addFakeService(fake, commands)
 	addFakePlatform(fake, commands)
+	addFakeOldSystem(fake, commands)
 }
 
 func addFakeEngine(fake *kingpin.CmdClause, commands map[string]command) {
@@ -29,6 +31,7 @@
 	interval := clause.Flag("token-interval", "Time between two tokens of a stream, with its unit.").Default("5ms").Duration()
 	checks := clause.Flag("checks-fencing", "Refuse orders with an old fencing token.").Default("true").Bool()
 	change := clause.Flag("change-time", "How long a role change or a load takes, with its unit.").Default("3s").Duration()
+	slots := clause.Flag("slots", "Requests that run at once; 0 is no bound.").Default("0").Int()
 	commands["fake engine"] = func(ctx context.Context) error {
 		engine := fakeengine.New(fakeengine.Options{
 			Name:          *name,
@@ -38,6 +41,7 @@
 			TokenInterval: *interval,
 			ChecksFencing: *checks,
 			ChangeTime:    *change,
+			Slots:         *slots,
 		})
 		return serve.HTTP(ctx, *address, engine.Handler())
 	}
@@ -65,3 +69,15 @@
 		return serve.HTTP(ctx, *address, mux)
 	}
 }
+
+func addFakeOldSystem(fake *kingpin.CmdClause, commands map[string]command) {
+	clause := fake.Command("old-system", "Run a stand-in for the old serving system beside this one.")
+	address := clause.Flag("listen", "Address as IP:port.").Required().String()
+	o := fakeoldsystem.Options{}
+	clause.Flag("engine", "Base URL of an engine; may be given several times.").StringsVar(&o.Engines)
+	clause.Flag("service", "Plain service as name=base URL; may be given several times.").StringMapVar(&o.Services)
+	clause.Flag("lagoonshift", "Base URL of an entry; may be given several times.").StringsVar(&o.Lagoonshift)
+	commands["fake old-system"] = func(ctx context.Context) error {
+		return serve.HTTP(ctx, *address, fakeoldsystem.New(o).Handler())
+	}
+}
--- a/internal/coordination/reconcile/reconcile.go
+++ b/internal/coordination/reconcile/reconcile.go
@@ -55,8 +55,9 @@
 	Engines Engines
 	// Planner plans the roles that the settings leave open; nil plans none.
 	Planner roleplan.Planner
-	Demand  *Demand
-	Limits  order.Limits
+	// Demand is what the planner plans for; nil if Planner is nil.
+	Demand *roleplan.Collector
+	Limits order.Limits
 	// NewID returns a unique order ID.
 	NewID  func() string
 	Logger hclog.Logger
--- a/internal/coordination/reconcile/roles.go
+++ b/internal/coordination/reconcile/roles.go
@@ -51,7 +51,14 @@
 		if ok {
 			v.readings[engine] = reading
 		}
-		v.engines = append(v.engines, roleplan.Engine{Name: engine, Role: reading.Role, Available: v.available(engine), Since: since})
+		_, busy := orders.Book.Outstanding[engine]
+		v.engines = append(v.engines, roleplan.Engine{
+			Name:      engine,
+			Role:      reading.Role,
+			Available: v.available(engine),
+			Changing:  busy || reading.Changing,
+			Since:     since,
+		})
 	}
 	return v
 }
@@ -73,8 +80,9 @@
 	if l.options.Planner == nil {
 		return roleplan.Move{}, false
 	}
-	demand := l.options.Demand.Model(v.name)
-	for _, move := range l.options.Planner.Plan(l.options.Clock.Now(), v.settings, demand, v.engines) {
+	now := l.options.Clock.Now()
+	demand := l.options.Demand.Demand(now, v.name)
+	for _, move := range l.options.Planner.Plan(now, v.settings, demand, v.engines) {
 		if v.settings.Engines[move.Engine].Role == "" && l.allowed(v, move) {
 			return move, true
 		}
--- a/internal/coordination/reconcile/world_test.go
+++ b/internal/coordination/reconcile/world_test.go
@@ -181,7 +181,7 @@
 	wire := fakewire.New(fakewire.Options{Clock: w.clock, Engines: w.engines, Next: func(url string) fakewire.Fate { return w.fateOf(strings.TrimPrefix(url, base)) }, Unguarded: w.faults.unguarded, Killed: func() { p.restart(world) }})
 	r := reconcile.New(reconcile.Options{
 		Replica: "control", Log: &recorded{Log: &stepped{Log: p.replica, world: w}, ops: w.ops}, Store: p.store, Clock: w.clock, Engines: wire,
-		Demand: reconcile.NewDemand(w.clock), Limits: bounds, Logger: hclog.NewNullLogger(),
+		Limits: bounds, Logger: hclog.NewNullLogger(),
 		NewID: func() string { return fmt.Sprintf("%p-%d", p, p.ids.Add(1)) },
 	})
 	go func() { _ = r.Run(ctx) }()
--- a/internal/protocol/request/attempt.go
+++ b/internal/protocol/request/attempt.go
@@ -96,18 +96,20 @@
 			s.p.Observer.Dropped(s.call.Labels)
 			continue
 		}
-		dog.reset()
+		now := time.Now()
+		dog.alive(now)
 		switch e.Kind {
 		case backend.KindToken:
 			if s.next == s.call.From {
 				s.first(flight, dispatched)
 			}
-			if err := s.token(&e, stream.Pending()); err != nil {
+			if err := s.token(&e, now, stream.Pending()); err != nil {
 				return err
 			}
 		case backend.KindMoved:
 			return backend.ErrMoved
 		case backend.KindDone:
+			s.finished(flight)
 			return s.done(e.Done)
 		}
 	}
@@ -119,9 +121,16 @@
 	s.p.Observer.FirstToken(s.call.Labels, dispatched.Sub(s.arrived), s.p.Clock.Now().Sub(s.arrived))
 }
 
+// finished tells the tracker of an answer that one engine gave whole.
+func (s *relay) finished(flight *routing.Flight) {
+	if s.attempts == 1 {
+		flight.Finished(s.next - s.call.From)
+	}
+}
+
 // token gives one token to the caller. More is true if the next message has
 // already arrived, so that one write can carry both.
-func (s *relay) token(e *backend.Event, more bool) error {
+func (s *relay) token(e *backend.Event, now time.Time, more bool) error {
 	switch {
 	case e.Token.Offset < s.next:
 		s.p.Observer.Dropped(s.call.Labels)
@@ -130,7 +139,7 @@
 		return fmt.Errorf("%w: token %d after %d", errGap, e.Token.Offset, s.next-1)
 	}
 	s.digest.Add(e.Token.Text)
-	s.pace.token(s.p.Clock.Now())
+	s.pace.token(now)
 	if err := s.sink.Token(e); err != nil {
 		return &callerError{cause: err}
 	}
--- a/internal/protocol/request/request.go
+++ b/internal/protocol/request/request.go
@@ -123,6 +123,9 @@
 	s := newRelay(p, call, class, sink)
 	for {
 		choice, err := s.decide()
+		if err == nil {
+			err = ctx.Err()
+		}
 		if err == nil {
 			err = s.attempt(ctx, choice)
 		}
@@ -144,6 +147,7 @@
 		Class:        call.Class,
 		Customer:     call.Customer,
 		PromptTokens: len(call.Prompt) / bytesPerToken,
+		Prefix:       routing.PrefixHashes(call.Prompt),
 		OutputTokens: call.MaxTokens - call.From,
 		Priority:     class.Priority,
 		Worth:        class.Worth,
--- /dev/null
+++ b/internal/protocol/routing/predict.go
@@ -0,0 +1,123 @@
+package routing
+
+import (
+	"math"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+)
+
+const (
+	// promptInProgress is a prompt's mean length, in tokens: the one in
+	// progress can't be put aside for a raised priority.
+	promptInProgress = 2000
+	// levelPrior is the weight, in tokens, of the assumption that half of the
+	// foreign prompts have at least the request's priority.
+	levelPrior = 4000
+)
+
+// Prediction is what a request would meet at an engine. Times are in seconds.
+type Prediction struct {
+	Engine *Engine
+	Load   Work
+	// CachedTokens is the part of the prompt that the engine seems to hold.
+	CachedTokens float64
+	// Prefill is the engine time for the rest of the prompt.
+	Prefill float64
+	// FirstToken and Whole are the times to the first token and to the end.
+	FirstToken float64
+	Whole      float64
+	// OthersDelay is the sum of the delays of the requests already there.
+	OthersDelay float64
+}
+
+// predict works out what a request would meet at an engine that holds the
+// given number of leading pieces of its prompt.
+func predict(table *speed.Table, e *Engine, r *Request, pieces int) Prediction {
+	s := table.Of(e.Role)
+	p := Prediction{Engine: e, Load: e.Load()}
+	p.CachedTokens = math.Min(float64(pieces*PieceTokens), float64(r.PromptTokens))
+	p.Prefill = s.Prefill(float64(r.PromptTokens) - p.CachedTokens)
+	slowdown := max(e.Slowdown, 1)
+	p.FirstToken = (slotWait(s, &p, r) + prefillWait(s, &p, r)) * slowdown
+	p.Whole = p.FirstToken + decodeTime(s, &p, r)*slowdown
+	p.OthersDelay = othersDelay(s, &p, r) * slowdown
+	return p
+}
+
+// prefillWait is the time until the prompt is prefilled.
+func prefillWait(s *speed.Speed, p *Prediction, r *Request) float64 {
+	wait := s.Prefill(promptsAhead(p, r)) + p.Prefill
+	if p.Load.Requests >= 1 {
+		wait /= s.PrefillShare
+	}
+	return wait
+}
+
+// promptsAhead is the number of prompt tokens that are prefilled before the
+// request. Its own entry's are known by priority; others' are taken to have
+// the same composition.
+func promptsAhead(p *Prediction, r *Request) float64 {
+	total := p.Load.PromptTokens
+	if levelOf(r.Priority) == 0 {
+		return total
+	}
+	own := p.Engine.own.now().PromptTokens
+	above := p.Engine.own.atOrAbove(r.Priority)
+	part := (above + levelPrior/2) / (own + levelPrior)
+	return min(above+p.Engine.Foreign.PromptTokens*part+promptInProgress, total)
+}
+
+// slotWait is the time until the batch has room.
+func slotWait(s *speed.Speed, p *Prediction, r *Request) float64 {
+	slots := float64(s.MaxSequences)
+	excess := p.Load.Requests + 1 - slots
+	if excess <= 0 {
+		return 0
+	}
+	return excess / slots * r.expectedOutput() * s.Step(slots)
+}
+
+func decodeTime(s *speed.Speed, p *Prediction, r *Request) float64 {
+	batch := min(p.Load.Requests+1, float64(s.MaxSequences))
+	return r.expectedOutput() * s.Step(batch)
+}
+
+// othersDelay is how much longer the requests already at the engine take in
+// sum: each waits through the prefill and through the longer decode steps.
+func othersDelay(s *speed.Speed, p *Prediction, r *Request) float64 {
+	batch := min(p.Load.Requests, float64(s.MaxSequences))
+	return batch * (p.Prefill + r.expectedOutput()*s.StepPerSequence)
+}
+
+// DrainTime is how long the model's accepting engines need for the prompts
+// that wait there and for the requests that have no room in a batch, in
+// seconds.
+func (v *ModelView) DrainTime() float64 {
+	return v.mean(func(s *speed.Speed, _ *Engine, load Work) float64 {
+		excess := max(load.Requests/float64(s.MaxSequences)-1, 0)
+		return s.Prefill(load.PromptTokens)/s.PrefillShare + excess
+	})
+}
+
+// Pressure tells how near the model's accepting engines are to full batches,
+// or to a second's worth of waiting prompts if that is nearer: 1 is full. An
+// engine that is slower than prefill beside decode explains fills sooner.
+func (v *ModelView) Pressure() float64 {
+	return v.mean(func(s *speed.Speed, e *Engine, load Work) float64 {
+		fill := max(load.Requests/float64(s.MaxSequences), s.Prefill(load.PromptTokens))
+		return min(fill*max(e.Slowdown/interference, 1), 1)
+	})
+}
+
+// mean is the mean of a value over the accepting engines.
+func (v *ModelView) mean(value func(s *speed.Speed, e *Engine, load Work) float64) float64 {
+	sum, engines := 0.0, 0.0
+	for i := range v.Engines {
+		e := &v.Engines[i]
+		if e.Accepting {
+			sum += value(v.Speeds.Of(e.Role), e, e.Load())
+			engines++
+		}
+	}
+	return sum / max(engines, 1)
+}
--- a/internal/role/controlrole/orders.go
+++ b/internal/role/controlrole/orders.go
@@ -14,6 +14,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/order"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
 	"github.com/lagoonshift/lagoonshift/internal/transport/backendhttp"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
@@ -41,14 +42,15 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engines{client: backendhttp.NewOrderClient(kernel), demand: reconcile.NewDemand(clock.Boot{})}
+	e := &engines{client: backendhttp.NewOrderClient(kernel), demand: &reconcile.Demand{Collector: roleplan.NewCollector(), Clock: clock.Boot{}}}
 	e.reconciler = reconcile.New(reconcile.Options{
 		Replica: replica,
 		Log:     l,
 		Store:   s,
 		Clock:   clock.Boot{},
 		Engines: e.client,
-		Demand:  e.demand,
+		Planner: roleplan.NewGoodput(roleplan.DefaultGoodput()),
+		Demand:  e.demand.Collector,
 		Limits: order.Limits{
 			Reach:   backendhttp.OrderReach,
 			Closing: peergrpc.LeaseDuration + inforce.DriftMargin + dispatchSlack,
--- a/internal/role/entryrole/callers.go
+++ b/internal/role/entryrole/callers.go
@@ -7,7 +7,6 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/request"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/servicecall"
 	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
 )
@@ -49,7 +48,7 @@
 		Settings: e.agent.Settings(),
 		Gate:     e.gate,
 		Tracker:  e.tracker,
-		Picker:   routing.LeastRequests{},
+		Picker:   e.admission,
 		Engines:  e.backends,
 		Outliers: outliers,
 		Budget:   retry.NewBudget(retry.DefaultShare, streamRetryReserve),
--- a/internal/role/entryrole/loads.go
+++ b/internal/role/entryrole/loads.go
@@ -2,10 +2,23 @@
 
 import (
 	"context"
+	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
 )
 
+// maxReportAge bounds the age that a load report is taken to have.
+const maxReportAge = time.Minute
+
+// madeAt turns a report's wall time into an instant. Engines' wall clocks are
+// near enough for that; a time in the future counts as now.
+func (e *entry) madeAt(unixMilli int64) clock.Instant {
+	age := e.clock.Wall().Sub(time.UnixMilli(unixMilli))
+	return e.clock.Now().Add(-min(max(age, 0), maxReportAge))
+}
+
 // pollLoads reads the load report of every engine.
 func (e *entry) pollLoads(ctx context.Context) {
 	var group errgroup.Group
@@ -16,7 +29,7 @@
 				e.log.Debug("load not read", "engine", engine.Name, "error", err)
 				return nil
 			}
-			e.tracker.Report(engine.Name, report, e.clock.Now())
+			e.tracker.Report(engine.Name, report, e.madeAt(report.AtUnixMilli))
 			return nil
 		})
 	}
--- a/internal/role/entryrole/settings.go
+++ b/internal/role/entryrole/settings.go
@@ -31,6 +31,7 @@
 // configure takes a new configuration before it is in force.
 func (e *entry) configure(c *settings.Configuration) {
 	e.tracker.Configure(c)
+	e.admission.Configure(c)
 	e.longestTTL.Store(max(e.longestTTL.Load(), int64(c.System.AddressTTL.Std())))
 }
 
--- a/internal/state/settings/check.go
+++ b/internal/state/settings/check.go
@@ -161,6 +161,11 @@
 			return err
 		}
 	}
+	for role, speed := range model.Speeds {
+		if err := checkSpeed(at+"/speeds/"+string(role), role, speed); err != nil {
+			return err
+		}
+	}
 	if !(model.RolePrice >= 0) || math.IsInf(model.RolePrice, 0) {
 		return fieldError(at+"/role_price", "expected zero or more")
 	}
@@ -179,6 +184,27 @@
 	return nil
 }
 
+func checkSpeed(at string, role Role, speed Speed) error {
+	switch role {
+	case RolePrefill, RoleDecode, RoleMixed:
+	default:
+		return fieldError(at, "expected the role %q, %q or %q", RolePrefill, RoleDecode, RoleMixed)
+	}
+	if !(speed.PrefillRate > 0) || math.IsInf(speed.PrefillRate, 0) {
+		return fieldError(at+"/prefill_rate", "expected a positive number")
+	}
+	if speed.StepBase <= 0 || speed.StepPerSequence <= 0 {
+		return fieldError(at+"/step_base", "expected positive durations for a decode step")
+	}
+	if speed.MaxSequences <= 0 {
+		return fieldError(at+"/max_sequences", "expected a positive number")
+	}
+	if !(speed.PrefillShare > 0 && speed.PrefillShare < 1) {
+		return fieldError(at+"/prefill_share", "expected a number between 0 and 1")
+	}
+	return nil
+}
+
 // checkMinimums verifies that the lower bounds can be met together.
 func checkMinimums(at string, model Model) error {
 	if model.MinPrefill < 0 {
--- a/internal/state/settings/configuration.go
+++ b/internal/state/settings/configuration.go
@@ -115,6 +115,9 @@
 	MinDecode  int `json:"min_decode,omitempty"`
 	// Weights lists what each engine of the model must have loaded.
 	Weights []Weights `json:"weights,omitempty"`
+	// Speeds says how fast the engines work in each role; a role that is not
+	// listed has the speed of package speed's default table.
+	Speeds map[Role]Speed `json:"speeds,omitempty"`
 }
 
 // Weights names weights in the weight store.
@@ -126,6 +129,21 @@
 	Version string `json:"version"`
 }
 
+// Speed is how fast one engine works in one role.
+type Speed struct {
+	// PrefillRate is in prompt tokens per second.
+	PrefillRate float64 `json:"prefill_rate"`
+	// StepBase is the part of a decode step that does not depend on the batch.
+	StepBase strictjson.Duration `json:"step_base"`
+	// StepPerSequence is what each sequence of the batch adds to a step.
+	StepPerSequence strictjson.Duration `json:"step_per_sequence"`
+	// MaxSequences bounds the batch.
+	MaxSequences int `json:"max_sequences"`
+	// PrefillShare is the part of the engine's time that prefill takes while
+	// sequences are being decoded, above 0 and below 1.
+	PrefillShare float64 `json:"prefill_share"`
+}
+
 // Engine is one model engine.
 type Engine struct {
 	// URL is the engine's base URL.
