--- a/internal/coordination/reconcile/world_test.go
+++ b/internal/coordination/reconcile/world_test.go
@@ -18,6 +18,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/coordination/reconcile"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakecontrol"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
+	"github.com/lagoonshift/lagoonshift/internal/fake/fakeplatform"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakewire"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/order"
@@ -51,6 +52,7 @@
 	group   *fakecontrol.Group
 	truth   *store.Store
 	engines map[string]*fakeengine.Orders
+	weights *fakeplatform.WeightStore
 	faults  faults
 	control []*process
 	ops     *history
@@ -82,7 +84,7 @@
 
 func newWorld(seed uint64, f faults, ops *history) *world {
 	w := &world{
-		clock: clock.NewRuntime(), truth: store.New(), faults: f, ops: ops,
+		clock: clock.NewRuntime(), truth: store.New(), weights: fakeplatform.NewWeightStore(weightRate, 0), faults: f, ops: ops,
 		engines: make(map[string]*fakeengine.Orders), pins: make(map[string]settings.Engine),
 		random: rand.New(rand.NewPCG(seed, 1)), streams: make(map[string]int),
 	}
@@ -108,6 +110,7 @@
 		Role: settings.RoleMixed, ChecksFencing: checks, ChangeTime: changeTime,
 		Incarnation: func() string { starts++; return fmt.Sprintf("%s/%d", name, starts) },
 		InFlight:    func() (int, int) { w.mu.Lock(); defer w.mu.Unlock(); return 0, w.streams[name] },
+		Pull:        func(o backend.OrderRequest) func() { return w.weights.Begin(name, o.Rate) },
 		Arrived:     func(a *fakeengine.Arrival) { w.arrived(name, a) },
 	})
 	w.names = append(w.names, name)
@@ -295,15 +298,11 @@
 	return o
 }
 
-// watch checks at every moment that loads stay within the weight store's rate
-// and, if the engines don't crash, that no needed role is left without engine.
+// watch checks at every moment that no needed role is left without engine, if
+// the engines don't crash.
 func (w *world) watch(ctx context.Context, roles bool) {
 	reached := make(map[string]bool)
 	for ctx.Err() == nil {
-		orders := w.truth.Orders()
-		if rate := orders.Book.SpentRate(); rate > weightRate {
-			w.report("loads use rate %d", rate)
-		}
 		for _, role := range []settings.Role{settings.RolePrefill, settings.RoleDecode} {
 			for _, model := range []string{"checks", "loose"} {
 				key := model + " " + string(role)
@@ -343,6 +342,7 @@
 	w.mu.Lock()
 	found := slices.Clone(w.found)
 	w.mu.Unlock()
+	found = append(found, w.weights.Usage().Violations...)
 	for _, url := range slices.Sorted(maps.Keys(w.engines)) {
 		record := w.engines[url].Record()
 		for _, v := range record.Violations() {
--- a/internal/fake/fakeengine/orders.go
+++ b/internal/fake/fakeengine/orders.go
@@ -24,6 +24,9 @@
 	// InFlight returns the engine's queued and running requests; nil for an
 	// engine that serves none.
 	InFlight func() (queued, running int)
+	// Pull begins a transfer from the weight store at the given rate in bytes
+	// per second and returns its end; nil for an engine without a store.
+	Pull func(order backend.OrderRequest) (end func())
 	// Arrived is called with each arrival before it enters the record and may
 	// complete it; nil if the record is judged without the order book.
 	Arrived func(*Arrival)
@@ -41,6 +44,8 @@
 	record  Record
 	// run counts starts, so that a change of an earlier run has no effect.
 	run int
+	// endPull ends the transfer in progress; nil if there is none.
+	endPull func()
 }
 
 // NewOrders returns the order part of an engine that has just started.
@@ -53,6 +58,7 @@
 // start begins a new run. The caller holds mu or is the only user.
 func (e *Orders) start() {
 	e.run++
+	e.stopPull()
 	e.fence = 0
 	e.current = backend.OrderRequest{}
 	e.state = backend.EngineState{
@@ -134,6 +140,10 @@
 	e.current = request
 	e.state.Changing = true
 	run := e.run
+	e.stopPull()
+	if request.Kind != kindRole && e.options.Pull != nil {
+		e.endPull = e.options.Pull(request)
+	}
 	time.AfterFunc(e.options.ChangeTime, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -145,6 +155,7 @@
 
 // finish ends the change. The caller holds mu.
 func (e *Orders) finish(request backend.OrderRequest) {
+	e.stopPull()
 	e.state.Changing = false
 	e.state.LastOrder = request.ID
 	e.current = backend.OrderRequest{}
@@ -156,6 +167,14 @@
 		backend.Weights{Kind: request.Kind, Name: request.Name, Version: request.Version})
 }
 
+// stopPull ends the transfer in progress. The caller holds mu.
+func (e *Orders) stopPull() {
+	if e.endPull != nil {
+		e.endPull()
+		e.endPull = nil
+	}
+}
+
 // kindRole is the kind of an order that changes the role.
 const kindRole = "role"
 
