Place no order on a state from before the last order's end

Cause: a reading up to three seconds old showed the role from before an order; the leader placed a second order that closed the engine for nothing.

--- a/internal/coordination/reconcile/driver.go
+++ b/internal/coordination/reconcile/driver.go
@@ -156,6 +156,8 @@
 
 func (d *driver) settle(ctx context.Context, action order.Action) (bool, error) {
 	o := d.snapshot.Order
+	// What was read before the order's end must not lead to another order.
+	d.observed.forget(o.Engine)
 	command := orderbook.Settle{Engine: o.Engine, ID: o.ID, Outcome: action.Outcome, Detail: action.Detail}
 	result, err := d.commit(ctx, store.OrderCommand{Settle: &command})
 	if err != nil {
--- a/internal/coordination/reconcile/history_test.go
+++ b/internal/coordination/reconcile/history_test.go
@@ -57,6 +57,19 @@
 	h.add(h.tick(), operation{engine, kind, id}, happened)
 }
 
+func (h *history) count(engine, kind string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	count := 0
+	for _, o := range h.list {
+		in := o.Input.(operation)
+		if in.engine == engine && in.kind == kind && o.Output.(outcome) == happened {
+			count++
+		}
+	}
+	return count
+}
+
 // check asks whether each engine's operations fit a book with one outstanding
 // order in which only that order takes effect.
 func (h *history) check() []string {
--- a/internal/coordination/reconcile/leadership.go
+++ b/internal/coordination/reconcile/leadership.go
@@ -16,6 +16,7 @@
 
 	term     uint64
 	gainedAt clock.Instant
+	observed *observations
 	// context ends with the leadership; the drivers run under it.
 	context context.Context
 	cancel  context.CancelFunc
--- a/internal/coordination/reconcile/observe.go
+++ b/internal/coordination/reconcile/observe.go
@@ -25,7 +25,9 @@
 	// asked is when the newest reading began and reading whether it goes on.
 	asked   clock.Instant
 	reading bool
-	// role and since tell since when the engine is seen in its role.
+	// notBefore is the instant before which a reading must not have begun.
+	notBefore clock.Instant
+	// since is when the engine was first seen in its role.
 	since clock.Instant
 }
 
@@ -77,7 +79,7 @@
 	defer o.mu.Unlock()
 	view := o.views[name]
 	view.reading = false
-	if err != nil {
+	if err != nil || view.asked < view.notBefore {
 		return
 	}
 	if !view.ok || view.state.Role != state.Role || view.state.Incarnation != state.Incarnation {
@@ -89,6 +91,22 @@
 	view.ok = true
 }
 
+// forget drops what was read of the engine before now, so that no decision
+// rests on a state from before an order was settled.
+func (o *observations) forget(name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	view := o.views[name]
+	if view == nil {
+		return
+	}
+	view.at = 0
+	view.notBefore = o.clock.Now()
+	if !view.reading {
+		view.asked = 0
+	}
+}
+
 // fresh returns the engine's newest reading unless it is too old.
 func (o *observations) fresh(name string) (backend.EngineState, bool) {
 	state, _, ok := o.freshSince(name)
@@ -99,7 +117,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	view := o.views[name]
-	if view == nil || !view.ok || o.clock.Now().Sub(view.at) > freshness {
+	if view == nil || !view.ok || view.at < view.notBefore || o.clock.Now().Sub(view.at) > freshness {
 		return backend.EngineState{}, 0, false
 	}
 	return view.state, view.since, true
--- a/internal/coordination/reconcile/reconcile.go
+++ b/internal/coordination/reconcile/reconcile.go
@@ -65,9 +65,8 @@
 
 // Reconciler is the loop of one control replica.
 type Reconciler struct {
-	options  Options
-	observed *observations
-	drains   *Drains
+	options Options
+	drains  *Drains
 
 	mu      sync.Mutex // guards waiting
 	waiting map[string]string
@@ -76,10 +75,9 @@
 // New returns a reconciler that does nothing until Run.
 func New(o Options) *Reconciler {
 	return &Reconciler{
-		options:  o,
-		observed: newObservations(o.Engines, o.Clock),
-		drains:   NewDrains(o.Clock, o.Limits.Closing),
-		waiting:  make(map[string]string),
+		options: o,
+		drains:  NewDrains(o.Clock, o.Limits.Closing),
+		waiting: make(map[string]string),
 	}
 }
 
@@ -126,6 +124,7 @@
 	return &leadership{
 		Reconciler: r,
 		term:       term,
+		observed:   newObservations(r.options.Engines, r.options.Clock),
 		gainedAt:   r.options.Clock.Now(),
 		driving:    make(map[string]bool),
 		loadedAt:   make(map[string]clock.Instant),
--- a/internal/coordination/reconcile/steps_test.go
+++ b/internal/coordination/reconcile/steps_test.go
@@ -104,6 +104,34 @@
 	}
 }
 
+// TestOneOrderForOneChange guards against orders that rest on a state from
+// before the last order.
+func TestOneOrderForOneChange(t *testing.T) {
+	ops := &history{}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(1, faults{}, ops)
+		w.calm.Store(true)
+		w.apply()
+		w.control[0].start(ctx)
+		w.waitFinished()
+		before := ops.count("loose-2", "place")
+		for i := range 10 {
+			time.Sleep(time.Duration(i) * 170 * time.Millisecond)
+			w.setPin("loose-2", func(s *settings.Engine) {
+				s.Role = []settings.Role{settings.RoleDecode, settings.RolePrefill}[i%2]
+			})
+			w.waitFinished()
+		}
+		time.Sleep(10 * time.Second)
+		if placed := ops.count("loose-2", "place") - before; placed != 10 {
+			t.Errorf("%d orders for 10 changes", placed)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
 // stepped is a log that announces the steps of orders.
 type stepped struct {
 	replog.Log
