--- a/cmd/lagoonshift/fake.go
+++ b/cmd/lagoonshift/fake.go
@@ -43,7 +43,7 @@
 			ChangeTime:    *change,
 			Slots:         *slots,
 		})
-		return serve.HTTP(ctx, *address, engine.Handler())
+		return serve.HTTP(ctx, *address, engine.Handler(), nil)
 	}
 }
 
@@ -52,7 +52,7 @@
 	address := clause.Flag("listen", "Address as IP:port.").Required().String()
 	delay := clause.Flag("delay", "How long a call takes, with its unit.").Default("20ms").Duration()
 	commands["fake service"] = func(ctx context.Context) error {
-		return serve.HTTP(ctx, *address, fakeservice.New(*delay).Handler())
+		return serve.HTTP(ctx, *address, fakeservice.New(*delay).Handler(), nil)
 	}
 }
 
@@ -66,7 +66,7 @@
 	commands["fake platform"] = func(ctx context.Context) error {
 		mux := http.NewServeMux()
 		fakeplatform.New(o).Register(mux)
-		return serve.HTTP(ctx, *address, mux)
+		return serve.HTTP(ctx, *address, mux, nil)
 	}
 }
 
@@ -78,6 +78,6 @@
 	clause.Flag("service", "Plain service as name=base URL; may be given several times.").StringMapVar(&o.Services)
 	clause.Flag("lagoonshift", "Base URL of an entry; may be given several times.").StringsVar(&o.Lagoonshift)
 	commands["fake old-system"] = func(ctx context.Context) error {
-		return serve.HTTP(ctx, *address, fakeoldsystem.New(o).Handler())
+		return serve.HTTP(ctx, *address, fakeoldsystem.New(o).Handler(), nil)
 	}
 }
--- a/internal/coordination/reconcile/world_test.go
+++ b/internal/coordination/reconcile/world_test.go
@@ -240,6 +240,9 @@
 	for ctx.Err() == nil {
 		orders := w.truth.Orders()
 		closed := orders.Book.Closed()
+		if w.faults.noClosing {
+			closed = nil
+		}
 		for _, name := range w.names {
 			if !slices.Contains(closed, name) {
 				delete(since, name)
--- a/internal/role/entryrole/callers.go
+++ b/internal/role/entryrole/callers.go
@@ -8,6 +8,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/request"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/servicecall"
+	"github.com/lagoonshift/lagoonshift/internal/telemetry"
 	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
 )
 
@@ -53,6 +54,7 @@
 		Outliers: outliers,
 		Budget:   retry.NewBudget(retry.DefaultShare, streamRetryReserve),
 		Random:   rand.Float64,
+		Observer: observer{requests: telemetry.NewRequests(e.metrics.Scope)},
 	})
 	server := callerhttp.New(callerhttp.Options{
 		Zone:      e.self.Zone,
