--- a/internal/state/settings/check.go
+++ b/internal/state/settings/check.go
@@ -156,6 +156,11 @@
 	if err := checkEach(at+"/engines", model.Engines, c.checkEngine); err != nil {
 		return err
 	}
+	for i, weights := range model.Weights {
+		if err := checkWeights(fmt.Sprintf("%s/weights/%d", at, i), weights); err != nil {
+			return err
+		}
+	}
 	for role, speed := range model.Speeds {
 		if err := checkSpeed(at+"/speeds/"+string(role), role, speed); err != nil {
 			return err
@@ -167,6 +172,18 @@
 	return checkMinimums(at, model)
 }
 
+func checkWeights(at string, weights Weights) error {
+	switch weights.Kind {
+	case "model", "adapter", "version":
+	default:
+		return fieldError(at+"/kind", "expected \"model\", \"adapter\" or \"version\"")
+	}
+	if weights.Name == "" {
+		return fieldError(at+"/name", "expected a name")
+	}
+	return nil
+}
+
 func checkSpeed(at string, role Role, speed Speed) error {
 	switch role {
 	case RolePrefill, RoleDecode, RoleMixed:
--- a/internal/state/settings/draft.go
+++ b/internal/state/settings/draft.go
@@ -42,6 +42,8 @@
 		return setNamed(d, p, &d.next.Members, content)
 	case groupVMs:
 		return setNamed[member.VM](d, p, &d.next.VMs, content)
+	case groupClosed:
+		return setNamed(d, p, &d.next.Closed, content)
 	}
 	return fieldError(p.pointer(), "unknown group")
 }
--- a/internal/state/settings/fleet.go
+++ b/internal/state/settings/fleet.go
@@ -105,6 +105,18 @@
 	return out
 }
 
+// CloseEngine closes an engine to new work until an order is settled.
+func (t *Tree) CloseEngine(index uint64, engine, order string) {
+	t.write(index, Path{Group: groupClosed, Name: engine}, Closure{Order: order})
+}
+
+// OpenEngine ends what CloseEngine began, if it did.
+func (t *Tree) OpenEngine(index uint64, engine string) {
+	if _, ok := t.current.Closed[engine]; ok {
+		t.remove(index, Path{Group: groupClosed, Name: engine})
+	}
+}
+
 // write stores a subtree that the system itself made.
 func (t *Tree) write(index uint64, p Path, value any) {
 	content, err := json.Marshal(value)
