Trial: end the load with the trial, and see a process that could not start

Cause: an earlier run's processes were left and answered for the new ones, so the second run's entries ended each other (ErrReplaced) and 3 of 8 was lost. Ruled out: a fault of the entries; a replaced entry must end.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -93,6 +93,12 @@
 for i in $(seq $entries); do
   await curl -fs http://$net.$((10 + i)):8081/readyz
 done
+for pid in "${entry_pids[@]}" "${control_pids[@]}" "${stand_in_pids[@]}"; do
+  if ! kill -0 "$pid" 2>/dev/null; then
+    echo "a process of the deployment ended; its log in $logs says why" >&2
+    exit 1
+  fi
+done
 echo "$name serves at $net.11:8080 to $net.$((10 + entries)):8080; administration at $admin; logs in $logs"
 if [ -n "${READY_FILE:-}" ]; then : >"$READY_FILE"; fi
 wait
--- a/scripts/trials/faults.sh
+++ b/scripts/trials/faults.sh
@@ -23,6 +23,7 @@
 READY_FILE=$ready scripts/deployment.sh "$name" &
 deployment=$!
 restarted=()
+load=
 
 # end sends SIGTERM to a process and waits for its end.
 end() {
@@ -32,6 +33,7 @@
 
 # stop ends the restarted entries before the deployment with its control.
 stop() {
+  if [ -n "$load" ]; then kill "$load" 2>/dev/null || true; fi
   for pid in "${restarted[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
   for pid in "${restarted[@]}"; do end "$pid"; done
   end $deployment
@@ -92,3 +94,4 @@
   *) echo "no faults named $faults" >&2; exit 2 ;;
 esac
 wait $load
+load=
