--- a/internal/role/controlrole/control.go
+++ b/internal/role/controlrole/control.go
@@ -23,19 +23,23 @@
 	if err != nil {
 		return err
 	}
+	keys, err := serve.OpenKeys(d, name, log)
+	if err != nil {
+		return err
+	}
 	state := store.New()
-	replica, err := openReplica(ctx, d, self, state, log)
+	replica, err := openReplica(ctx, d, self, keys, state, log)
 	if err != nil {
 		return err
 	}
 	stopReplica := replica.start(ctx)
-	server := newPeerServer()
+	server := newPeerServer(keys.PeerServer())
 	replica.register(server.Server)
 	tracker := inforce.New(inforce.Options{Clock: clock.Boot{}, Lease: peergrpc.LeaseDuration})
 	control := peergrpc.NewControlServer(replica.log, state)
 	control.Observe(tracker)
 	control.Register(server.Server)
-	peers, err := peergrpc.DialControl(peerAddresses(d))
+	peers, err := peergrpc.DialControl(peerAddresses(d), keys.PeerClient())
 	if err != nil {
 		return err
 	}
@@ -48,7 +52,7 @@
 	group.Go(func() error { return fleet.follow(ctx) })
 	group.Go(func() error { return fleet.lead(ctx) })
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	registerTelemetry(mux, name, replica.log, log)
 	adminhttp.New(adminhttp.Options{
 		Log:     replica.log,
 		Store:   state,
@@ -56,7 +60,7 @@
 		Tracker: tracker,
 		Clock:   clock.Boot{},
 	}).Register(mux)
-	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, mux) })
+	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, mux, keys.Administration()) })
 	log.Info("control started", "peer_address", self.PeerAddress, "admin_address", self.AdminAddress)
 	err = group.Wait()
 	if stopErr := stopReplica(); err == nil {
--- a/internal/role/controlrole/peers.go
+++ b/internal/role/controlrole/peers.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 )
 
 // maxMessageBytes bounds one message between peers.
@@ -20,9 +21,9 @@
 	calls sync.WaitGroup
 }
 
-func newPeerServer() *peerServer {
+func newPeerServer(creds credentials.TransportCredentials) *peerServer {
 	s := &peerServer{}
-	s.Server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.UnaryInterceptor(s.count))
+	s.Server = grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.UnaryInterceptor(s.count))
 	return s
 }
 
--- a/internal/role/controlrole/replica.go
+++ b/internal/role/controlrole/replica.go
@@ -15,6 +15,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raftstore"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
+	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 	"github.com/lagoonshift/lagoonshift/internal/state/disk"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
@@ -72,12 +73,12 @@
 
 // openReplica opens the data folder. With an empty one it first joins the
 // group as a non-voter under a new identity.
-func openReplica(ctx context.Context, d *deployment.Deployment, self deployment.Control, state *store.Store, log hclog.Logger) (*replica, error) {
+func openReplica(ctx context.Context, d *deployment.Deployment, self deployment.Control, keys *serve.Keys, state *store.Store, log hclog.Logger) (*replica, error) {
 	folder, err := disk.Open(self.DataFolder)
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{pool: peergrpc.NewPool(), ended: make(chan struct{})}
+	r := &replica{pool: peergrpc.NewPool(keys.PeerClient()), ended: make(chan struct{})}
 	if r.identity, err = r.identify(ctx, folder, d, self, log); err != nil {
 		return nil, fmt.Errorf("data folder %s: %w", self.DataFolder, err)
 	}
--- a/internal/transport/peergrpc/client.go
+++ b/internal/transport/peergrpc/client.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/status"
 
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
@@ -39,10 +40,10 @@
 
 // DialControl prepares connections to the control replicas at the given
 // addresses. No connection is made yet.
-func DialControl(addresses []string) (*ControlClient, error) {
+func DialControl(addresses []string, creds credentials.TransportCredentials) (*ControlClient, error) {
 	c := &ControlClient{}
 	for _, address := range addresses {
-		conn, err := dial(address)
+		conn, err := dial(address, creds)
 		if err != nil {
 			c.Close()
 			return nil, err
--- a/internal/transport/peergrpc/dial.go
+++ b/internal/transport/peergrpc/dial.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 )
 
 const (
@@ -27,9 +27,9 @@
 )
 
 // dial prepares a connection to a peer address. None is made yet.
-func dial(address string) (*grpc.ClientConn, error) {
+func dial(address string, creds credentials.TransportCredentials) (*grpc.ClientConn, error) {
 	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithTransportCredentials(creds),
 		grpc.WithContextDialer(dialTCP),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
@@ -66,13 +66,15 @@
 // Pool keeps one connection for each peer address. It is safe for concurrent
 // use.
 type Pool struct {
+	creds credentials.TransportCredentials
+
 	mu    sync.Mutex // guards conns
 	conns map[string]*grpc.ClientConn
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{conns: make(map[string]*grpc.ClientConn)}
+// NewPool returns an empty pool whose connections use the given credentials.
+func NewPool(creds credentials.TransportCredentials) *Pool {
+	return &Pool{creds: creds, conns: make(map[string]*grpc.ClientConn)}
 }
 
 // conn returns the connection to an address.
@@ -82,7 +84,7 @@
 	if conn := p.conns[address]; conn != nil {
 		return conn, nil
 	}
-	conn, err := dial(address)
+	conn, err := dial(address, p.creds)
 	if err != nil {
 		return nil, err
 	}
