Refuse an identity without its log

Cause: a folder whose log files were removed but whose identity stayed would have started with an empty log and voted again. The log is now made before the identity gets its cluster id, so an identity without a log means a lost one.

--- a/internal/coordination/raftstore/store.go
+++ b/internal/coordination/raftstore/store.go
@@ -3,8 +3,10 @@
 package raftstore
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
@@ -37,9 +39,25 @@
 // DefaultOptions suits a control process.
 var DefaultOptions = Options{SegmentBytes: wal.DefaultSegmentBytes}
 
-// Init makes the data of a group's first replica, its only voter.
+// ErrNoLog means that a replica with an identity has lost its log. It may not
+// start under that identity, because it forgot its votes.
+var ErrNoLog = errors.New("raftstore: the log is missing")
+
+// Prepare makes the empty log of a replica that joins a group. The identity
+// with the group's cluster id is saved after it, so that a later start knows
+// that there was a log.
+func Prepare(folder disk.Folder, identity Identity, o Options) error {
+	s, err := open(folder, identity, o)
+	if err != nil {
+		return err
+	}
+	return s.Close()
+}
+
+// Init makes the data of a group's first replica, its only voter. The
+// identity is saved after it.
 func Init(folder disk.Folder, identity Identity, address string, o Options) error {
-	s, err := Open(folder, identity, o)
+	s, err := open(folder, identity, o)
 	if err != nil {
 		return err
 	}
@@ -55,9 +73,20 @@
 }
 
 // Open opens a replica's data and keeps other processes out. It fails with
-// disk.ErrLocked, or with the reason for which the data can't be trusted,
-// naming file and offset.
+// disk.ErrLocked or ErrNoLog, or with the reason for which the data can't be
+// trusted, naming file and offset.
 func Open(folder disk.Folder, identity Identity, o Options) (*Store, error) {
+	names, err := folder.List()
+	if err != nil {
+		return nil, err
+	}
+	if !slices.ContainsFunc(names, wal.IsSegment) {
+		return nil, ErrNoLog
+	}
+	return open(folder, identity, o)
+}
+
+func open(folder disk.Folder, identity Identity, o Options) (*Store, error) {
 	lock, err := folder.Lock()
 	if err != nil {
 		return nil, err
--- a/internal/fake/fakegroup/group.go
+++ b/internal/fake/fakegroup/group.go
@@ -97,8 +97,8 @@
 	}
 	first := g.replicas[0]
 	folder := first.disk.Open(nil)
-	g.must(raftstore.SaveIdentity(folder, first.identity))
 	g.must(raftstore.Init(folder, first.identity, address(0), g.storeOptions()))
+	g.must(raftstore.SaveIdentity(folder, first.identity))
 	for i := range g.replicas {
 		g.Restart(i)
 	}
--- a/internal/fake/fakegroup/process.go
+++ b/internal/fake/fakegroup/process.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raftstore"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+	"github.com/lagoonshift/lagoonshift/internal/state/disk"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
 )
 
@@ -140,7 +141,7 @@
 		return nil, err
 	}
 	if !found {
-		if err := raftstore.SaveIdentity(folder, r.identity); err != nil {
+		if err := g.prepare(folder, r.identity); err != nil {
 			return nil, err
 		}
 	}
@@ -174,6 +175,14 @@
 	return p, nil
 }
 
+// prepare makes the data of a replica that joins.
+func (g *Group) prepare(folder disk.Folder, identity raftstore.Identity) error {
+	if err := raftstore.Prepare(folder, identity, g.storeOptions()); err != nil {
+		return err
+	}
+	return raftstore.SaveIdentity(folder, identity)
+}
+
 // join asks the leader to add the replica until it is a member.
 func (g *Group) join(i int, p *process) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/role/controlrole/replica.go
+++ b/internal/role/controlrole/replica.go
@@ -150,6 +150,9 @@
 	if err != nil {
 		return raftstore.Identity{}, err
 	}
+	if err := raftstore.Prepare(folder, identity, raftstore.DefaultOptions); err != nil {
+		return raftstore.Identity{}, err
+	}
 	return identity, raftstore.SaveIdentity(folder, identity)
 }
 
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -89,7 +89,7 @@
 		return fmt.Errorf("open log: %w", err)
 	}
 	for _, n := range names {
-		if !strings.HasSuffix(n, suffix) {
+		if !IsSegment(n) {
 			continue
 		}
 		var number uint64
@@ -297,6 +297,11 @@
 	return errors.Join(err, l.file.Close())
 }
 
+// IsSegment reports whether a file's name is that of a segment.
+func IsSegment(name string) bool {
+	return strings.HasSuffix(name, suffix)
+}
+
 func name(segment uint64) string {
 	return fmt.Sprintf(nameFormat, segment)
 }
