--- a/internal/state/store/settings.go
+++ b/internal/state/store/settings.go
@@ -6,18 +6,6 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// encoding sorts map keys, so that equal states have equal snapshots.
-var encoding = newEncoding()
-
-func newEncoding() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		// The options are constant; failing here is a programming error.
-		panic("store: encoding options: " + err.Error())
-	}
-	return mode
-}
-
 // kind decodes only which command is set.
 type kind struct {
 	Change    cbor.RawMessage `cbor:"1,keyasint"`
--- /dev/null
+++ b/internal/state/store/size_test.go
@@ -0,0 +1,29 @@
+package store
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+)
+
+// TestLargeSnapshotIsRestored has more records than the codec's default limit
+// of elements in an array.
+func TestLargeSnapshotIsRestored(t *testing.T) {
+	const records = 140_000
+	s := New()
+	for i := range records {
+		s.ledger.Reserve(ledger.Reserve{Key: ledger.Key{IdempotencyKey: fmt.Sprint(i)}, Attempt: "a"})
+	}
+	encoded, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := New()
+	if err := restored.Restore(encoded); err != nil {
+		t.Fatal(err)
+	}
+	if n, _ := restored.ledger.Len(); n != records {
+		t.Errorf("restored %d records, want %d", n, records)
+	}
+}
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -127,7 +127,7 @@
 // Restore implements replog.StateMachine.
 func (s *Store) Restore(encoded []byte) error {
 	var content snapshot
-	if err := cbor.Unmarshal(encoded, &content); err != nil {
+	if err := decoding.Unmarshal(encoded, &content); err != nil {
 		return fmt.Errorf("decode snapshot: %w", err)
 	}
 	if content.Tree == nil {
