--- a/internal/role/controlrole/bench_test.go
+++ b/internal/role/controlrole/bench_test.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
@@ -20,11 +24,20 @@
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
-// startGroup runs three control processes with their files in a folder and
-// returns a client of the leader.
-func startGroup(b *testing.B, folder string) peerpb.ControlClient {
+// benchGroup is three control processes in one, with files in a folder.
+type benchGroup struct {
+	b          *testing.B
+	deployment *deployment.Deployment
+	// stop ends a replica gracefully and returns when it has.
+	stop [3]func()
+	// clients has one client for each replica.
+	clients [3]peerpb.ControlClient
+}
+
+func startGroup(b *testing.B) *benchGroup {
 	b.Helper()
 	d := &deployment.Deployment{Name: "bench", Zones: []string{"a"}}
+	folder := b.TempDir()
 	for i := range 3 {
 		d.Control = append(d.Control, deployment.Control{
 			Name:         fmt.Sprint(i),
@@ -34,31 +47,78 @@
 			DataFolder:   filepath.Join(folder, fmt.Sprint(i)),
 		})
 	}
-	log := hclog.NewNullLogger()
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	if err := Init(ctx, d, "0", log); err != nil {
+	if err := Init(context.Background(), d, "0", hclog.NewNullLogger()); err != nil {
 		b.Fatal(err)
 	}
+	g := &benchGroup{b: b, deployment: d}
 	for i := range 3 {
-		running.Go(func() {
-			if err := Run(ctx, d, fmt.Sprint(i), log); err != nil {
-				b.Error(err)
-			}
-		})
+		retry := grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: 10 * time.Millisecond, MaxDelay: 10 * time.Millisecond}}
+		conn, err := grpc.NewClient(d.Control[i].PeerAddress,
+			grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithConnectParams(retry))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { _ = conn.Close() })
+		g.clients[i] = peerpb.NewControlClient(conn)
+		g.start(i)
 	}
 	b.Cleanup(func() {
+		for _, stop := range g.stop {
+			stop()
+		}
+	})
+	waitVoters(b, g.clients[0])
+	return g
+}
+
+// start starts a replica.
+func (g *benchGroup) start(i int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() {
+		if err := Run(ctx, g.deployment, fmt.Sprint(i), hclog.NewNullLogger()); err != nil {
+			g.b.Error(err)
+		}
+	})
+	g.stop[i] = func() {
 		cancel()
 		running.Wait()
-	})
-	conn, err := grpc.NewClient(d.Control[0].PeerAddress, grpc.WithTransportCredentials(insecure.NewCredentials()))
-	if err != nil {
-		b.Fatal(err)
 	}
-	b.Cleanup(func() { _ = conn.Close() })
-	client := peerpb.NewControlClient(conn)
-	waitVoters(b, client)
-	return client
+}
+
+// upToDate returns how long it takes until a replica answers a linearizable
+// read.
+func (g *benchGroup) upToDate(i int) time.Duration {
+	start := time.Now()
+	for {
+		_, err := g.clients[i].Settings(context.Background(), &peerpb.SettingsRequest{}, grpc.WaitForReady(true))
+		if err == nil {
+			return time.Since(start)
+		}
+	}
+}
+
+// commit commits n reservations with the given number of writers and returns
+// the sorted latencies.
+func (g *benchGroup) commit(next *atomic.Int64, writers, n int) []time.Duration {
+	latencies := make([]time.Duration, n)
+	var taken atomic.Int64
+	var group sync.WaitGroup
+	for range writers {
+		group.Go(func() {
+			for i := taken.Add(1) - 1; i < int64(n); i = taken.Add(1) - 1 {
+				start := time.Now()
+				if err := reserve(g.clients[0], next.Add(1)); err != nil {
+					g.b.Error(err)
+					return
+				}
+				latencies[i] = time.Since(start)
+			}
+		})
+	}
+	group.Wait()
+	slices.Sort(latencies)
+	return latencies
 }
 
 // waitVoters waits until all three replicas are voters.
@@ -94,30 +154,72 @@
 // BenchmarkCommit measures ledger reservations through three replicas with
 // files on disk and gRPC on loopback.
 func BenchmarkCommit(b *testing.B) {
-	client := startGroup(b, b.TempDir())
+	g := startGroup(b)
 	var next atomic.Int64
 	for _, writers := range []int{1, 16, 256} {
 		b.Run(fmt.Sprintf("writers=%d", writers), func(b *testing.B) {
-			latencies := make([]time.Duration, b.N)
-			var taken atomic.Int64
-			var group sync.WaitGroup
-			for range writers {
-				group.Go(func() {
-					for i := taken.Add(1) - 1; i < int64(b.N); i = taken.Add(1) - 1 {
-						start := time.Now()
-						if err := reserve(client, next.Add(1)); err != nil {
-							b.Error(err)
-							return
-						}
-						latencies[i] = time.Since(start)
-					}
-				})
-			}
-			group.Wait()
-			slices.Sort(latencies)
+			latencies := g.commit(&next, writers, b.N)
 			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
 			b.ReportMetric(float64(latencies[b.N/2].Microseconds()), "p50-us")
 			b.ReportMetric(float64(latencies[b.N*99/100].Microseconds()), "p99-us")
 		})
 	}
 }
+
+// usage is what the process has used so far.
+type usage struct {
+	cpu  time.Duration
+	heap uint64
+}
+
+func measureUsage(b *testing.B) usage {
+	b.Helper()
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		b.Fatal(err)
+	}
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return usage{cpu: time.Duration(r.Utime.Nano() + r.Stime.Nano()), heap: m.HeapAlloc}
+}
+
+// folderBytes is the size of a replica's files.
+func (g *benchGroup) folderBytes(i int) int64 {
+	total := int64(0)
+	files, err := os.ReadDir(g.deployment.Control[i].DataFolder)
+	if err != nil {
+		g.b.Fatal(err)
+	}
+	for _, f := range files {
+		if info, err := f.Info(); err == nil {
+			total += info.Size()
+		}
+	}
+	return total
+}
+
+// BenchmarkGrowth commits reservations in steps and reports what one more
+// costs, then how long a restart and catching up take. Use -benchtime 1x.
+func BenchmarkGrowth(b *testing.B) {
+	const writers = 256
+	g := startGroup(b)
+	var next atomic.Int64
+	before := measureUsage(b)
+	for _, n := range []int{25_000, 75_000} {
+		g.commit(&next, writers, n)
+		after := measureUsage(b)
+		b.Logf("%d records: heap %d bytes per record and replica, CPU %v per commit and replica, folder %d bytes",
+			next.Load(), (after.heap-before.heap)/3/uint64(next.Load()), (after.cpu-before.cpu)/3/time.Duration(next.Load()), g.folderBytes(1))
+	}
+	for _, missed := range []int{0, 500, 5_000, 50_000} {
+		g.stop[2]()
+		g.commit(&next, writers, missed)
+		g.start(2)
+		b.Logf("restarted with %d records, %d of them missed: answers reads after %v", next.Load(), missed, g.upToDate(2))
+	}
+	start := time.Now()
+	g.stop[0]()
+	g.upToDate(1)
+	b.Logf("leader stopped gracefully: next read answered after %v", time.Since(start))
+}
