--- a/internal/coordination/settingsync/group_test.go
+++ b/internal/coordination/settingsync/group_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,6 +60,8 @@
 	shortPeriod
 	// followerRead reads settings without a read barrier.
 	followerRead
+	// flapping takes a VM that the list shows as live again for a new run.
+	flapping
 	// newNumber sends a change again under another number.
 	newNumber
 )
@@ -71,6 +74,9 @@
 	// trackers belong to the replicas.
 	trackers []*inforce.Tracker
 	entries  []*entry
+	// shown is when a reading of the platform's list first named a VM as
+	// leaving, as a clock.Instant; zero before.
+	shown atomic.Int64
 
 	mu     sync.Mutex // guards the fields below
 	random *rand.Rand
