--- a/cmd/lagoonshift/fake.go
+++ b/cmd/lagoonshift/fake.go
@@ -29,6 +29,8 @@
 	model := clause.Flag("model", "Model that it serves.").Required().String()
 	rate := clause.Flag("prefill-rate", "Prompt tokens per second.").Default("20000").Float64()
 	interval := clause.Flag("token-interval", "Time between two tokens of a stream, with its unit.").Default("5ms").Duration()
+	checks := clause.Flag("checks-fencing", "Refuse orders with an old fencing token.").Default("true").Bool()
+	change := clause.Flag("change-time", "How long a role change or a load takes, with its unit.").Default("3s").Duration()
 	slots := clause.Flag("slots", "Requests that run at once; 0 is no bound.").Default("0").Int()
 	commands["fake engine"] = func(ctx context.Context) error {
 		engine := fakeengine.New(fakeengine.Options{
@@ -37,6 +39,8 @@
 			Incarnation:   rand.Text(),
 			PrefillRate:   *rate,
 			TokenInterval: *interval,
+			ChecksFencing: *checks,
+			ChangeTime:    *change,
 			Slots:         *slots,
 		})
 		return serve.HTTP(ctx, *address, engine.Handler(), nil)
@@ -69,7 +73,7 @@
 func addFakeOldSystem(fake *kingpin.CmdClause, commands map[string]command) {
 	clause := fake.Command("old-system", "Run a stand-in for the old serving system beside this one.")
 	address := clause.Flag("listen", "Address as IP:port.").Required().String()
-	o := fakeoldsystem.Options{}
+	o := fakeoldsystem.Options{Services: make(map[string]string)}
 	clause.Flag("engine", "Base URL of an engine; may be given several times.").StringsVar(&o.Engines)
 	clause.Flag("service", "Plain service as name=base URL; may be given several times.").StringMapVar(&o.Services)
 	clause.Flag("lagoonshift", "Base URL of an entry; may be given several times.").StringsVar(&o.Lagoonshift)
--- a/internal/fake/fakeengine/engine.go
+++ b/internal/fake/fakeengine/engine.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +31,9 @@
 	PrefillRate float64
 	// TokenInterval is the time between two output tokens of a stream.
 	TokenInterval time.Duration
+	// ChecksFencing and ChangeTime are as in OrderOptions.
+	ChecksFencing bool
+	ChangeTime    time.Duration
 	// Slots bounds the requests that run at once; 0 is no bound. Requests
 	// that wait are taken by priority.
 	Slots int
@@ -38,6 +42,8 @@
 // Engine is a fake engine. It is safe for concurrent use.
 type Engine struct {
 	options Options
+	orders  *Orders
+	starts  atomic.Uint64
 	slots   *slots
 
 	mu        sync.Mutex // guards the fields below
@@ -52,7 +58,27 @@
 
 // New returns an idle engine.
 func New(o Options) *Engine {
-	return &Engine{options: o, slots: newSlots(o.Slots), moving: make(chan struct{})}
+	e := &Engine{options: o, slots: newSlots(o.Slots), moving: make(chan struct{})}
+	e.orders = NewOrders(OrderOptions{
+		Model:         o.Model,
+		Role:          settings.RoleMixed,
+		Incarnation:   e.nextIncarnation,
+		ChecksFencing: o.ChecksFencing,
+		ChangeTime:    o.ChangeTime,
+		InFlight:      e.inFlight,
+	})
+	return e
+}
+
+// nextIncarnation names the engine's runs.
+func (e *Engine) nextIncarnation() string {
+	return fmt.Sprintf("%s-%d", e.options.Incarnation, e.starts.Add(1))
+}
+
+func (e *Engine) inFlight() (queued, running int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.queued, e.running
 }
 
 // Handler returns the engine's HTTP interface.
@@ -60,6 +86,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", e.complete)
 	mux.HandleFunc("GET /v1/load", e.load)
+	e.orders.Register(mux)
 	mux.HandleFunc("POST /fake/faults", e.takeFaults)
 	return mux
 }
@@ -93,12 +120,13 @@
 }
 
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	state := e.orders.State()
 	e.mu.Lock()
 	report := backend.LoadReport{
-		Incarnation:        e.options.Incarnation,
+		Incarnation:        state.Incarnation,
 		Model:              e.options.Model,
-		Role:               settings.RoleMixed,
-		Draining:           e.faults.Draining,
+		Role:               state.Role,
+		Draining:           e.faults.Draining || state.Draining || state.Changing,
 		Queued:             e.queued,
 		Running:            e.running,
 		QueuedPromptTokens: e.prompt,
--- a/internal/role/controlrole/control.go
+++ b/internal/role/controlrole/control.go
@@ -38,6 +38,11 @@
 	tracker := inforce.New(inforce.Options{Clock: clock.Boot{}, Lease: peergrpc.LeaseDuration})
 	control := peergrpc.NewControlServer(replica.log, state)
 	control.Observe(tracker)
+	orders, err := newEngines(name, replica.log, state, log)
+	if err != nil {
+		return err
+	}
+	control.CollectDemand(orders.demand)
 	control.Register(server.Server)
 	peers, err := peergrpc.DialControl(peerAddresses(d), keys.PeerClient())
 	if err != nil {
@@ -51,15 +56,18 @@
 	fleet := newFleet(d, clock.Boot{}, replica.log, state, tracker, log)
 	group.Go(func() error { return fleet.follow(ctx) })
 	group.Go(func() error { return fleet.lead(ctx) })
+	group.Go(func() error { return orders.reconciler.Run(ctx) })
 	mux := http.NewServeMux()
-	registerTelemetry(mux, name, replica.log, log)
-	adminhttp.New(adminhttp.Options{
+	registerTelemetry(mux, name, fleet, log)
+	admin := adminhttp.New(adminhttp.Options{
 		Log:     replica.log,
 		Store:   state,
 		Control: peers,
 		Tracker: tracker,
 		Clock:   clock.Boot{},
-	}).Register(mux)
+	})
+	admin.Register(mux)
+	admin.RegisterEngines(mux, orders)
 	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, mux, keys.Administration()) })
 	log.Info("control started", "peer_address", self.PeerAddress, "admin_address", self.AdminAddress)
 	err = group.Wait()
--- a/internal/state/settings/path.go
+++ b/internal/state/settings/path.go
@@ -14,9 +14,10 @@
 	groupServices = "services"
 	// OperatorsGroup holds the operators. It is not sent to entries.
 	OperatorsGroup = "operators"
-	// groupMembers and groupVMs are written by the system, not by operators.
+	// The groups below are written by the system, not by operators.
 	groupMembers = "members"
 	groupVMs     = "vms"
+	groupClosed  = "closed"
 	// RootPath stands for the whole tree in an operator's list of subtrees.
 	RootPath = "/"
 )
