--- /dev/null
+++ b/internal/coordination/member/monitor_test.go
@@ -0,0 +1,53 @@
+package member
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/state/member"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+// fakeControl has heard one renewal of entry-1 and records what is submitted.
+type fakeControl struct {
+	now     clock.Instant
+	renewed clock.Instant
+	gone    []string
+}
+
+func (f *fakeControl) Now() clock.Instant { return f.now }
+
+func (f *fakeControl) Wall() time.Time { return time.Time{} }
+
+func (f *fakeControl) Seen(name string, _ uint64) (clock.Instant, uint64, bool) {
+	return f.renewed, 1, name == "entry-1"
+}
+
+func (f *fakeControl) Submit(_ context.Context, command *store.Command) (store.Result, error) {
+	f.gone = append(f.gone, command.Retire.Name)
+	return store.Result{}, nil
+}
+
+func TestMonitorRemovesDeadMembers(t *testing.T) {
+	f := &fakeControl{now: clock.Instant(time.Hour)}
+	members := map[string]member.Member{"entry-1": {Name: "entry-1"}, "entry-2": {Name: "entry-2"}}
+	monitor := NewMonitor(f, f, f)
+	check := func(want int) {
+		t.Helper()
+		f.gone = nil
+		if err := monitor.Check(t.Context(), members); err != nil || len(f.gone) != want {
+			t.Errorf("removed %v, %v, want %d members", f.gone, err, want)
+		}
+	}
+	// A new leader has heard nobody yet.
+	check(0)
+	f.now = f.now.Add(DeadAfter)
+	check(0)
+	f.renewed = f.now
+	f.now = f.now.Add(1)
+	check(1)
+	f.now = f.now.Add(DeadAfter)
+	check(2)
+}
--- a/internal/operatorcli/operatorcli_test.go
+++ b/internal/operatorcli/operatorcli_test.go
@@ -213,9 +213,11 @@
 	wantError(t, err, "operator's token unknown")
 	_, err = send("o", adminhttp.ChangeRequest{Edits: edits})
 	wantError(t, err, "number: expected a positive number")
-	large := []adminhttp.EditRequest{{Path: "teams/t", Content: []byte(`"` + strings.Repeat("x", 9<<20) + `"`)}}
-	_, err = send("o", adminhttp.ChangeRequest{Number: 2, Edits: large})
-	wantError(t, err, "body too large")
+	for size, want := range map[int]string{1 << 20: "change too large", 2 << 20: "body too large"} {
+		large := []adminhttp.EditRequest{{Path: "teams/t", Content: []byte(`"` + strings.Repeat("x", size) + `"`)}}
+		_, err = send("o", adminhttp.ChangeRequest{Number: 2, Edits: large})
+		wantError(t, err, want)
+	}
 	answer, err := c.client("o").Settings(t.Context())
 	if _, own := answer.Subtrees["operators/o"]; err != nil || !own {
 		t.Errorf("own operator not shown: %v", err)
--- a/internal/transport/adminhttp/server.go
+++ b/internal/transport/adminhttp/server.go
@@ -22,7 +22,7 @@
 
 const (
 	// maxBody bounds a request's body, in bytes.
-	maxBody = 8 << 20
+	maxBody = 2 << 20
 	// commitTimeout bounds the commit of a change and readTimeout a read.
 	commitTimeout = 15 * time.Second
 	readTimeout   = 5 * time.Second
--- a/internal/transport/adminhttp/settings.go
+++ b/internal/transport/adminhttp/settings.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
@@ -90,7 +91,12 @@
 func (s *Server) commit(ctx context.Context, change *settings.Change) (settings.ChangeResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	result, err := s.Control.Submit(ctx, &store.Command{Change: change})
+	command := &store.Command{Change: change}
+	if encoded, err := command.Encode(); err != nil || len(encoded) > raft.MaxCommandBytes {
+		detail := fmt.Sprintf("at most %d bytes as the log stores it; make several changes", raft.MaxCommandBytes)
+		return settings.ChangeResult{}, &Problem{Title: "change too large", Status: http.StatusRequestEntityTooLarge, Detail: detail}
+	}
+	result, err := s.Control.Submit(ctx, command)
 	switch {
 	case errors.Is(err, replog.ErrUnknown):
 		detail := fmt.Sprintf("send number %d again to learn what became of it: %v", change.Number, err)
