--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -90,6 +90,7 @@
 	mux.HandleFunc("GET /v1/load", s.load)
 	mux.HandleFunc("POST /v1/completions", s.completions)
 	mux.HandleFunc("POST /v1/services/{service}/{path...}", s.service)
+	mux.HandleFunc("GET /v1/services/{service}/{path...}", s.service)
 	return s.prepare(mux)
 }
 
--- a/internal/transport/callerhttp/server_test.go
+++ b/internal/transport/callerhttp/server_test.go
@@ -6,11 +6,14 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
 	"github.com/lagoonshift/lagoonshift/internal/state/member"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
@@ -175,6 +178,53 @@
 	}
 }
 
+func TestGetIsForIdempotentCalls(t *testing.T) {
+	r := newRig(t, 1, nil)
+	for path, want := range map[string]int{"stock?day=1": http.StatusOK, "collections": http.StatusBadRequest} {
+		response, err := http.Get(r.url + "/v1/services/booking/" + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if response.StatusCode != want {
+			t.Errorf("GET %s: status %d, want %d", path, response.StatusCode, want)
+		}
+	}
+	if runs := r.service.Executions(); len(runs) != 1 || runs[0].Path != "/stock" {
+		t.Errorf("the service ran %+v", runs)
+	}
+}
+
+// blocked is a connection whose caller does not read.
+type blocked struct {
+	httptest.ResponseRecorder
+	deadlines int
+}
+
+// SetWriteDeadline counts the deadlines that were set.
+func (b *blocked) SetWriteDeadline(time.Time) error {
+	b.deadlines++
+	return nil
+}
+
+// TestWritesHaveADeadline shows that a caller that does not read is bounded in
+// time, and that the deadline is not set anew for each token.
+func TestWritesHaveADeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &blocked{ResponseRecorder: *httptest.NewRecorder()}
+		s := newSink(w)
+		for range 300 {
+			if err := s.Token(&backend.Event{Data: []byte("{}")}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if w.deadlines < 2 || w.deadlines > 4 {
+			t.Errorf("%d deadlines were set in 3 s", w.deadlines)
+		}
+	})
+}
+
 func TestAddresses(t *testing.T) {
 	all := 1.0
 	r := newRig(t, 1, func(c *settings.Configuration) {
--- a/internal/transport/callerhttp/service.go
+++ b/internal/transport/callerhttp/service.go
@@ -15,6 +15,10 @@
 		refuse(w, invalid("unknown service or call", refusal.No))
 		return
 	}
+	if !rule.Idempotent && r.Method == http.MethodGet {
+		refuse(w, invalid("a non-idempotent call is sent by POST", refusal.No))
+		return
+	}
 	if !rule.Idempotent && r.Header.Get(HeaderKey) == "" {
 		refuse(w, invalid("a non-idempotent call needs the header "+HeaderKey, refusal.No))
 		return
