Give each call of a plain service a connection of its own

Cause: on a kept connection a late second answer to one call is taken for the answer to the next: net/http matches answers by order only, and finds a second answer only while the connection is idle. Streams are safe, their messages carry the attempt. Ruled out: matching by a header, which plain services do not send back. After: none of 20 calls gets another's answer; over kept connections some do, as the test shows. Costs one dial for each idempotent call.

--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -31,7 +31,12 @@
 
 // Client talks to backend servers. It is safe for concurrent use.
 type Client struct {
+	// http keeps connections; single uses each for one call only. Calls of
+	// plain services carry nothing by which an answer could be matched to
+	// its call, so a second answer on a kept connection could pass for the
+	// answer to the next call.
 	http   *http.Client
+	single *http.Client
 	dialer *net.Dialer
 }
 
@@ -43,7 +48,13 @@
 		MaxIdleConnsPerHost: idleConnsPerHost,
 		DisableCompression:  true,
 	}
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: keepRedirect}, dialer: dialer}
+	single := transport.Clone()
+	single.DisableKeepAlives = true
+	return &Client{
+		http:   &http.Client{Transport: transport, CheckRedirect: keepRedirect},
+		single: &http.Client{Transport: single, CheckRedirect: keepRedirect},
+		dialer: dialer,
+	}
 }
 
 // keepRedirect hands a redirect on as the answer: following it would send the
--- a/internal/transport/backendhttp/oldsystem.go
+++ b/internal/transport/backendhttp/oldsystem.go
@@ -44,7 +44,7 @@
 	for _, base := range baseURLs {
 		out := call
 		out.URL = base + call.URL
-		answer, err := send(ctx, c.http, out)
+		answer, err := send(ctx, c.single, out)
 		if err == nil {
 			return answer, nil
 		}
--- a/internal/transport/backendhttp/once_test.go
+++ b/internal/transport/backendhttp/once_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -87,10 +89,10 @@
 	c := New()
 	warm := call(server.URL)
 	warm.Method = http.MethodGet
-	if _, err := c.Call(t.Context(), warm); err != nil {
+	if _, err := send(t.Context(), c.http, warm); err != nil {
 		t.Fatal(err)
 	}
-	_, _ = c.Call(t.Context(), call(server.URL))
+	_, _ = send(t.Context(), c.http, call(server.URL))
 	if n := requests.Load(); n != 2 {
 		t.Errorf("a call over a kept connection arrived %d times, want 2", n)
 	}
@@ -146,3 +148,68 @@
 		t.Error("a shut gate lets a write pass")
 	}
 }
+
+// answerTwice serves connections whose second answers come late: just before
+// the answer to the next request.
+func answerTwice(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go echoTwice(conn)
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+func echoTwice(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	late := ""
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		attempt := request.Header.Get(headerAttempt)
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(attempt), attempt)
+		if _, err := conn.Write([]byte(late + answer)); err != nil {
+			return
+		}
+		late = answer
+	}
+}
+
+// TestLateSecondAnswerIsNotTakenForTheNext shows that each call gets its own
+// answer from a service that answers everything twice, and that over kept
+// connections it would not.
+func TestLateSecondAnswerIsNotTakenForTheNext(t *testing.T) {
+	url := answerTwice(t)
+	c := New()
+	crossed := func(client *http.Client) (count int) {
+		for i := range 20 {
+			one := call(url)
+			one.Attempt = fmt.Sprint(i)
+			answer, err := send(t.Context(), client, one)
+			if err != nil || string(answer.Body) != one.Attempt {
+				count++
+			}
+		}
+		return count
+	}
+	if n := crossed(c.single); n != 0 {
+		t.Errorf("%d of 20 calls got another call's answer", n)
+	}
+	if crossed(c.http) == 0 {
+		t.Error("no answer was crossed over kept connections; the test shows nothing")
+	}
+}
--- a/internal/transport/backendhttp/service.go
+++ b/internal/transport/backendhttp/service.go
@@ -23,7 +23,7 @@
 
 // Call sends a call that may be repeated and reads the whole answer.
 func (c *Client) Call(ctx context.Context, call backend.ServiceCall) (backend.ServiceAnswer, error) {
-	return send(ctx, c.http, call)
+	return send(ctx, c.single, call)
 }
 
 // Lookup reads the outcome of a call's key; found is false if the service
@@ -31,7 +31,7 @@
 func (c *Client) Lookup(ctx context.Context, call backend.ServiceCall) (answer backend.ServiceAnswer, found bool, err error) {
 	call.Method = http.MethodGet
 	call.Body = nil
-	answer, err = send(ctx, c.http, call)
+	answer, err = send(ctx, c.single, call)
 	return answer, err == nil && answer.Status == http.StatusOK, err
 }
 
