--- a/internal/transport/callerhttp/addresses.go
+++ b/internal/transport/callerhttp/addresses.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/address"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
 )
 
 // AddressAnswer lists addresses in the order a caller should try them.
@@ -17,8 +18,13 @@
 
 // addresses answers with the entries for the caller's zone, which it may name
 // in the query, or with the old system's addresses if the caller belongs
-// there.
+// there. Without a lease this entry may not know who left, and its answer
+// could name an entry that no longer accepts.
 func (s *Server) addresses(w http.ResponseWriter, r *http.Request) {
+	if !s.Lease.Valid() {
+		refuse(w, noLease(refusal.No))
+		return
+	}
 	config := s.Settings.Load()
 	answer := AddressAnswer{TTLSeconds: config.System.AddressTTL.Std().Seconds()}
 	caller := address.Caller{Team: r.Header.Get(HeaderTeam), Class: r.Header.Get(HeaderClass), Customer: r.Header.Get(HeaderCustomer)}
--- a/internal/transport/callerhttp/server_test.go
+++ b/internal/transport/callerhttp/server_test.go
@@ -150,6 +150,12 @@
 	wantProblem(t, r.post(t, t.Context(), "/v1/completions", quoteBody), refusal.NoLease, refusal.No)
 	wantProblem(t, r.post(t, t.Context(), "/v1/completions", quoteBody, HeaderResume, "1"), refusal.NoLease, refusal.Unknown)
 	wantProblem(t, r.post(t, t.Context(), "/v1/services/booking/collections", "{}", HeaderKey, "van-1"), refusal.NoLease, refusal.Unknown)
+	addresses, err := http.Get(r.url + "/v1/addresses")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer addresses.Body.Close()
+	wantProblem(t, addresses, refusal.NoLease, refusal.No)
 }
 
 func TestCustomerLimit(t *testing.T) {
