--- a/internal/load/directory.go
+++ b/internal/load/directory.go
@@ -14,6 +14,9 @@
 	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
 )
 
+// askTimeout bounds one question for addresses: an entry may be frozen.
+const askTimeout = time.Second
+
 // errNoAddress means that no known address answered.
 var errNoAddress = errors.New("load: no entry gave addresses")
 
@@ -56,6 +59,8 @@
 }
 
 func (d *directory) ask(ctx context.Context, base string) (callerhttp.AddressAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	var answer callerhttp.AddressAnswer
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/addresses", nil)
 	if err != nil {
