--- a/internal/role/entryrole/run.go
+++ b/internal/role/entryrole/run.go
@@ -15,6 +15,9 @@
 	// directoryLag is the longest time for which another entry may still name
 	// this one after the mark was committed: a lease and a round of renewal.
 	directoryLag = 5 * time.Second
+	// retireTimeout bounds all tries to commit the mark. It is longer than
+	// control needs to take an entry for dead.
+	retireTimeout = 15 * time.Second
 	// retirePause is the pause between two tries to commit the mark.
 	retirePause = 500 * time.Millisecond
 )
@@ -69,8 +72,12 @@
 }
 
 // retire tells the other entries that this one leaves. It tries until that is
-// committed, so that the time counts from when they may know.
+// committed, so that the time counts from when they may know. If control can't
+// commit for retireTimeout, it has no leader or this entry is cut off: then
+// the entries' leases lapse, or control takes this one for dead.
 func (e *entry) retire(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, retireTimeout)
+	defer cancel()
 	for {
 		err := e.agent.Leave(ctx)
 		if err == nil || ctx.Err() != nil {
