--- a/cmd/lagoonshift/fake.go
+++ b/cmd/lagoonshift/fake.go
@@ -27,11 +27,11 @@
 	address := clause.Flag("listen", "Address as IP:port.").Required().String()
 	name := clause.Flag("name", "Name of the engine.").Default("engine").String()
 	model := clause.Flag("model", "Model that it serves.").Required().String()
-	rate := clause.Flag("prefill-rate", "Prompt tokens per second.").Default("20000").Float64()
-	interval := clause.Flag("token-interval", "Time between two tokens of a stream, with its unit.").Default("5ms").Duration()
+	rate := clause.Flag("prefill-rate", "Prompt tokens per second; 0 follows the engine's role.").Default("0").Float64()
+	interval := clause.Flag("token-interval", "Time between two tokens of a stream, with its unit; 0s follows the engine's role and batch.").Default("0s").Duration()
 	checks := clause.Flag("checks-fencing", "Refuse orders with an old fencing token.").Default("true").Bool()
 	change := clause.Flag("change-time", "How long a role change or a load takes, with its unit.").Default("3s").Duration()
-	slots := clause.Flag("slots", "Requests that run at once; 0 is no bound.").Default("0").Int()
+	slots := clause.Flag("slots", "Requests that run at once; 0 is no bound.").Default("48").Int()
 	commands["fake engine"] = func(ctx context.Context) error {
 		engine := fakeengine.New(fakeengine.Options{
 			Name:          *name,
--- a/cmd/lagoonshift/load.go
+++ b/cmd/lagoonshift/load.go
@@ -46,6 +46,13 @@
 		return err
 	}
 	report := load.NewReport(mix.Seed, results, runs)
+	if len(mix.Engines) > 0 {
+		orders, err := runner.Orders(context.WithoutCancel(ctx))
+		if err != nil {
+			return err
+		}
+		report.AddOrders(orders)
+	}
 	report.Print(os.Stdout)
 	if err := f.writeJSON(report); err != nil {
 		return err
--- a/internal/fake/fakeengine/engine.go
+++ b/internal/fake/fakeengine/engine.go
@@ -27,9 +27,11 @@
 	Model string
 	// Incarnation is the identity of this run.
 	Incarnation string
-	// PrefillRate is in prompt tokens per second.
+	// PrefillRate is in prompt tokens per second; 0 takes the rate of the
+	// engine's role from speed.Default.
 	PrefillRate float64
-	// TokenInterval is the time between two output tokens of a stream.
+	// TokenInterval is the time between two output tokens of a stream; 0 takes
+	// the step of the engine's role and batch from speed.Default.
 	TokenInterval time.Duration
 	// ChecksFencing and ChangeTime are as in OrderOptions.
 	ChecksFencing bool
@@ -170,7 +172,7 @@
 	if !e.slots.acquire(r.Context(), request.Priority) {
 		return false
 	}
-	if !sleep(r.Context(), time.Duration(float64(tokens)/e.options.PrefillRate*float64(time.Second))) {
+	if !sleep(r.Context(), e.prefillTime(tokens)) {
 		e.slots.release()
 		return false
 	}
--- a/internal/fake/fakeengine/stream.go
+++ b/internal/fake/fakeengine/stream.go
@@ -39,7 +39,7 @@
 		if end || !ok {
 			return ok
 		}
-		if !sleep(ctx, s.engine.options.TokenInterval) {
+		if !sleep(ctx, s.engine.tokenInterval()) {
 			return false
 		}
 	}
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -27,8 +27,8 @@
 	Phases []Phase `json:"phases,omitempty"`
 	// Records lists the URLs at which the fake services show what they ran.
 	Records []string `json:"records,omitempty"`
-	// Admin lists administration addresses that count role changes.
-	Admin []string `json:"admin,omitempty"`
+	// Engines lists the URLs at which the fake engines show their orders.
+	Engines []string `json:"engines,omitempty"`
 	// VerifyTokens checks each token's text against the fake engines' rule.
 	VerifyTokens bool `json:"verify_tokens,omitempty"`
 	// MaxTries bounds how often a caller sends one request.
--- a/internal/load/records.go
+++ b/internal/load/records.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"net/http"
 
+	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeservice"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
 )
 
 // Executions reads what the fake services ran, by idempotency key.
@@ -25,6 +27,32 @@
 	return runs, nil
 }
 
+// Orders is what the fake engines' records say about orders.
+type Orders struct {
+	// RoleChanges counts orders that changed a role.
+	RoleChanges int
+	// Violations lists conflicting orders and effects without authority.
+	Violations []string
+}
+
+// Orders reads and judges the fake engines' records.
+func (r *Runner) Orders(ctx context.Context) (Orders, error) {
+	var sum Orders
+	for _, url := range r.mix.Engines {
+		var record fakeengine.Record
+		if err := getJSON(ctx, r.http, url, &record); err != nil {
+			return Orders{}, fmt.Errorf("read engine record: %w", err)
+		}
+		sum.Violations = append(sum.Violations, record.Violations()...)
+		for _, a := range record.Arrivals {
+			if a.Effect && a.Order.Kind == string(orderbook.ChangeRole) {
+				sum.RoleChanges++
+			}
+		}
+	}
+	return sum, nil
+}
+
 // judgeCalls counts calls that ran more than once, and calls whose caller was
 // told last that they had not run although they had.
 func judgeCalls(results []Result, runs map[string]int) (doubled, falseNo int) {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -31,8 +31,10 @@
 	// Lateness tells how late the tool itself started requests, in
 	// milliseconds; a late tool makes the figures doubtful.
 	Lateness Percentiles `json:"lateness_ms"`
-	// RoleChanges counts engine role changes during the run, if known.
-	RoleChanges *int `json:"role_changes,omitempty"`
+	// RoleChanges counts role changes and OrderViolations conflicting orders
+	// since the engines' start; nil if no engine's record was read.
+	RoleChanges     *int     `json:"role_changes,omitempty"`
+	OrderViolations []string `json:"order_violations,omitempty"`
 }
 
 // ClassReport sums up one class of work.
@@ -159,6 +161,12 @@
 	return Percentiles{Count: h.TotalCount(), P50: at(50), P95: at(95), P99: at(99), Max: float64(h.Max()) / 1000}
 }
 
+// AddOrders adds what the engines' records say.
+func (r *Report) AddOrders(o Orders) {
+	r.RoleChanges = &o.RoleChanges
+	r.OrderViolations = o.Violations
+}
+
 // Print writes the report as a table.
 func (r *Report) Print(w io.Writer) {
 	_, _ = fmt.Fprintf(w, "%-24s %8s %8s %8s %8s %6s %6s  %-18s %-18s %-18s\n", "class", "requests", "in time", "whole",
@@ -169,7 +177,7 @@
 	}
 	_, _ = fmt.Fprintf(w, "goodput %.1f%% of the offered worth; calls run twice: %d; false \"not run\": %d", 100*r.Goodput, r.Doubled, r.FalseNotRun)
 	if r.RoleChanges != nil {
-		_, _ = fmt.Fprintf(w, "; role changes: %d", *r.RoleChanges)
+		_, _ = fmt.Fprintf(w, "; role changes: %d; conflicting orders: %d", *r.RoleChanges, len(r.OrderViolations))
 	}
 	_, _ = fmt.Fprintf(w, "; requests started late by %s ms\n", r.Lateness)
 }
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -11,8 +11,8 @@
 name=${1:?name of the example: reseat-works or tui-lane}
 example=examples/$name
 case $name in
-  reseat-works) net=127.0.1 engines=12 model=drafting ;;
-  tui-lane) net=127.0.2 engines=18 model=gardens ;;
+  reseat-works) net=127.0.1 engines=12 model=drafting loose=2 ;;
+  tui-lane) net=127.0.2 engines=18 model=gardens loose=3 ;;
   *) echo "no example named $name" >&2; exit 2 ;;
 esac
 services=3
@@ -23,6 +23,7 @@
 binary=bin/lagoonshift
 
 mkdir -p "$logs" data
+rm -f "$logs"/*.log "$logs"/*.pid
 go build -o $binary ./cmd/lagoonshift
 $binary check $example/deployment.jsonc
 
@@ -70,8 +71,12 @@
   exit 1
 }
 
+# Every engine whose number $loose divides ignores fencing numbers, as the
+# example's settings say.
 for i in $(seq $engines); do
-  start stand_in_pids engine-$i fake engine --listen $net.$((100 + i)):9000 --name "$(printf 'engine-%02d' "$i")" --model $model
+  fencing=--checks-fencing
+  if ((i % loose == 0)); then fencing=--no-checks-fencing; fi
+  start stand_in_pids engine-$i fake engine --listen $net.$((100 + i)):9000 --name "$(printf 'engine-%02d' "$i")" --model $model $fencing
 done
 for i in $(seq $services); do
   start stand_in_pids service-$i fake service --listen $net.$((150 + i)):9100
