--- a/internal/state/settings/check.go
+++ b/internal/state/settings/check.go
@@ -17,7 +17,7 @@
 const (
 	minAddressTTL      = time.Second
 	maxAddressTTL      = 10 * time.Minute
-	minLeavingGrace    = 4 * time.Second
+	minLeavingGrace    = 5 * time.Second
 	maxLeavingGrace    = time.Hour
 	minLedgerRetention = time.Minute
 	maxLedgerRetention = 90 * 24 * time.Hour
--- a/internal/state/settings/update.go
+++ b/internal/state/settings/update.go
@@ -3,8 +3,8 @@
 import (
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
+	"strings"
 )
 
 // maxRemovals bounds the removed paths that are remembered for updates.
@@ -67,19 +67,17 @@
 		u.Whole = true
 		have = 0
 	}
-	for _, path := range slices.Sorted(maps.Keys(t.Subtrees)) {
-		if s := t.Subtrees[path]; s.Version > have && !covers(OperatorsGroup, path) {
+	for path, s := range t.Subtrees {
+		if s.Version > have && !covers(OperatorsGroup, path) {
 			u.Subtrees = append(u.Subtrees, SubtreeUpdate{Path: path, Content: s.Content})
 		}
 	}
-	if u.Whole {
-		return u
-	}
-	for _, path := range slices.Sorted(maps.Keys(t.Removed.Versions)) {
-		if t.Removed.Versions[path] > have && !covers(OperatorsGroup, path) {
+	for path, version := range t.Removed.Versions {
+		if !u.Whole && version > have && !covers(OperatorsGroup, path) {
 			u.Subtrees = append(u.Subtrees, SubtreeUpdate{Path: path})
 		}
 	}
+	slices.SortFunc(u.Subtrees, func(a, b SubtreeUpdate) int { return strings.Compare(a.Path, b.Path) })
 	return u
 }
 
--- a/internal/state/store/bench_test.go
+++ b/internal/state/store/bench_test.go
@@ -157,3 +157,15 @@
 		})
 	}
 }
+
+// BenchmarkSince makes the update of one change for an entry.
+func BenchmarkSince(b *testing.B) {
+	for name, size := range map[string]tree{"today": today, "target": target} {
+		b.Run(name, func(b *testing.B) {
+			s, index := filled(b, size)
+			for b.Loop() {
+				s.updateBytes(index - 1)
+			}
+		})
+	}
+}
