Bound the memory of bodies and of bookings without a caller

Cause: 8192 requests with bodies of 4 MiB could take 32 GiB, and bookings whose callers had left were not counted while the ledger did not answer. What was read counts, not what was promised, so slow senders take no room.

--- a/internal/protocol/servicecall/once.go
+++ b/internal/protocol/servicecall/once.go
@@ -16,6 +16,9 @@
 	lateWindow = time.Minute
 	// commandTimeout bounds one try to commit a ledger command.
 	commandTimeout = 5 * time.Second
+	// maxRunning bounds the attempts of one entry, those without a caller
+	// included.
+	maxRunning = 4096
 	// firstPoll and lastPoll bound the pauses between looks at a call that
 	// another attempt runs.
 	firstPoll = 50 * time.Millisecond
@@ -60,11 +63,9 @@
 		caller: ctx,
 		result: make(chan result, 1),
 	}
-	p.running.Add(1)
-	go func() {
-		defer p.running.Done()
-		a.run()
-	}()
+	if !p.begin(a) {
+		return Answer{}, &refusal.Error{Kind: refusal.Overloaded, Executed: refusal.Unknown, Detail: "too many calls wait for their outcome", RetryAfter: retryAfter}
+	}
 	select {
 	case r := <-a.result:
 		return r.answer, r.err
@@ -73,6 +74,19 @@
 	}
 }
 
+// begin starts an attempt in a goroutine of its own, unless there are too many.
+func (p *Protocol) begin(a *attempt) bool {
+	if p.attempts.Add(1) > maxRunning {
+		p.attempts.Add(-1)
+		return false
+	}
+	p.running.Go(func() {
+		defer p.attempts.Add(-1)
+		a.run()
+	})
+	return true
+}
+
 // late answers a caller whose time is over. A result that is already there
 // still counts.
 func (a *attempt) late() (Answer, error) {
--- a/internal/protocol/servicecall/servicecall.go
+++ b/internal/protocol/servicecall/servicecall.go
@@ -110,8 +110,9 @@
 // Protocol runs service calls. It is safe for concurrent use.
 type Protocol struct {
 	Options
-	// running counts attempts that outlive their callers.
-	running sync.WaitGroup
+	// running counts attempts, which may outlive their callers.
+	running  sync.WaitGroup
+	attempts atomic.Int64
 }
 
 // New returns a protocol.
--- a/internal/role/entryrole/callers.go
+++ b/internal/role/entryrole/callers.go
@@ -30,7 +30,6 @@
 
 // newCallers assembles the caller API.
 func (e *entry) newCallers() callers {
-	outliers := outlier.NewSet(e.clock)
 	services := servicecall.New(servicecall.Options{
 		Entry:       e.self.Name,
 		Incarnation: e.incarnation,
@@ -42,7 +41,7 @@
 		Services:    e.backends,
 		Holders:     holders{directory: e.agent.Directory()},
 		OldSystem:   e.backends,
-		Outliers:    outliers,
+		Outliers:    outlier.NewSet(e.clock),
 		Budget:      retry.NewBudget(retry.DefaultShare, retry.DefaultReserve),
 		Random:      rand.Float64,
 	})
@@ -54,7 +53,7 @@
 		Tracker:  e.tracker,
 		Picker:   e.admission,
 		Engines:  e.backends,
-		Outliers: outliers,
+		Outliers: outlier.NewSet(e.clock),
 		Budget:   retry.NewBudget(retry.DefaultShare, streamRetryReserve),
 		Random:   rand.Float64,
 		Observer: observer{requests: telemetry.NewRequests(e.metrics.Scope)},
--- a/internal/transport/callerhttp/completions.go
+++ b/internal/transport/callerhttp/completions.go
@@ -24,7 +24,13 @@
 }
 
 func (s *Server) completions(w http.ResponseWriter, r *http.Request) {
-	call, class, err := s.readCompletion(w, r)
+	body, release, err := s.bodies.read(w, r, refusal.No)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	defer release()
+	call, class, err := s.readCompletion(r, body)
 	if err != nil {
 		refuse(w, err)
 		return
@@ -64,11 +70,7 @@
 }
 
 // readCompletion decodes and checks a completion request.
-func (s *Server) readCompletion(w http.ResponseWriter, r *http.Request) (*request.Call, settings.Class, error) {
-	content, err := readBody(w, r)
-	if err != nil {
-		return nil, settings.Class{}, invalid("read body: "+err.Error(), refusal.No)
-	}
+func (s *Server) readCompletion(r *http.Request, content []byte) (*request.Call, settings.Class, error) {
 	var body CompletionCall
 	if err := json.Unmarshal(content, &body); err != nil {
 		return nil, settings.Class{}, invalid("decode body: "+err.Error(), refusal.No)
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -37,14 +35,8 @@
 	HeaderRepeated = "Lagoonshift-Repeated"
 )
 
-const (
-	// maxBody bounds a request's body, in bytes.
-	maxBody = 4 << 20
-	// bodyTimeout bounds the time to read a request's body.
-	bodyTimeout = 30 * time.Second
-	// writeTimeout bounds one write to a caller.
-	writeTimeout = 10 * time.Second
-)
+// writeTimeout bounds one write to a caller.
+const writeTimeout = 10 * time.Second
 
 // Directory lists the entries of the deployment.
 type Directory interface {
@@ -72,7 +64,8 @@
 type Server struct {
 	Options
 	// asked counts address answers, to spread callers.
-	asked atomic.Uint64
+	asked  atomic.Uint64
+	bodies bodies
 }
 
 // New returns a server.
@@ -80,7 +73,7 @@
 	if o.Loads == nil {
 		o.Loads = func(string) (int, bool) { return 0, false }
 	}
-	return &Server{Options: o}
+	return &Server{Options: o, bodies: bodies{limit: maxBodies}}
 }
 
 // Handler returns the caller API.
@@ -131,16 +124,3 @@
 func withTimeout(r *http.Request, d time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(r.Context(), d)
 }
-
-// readBody reads a request's body, bounded in size and time. Reading it to
-// its end lets net/http notice a caller that goes away.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil {
-		return nil, fmt.Errorf("from %s: %w", r.RemoteAddr, err)
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
-}
--- a/internal/transport/callerhttp/server_test.go
+++ b/internal/transport/callerhttp/server_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -201,6 +202,29 @@
 	}
 }
 
+// TestLargeBodiesAreBoundedTogether shows that a body which does not fit beside
+// the others is refused, and that room is given back.
+func TestLargeBodiesAreBoundedTogether(t *testing.T) {
+	b := &bodies{limit: 100}
+	read := func(size int) (func(), error) {
+		r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", size)))
+		_, release, err := b.read(httptest.NewRecorder(), r, refusal.No)
+		return release, err
+	}
+	release, err := read(60)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var refused *refusal.Error
+	if _, err := read(60); !errors.As(err, &refused) || refused.Kind != refusal.Overloaded {
+		t.Errorf("error is %v, want a refusal as overloaded", err)
+	}
+	release()
+	if _, err := read(60); err != nil || b.held.Load() != 60 {
+		t.Errorf("after release: %v, %d bytes held", err, b.held.Load())
+	}
+}
+
 // blocked is a connection whose caller does not read.
 type blocked struct {
 	httptest.ResponseRecorder
--- a/internal/transport/callerhttp/service.go
+++ b/internal/transport/callerhttp/service.go
@@ -24,11 +24,13 @@
 		return
 	}
 	executed := executedUnasked(rule)
-	call, err := readCall(w, r)
+	body, release, err := s.bodies.read(w, r, executed)
 	if err != nil {
-		refuse(w, invalid("read body: "+err.Error(), executed))
+		refuse(w, err)
 		return
 	}
+	defer release()
+	call := newCall(r, body)
 	if !s.Lease.Valid() {
 		refuse(w, noLease(executed))
 		return
@@ -56,11 +58,7 @@
 	return rule, ok
 }
 
-func readCall(w http.ResponseWriter, r *http.Request) (*servicecall.Call, error) {
-	body, err := readBody(w, r)
-	if err != nil {
-		return nil, err
-	}
+func newCall(r *http.Request, body []byte) *servicecall.Call {
 	return &servicecall.Call{
 		Service:     r.PathValue("service"),
 		Path:        r.PathValue("path"),
@@ -70,7 +68,7 @@
 		Customer:    r.Header.Get(HeaderCustomer),
 		Key:         r.Header.Get(HeaderKey),
 		Body:        body,
-	}, nil
+	}
 }
 
 func (s *Server) runCall(w http.ResponseWriter, r *http.Request, call *servicecall.Call, rule settings.Call) {
