Predict how much prefill slows the decoding beside it

Cause: a prefill engine with waiting prompts decodes at a fifth of its speed, and only the mean of past answers showed that; nine in ten late quick questions were on such engines.

--- a/internal/protocol/routing/flight.go
+++ b/internal/protocol/routing/flight.go
@@ -132,7 +132,7 @@
 		view = &s.Engines[n]
 	}
 	rates := e.table.Of(view.Role)
-	return rates.Step(min(view.Load().Requests+1, float64(rates.MaxSequences)))
+	return tokenTime(rates, view, view.Load().Requests+1)
 }
 
 func (e *tracked) learn(ratio float64) {
--- a/internal/protocol/routing/predict.go
+++ b/internal/protocol/routing/predict.go
@@ -78,8 +78,14 @@
 }
 
 func decodeTime(s *speed.Speed, p *Prediction, r *Request) float64 {
-	batch := min(p.Load.Requests+1, float64(s.MaxSequences))
-	return r.expectedOutput() * s.Step(batch)
+	return r.expectedOutput() * tokenTime(s, p.Engine, p.Load.Requests+1)
+}
+
+// tokenTime is the time of one token of a sequence with the given number of
+// requests at the engine. Prefill takes its share while prompts wait.
+func tokenTime(s *speed.Speed, e *Engine, requests float64) float64 {
+	batch := min(requests, float64(s.MaxSequences))
+	return s.Step(batch) / (1 - s.PrefillShare*e.Prefilling)
 }
 
 // othersDelay is how much longer the requests already at the engine take in
@@ -105,7 +111,7 @@
 func (v *ModelView) Pressure() float64 {
 	return v.mean(func(s *speed.Speed, e *Engine, load Work) float64 {
 		fill := max(load.Requests/float64(s.MaxSequences), s.Prefill(load.PromptTokens))
-		return min(fill*max(e.Slowdown/interference, 1), 1)
+		return min(fill*max(e.Slowdown/tolerance, 1), 1)
 	})
 }
 
--- a/internal/protocol/routing/routing.go
+++ b/internal/protocol/routing/routing.go
@@ -80,6 +80,9 @@
 	ReportedAt clock.Instant
 	// Foreign estimates the work that others than this entry have there.
 	Foreign Work
+	// Prefilling is the part of the recent load reports that showed prompts
+	// not yet prefilled.
+	Prefilling float64
 	// Slowdown is the learned ratio of real to predicted times.
 	Slowdown float64
 
@@ -145,9 +148,9 @@
 	return v
 }
 
-// interference is the slowdown that prefill beside decode explains; only what
+// tolerance is the slowdown that the spread of predictions explains; only what
 // goes beyond it means that an engine is slow.
-const interference = 1.5
+const tolerance = 1.2
 
 func capacityOf(engines []Engine) fluid.Capacity {
 	var c fluid.Capacity
@@ -155,7 +158,7 @@
 		if !engines[i].Accepting {
 			continue
 		}
-		c[roleIndex(engines[i].Role)] += min(interference/max(engines[i].Slowdown, 1), 1)
+		c[roleIndex(engines[i].Role)] += min(tolerance/max(engines[i].Slowdown, 1), 1)
 	}
 	return c
 }
--- a/internal/protocol/routing/tracker.go
+++ b/internal/protocol/routing/tracker.go
@@ -161,6 +161,7 @@
 		PromptTokens: max(reported.PromptTokens-own.PromptTokens, 0),
 	}
 	e.Accepting = accepting
+	e.notePrefilling(report.QueuedPromptTokens > 0)
 	if urgent {
 		t.publish()
 		return
@@ -168,6 +169,18 @@
 	t.dirty.Store(true)
 }
 
+// prefillingWeight is the weight of one load report in the part of the reports
+// that showed waiting prompts.
+const prefillingWeight = 0.1
+
+func (e *tracked) notePrefilling(waiting bool) {
+	now := 0.0
+	if waiting {
+		now = 1
+	}
+	e.Prefilling += prefillingWeight * (now - e.Prefilling)
+}
+
 // Failed tells that an engine could not be reached. It gets no new work until
 // its next load report.
 func (t *Tracker) Failed(engine string) {
