Infer earlier cached pieces from later ones

Cause: the index names eight holders of a piece, so for most engines the piece that a whole class shares seemed missing and nothing after it counted.

--- a/internal/protocol/routing/prefix.go
+++ b/internal/protocol/routing/prefix.go
@@ -98,25 +98,41 @@
 	}
 }
 
-// match adds, for each engine that seems to hold the start of a prompt, the
-// number of leading pieces it holds.
-func (x *prefixIndex) match(hashes []uint64, held map[uint16]int) {
+// holders tells how many leading pieces of a prompt engines seem to hold.
+type holders struct {
+	// byEngine holds the engines that are known to hold pieces.
+	byEngine map[uint16]int
+	// common is the number of pieces with so many holders that every engine
+	// is taken to hold them.
+	common int
+}
+
+// pieces returns the number of leading pieces that an engine seems to hold.
+func (h *holders) pieces(engine uint16) int {
+	return max(h.byEngine[engine], h.common)
+}
+
+// match returns the holders of a prompt's leading pieces. An engine that holds
+// a piece also holds those before it, since they were used at the same times.
+func (x *prefixIndex) match(hashes []uint64) holders {
+	h := holders{byEngine: make(map[uint16]int, waysPerBucket)}
 	for i, hash := range hashes {
 		bucket := x.bucket(hash)
-		any := false
+		found := 0
 		for w := range bucket {
 			slot := bucket[w].Load()
 			if slot == 0 || slot&^engineMask != hash&^engineMask {
 				continue
 			}
-			engine := uint16(slot & engineMask)
-			if held[engine] == i {
-				held[engine] = i + 1
-				any = true
-			}
+			h.byEngine[uint16(slot&engineMask)] = i + 1
+			found++
 		}
-		if !any {
-			return
+		if found == 0 {
+			break
+		}
+		if found == waysPerBucket {
+			h.common = i + 1
 		}
 	}
+	return h
 }
--- a/internal/protocol/routing/score.go
+++ b/internal/protocol/routing/score.go
@@ -82,7 +82,7 @@
 // Pick implements Picker.
 func (p *Predictive) Pick(s *Snapshot, r *Request) (Choice, error) {
 	v := s.Model(r.Model)
-	held := v.held(r.Prefix)
+	held := v.holders(r.Prefix)
 	found := false
 	var best, soonest Prediction
 	var bestScore float64
@@ -92,7 +92,7 @@
 		if !keepAll(e, r, p.Filters) {
 			continue
 		}
-		prediction := predict(v.Speeds, e, r, held[e.number])
+		prediction := predict(v.Speeds, e, r, held.pieces(e.number))
 		if soonest.Engine == nil || prediction.Whole < soonest.Whole {
 			soonest = prediction
 		}
@@ -134,13 +134,11 @@
 	}
 }
 
-func (v *ModelView) held(prefix []uint64) map[uint16]int {
+func (v *ModelView) holders(prefix []uint64) holders {
 	if v.prefixes == nil || len(prefix) == 0 {
-		return nil
+		return holders{}
 	}
-	held := make(map[uint16]int, waysPerBucket)
-	v.prefixes.match(prefix, held)
-	return held
+	return v.prefixes.match(prefix)
 }
 
 // randomStep is the increment of the splitmix64 generator.
