--- a/internal/protocol/fluid/fluid.go
+++ b/internal/protocol/fluid/fluid.go
@@ -47,7 +47,7 @@
 	for r, role := range speed.Roles {
 		bounds[r] = capacity[r]
 		for c := range classes {
-			constraints[r][c*roles+r] = t.Of(role).UsualCost(classes[c].PromptTokens, classes[c].OutputTokens)
+			constraints[r][c*roles+r] = t.Of(role).Cost(classes[c].PromptTokens, classes[c].OutputTokens)
 		}
 	}
 	for c := range classes {
--- a/internal/protocol/fluid/fluid_test.go
+++ b/internal/protocol/fluid/fluid_test.go
@@ -22,7 +22,7 @@
 			for r, role := range speed.Roles {
 				rate := rapid.Float64Range(0, 20).Draw(t, "rate")
 				c.Rate += rate
-				capacity[r] += rate * speed.Default.Of(role).UsualCost(c.PromptTokens, c.OutputTokens)
+				capacity[r] += rate * speed.Default.Of(role).Cost(c.PromptTokens, c.OutputTokens)
 			}
 			classes = append(classes, c)
 		}
--- a/internal/protocol/speed/speed.go
+++ b/internal/protocol/speed/speed.go
@@ -78,20 +78,8 @@
 
 // Cost returns the engine seconds that a request takes in a full batch.
 func (s *Speed) Cost(promptTokens, outputTokens float64) float64 {
-	return s.costIn(float64(s.MaxSequences), promptTokens, outputTokens)
-}
-
-// usualFill is the part of a batch that is filled under load: expected waits
-// leave no time to fill it wholly.
-const usualFill = 0.3
-
-// UsualCost returns the engine seconds that a request takes under load.
-func (s *Speed) UsualCost(promptTokens, outputTokens float64) float64 {
-	return s.costIn(usualFill*float64(s.MaxSequences), promptTokens, outputTokens)
-}
-
-func (s *Speed) costIn(batch, promptTokens, outputTokens float64) float64 {
-	return s.Prefill(promptTokens) + outputTokens*s.Step(batch)/batch
+	perToken := s.StepBase/float64(s.MaxSequences) + s.StepPerSequence
+	return s.Prefill(promptTokens) + outputTokens*perToken
 }
 
 // Cheapest returns the least cost of a request over all roles, in engine
