--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -17,6 +17,8 @@
 	admits bool
 	// roles returns the policy for roles; nil leaves them as they are.
 	roles func(d *Deployment) rolePolicy
+	// shared is true if all entries decide on one view.
+	shared bool
 }
 
 // rolePolicy changes roles in a simulation.
@@ -52,6 +54,45 @@
 	}
 }
 
+// Variants returns changes of lagoonshift's policy that were weighed.
+func Variants() []Policy {
+	shared, without, first := Lagoonshift, Lagoonshift, Lagoonshift
+	shared.Name, shared.shared = "one-view", true
+	without.Name = "no-affinity"
+	without.picker = func(seed uint64) routing.Picker { return &withoutPrefix{inner: routing.NewPredictive(seed)} }
+	first.Name = "affinity-first"
+	first.picker = func(seed uint64) routing.Picker {
+		p := routing.NewPredictive(seed)
+		p.Scorers = append(p.Scorers, cachedFirst{})
+		return p
+	}
+	return []Policy{shared, without, first}
+}
+
+// withoutPrefix hides the prompt's prefix from a picker.
+type withoutPrefix struct {
+	inner routing.Picker
+}
+
+// Pick implements routing.Picker.
+func (p *withoutPrefix) Pick(s *routing.Snapshot, r *routing.Request) (routing.Choice, error) {
+	hidden := *r
+	hidden.Prefix = nil
+	return p.inner.Pick(s, &hidden)
+}
+
+// cachedFirst rates the engine that holds most of the prompt best, whatever
+// its load.
+type cachedFirst struct{}
+
+// secondsPerMissing is more than any load is rated.
+const secondsPerMissing = 1000
+
+// Score implements routing.Scorer.
+func (cachedFirst) Score(p *routing.Prediction, r *routing.Request) float64 {
+	return secondsPerMissing * (1 - p.CachedTokens/float64(r.PromptTokens))
+}
+
 func newReactive(*Deployment) rolePolicy { return &reactive{last: -reactiveRest} }
 
 // goodputRoles runs the planner of package roleplan.
--- a/internal/experiment/request.go
+++ b/internal/experiment/request.go
@@ -26,7 +26,7 @@
 
 func (s *simulation) arrive(a *arrival) {
 	class := &s.deployment.Classes[a.class]
-	r := &request{arrival: a, entry: s.entries[a.entry], class: class}
+	r := &request{arrival: a, entry: s.entries[a.entry%len(s.entries)], class: class}
 	r.routing = routing.Request{
 		Model: modelName, Team: teamName, Class: class.Name, Customer: engineName(a.customer),
 		PromptTokens: a.prompt, OutputTokens: class.MaxOutput, Prefix: a.prefix,
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -101,6 +101,10 @@
 		e.tracker.Configure(configuration)
 		p.picking(e, d.Entries, seed*1000+uint64(i))
 		s.entries = append(s.entries, e)
+		if p.shared {
+			p.picking(e, 1, seed)
+			break
+		}
 	}
 	return s
 }
--- /dev/null
+++ b/internal/experiment/spreading/model.go
@@ -0,0 +1,55 @@
+// Package spreading measures two ways to spread load digests among many
+// nodes: gossip with quality ratings and fan-out from VMs set aside.
+//
+// The gossip is that of Jenkins, Hopkinson and Birman, "A Gossip Protocol for
+// Subgroup Multicast" (2001): a member m of a group gossips to a member n in a
+// round with probability I(m)·S(n), where the infectivity I and the
+// susceptibility S follow from the members' quality ratings. Each zone's
+// digests are one group; the zone's own nodes have rating 1 and all other
+// nodes a low one.
+package spreading
+
+import "math"
+
+// missed is the part of the members with rating 1 that an update may miss
+// within the timeout (delta in the paper).
+const missed = 0.01
+
+// member holds the parameters of the members with one rating.
+type member struct {
+	count          float64
+	infectivity    float64
+	susceptibility float64
+}
+
+// predict returns the parameters of members with rating 1 and with the given
+// lower rating, so that an update reaches nearly all of the former and about
+// that part of the latter within a timeout in rounds (section 4 of the paper).
+func predict(near, far int, rating float64, timeout int) (member, member) {
+	n := member{count: float64(near), infectivity: 1, susceptibility: 1}
+	f := member{count: float64(far), infectivity: rating, susceptibility: math.Log(1-rating) / math.Log(missed)}
+	low, high := 0.0, 1.0
+	for range 60 {
+		middle := (low + high) / 2
+		if susceptible(n, f, middle, timeout) < missed {
+			high = middle
+		} else {
+			low = middle
+		}
+	}
+	n.susceptibility *= high
+	f.susceptibility *= high
+	return n, f
+}
+
+// susceptible returns the part of the members with rating 1 that an update has
+// not reached after the timeout, with all susceptibilities scaled (section 3).
+func susceptible(n, f member, scale float64, timeout int) float64 {
+	x, y := 1-1/n.count, 1.0
+	for range timeout {
+		reach := n.infectivity*n.count*(1-x) + f.infectivity*f.count*(1-y)
+		x *= math.Exp(-scale * n.susceptibility * reach)
+		y *= math.Exp(-scale * f.susceptibility * reach)
+	}
+	return x
+}
