--- /dev/null
+++ b/internal/protocol/admission/bench_test.go
@@ -0,0 +1,46 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+// tracked returns a tracker's snapshot of busy engines.
+func tracked(engines int) *routing.Snapshot {
+	tracker := routing.NewTracker(clock.Boot{})
+	model := settings.Model{Engines: make(map[string]settings.Engine)}
+	for i := range engines {
+		model.Engines[fmt.Sprintf("e%d", i)] = settings.Engine{URL: fmt.Sprintf("http://e%d", i)}
+	}
+	tracker.Configure(&settings.Configuration{Models: map[string]settings.Model{"m": model}})
+	for i := range engines {
+		tracker.Report(fmt.Sprintf("e%d", i), backend.LoadReport{Role: settings.RoleMixed, Running: 48}, clock.Boot{}.Now())
+	}
+	tracker.Configure(&settings.Configuration{Models: map[string]settings.Model{"m": model}})
+	return tracker.Snapshot()
+}
+
+// BenchmarkAdmit measures one admission with the given number of customers of
+// one class, while not all can be served.
+func BenchmarkAdmit(b *testing.B) {
+	for _, customers := range []int{10, 300, 3300} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			c := New(Options{Picker: anyEngine{}, Clock: clock.Boot{}})
+			s := tracked(20)
+			names := make([]string, customers)
+			for i := range names {
+				names[i] = fmt.Sprintf("customer-%d", i)
+			}
+			b.ReportAllocs()
+			for i := range b.N {
+				r := routing.Request{Model: "m", Team: "t", Class: "c", Customer: names[i%customers], PromptTokens: 2000, OutputTokens: 200, Worth: 1}
+				_, _ = c.Pick(s, &r)
+			}
+		})
+	}
+}
--- a/internal/protocol/routing/bench_test.go
+++ b/internal/protocol/routing/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -87,3 +88,27 @@
 		})
 	}
 }
+
+// BenchmarkMemory measures the heap that a tracker holds, with its prefix
+// index.
+func BenchmarkMemory(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("engines=%d", s.engines), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				t := benchTracker(s.engines, s.models)
+				held := heapBytes() - before
+				b.ReportMetric(held/float64(s.engines), "B/engine")
+				b.ReportMetric(held, "B/tracker")
+				runtime.KeepAlive(t)
+			}
+		})
+	}
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/internal/protocol/routing/score.go
+++ b/internal/protocol/routing/score.go
@@ -87,21 +87,22 @@
 	var best, soonest Prediction
 	var bestScore float64
 	random := p.state.Add(randomStep)
+	prediction := new(Prediction)
 	for i := range v.Engines {
 		e := &v.Engines[i]
 		if !keepAll(e, r, p.Filters) {
 			continue
 		}
-		prediction := predict(v.Speeds, e, r, held.pieces(e.number))
+		*prediction = predict(v.Speeds, e, r, held.pieces(e.number))
 		if soonest.Engine == nil || prediction.Whole < soonest.Whole {
-			soonest = prediction
+			soonest = *prediction
 		}
-		if !p.inTime(&prediction, r) {
+		if !p.inTime(prediction, r) {
 			continue
 		}
-		score := p.score(&prediction, r, random+uint64(i))
+		score := p.score(prediction, r, random+uint64(i))
 		if !found || score < bestScore {
-			found, best, bestScore = true, prediction, score
+			found, best, bestScore = true, *prediction, score
 		}
 	}
 	if soonest.Engine == nil {
--- a/internal/protocol/routing/tracker.go
+++ b/internal/protocol/routing/tracker.go
@@ -45,7 +45,8 @@
 	customers sync.Map     // customerKey to *atomic.Int64
 	lengths   lengths
 
-	mu     sync.Mutex // guards the content of tracked engines and models
+	mu     sync.Mutex // guards the content of tracked engines, and the fields below
+	order  []*tracked // by model and name
 	models map[string]*trackedModel
 }
 
@@ -101,10 +102,9 @@
 			next[engine] = configureEngine(old[engine], m, name, engine, s)
 		}
 	}
-	number := uint16(0)
-	for _, e := range sorted(next) {
-		e.number = number
-		number++
+	t.order = sorted(next)
+	for i, e := range t.order {
+		e.number = uint16(i)
 	}
 	t.engines.Store(&next)
 	t.publish()
@@ -198,12 +198,10 @@
 func (t *Tracker) publish() {
 	t.dirty.Store(false)
 	now := t.clock.Now()
-	all := sorted(*t.engines.Load())
-	s := &Snapshot{At: now, Engines: make([]Engine, 0, len(all)), models: make(map[string]*ModelView, len(t.models))}
-	for _, e := range all {
-		view := e.Engine
-		view.Slowdown = math.Float64frombits(e.slowdown.Load())
-		s.Engines = append(s.Engines, view)
+	s := &Snapshot{At: now, Engines: make([]Engine, len(t.order)), models: make(map[string]*ModelView, len(t.models))}
+	for i, e := range t.order {
+		s.Engines[i] = e.Engine
+		s.Engines[i].Slowdown = math.Float64frombits(e.slowdown.Load())
 	}
 	for start := 0; start < len(s.Engines); {
 		end := start + 1
