--- a/internal/protocol/admission/admission.go
+++ b/internal/protocol/admission/admission.go
@@ -24,7 +24,7 @@
 	sizeWeight = 0.02
 	// defaultHeadroom is the part of the engines' full rate that is planned
 	// with.
-	defaultHeadroom = 1.0
+	defaultHeadroom = 1.1
 )
 
 // Options configures a Controller.
