--- a/internal/experiment/cell.go
+++ b/internal/experiment/cell.go
@@ -1,6 +1,9 @@
 package experiment
 
-import "math"
+import (
+	"fmt"
+	"math"
+)
 
 // Cell is one condition under which policies are compared. Times are in
 // seconds from the start.
@@ -104,6 +107,20 @@
 	}
 }
 
+// TargetCells returns the cells for one model at the target size: a usual load
+// with reports of different ages.
+func TargetCells() []Cell {
+	const length = warmUp + 60
+	var out []Cell
+	for _, delay := range []float64{0.2, 1.5, 6, 20} {
+		out = append(out, Cell{
+			Name: fmt.Sprintf("target-%g", delay), Length: length,
+			Load: constant(usualLoad), Shift: constant(0.3), ReportDelay: delay,
+		})
+	}
+	return out
+}
+
 // rates returns the arrival rate of each class at a time, per second.
 func (c *Cell) rates(d *Deployment, t float64) []float64 {
 	shift := c.Shift(t)
