--- a/cmd/lagoonshift/processes.go
+++ b/cmd/lagoonshift/processes.go
@@ -12,6 +12,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/operatorcli"
 	"github.com/lagoonshift/lagoonshift/internal/role/controlrole"
 	"github.com/lagoonshift/lagoonshift/internal/role/entryrole"
+	"github.com/lagoonshift/lagoonshift/internal/telemetry"
 )
 
 // settingsError marks an error in a settings file.
@@ -52,19 +53,18 @@
 		if err != nil {
 			return &settingsError{err: err}
 		}
-		log := hclog.New(&hclog.LoggerOptions{
-			Name:       f.name,
-			Level:      hclog.LevelFromString(d.Log.Level),
-			JSONFormat: d.Log.JSON,
-		})
-		return r(ctx, d, f.name, log)
+		return r(ctx, d, f.name, telemetry.NewLogger(f.name, d.Log.Level, d.Log.JSON))
 	}
 }
 
 func addControl(app *kingpin.Application, commands map[string]command) {
 	flags := &processFlags{}
-	flags.add(app.Command("control", "Run a control process."))
-	commands["control"] = flags.run(controlrole.Run)
+	control := app.Command("control", "Run a control process.")
+	flags.add(control)
+	control.Command("run", "Run a control process; with an empty data folder it joins the others.").Default()
+	commands["control run"] = flags.run(controlrole.Run)
+	control.Command("init", "Make the data folder of the deployment's first control process.")
+	commands["control init"] = flags.run(controlrole.Init)
 }
 
 func addEntry(app *kingpin.Application, commands map[string]command) {
--- a/internal/state/store/settings.go
+++ b/internal/state/store/settings.go
@@ -25,15 +25,19 @@
 	Register  cbor.RawMessage `cbor:"21,keyasint"`
 	Retire    cbor.RawMessage `cbor:"22,keyasint"`
 	Observe   cbor.RawMessage `cbor:"23,keyasint"`
+	Order     *OrderCommand   `cbor:"10,keyasint"`
 }
 
 // IsSettings reports whether an encoded command concerns what entries hold
-// under the settings lease: settings, members and leaving VMs.
+// under the settings lease: settings, members, leaving VMs and closed engines.
 func IsSettings(encoded []byte) bool {
 	var k kind
 	if cbor.Unmarshal(encoded, &k) != nil {
 		return false
 	}
+	if k.Order != nil {
+		return k.Order.changesClosure()
+	}
 	return k.Change != nil || k.Bootstrap != nil || k.Register != nil || k.Retire != nil || k.Observe != nil
 }
 
--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -57,10 +57,16 @@
 	Queue tally.Histogram
 	// FirstToken is the time from arrival to the first token sent.
 	FirstToken tally.Histogram
-	// BetweenTokens is the time between two tokens sent.
-	BetweenTokens tally.Histogram
+	// LongestGap and MeanGap are the longest and the mean time between two
+	// tokens of a whole answer.
+	LongestGap tally.Histogram
+	MeanGap    tally.Histogram
 	// Whole is the time from arrival to the end of the answer.
 	Whole tally.Histogram
+	// Dropped counts messages of engines that were late, doubled or another
+	// attempt's, and Resumed streams that went on at another engine.
+	Dropped tally.Counter
+	Resumed tally.Counter
 
 	scope tally.Scope
 }
@@ -78,11 +84,14 @@
 	}
 	scope := r.scope.Tagged(map[string]string{"team": team, "class": class})
 	series, _ := r.classes.LoadOrStore(key, &ClassSeries{
-		Queue:         scope.Histogram("request_queue", durationBuckets),
-		FirstToken:    scope.Histogram("request_first_token", durationBuckets),
-		BetweenTokens: scope.Histogram("request_between_tokens", durationBuckets),
-		Whole:         scope.Histogram("request_whole", durationBuckets),
-		scope:         scope,
+		Queue:      scope.Histogram("request_queue", durationBuckets),
+		FirstToken: scope.Histogram("request_first_token", durationBuckets),
+		LongestGap: scope.Histogram("request_longest_token_gap", durationBuckets),
+		MeanGap:    scope.Histogram("request_mean_token_gap", durationBuckets),
+		Dropped:    scope.Counter("request_messages_dropped"),
+		Resumed:    scope.Counter("request_streams_resumed"),
+		Whole:      scope.Histogram("request_whole", durationBuckets),
+		scope:      scope,
 	})
 	return series.(*ClassSeries)
 }
--- a/internal/transport/peergrpc/server.go
+++ b/internal/transport/peergrpc/server.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
@@ -26,6 +27,14 @@
 	store *store.Store
 	// renewals may be nil.
 	renewals Renewals
+	// demand may be nil.
+	demand Demand
+}
+
+// Demand collects what entries report of their demand.
+type Demand interface {
+	// ReportLoad takes the encoded roleplan.Report of a member.
+	ReportLoad(member string, digest []byte) error
 }
 
 // Renewals is told of every lease renewal that a replica answers.
@@ -45,30 +54,52 @@
 	c.renewals = r
 }
 
+// CollectDemand sets who gets demand reports; it must be called before
+// Register.
+func (c *ControlServer) CollectDemand(d Demand) {
+	c.demand = d
+}
+
 // Register adds the service to a gRPC server.
 func (c *ControlServer) Register(server *grpc.Server) {
 	peerpb.RegisterControlServer(server, c)
 }
 
-// Submit implements peerpb.ControlServer.
+// Submit implements peerpb.ControlServer. A command that was forwarded to this
+// replica is not forwarded again.
 func (c *ControlServer) Submit(ctx context.Context, request *peerpb.SubmitRequest) (*peerpb.SubmitResponse, error) {
-	applied, err := c.log.Submit(ctx, request.GetCommand())
+	log := c.log
+	if forwarding, ok := log.(*ForwardingLog); ok && request.GetForwarded() {
+		log = forwarding.Log
+	}
+	applied, err := log.Submit(ctx, request.GetCommand())
 	if err != nil {
 		return nil, toStatus("submit command", err)
 	}
 	return &peerpb.SubmitResponse{Result: applied.Result, Index: applied.Index}, nil
 }
 
-// ReportLoad implements peerpb.ControlServer.
-func (c *ControlServer) ReportLoad(context.Context, *peerpb.LoadReport) (*peerpb.LoadReportResponse, error) {
+// ReportLoad implements peerpb.ControlServer. Only the replica that has
+// authority over engines takes reports; a caller goes on to the next one.
+func (c *ControlServer) ReportLoad(_ context.Context, request *peerpb.LoadReport) (*peerpb.LoadReportResponse, error) {
+	if _, ok := c.log.Authority(); !ok || c.demand == nil {
+		return nil, toStatus("take load report", replog.ErrNotLeader)
+	}
+	if err := c.demand.ReportLoad(request.GetMember(), request.GetDigest()); err != nil {
+		return nil, status.Errorf(codes.InvalidArgument, "take load report: %v", err)
+	}
 	return &peerpb.LoadReportResponse{}, nil
 }
 
 // toStatus maps a log error to a gRPC status that the client maps back.
 func toStatus(step string, err error) error {
 	switch {
+	case errors.Is(err, replog.ErrUnknown):
+		return status.Errorf(codes.Unknown, "%s: %v", step, err)
 	case errors.Is(err, replog.ErrNotLeader), errors.Is(err, replog.ErrStopped):
 		return status.Errorf(codes.FailedPrecondition, "%s: %v", step, err)
+	case errors.Is(err, raft.ErrTooLarge):
+		return status.Errorf(codes.InvalidArgument, "%s: %v", step, err)
 	case errors.Is(err, context.DeadlineExceeded):
 		return status.Errorf(codes.DeadlineExceeded, "%s: %v", step, err)
 	}
