Change a role only if it pays by a short and by a long memory of demand

Cause: the memory of half a minute moved engines for waves and surges that were over before the change had paid.

--- a/internal/protocol/roleplan/goodput.go
+++ b/internal/protocol/roleplan/goodput.go
@@ -62,7 +62,8 @@
 		return nil
 	}
 	f := &fleet{table: speed.FromModel(&model), model: &model, engines: engines, counts: count(engines)}
-	f.samples = g.weigh(demand)
+	f.recent = weigh(demand, g.options.Memory)
+	f.longer = weigh(demand, longerMemory*g.options.Memory)
 	best, bestNet := Move{}, 0.0
 	for from := range speed.Roles {
 		name := g.movable(now, f, from)
@@ -144,27 +145,40 @@
 // net returns the worth over the horizon that a change brings after all its
 // costs, and the worth before them.
 func (g *Goodput) net(f *fleet, from, to int) (net, gain float64) {
+	net, gain = g.netOf(f, f.recent, from, to)
+	if net <= 0 {
+		return net, gain
+	}
+	longerNet, longerGain := g.netOf(f, f.longer, from, to)
+	if longerNet < net {
+		return longerNet, longerGain
+	}
+	return net, gain
+}
+
+// netOf is net for one weighing of the recent demand.
+func (g *Goodput) netOf(f *fleet, samples []sample, from, to int) (net, gain float64) {
 	during := f.counts
 	during[from]--
 	after := during
 	after[to]++
-	now := g.served(f, f.counts)
-	gain = (g.served(f, after) - now) * (g.options.Horizon - g.options.ChangeTime).Seconds()
+	now := g.served(f, samples, f.counts)
+	gain = (g.served(f, samples, after) - now) * (g.options.Horizon - g.options.ChangeTime).Seconds()
 	if gain < g.options.MinGain*now*g.options.Horizon.Seconds() {
 		return 0, gain
 	}
-	lost := max(now-g.served(f, during), 0) * g.options.ChangeTime.Seconds()
+	lost := max(now-g.served(f, samples, during), 0) * g.options.ChangeTime.Seconds()
 	return gain - lost - f.model.RolePrice, gain
 }
 
 // served is the mean worth per second that a fleet serves of the recent
 // demand.
-func (g *Goodput) served(f *fleet, counts fluid.Capacity) float64 {
+func (g *Goodput) served(f *fleet, samples []sample, counts fluid.Capacity) float64 {
 	for r := range counts {
 		counts[r] *= g.options.Headroom
 	}
 	sum := 0.0
-	for _, s := range f.samples {
+	for _, s := range samples {
 		sum += s.weight * fluid.Best(f.table, counts, s.classes).Worth
 	}
 	return sum
@@ -176,7 +190,9 @@
 	model   *settings.Model
 	engines []Engine
 	counts  fluid.Capacity
-	samples []sample
+	// recent and longer weigh the recent demand by two memories.
+	recent []sample
+	longer []sample
 }
 
 // sample is the demand of one moment; the weights add up to one.
@@ -185,7 +201,11 @@
 	classes []fluid.Class
 }
 
-func (g *Goodput) weigh(demand Demand) []sample {
+// longerMemory is the ratio of the two memories by which a change is judged: it
+// has to pay by both, so that waves and short surges move nothing.
+const longerMemory = 4
+
+func weigh(demand Demand, memory time.Duration) []sample {
 	recent := demand.Recent
 	if len(recent) == 0 {
 		recent = []Demand{demand}
@@ -194,7 +214,7 @@
 	sum := 0.0
 	for i := range recent {
 		age := time.Duration(len(recent)-1-i) * sampleInterval
-		out[i] = sample{weight: math.Exp(-age.Seconds() / g.options.Memory.Seconds()), classes: classesOf(recent[i])}
+		out[i] = sample{weight: math.Exp(-age.Seconds() / memory.Seconds()), classes: classesOf(recent[i])}
 		sum += out[i].weight
 	}
 	for i := range out {
