--- a/internal/protocol/admission/admission.go
+++ b/internal/protocol/admission/admission.go
@@ -11,6 +11,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
@@ -22,9 +23,6 @@
 	// sizeWeight is the least weight of one request in the mean sizes of its
 	// class; the first ones weigh more.
 	sizeWeight = 0.02
-	// defaultHeadroom is the part of the engines' full rate that is planned
-	// with.
-	defaultHeadroom = 1.1
 )
 
 // Options configures a Controller.
@@ -38,8 +36,6 @@
 	// Entries returns the number of entries that share the engines; nil
 	// counts this one only.
 	Entries func() int
-	// Headroom scales the engines' rates; 0 selects the default.
-	Headroom float64
 }
 
 // Controller admits requests and lets a picker choose their engine. It is a
@@ -57,9 +53,6 @@
 
 // New returns a controller.
 func New(o Options) *Controller {
-	if o.Headroom == 0 {
-		o.Headroom = defaultHeadroom
-	}
 	return &Controller{options: o, models: make(map[string]*model)}
 }
 
@@ -83,9 +76,7 @@
 		return routing.Choice{}, err
 	}
 	choice, err := c.options.Picker.Pick(s, r)
-	if err == nil {
-		c.observeCached(r, choice.CachedTokens)
-	}
+	c.observe(r, choice, err)
 	return choice, err
 }
 
@@ -102,7 +93,7 @@
 	class.observe(r)
 	customer.seen++
 	if now.Sub(m.planned) >= planInterval {
-		m.plan(now, view, c.options.Headroom/float64(c.entries()))
+		m.plan(now, view, 1/float64(c.entries()))
 	}
 	if c.overLimit(r) {
 		return &routing.OverloadedError{RetryAfter: routing.MinRetryAfter}
@@ -113,12 +104,20 @@
 	return nil
 }
 
-func (c *Controller) observeCached(r *routing.Request, tokens int) {
+// observe learns from what the picker said to an admitted request.
+func (c *Controller) observe(r *routing.Request, choice routing.Choice, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	class := c.model(c.options.Clock.Now(), r.Model).class(r)
+	m := c.model(c.options.Clock.Now(), r.Model)
+	class := m.class(r)
+	if class == m.densest {
+		m.headroom.count(err != nil)
+	}
+	if err != nil {
+		return
+	}
 	class.picked++
-	class.cached += max(sizeWeight, 1/class.picked) * (float64(tokens) - class.cached)
+	class.cached += max(sizeWeight, 1/class.picked) * (float64(choice.CachedTokens) - class.cached)
 }
 
 // overLimit reports whether the customer has its greatest number of requests
@@ -153,7 +152,7 @@
 func (c *Controller) model(now clock.Instant, name string) *model {
 	m := c.models[name]
 	if m == nil {
-		m = &model{planned: now, classes: make(map[classKey]*class)}
+		m = &model{planned: now, classes: make(map[classKey]*class), headroom: newHeadroom()}
 		c.models[name] = m
 	}
 	return m
@@ -178,6 +177,10 @@
 type model struct {
 	classes map[classKey]*class
 	planned clock.Instant
+	// densest is the class with the most worth per engine second.
+	densest *class
+	// headroom scales the engines' rates.
+	headroom headroom
 }
 
 type classKey struct {
@@ -211,15 +214,17 @@
 // this entry may use the given part of the engines.
 func (m *model) plan(now clock.Instant, view *routing.ModelView, part float64) {
 	m.age(now)
+	headroom := m.headroom.next()
 	capacity := view.Capacity
 	for r := range capacity {
-		capacity[r] *= part
+		capacity[r] *= part * headroom
 	}
 	keys := m.keys()
 	demand := make([]fluid.Class, len(keys))
 	for i, key := range keys {
 		demand[i] = m.classes[key].fluid()
 	}
+	m.densest = m.findDensest(view.Speeds, keys, demand)
 	best := fluid.Best(view.Speeds, capacity, demand)
 	strict := strictness(view.Pressure())
 	for i, key := range keys {
@@ -227,6 +232,20 @@
 	}
 }
 
+// findDensest returns the class whose demand has the most worth per engine
+// second, or nil without demand.
+func (m *model) findDensest(t *speed.Table, keys []classKey, demand []fluid.Class) *class {
+	var best *class
+	most := 0.0
+	for i, key := range keys {
+		density := demand[i].Worth / t.Cheapest(demand[i].PromptTokens, demand[i].OutputTokens)
+		if demand[i].Rate > forgetRate && density > most {
+			best, most = m.classes[key], density
+		}
+	}
+	return best
+}
+
 const (
 	// easyPressure is the pressure up to which nothing is refused by worth,
 	// and fullPressure that from which on the plan is kept strictly.
