--- a/internal/protocol/roleplan/bench_test.go
+++ b/internal/protocol/roleplan/bench_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
@@ -23,3 +25,25 @@
 		})
 	}
 }
+
+// BenchmarkReportSize measures the bytes of a demand report by the number of
+// models with two classes each.
+func BenchmarkReportSize(b *testing.B) {
+	for _, models := range []int{1, 14} {
+		b.Run(fmt.Sprintf("models=%d", models), func(b *testing.B) {
+			r := Report{Member: "entry-400", Models: make(map[string]Demand)}
+			for i := range models {
+				r.Models[fmt.Sprintf("model-%02d", i)] = demandOf(prompts, drafts)
+			}
+			size := 0
+			for b.Loop() {
+				encoded, err := cbor.Marshal(r)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(encoded)
+			}
+			b.ReportMetric(float64(size), "B/report")
+		})
+	}
+}
