--- a/cmd/lagoonshift/load.go
+++ b/cmd/lagoonshift/load.go
@@ -47,11 +47,7 @@
 	}
 	report := load.NewReport(mix.Seed, results, runs)
 	if len(mix.Engines) > 0 {
-		orders, err := runner.Orders(context.WithoutCancel(ctx))
-		if err != nil {
-			return err
-		}
-		report.AddOrders(orders)
+		report.AddOrders(runner.Orders(context.WithoutCancel(ctx)))
 	}
 	report.Print(os.Stdout)
 	if err := f.writeJSON(report); err != nil {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -35,6 +35,8 @@
 	// since the engines' start; nil if no engine's record was read.
 	RoleChanges     *int     `json:"role_changes,omitempty"`
 	OrderViolations []string `json:"order_violations,omitempty"`
+	// UnreadEngines counts engines whose records were lost with them.
+	UnreadEngines int `json:"unread_engines,omitempty"`
 }
 
 // ClassReport sums up one class of work.
@@ -165,6 +167,7 @@
 func (r *Report) AddOrders(o Orders) {
 	r.RoleChanges = &o.RoleChanges
 	r.OrderViolations = o.Violations
+	r.UnreadEngines = o.Unread
 }
 
 // Print writes the report as a table.
@@ -177,7 +180,7 @@
 	}
 	_, _ = fmt.Fprintf(w, "goodput %.1f%% of the offered worth; calls run twice: %d; false \"not run\": %d", 100*r.Goodput, r.Doubled, r.FalseNotRun)
 	if r.RoleChanges != nil {
-		_, _ = fmt.Fprintf(w, "; role changes: %d; conflicting orders: %d", *r.RoleChanges, len(r.OrderViolations))
+		_, _ = fmt.Fprintf(w, "; role changes: %d; conflicting orders: %d (%d engines' records lost)", *r.RoleChanges, len(r.OrderViolations), r.UnreadEngines)
 	}
 	_, _ = fmt.Fprintf(w, "; requests started late by %s ms\n", r.Lateness)
 }
