--- a/internal/state/settings/configuration.go
+++ b/internal/state/settings/configuration.go
@@ -33,16 +33,28 @@
 	// VMs holds the VMs that were seen leaving, by IP address.
 	VMs map[string]member.VM `json:"-"`
 
-	// leaving holds the URLs of backend servers on leaving VMs.
+	// Closed holds the engines that an outstanding order closes to new work,
+	// by name.
+	Closed map[string]Closure `json:"-"`
+
+	// leaving holds the URLs of backend servers on leaving VMs and of closed
+	// engines.
 	leaving map[string]bool
 }
 
 // Leaving reports whether the engine or backend server with the given base
-// URL is on a VM that is leaving, so that it gets no new work.
+// URL is on a VM that is leaving or is closed by an order, so that it gets no
+// new work.
 func (c *Configuration) Leaving(baseURL string) bool {
 	return c.leaving[baseURL]
 }
 
+// Closure tells why an engine takes no new work.
+type Closure struct {
+	// Order is the ID of the order that closes it.
+	Order string `json:"order"`
+}
+
 // System holds deployment-wide settings.
 type System struct {
 	// AddressTTL is how long a caller may keep an address answer.
@@ -54,6 +66,9 @@
 	LedgerRetention strictjson.Duration `json:"ledger_retention"`
 	// OldSystem lists the old system's entry addresses, as base URLs.
 	OldSystem []string `json:"old_system,omitempty"`
+	// WeightStoreRate is what all loads together may take from the weight
+	// store, in bytes per second; zero allows no load.
+	WeightStoreRate int64 `json:"weight_store_rate,omitempty"`
 }
 
 // Team is the subtree of one team.
@@ -98,11 +113,22 @@
 	// from below.
 	MinPrefill int `json:"min_prefill,omitempty"`
 	MinDecode  int `json:"min_decode,omitempty"`
+	// Weights lists what each engine of the model must have loaded.
+	Weights []Weights `json:"weights,omitempty"`
 	// Speeds says how fast the engines work in each role; a role that is not
 	// listed has the speed of package speed's default table.
 	Speeds map[Role]Speed `json:"speeds,omitempty"`
 }
 
+// Weights names weights in the weight store.
+type Weights struct {
+	// Kind is "model", "adapter" or "version".
+	Kind string `json:"kind"`
+	// Name and Version identify the weights.
+	Name    string `json:"name"`
+	Version string `json:"version"`
+}
+
 // Speed is how fast one engine works in one role.
 type Speed struct {
 	// PrefillRate is in prompt tokens per second.
--- a/internal/state/settings/derived.go
+++ b/internal/state/settings/derived.go
@@ -3,9 +3,10 @@
 import "net/url"
 
 // leavingURLs returns the base URLs of engines and backend servers whose VM
-// is leaving.
+// is leaving, and of engines that an order closes.
 func leavingURLs(c *Configuration) map[string]bool {
 	leaving := make(map[string]bool)
+	noteClosed(c, leaving)
 	if !anyLeaving(c) {
 		return leaving
 	}
@@ -27,6 +28,19 @@
 	return leaving
 }
 
+func noteClosed(c *Configuration, leaving map[string]bool) {
+	if len(c.Closed) == 0 {
+		return
+	}
+	for _, model := range c.Models {
+		for name, engine := range model.Engines {
+			if _, ok := c.Closed[name]; ok {
+				leaving[engine.URL] = true
+			}
+		}
+	}
+}
+
 func anyLeaving(c *Configuration) bool {
 	for _, vm := range c.VMs {
 		if vm.Leaving {
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -7,11 +7,13 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
 	"github.com/lagoonshift/lagoonshift/internal/state/member"
+	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
@@ -20,6 +22,7 @@
 	Change  *settings.Change `cbor:"1,keyasint,omitempty"`
 	Reserve *ledger.Reserve  `cbor:"2,keyasint,omitempty"`
 	Settle  *ledger.Settle   `cbor:"3,keyasint,omitempty"`
+	Order   *OrderCommand    `cbor:"10,keyasint,omitempty"`
 
 	// The commands below and Change are settings commands, see IsSettings.
 
@@ -35,6 +38,7 @@
 type Result struct {
 	Change *settings.ChangeResult `cbor:"1,keyasint,omitempty"`
 	Ledger *ledger.Result         `cbor:"2,keyasint,omitempty"`
+	Order  *orderbook.Result      `cbor:"10,keyasint,omitempty"`
 	Member *member.Result         `cbor:"20,keyasint,omitempty"`
 	Error  string                 `cbor:"15,keyasint,omitempty"`
 }
@@ -62,8 +66,9 @@
 
 // snapshot is the encoded form of the whole state.
 type snapshot struct {
-	Tree   *settings.Tree `cbor:"1,keyasint"`
-	Ledger ledger.Encoded `cbor:"2,keyasint"`
+	Tree   *settings.Tree  `cbor:"1,keyasint"`
+	Ledger ledger.Encoded  `cbor:"2,keyasint"`
+	Orders *orderbook.Book `cbor:"10,keyasint"`
 }
 
 // Store is the replicated state. The log applies commands from one goroutine;
@@ -72,11 +77,14 @@
 	mu     sync.RWMutex // guards the fields below
 	tree   *settings.Tree
 	ledger *ledger.Ledger
+	orders *orderbook.Book
+	// shared is a copy of orders for readers; nil after each order command.
+	shared atomic.Pointer[orderbook.Book]
 }
 
 // New returns an empty state.
 func New() *Store {
-	return &Store{tree: settings.NewTree(), ledger: ledger.New()}
+	return &Store{tree: settings.NewTree(), ledger: ledger.New(), orders: orderbook.New()}
 }
 
 // Apply implements replog.StateMachine.
@@ -109,6 +117,8 @@
 	case c.Settle != nil:
 		result := s.ledger.Settle(*c.Settle)
 		return Result{Ledger: &result}
+	case c.Order != nil:
+		return s.executeOrder(index, c.Order)
 	}
 	return Result{Error: fmt.Sprintf("unknown command at index %d", index)}
 }
@@ -117,7 +127,7 @@
 func (s *Store) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	encoded, err := encoding.Marshal(snapshot{Tree: s.tree, Ledger: s.ledger.Encode()})
+	encoded, err := encoding.Marshal(snapshot{Tree: s.tree, Ledger: s.ledger.Encode(), Orders: s.orders})
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
@@ -140,6 +150,12 @@
 	defer s.mu.Unlock()
 	s.tree = content.Tree
 	s.ledger = ledger.Decode(content.Ledger)
+	s.orders = content.Orders
+	if s.orders == nil {
+		s.orders = orderbook.New()
+	}
+	s.orders.Restored()
+	s.shared.Store(nil)
 	return nil
 }
 
