--- /dev/null
+++ b/internal/transport/peergrpc/replica_test.go
@@ -0,0 +1,205 @@
+package peergrpc
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raftstore"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
+	"github.com/lagoonshift/lagoonshift/internal/fake/memdisk"
+	"github.com/lagoonshift/lagoonshift/internal/state/disk"
+	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
+)
+
+// testReplica is one replica of a group, served on a free port.
+type testReplica struct {
+	identity raftstore.Identity
+	address  string
+	node     *raft.Node
+	store    *store.Store
+	log      *ForwardingLog
+}
+
+// quick keeps the test short; nothing is asserted about time.
+var quick = raft.Timing{ElectionTimeout: 200 * time.Millisecond, Heartbeat: 20 * time.Millisecond, LeaseMargin: 20 * time.Millisecond}
+
+// startReplica starts a replica; the first one of a group makes it.
+func startReplica(t *testing.T, id uint64, name string) *testReplica {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &testReplica{
+		identity: raftstore.Identity{Deployment: "d", Name: name, ReplicaID: id, ClusterID: "c"},
+		address:  listener.Addr().String(),
+		store:    store.New(),
+	}
+	folder := memdisk.New(id).Open(nil)
+	if id == 1 {
+		err = raftstore.Init(folder, r.identity, r.address, raftstore.DefaultOptions)
+	} else {
+		err = raftstore.Prepare(folder, r.identity, raftstore.DefaultOptions)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.serve(t, listener, folder)
+	return r
+}
+
+func (r *testReplica) serve(t *testing.T, listener net.Listener, folder disk.Folder) {
+	t.Helper()
+	storage, err := raftstore.Open(folder, r.identity, raftstore.DefaultOptions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := NewPool(insecure.NewCredentials())
+	transport := NewReplicaTransport(pool, r.identity.ClusterID, r.address, hclog.NewNullLogger())
+	r.node, err = raft.New(raft.Options{
+		ID:         r.identity.ReplicaID,
+		ClusterID:  r.identity.ClusterID,
+		Machine:    r.store,
+		Storage:    storage,
+		Transport:  transport,
+		Clock:      clock.Boot{},
+		IsSettings: store.IsSettings,
+		Timing:     quick,
+		Compaction: raft.Compaction{LogBytes: 2000, TrailingEntries: 1},
+		Log:        hclog.NewNullLogger(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.log = NewForwardingLog(r.node, pool)
+	server := grpc.NewServer()
+	replicaServer := NewReplicaServer(ReplicaOptions{
+		Node:       r.node,
+		Transport:  transport,
+		ClusterID:  r.identity.ClusterID,
+		ReplicaID:  r.identity.ReplicaID,
+		Deployment: "d",
+		Names:      []string{"one", "two"},
+	})
+	replicaServer.Register(server)
+	NewControlServer(r.log, r.store).Register(server)
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() { _ = server.Serve(listener) }()
+	go func() {
+		_ = r.node.Run(ctx)
+		close(stopped)
+	}()
+	t.Cleanup(func() {
+		replicaServer.Stop()
+		server.Stop()
+		cancel()
+		<-stopped
+		transport.Close()
+		pool.Close()
+	})
+}
+
+// submit commits a command at a replica, again while no leader is known.
+func submit(t *testing.T, r *testReplica, key string) {
+	t.Helper()
+	command := store.Command{Reserve: &ledger.Reserve{Key: ledger.Key{IdempotencyKey: key}, Attempt: "a"}}
+	encoded, err := command.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for {
+		_, err := r.log.Submit(t.Context(), encoded)
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, replog.ErrNotLeader) && !errors.Is(err, replog.ErrUnknown) {
+			t.Fatal(err)
+		}
+		time.Sleep(quick.Heartbeat)
+	}
+}
+
+func join(t *testing.T, at, added *testReplica, deployment, name string) error {
+	t.Helper()
+	pool := NewPool(insecure.NewCredentials())
+	defer pool.Close()
+	_, err := joinAt(t.Context(), pool, at.address, &peerpb.JoinRequest{
+		Name:       name,
+		ReplicaId:  added.identity.ReplicaID,
+		Address:    added.address,
+		Deployment: deployment,
+	})
+	return err
+}
+
+// TestJoinBySnapshotAndForward adds a replica to a group whose log is
+// compacted and submits a command through it.
+func TestJoinBySnapshotAndForward(t *testing.T) {
+	one := startReplica(t, 1, "one")
+	for key := range 100 {
+		submit(t, one, string(rune('a'+key)))
+	}
+	two := startReplica(t, 2, "two")
+	if err := join(t, one, two, "other", "two"); status.Code(errors.Unwrap(err)) != codes.PermissionDenied {
+		t.Errorf("join of another deployment: %v", err)
+	}
+	if err := join(t, one, two, "d", "three"); status.Code(errors.Unwrap(err)) != codes.PermissionDenied {
+		t.Errorf("join of an unknown name: %v", err)
+	}
+	if err := join(t, one, two, "d", "one"); status.Code(errors.Unwrap(err)) != codes.AlreadyExists {
+		t.Errorf("join under a live name: %v", err)
+	}
+	for join(t, one, two, "d", "two") != nil {
+		time.Sleep(quick.Heartbeat)
+	}
+	submit(t, two, "forwarded")
+	if err := two.log.ReadBarrier(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	a, err := one.store.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := two.store.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(a, b) {
+		t.Error("states differ")
+	}
+}
+
+func TestMessagesForAnotherReplicaAreRefused(t *testing.T) {
+	one := startReplica(t, 1, "one")
+	pool := NewPool(insecure.NewCredentials())
+	defer pool.Close()
+	for _, envelope := range []*peerpb.Envelope{{ClusterId: "other", To: 1}, {ClusterId: "c", To: 7}} {
+		conn, err := pool.conn(one.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		stream, err := peerpb.NewReplicaClient(conn).Deliver(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = stream.Send(envelope)
+		if _, err := stream.CloseAndRecv(); status.Code(err) != codes.FailedPrecondition {
+			t.Errorf("envelope for %q, %d: %v", envelope.GetClusterId(), envelope.GetTo(), err)
+		}
+	}
+}
