--- a/internal/coordination/raft/commit_test.go
+++ b/internal/coordination/raft/commit_test.go
@@ -18,13 +18,13 @@
 	s.start(0)
 	c := r.core
 	s.now = s.now.Add(2 * time.Second)
-	c.campaign(s.now, false)
+	c.campaign(r.local(s.now), false)
 	for _, id := range []uint64{2, 3} {
-		c.Step(s.now, Message{Type: MsgVoteReply, From: id, To: 1, Term: 3})
+		c.Step(r.local(s.now), Message{Type: MsgVoteReply, From: id, To: 1, Term: 3})
 	}
 	s.settle(r)
 	for _, id := range []uint64{2, 3} {
-		c.Step(s.now, Message{Type: MsgAppendReply, From: id, To: 1, Term: 3, Index: 2})
+		c.Step(r.local(s.now), Message{Type: MsgAppendReply, From: id, To: 1, Term: 3, Index: 2})
 	}
 	if !c.IsLeader() {
 		t.Fatal("the replica does not lead")
--- a/internal/coordination/raft/core_test.go
+++ b/internal/coordination/raft/core_test.go
@@ -40,6 +40,7 @@
 		"vote after amnesia":      voteAfterAmnesia,
 		"no wait after transfer":  noTransferWait,
 		"vote after restart":      voteAfterRestart,
+		"no lease margin":         noLeaseMargin,
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(plantedRuns) {
--- a/internal/coordination/raft/sim_test.go
+++ b/internal/coordination/raft/sim_test.go
@@ -25,6 +25,8 @@
 	commitOldTerm
 	// noTransferWait gives authority at once after a leader transfer.
 	noTransferWait
+	// noLeaseMargin leaves nothing for clocks of different rates.
+	noLeaseMargin
 )
 
 // simReplica is one replica with what its disk holds.
@@ -38,8 +40,19 @@
 	unsynced *simReplica
 	// member is how a replica without a membership asks to join.
 	member Member
-	gone   bool
-	cut    bool
+	// rate is how fast the replica's clock runs.
+	rate float64
+	gone bool
+	cut  bool
+}
+
+// clockSpread is how far a clock's rate is off, at most. The margin of a tenth
+// covers twice that.
+const clockSpread = 0.04
+
+// local returns the reading of the replica's clock at an instant.
+func (r *simReplica) local(now clock.Instant) clock.Instant {
+	return clock.Instant(float64(now) * r.rate)
 }
 
 // sim runs cores with a drawn schedule of events and checks the properties
@@ -84,7 +97,20 @@
 
 // fresh returns a replica as it was when the group was made.
 func (s *sim) fresh() *simReplica {
-	return &simReplica{state: HardState{Term: 1}, entries: []Entry{s.first}}
+	return &simReplica{state: HardState{Term: 1}, entries: []Entry{s.first}, rate: s.drawRate()}
+}
+
+func (s *sim) drawRate() float64 {
+	return 1 + clockSpread*(2*s.rand.Float64()-1)
+}
+
+// timing is the default, without a margin if that is the planted fault.
+func (s *sim) timing() Timing {
+	timing := DefaultTiming
+	if s.fault == noLeaseMargin {
+		timing.LeaseMargin = 0
+	}
+	return timing
 }
 
 // start starts a replica from its disk.
@@ -92,17 +118,17 @@
 	r := s.replicas[i]
 	core, err := NewCore(CoreOptions{
 		ID:         uint64(i + 1),
-		Timing:     DefaultTiming,
+		Timing:     s.timing(),
 		Rand:       s.rand,
 		IsSettings: func([]byte) bool { return false },
-	}, Stored{HardState: r.state, Snapshot: r.snapshot, Entries: r.entries}, s.now)
+	}, Stored{HardState: r.state, Snapshot: r.snapshot, Entries: r.entries}, r.local(s.now))
 	if err != nil {
 		s.fail("start: %v", err)
 		return
 	}
 	core.commitAnyTerm = s.fault == commitOldTerm
 	if s.fault == voteAfterRestart {
-		core.voteAfter = s.now
+		core.voteAfter = r.local(s.now)
 	}
 	r.core = core
 }
@@ -196,7 +222,7 @@
 func (s *sim) tickAll() {
 	for _, r := range s.replicas {
 		if !r.gone {
-			r.core.Tick(s.now)
+			r.core.Tick(r.local(s.now))
 			s.settle(r)
 		}
 	}
@@ -205,7 +231,7 @@
 func (s *sim) propose(r *simReplica) {
 	s.proposed++
 	if !r.gone {
-		_, _, _ = r.core.Propose(s.now, [][]byte{fmt.Append(nil, s.proposed)})
+		_, _, _ = r.core.Propose(r.local(s.now), [][]byte{fmt.Append(nil, s.proposed)})
 		s.settle(r)
 	}
 }
@@ -226,8 +252,8 @@
 	}
 	r := s.replicas[m.To-1]
 	if from := s.replicas[m.From-1]; !r.gone && !r.cut && !from.cut {
-		r.core.Tick(s.now)
-		r.core.Step(s.now, m)
+		r.core.Tick(r.local(s.now))
+		r.core.Step(r.local(s.now), m)
 		s.settle(r)
 	}
 }
@@ -240,7 +266,7 @@
 	case how%2 == 0 && s.fault != voteAfterAmnesia && s.whole():
 		r.gone = true
 		member, _ := r.core.Members().find(r.core.id)
-		s.replicas = append(s.replicas, &simReplica{})
+		s.replicas = append(s.replicas, &simReplica{rate: s.drawRate()})
 		s.start(len(s.replicas) - 1)
 		added := s.replicas[len(s.replicas)-1]
 		added.member = Member{ID: uint64(len(s.replicas)), Name: member.Name}
@@ -260,7 +286,7 @@
 func (s *sim) join(added Member) {
 	for _, r := range s.replicas {
 		if !r.gone {
-			_ = r.core.AddLearner(s.now, added)
+			_ = r.core.AddLearner(r.local(s.now), added)
 			s.settle(r)
 		}
 	}
@@ -275,7 +301,7 @@
 	case len(r.core.Members()) == 0:
 		s.join(r.member)
 	case how%2 == 0:
-		r.core.Transfer(s.now)
+		r.core.Transfer(r.local(s.now))
 		if s.fault == noTransferWait {
 			r.core.lead.forced = false
 		}
@@ -316,9 +342,9 @@
 			return
 		}
 		s.inFlight = append(s.inFlight, ready.Early...)
-		r.unsynced = &simReplica{state: r.state, entries: r.entries, snapshot: r.snapshot}
+		r.unsynced = &simReplica{state: r.state, entries: r.entries, snapshot: r.snapshot, rate: r.rate}
 		r.save(ready)
-		r.core.Persisted(s.now)
+		r.core.Persisted(r.local(s.now))
 		s.inFlight = append(s.inFlight, ready.Messages...)
 		for _, e := range ready.Committed {
 			s.checkCommitted(e)
@@ -375,7 +401,7 @@
 			s.fail("replica %d: %v", r.core.id, r.core.failed)
 		}
 		if !r.gone && r.core.role == leader {
-			s.checkLeader(r.core)
+			s.checkLeader(r)
 		}
 	}
 	for i, a := range s.replicas {
@@ -387,21 +413,22 @@
 
 // checkLeader is Election Safety and Leader Completeness, and that no two
 // replicas hold authority at the same time.
-func (s *sim) checkLeader(c *Core) {
+func (s *sim) checkLeader(r *simReplica) {
+	c := r.core
 	if id, ok := s.leaders[c.term]; ok && id != c.id {
 		s.fail("replicas %d and %d both lead term %d", id, c.id, c.term)
 	} else if !ok {
 		s.leaders[c.term] = c.id
 		s.checkComplete(c)
 	}
-	until, ok := c.Lease(s.now)
-	if !ok || !s.now.Before(until) {
+	until, ok := c.Lease(r.local(s.now))
+	if !ok || !r.local(s.now).Before(until) {
 		return
 	}
 	if c.id != s.authorityHolder && s.now.Before(s.authority) {
 		s.fail("replica %d has authority before that of %d ended", c.id, s.authorityHolder)
 	}
-	s.authority, s.authorityHolder = until, c.id
+	s.authority, s.authorityHolder = clock.Instant(float64(until)/r.rate), c.id
 }
 
 func (s *sim) checkComplete(c *Core) {
