--- a/internal/state/store/size_test.go
+++ b/internal/state/store/size_test.go
@@ -10,11 +10,14 @@
 // TestLargeSnapshotIsRestored has more records than the codec's default limit
 // of elements in an array.
 func TestLargeSnapshotIsRestored(t *testing.T) {
-	const records = 140_000
-	s := New()
+	const records = 131_073
+	var content ledger.Encoded
 	for i := range records {
-		s.ledger.Reserve(ledger.Reserve{Key: ledger.Key{IdempotencyKey: fmt.Sprint(i)}, Attempt: "a"})
+		reserve := ledger.Reserve{Key: ledger.Key{IdempotencyKey: fmt.Sprint(i)}, Attempt: "a"}
+		content.Records = append(content.Records, ledger.Record{Reserve: reserve})
 	}
+	s := New()
+	s.ledger = ledger.Decode(content)
 	encoded, err := s.Snapshot()
 	if err != nil {
 		t.Fatal(err)
