--- a/internal/coordination/raft/commit_test.go
+++ b/internal/coordination/raft/commit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -95,3 +96,25 @@
 		t.Errorf("%d different timeouts for 10 seeds", len(seen))
 	}
 }
+
+func TestSilentReplicaIsSentNoSnapshot(t *testing.T) {
+	s := newSim(3, noFault)
+	s.pass(5 * time.Second)
+	leads := slices.IndexFunc(s.replicas, func(r *simReplica) bool { return r.core.IsLeader() })
+	silent := s.replicas[(leads+1)%3]
+	silent.cut = true
+	for range 5 {
+		s.propose(s.replicas[leads])
+	}
+	s.pass(2 * time.Second)
+	s.compact(s.replicas[leads])
+	s.pass(10 * time.Second)
+	if s.snapshots > 0 {
+		t.Errorf("a silent replica was sent %d snapshots", s.snapshots)
+	}
+	silent.cut = false
+	s.pass(5 * time.Second)
+	if silent.core.commit != s.newest || s.snapshots != 1 {
+		t.Errorf("healed replica is at %d of %d after %d snapshots", silent.core.commit, s.newest, s.snapshots)
+	}
+}
--- a/internal/coordination/raft/leader.go
+++ b/internal/coordination/raft/leader.go
@@ -158,11 +158,9 @@
 	m := Message{Type: MsgAppend, From: c.id, To: p.id, Term: c.term, Commit: c.commit, Sent: now, Round: c.lead.round}
 	previous := p.next - 1
 	term, err := c.log.term(previous)
-	if err != nil && p.flow != snapshotting {
-		p.flow = snapshotting
-		c.pending.SnapshotTo = append(c.pending.SnapshotTo, p.id)
-	}
-	if p.flow != snapshotting {
+	if err != nil {
+		c.needSnapshot(now, p)
+	} else if p.flow != snapshotting {
 		m.Index, m.LogTerm = previous, term
 		if withEntries {
 			m.Entries = c.log.batch(p.next, maxAppendBytes)
@@ -175,6 +173,17 @@
 	c.pending.Early = append(c.pending.Early, m)
 }
 
+// needSnapshot asks the driver to send a snapshot to a replica that needs
+// entries which are compacted. A replica that doesn't answer gets heartbeats
+// only, or its leader would read and send the snapshot again and again.
+func (c *Core) needSnapshot(now clock.Instant, p *progress) {
+	answers := p.acked && now.Sub(p.ackSent) < c.timing.ElectionTimeout
+	if p.flow != snapshotting && answers {
+		p.flow = snapshotting
+		c.pending.SnapshotTo = append(c.pending.SnapshotTo, p.id)
+	}
+}
+
 // broadcast starts a new round of heartbeats.
 func (c *Core) broadcast(now clock.Instant) {
 	c.lead.round++
--- a/internal/coordination/raft/sim_test.go
+++ b/internal/coordination/raft/sim_test.go
@@ -65,6 +65,8 @@
 	inFlight []Message
 	rand     *rand.Rand
 	proposed int
+	// snapshots counts the requests to send one.
+	snapshots int
 
 	leaders   map[uint64]uint64
 	committed map[uint64]Entry
@@ -356,6 +358,7 @@
 }
 
 func (s *sim) sendSnapshot(r *simReplica, id uint64) {
+	s.snapshots++
 	if r.snapshot == nil {
 		r.core.SnapshotSent(id, 0)
 		return
