--- a/internal/operatorcli/operatorcli_test.go
+++ b/internal/operatorcli/operatorcli_test.go
@@ -191,7 +191,7 @@
 		t.Errorf("report = %q, %v, want entry-2 lapsed", out.String(), err)
 	}
 	var status bytes.Buffer
-	if err := Status(t.Context(), c.client("root"), &status); err != nil || !strings.Contains(status.String(), "version 4: in force everywhere") {
+	if err := Status(t.Context(), c.client("root"), &status); err != nil || !strings.Contains(status.String(), "version 4: in force everywhere") || !strings.HasPrefix(status.String(), "no answer: ") {
 		t.Errorf("status = %q, %v", status.String(), err)
 	}
 }
--- a/internal/operatorcli/read.go
+++ b/internal/operatorcli/read.go
@@ -52,15 +52,35 @@
 	return table.Flush()
 }
 
-// Status prints what the first control replica that answers knows.
+// Status prints what each control replica says of itself, and the entries as
+// the first one that answers sees them.
 func Status(ctx context.Context, client *adminhttp.Client, out io.Writer) error {
-	answer, err := client.Status(ctx)
-	if err != nil {
-		return fmt.Errorf("read status: %w", err)
+	var answer *adminhttp.StatusAnswer
+	var failed error
+	for _, replica := range client.Split() {
+		got, err := replica.Status(ctx)
+		if err != nil {
+			failed = err
+			fmt.Fprintf(out, "no answer: %v\n", err)
+			continue
+		}
+		showReplica(out, &got.Replica)
+		if answer == nil {
+			answer = &got
+		}
+	}
+	if answer == nil {
+		return fmt.Errorf("read status: %w", failed)
 	}
-	r := answer.Replica
+	return showEntries(out, answer)
+}
+
+func showReplica(out io.Writer, r *adminhttp.ReplicaStatus) {
 	fmt.Fprintf(out, "replica %d of cluster %s: term %d, leader %d %s, voters %v, committed %d, applied %d\n",
 		r.ID, r.ClusterID, r.Term, r.LeaderID, r.LeaderAddress, r.Voters, r.CommitIndex, r.AppliedIndex)
+}
+
+func showEntries(out io.Writer, answer *adminhttp.StatusAnswer) error {
 	state := "not in force everywhere yet"
 	if answer.Settings.InForce {
 		state = "in force everywhere"
--- a/internal/state/settings/history.go
+++ b/internal/state/settings/history.go
@@ -48,16 +48,22 @@
 }
 
 // Newest returns up to limit entries, newest first, that touch the subtree at
-// path or below it; an empty path stands for all.
+// path or below it; an empty path stands for all. A change with more edits than
+// the history lists is always among them.
 func (h *History) Newest(path string, limit int) []HistoryEntry {
 	out := []HistoryEntry{}
 	for _, entry := range slices.Backward(h.Entries) {
 		if len(out) == limit {
 			break
 		}
-		if path == "" || slices.ContainsFunc(entry.Paths, func(p string) bool { return covers(path, p) }) {
+		if path == "" || entry.mayTouch(path) {
 			out = append(out, entry)
 		}
 	}
 	return out
 }
+
+func (e *HistoryEntry) mayTouch(path string) bool {
+	below := func(p string) bool { return covers(path, p) }
+	return e.Edits > len(e.Paths) || slices.ContainsFunc(e.Paths, below)
+}
--- a/internal/transport/adminhttp/client.go
+++ b/internal/transport/adminhttp/client.go
@@ -63,6 +63,17 @@
 	return report, err
 }
 
+// Split returns one client for each base URL.
+func (c *Client) Split() []*Client {
+	var out []*Client
+	for _, base := range c.options.BaseURLs {
+		one := c.options
+		one.BaseURLs = []string{base}
+		out = append(out, NewClient(one))
+	}
+	return out
+}
+
 // Status returns what the first replica that answers knows.
 func (c *Client) Status(ctx context.Context) (StatusAnswer, error) {
 	var answer StatusAnswer
