--- a/internal/protocol/servicecall/once_test.go
+++ b/internal/protocol/servicecall/once_test.go
@@ -40,7 +40,11 @@
 func bookUntilKnown(h *history, client int, entries []*entry, key string) outcome {
 	var last outcome
 	for try := range 6 {
-		last = book(h, client, entries[(client+try)%len(entries)], key)
+		through := book
+		if entries[0].w.besideOld && (client+try)%2 == 0 {
+			through = bookOld
+		}
+		last = through(h, client, entries[(client+try)%len(entries)], key)
 		if last.receipt != "" {
 			return last
 		}
@@ -94,7 +98,9 @@
 	ledgerFaults  int
 	serviceFaults int
 	lookup        bool
-	stops         []stop
+	// old lets callers repeat their keys through an old system too.
+	old   bool
+	stops []stop
 }
 
 func drawPlan(t *rapid.T) plan {
@@ -122,6 +128,7 @@
 		w := newWorld(p.seed)
 		w.planted = planted
 		w.lookup = p.lookup
+		w.besideOld = p.old
 		w.network = func(r *rand.Rand) ledgerFault {
 			if r.IntN(100) < p.ledgerFaults {
 				return ledgerFault(1 + r.IntN(3))
--- a/internal/protocol/servicecall/world_test.go
+++ b/internal/protocol/servicecall/world_test.go
@@ -70,6 +70,9 @@
 	executions []execution
 	// cancelled holds the attempts whose cancellation was committed.
 	cancelled map[string]bool
+	old       oldSystem
+	// besideOld tells whether the settings name an old system.
+	besideOld bool
 }
 
 type plantedFault string
@@ -79,6 +82,7 @@
 	claimUnsent  plantedFault = "sent calls are reported as not sent"
 	resendOnLoss plantedFault = "a call is sent twice"
 	sendLate     plantedFault = "a call goes out after it was cancelled"
+	ignoreClaims plantedFault = "keys of the old system are run"
 )
 
 type execution struct {
@@ -115,6 +119,11 @@
 		service:   func(*rand.Rand) serviceFault { return serviceWorks },
 		release:   make(chan struct{}),
 		cancelled: make(map[string]bool),
+		old: oldSystem{
+			taken:   make(map[string]side),
+			answers: make(map[string]backend.ServiceAnswer),
+			running: make(map[string]bool),
+		},
 	}
 }
 
@@ -174,6 +183,9 @@
 		System:   settings.System{LedgerRetention: strictjson.Duration(testRetention)},
 		Services: map[string]settings.Service{"booking": testService},
 	})
+	if w.besideOld {
+		config.Load().System.OldSystem = []string{"http://old"}
+	}
 	attempts := atomic.Int64{}
 	e.protocol = New(Options{
 		Entry:       name,
@@ -183,6 +195,7 @@
 		Gate:        open{},
 		Ledger:      e,
 		Services:    e,
+		OldSystem:   e,
 		Outliers:    outlier.NewSet(w.clock),
 		Budget:      retry.NewBudget(retry.DefaultShare, retry.DefaultReserve),
 		Random:      func() float64 { return 0.5 },
