--- /dev/null
+++ b/internal/protocol/roleplan/bench_test.go
@@ -0,0 +1,49 @@
+package roleplan
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+)
+
+// BenchmarkPlan measures one plan of one model with a full memory of samples.
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{18, 200} {
+		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
+			engines, model := fleetOf(append(repeated(settings.RolePrefill, n/2), repeated(settings.RoleDecode, n/2)...)...)
+			demand := demandOf(prompts, drafts)
+			for range samples {
+				demand.Recent = append(demand.Recent, demandOf(prompts, drafts))
+			}
+			planner := NewGoodput(DefaultGoodput())
+			for b.Loop() {
+				planner.Plan(start, model, demand, engines)
+			}
+		})
+	}
+}
+
+// BenchmarkReportSize measures the bytes of a demand report by the number of
+// models with two classes each.
+func BenchmarkReportSize(b *testing.B) {
+	for _, models := range []int{1, 14} {
+		b.Run(fmt.Sprintf("models=%d", models), func(b *testing.B) {
+			r := Report{Member: "entry-400", Models: make(map[string]Demand)}
+			for i := range models {
+				r.Models[fmt.Sprintf("model-%02d", i)] = demandOf(prompts, drafts)
+			}
+			size := 0
+			for b.Loop() {
+				encoded, err := cbor.Marshal(r)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(encoded)
+			}
+			b.ReportMetric(float64(size), "B/report")
+		})
+	}
+}
