--- a/internal/transport/callerhttp/completions.go
+++ b/internal/transport/callerhttp/completions.go
@@ -37,12 +37,12 @@
 	}
 	executed := executedBefore(call)
 	if !s.Lease.Valid() {
-		refuse(w, noLease(executed))
+		s.refuse(w, call.Labels, noLease(executed))
 		return
 	}
 	leave, err := s.enter(call.Team, call.Customer)
 	if err != nil {
-		refuse(w, limited(err, executed))
+		s.refuse(w, call.Labels, limited(err, executed))
 		return
 	}
 	defer leave()
--- a/internal/transport/callerhttp/problem.go
+++ b/internal/transport/callerhttp/problem.go
@@ -10,6 +10,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/limit"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/request"
 )
 
 // Problem is a refusal as problem details (RFC 9457).
@@ -72,6 +73,15 @@
 	_ = json.NewEncoder(w).Encode(p)
 }
 
+// refuse counts a refusal and sends it as the whole answer.
+func (s *Server) refuse(w http.ResponseWriter, l request.Labels, err error) {
+	var r *refusal.Error
+	if errors.As(err, &r) {
+		s.Requests.Observer.Refused(l, string(r.Kind))
+	}
+	refuse(w, err)
+}
+
 // refuse sends an error as the whole answer.
 func refuse(w http.ResponseWriter, err error) {
 	var r *refusal.Error
--- a/internal/transport/callerhttp/service.go
+++ b/internal/transport/callerhttp/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/request"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/servicecall"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
@@ -31,19 +32,30 @@
 	}
 	defer release()
 	call := newCall(r, body)
+	labels := s.labels(r)
 	if !s.Lease.Valid() {
-		refuse(w, noLease(executed))
+		s.refuse(w, labels, noLease(executed))
 		return
 	}
-	leave, err := s.enter(r.Header.Get(HeaderTeam), call.Customer)
+	leave, err := s.enter(labels.Team, call.Customer)
 	if err != nil {
-		refuse(w, limited(err, executed))
+		s.refuse(w, labels, limited(err, executed))
 		return
 	}
 	defer leave()
 	s.runCall(w, r, call, rule)
 }
 
+// labels names whom a service call belongs to, as far as the settings know the
+// team: metrics must not grow with what callers write into headers.
+func (s *Server) labels(r *http.Request) request.Labels {
+	team := r.Header.Get(HeaderTeam)
+	if _, ok := s.Settings.Load().Teams[team]; !ok {
+		team = ""
+	}
+	return request.Labels{Team: team}
+}
+
 // executedUnasked returns what can be said of a call before the ledger was
 // asked: another entry may have run a non-idempotent one under the same key.
 func executedUnasked(rule settings.Call) refusal.Executed {
@@ -86,7 +98,7 @@
 	answer, err := run(ctx, call, rule)
 	if err != nil {
 		s.Log.Debug("call not answered", "service", call.Service, "call", call.Path, "error", err)
-		refuse(w, err)
+		s.refuse(w, s.labels(r), err)
 		return
 	}
 	writeAnswer(w, answer)
