--- a/scripts/trials/faults.sh
+++ b/scripts/trials/faults.sh
@@ -81,7 +81,10 @@
   freeze control-2 4
   kill -KILL "$(pid_of engine-1)"
   sleep 2
-  restart KILL entry entry-3
+  for i in 3 4 5 6 7 8; do
+    restart KILL entry "entry-$i"
+    sleep 1
+  done
 }
 
 $binary load run "$example/mix.jsonc" --duration "${DURATION:-100s}" --json "out/$name-$faults.json" --plot "out/$name-$faults.png" &
