Do not send a command again that was refused for good

Cause: a command that is too large, or that the state machine can't execute, was submitted again and again until the caller's time ran out; the second kind was committed each time.

--- a/internal/transport/peergrpc/client.go
+++ b/internal/transport/peergrpc/client.go
@@ -108,20 +108,28 @@
 		return store.Result{}, err
 	}
 	var result store.Result
+	var refused error // final: no other replica would do otherwise
 	uncertain := false
 	err = c.each(ctx, func(ctx context.Context, r replica) error {
 		response, err := r.control.Submit(ctx, &peerpb.SubmitRequest{Command: encoded})
-		if err != nil {
+		switch {
+		case status.Code(err) == codes.InvalidArgument:
+			refused = fmt.Errorf("submit to %s: %w", r.address, err)
+			return nil
+		case err != nil:
 			uncertain = uncertain || !surelyNotRun(err)
 			return fmt.Errorf("submit to %s: %w", r.address, err)
 		}
-		result, err = store.DecodeResult(response.GetResult())
-		return err
+		result, refused = store.DecodeResult(response.GetResult())
+		return nil
 	})
-	if err != nil && uncertain {
+	switch {
+	case err == nil:
+		return result, refused
+	case uncertain:
 		return store.Result{}, fmt.Errorf("%w: %w", replog.ErrUnknown, err)
 	}
-	return result, err
+	return store.Result{}, err
 }
 
 // ReportLoad hands an encoded roleplan.Report to the control leader.
