--- a/internal/protocol/routing/tracker.go
+++ b/internal/protocol/routing/tracker.go
@@ -45,7 +45,8 @@
 	customers sync.Map     // customerKey to *atomic.Int64
 	lengths   lengths
 
-	mu     sync.Mutex // guards the content of tracked engines and models
+	mu     sync.Mutex // guards the content of tracked engines, and the fields below
+	order  []*tracked // by model and name
 	models map[string]*trackedModel
 }
 
@@ -101,10 +102,9 @@
 			next[engine] = configureEngine(old[engine], m, name, engine, s)
 		}
 	}
-	number := uint16(0)
-	for _, e := range sorted(next) {
-		e.number = number
-		number++
+	t.order = sorted(next)
+	for i, e := range t.order {
+		e.number = uint16(i)
 	}
 	t.engines.Store(&next)
 	t.publish()
@@ -161,6 +161,7 @@
 		PromptTokens: max(reported.PromptTokens-own.PromptTokens, 0),
 	}
 	e.Accepting = accepting
+	e.notePrefilling(report.QueuedPromptTokens > 0)
 	if urgent {
 		t.publish()
 		return
@@ -168,6 +169,18 @@
 	t.dirty.Store(true)
 }
 
+// prefillingWeight is the weight of one load report in the part of the reports
+// that showed waiting prompts.
+const prefillingWeight = 0.1
+
+func (e *tracked) notePrefilling(waiting bool) {
+	now := 0.0
+	if waiting {
+		now = 1
+	}
+	e.Prefilling += prefillingWeight * (now - e.Prefilling)
+}
+
 // Failed tells that an engine could not be reached. It gets no new work until
 // its next load report.
 func (t *Tracker) Failed(engine string) {
@@ -185,12 +198,10 @@
 func (t *Tracker) publish() {
 	t.dirty.Store(false)
 	now := t.clock.Now()
-	all := sorted(*t.engines.Load())
-	s := &Snapshot{At: now, Engines: make([]Engine, 0, len(all)), models: make(map[string]*ModelView, len(t.models))}
-	for _, e := range all {
-		view := e.Engine
-		view.Slowdown = math.Float64frombits(e.slowdown.Load())
-		s.Engines = append(s.Engines, view)
+	s := &Snapshot{At: now, Engines: make([]Engine, len(t.order)), models: make(map[string]*ModelView, len(t.models))}
+	for i, e := range t.order {
+		s.Engines[i] = e.Engine
+		s.Engines[i].Slowdown = math.Float64frombits(e.slowdown.Load())
 	}
 	for start := 0; start < len(s.Engines); {
 		end := start + 1
