Make the entries around a control group a stand-in of its own

Cause: the simulated entries with their links, freezes and planted faults stood in the tests of one package; they are of use to others and were too long for a test. Events are typed now. The checks are the same.

--- a/internal/coordination/settingsync/leaving_test.go
+++ b/internal/coordination/settingsync/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/vmwatch"
+	"github.com/lagoonshift/lagoonshift/internal/fake/fakefleet"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeplatform"
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
 	"github.com/lagoonshift/lagoonshift/internal/state/member"
@@ -27,113 +29,121 @@
 	// grace is the longest time from the first reading of the list that names
 	// a VM as leaving to the last new work there, while control has a leader:
 	// the commit, which may be tried twice, and a lease.
-	grace = watchPeriod + 2*attempt + leaseDuration
+	grace = watchPeriod + 2*fakefleet.Attempt + fakefleet.LeaseDuration
 	// electionTime is added where control itself is disturbed.
 	electionTime = 15 * time.Second
 )
 
+// departure is a backend server's VM that leaves.
+type departure struct {
+	fleet    *fakefleet.Fleet
+	platform *fakeplatform.Platform
+	// shown is when a reading of the list first named the VM as leaving, as a
+	// clock.Instant; zero before.
+	shown atomic.Int64
+}
+
 // watch is the control leader's duty of reading the platform's list.
-func (w *world) watch(ctx context.Context, p *fakeplatform.Platform) {
+func (d *departure) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		time.Sleep(watchPeriod)
-		leader := w.group.CurrentLeader()
+		leader := d.fleet.Group.CurrentLeader()
 		if leader < 0 {
 			continue
 		}
-		limited, cancel := context.WithTimeout(ctx, attempt)
-		round := vmwatch.Watch{List: w.list(p), News: w.news(leader), Control: replicaSubmitter{w, leader}}
+		limited, cancel := context.WithTimeout(ctx, fakefleet.Attempt)
+		round := vmwatch.Watch{List: d.list, News: news(d.fleet, leader), Control: replicaSubmitter{d.fleet, leader}}
 		_ = round.Round(limited)
 		cancel()
 	}
 }
 
-func (w *world) list(p *fakeplatform.Platform) func(context.Context) ([]member.Observation, error) {
-	return func(context.Context) ([]member.Observation, error) {
-		var out []member.Observation
-		for _, vm := range p.List().VMs {
-			leaving := vm.State == platformhttp.VMLeaving
-			if leaving {
-				w.shown.CompareAndSwap(0, int64(w.group.Clock().Now()))
-			}
-			if w.fault == flapping && !leaving {
-				// Planted: a VM shown as live has no incarnation to stick to.
-				vm.Incarnation += 1000 + uint64(w.pick(1000))
-			}
-			out = append(out, member.Observation{Address: vm.Address, Incarnation: vm.Incarnation, Leaving: leaving})
+func (d *departure) list(context.Context) ([]member.Observation, error) {
+	var out []member.Observation
+	for _, vm := range d.platform.List().VMs {
+		leaving := vm.State == platformhttp.VMLeaving
+		if leaving {
+			d.shown.CompareAndSwap(0, int64(d.fleet.Group.Clock().Now()))
+		}
+		if d.fleet.Fault == fakefleet.Flapping && !leaving {
+			// Planted: a VM shown as live is taken for a new run.
+			vm.Incarnation += 1000 + uint64(d.fleet.Pick(1000))
 		}
-		return out, nil
+		out = append(out, member.Observation{Address: vm.Address, Incarnation: vm.Incarnation, Leaving: leaving})
 	}
+	return out, nil
 }
 
-func (w *world) news(i int) func([]member.Observation) []member.Observation {
+func news(fleet *fakefleet.Fleet, i int) func([]member.Observation) []member.Observation {
 	return func(seen []member.Observation) (out []member.Observation) {
-		w.group.Store(i).View(func(tree *settings.Tree, _ *ledger.Ledger) { out = tree.News(seen) })
+		fleet.Group.Store(i).View(func(tree *settings.Tree, _ *ledger.Ledger) { out = tree.News(seen) })
 		return out
 	}
 }
 
 // replicaSubmitter submits at one replica.
 type replicaSubmitter struct {
-	world   *world
+	fleet   *fakefleet.Fleet
 	replica int
 }
 
 func (s replicaSubmitter) Submit(ctx context.Context, command *store.Command) (store.Result, error) {
-	return s.world.submit(ctx, s.replica, command)
+	return s.fleet.Submit(ctx, s.replica, command)
 }
 
 // sends reports whether the entry would send new work to the backend server.
-func (e *entry) sends() bool {
-	if _, ok := e.version(); !ok {
+func sends(e *fakefleet.Entry) bool {
+	if _, ok := e.Version(); !ok {
 		return false
 	}
-	return !e.agent.Settings().Load().Leaving(backendURL)
+	return !e.Agent.Settings().Load().Leaving(backendURL)
 }
 
 // leave lets the backend server's VM leave in the middle of a schedule and
 // returns how long new work went there after a reading showed it, and whether
 // the VM's next run gets work again.
-func leave(t *testing.T, seed uint64, schedule []event, f fault) (last time.Duration, again bool) {
+func leave(t *testing.T, seed uint64, schedule []fakefleet.Event, f fakefleet.Fault) (last time.Duration, again bool) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, seed, 3, 3, f)
-		defer w.stop()
+		fleet := fakefleet.New(t, seed, 3, 3, f)
+		defer fleet.Stop()
 		platform := fakeplatform.New(fakeplatform.Options{Lag: platformLag, Flap: 0.4, Seed: seed})
 		platform.Set(platformhttp.VM{Address: backendVM, Incarnation: 1, State: platformhttp.VMLive})
-		w.configureBackend()
+		configureBackend(t, fleet)
+		gone := &departure{fleet: fleet, platform: platform}
 		ctx, cancel := context.WithCancel(t.Context())
 		watched := make(chan struct{})
 		go func() {
 			defer close(watched)
-			w.watch(ctx, platform)
+			gone.watch(ctx)
 		}()
 		time.Sleep(settled)
 		platform.Set(platformhttp.VM{Address: backendVM, Incarnation: 1, State: platformhttp.VMLeaving})
 		look := func(d time.Duration) {
 			for range d / step {
 				time.Sleep(step)
-				for _, e := range w.entries {
-					if shown := w.shown.Load(); shown != 0 && e.sends() {
-						last = max(last, w.group.Clock().Now().Sub(clock.Instant(shown)))
+				for _, e := range fleet.Entries {
+					if shown := gone.shown.Load(); shown != 0 && sends(e) {
+						last = max(last, fleet.Group.Clock().Now().Sub(clock.Instant(shown)))
 					}
 				}
 			}
 		}
 		for _, e := range schedule {
 			look(e.Wait)
-			w.do(e)
+			fleet.Do(e)
 		}
-		w.calm()
+		fleet.Calm()
 		look(2 * settled)
 		platform.Set(platformhttp.VM{Address: backendVM, Incarnation: 2, State: platformhttp.VMLive})
 		time.Sleep(2 * settled)
-		again = w.entries[0].sends() && w.entries[1].sends() && w.entries[2].sends()
+		again = sends(fleet.Entries[0]) && sends(fleet.Entries[1]) && sends(fleet.Entries[2])
 		cancel()
 		<-watched
 	})
 	return last, again
 }
 
-func (w *world) configureBackend() {
+func configureBackend(t *testing.T, fleet *fakefleet.Fleet) {
 	content := `{"backends":{"b":{"url":"` + backendURL + `","zone":"a"}},"calls":{}}`
 	for _, command := range []*store.Command{
 		{Bootstrap: &settings.Bootstrap{RootTokenSHA256: settings.HashToken("root"), Zones: []string{"a"}}},
@@ -144,8 +154,8 @@
 			Edits:       []settings.Edit{{Path: "services/s", Content: []byte(content)}},
 		}},
 	} {
-		if _, err := w.submit(w.t.Context(), w.group.Leader(), command); err != nil {
-			w.t.Fatal(err)
+		if _, err := fleet.Submit(t.Context(), fleet.Group.Leader(), command); err != nil {
+			t.Fatal(err)
 		}
 	}
 }
@@ -162,7 +172,7 @@
 			schedule = onlyEntries(schedule)
 			bound = grace
 		}
-		last, again := leave(t, seed, schedule, sound)
+		last, again := leave(t, seed, schedule, fakefleet.Sound)
 		if last > bound {
 			r.Fatalf("new work went to the leaving backend server for %v, more than %v", last, bound)
 		}
@@ -172,11 +182,12 @@
 	})
 }
 
-func onlyEntries(schedule []event) []event {
-	var out []event
+func onlyEntries(schedule []fakefleet.Event) []fakefleet.Event {
+	var out []fakefleet.Event
 	for _, e := range schedule {
 		switch e.Kind {
-		case "cut entry", "half cut", "keep one", "heal entry", "freeze entry", "thaw entry", "restart entry", "slow", "fast":
+		case fakefleet.CutEntry, fakefleet.CutHalf, fakefleet.KeepOne, fakefleet.HealEntry,
+			fakefleet.FreezeEntry, fakefleet.ThawEntry, fakefleet.RestartEntry, fakefleet.Slow, fakefleet.Fast:
 			out = append(out, e)
 		}
 	}
@@ -185,7 +196,7 @@
 
 // TestLeavingCheckerFindsPlantedFaults plants a mark that does not stick.
 func TestLeavingCheckerFindsPlantedFaults(t *testing.T) {
-	last, _ := leave(t, 1, []event{{Wait: 2 * settled}}, flapping)
+	last, _ := leave(t, 1, []fakefleet.Event{{Wait: 2 * settled}}, fakefleet.Flapping)
 	if last <= grace {
 		t.Errorf("the checker missed a mark that does not stick: last work after %v", last)
 	}
--- a/internal/coordination/settingsync/missed_test.go
+++ b/internal/coordination/settingsync/missed_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/lagoonshift/lagoonshift/internal/fake/fakefleet"
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
@@ -14,64 +15,62 @@
 const missed = 400
 
 // newest returns the settings version at the leader.
-func (w *world) newest() (version uint64) {
-	w.group.Store(w.group.Leader()).View(func(tree *settings.Tree, _ *ledger.Ledger) { version = tree.Version })
+func newest(fleet *fakefleet.Fleet) (version uint64) {
+	fleet.Group.Store(fleet.Group.Leader()).View(func(tree *settings.Tree, _ *ledger.Ledger) { version = tree.Version })
 	return version
 }
 
-func (w *world) change(t *testing.T, times int) {
+func change(fleet *fakefleet.Fleet, t *testing.T, times int) {
 	for range times {
-		if _, err := w.submit(t.Context(), w.group.Leader(), &store.Command{Bootstrap: &settings.Bootstrap{}}); err != nil {
+		if _, err := fleet.Submit(t.Context(), fleet.Group.Leader(), &store.Command{Bootstrap: &settings.Bootstrap{}}); err != nil {
 			t.Fatal(err)
 		}
 	}
 }
 
-func (w *world) wantNewest(t *testing.T) {
+func wantNewest(fleet *fakefleet.Fleet, t *testing.T) {
 	t.Helper()
-	time.Sleep(2 * leaseDuration)
-	if version, ok := w.entries[0].version(); !ok || version != w.newest() {
-		t.Errorf("entry works on version %d, %v, want %d", version, ok, w.newest())
+	time.Sleep(2 * fakefleet.LeaseDuration)
+	if version, ok := fleet.Entries[0].Version(); !ok || version != newest(fleet) {
+		t.Errorf("entry works on version %d, %v, want %d", version, ok, newest(fleet))
 	}
 }
 
 func TestEntryCatchesUpAfterMissedChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, 3, 1, sound)
-		defer w.stop()
-		w.wantNewest(t)
-		w.setCut(0, 3, true)
-		w.change(t, missed)
-		if _, ok := w.entries[0].version(); ok {
-			time.Sleep(leaseDuration)
+		fleet := fakefleet.New(t, 1, 3, 1, fakefleet.Sound)
+		defer fleet.Stop()
+		wantNewest(fleet, t)
+		fleet.SetCut(0, 3, true)
+		change(fleet, t, missed)
+		if _, ok := fleet.Entries[0].Version(); ok {
+			time.Sleep(fakefleet.LeaseDuration)
 		}
-		if _, ok := w.entries[0].version(); ok {
+		if _, ok := fleet.Entries[0].Version(); ok {
 			t.Error("a cut-off entry takes work")
 		}
-		w.setCut(0, 3, false)
-		w.wantNewest(t)
+		fleet.SetCut(0, 3, false)
+		wantNewest(fleet, t)
 	})
 }
 
 func TestEntryDoesNotStartFromLaggingFollower(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 2, 3, 1, sound)
-		defer w.stop()
-		w.wantNewest(t)
-		follower := (w.group.Leader() + 1) % 3
-		w.group.CutOff(follower)
-		w.change(t, missed)
+		fleet := fakefleet.New(t, 2, 3, 1, fakefleet.Sound)
+		defer fleet.Stop()
+		wantNewest(fleet, t)
+		follower := (fleet.Group.Leader() + 1) % 3
+		fleet.Group.CutOff(follower)
+		change(fleet, t, missed)
 		// The entry reaches the lagging follower only.
-		w.setCut(0, 3, true)
-		w.mu.Lock()
-		w.cut[link{w.entries[0].name, follower}] = false
-		w.mu.Unlock()
-		w.do(event{Kind: "restart entry", Target: 0})
+		fleet.SetCut(0, 3, true)
+		fleet.SetLink(0, follower, false)
+		fleet.Do(fakefleet.Event{Kind: fakefleet.RestartEntry, Target: 0})
 		time.Sleep(time.Minute)
-		if w.entries[0].agent.Settings().Load() != nil {
+		if fleet.Entries[0].Agent.Settings().Load() != nil {
 			t.Error("the entry started from a lagging follower")
 		}
-		w.setCut(0, 3, false)
-		w.wantNewest(t)
+		fleet.SetCut(0, 3, false)
+		wantNewest(fleet, t)
 	})
 }
--- a/internal/coordination/settingsync/register_test.go
+++ b/internal/coordination/settingsync/register_test.go
@@ -14,6 +14,7 @@
 	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 
+	"github.com/lagoonshift/lagoonshift/internal/fake/fakefleet"
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
@@ -99,7 +100,8 @@
 
 // operators is the operators' side of a run.
 type operators struct {
-	world *world
+	t     *testing.T
+	fleet *fakefleet.Fleet
 	// order gives each call and return its place in the history.
 	order atomic.Int64
 
@@ -113,7 +115,7 @@
 	id     int
 	random *rand.Rand
 	// path reaches the replicas like an entry does.
-	path *entry
+	path *fakefleet.Entry
 	seen uint64
 	// last is the change that the racer sent last.
 	last request
@@ -155,42 +157,42 @@
 // send sends an operation until an answer arrives. Lost answers are common.
 func (r *racer) send(in request) response {
 	number := in.number
-	clock := r.all.world.group.Clock()
+	clock := r.all.fleet.Group.Clock()
 	for start := clock.Now(); clock.Now().Sub(start) < patience; {
 		var out response
-		err := r.path.each(context.Background(), func(ctx context.Context, i int) (err error) {
+		err := r.path.Each(context.Background(), func(ctx context.Context, i int) (err error) {
 			if in.read {
-				out.version, out.value, err = r.all.world.readRegister(ctx, i)
+				out.version, out.value, err = readRegister(r.all.fleet, ctx, i)
 				return err
 			}
-			out.result, err = r.all.world.changeRegister(ctx, i, in, number)
+			out.result, err = changeRegister(r.all.fleet, ctx, i, in, number)
 			return err
 		})
 		if err == nil {
 			return out
 		}
-		if r.all.world.fault == newNumber {
+		if r.all.fleet.Fault == fakefleet.NewNumber {
 			number += numbers
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	r.all.world.t.Errorf("no answer to %+v within %v", in, patience)
+	r.all.t.Errorf("no answer to %+v within %v", in, patience)
 	return response{}
 }
 
-func (w *world) readRegister(ctx context.Context, i int) (version uint64, value string, err error) {
-	if _, err := w.read(ctx, i, 0); err != nil {
+func readRegister(fleet *fakefleet.Fleet, ctx context.Context, i int) (version uint64, value string, err error) {
+	if _, err := fleet.Read(ctx, i, 0); err != nil {
 		return 0, "", err
 	}
-	w.group.Store(i).View(func(tree *settings.Tree, _ *ledger.Ledger) {
+	fleet.Group.Store(i).View(func(tree *settings.Tree, _ *ledger.Ledger) {
 		current := tree.Subtrees[registerPath]
 		version, value = current.Version, string(current.Content)
 	})
 	return version, value, nil
 }
 
-func (w *world) changeRegister(ctx context.Context, i int, in request, number uint64) (settings.ChangeResult, error) {
-	result, err := w.submit(ctx, i, &store.Command{Change: &settings.Change{
+func changeRegister(fleet *fakefleet.Fleet, ctx context.Context, i int, in request, number uint64) (settings.ChangeResult, error) {
+	result, err := fleet.Submit(ctx, i, &store.Command{Change: &settings.Change{
 		Operator:    settings.RootOperator,
 		TokenSHA256: settings.HashToken("root"),
 		Number:      number,
@@ -203,27 +205,27 @@
 }
 
 // race runs a schedule while operators race, and returns their history.
-func race(t *testing.T, seed uint64, replicas int, schedule []event, f fault) []porcupine.Operation {
+func race(t *testing.T, seed uint64, replicas int, schedule []fakefleet.Event, f fakefleet.Fault) []porcupine.Operation {
 	var all *operators
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, seed, replicas, 1, f)
-		defer w.stop()
+		fleet := fakefleet.New(t, seed, replicas, 1, f)
+		defer fleet.Stop()
 		bootstrap := &store.Command{Bootstrap: &settings.Bootstrap{RootTokenSHA256: settings.HashToken("root")}}
-		if _, err := w.submit(t.Context(), w.group.Leader(), bootstrap); err != nil {
+		if _, err := fleet.Submit(t.Context(), fleet.Group.Leader(), bootstrap); err != nil {
 			t.Fatal(err)
 		}
-		all = &operators{world: w}
+		all = &operators{t: t, fleet: fleet}
 		ctx, cancel := context.WithCancel(t.Context())
 		var racing sync.WaitGroup
 		for i := range racers {
-			r := &racer{all: all, id: i, random: rand.New(rand.NewPCG(seed, uint64(i))), path: &entry{world: w, name: "operator", frozen: &pause{}}}
+			r := &racer{all: all, id: i, random: rand.New(rand.NewPCG(seed, uint64(i))), path: fleet.Operator()}
 			racing.Go(func() { r.run(ctx) })
 		}
 		for _, e := range schedule {
 			time.Sleep(e.Wait)
-			w.do(e)
+			fleet.Do(e)
 		}
-		w.calm()
+		fleet.Calm()
 		time.Sleep(settled / 4)
 		cancel()
 		racing.Wait()
@@ -237,7 +239,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		seed := rapid.Uint64().Draw(r, "seed")
 		replicas := rapid.SampledFrom([]int{3, 3, 5}).Draw(r, "replicas")
-		history := race(t, seed, replicas, drawSchedule(r), sound)
+		history := race(t, seed, replicas, drawSchedule(r), fakefleet.Sound)
 		if got := porcupine.CheckOperationsTimeout(registerModel, history, checkTimeout); got != porcupine.Ok {
 			r.Fatalf("history of %d operations is %s: %v", len(history), got, history)
 		}
@@ -252,8 +254,8 @@
 func TestRegisterCheckerFindsPlantedFaults(t *testing.T) {
 	const tries = 20
 	second := time.Second
-	schedule := []event{{Kind: "slow"}, {Wait: second, Kind: "cut replica"}, {Wait: 4 * second, Kind: "heal"}, {Wait: second, Kind: "drop"}, {Wait: 4 * second, Kind: "kill leader"}, {Wait: 4 * second, Kind: "fast"}}
-	for name, f := range map[string]fault{"read at a follower": followerRead, "new number": newNumber} {
+	schedule := []fakefleet.Event{{Kind: fakefleet.Slow}, {Wait: second, Kind: fakefleet.CutReplica}, {Wait: 4 * second, Kind: fakefleet.Heal}, {Wait: second, Kind: fakefleet.Drop}, {Wait: 4 * second, Kind: fakefleet.KillLeader}, {Wait: 4 * second, Kind: fakefleet.Fast}}
+	for name, f := range map[string]fakefleet.Fault{"read at a follower": fakefleet.FollowerRead, "new number": fakefleet.NewNumber} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(tries) {
 				if porcupine.CheckOperationsTimeout(registerModel, race(t, seed, 3, schedule, f), checkTimeout) == porcupine.Illegal {
--- a/internal/coordination/settingsync/schedule_test.go
+++ b/internal/coordination/settingsync/schedule_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/fake/fakefleet"
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
@@ -23,21 +23,16 @@
 	settled = 8 * time.Second
 )
 
-// event is one disturbance of a schedule.
-type event struct {
-	Wait   time.Duration
-	Kind   string
-	Target int
+var eventKinds = []fakefleet.Kind{
+	fakefleet.KillLeader, fakefleet.Kill, fakefleet.LoseDisk, fakefleet.Restart, fakefleet.Restart,
+	fakefleet.Freeze, fakefleet.Thaw, fakefleet.Thaw, fakefleet.CutReplica, fakefleet.Drop, fakefleet.Heal, fakefleet.Heal,
+	fakefleet.CutEntry, fakefleet.CutHalf, fakefleet.KeepOne, fakefleet.HealEntry, fakefleet.HealEntry,
+	fakefleet.FreezeEntry, fakefleet.ThawEntry, fakefleet.ThawEntry, fakefleet.RestartEntry, fakefleet.Slow, fakefleet.Fast,
 }
 
-var eventKinds = []string{
-	"kill", "restart", "restart", "lose disk", "freeze", "thaw", "thaw", "cut replica", "drop", "heal", "heal",
-	"cut entry", "half cut", "keep one", "heal entry", "heal entry", "freeze entry", "thaw entry", "thaw entry", "restart entry", "slow", "fast", "kill leader",
-}
-
-func drawSchedule(t *rapid.T) []event {
-	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
-		return event{
+func drawSchedule(t *rapid.T) []fakefleet.Event {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fakefleet.Event {
+		return fakefleet.Event{
 			Wait:   time.Duration(rapid.IntRange(0, 2500).Draw(t, "wait")) * time.Millisecond,
 			Kind:   rapid.SampledFrom(eventKinds).Draw(t, "kind"),
 			Target: rapid.IntRange(0, 14).Draw(t, "target"),
@@ -45,116 +40,9 @@
 	}), 3, 25).Draw(t, "schedule")
 }
 
-// do carries out an event. At most a minority of the replicas is down or
-// frozen at a time; cuts may take the quorum away.
-func (w *world) do(e event) {
-	g := w.group
-	replica := e.Target % g.Size()
-	at := e.Target % len(w.entries)
-	switch e.Kind {
-	case "kill leader":
-		if leader := g.CurrentLeader(); leader >= 0 && w.mayStop(leader) {
-			g.Kill(leader)
-		}
-	case "kill":
-		if w.mayStop(replica) {
-			g.Kill(replica)
-		}
-	case "lose disk":
-		if w.mayStop(replica) && w.repaired() {
-			g.LoseDisk(replica)
-			w.restart(replica)
-		}
-	case "restart":
-		w.restart(replica)
-	case "freeze":
-		if w.mayStop(replica) {
-			g.Freeze(replica)
-		}
-	case "thaw":
-		g.Thaw(replica)
-	case "cut replica":
-		g.CutOff(replica)
-	case "drop":
-		g.SetDrop(0.3)
-	case "heal":
-		g.Heal()
-	case "cut entry":
-		w.setCut(at, g.Size(), true)
-	case "half cut":
-		w.setCut(at, g.Size()/2, true)
-	case "keep one":
-		w.setCut(at, g.Size(), true)
-		w.setCut(at, 1, false)
-	case "heal entry":
-		w.setCut(at, g.Size(), false)
-	case "freeze entry":
-		w.entries[at].frozen.set(true)
-	case "thaw entry":
-		w.entries[at].frozen.set(false)
-	case "restart entry":
-		old := w.entries[at]
-		old.stop()
-		w.entries[at] = w.startEntry(old.name, old.incarnation+1)
-	case "slow":
-		w.setSlowest(attempt)
-	case "fast":
-		w.setSlowest(usualDelay)
-	}
-}
-
-func (w *world) restart(replica int) {
-	if w.group.TryRestart(replica) != nil {
-		return
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.trackers[replica] = w.newTracker()
-}
-
-func (w *world) mayStop(replica int) bool {
-	stopped := 0
-	for i := range w.group.Size() {
-		if !w.group.Running(i) {
-			stopped++
-		}
-	}
-	return w.group.Running(replica) && stopped < (w.group.Size()-1)/2
-}
-
-// repaired reports whether every replica runs and is a voter. A disk that is
-// lost before that may take the quorum away for ever.
-func (w *world) repaired() bool {
-	leader := w.group.CurrentLeader()
-	if leader < 0 {
-		return false
-	}
-	view := w.group.Log(leader).View()
-	for i := range w.group.Size() {
-		if !w.group.Running(i) || !slices.Contains(view.Voters, w.group.Log(i).View().ReplicaID) {
-			return false
-		}
-	}
-	return len(view.Voters) == w.group.Size() && view.VotersIndex <= view.CommitIndex
-}
-
-func (w *world) setCut(entry, replicas int, down bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for i := range replicas {
-		w.cut[link{w.entries[entry].name, i}] = down
-	}
-}
-
-func (w *world) setSlowest(delay time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.slowest = delay
-}
-
-// checker looks at the whole world, which no process can.
+// checker looks at the whole fleet, which no process can.
 type checker struct {
-	world *world
+	fleet *fakefleet.Fleet
 	// committedAt holds when a settings index was first seen committed.
 	committedAt map[uint64]clock.Instant
 	// inForce is the highest version that a replica reported to be in force.
@@ -165,31 +53,31 @@
 	err      error
 }
 
-func newChecker(w *world) *checker {
-	return &checker{world: w, committedAt: make(map[uint64]clock.Instant), versions: make(map[string]uint64)}
+func newChecker(fleet *fakefleet.Fleet) *checker {
+	return &checker{fleet: fleet, committedAt: make(map[uint64]clock.Instant), versions: make(map[string]uint64)}
 }
 
 func (c *checker) look() {
-	now := c.world.group.Clock().Now()
-	for i := range c.world.group.Size() {
-		if c.world.group.Running(i) {
+	now := c.fleet.Group.Clock().Now()
+	for i := range c.fleet.Group.Size() {
+		if c.fleet.Group.Running(i) {
 			c.lookAtReplica(i, now)
 		}
 	}
-	for _, e := range c.world.entries {
+	for _, e := range c.fleet.Entries {
 		c.lookAtEntry(e, now)
 	}
 }
 
 func (c *checker) lookAtReplica(i int, now clock.Instant) {
-	view := c.world.group.Log(i).View()
+	view := c.fleet.Group.Log(i).View()
 	index := view.LogSettingsIndex
 	if _, known := c.committedAt[index]; !known && index <= view.CommitIndex {
 		c.committedAt[index] = now
 	}
 	var current *settings.Configuration
-	c.world.group.Store(i).View(func(tree *settings.Tree, _ *ledger.Ledger) { current = tree.Configuration() })
-	tracker := c.world.tracker(i)
+	c.fleet.Group.Store(i).View(func(tree *settings.Tree, _ *ledger.Ledger) { current = tree.Configuration() })
+	tracker := c.fleet.Tracker(i)
 	tracker.Applied(current.Version, current.Members)
 	if tracker.Report(current.Version).InForce {
 		c.inForce = max(c.inForce, current.Version)
@@ -199,21 +87,21 @@
 // lookAtEntry checks that the entry would not send new work on settings older
 // than a change that was committed more than a lease duration ago, or that was
 // reported to be in force everywhere.
-func (c *checker) lookAtEntry(e *entry, now clock.Instant) {
-	version, ok := e.version()
+func (c *checker) lookAtEntry(e *fakefleet.Entry, now clock.Instant) {
+	version, ok := e.Version()
 	if !ok {
 		return
 	}
 	c.accepted++
 	for index, at := range c.committedAt {
-		if index > version && now.Sub(at) > leaseDuration {
-			c.fail("%s takes work on version %d, %v after version %d was committed", e.name, version, now.Sub(at), index)
+		if index > version && now.Sub(at) > fakefleet.LeaseDuration {
+			c.fail("%s takes work on version %d, %v after version %d was committed", e.Name, version, now.Sub(at), index)
 		}
 	}
 	if version < c.inForce {
-		c.fail("%s takes work on version %d, though version %d was reported in force", e.name, version, c.inForce)
+		c.fail("%s takes work on version %d, though version %d was reported in force", e.Name, version, c.inForce)
 	}
-	run := fmt.Sprintf("%s/%d", e.name, e.incarnation)
+	run := fmt.Sprintf("%s/%d", e.Name, e.Incarnation)
 	if version < c.versions[run] {
 		c.fail("%s went back from version %d to %d", run, c.versions[run], version)
 	}
@@ -227,33 +115,33 @@
 }
 
 // write commits settings commands until ctx ends.
-func (w *world) write(ctx context.Context) {
+func write(fleet *fakefleet.Fleet, ctx context.Context) {
 	for ctx.Err() == nil {
 		command := &store.Command{Bootstrap: &settings.Bootstrap{Zones: []string{"a"}}}
-		limited, cancel := context.WithTimeout(ctx, attempt)
-		_, _ = w.submit(limited, w.pick(w.group.Size()), command)
+		limited, cancel := context.WithTimeout(ctx, fakefleet.Attempt)
+		_, _ = fleet.Submit(limited, fleet.Pick(fleet.Group.Size()), command)
 		cancel()
-		time.Sleep(time.Duration(1+w.pick(1500)) * time.Millisecond)
+		time.Sleep(time.Duration(1+fleet.Pick(1500)) * time.Millisecond)
 	}
 }
 
 // play runs a schedule and returns what the checker found.
-func play(t *testing.T, seed uint64, replicas int, schedule []event, f fault) (found *checker) {
+func play(t *testing.T, seed uint64, replicas int, schedule []fakefleet.Event, f fakefleet.Fault) (found *checker) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, seed, replicas, 3, f)
-		defer w.stop()
+		fleet := fakefleet.New(t, seed, replicas, 3, f)
+		defer fleet.Stop()
 		ctx, cancel := context.WithCancel(t.Context())
 		written := make(chan struct{})
 		go func() {
 			defer close(written)
-			w.write(ctx)
+			write(fleet, ctx)
 		}()
-		found = newChecker(w)
-		for _, e := range append([]event{{Wait: settled}}, schedule...) {
+		found = newChecker(fleet)
+		for _, e := range append([]fakefleet.Event{{Wait: settled}}, schedule...) {
 			found.watch(e.Wait)
-			w.do(e)
+			fleet.Do(e)
 		}
-		w.calm()
+		fleet.Calm()
 		found.watch(settled)
 		cancel()
 		<-written
@@ -268,27 +156,13 @@
 	}
 }
 
-// calm ends all disturbances.
-func (w *world) calm() {
-	w.group.Heal()
-	w.setSlowest(usualDelay)
-	for i := range w.group.Size() {
-		w.group.Thaw(i)
-		w.restart(i)
-	}
-	for i, e := range w.entries {
-		e.frozen.set(false)
-		w.setCut(i, w.group.Size(), false)
-	}
-}
-
 // TestNoWorkOnOldSettings draws schedules of kills, lost disks, freezes, cuts,
 // losses and delays against the real consensus and the real agent.
 func TestNoWorkOnOldSettings(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		seed := rapid.Uint64().Draw(r, "seed")
 		replicas := rapid.SampledFrom([]int{3, 3, 5}).Draw(r, "replicas")
-		found := play(t, seed, replicas, drawSchedule(r), sound)
+		found := play(t, seed, replicas, drawSchedule(r), fakefleet.Sound)
 		if found.err != nil {
 			r.Fatal(found.err)
 		}
@@ -303,19 +177,19 @@
 func TestScheduleCheckerFindsPlantedFaults(t *testing.T) {
 	tests := []struct {
 		name     string
-		fault    fault
-		schedule []event
+		fault    fakefleet.Fault
+		schedule []fakefleet.Event
 	}{
-		{"lease counted from the answer", leaseFromAnswer, []event{{Kind: "cut entry"}}},
-		{"one answer taken for a majority", oneAnswer, []event{{Kind: "keep one"}, {Kind: "cut replica"}}},
-		{"report before every lease has ended", shortPeriod, []event{{Kind: "cut entry"}}},
+		{"lease counted from the answer", fakefleet.LeaseFromAnswer, []fakefleet.Event{{Kind: fakefleet.CutEntry}}},
+		{"one answer taken for a majority", fakefleet.OneAnswer, []fakefleet.Event{{Kind: fakefleet.KeepOne}, {Kind: fakefleet.CutReplica}}},
+		{"report before every lease has ended", fakefleet.ShortPeriod, []fakefleet.Event{{Kind: fakefleet.CutEntry}}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			const tries = 10
-			schedule := append(test.schedule, event{Wait: settled})
+			schedule := append(test.schedule, fakefleet.Event{Wait: settled})
 			for seed := range uint64(tries) {
-				if play(t, seed, 3, schedule, sound).err != nil {
+				if play(t, seed, 3, schedule, fakefleet.Sound).err != nil {
 					t.Fatal("the checker reports a fault where there is none")
 				}
 				if found := play(t, seed, 3, schedule, test.fault); found.err != nil {
--- /dev/null
+++ b/internal/fake/fakefleet/entry.go
@@ -0,0 +1,222 @@
+package fakefleet
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/settingsync"
+	"github.com/lagoonshift/lagoonshift/internal/state/member"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+)
+
+// pause stops an entry's process until it is opened again.
+type pause struct {
+	mu     sync.Mutex // guards opened
+	opened chan struct{}
+}
+
+func (p *pause) pass() {
+	p.mu.Lock()
+	opened := p.opened
+	p.mu.Unlock()
+	if opened != nil {
+		<-opened
+	}
+}
+
+func (p *pause) set(closed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if closed == (p.opened != nil) {
+		return
+	}
+	if closed {
+		p.opened = make(chan struct{})
+		return
+	}
+	close(p.opened)
+	p.opened = nil
+}
+
+func (p *pause) closed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened != nil
+}
+
+// Entry is a simulated entry process with a real agent.
+type Entry struct {
+	Name        string
+	Incarnation uint64
+	Agent       *settingsync.Agent
+
+	fleet  *Fleet
+	frozen *pause
+	gate   *lease.Gate
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// processClock is the clock as a process that may be frozen reads it.
+type processClock struct {
+	clock.Clock
+	frozen *pause
+	// ahead is added by the planted fault LeaseFromAnswer.
+	ahead time.Duration
+}
+
+func (c processClock) Now() clock.Instant {
+	c.frozen.pass()
+	return c.Clock.Now().Add(c.ahead)
+}
+
+// Operator returns what reaches the replicas as an entry does, for tests that
+// act as an operator.
+func (f *Fleet) Operator() *Entry {
+	return &Entry{fleet: f, Name: "operator", frozen: &pause{}}
+}
+
+func (f *Fleet) startEntry(name string, incarnation uint64) *Entry {
+	e := &Entry{fleet: f, Name: name, Incarnation: incarnation, frozen: &pause{}, done: make(chan struct{})}
+	c := processClock{Clock: f.Group.Clock(), frozen: e.frozen}
+	holder := lease.NewHolder(c)
+	e.gate = lease.NewGate(holder)
+	if f.Fault == LeaseFromAnswer {
+		c.ahead = 2 * Attempt
+	}
+	e.Agent = settingsync.New(settingsync.Options{
+		Self:    member.Member{Name: name, Incarnation: incarnation, Zone: "a"},
+		Control: e,
+		Clock:   c,
+		Holder:  holder,
+		Gate:    e.gate,
+		Log:     hclog.NewNullLogger(),
+	})
+	var ctx context.Context
+	ctx, e.cancel = context.WithCancel(context.Background())
+	go func() {
+		defer close(e.done)
+		if e.Agent.Start(ctx) == nil {
+			_ = e.Agent.Run(ctx)
+		}
+	}()
+	return e
+}
+
+func (e *Entry) stop() {
+	e.cancel()
+	e.frozen.set(false)
+	<-e.done
+}
+
+// Version returns the settings version on which the entry would send new work
+// now; ok is false if it would not.
+func (e *Entry) Version() (version uint64, ok bool) {
+	if e.frozen.closed() {
+		return 0, false
+	}
+	c := e.Agent.Settings().Load()
+	if c == nil || e.gate.Check(c.Version) != nil {
+		return 0, false
+	}
+	return c.Version, true
+}
+
+// Renew implements settingsync.Control.
+func (e *Entry) Renew(ctx context.Context, r lease.Renewal) []lease.Answer {
+	e.frozen.pass()
+	var mu sync.Mutex
+	var answers []lease.Answer
+	var waiting sync.WaitGroup
+	for i := range e.fleet.Group.Size() {
+		waiting.Go(func() {
+			answer, ok := e.ask(i, r)
+			mu.Lock()
+			defer mu.Unlock()
+			if ok && ctx.Err() == nil {
+				answers = append(answers, answer)
+			}
+		})
+	}
+	waiting.Wait()
+	e.frozen.pass()
+	if e.fleet.Fault == OneAnswer && len(answers) > 0 {
+		return answers[:1]
+	}
+	return answers
+}
+
+// ask asks one replica, which answers from its view at that instant.
+func (e *Entry) ask(i int, r lease.Renewal) (lease.Answer, bool) {
+	e.fleet.travel()
+	if !e.reaches(i) {
+		return lease.Answer{}, false
+	}
+	view := e.fleet.Group.Log(i).View()
+	e.fleet.Tracker(i).Renewed(r.Member, r.Incarnation, r.Version)
+	e.fleet.travel()
+	if e.fleet.Fault == OneAnswer {
+		view.Voters = []uint64{view.ReplicaID}
+	}
+	return lease.Answer{
+		Replica:          view.ReplicaID,
+		LogSettingsIndex: view.LogSettingsIndex,
+		Voters:           view.Voters,
+		VotersIndex:      view.VotersIndex,
+		Duration:         LeaseDuration,
+	}, e.reaches(i)
+}
+
+func (e *Entry) reaches(i int) bool {
+	return e.fleet.Group.Running(i) && !e.fleet.isCut(e.Name, i)
+}
+
+// Settings implements settingsync.Control.
+func (e *Entry) Settings(ctx context.Context, have uint64) (settings.Update, error) {
+	var update settings.Update
+	err := e.Each(ctx, func(ctx context.Context, i int) (err error) {
+		update, err = e.fleet.Read(ctx, i, have)
+		return err
+	})
+	return update, err
+}
+
+// Submit implements settingsync.Control.
+func (e *Entry) Submit(ctx context.Context, command *store.Command) (store.Result, error) {
+	var result store.Result
+	err := e.Each(ctx, func(ctx context.Context, i int) (err error) {
+		result, err = e.fleet.Submit(ctx, i, command)
+		return err
+	})
+	return result, err
+}
+
+// Each tries the replicas that the entry reaches, from a drawn one on.
+func (e *Entry) Each(ctx context.Context, do func(ctx context.Context, i int) error) error {
+	e.frozen.pass()
+	defer e.frozen.pass()
+	size := e.fleet.Group.Size()
+	err := errUnreachable
+	for first, i := e.fleet.Pick(size), 0; i < size && ctx.Err() == nil; i++ {
+		at := (first + i) % size
+		e.fleet.travel()
+		if !e.reaches(at) {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, Attempt)
+		err = do(limited, at)
+		cancel()
+		e.fleet.travel()
+		if err == nil && e.reaches(at) {
+			return nil
+		}
+	}
+	return errors.Join(err, errUnreachable)
+}
