--- a/scripts/trials/ordersender/main.go
+++ b/scripts/trials/ordersender/main.go
@@ -120,11 +120,15 @@
 			effects++
 		}
 	}
-	for _, v := range record.Violations() {
+	violations := record.Violations()
+	for _, v := range violations {
 		if strings.Contains(v, "old fencing token") {
 			late++
 		}
 	}
-	fmt.Printf("%d %d %d\n", len(record.Arrivals), effects, late)
+	fmt.Printf("%d %d %d %d\n", len(record.Arrivals), effects, late, len(violations))
+	for _, v := range violations {
+		fmt.Fprintln(os.Stderr, v)
+	}
 	return nil
 }
