--- a/internal/coordination/reconcile/schedule_test.go
+++ b/internal/coordination/reconcile/schedule_test.go
@@ -76,11 +76,11 @@
 
 // run plays a schedule, then lets everything heal. It returns what went
 // against the rules and what was not finished in the end.
-func run(t *testing.T, s schedule, f faults) (violations, unfinished []string) {
+func run(t *testing.T, s schedule, f faults, under func(t testing.TB, w *world) controls) (violations, unfinished []string) {
 	ops := &history{}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := newWorld(s.seed, f, ops)
+		w := newWorld(t, s.seed, f, ops, under)
 		w.apply()
 		for _, p := range w.control {
 			p.start(ctx)
@@ -93,10 +93,10 @@
 			w.play(ctx, e)
 		}
 		w.calm.Store(true)
-		for _, p := range w.control {
-			w.group.Cut(p.replica, false)
+		for i := range replicas {
+			w.group.heal(i)
 		}
-		w.group.Elect(w.control[0].replica)
+		w.group.elect(0)
 		unfinished = w.waitFinished()
 		violations = w.judge()
 		cancel()
@@ -132,12 +132,11 @@
 	name := fmt.Sprintf("%s-%d", []string{"checks", "loose"}[e.pick%2], 2+e.pick/2%2)
 	switch e.kind {
 	case "elect":
-		w.group.Elect(p.replica)
+		w.group.elect(p.number)
 	case "cut":
-		w.group.Cut(p.replica, true)
-		w.group.Elect(w.control[(e.pick+1)%replicas].replica)
+		w.group.cut(p.number)
 	case "heal":
-		w.group.Cut(p.replica, false)
+		w.group.heal(p.number)
 	case "kill":
 		p.restart(ctx)
 	case "crash":
@@ -147,7 +146,7 @@
 			s.Role = []settings.Role{settings.RolePrefill, settings.RoleDecode, settings.RoleMixed}[e.pick/4]
 		})
 	case "weights":
-		w.version++
+		w.weight++
 		w.apply()
 	case "hand over":
 		w.setPin(name, func(s *settings.Engine) {
@@ -170,7 +169,19 @@
 
 func TestOrdersUnderRandomSchedules(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		violations, unfinished := run(t, drawSchedule(rt), faults{})
+		violations, unfinished := run(t, drawSchedule(rt), faults{}, underScript)
+		if len(violations)+len(unfinished) > 0 {
+			rt.Fatalf("violations %q, unfinished %q", violations, unfinished)
+		}
+	})
+}
+
+// TestOrdersUnderConsensus plays schedules over the real consensus, with
+// frozen leaders, kills and cuts.
+func TestOrdersUnderConsensus(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawSchedule(rt)
+		violations, unfinished := run(t, s, faults{}, func(t testing.TB, _ *world) controls { return newElected(t, s.seed) })
 		if len(violations)+len(unfinished) > 0 {
 			rt.Fatalf("violations %q, unfinished %q", violations, unfinished)
 		}
@@ -194,7 +205,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			for seed := range plantedRuns {
-				violations, _ := run(t, denseSchedule(uint64(seed)), test.faults)
+				violations, _ := run(t, denseSchedule(uint64(seed)), test.faults, underScript)
 				if slices.ContainsFunc(violations, func(v string) bool { return strings.Contains(v, test.want) }) {
 					t.Logf("seen at schedule %d", seed)
 					return
--- a/internal/coordination/reconcile/steps_test.go
+++ b/internal/coordination/reconcile/steps_test.go
@@ -39,19 +39,18 @@
 // interruptions are what happens at a step.
 var interruptions = map[string]func(w *world, ctx context.Context, engine string){
 	"leader cut off and replaced": func(w *world, _ context.Context, _ string) {
-		w.group.Cut(w.control[0].replica, true)
-		w.group.Elect(w.control[1].replica)
-		time.AfterFunc(time.Minute, func() { w.group.Cut(w.control[0].replica, false) })
+		w.group.cut(0)
+		time.AfterFunc(time.Minute, func() { w.group.heal(0) })
 	},
-	"leader replaced": func(w *world, _ context.Context, _ string) { w.group.Elect(w.control[1].replica) },
+	"leader replaced": func(w *world, _ context.Context, _ string) { w.group.elect(1) },
 	"leader killed": func(w *world, ctx context.Context, _ string) {
 		go w.control[0].restart(ctx)
-		w.group.Elect(w.control[1].replica)
+		w.group.elect(1)
 	},
 	"engine crashes": func(w *world, _ context.Context, engine string) { w.engines[base+engine].Crash() },
 	"both": func(w *world, _ context.Context, engine string) {
 		w.engines[base+engine].Crash()
-		w.group.Elect(w.control[1].replica)
+		w.group.elect(1)
 	},
 }
 
@@ -73,7 +72,7 @@
 	ops := &history{}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := newWorld(1, faults{}, ops)
+		w := newWorld(t, 1, faults{}, ops, underScript)
 		w.calm.Store(true)
 		var armed atomic.Bool
 		w.atStep = func(s orderStep, at string) {
@@ -110,7 +109,7 @@
 	ops := &history{}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := newWorld(1, faults{}, ops)
+		w := newWorld(t, 1, faults{}, ops, underScript)
 		w.calm.Store(true)
 		w.apply()
 		w.control[0].start(ctx)
--- a/internal/coordination/reconcile/world_test.go
+++ b/internal/coordination/reconcile/world_test.go
@@ -10,13 +10,13 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/reconcile"
-	"github.com/lagoonshift/lagoonshift/internal/fake/fakecontrol"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeplatform"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakewire"
@@ -49,8 +49,7 @@
 // world is a whole control group, its engines, entries and old system.
 type world struct {
 	clock   clock.Clock
-	group   *fakecontrol.Group
-	truth   *store.Store
+	group   controls
 	engines map[string]*fakeengine.Orders
 	weights *fakeplatform.WeightStore
 	faults  faults
@@ -66,41 +65,36 @@
 	random   *rand.Rand
 	streams  map[string]int
 	changes  uint64
-	version  int
+	weight   int
 	oldOrder int
 	found    []string
 }
 
 // process is one control process, which may be killed and started again.
 type process struct {
-	world   *world
-	replica *fakecontrol.Replica
-	store   *store.Store
-	ids     atomic.Uint64
+	world  *world
+	number int
+	ids    atomic.Uint64
 
 	mu   sync.Mutex // guards kill
 	kill context.CancelFunc
 }
 
-func newWorld(seed uint64, f faults, ops *history) *world {
+func newWorld(t testing.TB, seed uint64, f faults, ops *history, under func(t testing.TB, w *world) controls) *world {
 	w := &world{
-		clock: clock.NewRuntime(), truth: store.New(), weights: fakeplatform.NewWeightStore(weightRate, 0), faults: f, ops: ops,
+		clock: clock.NewRuntime(), weights: fakeplatform.NewWeightStore(weightRate, 0), faults: f, ops: ops,
 		engines: make(map[string]*fakeengine.Orders), pins: make(map[string]settings.Engine),
 		random: rand.New(rand.NewPCG(seed, 1)), streams: make(map[string]int),
 	}
-	w.group = fakecontrol.New(fakecontrol.Options{Clock: w.clock, Lose: func() bool { return w.chance(0.1) }})
-	w.group.Add(w.truth)
+	w.group = under(t, w)
 	for i := range 4 {
 		w.addEngine(fmt.Sprintf("checks-%d", i), true)
 		w.addEngine(fmt.Sprintf("loose-%d", i), false)
 	}
-	for range replicas {
-		p := &process{world: w, store: store.New()}
-		p.replica = w.group.Add(p.store)
-		w.control = append(w.control, p)
+	for i := range replicas {
+		w.control = append(w.control, &process{world: w, number: i})
 	}
 	w.commit(&store.Command{Bootstrap: &settings.Bootstrap{RootTokenSHA256: rootToken, Zones: []string{"a"}}})
-	w.group.Elect(w.control[0].replica)
 	return w
 }
 
@@ -123,7 +117,7 @@
 
 // arrived compares an order with the book.
 func (w *world) arrived(engine string, a *fakeengine.Arrival) {
-	orders := w.truth.Orders()
+	orders := w.group.truth().Orders()
 	if strings.HasPrefix(a.Order.ID, "old-") {
 		a.Unrecorded = orders.Book.Holders[engine].Side != settings.AuthorityOldSystem
 		return
@@ -165,7 +159,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.kill()
-	time.AfterFunc(time.Second, func() { p.start(world) })
+	p.world.group.end(p.number)
+	time.AfterFunc(time.Second, func() {
+		if world.Err() == nil {
+			p.world.group.begin(p.number)
+			p.start(world)
+		}
+	})
+}
+
+// underScript runs the world with a scripted group.
+func underScript(_ testing.TB, w *world) controls {
+	return newScripted(w.clock, func() bool { return w.chance(0.1) })
 }
 
 func (p *process) start(world context.Context) {
@@ -181,9 +186,10 @@
 	if w.faults.noClosing {
 		bounds.Closing = 0
 	}
-	wire := fakewire.New(fakewire.Options{Clock: w.clock, Engines: w.engines, Next: func(url string) fakewire.Fate { return w.fateOf(strings.TrimPrefix(url, base)) }, Unguarded: w.faults.unguarded, Killed: func() { p.restart(world) }})
+	wire := fakewire.New(fakewire.Options{Clock: w.clock, Engines: w.engines, Next: func(url string) fakewire.Fate { return w.fateOf(strings.TrimPrefix(url, base)) }, Unguarded: w.faults.unguarded, Killed: func() { go p.restart(world) }})
+	log, state := w.group.replica(p.number)
 	r := reconcile.New(reconcile.Options{
-		Replica: "control", Log: &recorded{Log: &stepped{Log: p.replica, world: w}, ops: w.ops}, Store: p.store, Clock: w.clock, Engines: wire,
+		Replica: "control", Log: &recorded{Log: &stepped{Log: log, world: w}, ops: w.ops}, Store: state, Clock: w.clock, Engines: wire,
 		Limits: bounds, Logger: hclog.NewNullLogger(),
 		NewID: func() string { return fmt.Sprintf("%p-%d", p, p.ids.Add(1)) },
 	})
@@ -197,7 +203,7 @@
 		model, _, _ := strings.Cut(name, "-")
 		m, ok := models[model]
 		if !ok {
-			m = settings.Model{MinPrefill: 1, MinDecode: 1, Engines: map[string]settings.Engine{}, Weights: []settings.Weights{{Kind: "adapter", Name: "a", Version: fmt.Sprint(w.version)}}}
+			m = settings.Model{MinPrefill: 1, MinDecode: 1, Engines: map[string]settings.Engine{}, Weights: []settings.Weights{{Kind: "adapter", Name: "a", Version: fmt.Sprint(w.weight)}}}
 		}
 		m.Engines[name] = engine
 		models[model] = m
@@ -213,16 +219,28 @@
 	if err != nil {
 		panic(err)
 	}
+	for range 100 {
+		if w.tryChange(path, encoded) {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	panic("change of " + path + " refused")
+}
+
+// tryChange reports false if the change was made against an old version.
+func (w *world) tryChange(path string, content []byte) bool {
 	w.changes++
-	edit := settings.Edit{Path: path, Content: encoded}
-	w.truth.View(func(tree *settings.Tree, _ *ledger.Ledger) { edit.BaseVersion = tree.Subtrees[path].Version })
+	edit := settings.Edit{Path: path, Content: content, BaseVersion: w.version(path)}
 	change := settings.Change{Operator: settings.RootOperator, TokenSHA256: rootToken, Number: w.changes, Edits: []settings.Edit{edit}}
 	w.commit(&store.Command{Change: &change})
-	w.truth.View(func(tree *settings.Tree, _ *ledger.Ledger) {
-		if tree.Subtrees[path].Version == edit.BaseVersion {
-			panic("change of " + path + " refused")
-		}
-	})
+	return w.version(path) != edit.BaseVersion
+}
+
+// version returns a subtree's version.
+func (w *world) version(path string) (version uint64) {
+	w.group.truth().View(func(tree *settings.Tree, _ *ledger.Ledger) { version = tree.Subtrees[path].Version })
+	return version
 }
 
 func (w *world) commit(command *store.Command) {
@@ -230,7 +248,7 @@
 	if err != nil {
 		panic(err)
 	}
-	w.group.Commit(encoded)
+	w.group.commit(encoded)
 }
 
 // serve plays the entries: they send streams to each engine until its closing
@@ -238,7 +256,7 @@
 func (w *world) serve(ctx context.Context) {
 	since := make(map[string]clock.Instant)
 	for ctx.Err() == nil {
-		orders := w.truth.Orders()
+		orders := w.group.truth().Orders()
 		closed := orders.Book.Closed()
 		if w.faults.noClosing {
 			closed = nil
@@ -269,7 +287,7 @@
 func (w *world) playOldSystem(ctx context.Context) {
 	for ctx.Err() == nil {
 		time.Sleep(500*time.Millisecond + w.draw(time.Second))
-		orders := w.truth.Orders()
+		orders := w.group.truth().Orders()
 		for name := range w.engines {
 			engine := strings.TrimPrefix(name, base)
 			held := orders.Book.Holders[engine].Side == settings.AuthorityOldSystem
@@ -321,7 +339,7 @@
 }
 
 func (w *world) countRole(model string, role settings.Role) int {
-	orders := w.truth.Orders()
+	orders := w.group.truth().Orders()
 	count := 0
 	for url, engine := range w.engines {
 		name := strings.TrimPrefix(url, base)
@@ -358,7 +376,7 @@
 // unfinished returns what is not as the settings want it.
 func (w *world) unfinished() []string {
 	var left []string
-	orders := w.truth.Orders()
+	orders := w.group.truth().Orders()
 	for engine, o := range orders.Book.Outstanding {
 		left = append(left, fmt.Sprintf("order %s to %s is %s", o.ID, engine, o.Phase))
 	}
