--- a/internal/role/controlrole/control.go
+++ b/internal/role/controlrole/control.go
@@ -58,7 +58,7 @@
 	group.Go(func() error { return fleet.lead(ctx) })
 	group.Go(func() error { return orders.reconciler.Run(ctx) })
 	mux := http.NewServeMux()
-	registerTelemetry(mux, name, replica.log, log)
+	registerTelemetry(mux, name, fleet, log)
 	admin := adminhttp.New(adminhttp.Options{
 		Log:     replica.log,
 		Store:   state,
--- a/internal/transport/callerhttp/addresses.go
+++ b/internal/transport/callerhttp/addresses.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/address"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
 )
 
 // AddressAnswer lists addresses in the order a caller should try them.
@@ -17,15 +18,20 @@
 
 // addresses answers with the entries for the caller's zone, which it may name
 // in the query, or with the old system's addresses if the caller belongs
-// there.
+// there. Without a lease this entry may not know who left, and its answer
+// could name an entry that no longer accepts.
 func (s *Server) addresses(w http.ResponseWriter, r *http.Request) {
+	if !s.Lease.Valid() {
+		refuse(w, noLease(refusal.No))
+		return
+	}
 	config := s.Settings.Load()
 	answer := AddressAnswer{TTLSeconds: config.System.AddressTTL.Std().Seconds()}
-	team := r.Header.Get(HeaderTeam)
-	if len(config.System.OldSystem) > 0 && address.ToOldSystem(config.Teams[team], team, r.Header.Get(HeaderClass), r.Header.Get(HeaderCustomer)) {
+	caller := address.Caller{Team: r.Header.Get(HeaderTeam), Class: r.Header.Get(HeaderClass), Customer: r.Header.Get(HeaderCustomer)}
+	if len(config.System.OldSystem) > 0 && address.ToOldSystem(config, caller) {
 		answer.Addresses = config.System.OldSystem
 	} else {
-		answer.Addresses = address.Order(s.Directory.Members(), s.callerZone(r), s.Load, s.asked.Add(1))
+		answer.Addresses = address.Order(s.Directory.Members(), s.callerZone(r), s.Loads, s.asked.Add(1))
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(answer)
