--- a/internal/coordination/reconcile/schedule_test.go
+++ b/internal/coordination/reconcile/schedule_test.go
@@ -19,7 +19,7 @@
 
 // defaultSchedules is the number of random schedules unless -rapid.checks says
 // otherwise.
-const defaultSchedules = "12"
+const defaultSchedules = "25"
 
 func TestMain(m *testing.M) {
 	flag.Parse()
