--- a/cmd/lagoonshift/config.go
+++ b/cmd/lagoonshift/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -13,13 +14,15 @@
 // adminFlags are the flags of every command that talks to the administration
 // API.
 type adminFlags struct {
-	urls  []string
-	token string
+	urls      []string
+	token     string
+	authority string
 }
 
 func (f *adminFlags) add(c *kingpin.CmdClause) {
 	c.Flag("admin", "Base URL of a control process's administration API; may be given several times.").Required().StringsVar(&f.urls)
 	c.Flag("token-file", "File with the operator's token.").Required().StringVar(&f.token)
+	addAuthority(c, &f.authority)
 }
 
 func (f *adminFlags) client() (*adminhttp.Client, error) {
@@ -27,7 +30,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return adminhttp.NewClient(adminhttp.ClientOptions{BaseURLs: f.urls, Token: token}), nil
+	transport, err := newTransport(f.authority)
+	if err != nil {
+		return nil, err
+	}
+	return adminhttp.NewClient(adminhttp.ClientOptions{
+		BaseURLs: f.urls,
+		Token:    token,
+		HTTP:     &http.Client{Transport: transport},
+	}), nil
 }
 
 // with returns a command that is given a client.
--- a/cmd/lagoonshift/load.go
+++ b/cmd/lagoonshift/load.go
@@ -19,6 +19,8 @@
 	json     string
 	plot     string
 	duration time.Duration
+	// authority is a PEM file; see addAuthority.
+	authority string
 }
 
 func addLoad(app *kingpin.Application, commands map[string]command) {
@@ -27,6 +29,7 @@
 	clause.Arg("file", "Mix file, JSON with comments.").Required().StringVar(&flags.mix)
 	clause.Flag("json", "File for the report as JSON.").StringVar(&flags.json)
 	clause.Flag("duration", "How long requests arrive, with its unit, in place of the mix file's duration.").DurationVar(&flags.duration)
+	addAuthority(clause, &flags.authority)
 	clause.Flag("plot", "File for a plot of goodput over time, such as out/run.png.").StringVar(&flags.plot)
 	commands["load run"] = flags.run
 }
@@ -39,7 +42,11 @@
 	if f.duration > 0 {
 		mix.Duration = strictjson.Duration(f.duration)
 	}
-	runner := load.NewRunner(mix, load.NewHTTPClient(), os.Stderr)
+	transport, err := newTransport(f.authority)
+	if err != nil {
+		return err
+	}
+	runner := load.NewRunner(mix, load.NewHTTPClient(transport), os.Stderr)
 	results := runner.Run(ctx)
 	runs, err := runner.Executions(context.WithoutCancel(ctx))
 	if err != nil {
--- a/internal/load/directory.go
+++ b/internal/load/directory.go
@@ -48,7 +48,7 @@
 		if err != nil || len(answer.Addresses) == 0 {
 			continue
 		}
-		d.known = baseURLs(answer.Addresses)
+		d.known = baseURLs(answer.Addresses, base)
 		d.expires = time.Now().Add(time.Duration(answer.TTLSeconds * float64(time.Second)))
 		return d.known, nil
 	}
@@ -81,12 +81,14 @@
 	return answer, nil
 }
 
-func baseURLs(addresses []string) []string {
+// baseURLs puts the scheme of the URL that was asked before plain addresses.
+func baseURLs(addresses []string, asked string) []string {
+	scheme, _, _ := strings.Cut(asked, "://")
 	out := make([]string, len(addresses))
 	for i, address := range addresses {
 		out[i] = address
 		if !strings.Contains(address, "://") {
-			out[i] = "http://" + address
+			out[i] = scheme + "://" + address
 		}
 	}
 	return out
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -36,9 +36,12 @@
 	return &Runner{mix: m, http: client, progress: progress, directories: make(map[string]*directory)}
 }
 
-// NewHTTPClient returns a client that suits many concurrent callers.
-func NewHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connsPerHost}}
+// NewHTTPClient returns a client that suits many concurrent callers. It takes
+// over the transport.
+func NewHTTPClient(transport *http.Transport) *http.Client {
+	transport.MaxIdleConns = 0
+	transport.MaxIdleConnsPerHost = connsPerHost
+	return &http.Client{Transport: transport}
 }
 
 // Run sends all arrivals at their times and returns the results, in order of
