Let a leaving entry come back as leaving

Cause: an entry that was cut off while it left was taken for dead, and its new registration made it live again, so that callers were sent to it. The test fails without the change.

--- a/internal/coordination/settingsync/agent.go
+++ b/internal/coordination/settingsync/agent.go
@@ -71,6 +71,8 @@
 	options   Options
 	current   atomic.Pointer[settings.Configuration]
 	directory *member.Directory
+	// leaving is set once the entry began to leave.
+	leaving atomic.Bool
 
 	mu sync.Mutex // held while current is replaced
 }
@@ -124,6 +126,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	self := a.options.Self
+	if a.leaving.Load() {
+		self.State = memberstate.Leaving
+	}
 	result, err := a.options.Control.Submit(ctx, &store.Command{Register: &memberstate.Register{
 		Member:   self,
 		Replaces: a.current.Load().Members[self.Name].Incarnation,
@@ -249,6 +254,7 @@
 // Leave marks the entry as leaving, so that no address answer names it once
 // every entry has the mark or lost its lease.
 func (a *Agent) Leave(ctx context.Context) error {
+	a.leaving.Store(true)
 	return a.retire(ctx, false)
 }
 
--- a/internal/coordination/settingsync/agent_test.go
+++ b/internal/coordination/settingsync/agent_test.go
@@ -234,6 +234,15 @@
 		if got := b.agent.Directory(); len(got.Live()) != 0 || len(got.Members()) != 1 {
 			t.Errorf("members = %v, want one that is leaving", got.Members())
 		}
+		// Control takes the leaving entry for dead, and it comes back.
+		if err := b.agent.Deregister(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * RenewInterval)
+		synctest.Wait()
+		if got := b.agent.Directory(); len(got.Live()) != 0 || len(got.Members()) != 1 {
+			t.Errorf("members = %v, want one that is still leaving", got.Members())
+		}
 	})
 }
 
--- a/internal/state/settings/fleet.go
+++ b/internal/state/settings/fleet.go
@@ -59,7 +59,9 @@
 	if current.Incarnation != r.Replaces {
 		return member.Result{Current: current}
 	}
-	r.Member.State = member.Live
+	if r.Member.State != member.Leaving {
+		r.Member.State = member.Live
+	}
 	t.write(index, Path{Group: groupMembers, Name: r.Member.Name}, r.Member)
 	return member.Result{Accepted: true, Current: r.Member}
 }
