--- a/internal/coordination/raft/commit_test.go
+++ b/internal/coordination/raft/commit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -18,13 +19,13 @@
 	s.start(0)
 	c := r.core
 	s.now = s.now.Add(2 * time.Second)
-	c.campaign(s.now, false)
+	c.campaign(r.local(s.now), false)
 	for _, id := range []uint64{2, 3} {
-		c.Step(s.now, Message{Type: MsgVoteReply, From: id, To: 1, Term: 3})
+		c.Step(r.local(s.now), Message{Type: MsgVoteReply, From: id, To: 1, Term: 3})
 	}
 	s.settle(r)
 	for _, id := range []uint64{2, 3} {
-		c.Step(s.now, Message{Type: MsgAppendReply, From: id, To: 1, Term: 3, Index: 2})
+		c.Step(r.local(s.now), Message{Type: MsgAppendReply, From: id, To: 1, Term: 3, Index: 2})
 	}
 	if !c.IsLeader() {
 		t.Fatal("the replica does not lead")
@@ -95,3 +96,33 @@
 		t.Errorf("%d different timeouts for 10 seeds", len(seen))
 	}
 }
+
+// TestSilentReplicaIsSentNoSnapshot lets a replica answer once that it needs
+// compacted entries and then fall silent.
+func TestSilentReplicaIsSentNoSnapshot(t *testing.T) {
+	s := newSim(3, noFault)
+	s.pass(5 * time.Second)
+	leads := slices.IndexFunc(s.replicas, func(r *simReplica) bool { return r.core.IsLeader() })
+	r, silent := s.replicas[leads], s.replicas[(leads+1)%3]
+	behind := silent.core.log.last()
+	silent.cut = true
+	for range 5 {
+		s.propose(r)
+	}
+	s.pass(500 * time.Millisecond)
+	s.compact(r)
+	r.core.Step(r.local(s.now), Message{
+		Type: MsgAppendReply, From: silent.core.id, To: r.core.id, Term: r.core.term,
+		Index: r.core.log.last(), Reject: true, Hint: behind, Sent: r.local(s.now),
+	})
+	s.pass(10 * time.Second)
+	most := int(DefaultTiming.ElectionTimeout/DefaultTiming.Heartbeat) + 1
+	if s.snapshots == 0 || s.snapshots > most {
+		t.Errorf("a silent replica was sent %d snapshots, want 1 to %d", s.snapshots, most)
+	}
+	silent.cut = false
+	s.pass(5 * time.Second)
+	if silent.core.commit != s.newest {
+		t.Errorf("healed replica is at %d of %d", silent.core.commit, s.newest)
+	}
+}
