--- a/cmd/lagoonshift/load.go
+++ b/cmd/lagoonshift/load.go
@@ -46,6 +46,9 @@
 		return err
 	}
 	report := load.NewReport(mix.Seed, results, runs)
+	if len(mix.Engines) > 0 {
+		report.AddOrders(runner.Orders(context.WithoutCancel(ctx)))
+	}
 	report.Print(os.Stdout)
 	if err := f.writeJSON(report); err != nil {
 		return err
--- a/internal/transport/callerhttp/service.go
+++ b/internal/transport/callerhttp/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/request"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/servicecall"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
@@ -24,24 +25,37 @@
 		return
 	}
 	executed := executedUnasked(rule)
-	call, err := readCall(w, r)
+	body, release, err := s.bodies.read(w, r, executed)
 	if err != nil {
-		refuse(w, invalid("read body: "+err.Error(), executed))
+		refuse(w, err)
 		return
 	}
+	defer release()
+	call := newCall(r, body)
+	labels := s.labels(r)
 	if !s.Lease.Valid() {
-		refuse(w, noLease(executed))
+		s.refuse(w, labels, noLease(executed))
 		return
 	}
-	leave, err := s.enter(r.Header.Get(HeaderTeam), call.Customer)
+	leave, err := s.enter(labels.Team, call.Customer)
 	if err != nil {
-		refuse(w, limited(err, executed))
+		s.refuse(w, labels, limited(err, executed))
 		return
 	}
 	defer leave()
 	s.runCall(w, r, call, rule)
 }
 
+// labels names whom a service call belongs to, as far as the settings know the
+// team: metrics must not grow with what callers write into headers.
+func (s *Server) labels(r *http.Request) request.Labels {
+	team := r.Header.Get(HeaderTeam)
+	if _, ok := s.Settings.Load().Teams[team]; !ok {
+		team = ""
+	}
+	return request.Labels{Team: team}
+}
+
 // executedUnasked returns what can be said of a call before the ledger was
 // asked: another entry may have run a non-idempotent one under the same key.
 func executedUnasked(rule settings.Call) refusal.Executed {
@@ -56,11 +70,7 @@
 	return rule, ok
 }
 
-func readCall(w http.ResponseWriter, r *http.Request) (*servicecall.Call, error) {
-	body, err := readBody(w, r)
-	if err != nil {
-		return nil, err
-	}
+func newCall(r *http.Request, body []byte) *servicecall.Call {
 	return &servicecall.Call{
 		Service:     r.PathValue("service"),
 		Path:        r.PathValue("path"),
@@ -70,7 +80,7 @@
 		Customer:    r.Header.Get(HeaderCustomer),
 		Key:         r.Header.Get(HeaderKey),
 		Body:        body,
-	}, nil
+	}
 }
 
 func (s *Server) runCall(w http.ResponseWriter, r *http.Request, call *servicecall.Call, rule settings.Call) {
@@ -88,7 +98,7 @@
 	answer, err := run(ctx, call, rule)
 	if err != nil {
 		s.Log.Debug("call not answered", "service", call.Service, "call", call.Path, "error", err)
-		refuse(w, err)
+		s.refuse(w, s.labels(r), err)
 		return
 	}
 	writeAnswer(w, answer)
