--- a/internal/protocol/admission/admission.go
+++ b/internal/protocol/admission/admission.go
@@ -8,10 +8,8 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
@@ -172,90 +170,3 @@
 	}
 	return out
 }
-
-// model is the demand for one model at this entry.
-type model struct {
-	classes map[classKey]*class
-	planned clock.Instant
-	// densest is the class with the most worth per engine second.
-	densest *class
-	// headroom scales the engines' rates.
-	headroom headroom
-}
-
-type classKey struct {
-	team  string
-	class string
-}
-
-func (m *model) class(r *routing.Request) *class {
-	key := classKey{team: r.Team, class: r.Class}
-	k := m.classes[key]
-	if k == nil {
-		k = &class{
-			prompt: float64(r.PromptTokens), output: float64(r.OutputTokens),
-			customers: make(map[string]*customer), fraction: 1,
-		}
-		m.classes[key] = k
-	}
-	return k
-}
-
-// age brings the arrival rates up to date.
-func (m *model) age(now clock.Instant) {
-	elapsed := now.Sub(m.planned)
-	m.planned = now
-	for _, k := range m.classes {
-		k.age(elapsed)
-	}
-}
-
-// plan decides which part of each class is admitted until the next plan, when
-// this entry may use the given part of the engines.
-func (m *model) plan(now clock.Instant, view *routing.ModelView, part float64) {
-	m.age(now)
-	headroom := m.headroom.next()
-	capacity := view.Capacity
-	for r := range capacity {
-		capacity[r] *= part * headroom
-	}
-	keys := m.keys()
-	demand := make([]fluid.Class, len(keys))
-	for i, key := range keys {
-		demand[i] = m.classes[key].fluid()
-	}
-	m.densest = m.findDensest(view.Speeds, keys, demand)
-	best := fluid.Best(view.Speeds, capacity, demand)
-	strict := strictness(view.Pressure())
-	for i, key := range keys {
-		m.classes[key].grant(best.Served[i]*strict + demand[i].Rate*(1-strict))
-	}
-}
-
-// findDensest returns the class whose demand has the most worth per engine
-// second, or nil without demand.
-func (m *model) findDensest(t *speed.Table, keys []classKey, demand []fluid.Class) *class {
-	var best *class
-	most := 0.0
-	for i, key := range keys {
-		density := demand[i].Worth / t.Cheapest(demand[i].PromptTokens, demand[i].OutputTokens)
-		if demand[i].Rate > forgetRate && density > most {
-			best, most = m.classes[key], density
-		}
-	}
-	return best
-}
-
-const (
-	// easyPressure is the pressure up to which nothing is refused by worth,
-	// and fullPressure that from which on the plan is kept strictly.
-	easyPressure = 0.35
-	fullPressure = 0.7
-)
-
-// strictness is the part of the plan's refusals that the pressure on the
-// engines confirms. The plan rests on one entry's noisy arrival rates, the
-// pressure on late load reports; a request is refused when both agree.
-func strictness(pressure float64) float64 {
-	return min(max((pressure-easyPressure)/(fullPressure-easyPressure), 0), 1)
-}
--- a/internal/protocol/admission/class.go
+++ b/internal/protocol/admission/class.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
 )
 
@@ -137,26 +136,3 @@
 	c.credit--
 	return true
 }
-
-func (m *model) keys() []classKey {
-	return slices.SortedFunc(maps.Keys(m.classes), func(a, b classKey) int {
-		return cmp.Or(cmp.Compare(a.team, b.team), cmp.Compare(a.class, b.class))
-	})
-}
-
-func (m *model) demand() roleplan.Demand {
-	var d roleplan.Demand
-	for _, key := range m.keys() {
-		k := m.classes[key]
-		f := k.fluid()
-		d.Requests += f.Rate
-		d.PromptTokens += f.Rate * f.PromptTokens
-		d.OutputTokens += f.Rate * f.OutputTokens
-		d.Worth += f.Rate * f.Worth
-		d.Classes = append(d.Classes, roleplan.ClassDemand{
-			Team: key.team, Class: key.class, Requests: f.Rate,
-			PromptTokens: f.PromptTokens, OutputTokens: f.OutputTokens, Worth: f.Worth,
-		})
-	}
-	return d
-}
--- a/internal/protocol/roleplan/goodput.go
+++ b/internal/protocol/roleplan/goodput.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
@@ -61,9 +59,9 @@
 	if g.unsettled(now, engines) {
 		return nil
 	}
-	f := &fleet{table: speed.FromModel(&model), model: &model, engines: engines, counts: count(engines)}
-	f.recent = weigh(demand, g.options.Memory)
-	f.longer = weigh(demand, longerMemory*g.options.Memory)
+	f := newFleet(&model, demand, engines, g.options.Headroom)
+	recent := f.weights(g.options.Memory)
+	longer := f.weights(longerMemory * g.options.Memory)
 	best, bestNet := Move{}, 0.0
 	for from := range speed.Roles {
 		name := g.movable(now, f, from)
@@ -74,7 +72,7 @@
 			if to == from {
 				continue
 			}
-			net, gain := g.net(f, from, to)
+			net, gain := g.net(f, recent, longer, from, to)
 			if net > bestNet {
 				reason := fmt.Sprintf("expected gain %.1f, net %.1f worth over %s", gain, net, g.options.Horizon)
 				best, bestNet = Move{Engine: name, Role: speed.Roles[to], Reason: reason}, net
@@ -142,14 +140,18 @@
 	return prompts && outputs
 }
 
+// longerMemory is the ratio of the two memories by which a change is judged: it
+// has to pay by both, so that waves and short surges move nothing.
+const longerMemory = 4
+
 // net returns the worth over the horizon that a change brings after all its
-// costs, and the worth before them.
-func (g *Goodput) net(f *fleet, from, to int) (net, gain float64) {
-	net, gain = g.netOf(f, f.recent, from, to)
+// costs, and the worth before them, by the memory that gives less.
+func (g *Goodput) net(f *fleet, recent, longer []float64, from, to int) (net, gain float64) {
+	net, gain = g.netOf(f, recent, from, to)
 	if net <= 0 {
 		return net, gain
 	}
-	longerNet, longerGain := g.netOf(f, f.longer, from, to)
+	longerNet, longerGain := g.netOf(f, longer, from, to)
 	if longerNet < net {
 		return longerNet, longerGain
 	}
@@ -157,91 +159,16 @@
 }
 
 // netOf is net for one weighing of the recent demand.
-func (g *Goodput) netOf(f *fleet, samples []sample, from, to int) (net, gain float64) {
+func (g *Goodput) netOf(f *fleet, weights []float64, from, to int) (net, gain float64) {
 	during := f.counts
 	during[from]--
 	after := during
 	after[to]++
-	now := g.served(f, samples, f.counts)
-	gain = (g.served(f, samples, after) - now) * (g.options.Horizon - g.options.ChangeTime).Seconds()
+	now := f.served(f.counts, weights)
+	gain = (f.served(after, weights) - now) * (g.options.Horizon - g.options.ChangeTime).Seconds()
 	if gain < g.options.MinGain*now*g.options.Horizon.Seconds() {
 		return 0, gain
 	}
-	lost := max(now-g.served(f, samples, during), 0) * g.options.ChangeTime.Seconds()
+	lost := max(now-f.served(during, weights), 0) * g.options.ChangeTime.Seconds()
 	return gain - lost - f.model.RolePrice, gain
 }
-
-// served is the mean worth per second that a fleet serves of the recent
-// demand.
-func (g *Goodput) served(f *fleet, samples []sample, counts fluid.Capacity) float64 {
-	for r := range counts {
-		counts[r] *= g.options.Headroom
-	}
-	sum := 0.0
-	for _, s := range samples {
-		sum += s.weight * fluid.Best(f.table, counts, s.classes).Worth
-	}
-	return sum
-}
-
-// fleet is what one plan works on.
-type fleet struct {
-	table   *speed.Table
-	model   *settings.Model
-	engines []Engine
-	counts  fluid.Capacity
-	// recent and longer weigh the recent demand by two memories.
-	recent []sample
-	longer []sample
-}
-
-// sample is the demand of one moment; the weights add up to one.
-type sample struct {
-	weight  float64
-	classes []fluid.Class
-}
-
-// longerMemory is the ratio of the two memories by which a change is judged: it
-// has to pay by both, so that waves and short surges move nothing.
-const longerMemory = 4
-
-func weigh(demand Demand, memory time.Duration) []sample {
-	recent := demand.Recent
-	if len(recent) == 0 {
-		recent = []Demand{demand}
-	}
-	out := make([]sample, len(recent))
-	sum := 0.0
-	for i := range recent {
-		age := time.Duration(len(recent)-1-i) * sampleInterval
-		out[i] = sample{weight: math.Exp(-age.Seconds() / memory.Seconds()), classes: classesOf(recent[i])}
-		sum += out[i].weight
-	}
-	for i := range out {
-		out[i].weight /= sum
-	}
-	return out
-}
-
-func classesOf(d Demand) []fluid.Class {
-	out := make([]fluid.Class, 0, len(d.Classes))
-	for _, c := range d.Classes {
-		out = append(out, fluid.Class{Rate: c.Requests, PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens, Worth: c.Worth})
-	}
-	return out
-}
-
-func count(engines []Engine) fluid.Capacity {
-	var c fluid.Capacity
-	for i := range engines {
-		if !engines[i].Available {
-			continue
-		}
-		for r, role := range speed.Roles {
-			if engines[i].Role == role {
-				c[r]++
-			}
-		}
-	}
-	return c
-}
--- a/internal/protocol/roleplan/roleplan_test.go
+++ b/internal/protocol/roleplan/roleplan_test.go
@@ -93,7 +93,7 @@
 			}
 			moves := NewGoodput(DefaultGoodput()).Plan(now, model, demand, engines)
 			check(t, now, model, engines, moves)
-			apply(now, engines, moves)
+			apply(engines, moves)
 			now = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "pause")) * time.Second)
 			if rapid.Bool().Draw(t, "settled") {
 				settle(now, engines)
@@ -138,7 +138,7 @@
 	}
 }
 
-func apply(now clock.Instant, engines []Engine, moves []Move) {
+func apply(engines []Engine, moves []Move) {
 	for _, m := range moves {
 		for i := range engines {
 			if engines[i].Name == m.Engine {
@@ -147,7 +147,6 @@
 			}
 		}
 	}
-	_ = now
 }
 
 func settle(now clock.Instant, engines []Engine) {
