Keep imports downwards: reconcile moves to the protocol layer

Cause: reconcile acts on decisions of the protocol layer, but stood in coordination below it. Ruled out: moving order, roleplan and backend down, which routing and requests share. Before: three upward imports.

--- a/internal/fake/fakewire/wire.go
+++ b/internal/fake/fakewire/wire.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/coordination/reconcile"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/reconcile"
 )
 
 const (
--- a/internal/coordination/reconcile/world_test.go
+++ b/internal/protocol/reconcile/world_test.go
@@ -16,12 +16,12 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/coordination/reconcile"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeplatform"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakewire"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/order"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/reconcile"
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
--- a/internal/transport/backendhttp/orders.go
+++ b/internal/transport/backendhttp/orders.go
@@ -14,8 +14,8 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/guard"
-	"github.com/lagoonshift/lagoonshift/internal/coordination/reconcile"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/reconcile"
 )
 
 const (
