--- /dev/null
+++ b/cmd/lagoonshift/main_test.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+const example = "../../examples/reseat-works/"
+
+// call runs a command line and returns its error.
+func call(t *testing.T, args ...string) error {
+	t.Helper()
+	app := kingpin.New("lagoonshift", "")
+	commands := make(map[string]command)
+	addEntry(app, commands)
+	addCheck(app, commands)
+	selected, err := app.Parse(args)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return commands[selected](t.Context())
+}
+
+func TestWrongFilesEndWithTheUsageCode(t *testing.T) {
+	broken := filepath.Join(t.TempDir(), "settings.jsonc")
+	if err := os.WriteFile(broken, []byte("{\n\"teams/t\": 5}"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name string
+		args []string
+		want string
+	}{
+		{"no such file", []string{"check", "missing.jsonc"}, "missing.jsonc"},
+		{"wrong settings", []string{"check", example + "deployment.jsonc", "--settings", broken}, broken + ":2: /teams/t: expected an object"},
+		{"wrong mix", []string{"check", example + "deployment.jsonc", "--mix", broken}, broken + ":2: /teams/t: unknown field"},
+		{"no such process", []string{"entry", "--deployment", example + "deployment.jsonc", "--name", "entry-99"}, `no entry process "entry-99"`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			err := call(t, test.args...)
+			if err == nil || exitCode(err) != exitUsage || !strings.Contains(err.Error(), test.want) {
+				t.Errorf("error = %v, want one with the usage code that contains %q", err, test.want)
+			}
+			if err != nil && strings.Contains(err.Error(), "\n") {
+				t.Errorf("error %q has several lines", err)
+			}
+		})
+	}
+}
+
+func TestExamplesPass(t *testing.T) {
+	if err := call(t, "check", example+"deployment.jsonc", "--settings", example+"settings.jsonc", "--mix", example+"mix.jsonc"); err != nil {
+		t.Error(err)
+	}
+}
--- a/cmd/lagoonshift/processes.go
+++ b/cmd/lagoonshift/processes.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
+	"github.com/lagoonshift/lagoonshift/internal/load"
 	"github.com/lagoonshift/lagoonshift/internal/operatorcli"
 	"github.com/lagoonshift/lagoonshift/internal/role/controlrole"
 	"github.com/lagoonshift/lagoonshift/internal/role/entryrole"
@@ -47,12 +48,28 @@
 // role runs one process of a deployment.
 type role func(ctx context.Context, d *deployment.Deployment, name string, log hclog.Logger) error
 
-func (f *processFlags) run(r role) command {
+// find tells whether a deployment has a process with the given name.
+type find func(d *deployment.Deployment, name string) error
+
+func findControl(d *deployment.Deployment, name string) error {
+	_, err := d.FindControl(name)
+	return err
+}
+
+func findEntry(d *deployment.Deployment, name string) error {
+	_, err := d.FindEntry(name)
+	return err
+}
+
+func (f *processFlags) run(has find, r role) command {
 	return func(ctx context.Context) error {
 		d, err := deployment.Load(f.file)
 		if err != nil {
 			return &settingsError{err: err}
 		}
+		if err := has(d, f.name); err != nil {
+			return &settingsError{err: fmt.Errorf("%s: %w", f.file, err)}
+		}
 		return r(ctx, d, f.name, telemetry.NewLogger(f.name, d.Log.Level, d.Log.JSON))
 	}
 }
@@ -62,26 +79,48 @@
 	control := app.Command("control", "Run a control process.")
 	flags.add(control)
 	control.Command("run", "Run a control process; with an empty data folder it joins the others.").Default()
-	commands["control run"] = flags.run(controlrole.Run)
+	commands["control run"] = flags.run(findControl, controlrole.Run)
 	control.Command("init", "Make the data folder of the deployment's first control process.")
-	commands["control init"] = flags.run(controlrole.Init)
+	commands["control init"] = flags.run(findControl, controlrole.Init)
 }
 
 func addEntry(app *kingpin.Application, commands map[string]command) {
 	flags := &processFlags{}
 	flags.add(app.Command("entry", "Run an entry process."))
-	commands["entry"] = flags.run(entryrole.Run)
+	commands["entry"] = flags.run(findEntry, entryrole.Run)
+}
+
+// checkFlags are the flags of "check".
+type checkFlags struct {
+	file     string
+	settings string
+	mix      string
 }
 
 func addCheck(app *kingpin.Application, commands map[string]command) {
-	clause := app.Command("check", "Check a deployment file.")
-	file := clause.Arg("file", "Deployment file.").Required().String()
-	commands["check"] = func(context.Context) error {
-		d, err := deployment.Load(*file)
-		if err != nil {
+	flags := &checkFlags{}
+	clause := app.Command("check", "Check a deployment file, and the files that go with it.")
+	clause.Arg("file", "Deployment file.").Required().StringVar(&flags.file)
+	clause.Flag("settings", "Settings file to check too, against the deployment's zones.").StringVar(&flags.settings)
+	clause.Flag("mix", "Mix file of the load tool to check too.").StringVar(&flags.mix)
+	commands["check"] = flags.run
+}
+
+func (f *checkFlags) run(context.Context) error {
+	d, err := deployment.Load(f.file)
+	if err != nil {
+		return &settingsError{err: err}
+	}
+	if f.settings != "" {
+		if err := operatorcli.CheckFile(f.settings, f.file); err != nil {
+			return err
+		}
+	}
+	if f.mix != "" {
+		if _, err := load.LoadMix(f.mix); err != nil {
 			return &settingsError{err: err}
 		}
-		fmt.Printf("%s: deployment %s, %d control and %d entry processes\n", *file, d.Name, len(d.Control), len(d.Entries))
-		return nil
 	}
+	fmt.Printf("%s: deployment %s, %d control and %d entry processes\n", f.file, d.Name, len(d.Control), len(d.Entries))
+	return nil
 }
--- a/internal/operatorcli/file.go
+++ b/internal/operatorcli/file.go
@@ -41,6 +41,13 @@
 	subtrees map[string]json.RawMessage
 }
 
+// CheckFile checks a settings file against the zones of a deployment file. An
+// error is a *FileError.
+func CheckFile(name, deploymentFile string) error {
+	_, err := readFile(name, deploymentFile)
+	return err
+}
+
 // readFile reads and checks a settings file. With a deployment file it also
 // checks the zones.
 func readFile(name, deploymentFile string) (*settingsFile, error) {
