--- a/internal/role/controlrole/admin.go
+++ b/internal/role/controlrole/admin.go
@@ -1,11 +1,14 @@
 package controlrole
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/lagoonshift/lagoonshift/internal/telemetry"
 )
@@ -16,16 +19,42 @@
 	errNoTree   = errors.New("the settings tree has not taken in the deployment file yet")
 )
 
+// gaugeInterval is the time between two readings of a replica's gauges.
+const gaugeInterval = time.Second
+
 // registerTelemetry adds health, metrics and profiles to mux.
-func registerTelemetry(mux *http.ServeMux, name string, f *fleet, logger hclog.Logger) {
-	admin := &telemetry.Admin{
-		Metrics: telemetry.NewMetrics("control", name, logger),
-		Log:     logger,
-		Ready:   func() error { return f.ready() },
-	}
+func registerTelemetry(mux *http.ServeMux, metrics *telemetry.Metrics, f *fleet, logger hclog.Logger) {
+	admin := &telemetry.Admin{Metrics: metrics, Log: logger, Ready: f.ready}
 	admin.Register(mux)
 }
 
+// watch sets the replica's gauges until ctx ends.
+func (f *fleet) watch(ctx context.Context, metrics *telemetry.Metrics) error {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		f.setGauges(metrics.Scope)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (f *fleet) setGauges(scope tally.Scope) {
+	view := f.log.View()
+	leads := 0.0
+	if view.LeaderID == view.ReplicaID {
+		leads = 1
+	}
+	scope.Gauge("control_leads").Update(leads)
+	scope.Gauge("control_term").Update(float64(view.Term))
+	scope.Gauge("control_voters").Update(float64(len(view.Voters)))
+	scope.Gauge("control_commit_index").Update(float64(view.CommitIndex))
+	scope.Gauge("control_applied_index").Update(float64(view.AppliedIndex))
+}
+
 // ready reports nil once the replica is a voter of a group that has a leader,
 // and operators' tokens are known to it.
 func (f *fleet) ready() error {
--- a/internal/role/controlrole/control.go
+++ b/internal/role/controlrole/control.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
+	"github.com/lagoonshift/lagoonshift/internal/telemetry"
 	"github.com/lagoonshift/lagoonshift/internal/transport/adminhttp"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
 )
@@ -58,7 +59,9 @@
 	group.Go(func() error { return fleet.lead(ctx) })
 	group.Go(func() error { return orders.reconciler.Run(ctx) })
 	mux := http.NewServeMux()
-	registerTelemetry(mux, name, fleet, log)
+	metrics := telemetry.NewMetrics("control", name, log)
+	registerTelemetry(mux, metrics, fleet, log)
+	group.Go(func() error { return fleet.watch(ctx, metrics) })
 	admin := adminhttp.New(adminhttp.Options{
 		Log:     replica.log,
 		Store:   state,
