Send nothing after a settlement that may be committed

Cause: a settlement without an answer was committed; the engine was handed to the old system and back, and the driver, which still took the order for outstanding, sent it again beside the next one. Ruled out: a late copy, because both orders came from one term and the reach was over. Now a driver that submitted an outcome only submits it again, and the book is asked right before each attempt.

--- a/internal/coordination/reconcile/driver.go
+++ b/internal/coordination/reconcile/driver.go
@@ -21,6 +21,9 @@
 	snapshot order.Snapshot
 	url      string
 	now      clock.Instant
+	// settling is the outcome that was submitted; nil before. Once set, the
+	// driver does nothing but submit it again, because it may be committed.
+	settling *order.Action
 }
 
 func newDriver(l *leadership, o orderbook.Order) *driver {
@@ -43,7 +46,7 @@
 	for ctx.Err() == nil {
 		d.now = d.options.Clock.Now()
 		settled, err := d.advance(ctx)
-		if settled {
+		if settled || errors.Is(err, errSettled) {
 			return
 		}
 		if err != nil {
@@ -58,6 +61,9 @@
 
 // advance acts until it has to wait. It reports whether the order is settled.
 func (d *driver) advance(ctx context.Context) (settled bool, err error) {
+	if d.settling != nil {
+		return d.settle(ctx, *d.settling)
+	}
 	d.configure()
 	for ctx.Err() == nil {
 		action := order.Next(d.snapshot, d.now)
@@ -123,6 +129,9 @@
 	if !ok || authority.Term != d.term {
 		return order.Event{}, fmt.Errorf("send order %s: %w", d.snapshot.Order.ID, errAuthorityLost)
 	}
+	if !d.outstanding() {
+		return order.Event{}, fmt.Errorf("send order %s: %w", d.snapshot.Order.ID, errSettled)
+	}
 	d.snapshot = order.Sent(d.snapshot, d.now)
 	answer, err := d.options.Engines.Order(ctx, d.url, authority.Until, d.request())
 	switch {
@@ -136,6 +145,17 @@
 	return order.Event{Answer: &answer}, nil
 }
 
+// outstanding reports whether the book still holds the order. It is asked
+// after the reading on which an attempt rests: whoever changed the engine
+// since did so after the settlement, which this leader applied first.
+func (d *driver) outstanding() bool {
+	o, ok := d.options.Store.Orders().Book.Outstanding[d.snapshot.Order.Engine]
+	return ok && o.ID == d.snapshot.Order.ID && o.Phase == orderbook.Released
+}
+
+// errSettled is returned when the book no longer holds the order.
+var errSettled = errors.New("the order is settled")
+
 // errAuthorityLost is returned when the leadership ended before an attempt.
 var errAuthorityLost = errors.New("authority lost")
 
@@ -156,6 +176,7 @@
 
 func (d *driver) settle(ctx context.Context, action order.Action) (bool, error) {
 	o := d.snapshot.Order
+	d.settling = &action
 	// What was read before the order's end must not lead to another order.
 	d.observed.forget(o.Engine)
 	command := orderbook.Settle{Engine: o.Engine, ID: o.ID, Outcome: action.Outcome, Detail: action.Detail}
