Start a killed process of the order trials once only

Cause: several frozen writes of one process each asked for a restart, so that two reconcilers of one replica ran in one term, which no real process does.

--- a/internal/coordination/reconcile/world_test.go
+++ b/internal/coordination/reconcile/world_test.go
@@ -76,8 +76,10 @@
 	number int
 	ids    atomic.Uint64
 
-	mu   sync.Mutex // guards kill
+	mu   sync.Mutex // guards the fields below
 	kill context.CancelFunc
+	// down is true from the end of the process until it starts again.
+	down bool
 }
 
 func newWorld(t testing.TB, seed uint64, f faults, ops *history, under func(t testing.TB, w *world) controls) *world {
@@ -158,6 +160,10 @@
 func (p *process) restart(world context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.down {
+		return
+	}
+	p.down = true
 	p.kill()
 	p.world.group.end(p.number)
 	time.AfterFunc(time.Second, func() {
@@ -179,6 +185,7 @@
 	defer p.mu.Unlock()
 	ctx, kill := context.WithCancel(world)
 	p.kill = kill
+	p.down = false
 	bounds := limits
 	if w.faults.noReach {
 		bounds.Reach = 0
