--- a/internal/transport/backendhttp/orders_test.go
+++ b/internal/transport/backendhttp/orders_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/guard"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/reconcile"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/reconcile"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
