Examples run beside an old system and a platform; one Sleep; drop a setting that did nothing

Cause: the example deployments lacked the old system that shares their engines and callers, and the platform's list; leaving_grace was checked but drove nothing, since the settings lease bounds how long a leaving backend server can get work; a wait that ends with its context stood five times.

--- /dev/null
+++ b/internal/clock/sleep.go
@@ -0,0 +1,21 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d. It returns early, with false, when ctx ends.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/fake/fakeengine/engine.go
+++ b/internal/fake/fakeengine/engine.go
@@ -14,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
@@ -172,7 +173,7 @@
 	if !e.slots.acquire(r.Context(), request.Priority) {
 		return false
 	}
-	if !sleep(r.Context(), e.prefillTime(tokens)) {
+	if !clock.Sleep(r.Context(), e.prefillTime(tokens)) {
 		e.slots.release()
 		return false
 	}
--- a/internal/fake/fakeengine/stream.go
+++ b/internal/fake/fakeengine/stream.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"time"
 
+	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 )
 
@@ -39,7 +39,7 @@
 		if end || !ok {
 			return ok
 		}
-		if !sleep(ctx, s.engine.tokenInterval()) {
+		if !clock.Sleep(ctx, s.engine.tokenInterval()) {
 			return false
 		}
 	}
@@ -98,14 +98,3 @@
 	}
 	return s.flush.Flush()
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
 )
 
@@ -53,7 +54,7 @@
 	answer := newAnswer(prompt(r.Arrival), c.verify)
 	for r.Tries < c.maxTries {
 		pause := c.tryStream(ctx, r, answer, start)
-		if r.Kind == Whole || r.Kind == Wrong || !sleep(ctx, pause) {
+		if r.Kind == Whole || r.Kind == Wrong || !clock.Sleep(ctx, pause) {
 			return
 		}
 	}
@@ -148,7 +149,7 @@
 func (c *caller) pursue(ctx context.Context, r *Result) {
 	for r.Tries < c.maxTries {
 		pause := c.tryCall(ctx, r)
-		if r.Kind == Whole || !sleep(ctx, pause) {
+		if r.Kind == Whole || !clock.Sleep(ctx, pause) {
 			return
 		}
 	}
@@ -187,12 +188,3 @@
 	text := shared[:min(len(shared), length/2)] + strings.Repeat(own, 1+length/len(own))
 	return text[:max(length, len(own))]
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
 )
 
 const (
@@ -60,7 +62,7 @@
 	count := 0
 	for i := range arrivals {
 		a := &arrivals[i]
-		if !sleep(ctx, time.Until(start.Add(a.At))) {
+		if !clock.Sleep(ctx, time.Until(start.Add(a.At))) {
 			break
 		}
 		count++
--- a/internal/protocol/reconcile/driver.go
+++ b/internal/protocol/reconcile/driver.go
@@ -53,7 +53,7 @@
 			d.setWaiting(d.snapshot.Order.Engine, err.Error())
 			d.options.Logger.Warn("order not advanced", "order", d.snapshot.Order.ID, "engine", d.snapshot.Order.Engine, "error", err)
 		}
-		if !sleep(ctx, pollInterval) {
+		if !clock.Sleep(ctx, pollInterval) {
 			return
 		}
 	}
--- a/internal/protocol/reconcile/reconcile.go
+++ b/internal/protocol/reconcile/reconcile.go
@@ -91,7 +91,7 @@
 			term.step(ctx)
 		}
 		r.trackDrains()
-		if !sleep(ctx, tickInterval) {
+		if !clock.Sleep(ctx, tickInterval) {
 			return nil
 		}
 	}
@@ -191,14 +191,3 @@
 	}
 	return settings.Engine{}, "", false
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/protocol/request/relay.go
+++ b/internal/protocol/request/relay.go
@@ -121,7 +121,7 @@
 	if s.attempts >= maxAttempts || !errors.Is(cause, backend.ErrMoved) && !s.p.Budget.Spend() {
 		return s.refuse(refusal.BackendFailed, "engines failed the request", retryAfter, cause)
 	}
-	if !sleep(ctx, s.pause(cause)) {
+	if !clock.Sleep(ctx, s.pause(cause)) {
 		return s.refuse(refusal.DeadlinePassed, "the time for the answer ran out", retryAfter, cause)
 	}
 	return nil
@@ -183,15 +183,3 @@
 
 // Unwrap returns the cause.
 func (e *callerError) Unwrap() error { return e.cause }
-
-// sleep waits for d and reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/protocol/request/world_test.go
+++ b/internal/protocol/request/world_test.go
@@ -148,7 +148,7 @@
 }
 
 func (s *script) wait(d time.Duration) error {
-	if !sleep(s.ctx, d) {
+	if !clock.Sleep(s.ctx, d) {
 		return s.ctx.Err()
 	}
 	return nil
--- a/internal/protocol/servicecall/once.go
+++ b/internal/protocol/servicecall/once.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
@@ -135,7 +136,7 @@
 		default:
 			return Answer{}, a.refuse(reserved.Verdict)
 		}
-		if !sleep(a.caller, pause) {
+		if !clock.Sleep(a.caller, pause) {
 			return Answer{}, inProgress(reserved.Record)
 		}
 	}
@@ -176,7 +177,7 @@
 		if err == nil {
 			return *result.Ledger, nil
 		}
-		if !sleep(patience, backoff.Pause(try, a.p.Random)) {
+		if !clock.Sleep(patience, backoff.Pause(try, a.p.Random)) {
 			return ledger.Result{}, err
 		}
 	}
--- a/internal/protocol/servicecall/repeatable.go
+++ b/internal/protocol/servicecall/repeatable.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
@@ -56,7 +57,7 @@
 }
 
 func (p *Protocol) mayRetry(ctx context.Context, retry int) bool {
-	return p.Budget.Spend() && sleep(ctx, backoff.Pause(retry, p.Random))
+	return p.Budget.Spend() && clock.Sleep(ctx, backoff.Pause(retry, p.Random))
 }
 
 func (p *Protocol) tryOnce(ctx context.Context, call *Call, t target, rule settings.Call) (backend.ServiceAnswer, error) {
--- a/internal/protocol/servicecall/servicecall.go
+++ b/internal/protocol/servicecall/servicecall.go
@@ -12,7 +12,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
@@ -234,15 +233,3 @@
 	}
 	return rank
 }
-
-// sleep waits for d and reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/protocol/servicecall/world_test.go
+++ b/internal/protocol/servicecall/world_test.go
@@ -235,7 +235,7 @@
 
 func (e *entry) submit(ctx context.Context, command *store.Command) (store.Result, error) {
 	r := e.w.random(e.name, "submit", e.calls.Add(1))
-	if !sleep(ctx, time.Duration(r.IntN(20))*time.Millisecond) {
+	if !clock.Sleep(ctx, time.Duration(r.IntN(20))*time.Millisecond) {
 		return store.Result{}, ctx.Err()
 	}
 	switch e.w.network(r) {
@@ -281,7 +281,7 @@
 	}
 	switch fault {
 	case serviceLate:
-		if !sleep(ctx, time.Duration(5+r.IntN(15))*time.Second) {
+		if !clock.Sleep(ctx, time.Duration(5+r.IntN(15))*time.Second) {
 			return backend.ServiceAnswer{}, ctx.Err()
 		}
 	case serviceSilent:
--- a/internal/state/settings/check.go
+++ b/internal/state/settings/check.go
@@ -17,8 +17,6 @@
 const (
 	minAddressTTL      = time.Second
 	maxAddressTTL      = 10 * time.Minute
-	minLeavingGrace    = 5 * time.Second
-	maxLeavingGrace    = time.Hour
 	minLedgerRetention = time.Minute
 	maxLedgerRetention = 90 * 24 * time.Hour
 	maxExpectedWait    = 24 * time.Hour
@@ -28,14 +26,12 @@
 // Defaults of the system subtree.
 const (
 	defaultAddressTTL      = 30 * time.Second
-	defaultLeavingGrace    = 5 * time.Second
 	defaultLedgerRetention = 72 * time.Hour
 )
 
 // withDefaults fills in what the system subtree leaves out.
 func (s System) withDefaults() System {
 	setDefault(&s.AddressTTL, defaultAddressTTL)
-	setDefault(&s.LeavingGrace, defaultLeavingGrace)
 	setDefault(&s.LedgerRetention, defaultLedgerRetention)
 	return s
 }
@@ -90,9 +86,6 @@
 	if err := checkDuration("/system/address_ttl", s.AddressTTL, minAddressTTL, maxAddressTTL); err != nil {
 		return err
 	}
-	if err := checkDuration("/system/leaving_grace", s.LeavingGrace, minLeavingGrace, maxLeavingGrace); err != nil {
-		return err
-	}
 	if err := checkDuration("/system/ledger_retention", s.LedgerRetention, minLedgerRetention, maxLedgerRetention); err != nil {
 		return err
 	}
--- a/internal/state/settings/configuration.go
+++ b/internal/state/settings/configuration.go
@@ -59,9 +59,6 @@
 type System struct {
 	// AddressTTL is how long a caller may keep an address answer.
 	AddressTTL strictjson.Duration `json:"address_ttl"`
-	// LeavingGrace is the longest time after which a leaving backend server
-	// gets no new work.
-	LeavingGrace strictjson.Duration `json:"leaving_grace"`
 	// LedgerRetention is how long outcomes of non-idempotent calls are kept.
 	LedgerRetention strictjson.Duration `json:"ledger_retention"`
 	// OldSystem lists the old system's entry addresses, as base URLs.
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -11,8 +11,8 @@
 name=${1:?name of the example: reseat-works or tui-lane}
 example=examples/$name
 case $name in
-  reseat-works) net=127.0.1 engines=12 model=drafting loose=2 ;;
-  tui-lane) net=127.0.2 engines=18 model=gardens loose=3 ;;
+  reseat-works) net=127.0.1 engines=12 model=drafting loose=2 booking=booking other=stock ;;
+  tui-lane) net=127.0.2 engines=18 model=gardens loose=3 booking=visits other=jobs ;;
   *) echo "no example named $name" >&2; exit 2 ;;
 esac
 services=3
@@ -81,6 +81,11 @@
 for i in $(seq $services); do
   start stand_in_pids service-$i fake service --listen $net.$((150 + i)):9100
 done
+old_system=(--listen $net.61:8080 --service "$booking=http://$net.151:9100" --service "$other=http://$net.153:9100")
+for i in $(seq $engines); do old_system+=(--engine http://$net.$((100 + i)):9000); done
+for i in $(seq $entries); do old_system+=(--lagoonshift http://$net.$((10 + i)):8080); done
+start stand_in_pids old-system fake old-system "${old_system[@]}"
+start stand_in_pids platform fake platform --listen $net.62:9300
 if [ ! -d data/"$name"/control-1 ]; then
   $binary control init --deployment $example/deployment.jsonc --name control-1
 fi
--- a/scripts/trials/old-system.sh
+++ b/scripts/trials/old-system.sh
@@ -54,8 +54,8 @@
   "$binary" config apply --wait "${admin[@]}" "$folder/now.jsonc" | tail -1
 }
 
-sed -e "s/127\.0\.1\./$net./g" -e "s|data/reseat-works|$folder|" $example/deployment.jsonc >"$folder/deployment.jsonc"
-sed -e "s/127\.0\.1\./$net./g" -e "s|\"ledger_retention\": \"72h\",|&\"old_system\": [\"http://$net.61:8080\"],|" $example/settings.jsonc >"$folder/settings.jsonc"
+sed -e "s/127\.0\.1\./$net./g" -e "s|data/reseat-works|$folder|" -e '/"platform"/d' $example/deployment.jsonc >"$folder/deployment.jsonc"
+sed -e "s/127\.0\.1\./$net./g" $example/settings.jsonc >"$folder/settings.jsonc"
 sed -e "s/127\.0\.1\./$net./g" -e 's/"duration": "30s"/"duration": "48s"/' -e 's/"repeat": 0.3/"repeat": 0.5/' $example/mix.jsonc >"$folder/mix.jsonc"
 
 old=(--listen "$net.61:8080" --service "booking=http://$net.151:9100" --service "stock=http://$net.153:9100")
--- a/scripts/trials/tls.sh
+++ b/scripts/trials/tls.sh
@@ -46,7 +46,7 @@
 EOF
 cat >"$folder/settings.jsonc" <<EOF
 {
-  "system": {"address_ttl": "1s", "leaving_grace": "5s", "ledger_retention": "1h"},
+  "system": {"address_ttl": "1s", "ledger_retention": "1h"},
   "models/m": {"role_price": 1, "engines": {"engine-1": {"url": "http://127.0.3.101:9000", "zone": "a", "checks_fencing": true, "authority": "lagoonshift"}}},
   "teams/t": {"classes": {"c": {"model": "m", "expected_wait": "10s", "worth": 1}}},
 }
