--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -7,6 +7,7 @@
 # With READY_FILE set, that file is made once the deployment serves.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. scripts/lib.sh
 
 name=${1:?name of the example: reseat-works or tui-lane}
 example=examples/$name
@@ -31,14 +32,6 @@
 control_pids=()
 stand_in_pids=()
 
-# end_all sends SIGTERM to processes and waits for their ends.
-end_all() {
-  kill -TERM "$@" 2>/dev/null || true
-  for pid in "$@"; do
-    while kill -0 "$pid" 2>/dev/null; do sleep 0.1; done
-  done
-}
-
 # stop ends entries first, then control, then the stand-ins, so that no
 # request is cut.
 stop() {
@@ -61,16 +54,6 @@
   echo $! >"$logs/$process.pid"
 }
 
-# await repeats a command until it succeeds.
-await() {
-  for _ in $(seq 200); do
-    if "$@" >/dev/null 2>&1; then return; fi
-    sleep 0.1
-  done
-  echo "gave up waiting for: $*" >&2
-  exit 1
-}
-
 # Every engine whose number $loose divides ignores fencing numbers, as the
 # example's settings say.
 for i in $(seq $engines); do
--- a/scripts/trials/faults.sh
+++ b/scripts/trials/faults.sh
@@ -8,6 +8,7 @@
 # DURATION sets how long requests arrive; 100s by default.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
+. scripts/lib.sh
 
 name=${1:?name of the example}
 faults=${2:-all}
@@ -25,18 +26,11 @@
 restarted=()
 load=
 
-# end sends SIGTERM to a process and waits for its end.
-end() {
-  kill -TERM "$1" 2>/dev/null || true
-  while kill -0 "$1" 2>/dev/null; do sleep 0.1; done
-}
-
 # stop ends the restarted entries before the deployment with its control.
 stop() {
   if [ -n "$load" ]; then kill "$load" 2>/dev/null || true; fi
-  for pid in "${restarted[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${restarted[@]}"; do end "$pid"; done
-  end $deployment
+  end_all "${restarted[@]}"
+  end_all $deployment
 }
 trap stop EXIT
 until [ -e "$ready" ]; do kill -0 $deployment; sleep 0.2; done
--- a/scripts/trials/old-system.sh
+++ b/scripts/trials/old-system.sh
@@ -8,6 +8,7 @@
 # NET is the loopback network of the trial's addresses; 127.14.3 by default.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
+. scripts/lib.sh
 
 net=${NET:-127.14.3}
 example=examples/reseat-works
@@ -25,16 +26,9 @@
 entry_pids=()
 other_pids=()
 
-# end sends SIGTERM to processes and waits for their ends.
-end() {
-  kill -TERM "$@" 2>/dev/null || true
-  for pid in "$@"; do
-    while kill -0 "$pid" 2>/dev/null; do sleep 0.1; done
-  done
-}
 stop() {
-  end "${entry_pids[@]}"
-  end "${other_pids[@]}"
+  end_all "${entry_pids[@]}"
+  end_all "${other_pids[@]}"
   rm -rf "$folder"
 }
 trap stop EXIT
@@ -46,7 +40,6 @@
   "$binary" "$@" >>"$folder/log" 2>&1 &
   list+=($!)
 }
-await() { until "$@" >/dev/null 2>&1; do sleep 0.1; done; }
 
 # share gives both customers' callers in this part to the old system.
 share() {
--- a/scripts/trials/orders.sh
+++ b/scripts/trials/orders.sh
@@ -6,6 +6,7 @@
 # handed to the old system and back. Prints what engines and callers saw.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
+. scripts/lib.sh
 net=127.13.1
 folder=$(mktemp -d)
 sed "s/127\.0\.1\./$net./g; s#data/reseat-works#$folder/data#g" examples/reseat-works/deployment.jsonc >"$folder/deployment.jsonc"
@@ -31,14 +32,6 @@
   echo "logs in $folder"
 }
 trap stop EXIT
-await() {
-  for _ in $(seq 200); do
-    if "$@" >/dev/null 2>&1; then return; fi
-    sleep 0.1
-  done
-  echo "gave up waiting for: $*" >&2
-  exit 1
-}
 control() { start "control-$1" control --deployment "$folder/deployment.jsonc" --name "control-$1"; }
 engine() { "$binary" engine "$@" "${token[@]}" >>"$folder/operator.log" 2>&1 || echo "engine $*: failed, see operator.log"; }
 
--- a/scripts/trials/tls.sh
+++ b/scripts/trials/tls.sh
@@ -4,28 +4,17 @@
 # replaced while it runs, and a stranger's keys are refused.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
+. scripts/lib.sh
 binary=$PWD/bin/lagoonshift
 go build -o "$binary" ./cmd/lagoonshift
 folder=$(mktemp -d)
 pids=()
 stop() {
-  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
-    kill -TERM "${pids[$i]}" 2>/dev/null || true
-    while kill -0 "${pids[$i]}" 2>/dev/null; do sleep 0.1; done
-  done
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do end_all "${pids[$i]}"; done
   rm -rf "$folder"
 }
 trap stop EXIT
 start() { "$binary" "$@" >>"$folder/log" 2>&1 & pids+=($!); }
-await() {
-  for _ in $(seq 200); do
-    if "$@" >/dev/null 2>&1; then return; fi
-    sleep 0.1
-  done
-  echo "gave up waiting for: $*" >&2
-  cat "$folder/log" >&2
-  exit 1
-}
 
 cat >"$folder/deployment.jsonc" <<EOF
 {
