--- a/internal/role/controlrole/replica.go
+++ b/internal/role/controlrole/replica.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"errors"
 	"fmt"
 
 	"github.com/hashicorp/go-hclog"
@@ -22,40 +21,6 @@
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
-// ErrInitialized means that a data folder belongs to a replica already.
-var ErrInitialized = errors.New("data folder is initialized already")
-
-// Init makes the data folder of a deployment's first control replica. All
-// other replicas join it.
-func Init(_ context.Context, d *deployment.Deployment, name string, log hclog.Logger) error {
-	self, err := d.FindControl(name)
-	if err != nil {
-		return err
-	}
-	folder, err := disk.Open(self.DataFolder)
-	if err != nil {
-		return err
-	}
-	_, found, err := raftstore.LoadIdentity(folder, d.Name, name)
-	if err == nil && found {
-		err = ErrInitialized
-	}
-	if err != nil {
-		return fmt.Errorf("initialize %s: %w", self.DataFolder, err)
-	}
-	identity := raftstore.NewIdentity(d.Name, name)
-	identity.ClusterID = rand.Text()
-	if err := raftstore.Init(folder, identity, self.PeerAddress, raftstore.DefaultOptions); err != nil {
-		return fmt.Errorf("initialize %s: %w", self.DataFolder, err)
-	}
-	// The identity comes last: a folder with an identity is complete.
-	if err := raftstore.SaveIdentity(folder, identity); err != nil {
-		return fmt.Errorf("initialize %s: %w", self.DataFolder, err)
-	}
-	log.Info("control initialized", "data_folder", self.DataFolder, "cluster", identity.ClusterID)
-	return nil
-}
-
 // replica is this process's part in the replicated log.
 type replica struct {
 	identity  raftstore.Identity
