--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -158,6 +158,15 @@
 	return len(text) == 64 && strings.Trim(text, "0123456789abcdef") == ""
 }
 
+// PeerAddresses returns the peer addresses of all control processes.
+func (d *Deployment) PeerAddresses() []string {
+	var out []string
+	for _, p := range d.Control {
+		out = append(out, p.PeerAddress)
+	}
+	return out
+}
+
 // FindControl returns the control process with the given name.
 func (d *Deployment) FindControl(name string) (Control, error) {
 	for _, p := range d.Control {
--- a/internal/role/controlrole/control.go
+++ b/internal/role/controlrole/control.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"github.com/hashicorp/go-hclog"
@@ -34,56 +35,92 @@
 		return err
 	}
 	stopReplica := replica.start(ctx)
-	server := newPeerServer(keys.PeerServer())
-	replica.register(server.Server)
-	tracker := inforce.New(inforce.Options{Clock: clock.Boot{}, Lease: peergrpc.LeaseDuration})
-	control := peergrpc.NewControlServer(replica.log, state)
-	control.Observe(tracker)
-	orders, err := newEngines(name, replica.log, state, log)
+	p, err := assemble(d, self, keys, replica, state, log)
+	if err == nil {
+		err = p.run(ctx)
+	}
+	if stopErr := stopReplica(); err == nil {
+		err = stopErr
+	}
+	return err
+}
+
+// process is a control process beside its replica.
+type process struct {
+	self    deployment.Control
+	keys    *serve.Keys
+	replica *replica
+	server  *peerServer
+	peers   *peergrpc.ControlClient
+	fleet   *fleet
+	orders  *engines
+	admin   *http.ServeMux
+	metrics *telemetry.Metrics
+	log     hclog.Logger
+}
+
+// assemble makes the parts of a process around its replica and its state.
+func assemble(d *deployment.Deployment, self deployment.Control, keys *serve.Keys, r *replica, state *store.Store, log hclog.Logger) (*process, error) {
+	orders, err := newEngines(self.Name, r.log, state, log)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	control.CollectDemand(orders.demand)
-	control.Register(server.Server)
-	peers, err := peergrpc.DialControl(peerAddresses(d), keys.PeerClient())
+	peers, err := peergrpc.DialControl(d.PeerAddresses(), keys.PeerClient())
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer peers.Close()
+	tracker := inforce.New(inforce.Options{Clock: clock.Boot{}, Lease: peergrpc.LeaseDuration})
+	p := &process{
+		self:    self,
+		keys:    keys,
+		replica: r,
+		server:  newPeerServer(keys.PeerServer()),
+		peers:   peers,
+		fleet:   newFleet(d, clock.Boot{}, r.log, state, tracker, log),
+		orders:  orders,
+		admin:   http.NewServeMux(),
+		metrics: telemetry.NewMetrics("control", self.Name, log),
+		log:     log,
+	}
+	p.registerPeers(state, tracker)
+	p.registerAdmin(state, tracker)
+	return p, nil
+}
 
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return server.listen(self.PeerAddress) })
-	group.Go(func() error { return replica.stopServer(ctx, server) })
-	fleet := newFleet(d, clock.Boot{}, replica.log, state, tracker, log)
-	group.Go(func() error { return fleet.follow(ctx) })
-	group.Go(func() error { return fleet.lead(ctx) })
-	group.Go(func() error { return orders.reconciler.Run(ctx) })
-	mux := http.NewServeMux()
-	metrics := telemetry.NewMetrics("control", name, log)
-	registerTelemetry(mux, metrics, fleet, log)
-	group.Go(func() error { return fleet.watch(ctx, metrics) })
+// registerPeers adds what other processes call.
+func (p *process) registerPeers(state *store.Store, tracker *inforce.Tracker) {
+	control := peergrpc.NewControlServer(p.replica.log, state)
+	control.Observe(tracker)
+	control.CollectDemand(p.orders.demand)
+	control.Register(p.server.Server)
+	p.replica.register(p.server.Server)
+}
+
+// registerAdmin adds what operators call.
+func (p *process) registerAdmin(state *store.Store, tracker *inforce.Tracker) {
+	registerTelemetry(p.admin, p.metrics, p.fleet, p.log)
 	admin := adminhttp.New(adminhttp.Options{
-		Log:     replica.log,
+		Log:     p.replica.log,
 		Store:   state,
-		Control: peers,
+		Control: p.peers,
 		Tracker: tracker,
 		Clock:   clock.Boot{},
 	})
-	admin.Register(mux)
-	admin.RegisterEngines(mux, orders)
-	group.Go(func() error { return serve.HTTP(ctx, self.AdminAddress, mux, keys.Administration()) })
-	log.Info("control started", "peer_address", self.PeerAddress, "admin_address", self.AdminAddress)
-	err = group.Wait()
-	if stopErr := stopReplica(); err == nil {
-		err = stopErr
-	}
-	return err
+	admin.Register(p.admin)
+	admin.RegisterEngines(p.admin, p.orders)
 }
 
-func peerAddresses(d *deployment.Deployment) []string {
-	var out []string
-	for _, c := range d.Control {
-		out = append(out, c.PeerAddress)
-	}
-	return out
+// run serves and does a leader's duties until ctx ends.
+func (p *process) run(ctx context.Context) error {
+	defer p.peers.Close()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return p.server.listen(p.self.PeerAddress) })
+	group.Go(func() error { return p.replica.stopServer(ctx, p.server) })
+	group.Go(func() error { return p.fleet.follow(ctx) })
+	group.Go(func() error { return p.fleet.lead(ctx) })
+	group.Go(func() error { return p.fleet.watch(ctx, p.metrics) })
+	group.Go(func() error { return p.orders.reconciler.Run(ctx) })
+	group.Go(func() error { return serve.HTTP(ctx, p.self.AdminAddress, p.admin, p.keys.Administration()) })
+	p.log.Info("control started", "peer_address", p.self.PeerAddress, "admin_address", p.self.AdminAddress)
+	return errors.Join(group.Wait(), p.metrics.Close())
 }
--- a/internal/role/entryrole/entry.go
+++ b/internal/role/entryrole/entry.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	control, err := peergrpc.DialControl(peerAddresses(d), keys.PeerClient())
+	control, err := peergrpc.DialControl(d.PeerAddresses(), keys.PeerClient())
 	if err != nil {
 		return err
 	}
@@ -117,11 +117,3 @@
 		}
 	}
 }
-
-func peerAddresses(d *deployment.Deployment) []string {
-	var out []string
-	for _, c := range d.Control {
-		out = append(out, c.PeerAddress)
-	}
-	return out
-}
