One way to choose experiments; a wrong name is a usage error

Cause: three functions of one shape, and a misspelt cell beside a right one was passed over silently.

--- a/cmd/lagoonshift/experiment.go
+++ b/cmd/lagoonshift/experiment.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -51,15 +52,9 @@
 }
 
 func (f *experimentFlags) run(ctx context.Context) error {
-	o := experiment.Options{Workers: f.workers}
-	o.Deployments = f.chosenDeployments()
-	o.Cells = f.chosenCells()
-	o.Policies = f.chosenPolicies()
-	for i := range f.seeds {
-		o.Seeds = append(o.Seeds, f.firstSeed+i)
-	}
-	if len(o.Deployments)*len(o.Cells)*len(o.Policies) == 0 {
-		return &settingsError{err: fmt.Errorf("no deployment, cell or policy has the given name")}
+	o, err := f.options()
+	if err != nil {
+		return &settingsError{err: err}
 	}
 	rows, err := experiment.Run(ctx, o)
 	if err != nil {
@@ -71,57 +66,53 @@
 	return experiment.Plot(rows, f.plots)
 }
 
-// chosenDeployments returns the users' deployments, or those that are named.
-func (f *experimentFlags) chosenDeployments() []*experiment.Deployment {
-	all := []*experiment.Deployment{experiment.ReseatWorks(), experiment.TuiLane()}
-	if slices.Contains(f.deployments, experiment.TargetModel().Name) {
-		all = append(all, experiment.TargetModel())
+// options returns the runs that the flags select. What is meant for the target
+// size, and the variants of policies, run only when they are named.
+func (f *experimentFlags) options() (experiment.Options, error) {
+	o := experiment.Options{Workers: f.workers}
+	for i := range f.seeds {
+		o.Seeds = append(o.Seeds, f.firstSeed+i)
 	}
-	var out []*experiment.Deployment
-	for _, d := range all {
-		if !selected(f.deployments, d.Name) {
-			continue
-		}
-		if f.rolePrice != noPrice {
-			d.RolePrice = f.rolePrice
-		}
-		out = append(out, d)
+	var err error
+	deployments := []*experiment.Deployment{experiment.ReseatWorks(), experiment.TuiLane()}
+	target := []*experiment.Deployment{experiment.TargetModel()}
+	o.Deployments, err = choose("deployment", f.deployments, deployments, target, func(d *experiment.Deployment) string { return d.Name })
+	if err != nil {
+		return o, err
 	}
-	return out
-}
-
-// chosenCells returns the cells, or those that are named; the cells for the
-// target size only run when they are named.
-func (f *experimentFlags) chosenCells() []experiment.Cell {
-	var out []experiment.Cell
-	for _, c := range experiment.Cells() {
-		if selected(f.cells, c.Name) {
-			out = append(out, c)
-		}
+	o.Cells, err = choose("cell", f.cells, experiment.Cells(), experiment.TargetCells(), func(c experiment.Cell) string { return c.Name })
+	if err != nil {
+		return o, err
 	}
-	for _, c := range experiment.TargetCells() {
-		if slices.Contains(f.cells, c.Name) {
-			out = append(out, c)
+	o.Policies, err = choose("policy", f.policies, experiment.Policies(), experiment.Variants(), func(p experiment.Policy) string { return p.Name })
+	if f.rolePrice != noPrice {
+		for _, d := range o.Deployments {
+			d.RolePrice = f.rolePrice
 		}
 	}
-	return out
+	return o, err
 }
 
-// chosenPolicies returns the policies, or those that are named; variants only
-// run when they are named.
-func (f *experimentFlags) chosenPolicies() []experiment.Policy {
-	var out []experiment.Policy
-	for _, p := range experiment.Policies() {
-		if selected(f.policies, p.Name) {
-			out = append(out, p)
+// choose returns the usual items if no name is given, and else the named ones
+// of the usual and the special items. A name that none has is an error.
+func choose[T any](kind string, names []string, usual, special []T, nameOf func(T) string) ([]T, error) {
+	if len(names) == 0 {
+		return usual, nil
+	}
+	var known []string
+	var out []T
+	for _, item := range slices.Concat(usual, special) {
+		known = append(known, nameOf(item))
+		if slices.Contains(names, nameOf(item)) {
+			out = append(out, item)
 		}
 	}
-	for _, p := range experiment.Variants() {
-		if slices.Contains(f.policies, p.Name) {
-			out = append(out, p)
+	for _, name := range names {
+		if !slices.Contains(known, name) {
+			return nil, fmt.Errorf("no %s %q, expected one of %s", kind, name, strings.Join(known, ", "))
 		}
 	}
-	return out
+	return out, nil
 }
 
 // compareDigests prints the cost and staleness of some ways to spread digests.
@@ -139,8 +130,3 @@
 		spreading.FanOut(o, vms, time.Second, time.Second),
 	})
 }
-
-// selected reports whether a name was asked for; an empty list asks for all.
-func selected(names []string, name string) bool {
-	return len(names) == 0 || slices.Contains(names, name)
-}
--- a/cmd/lagoonshift/main_test.go
+++ b/cmd/lagoonshift/main_test.go
@@ -18,6 +18,7 @@
 	commands := make(map[string]command)
 	addEntry(app, commands)
 	addCheck(app, commands)
+	addExperiment(app, commands)
 	selected, err := app.Parse(args)
 	if err != nil {
 		t.Fatal(err)
@@ -38,6 +39,7 @@
 		{"no such file", []string{"check", "missing.jsonc"}, "missing.jsonc"},
 		{"wrong settings", []string{"check", example + "deployment.jsonc", "--settings", broken}, broken + ":2: /teams/t: expected an object"},
 		{"wrong mix", []string{"check", example + "deployment.jsonc", "--mix", broken}, broken + ":2: /teams/t: unknown field"},
+		{"no such cell", []string{"experiment", "run", "--cell", "stedy"}, `no cell "stedy", expected one of steady`},
 		{"no such process", []string{"entry", "--deployment", example + "deployment.jsonc", "--name", "entry-99"}, `no entry process "entry-99"`},
 	}
 	for _, test := range tests {
