--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -18,28 +18,28 @@
   done
 }
 
-# trio_init makes a deployment of three control processes and no entries that
-# run, with its files in a folder. Arguments: the binary, the first three
-# numbers of the addresses, the folder. Its processes are started by trio_start
-# and their pids are in trio_pids by number.
-trio_init() {
-  trio_binary=$1 trio_net=$2 trio_folder=$3
-  declare -gA trio_pids
-  local control="" i
-  for i in 1 2 3; do
-    control+="{\"name\": \"control-$i\", \"zone\": \"a\", \"peer_address\": \"$trio_net.$i:7400\", \"admin_address\": \"$trio_net.$i:7401\", \"data_folder\": \"$trio_folder/$i\"},"
+# group_init makes a deployment of some control processes, with its files in a
+# folder, starts them and waits until they are voters. Arguments: the binary,
+# the first three numbers of the addresses, the folder, how many. Their pids
+# are in group_pids by number.
+group_init() {
+  group_binary=$1 group_net=$2 group_folder=$3
+  declare -gA group_pids
+  local count=$4 control="" i
+  for i in $(seq "$count"); do
+    control+="{\"name\": \"control-$i\", \"zone\": \"a\", \"peer_address\": \"$group_net.$i:7400\", \"admin_address\": \"$group_net.$i:7401\", \"data_folder\": \"$group_folder/$i\"},"
   done
-  cat >"$trio_folder/deployment.jsonc" <<JSON
+  cat >"$group_folder/deployment.jsonc" <<JSON
 {"deployment": "trial", "region": "r", "zones": ["a"], "control": [$control],
- "entries": [{"name": "entry-1", "zone": "a", "caller_address": "$trio_net.11:8080", "admin_address": "$trio_net.11:8081"}]}
+ "entries": [{"name": "entry-1", "zone": "a", "caller_address": "$group_net.11:8080", "admin_address": "$group_net.11:8081"}]}
 JSON
-  "$trio_binary" control init --deployment "$trio_folder/deployment.jsonc" --name control-1
-  for i in 1 2 3; do trio_start "$i"; done
-  for i in 1 2 3; do await curl -fs "http://$trio_net.$i:7401/readyz"; done
+  "$group_binary" control init --deployment "$group_folder/deployment.jsonc" --name control-1
+  for i in $(seq "$count"); do group_start "$i"; done
+  for i in $(seq "$count"); do await curl -fs "http://$group_net.$i:7401/readyz"; done
 }
 
-# trio_start starts one of the three control processes.
-trio_start() {
-  "$trio_binary" control --deployment "$trio_folder/deployment.jsonc" --name "control-$1" >>"$trio_folder/log-$1" 2>&1 &
-  trio_pids[$1]=$!
+# group_start starts one of the control processes.
+group_start() {
+  "$group_binary" control --deployment "$group_folder/deployment.jsonc" --name "control-$1" >>"$group_folder/log-$1" 2>&1 &
+  group_pids[$1]=$!
 }
--- a/scripts/trials/history.sh
+++ b/scripts/trials/history.sh
@@ -1,26 +1,30 @@
 #!/usr/bin/env bash
 # Kills, freezes and stops control processes and deletes their folders while
 # ledgerhistory reserves keys through them and checks the answers. Uses
-# 127.11.0.1 to 127.11.0.3. Argument: rounds of disturbances, each about 5 s.
+# 127.11.0.1 and on. Arguments: rounds of disturbances, each about 5 s, and the
+# number of replicas.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 . scripts/lib.sh
 rounds=${1:-8}
+replicas=${2:-3}
 go build -o bin/lagoonshift ./cmd/lagoonshift
 go build -o bin/ledgerhistory ./scripts/trials/ledgerhistory
 work=$(mktemp -d)
-trap 'kill -KILL "${trio_pids[@]}" 2>/dev/null || true; rm -rf "$work"' EXIT
-trio_init bin/lagoonshift 127.11.0 "$work"
-bin/ledgerhistory $((rounds * 5)) 127.11.0.1:7400 127.11.0.2:7400 127.11.0.3:7400 &
+trap 'kill -KILL "${group_pids[@]}" 2>/dev/null || true; rm -rf "$work"' EXIT
+group_init bin/lagoonshift 127.11.0 "$work" "$replicas"
+addresses=()
+for i in $(seq "$replicas"); do addresses+=("127.11.0.$i:7400"); done
+bin/ledgerhistory $((rounds * 5)) "${addresses[@]}" &
 history=$!
 for round in $(seq "$rounds"); do
-  i=$((round % 3 + 1))
+  i=$((round % replicas + 1))
   echo "round $round: replica $i" >&2
   case $((round % 4)) in
-    0) kill -TERM "${trio_pids[$i]}"; wait "${trio_pids[$i]}" || true; trio_start "$i" ;;
-    1) kill -KILL "${trio_pids[$i]}"; wait "${trio_pids[$i]}" 2>/dev/null || true; sleep 0.5; trio_start "$i" ;;
-    2) kill -STOP "${trio_pids[$i]}"; sleep 2.5; kill -CONT "${trio_pids[$i]}" ;;
-    3) kill -KILL "${trio_pids[$i]}"; wait "${trio_pids[$i]}" 2>/dev/null || true; rm -rf "${work:?}/$i"; trio_start "$i" ;;
+    0) kill -TERM "${group_pids[$i]}"; wait "${group_pids[$i]}" || true; group_start "$i" ;;
+    1) kill -KILL "${group_pids[$i]}"; wait "${group_pids[$i]}" 2>/dev/null || true; sleep 0.5; group_start "$i" ;;
+    2) kill -STOP "${group_pids[$i]}"; sleep 2.5; kill -CONT "${group_pids[$i]}" ;;
+    3) kill -KILL "${group_pids[$i]}"; wait "${group_pids[$i]}" 2>/dev/null || true; rm -rf "${work:?}/$i"; group_start "$i" ;;
   esac
   sleep 4
 done
--- a/scripts/trials/leader.sh
+++ b/scripts/trials/leader.sh
@@ -9,7 +9,7 @@
 read_attempts=400
 go build -o bin/lagoonshift ./cmd/lagoonshift
 work=$(mktemp -d)
-trap 'kill -KILL "${trio_pids[@]}" 2>/dev/null || true; rm -rf "$work"' EXIT
+trap 'kill -KILL "${group_pids[@]}" 2>/dev/null || true; rm -rf "$work"' EXIT
 leader() {
   cat "$work"/log-* | grep 'leader changed' | grep -v 'leader=""' | sort | tail -n 1 | sed 's/.*leader=control-\([0-9]\).*/\1/'
 }
@@ -18,23 +18,23 @@
   curl -m 0.5 -s -o /dev/null -w '%{http_code}' -H 'Authorization: Bearer none' "http://127.11.0.$1:7401/v1/settings" || true
 }
 
-trio_init bin/lagoonshift 127.11.0 "$work"
+group_init bin/lagoonshift 127.11.0 "$work" 3
 for signal in KILL STOP TERM; do
   for _ in $(seq "$rounds"); do
     old=$(leader)
     other=$((old % 3 + 1))
     began=$(date +%s%N)
-    kill -"$signal" "${trio_pids[$old]}"
+    kill -"$signal" "${group_pids[$old]}"
     for _ in $(seq "$read_attempts"); do
       [ "$(read_status "$other")" = 401 ] && break
     done
     ended=$(date +%s%N)
     echo "$signal of the leader: next read answered after $(((ended - began) / 1000000)) ms"
     if [ "$signal" = STOP ]; then
-      kill -CONT "${trio_pids[$old]}"
+      kill -CONT "${group_pids[$old]}"
     else
-      wait "${trio_pids[$old]}" 2>/dev/null || true
-      trio_start "$old"
+      wait "${group_pids[$old]}" 2>/dev/null || true
+      group_start "$old"
     fi
     sleep 2.5
   done
