--- a/cmd/lagoonshift/fake.go
+++ b/cmd/lagoonshift/fake.go
@@ -31,6 +31,7 @@
 	interval := clause.Flag("token-interval", "Time between two tokens of a stream, with its unit; 0s follows the engine's role and batch.").Default("0s").Duration()
 	checks := clause.Flag("checks-fencing", "Refuse orders with an old fencing token.").Default("true").Bool()
 	change := clause.Flag("change-time", "How long a role change or a load takes, with its unit.").Default("3s").Duration()
+	store := clause.Flag("weight-store", "Base URL of the weight store from which loads are pulled.").String()
 	slots := clause.Flag("slots", "Requests that run at once; 0 is no bound.").Default("48").Int()
 	commands["fake engine"] = func(ctx context.Context) error {
 		engine := fakeengine.New(fakeengine.Options{
@@ -41,6 +42,7 @@
 			TokenInterval: *interval,
 			ChecksFencing: *checks,
 			ChangeTime:    *change,
+			WeightStore:   *store,
 			Slots:         *slots,
 		})
 		return serve.HTTP(ctx, *address, engine.Handler(), nil)
@@ -57,15 +59,18 @@
 }
 
 func addFakePlatform(fake *kingpin.CmdClause, commands map[string]command) {
-	clause := fake.Command("platform", "Run a stand-in for the platform: a list of VMs that lags and flaps.")
+	clause := fake.Command("platform", "Run a stand-in for the platform: a list of VMs that lags and flaps, and the weight store.")
 	address := clause.Flag("listen", "Address as IP:port.").Required().String()
 	o := fakeplatform.Options{}
 	clause.Flag("lag", "How old the list is, with its unit.").Default("1s").DurationVar(&o.Lag)
 	clause.Flag("flap", "Probability that an answer shows a VM as it was before, 0 to 1.").Default("0").Float64Var(&o.Flap)
 	clause.Flag("seed", "Seed of the flapping.").Default("1").Uint64Var(&o.Seed)
+	rate := clause.Flag("weight-rate", "What the weight store allows all transfers together, in bytes per second.").Default("1000000000").Int64()
+	size := clause.Flag("weight-size", "Size of all weights, in bytes.").Default("1000000000").Int64()
 	commands["fake platform"] = func(ctx context.Context) error {
 		mux := http.NewServeMux()
 		fakeplatform.New(o).Register(mux)
+		fakeplatform.NewWeightStore(*rate, *size).Register(mux)
 		return serve.HTTP(ctx, *address, mux, nil)
 	}
 }
--- a/internal/fake/fakeengine/engine.go
+++ b/internal/fake/fakeengine/engine.go
@@ -37,6 +37,9 @@
 	// ChecksFencing and ChangeTime are as in OrderOptions.
 	ChecksFencing bool
 	ChangeTime    time.Duration
+	// WeightStore is the base URL of the weight store from which loads are
+	// pulled; empty pulls nothing.
+	WeightStore string
 	// Slots bounds the requests that run at once; 0 is no bound. Requests
 	// that wait are taken by priority.
 	Slots int
@@ -63,6 +66,7 @@
 func New(o Options) *Engine {
 	e := &Engine{options: o, slots: newSlots(o.Slots), moving: make(chan struct{})}
 	e.orders = NewOrders(OrderOptions{
+		Pull:          e.pull(),
 		Model:         o.Model,
 		Role:          settings.RoleMixed,
 		Incarnation:   e.nextIncarnation,
@@ -73,6 +77,14 @@
 	return e
 }
 
+// pull returns what pulls weights, or nil without a weight store.
+func (e *Engine) pull() func(backend.OrderRequest) (end func()) {
+	if e.options.WeightStore == "" {
+		return nil
+	}
+	return pullFrom(e.options.WeightStore, e.options.Name)
+}
+
 // nextIncarnation names the engine's runs.
 func (e *Engine) nextIncarnation() string {
 	return fmt.Sprintf("%s-%d", e.options.Incarnation, e.starts.Add(1))
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -59,7 +59,8 @@
 for i in $(seq $engines); do
   fencing=--checks-fencing
   if ((i % loose == 0)); then fencing=--no-checks-fencing; fi
-  start stand_in_pids engine-$i fake engine --listen $net.$((100 + i)):9000 --name "$(printf 'engine-%02d' "$i")" --model $model $fencing
+  start stand_in_pids engine-$i fake engine --listen $net.$((100 + i)):9000 --name "$(printf 'engine-%02d' "$i")" --model $model $fencing \
+    --weight-store http://$net.62:9300
 done
 for i in $(seq $services); do
   start stand_in_pids service-$i fake service --listen $net.$((150 + i)):9100
