Let one piece of code serve what stood twice

Found on a read of the whole change: a repeated call at an interval stood in the entry and three times in control (now clock.Every); TCP_USER_TIMEOUT was set by two functions (now transport/tcpopt); three reads of a JSON answer and two redirect rules stood in backendhttp; the load tool judged a failed try twice; the engine stand-in read its state twice for each token; each TLS handshake made its configuration anew, so that no session could be resumed; two counters of the engine model were never read. Behaviour is otherwise as it was, but load answers are now bounded at 256 KiB as states were. No test changed; scripts/test.sh passes.

--- a/internal/fake/enginemodel/engine.go
+++ b/internal/fake/enginemodel/engine.go
@@ -68,9 +68,6 @@
 	cache    *cache
 	events   []routing.CacheEvent
 	eventSeq uint64
-
-	// prompted and cached add up prompt tokens and those found in the cache.
-	prompted, cached int
 }
 
 // New returns an idle engine.
@@ -81,10 +78,6 @@
 // SetForeign sets the part of the engine's time that others take.
 func (e *Engine) SetForeign(part float64) { e.foreign = part }
 
-// CacheUse returns the prompt tokens prefilled or found in the cache, and the
-// latter part.
-func (e *Engine) CacheUse() (prompted, cached int) { return e.prompted, e.cached }
-
 // Role returns the current role.
 func (e *Engine) Role() settings.Role { return e.role }
 
@@ -284,8 +277,6 @@
 		}
 		held := e.cache.match(j.Prefix) * routing.PieceTokens
 		j.left = max(float64(j.Prompt-held), 1)
-		e.prompted += j.Prompt
-		e.cached += j.Prompt - int(j.left)
 		e.prefill = j
 	}
 }
--- a/internal/fake/fakeengine/engine.go
+++ b/internal/fake/fakeengine/engine.go
@@ -148,8 +148,7 @@
 		AtUnixMilli:        time.Now().UnixMilli(),
 	}
 	e.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(report)
+	writeJSON(w, report)
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
--- a/internal/fake/fakeengine/pace.go
+++ b/internal/fake/fakeengine/pace.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
 // prefillTime returns how long prefill of the tokens takes.
@@ -11,7 +12,7 @@
 	if e.options.PrefillRate > 0 {
 		return speed.Seconds(float64(tokens) / e.options.PrefillRate)
 	}
-	return speed.Seconds(e.pace().Prefill(float64(tokens)))
+	return speed.Seconds(pace(e.orders.State().Role).Prefill(float64(tokens)))
 }
 
 // tokenInterval returns the time between two output tokens now.
@@ -19,12 +20,11 @@
 	if e.options.TokenInterval > 0 {
 		return e.options.TokenInterval
 	}
-	_, running := e.inFlight()
-	return speed.Seconds(e.pace().Step(float64(running)))
+	state := e.orders.State()
+	return speed.Seconds(pace(state.Role).Step(float64(state.Running)))
 }
 
-// pace returns the speed in the engine's present role.
-func (e *Engine) pace() *speed.Speed {
-	table := speed.Default
-	return table.Of(e.orders.State().Role)
+// pace returns the speed in a role.
+func pace(role settings.Role) *speed.Speed {
+	return speed.Default.Of(role)
 }
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -71,17 +71,12 @@
 		header.Set("Last-Event-ID", strconv.Itoa(answer.next-1))
 		r.Resumes++
 	}
-	sent := time.Now()
-	response, err := c.post(ctx, r, "/v1/completions", header, body)
-	if err != nil {
-		r.Kind, r.Problem = Failed, err.Error()
-		return defaultPause
+	response, pause := c.exchange(ctx, r, "/v1/completions", header, body)
+	if response == nil {
+		return pause
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return r.refused(response, time.Since(sent))
-	}
-	err = answer.read(response.Body, func(gap time.Duration) {
+	err := answer.read(response.Body, func(gap time.Duration) {
 		if r.FirstToken == 0 {
 			r.FirstToken = time.Since(start)
 			return
@@ -95,6 +90,23 @@
 	return 0
 }
 
+// exchange sends one request and returns its answer, if it is one of success.
+// Otherwise it records how the try failed and returns the pause before the
+// next one.
+func (c *caller) exchange(ctx context.Context, r *Result, path string, header http.Header, body []byte) (*http.Response, time.Duration) {
+	sent := time.Now()
+	response, err := c.post(ctx, r, path, header, body)
+	if err != nil {
+		r.Kind, r.Problem = Failed, err.Error()
+		return nil, defaultPause
+	}
+	if response.StatusCode != http.StatusOK {
+		defer response.Body.Close()
+		return nil, r.refused(response, time.Since(sent))
+	}
+	return response, 0
+}
+
 // post sends one request to the address whose turn it is.
 func (c *caller) post(ctx context.Context, r *Result, path string, header http.Header, body []byte) (*http.Response, error) {
 	addresses, err := c.directory.addresses(ctx)
@@ -160,16 +172,11 @@
 	header := http.Header{}
 	header.Set(callerhttp.HeaderKey, r.Arrival.Key)
 	body := fmt.Appendf(nil, `{"customer": %q, "number": %d}`, r.Arrival.Customer, r.Arrival.Number)
-	sent := time.Now()
-	response, err := c.post(ctx, r, "/v1/services/"+source.Service+"/"+source.Path, header, body)
-	if err != nil {
-		r.Kind, r.Problem = Failed, err.Error()
-		return defaultPause
+	response, pause := c.exchange(ctx, r, "/v1/services/"+source.Service+"/"+source.Path, header, body)
+	if response == nil {
+		return pause
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return r.refused(response, time.Since(sent))
-	}
 	content, err := io.ReadAll(response.Body)
 	if err != nil {
 		r.Kind, r.Problem = Cut, err.Error()
--- a/internal/role/controlrole/admin.go
+++ b/internal/role/controlrole/admin.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/telemetry"
 )
 
@@ -30,16 +31,7 @@
 
 // watch sets the replica's gauges until ctx ends.
 func (f *fleet) watch(ctx context.Context, metrics *telemetry.Metrics) error {
-	ticker := time.NewTicker(gaugeInterval)
-	defer ticker.Stop()
-	for {
-		f.setGauges(metrics.Scope)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	return clock.Every(ctx, gaugeInterval, func(context.Context) { f.setGauges(metrics.Scope) })
 }
 
 func (f *fleet) setGauges(scope tally.Scope) {
--- a/internal/role/controlrole/fleet.go
+++ b/internal/role/controlrole/fleet.go
@@ -58,27 +58,18 @@
 
 // follow tells the tracker what this replica has applied, until ctx ends.
 func (f *fleet) follow(ctx context.Context) error {
-	ticker := time.NewTicker(applyPoll)
-	defer ticker.Stop()
-	for {
+	return clock.Every(ctx, applyPoll, func(context.Context) {
 		c := f.configuration()
 		f.tracker.Applied(c.Version, c.Members)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 // lead carries out the leader's duties while this replica leads, until ctx
 // ends. A command that a former leader sends late is harmless: each names the
 // incarnation that it is about.
 func (f *fleet) lead(ctx context.Context) error {
-	ticker := time.NewTicker(dutyInterval)
-	defer ticker.Stop()
 	var monitor *member.Monitor
-	for {
+	return clock.Every(ctx, dutyInterval, func(ctx context.Context) {
 		if view := f.log.View(); view.LeaderID != view.ReplicaID {
 			monitor = nil
 		} else if monitor == nil {
@@ -87,12 +78,7 @@
 		if monitor != nil {
 			f.duties(ctx, monitor)
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 func (f *fleet) duties(ctx context.Context, monitor *member.Monitor) {
--- a/internal/role/entryrole/entry.go
+++ b/internal/role/entryrole/entry.go
@@ -103,17 +103,3 @@
 func (e *entry) liveEntries() int {
 	return len(e.agent.Directory().Live())
 }
-
-// every calls do at once and then at the interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, do func(context.Context)) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		do(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
--- a/internal/role/entryrole/run.go
+++ b/internal/role/entryrole/run.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 )
 
@@ -33,16 +34,16 @@
 	upkeep, endUpkeep := context.WithCancel(context.WithoutCancel(ctx))
 	group, upkeep := errgroup.WithContext(upkeep)
 	group.Go(func() error { return e.agent.Run(upkeep) })
-	group.Go(func() error { return every(upkeep, loadInterval, e.pollLoads) })
+	group.Go(func() error { return clock.Every(upkeep, loadInterval, e.pollLoads) })
 	group.Go(func() error {
 		return serve.HTTP(upkeep, e.self.AdminAddress, e.adminHandler(), e.keys.Administration())
 	})
-	group.Go(func() error { return every(upkeep, demandInterval, e.reportDemand) })
+	group.Go(func() error { return clock.Every(upkeep, demandInterval, e.reportDemand) })
 	callers := e.newCallers()
 	if e.keys.Callers() == nil {
 		// Under TLS an entry holds no authority to verify the others by, and
 		// addresses are ordered by zone alone.
-		group.Go(func() error { return every(upkeep, peerInterval, callers.peers.round) })
+		group.Go(func() error { return clock.Every(upkeep, peerInterval, callers.peers.round) })
 	}
 	group.Go(func() error {
 		defer endUpkeep()
--- a/internal/tlsfiles/tlsfiles.go
+++ b/internal/tlsfiles/tlsfiles.go
@@ -29,7 +29,10 @@
 type material struct {
 	certificate tls.Certificate
 	authority   *x509.CertPool
-	modified    time.Time
+	// server is the configuration of handshakes with this content. It is
+	// shared, so that sessions can be resumed until the content changes.
+	server   *tls.Config
+	modified time.Time
 }
 
 // Source holds the newest valid content of a set of files. It is safe for
@@ -64,7 +67,7 @@
 		MinVersion: tls.VersionTLS13,
 		NextProtos: []string{"h2", "http/1.1"},
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
-			return serverConfig(s.load()), nil
+			return s.load().server, nil
 		},
 	}
 }
@@ -160,11 +163,14 @@
 		return nil, fmt.Errorf("read certificate %s and key %s: %w", files.Certificate, files.Key, err)
 	}
 	m := &material{certificate: certificate, modified: modified}
-	if files.Authority == "" {
-		return m, nil
+	if files.Authority != "" {
+		m.authority, err = ReadPool(files.Authority)
 	}
-	m.authority, err = ReadPool(files.Authority)
-	return m, err
+	if err != nil {
+		return nil, err
+	}
+	m.server = serverConfig(m)
+	return m, nil
 }
 
 // ReadPool reads the authorities' certificates in a PEM file.
--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -25,6 +25,8 @@
 	idleConnsPerHost = 64
 	// maxAnswer bounds a service's answer, in bytes.
 	maxAnswer = 4 << 20
+	// maxReport bounds a report, a state or an answer to an order, in bytes.
+	maxReport = 256 << 10
 	// errorBody bounds how much of an error's text is kept, in bytes.
 	errorBody = 512
 )
@@ -120,24 +122,34 @@
 func (c *Client) Load(ctx context.Context, baseURL string) (backend.LoadReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	url := baseURL + "/v1/load"
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	var report backend.LoadReport
+	err := getJSON(ctx, c.http, "read load", baseURL+"/v1/load", &report)
+	return report, err
+}
+
+// getJSON reads an answer of at most maxReport bytes. The step names what is
+// read in errors.
+func getJSON(ctx context.Context, client *http.Client, step, url string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
-		return backend.LoadReport{}, fmt.Errorf("make request to %s: %w", url, err)
+		return fmt.Errorf("make request to %s: %w", url, err)
 	}
-	response, err := c.http.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
-		return backend.LoadReport{}, fmt.Errorf("read load of %s: %w", url, err)
+		return fmt.Errorf("%s at %s: %w", step, url, err)
 	}
 	if response.StatusCode != http.StatusOK {
-		return backend.LoadReport{}, statusError("read load", url, response)
+		return statusError(step, url, response)
 	}
-	defer response.Body.Close()
-	var report backend.LoadReport
-	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
-		return backend.LoadReport{}, fmt.Errorf("decode load of %s: %w", url, err)
+	if err := decodeAnswer(response, into); err != nil {
+		return fmt.Errorf("%s at %s: decode: %w", step, url, err)
 	}
-	return report, nil
+	return nil
+}
+
+func decodeAnswer(response *http.Response, into any) error {
+	defer response.Body.Close()
+	return json.NewDecoder(io.LimitReader(response.Body, maxReport)).Decode(into)
 }
 
 func statusError(step, url string, response *http.Response) error {
--- a/internal/transport/backendhttp/orders.go
+++ b/internal/transport/backendhttp/orders.go
@@ -5,17 +5,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/guard"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/reconcile"
+	"github.com/lagoonshift/lagoonshift/internal/transport/tcpopt"
 )
 
 const (
@@ -29,8 +27,6 @@
 	// retransmitSlack covers a segment that the kernel sent just before the
 	// user timeout and its way through the network.
 	retransmitSlack = time.Second
-	// maxOrderAnswer bounds an answer to an order or a state, in bytes.
-	maxOrderAnswer = 256 << 10
 )
 
 // OrderReach is how long after the end of the sender's authority, or of an
@@ -47,33 +43,14 @@
 
 // NewOrderClient returns a client whose writes are bounded by g.
 func NewOrderClient(g guard.Guard) *OrderClient {
-	return &OrderClient{guard: g, states: &http.Client{Timeout: stateTimeout, CheckRedirect: refuseRedirect}}
-}
-
-func refuseRedirect(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
+	return &OrderClient{guard: g, states: &http.Client{Timeout: stateTimeout, CheckRedirect: keepRedirect}}
 }
 
 // State implements reconcile.Engines.
 func (c *OrderClient) State(ctx context.Context, baseURL string) (backend.EngineState, error) {
-	url := baseURL + "/v1/state"
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return backend.EngineState{}, fmt.Errorf("make request to %s: %w", url, err)
-	}
-	response, err := c.states.Do(request)
-	if err != nil {
-		return backend.EngineState{}, fmt.Errorf("read state of %s: %w", url, err)
-	}
-	if response.StatusCode != http.StatusOK {
-		return backend.EngineState{}, statusError("read state", url, response)
-	}
 	var state backend.EngineState
-	err = decodeAnswer(response, &state)
-	if err != nil {
-		return backend.EngineState{}, fmt.Errorf("decode state of %s: %w", url, err)
-	}
-	return state, nil
+	err := getJSON(ctx, c.states, "read state", baseURL+"/v1/state", &state)
+	return state, err
 }
 
 // Order implements reconcile.Engines.
@@ -150,20 +127,5 @@
 	if err != nil {
 		return fmt.Errorf("access socket: %w", err)
 	}
-	var set error
-	err = raw.Control(func(fd uintptr) {
-		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(orderUserTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return fmt.Errorf("access socket: %w", err)
-	}
-	if set != nil {
-		return fmt.Errorf("set TCP_USER_TIMEOUT: %w", set)
-	}
-	return nil
-}
-
-func decodeAnswer(response *http.Response, into any) error {
-	defer response.Body.Close()
-	return json.NewDecoder(io.LimitReader(response.Body, maxOrderAnswer)).Decode(into)
+	return tcpopt.SetUserTimeout(raw, orderUserTimeout)
 }
--- a/internal/transport/peergrpc/dial.go
+++ b/internal/transport/peergrpc/dial.go
@@ -8,10 +8,11 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
+
+	"github.com/lagoonshift/lagoonshift/internal/transport/tcpopt"
 )
 
 const (
@@ -53,14 +54,7 @@
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var err error
-	controlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if controlErr != nil {
-		return controlErr
-	}
-	return err
+	return tcpopt.SetUserTimeout(raw, userTimeout)
 }
 
 // Pool keeps one connection for each peer address. It is safe for concurrent
--- /dev/null
+++ b/internal/transport/tcpopt/tcpopt.go
@@ -0,0 +1,26 @@
+// Package tcpopt sets options of TCP sockets that package net has no call for.
+package tcpopt
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// SetUserTimeout bounds how long written data may stay unacknowledged before
+// the kernel ends the connection (TCP_USER_TIMEOUT, RFC 5482).
+func SetUserTimeout(raw syscall.RawConn, d time.Duration) error {
+	var set error
+	err := raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return fmt.Errorf("access socket: %w", err)
+	}
+	if set != nil {
+		return fmt.Errorf("set TCP_USER_TIMEOUT: %w", set)
+	}
+	return nil
+}
