End sending to a replica that needs compacted entries and does not answer

Ruled out: the history checker's memory (the stack names the leader's loop). Before: TestLateAnswerOfCompactedReplicaEndsSending fails. After: it passes; the leader probes with heartbeats until the replica answers.

--- a/internal/coordination/raft/commit_test.go
+++ b/internal/coordination/raft/commit_test.go
@@ -126,3 +126,30 @@
 		t.Errorf("healed replica is at %d of %d", silent.core.commit, s.newest)
 	}
 }
+
+// TestLateAnswerOfCompactedReplicaEndsSending guards against a leader that
+// goes on for ever to send to a replica which needs compacted entries and last
+// answered long ago.
+func TestLateAnswerOfCompactedReplicaEndsSending(t *testing.T) {
+	s := newSim(3, noFault)
+	s.pass(5 * time.Second)
+	leads := slices.IndexFunc(s.replicas, func(r *simReplica) bool { return r.core.IsLeader() })
+	r, silent := s.replicas[leads], s.replicas[(leads+1)%3]
+	behind := silent.core.log.last()
+	silent.cut = true
+	for range 5 {
+		s.propose(r)
+	}
+	s.pass(10 * time.Second)
+	s.compact(r)
+	p := r.core.lead.peers[silent.core.id]
+	p.flow, p.match, p.next = replicating, behind, behind+1
+	if r.core.sendNext(r.local(s.now), p) {
+		t.Fatal("nothing was sent and more is to follow")
+	}
+	silent.cut = false
+	s.pass(5 * time.Second)
+	if silent.core.commit != s.newest {
+		t.Errorf("healed replica is at %d of %d", silent.core.commit, s.newest)
+	}
+}
--- a/internal/coordination/raft/leader.go
+++ b/internal/coordination/raft/leader.go
@@ -177,11 +177,17 @@
 // entries which are compacted. A replica that doesn't answer gets heartbeats
 // only, or its leader would read and send the snapshot again and again.
 func (c *Core) needSnapshot(now clock.Instant, p *progress) {
-	answers := p.acked && now.Sub(p.ackSent) < c.timing.ElectionTimeout
-	if p.flow != snapshotting && answers {
-		p.flow = snapshotting
-		c.pending.SnapshotTo = append(c.pending.SnapshotTo, p.id)
+	if p.flow == snapshotting {
+		return
+	}
+	if !p.acked || now.Sub(p.ackSent) >= c.timing.ElectionTimeout {
+		// No entries can be sent until it answers; a replicating flow would
+		// go on without ever advancing.
+		p.flow = probing
+		return
 	}
+	p.flow = snapshotting
+	c.pending.SnapshotTo = append(c.pending.SnapshotTo, p.id)
 }
 
 // broadcast starts a new round of heartbeats.
