--- a/internal/coordination/raft/group_test.go
+++ b/internal/coordination/raft/group_test.go
@@ -146,6 +146,8 @@
 		if !errors.Is(err, replog.ErrUnknown) {
 			t.Errorf("submit at a full disk: %v", err)
 		}
+		// Until its end is noted, the stopped replica still passes for leader.
+		synctest.Wait()
 		submit(t, g, "1")
 		if err := g.Err(full); !errors.Is(err, syscall.ENOSPC) {
 			t.Errorf("replica with a full disk ended with %v", err)
