--- a/internal/coordination/raft/history_test.go
+++ b/internal/coordination/raft/history_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -296,22 +295,7 @@
 	}
 }
 
-// fewerByDefault lowers the number of checks unless the command line sets it.
-func fewerByDefault(t *testing.T, checks string) {
-	t.Helper()
-	set := flag.Lookup("rapid.checks")
-	before := set.Value.String()
-	if before != set.DefValue {
-		return
-	}
-	if err := set.Value.Set(checks); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = set.Value.Set(before) })
-}
-
 func TestHistoriesAreLinearizable(t *testing.T) {
-	fewerByDefault(t, "25")
 	rapid.Check(t, func(rt *rapid.T) {
 		if result := run(t, drawPlan(rt)); result != porcupine.Ok {
 			rt.Fatalf("history is %v", result)
