--- a/cmd/lagoonshift/main.go
+++ b/cmd/lagoonshift/main.go
@@ -33,6 +33,7 @@
 	addLoad(app, commands)
 	addFake(app, commands)
 	addExperiment(app, commands)
+	addPlatform(app, commands)
 
 	selected, err := app.Parse(os.Args[1:])
 	if err != nil {
--- /dev/null
+++ b/cmd/lagoonshift/platform.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagoonshift/lagoonshift/internal/telemetry"
+	"github.com/lagoonshift/lagoonshift/platform"
+)
+
+// platformFlags are the flags of processes that take their settings from the
+// platform.
+type platformFlags struct {
+	level string
+}
+
+func addPlatform(app *kingpin.Application, commands map[string]command) {
+	flags := &platformFlags{}
+	clause := app.Command("platform", "Run a process on the users' platform, with the settings file that LAGOONSHIFT_CONFIG names.")
+	clause.Flag("log-level", "One of trace, debug, info, warn and error.").Default("info").EnumVar(&flags.level, "trace", "debug", "info", "warn", "error")
+	clause.Command("control", "Run a control process: replicated state, operator, directory.")
+	clause.Command("entry", "Run an entry process: callers' requests.")
+	commands["platform control"] = flags.run("control", platform.Control)
+	commands["platform entry"] = flags.run("entry", platform.Entry)
+}
+
+func (f *platformFlags) run(name string, process func(context.Context, hclog.Logger) error) command {
+	return func(ctx context.Context) error {
+		return process(ctx, telemetry.NewLogger(name, f.level, true))
+	}
+}
--- a/internal/coordination/raft/core.go
+++ b/internal/coordination/raft/core.go
@@ -34,6 +34,9 @@
 	Rand *rand.Rand
 	// IsSettings reports whether a command is a settings command.
 	IsSettings func(command []byte) bool
+	// Voters bounds the number of voters; zero means no bound. Replicas
+	// beyond it stay non-voters until a voter has to be replaced.
+	Voters int
 }
 
 // Core is the state of one replica. It is not safe for concurrent use.
@@ -41,6 +44,8 @@
 	id     uint64
 	timing Timing
 	rand   *rand.Rand
+	// maxVoters is CoreOptions.Voters.
+	maxVoters int
 
 	term     uint64
 	vote     uint64
@@ -81,6 +86,7 @@
 		id:        o.ID,
 		timing:    o.Timing,
 		rand:      o.Rand,
+		maxVoters: o.Voters,
 		term:      stored.HardState.Term,
 		vote:      stored.HardState.Vote,
 		log:       log,
--- a/internal/coordination/raft/lease.go
+++ b/internal/coordination/raft/lease.go
@@ -63,13 +63,18 @@
 	if id == c.id {
 		return true
 	}
-	p := c.lead.peers[id]
-	if p == nil {
+	if c.lead.peers[id] == nil {
 		return false
 	}
+	return now.Sub(c.lastHeard(id)) < c.timing.ElectionTimeout
+}
+
+// lastHeard returns when the newest message that a replica answered was sent,
+// or when the leadership began.
+func (c *Core) lastHeard(id uint64) clock.Instant {
 	heard := c.lead.since
-	if p.acked {
+	if p := c.lead.peers[id]; p != nil && p.acked {
 		heard = max(heard, p.ackSent)
 	}
-	return now.Sub(heard) < c.timing.ElectionTimeout
+	return heard
 }
--- a/internal/coordination/raft/membership.go
+++ b/internal/coordination/raft/membership.go
@@ -43,7 +43,8 @@
 }
 
 // advanceMembership promotes a learner that has caught up. Where it replaces
-// a voter of the same name, that voter is removed first, by its own change.
+// a voter of the same name, or the group is full and a voter is silent, that
+// voter is removed first, by its own change.
 func (c *Core) advanceMembership(now clock.Instant) {
 	if c.membershipBusy() || c.commit < c.lead.noop || c.lead.transferTo != 0 {
 		return
@@ -57,6 +58,11 @@
 		if replaces && c.active(now, old.ID) {
 			continue
 		}
+		if !replaces && c.full(members) {
+			if old, replaces = c.silentVoter(now, members); !replaces {
+				continue
+			}
+		}
 		next := members.with(Member{ID: m.ID, Name: m.Name, Address: m.Address, Voter: true})
 		if replaces {
 			next = members.without(func(other Member) bool { return other.ID == old.ID })
@@ -68,6 +74,25 @@
 	}
 }
 
+// full reports whether a membership has as many voters as it may have.
+func (c *Core) full(members Members) bool {
+	return c.maxVoters > 0 && len(members.Voters()) >= c.maxVoters
+}
+
+// silentVoter returns a voter that has not answered for so long that a
+// non-voter may take its place.
+func (c *Core) silentVoter(now clock.Instant, members Members) (Member, bool) {
+	if c.timing.SilentVoter == 0 {
+		return Member{}, false
+	}
+	for _, m := range members {
+		if m.Voter && m.ID != c.id && now.Sub(c.lastHeard(m.ID)) >= c.timing.SilentVoter {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
 func (c *Core) caughtUp(now clock.Instant, id uint64) bool {
 	p := c.lead.peers[id]
 	return p != nil && p.acked && c.active(now, id) && p.flow == replicating && p.match+caughtUpEntries >= c.commit
--- a/internal/coordination/raft/node.go
+++ b/internal/coordination/raft/node.go
@@ -40,6 +40,8 @@
 	IsSettings func(command []byte) bool
 	Timing     Timing
 	Compaction Compaction
+	// Voters bounds the number of voters; zero means no bound.
+	Voters int
 	// Seed spreads the election timeouts.
 	Seed uint64
 	Log  hclog.Logger
@@ -102,6 +104,7 @@
 		Timing:     o.Timing,
 		Rand:       rand.New(rand.NewPCG(o.Seed, o.ID)),
 		IsSettings: o.IsSettings,
+		Voters:     o.Voters,
 	}, stored, o.Clock.Now())
 	if err != nil {
 		return nil, fmt.Errorf("replica %x: load: %w", o.ID, err)
@@ -252,6 +255,7 @@
 		LeaderID:         c.leaderID,
 		LeaderAddress:    leaderMember.Address,
 		Voters:           newest.members.Voters(),
+		MemberAddresses:  newest.members.addresses(),
 		VotersIndex:      newest.index,
 		LogSettingsIndex: c.log.settingsIndex(),
 		CommitIndex:      c.commit,
--- a/internal/coordination/raft/types.go
+++ b/internal/coordination/raft/types.go
@@ -181,6 +181,9 @@
 	// LeaseMargin shortens the leader's lease against clocks that run at
 	// different rates.
 	LeaseMargin time.Duration
+	// SilentVoter is the time after which a voter that doesn't answer may be
+	// replaced by a caught-up non-voter. Zero means never.
+	SilentVoter time.Duration
 }
 
 // DefaultTiming suits replicas within one region.
@@ -227,6 +230,15 @@
 	return out
 }
 
+// addresses returns the peer addresses of all members.
+func (m Members) addresses() []string {
+	out := make([]string, 0, len(m))
+	for _, member := range m {
+		out = append(out, member.Address)
+	}
+	return out
+}
+
 // voterNamed returns the voter with the given name.
 func (m Members) voterNamed(name string) (Member, bool) {
 	for _, member := range m {
--- a/internal/coordination/replog/replog.go
+++ b/internal/coordination/replog/replog.go
@@ -58,6 +58,9 @@
 	// Voters are the voters of the newest membership configuration in this
 	// replica's log, committed or not.
 	Voters []uint64
+	// MemberAddresses are the peer addresses of that configuration's members,
+	// non-voters included.
+	MemberAddresses []string
 	// VotersIndex is the log index of that configuration.
 	VotersIndex uint64
 	// LogSettingsIndex is the index of the newest settings command in this
--- /dev/null
+++ b/internal/protocol/exchange/exchange.go
@@ -0,0 +1,405 @@
+// Package exchange carries one caller's request to backend servers and the
+// answer back: attempts, repeats, split prefill and decode, resumption of
+// event streams. Bodies and events are opaque to it.
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+)
+
+// Request is a caller's request as far as decisions need it.
+type Request struct {
+	// ID names the caller's attempt; backend servers echo it.
+	ID      string
+	Route   *route.Route
+	Service route.Service
+	// Deadline is when the caller gives up or the route's timeout ends.
+	Deadline time.Time
+	// Prompt is nil for requests that declare none.
+	Prompt *placement.Prompt
+	// LastEvent is the event after which the caller goes on, or empty.
+	LastEvent string
+}
+
+// Source is a prefilled prompt that an engine keeps to be fetched once.
+type Source struct {
+	Engine fleet.Engine
+	Handle string
+}
+
+// Attempt is one send to one backend server.
+type Attempt struct {
+	Engine fleet.Engine
+	// Remaining is the time that the server may take.
+	Remaining time.Duration
+	// Priority is the rank among an engine's requests; zero comes first.
+	Priority int
+	// Source is where the engine fetches the prompt's KV cache, or nil.
+	Source *Source
+	// LastEvent is the event after which the stream is to go on, or empty.
+	LastEvent string
+}
+
+// Answer is a backend server's answer.
+type Answer struct {
+	// Success is set for an answer that fulfils the request.
+	Success bool
+	// Events is set if the body is a stream of events.
+	Events bool
+	Status int
+	// Head is what the sender needs to pass the answer on.
+	Head any
+	// Body must be closed; to close it early ends the server's work.
+	Body io.ReadCloser
+}
+
+// ErrNotRun means that the backend server has not run the request and won't.
+var ErrNotRun = errors.New("not run")
+
+// Sender sends one caller's request to backend servers.
+type Sender interface {
+	// Prefill lets an engine read the prompt and returns the handle of its KV
+	// cache. Its error matches ErrNotRun if the engine did not accept it.
+	Prefill(ctx context.Context, a Attempt) (handle string, err error)
+	// Send sends the request. Its error matches ErrNotRun if the server
+	// certainly has not run it and won't; any other error leaves that open.
+	Send(ctx context.Context, a Attempt) (*Answer, error)
+	// Release frees a handle that won't be fetched. It returns at once.
+	Release(s Source)
+}
+
+// Sink takes the answer to the caller.
+type Sink interface {
+	// Whole passes on an answer whose body has been read whole.
+	Whole(a *Answer, body []byte) error
+	// Begin passes on the head of a stream of events.
+	Begin(a *Answer) error
+	// Events passes on whole events.
+	Events(events []byte) error
+}
+
+// Result is how an exchange ended.
+type Result uint8
+
+const (
+	// Delivered means that the caller got a whole answer, good or bad.
+	Delivered Result = iota
+	// Refused means that nothing ran, nor will.
+	Refused
+	// Failed means that a server may have run the request.
+	Failed
+	// Cut means that a begun stream can't be ended.
+	Cut
+	// Gone means that the caller left.
+	Gone
+	// TimedOut means that time ran out after a server may have run it.
+	TimedOut
+)
+
+var resultNames = []string{"delivered", "refused", "failed", "cut", "gone", "timed out"}
+
+// String returns the result's name.
+func (r Result) String() string {
+	return resultNames[r]
+}
+
+// Outcome is how an exchange ended and why.
+type Outcome struct {
+	Result Result
+	// Err is the last failure, if any.
+	Err error
+	// RetryAfter tells a refused caller when to come back.
+	RetryAfter time.Duration
+	// Attempts counts sends, and First is the time to the first byte passed on.
+	Attempts int
+	First    time.Duration
+}
+
+// Options configures a Carrier.
+type Options struct {
+	Clock clock.Clock
+	// Zone is this entry's availability zone.
+	Zone string
+	// View returns the newest list of engines.
+	View    func() *fleet.View
+	Tracker *fleet.Tracker
+	Outlier *outlier.Set
+	// Budget returns the repeats of a service and their slack at this entry.
+	Budget func(service string) (budget *retry.Window, slack float64)
+	// Random returns a number from 0 up to n.
+	Random func(n int) int
+	Log    hclog.Logger
+}
+
+// Carrier carries requests. It is safe for concurrent use.
+type Carrier struct {
+	options Options
+}
+
+// New returns a carrier.
+func New(o Options) *Carrier {
+	return &Carrier{options: o}
+}
+
+const (
+	// maxBody bounds a plain answer, in bytes: twice the largest request.
+	maxBody = 8 << 20
+	// refusedSends is how often a request goes to another server after one
+	// that did not run it, beyond the attempts of its route.
+	refusedSends = 2
+	// baseRetryAfter and retryAfterSpread are when a refused caller should
+	// come back: soon, since a missing server is found or replaced within a
+	// second, but not all at once.
+	baseRetryAfter   = 300 * time.Millisecond
+	retryAfterSpread = 700 * time.Millisecond
+)
+
+// Run carries a request until it is answered, refused or given up, and logs
+// what decided. It ends with ctx, which is the caller's presence.
+func (c *Carrier) Run(ctx context.Context, r *Request, sender Sender, sink Sink) Outcome {
+	budget, _ := c.options.Budget(r.Service.Name)
+	budget.Request()
+	x := &run{Carrier: c, request: r, sender: sender, sink: sink, started: time.Now(), lastEvent: r.LastEvent}
+	deadline, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	outcome := x.attempts(deadline)
+	if outcome.Result != Delivered && x.kept != nil && !x.begun && ctx.Err() == nil {
+		outcome = Outcome{Result: Delivered, Err: errors.Join(outcome.Err, x.pass(x.kept.Answer, x.kept.body))}
+	}
+	outcome.Attempts = x.sends
+	if x.first > 0 {
+		outcome.First = x.first
+	}
+	if outcome.Result != Delivered {
+		outcome.Result = x.classify(ctx, deadline, outcome.Result)
+	}
+	if outcome.Result == Refused {
+		outcome.RetryAfter = baseRetryAfter + time.Duration(c.options.Random(int(retryAfterSpread)))
+	}
+	x.log(outcome)
+	return outcome
+}
+
+// run is the state of one exchange.
+type run struct {
+	*Carrier
+	request *Request
+	sender  Sender
+	sink    Sink
+	started time.Time
+
+	// sends counts sends of the request, and runs those that a server may
+	// have run.
+	sends, runs int
+	// tried holds the servers that failed the request.
+	tried []string
+	// begun is set once the head of a stream was passed on.
+	begun bool
+	// lastEvent is the id of the last event passed on.
+	lastEvent string
+	// prefilled is set once an engine accepted a prefill.
+	prefilled bool
+	// kept is the newest failure of a server, or nil.
+	kept  *keptAnswer
+	first time.Duration
+}
+
+// classify turns a failure into what may be said of it: not run is only said
+// if no server can have run the request.
+func (x *run) classify(caller, deadline context.Context, failure Result) Result {
+	switch {
+	case caller.Err() != nil:
+		return Gone
+	case x.begun:
+		return Cut
+	case x.runs == 0:
+		return Refused
+	case deadline.Err() != nil:
+		return TimedOut
+	}
+	return failure
+}
+
+var (
+	errNoServer = errors.New("no server takes the request")
+	errBudget   = errors.New("the retry budget is used up")
+	errNoEvents = errors.New("a plain answer can't continue a stream")
+)
+
+// attempts sends the request until it is answered or nothing more may be done.
+func (x *run) attempts(ctx context.Context) Outcome {
+	var last error
+	for ctx.Err() == nil {
+		if x.sends > 0 && !x.mayRepeat() {
+			break
+		}
+		if x.sends > 0 && !x.spend() {
+			last = errors.Join(last, errBudget)
+			break
+		}
+		done, err := x.attempt(ctx)
+		if done {
+			return Outcome{Result: Delivered, Err: err}
+		}
+		last = err
+		if errors.Is(err, errNoServer) || errors.Is(err, errCaller) {
+			break
+		}
+	}
+	if last == nil {
+		last = ctx.Err()
+	}
+	return Outcome{Result: Failed, Err: last}
+}
+
+// mayRepeat reports whether the request may be sent once more.
+func (x *run) mayRepeat() bool {
+	limit := max(1, x.request.Route.MaxAttempts)
+	if x.runs > 0 && (!x.request.Route.Repeatable() || x.runs >= limit) {
+		return false
+	}
+	return x.sends < limit+refusedSends
+}
+
+// spend takes a repeat from the service's budget.
+func (x *run) spend() bool {
+	budget, slack := x.options.Budget(x.request.Service.Name)
+	return budget.Spend(slack)
+}
+
+// candidates returns the engines of the service that may get the request.
+// Those that failed it before, or fail others, come back only if nobody else
+// is left.
+func (x *run) candidates(filters ...placement.Filter) []placement.Candidate {
+	engines := x.options.View().Engines(x.request.Service.Name)
+	filters = append([]placement.Filter{placement.Open}, filters...)
+	ejected := placement.Except(x.options.Outlier.Ejected()...)
+	untried := placement.Except(x.tried...)
+	if found := placement.Candidates(engines, x.options.Tracker.Load, append(filters, ejected, untried)...); len(found) > 0 {
+		return found
+	}
+	return placement.Candidates(engines, x.options.Tracker.Load, append(filters, untried)...)
+}
+
+func (x *run) remaining() time.Duration {
+	return time.Until(x.request.Deadline)
+}
+
+// attempt sends the request once; done is set if the caller has its answer.
+func (x *run) attempt(ctx context.Context) (done bool, err error) {
+	if x.request.Prompt != nil {
+		return x.generate(ctx)
+	}
+	candidates := x.candidates()
+	chosen, ok := placement.ForCall(x.options.Zone, candidates, x.options.Random)
+	if !ok {
+		return false, errNoServer
+	}
+	a := Attempt{Engine: chosen.Engine, Remaining: x.remaining(), Priority: x.request.Route.Priority, LastEvent: x.lastEvent}
+	return x.send(ctx, a, fleet.Load{Calls: 1})
+}
+
+// send sends one attempt and passes its answer on.
+func (x *run) send(ctx context.Context, a Attempt, work fleet.Load) (done bool, err error) {
+	x.sends++
+	id := a.Engine.ID
+	x.options.Outlier.Start(id)
+	finished := x.options.Tracker.Start(id, work)
+	defer finished()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer, err := x.sender.Send(ctx, a)
+	if errors.Is(err, ErrNotRun) {
+		x.failed(ctx, a, "not run", err)
+		return false, err
+	}
+	x.runs++
+	if err != nil {
+		x.failed(ctx, a, "no answer", err)
+		return false, err
+	}
+	defer answer.Body.Close()
+	if answer.Success && answer.Events {
+		return x.relay(ctx, a, answer)
+	}
+	return x.whole(ctx, a, answer)
+}
+
+// whole passes a plain answer on. A failure that may be repeated is kept back
+// while another attempt is possible.
+func (x *run) whole(ctx context.Context, a Attempt, answer *Answer) (done bool, err error) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBody+1))
+	if err == nil && len(body) > maxBody {
+		err = errors.New("answer is too large")
+	}
+	if err != nil {
+		x.failed(ctx, a, "answer cut", err)
+		return false, err
+	}
+	if !answer.Success {
+		err = &ServerError{Status: answer.Status, Engine: a.Engine.ID}
+		x.failed(ctx, a, "server error", err)
+		x.kept = &keptAnswer{Answer: answer, body: body}
+		return false, err
+	}
+	x.options.Outlier.Success(a.Engine.ID)
+	if x.begun {
+		return false, errNoEvents
+	}
+	return true, x.pass(answer, body)
+}
+
+// keptAnswer is a failure that a server answered with. It is passed on if no
+// other attempt brings a better answer.
+type keptAnswer struct {
+	*Answer
+	body []byte
+}
+
+func (x *run) pass(answer *Answer, body []byte) error {
+	x.first = time.Since(x.started)
+	return x.sink.Whole(answer, body)
+}
+
+// failed notes a failed attempt; one that the caller's leaving ended says
+// nothing of the server.
+func (x *run) failed(ctx context.Context, a Attempt, step string, err error) {
+	x.tried = append(x.tried, a.Engine.ID)
+	if ctx.Err() == nil {
+		x.options.Outlier.Failure(a.Engine.ID)
+	}
+	x.options.Log.Info("attempt failed", "request", x.request.ID, "route", x.request.Route.Name, "engine", a.Engine.ID,
+		"peer", a.Engine.Address, "step", step, "sends", x.sends, "runs", x.runs, "left_ms", x.remaining().Milliseconds(), "error", err)
+}
+
+func (x *run) log(o Outcome) {
+	level := hclog.Debug
+	if o.Result != Delivered || o.Err != nil {
+		level = hclog.Info
+	}
+	x.options.Log.Log(level, "request ended", "request", x.request.ID, "route", x.request.Route.Name, "result", o.Result,
+		"sends", x.sends, "runs", x.runs, "first_ms", o.First.Milliseconds(), "ms", time.Since(x.started).Milliseconds(), "error", o.Err)
+}
+
+// ServerError is a failure that a backend server answered with.
+type ServerError struct {
+	Status int
+	Engine string
+}
+
+// Error implements error.
+func (e *ServerError) Error() string {
+	return "server " + e.Engine + " answered with a failure"
+}
--- /dev/null
+++ b/internal/protocol/exchange/generate.go
@@ -0,0 +1,99 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+)
+
+const (
+	// prefillFloor is the least time that an engine gets to read a prompt; a
+	// silent one is given up before callers leave.
+	prefillFloor = 900 * time.Millisecond
+	// slowestPrefill is a reading speed that even a slow engine keeps, in
+	// tokens a millisecond: a third of the slowest model met so far.
+	slowestPrefill = 19
+)
+
+// prefillPatience is how long an engine may take to read tokens, those queued
+// before included.
+func prefillPatience(tokens int) time.Duration {
+	return prefillFloor + time.Duration(tokens/slowestPrefill)*time.Millisecond
+}
+
+// generate sends a request with a declared prompt: long prompts are read by a
+// prefill engine first, all others by the decode engine itself.
+func (x *run) generate(ctx context.Context) (done bool, err error) {
+	prompt := *x.request.Prompt
+	source := (*Source)(nil)
+	if prompt.Tokens >= placement.WholeLimit {
+		if source, err = x.prefill(ctx, prompt); err != nil {
+			return false, err
+		}
+	}
+	zone := x.options.Zone
+	if source != nil {
+		zone = source.Engine.Zone
+	}
+	chosen, ok := placement.ForDecode(zone, x.candidates(placement.InPhase(fleet.Decode)), x.options.Random)
+	if !ok {
+		x.release(source)
+		return false, errNoServer
+	}
+	a := Attempt{
+		Engine:    chosen.Engine,
+		Remaining: x.remaining(),
+		Priority:  x.request.Route.Priority,
+		Source:    source,
+		LastEvent: x.lastEvent,
+	}
+	before := x.runs
+	done, err = x.send(ctx, a, fleet.Load{Streams: 1})
+	if !done && x.runs == before {
+		x.release(source)
+	}
+	return done, err
+}
+
+func (x *run) release(s *Source) {
+	if s != nil {
+		x.sender.Release(*s)
+	}
+}
+
+// prefill lets an engine read the prompt. Without a result and without an
+// error the decode engine is to read it.
+func (x *run) prefill(ctx context.Context, prompt placement.Prompt) (*Source, error) {
+	for ctx.Err() == nil {
+		chosen, tokens, ok := placement.ForPrefill(prompt, x.candidates(placement.InPhase(fleet.Prefill)), x.options.Random)
+		if !ok {
+			return nil, nil
+		}
+		if (x.prefilled || x.sends > 0) && !x.spend() {
+			return nil, errBudget
+		}
+		a := Attempt{Engine: chosen.Engine, Remaining: x.remaining(), Priority: x.request.Route.Priority, LastEvent: x.lastEvent}
+		finished := x.options.Tracker.Start(chosen.ID, fleet.Load{PromptTokens: tokens})
+		x.options.Outlier.Start(chosen.ID)
+		patience, cancel := context.WithTimeout(ctx, prefillPatience(chosen.Load.PromptTokens+tokens))
+		handle, err := x.sender.Prefill(patience, a)
+		cancel()
+		finished()
+		if err == nil {
+			x.prefilled = true
+			x.options.Outlier.Success(chosen.ID)
+			return &Source{Engine: chosen.Engine, Handle: handle}, nil
+		}
+		if !errors.Is(err, ErrNotRun) {
+			x.prefilled = true // the engine may have accepted it
+		}
+		x.failed(ctx, a, "prefill", err)
+		if len(x.tried) > refusedSends {
+			return nil, nil
+		}
+	}
+	return nil, ctx.Err()
+}
--- /dev/null
+++ b/internal/protocol/fleet/fleet.go
@@ -0,0 +1,125 @@
+// Package fleet describes the engines and plain backend servers that an
+// entry may send work to, and merges what several sources say of them.
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Phase is the part of a request's work that an engine does.
+type Phase uint8
+
+const (
+	// Whole is the phase of a backend server that knows no phases.
+	Whole Phase = iota
+	// Prefill engines read prompts and hand out their KV cache.
+	Prefill
+	// Decode engines fetch a KV cache, or read the prompt themselves, and
+	// produce the tokens.
+	Decode
+)
+
+var phaseNames = []string{"", "prefill", "decode"}
+
+// String returns the phase's name.
+func (p Phase) String() string {
+	return phaseNames[p]
+}
+
+// ParsePhase returns the phase with the given name.
+func ParsePhase(name string) (Phase, error) {
+	i := slices.Index(phaseNames, name)
+	if i < 0 {
+		return Whole, fmt.Errorf("unknown phase %q", name)
+	}
+	return Phase(i), nil
+}
+
+// Engine is one backend server as a list showed it. It is immutable.
+type Engine struct {
+	// ID names the server; an address alone may be reused by another one.
+	ID string
+	// Born is the start of its incarnation in Unix milliseconds, or zero if
+	// the list doesn't tell.
+	Born    int64
+	Service string
+	// Address is where it takes requests, as IP:port.
+	Address string
+	Zone    string
+	Phase   Phase
+	// Leaving is set once the server is to get no new work.
+	Leaving bool
+	// Slots is the number of requests that it works on at once.
+	Slots int
+	// WarmingMs is how long it stays slow after its start.
+	WarmingMs int
+}
+
+// Incarnation identifies the server from its start to its end.
+func (e Engine) Incarnation() string {
+	return fmt.Sprintf("%s/%d", e.ID, e.Born)
+}
+
+// Load is unfinished work at one engine.
+type Load struct {
+	// PromptTokens were sent to be read and are not read yet.
+	PromptTokens int
+	// Streams and Calls count requests in progress.
+	Streams int
+	Calls   int
+	// Ailing is set if the engine fails requests.
+	Ailing bool
+}
+
+// Add returns the sum of two loads.
+func (l Load) Add(other Load) Load {
+	return Load{
+		PromptTokens: l.PromptTokens + other.PromptTokens,
+		Streams:      l.Streams + other.Streams,
+		Calls:        l.Calls + other.Calls,
+		Ailing:       l.Ailing || other.Ailing,
+	}
+}
+
+// Roster is the newest list of engines. Leaving is sticky: an incarnation that
+// was once shown as leaving stays so, whatever an older list says later. It is
+// not safe for concurrent use.
+type Roster struct {
+	// leaving counts, for each incarnation that is leaving, the lists since
+	// it was last shown.
+	leaving map[string]int
+}
+
+// forgetAfter is the number of lists without a leaving incarnation after which
+// it is forgotten: several sources whose lists lag differently take turns.
+const forgetAfter = 60
+
+// NewRoster returns an empty roster.
+func NewRoster() *Roster {
+	return &Roster{leaving: make(map[string]int)}
+}
+
+// Update takes a list and returns the engines as they are to be used, sorted
+// by id.
+func (r *Roster) Update(list []Engine) []Engine {
+	for key, unseen := range r.leaving {
+		if unseen >= forgetAfter {
+			delete(r.leaving, key)
+			continue
+		}
+		r.leaving[key] = unseen + 1
+	}
+	out := make([]Engine, 0, len(list))
+	for _, e := range list {
+		key := e.Incarnation()
+		if _, sticky := r.leaving[key]; sticky || e.Leaving {
+			e.Leaving = true
+			r.leaving[key] = 0
+		}
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b Engine) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/internal/protocol/fleet/tracker.go
@@ -0,0 +1,122 @@
+package fleet
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// View is the newest list of engines by service. It is immutable.
+type View struct {
+	byService map[string][]Engine
+	count     int
+}
+
+// NewView returns a view over a list.
+func NewView(engines []Engine) *View {
+	v := &View{byService: make(map[string][]Engine), count: len(engines)}
+	for _, e := range engines {
+		v.byService[e.Service] = append(v.byService[e.Service], e)
+	}
+	return v
+}
+
+// Engines returns the engines of a service.
+func (v *View) Engines(service string) []Engine {
+	return v.byService[service]
+}
+
+// Len returns the number of engines of all services.
+func (v *View) Len() int {
+	return v.count
+}
+
+// Tracker knows the load of engines: this entry's own exactly, that of all
+// others as last reported. It is safe for concurrent use.
+type Tracker struct {
+	own    sync.Map // engine id to *ownLoad
+	others atomic.Pointer[map[string]Load]
+}
+
+// ownLoad counts this entry's unfinished work at one engine.
+type ownLoad struct {
+	promptTokens, streams, calls atomic.Int64
+}
+
+// NewTracker returns a tracker that knows of no load.
+func NewTracker() *Tracker {
+	t := &Tracker{}
+	t.others.Store(&map[string]Load{})
+	return t
+}
+
+// SetOthers replaces what is known of the other entries' load.
+func (t *Tracker) SetOthers(loads map[string]Load) {
+	t.others.Store(&loads)
+}
+
+// Load returns the load of an engine.
+func (t *Tracker) Load(engine string) Load {
+	return t.ownLoad(engine).Add((*t.others.Load())[engine])
+}
+
+func (t *Tracker) ownLoad(engine string) Load {
+	if held, ok := t.own.Load(engine); ok {
+		return held.(*ownLoad).load()
+	}
+	return Load{}
+}
+
+func (o *ownLoad) load() Load {
+	return Load{
+		PromptTokens: int(o.promptTokens.Load()),
+		Streams:      int(o.streams.Load()),
+		Calls:        int(o.calls.Load()),
+	}
+}
+
+// Own returns this entry's load at all engines that have any.
+func (t *Tracker) Own() map[string]Load {
+	out := make(map[string]Load)
+	t.own.Range(func(engine, held any) bool {
+		if load := held.(*ownLoad).load(); load != (Load{}) {
+			out[engine.(string)] = load
+		}
+		return true
+	})
+	return out
+}
+
+// Start adds work to an engine's load; done takes it off again, once.
+func (t *Tracker) Start(engine string, work Load) (done func()) {
+	held, ok := t.own.Load(engine)
+	if !ok {
+		held, _ = t.own.LoadOrStore(engine, &ownLoad{})
+	}
+	o := held.(*ownLoad)
+	o.add(work, 1)
+	var once sync.Once
+	return func() { once.Do(func() { o.add(work, -1) }) }
+}
+
+func (o *ownLoad) add(work Load, sign int64) {
+	o.promptTokens.Add(sign * int64(work.PromptTokens))
+	o.streams.Add(sign * int64(work.Streams))
+	o.calls.Add(sign * int64(work.Calls))
+}
+
+// Forget drops the counters of engines that are not in the view and have no
+// work.
+func (t *Tracker) Forget(v *View) {
+	known := make(map[string]bool, v.count)
+	for _, engines := range v.byService {
+		for _, e := range engines {
+			known[e.ID] = true
+		}
+	}
+	t.own.Range(func(engine, held any) bool {
+		if !known[engine.(string)] && held.(*ownLoad).load() == (Load{}) {
+			t.own.Delete(engine)
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/protocol/retry/window_test.go
@@ -0,0 +1,65 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+)
+
+type manualClock struct{ now clock.Instant }
+
+func (c *manualClock) Now() clock.Instant { return c.now }
+
+func (c *manualClock) Wall() time.Time { return time.Time{} }
+
+// TestWindowHoldsOverEverySpan draws requests and repeats over time and checks
+// each span of the window's length against the requests in it or in the
+// window before it.
+func TestWindowHoldsOverEverySpan(t *testing.T) {
+	const length, share, slack = 10 * time.Second, 0.2, 3.0
+	rapid.Check(t, func(t *rapid.T) {
+		c := &manualClock{now: clock.Instant(time.Hour)}
+		w := NewWindow(c, share, length)
+		var requests, repeats []clock.Instant
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			c.now = c.now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "pause ms")) * time.Millisecond)
+			if rapid.IntRange(0, 2).Draw(t, "request") > 0 {
+				w.Request()
+				requests = append(requests, c.now)
+			} else if w.Spend(slack) {
+				repeats = append(repeats, c.now)
+			}
+		}
+		for _, end := range repeats {
+			start := end.Add(-length)
+			inSpan := count(repeats, start, end)
+			earlier := max(count(requests, start, end), count(requests, start.Add(-length/2), end.Add(-length/2)))
+			if float64(inSpan) > share*float64(earlier)+slack {
+				t.Fatalf("%d repeats and %d requests in the span to %v", inSpan, earlier, end)
+			}
+		}
+	})
+}
+
+func count(events []clock.Instant, after, until clock.Instant) int {
+	n := 0
+	for _, e := range events {
+		if after.Before(e) && !until.Before(e) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestWindowAfterALongPause(t *testing.T) {
+	c := &manualClock{}
+	w := NewWindow(c, 1, time.Second)
+	w.Request()
+	c.now = c.now.Add(time.Hour)
+	if w.Spend(0) {
+		t.Error("a request of an hour ago pays for a repeat")
+	}
+}
--- /dev/null
+++ b/internal/protocol/route/route_test.go
@@ -0,0 +1,61 @@
+package route_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+)
+
+var services = []route.Service{{Name: "a"}, {Name: "b"}}
+
+func valid(prefix string) route.Route {
+	return route.Route{Name: prefix, Host: "h", Prefix: prefix, Kind: route.Safe, Timeout: time.Second, MaxAttempts: 1, Shares: []route.Share{{Service: "a", Weight: 1}}}
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	table, err := route.New(1, []route.Route{valid("/"), valid("/x/"), valid("/x/y/")}, services, route.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for path, want := range map[string]string{"/": "/", "/x": "/", "/x/": "/x/", "/x/y": "/x/", "/x/y/z": "/x/y/", "/%78/y/": "/"} {
+		if got := table.Match("H", path); got == nil || got.Prefix != want {
+			t.Errorf("path %s: got %v, want %s", path, got, want)
+		}
+	}
+	if table.Match("other", "/") != nil {
+		t.Error("another host matched")
+	}
+}
+
+func TestInvalidTablesAreRefused(t *testing.T) {
+	edit := func(change func(*route.Route)) []route.Route {
+		r := valid("/x/")
+		change(&r)
+		return []route.Route{valid("/"), r}
+	}
+	for name, routes := range map[string][]route.Route{
+		"no closing slash":   edit(func(r *route.Route) { r.Prefix = "/x" }),
+		"no timeout":         edit(func(r *route.Route) { r.Timeout = 0 }),
+		"unknown kind":       edit(func(r *route.Route) { r.Kind = 0 }),
+		"unknown service":    edit(func(r *route.Route) { r.Shares[0].Service = "c" }),
+		"no weight":          edit(func(r *route.Route) { r.Shares[0].Weight = 0 }),
+		"no service":         edit(func(r *route.Route) { r.Shares = nil }),
+		"same host and path": edit(func(r *route.Route) { r.Prefix = "/"; r.Host = "H" }),
+	} {
+		if _, err := route.New(1, routes, services, route.Limits{}); !errors.Is(err, route.ErrInvalid) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	r := valid("/")
+	r.Shares = []route.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}
+	for pick, want := range map[float64]string{0: "a", 0.89: "a", 0.901: "b", 0.9999: "b"} {
+		if got := r.Service(pick); got != want {
+			t.Errorf("pick %v goes to %s, want %s", pick, got, want)
+		}
+	}
+}
--- a/internal/role/controlrole/control.go
+++ b/internal/role/controlrole/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/inforce"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
 	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
@@ -30,7 +31,16 @@
 		return err
 	}
 	state := store.New()
-	replica, err := openReplica(ctx, d, self, keys, state, log)
+	replica, err := openReplica(ctx, replicaOptions{
+		deployment:  d.Name,
+		name:        self.Name,
+		peerAddress: self.PeerAddress,
+		dataFolder:  self.DataFolder,
+		peers:       func() []string { return otherPeers(d, self) },
+		names:       controlNames(d),
+		credentials: keys.PeerClient(),
+		timing:      raft.DefaultTiming,
+	}, state, log)
 	if err != nil {
 		return err
 	}
--- a/internal/role/controlrole/init.go
+++ b/internal/role/controlrole/init.go
@@ -39,28 +39,36 @@
 	if err := refuseSecondGroup(ctx, d, self, log); err != nil {
 		return fmt.Errorf("initialize %s: %w", self.DataFolder, err)
 	}
-	folder, err := disk.Open(self.DataFolder)
+	cluster, err := formGroup(d.Name, self.Name, self.PeerAddress, self.DataFolder)
 	if err != nil {
-		return err
+		return fmt.Errorf("initialize %s: %w", self.DataFolder, err)
+	}
+	log.Info("control initialized", "data_folder", self.DataFolder, "cluster", cluster)
+	return nil
+}
+
+// formGroup makes the data folder of a group's first replica and returns the
+// group's cluster id. It fails with ErrInitialized if the folder belongs to a
+// replica already.
+func formGroup(deployment, name, peerAddress, dataFolder string) (cluster string, err error) {
+	folder, err := disk.Open(dataFolder)
+	if err != nil {
+		return "", err
 	}
-	_, found, err := raftstore.LoadIdentity(folder, d.Name, name)
+	_, found, err := raftstore.LoadIdentity(folder, deployment, name)
 	if err == nil && found {
 		err = ErrInitialized
 	}
 	if err != nil {
-		return fmt.Errorf("initialize %s: %w", self.DataFolder, err)
+		return "", err
 	}
-	identity := raftstore.NewIdentity(d.Name, name)
+	identity := raftstore.NewIdentity(deployment, name)
 	identity.ClusterID = rand.Text()
-	if err := raftstore.Init(folder, identity, self.PeerAddress, raftstore.DefaultOptions); err != nil {
-		return fmt.Errorf("initialize %s: %w", self.DataFolder, err)
+	if err := raftstore.Init(folder, identity, peerAddress, raftstore.DefaultOptions); err != nil {
+		return "", err
 	}
 	// The identity comes last: a folder with an identity is complete.
-	if err := raftstore.SaveIdentity(folder, identity); err != nil {
-		return fmt.Errorf("initialize %s: %w", self.DataFolder, err)
-	}
-	log.Info("control initialized", "data_folder", self.DataFolder, "cluster", identity.ClusterID)
-	return nil
+	return identity.ClusterID, raftstore.SaveIdentity(folder, identity)
 }
 
 // refuseSecondGroup asks the other control processes. Only a process that is
--- a/internal/role/controlrole/replica.go
+++ b/internal/role/controlrole/replica.go
@@ -4,17 +4,18 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
 
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raftstore"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
 	"github.com/lagoonshift/lagoonshift/internal/deployment"
-	"github.com/lagoonshift/lagoonshift/internal/role/serve"
 	"github.com/lagoonshift/lagoonshift/internal/state/disk"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
@@ -36,23 +37,50 @@
 	err   error
 }
 
+// replicaOptions says whose replica is opened and where it finds the others.
+type replicaOptions struct {
+	// deployment and name stand in the data folder's identity.
+	deployment  string
+	name        string
+	peerAddress string
+	dataFolder  string
+	// peers returns addresses at which a new replica may join.
+	peers func() []string
+	// names are those of all processes that may join; nil admits any.
+	names       []string
+	credentials credentials.TransportCredentials
+	// voters bounds the number of voters; zero means no bound.
+	voters int
+	timing raft.Timing
+}
+
 // openReplica opens the data folder. With an empty one it first joins the
 // group as a non-voter under a new identity.
-func openReplica(ctx context.Context, d *deployment.Deployment, self deployment.Control, keys *serve.Keys, state *store.Store, log hclog.Logger) (*replica, error) {
-	folder, err := disk.Open(self.DataFolder)
+func openReplica(ctx context.Context, o replicaOptions, state *store.Store, log hclog.Logger) (*replica, error) {
+	folder, err := disk.Open(o.dataFolder)
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{pool: peergrpc.NewPool(keys.PeerClient()), ended: make(chan struct{})}
-	if r.identity, err = r.identify(ctx, folder, d, self, log); err != nil {
-		return nil, fmt.Errorf("data folder %s: %w", self.DataFolder, err)
+	r := &replica{pool: peergrpc.NewPool(o.credentials), ended: make(chan struct{})}
+	if err := r.open(ctx, folder, o, state, log); err != nil {
+		r.pool.Close()
+		return nil, fmt.Errorf("data folder %s: %w", o.dataFolder, err)
+	}
+	log.Info("replica opened", "replica", fmt.Sprintf("%016x", r.identity.ReplicaID), "cluster", r.identity.ClusterID)
+	return r, nil
+}
+
+func (r *replica) open(ctx context.Context, folder disk.Folder, o replicaOptions, state *store.Store, log hclog.Logger) (err error) {
+	if r.identity, err = r.identify(ctx, folder, o, log); err != nil {
+		return err
 	}
 	if r.storage, err = raftstore.Open(folder, r.identity, raftstore.DefaultOptions); err != nil {
-		return nil, fmt.Errorf("data folder %s: %w", self.DataFolder, err)
+		return err
 	}
-	r.transport = peergrpc.NewReplicaTransport(r.pool, r.identity.ClusterID, self.PeerAddress, log)
-	if r.node, err = raft.New(r.nodeOptions(state, log)); err != nil {
-		return nil, err
+	r.transport = peergrpc.NewReplicaTransport(r.pool, r.identity.ClusterID, o.peerAddress, log)
+	if r.node, err = raft.New(r.nodeOptions(o, state, log)); err != nil {
+		r.transport.Close()
+		return errors.Join(err, r.storage.Close())
 	}
 	r.log = peergrpc.NewForwardingLog(r.node, r.pool)
 	r.server = peergrpc.NewReplicaServer(peergrpc.ReplicaOptions{
@@ -60,14 +88,14 @@
 		Transport:  r.transport,
 		ClusterID:  r.identity.ClusterID,
 		ReplicaID:  r.identity.ReplicaID,
-		Deployment: d.Name,
-		Names:      controlNames(d),
+		Deployment: o.deployment,
+		Names:      o.names,
+		Pool:       r.pool,
 	})
-	log.Info("replica opened", "replica", fmt.Sprintf("%016x", r.identity.ReplicaID), "cluster", r.identity.ClusterID)
-	return r, nil
+	return nil
 }
 
-func (r *replica) nodeOptions(machine replog.StateMachine, log hclog.Logger) raft.Options {
+func (r *replica) nodeOptions(o replicaOptions, machine replog.StateMachine, log hclog.Logger) raft.Options {
 	return raft.Options{
 		ID:         r.identity.ReplicaID,
 		ClusterID:  r.identity.ClusterID,
@@ -76,8 +104,9 @@
 		Transport:  r.transport,
 		Clock:      clock.Boot{},
 		IsSettings: store.IsSettings,
-		Timing:     raft.DefaultTiming,
+		Timing:     o.timing,
 		Compaction: raft.DefaultCompaction,
+		Voters:     o.voters,
 		Seed:       randomSeed(),
 		Log:        log,
 	}
@@ -91,13 +120,13 @@
 
 // identify returns the folder's identity and makes a new one, bound to the
 // group that the replica joins, if there is none.
-func (r *replica) identify(ctx context.Context, folder disk.Folder, d *deployment.Deployment, self deployment.Control, log hclog.Logger) (raftstore.Identity, error) {
-	identity, found, err := raftstore.LoadIdentity(folder, d.Name, self.Name)
+func (r *replica) identify(ctx context.Context, folder disk.Folder, o replicaOptions, log hclog.Logger) (raftstore.Identity, error) {
+	identity, found, err := raftstore.LoadIdentity(folder, o.deployment, o.name)
 	if err != nil {
 		return raftstore.Identity{}, err
 	}
 	if !found {
-		identity = raftstore.NewIdentity(d.Name, self.Name)
+		identity = raftstore.NewIdentity(o.deployment, o.name)
 		if err := raftstore.SaveIdentity(folder, identity); err != nil {
 			return raftstore.Identity{}, err
 		}
@@ -106,12 +135,7 @@
 		return identity, nil
 	}
 	log.Info("joining the group; a new deployment needs 'control init' on one of its control VMs first")
-	identity.ClusterID, err = peergrpc.Join(ctx, r.pool, otherPeers(d, self), &peerpb.JoinRequest{
-		Name:       self.Name,
-		ReplicaId:  identity.ReplicaID,
-		Address:    self.PeerAddress,
-		Deployment: d.Name,
-	}, log)
+	identity.ClusterID, err = peergrpc.Join(ctx, r.pool, o.peers, o.joinRequest(identity), log)
 	if err != nil {
 		return raftstore.Identity{}, err
 	}
@@ -121,6 +145,15 @@
 	return identity, raftstore.SaveIdentity(folder, identity)
 }
 
+func (o replicaOptions) joinRequest(identity raftstore.Identity) *peerpb.JoinRequest {
+	return &peerpb.JoinRequest{
+		Name:       o.name,
+		ReplicaId:  identity.ReplicaID,
+		Address:    o.peerAddress,
+		Deployment: o.deployment,
+	}
+}
+
 // register adds the replica's service to a gRPC server.
 func (r *replica) register(server *grpc.Server) {
 	r.server.Register(server)
--- /dev/null
+++ b/internal/role/controlrole/seeded.go
@@ -0,0 +1,255 @@
+package controlrole
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
+	enginefleet "github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/state/document"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
+	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
+)
+
+const (
+	// SeededDeployment is the deployment's name where processes are told only
+	// seeds: whoever reaches them belongs to it.
+	SeededDeployment = "seeded"
+	// silentVoter is how long a voter may be silent before a caught-up
+	// replica takes its place: longer than a restart takes.
+	silentVoter = 5 * time.Second
+	// reopenPause is the pause before a replica whose storage failed is
+	// opened again.
+	reopenPause = 500 * time.Millisecond
+	// rejoinInterval is the time between two looks whether this replica still
+	// belongs to the group, and rejoinAfter how long it must have known no
+	// leader to ask for it.
+	rejoinInterval = time.Second
+	rejoinAfter    = 3 * time.Second
+	// joinTimeout bounds one such question.
+	joinTimeout = time.Second
+)
+
+// SeededOptions configures a control process that knows of no others but by
+// seeds.
+type SeededOptions struct {
+	// Name names the process and its VM.
+	Name        string
+	PeerAddress string
+	DataFolder  string
+	// Seeds returns peer addresses of control processes; they may change.
+	Seeds func() []string
+	// FirstStart is set when the whole system starts for the first time. The
+	// process at the lowest seed then forms the group; all others join it.
+	FirstStart func() bool
+	// Voters is the number of voters that the group grows to. No document is
+	// accepted before it has so many.
+	Voters int
+	Log    hclog.Logger
+}
+
+// Seeded is a control process's part in the group.
+type Seeded struct {
+	options SeededOptions
+	replica *replica
+	state   *store.Store
+	server  *peerServer
+	hub     *peergrpc.FleetHub
+}
+
+// ErrTooFewVoters means that the group has not grown to its size yet.
+var ErrTooFewVoters = errors.New("the control group has too few voters yet")
+
+// RunSeeded runs a control process until ctx ends. A replica whose storage
+// fails is opened again from what its disk holds, as after a restart. Serve
+// runs what depends on the replica until its context ends.
+func RunSeeded(ctx context.Context, o SeededOptions, serve func(context.Context, *Seeded) error) error {
+	for ctx.Err() == nil {
+		if err := runSeededOnce(ctx, o, serve); err != nil && ctx.Err() == nil {
+			o.Log.Error("control replica stopped; it is opened again", "pause", reopenPause, "error", err)
+		}
+		if ctx.Err() == nil {
+			clock.Sleep(ctx, reopenPause)
+		}
+	}
+	return nil
+}
+
+func runSeededOnce(ctx context.Context, o SeededOptions, serve func(context.Context, *Seeded) error) error {
+	if err := o.formFirstGroup(); err != nil {
+		return err
+	}
+	state := store.New()
+	r, err := openReplica(ctx, o.replica(), state, o.Log)
+	if err != nil {
+		return err
+	}
+	stopReplica := r.start(ctx)
+	s := &Seeded{options: o, replica: r, state: state, server: newPeerServer(insecure.NewCredentials())}
+	s.hub = peergrpc.NewFleetHub(peergrpc.HubOptions{
+		ReplicaID:        r.identity.ReplicaID,
+		Document:         state.Document,
+		ControlAddresses: s.controlAddresses,
+		Log:              o.Log,
+	})
+	err = s.run(ctx, serve)
+	if stopErr := stopReplica(); err == nil {
+		err = stopErr
+	}
+	return err
+}
+
+// formFirstGroup makes the data folder of the group's first replica, if that
+// is this process's part.
+func (o SeededOptions) formFirstGroup() error {
+	seeds := o.Seeds()
+	if !o.FirstStart() || len(seeds) == 0 || slices.Min(seeds) != o.PeerAddress {
+		return nil
+	}
+	cluster, err := formGroup(SeededDeployment, o.PeerAddress, o.PeerAddress, o.DataFolder)
+	switch {
+	case errors.Is(err, ErrInitialized):
+		return nil
+	case err != nil:
+		return fmt.Errorf("form the first group: %w", err)
+	}
+	o.Log.Info("control group formed", "cluster", cluster)
+	return nil
+}
+
+// replica names the replica after its address, so that one that lost its disk
+// takes the place of the one that it was.
+func (o SeededOptions) replica() replicaOptions {
+	timing := raft.DefaultTiming
+	timing.SilentVoter = silentVoter
+	return replicaOptions{
+		deployment:  SeededDeployment,
+		name:        o.PeerAddress,
+		peerAddress: o.PeerAddress,
+		dataFolder:  o.DataFolder,
+		peers:       o.otherSeeds,
+		credentials: insecure.NewCredentials(),
+		voters:      o.Voters,
+		timing:      timing,
+	}
+}
+
+func (o SeededOptions) otherSeeds() []string {
+	return slices.DeleteFunc(slices.Clone(o.Seeds()), func(address string) bool { return address == o.PeerAddress })
+}
+
+// run serves until ctx ends or the replica stops.
+func (s *Seeded) run(ctx context.Context, serve func(context.Context, *Seeded) error) error {
+	control := peergrpc.NewControlServer(s.replica.log, s.state)
+	control.Register(s.server.Server)
+	s.hub.Register(s.server.Server)
+	s.replica.register(s.server.Server)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.server.listen(s.options.PeerAddress) })
+	group.Go(func() error {
+		<-ctx.Done()
+		s.hub.Stop()
+		return nil
+	})
+	group.Go(func() error { return s.replica.stopServer(ctx, s.server) })
+	group.Go(func() error { return s.hub.Run(ctx) })
+	group.Go(func() error { return s.rejoin(ctx) })
+	group.Go(func() error { return serve(ctx, s) })
+	s.options.Log.Info("control started", "peer_address", s.options.PeerAddress, "document", s.state.Document().Version)
+	return group.Wait()
+}
+
+// rejoin asks for membership while this replica knows no leader: it may have
+// been replaced while it was away.
+func (s *Seeded) rejoin(ctx context.Context) error {
+	led := time.Now()
+	return clock.Every(ctx, rejoinInterval, func(ctx context.Context) {
+		if s.replica.node.View().LeaderID != 0 {
+			led = time.Now()
+			return
+		}
+		if time.Since(led) < rejoinAfter {
+			return
+		}
+		peers := append(s.options.otherSeeds(), s.controlAddresses()...)
+		slices.Sort(peers)
+		for _, address := range slices.Compact(peers) {
+			if address == s.options.PeerAddress {
+				continue
+			}
+			callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+			_, err := peergrpc.JoinAt(callCtx, s.replica.pool, address, s.options.replica().joinRequest(s.replica.identity))
+			cancel()
+			s.options.Log.Info("asked to rejoin the group", "peer", address, "error", err)
+			if err == nil {
+				return
+			}
+		}
+	})
+}
+
+// controlAddresses returns the peer addresses of all replicas of the group.
+func (s *Seeded) controlAddresses() []string {
+	return s.replica.node.View().MemberAddresses
+}
+
+// PutDocument commits a document and returns once it, or a higher version, is
+// committed and synced.
+func (s *Seeded) PutDocument(ctx context.Context, version uint64, content []byte) error {
+	if voters := len(s.replica.node.View().Voters); voters < s.options.Voters && s.state.Document().Version == 0 {
+		return fmt.Errorf("%w: %d of %d", ErrTooFewVoters, voters, s.options.Voters)
+	}
+	command := store.Command{Document: &document.Put{Version: version, Content: content}}
+	encoded, err := command.Encode()
+	if err != nil {
+		return err
+	}
+	applied, err := s.replica.log.Submit(ctx, encoded)
+	if err != nil {
+		return fmt.Errorf("commit document %d: %w", version, err)
+	}
+	_, err = store.DecodeResult(applied.Result)
+	return err
+}
+
+// ReadDocument returns the newest document by a linearizable read.
+func (s *Seeded) ReadDocument(ctx context.Context) (document.Document, error) {
+	if err := s.replica.log.ReadBarrier(ctx); err != nil {
+		return document.Document{}, fmt.Errorf("read document: %w", err)
+	}
+	return s.state.Document(), nil
+}
+
+// Document returns the newest document that this replica has applied.
+func (s *Seeded) Document() document.Document {
+	return s.state.Document()
+}
+
+// Entries returns the entries that watch this replica.
+func (s *Seeded) Entries() []peergrpc.EntryInfo {
+	return s.hub.Entries()
+}
+
+// Loads returns the load that the entries reported, by engine.
+func (s *Seeded) Loads() map[string]enginefleet.Load {
+	return s.hub.Loads()
+}
+
+// SetEngines tells the entries of a list of engines.
+func (s *Seeded) SetEngines(engines []enginefleet.Engine) {
+	s.hub.SetEngines(engines)
+}
+
+// Authority returns the term in which this replica may order engines now.
+func (s *Seeded) Authority() (term uint64, ok bool) {
+	authority, ok := s.replica.node.Authority()
+	return authority.Term, ok
+}
--- /dev/null
+++ b/internal/role/seededentry/agent.go
@@ -0,0 +1,259 @@
+// Package seededentry is the part of an entry process that knows of routes,
+// engines and other entries by way of the control replicas it found through
+// seeds.
+package seededentry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
+)
+
+const (
+	// askAgain is the time after which a document that was asked for and has
+	// not come is asked for again: several trips within a region.
+	askAgain = 250 * time.Millisecond
+	// listAge is the age of the newest list of engines from which an entry
+	// reads the list itself: two intervals of the control replicas.
+	listAge = 2500 * time.Millisecond
+	// selfListInterval is the time between two such readings.
+	selfListInterval = time.Second
+	// budgetMargin is the part of the deployment's retry budget that is
+	// spent: the number of entries is known with a lag.
+	budgetMargin = 0.7
+)
+
+// Options configures an Agent.
+type Options struct {
+	Name string
+	// Address is where callers reach this entry, as IP:port.
+	Address string
+	Zone    string
+	// Seeds returns peer addresses of control processes; they may change.
+	Seeds func() []string
+	// Decode translates a document to routes.
+	Decode func(content []byte) (*route.Table, error)
+	// List reads the list of engines; it is used only while no control
+	// replica tells of it.
+	List func(ctx context.Context) ([]fleet.Engine, error)
+	// RetryShare, RetryWindow and RetrySlack bound what all entries together
+	// may repeat at one service.
+	RetryShare  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	Clock       clock.Clock
+	Log         hclog.Logger
+}
+
+// Agent follows the control replicas. It is safe for concurrent use.
+type Agent struct {
+	options     Options
+	incarnation uint64
+	tracker     *fleet.Tracker
+	outlier     *outlier.Set
+	watcher     *peergrpc.FleetWatcher
+	pool        *peergrpc.Pool
+
+	table   atomic.Pointer[route.Table]
+	view    atomic.Pointer[fleet.View]
+	entries atomic.Int64
+	leaving atomic.Bool
+
+	mu     sync.Mutex // guards the fields below
+	roster *fleet.Roster
+	// listed is when the newest list came in.
+	listed time.Time
+	// ask is the question for a newer document that is open, if any.
+	ask     documentAsk
+	budgets map[string]*retry.Window
+}
+
+// documentAsk is a question to one source for its document.
+type documentAsk struct {
+	source string
+	at     time.Time
+	// sent is set once a report carried it.
+	sent bool
+}
+
+// New returns an agent; Run starts it.
+func New(o Options) *Agent {
+	a := &Agent{
+		options:     o,
+		incarnation: uint64(o.Clock.Wall().UnixNano()),
+		tracker:     fleet.NewTracker(),
+		outlier:     outlier.NewSet(o.Clock),
+		pool:        peergrpc.NewPool(insecure.NewCredentials()),
+		roster:      fleet.NewRoster(),
+		listed:      time.Now(),
+		budgets:     make(map[string]*retry.Window),
+	}
+	a.view.Store(fleet.NewView(nil))
+	a.watcher = peergrpc.NewFleetWatcher(peergrpc.WatcherOptions{
+		Pool:    a.pool,
+		Seeds:   o.Seeds,
+		Report:  a.report,
+		Deliver: a.deliver,
+		Log:     o.Log,
+	})
+	return a
+}
+
+// Run follows the control replicas until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	defer a.pool.Close()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return a.watcher.Run(ctx) })
+	group.Go(func() error { return clock.Every(ctx, selfListInterval, a.listAlone) })
+	return group.Wait()
+}
+
+// Table returns the routes in force, or nil before the first.
+func (a *Agent) Table() *route.Table { return a.table.Load() }
+
+// View returns the newest list of engines.
+func (a *Agent) View() *fleet.View { return a.view.Load() }
+
+// Tracker returns the load of engines.
+func (a *Agent) Tracker() *fleet.Tracker { return a.tracker }
+
+// Outlier returns the engines that fail this entry's requests.
+func (a *Agent) Outlier() *outlier.Set { return a.outlier }
+
+// Ready reports whether the entry takes new work.
+func (a *Agent) Ready() bool {
+	return !a.leaving.Load() && a.table.Load() != nil && a.view.Load().Len() > 0
+}
+
+// Leave makes the control replicas drop this entry from their answers.
+func (a *Agent) Leave() {
+	a.leaving.Store(true)
+	a.watcher.Wake()
+}
+
+// Budget returns the repeats of a service and the slack that is this entry's
+// part of the deployment's.
+func (a *Agent) Budget(service string) (budget *retry.Window, slack float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	budget = a.budgets[service]
+	if budget == nil {
+		budget = retry.NewWindow(a.options.Clock, a.options.RetryShare*budgetMargin, a.options.RetryWindow)
+		a.budgets[service] = budget
+	}
+	return budget, a.options.RetrySlack * budgetMargin / float64(max(1, a.entries.Load()))
+}
+
+// report tells a control replica of this entry.
+func (a *Agent) report(source string) peergrpc.Report {
+	r := peergrpc.Report{Loads: a.tracker.Own()}
+	r.Name, r.Incarnation = a.options.Name, a.incarnation
+	r.Address, r.Zone = a.options.Address, a.options.Zone
+	r.Ready = a.Ready()
+	if table := a.table.Load(); table != nil {
+		r.DocumentVersion = table.Version
+	}
+	for _, engine := range a.outlier.Ejected() {
+		load := r.Loads[engine]
+		load.Ailing = true
+		r.Loads[engine] = load
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ask.source == source && !a.ask.sent {
+		r.WantDocument, a.ask.sent = true, true
+	}
+	return r
+}
+
+// deliver takes what a control replica tells.
+func (a *Agent) deliver(u peergrpc.Update) {
+	a.entries.Store(int64(max(1, u.Entries)))
+	a.tracker.SetOthers(u.Others)
+	if u.Engines != nil {
+		a.setEngines(u.Source, u.Engines)
+	}
+	if u.Document != nil {
+		a.setDocument(u.Source, u.Document)
+	}
+	a.askFor(u)
+}
+
+// askFor asks a source for its document if it is newer than the one in force,
+// unless another source was asked just before.
+func (a *Agent) askFor(u peergrpc.Update) {
+	held := uint64(0)
+	if table := a.table.Load(); table != nil {
+		held = table.Version
+	}
+	if u.DocumentVersion <= held {
+		return
+	}
+	a.mu.Lock()
+	open := a.ask.source != "" && time.Since(a.ask.at) < askAgain
+	if !open {
+		a.ask = documentAsk{source: u.Source, at: time.Now()}
+	}
+	a.mu.Unlock()
+	if !open {
+		a.watcher.WakeSource(u.Source)
+	}
+}
+
+// setDocument puts a document in force if it is newer than the one held; the
+// entry never goes back.
+func (a *Agent) setDocument(source string, content []byte) {
+	table, err := a.options.Decode(content)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ask = documentAsk{}
+	if err != nil {
+		a.options.Log.Error("document not understood", "source", source, "error", err)
+		return
+	}
+	held := a.table.Load()
+	if held != nil && held.Version >= table.Version {
+		return
+	}
+	a.table.Store(table)
+	a.options.Log.Info("document in force", "version", table.Version, "source", source, "routes", len(table.Routes))
+}
+
+func (a *Agent) setEngines(source string, engines []fleet.Engine) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.listed = time.Now()
+	before := a.view.Load()
+	view := fleet.NewView(a.roster.Update(engines))
+	a.view.Store(view)
+	a.tracker.Forget(view)
+	a.options.Log.Debug("engines listed", "source", source, "before", before.Len(), "now", view.Len())
+}
+
+// listAlone reads the list of engines while no control replica is connected.
+func (a *Agent) listAlone(ctx context.Context) {
+	a.mu.Lock()
+	age := time.Since(a.listed)
+	a.mu.Unlock()
+	if age < listAge || a.watcher.Connected() > 0 {
+		return
+	}
+	engines, err := a.options.List(ctx)
+	if err != nil {
+		a.options.Log.Warn("engines not listed", "list_age_ms", age.Milliseconds(), "error", err)
+		return
+	}
+	a.setEngines("list", engines)
+}
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/lagoonshift/lagoonshift/internal/state/document"
 	"github.com/lagoonshift/lagoonshift/internal/state/ledger"
 	"github.com/lagoonshift/lagoonshift/internal/state/member"
 	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
@@ -23,6 +24,8 @@
 	Reserve *ledger.Reserve  `cbor:"2,keyasint,omitempty"`
 	Settle  *ledger.Settle   `cbor:"3,keyasint,omitempty"`
 	Order   *OrderCommand    `cbor:"10,keyasint,omitempty"`
+	// Document replaces the document that its operator versions.
+	Document *document.Put `cbor:"30,keyasint,omitempty"`
 
 	// The commands below and Change are settings commands, see IsSettings.
 
@@ -41,6 +44,8 @@
 	Order  *orderbook.Result      `cbor:"10,keyasint,omitempty"`
 	Member *member.Result         `cbor:"20,keyasint,omitempty"`
 	Error  string                 `cbor:"15,keyasint,omitempty"`
+
+	Document *document.Result `cbor:"30,keyasint,omitempty"`
 }
 
 // Encode returns the command as it stands in the log.
@@ -69,6 +74,8 @@
 	Tree   *settings.Tree  `cbor:"1,keyasint"`
 	Ledger ledger.Encoded  `cbor:"2,keyasint"`
 	Orders *orderbook.Book `cbor:"10,keyasint"`
+
+	Document document.Document `cbor:"30,keyasint"`
 }
 
 // Store is the replicated state. The log applies commands from one goroutine;
@@ -80,11 +87,15 @@
 	orders *orderbook.Book
 	// shared is a copy of orders for readers; nil after each order command.
 	shared atomic.Pointer[orderbook.Book]
+	// document is replaced whole.
+	document atomic.Pointer[document.Document]
 }
 
 // New returns an empty state.
 func New() *Store {
-	return &Store{tree: settings.NewTree(), ledger: ledger.New(), orders: orderbook.New()}
+	s := &Store{tree: settings.NewTree(), ledger: ledger.New(), orders: orderbook.New()}
+	s.document.Store(&document.Document{})
+	return s
 }
 
 // Apply implements replog.StateMachine.
@@ -119,6 +130,10 @@
 		return Result{Ledger: &result}
 	case c.Order != nil:
 		return s.executeOrder(index, c.Order)
+	case c.Document != nil:
+		next, result := s.document.Load().Apply(*c.Document)
+		s.document.Store(&next)
+		return Result{Document: &result}
 	}
 	return Result{Error: fmt.Sprintf("unknown command at index %d", index)}
 }
@@ -127,7 +142,12 @@
 func (s *Store) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	encoded, err := encoding.Marshal(snapshot{Tree: s.tree, Ledger: s.ledger.Encode(), Orders: s.orders})
+	encoded, err := encoding.Marshal(snapshot{
+		Tree:     s.tree,
+		Ledger:   s.ledger.Encode(),
+		Orders:   s.orders,
+		Document: *s.document.Load(),
+	})
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
@@ -156,9 +176,16 @@
 	}
 	s.orders.Restored()
 	s.shared.Store(nil)
+	s.document.Store(&content.Document)
 	return nil
 }
 
+// Document returns the document that its operator versions. Its content must
+// not be changed.
+func (s *Store) Document() document.Document {
+	return *s.document.Load()
+}
+
 // View gives read access to the parts of the state while no command runs. The
 // function must not keep or change what it is given.
 func (s *Store) View(read func(tree *settings.Tree, l *ledger.Ledger)) {
--- /dev/null
+++ b/internal/transport/httpconn/pool.go
@@ -0,0 +1,248 @@
+// Package httpconn sends HTTP/1.1 requests over pooled connections and never
+// sends one twice: whether a request is sent again is its caller's decision,
+// which the transport of net/http sometimes takes by itself.
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/lagoonshift/lagoonshift/internal/transport/tcpopt"
+)
+
+// ErrNotSent means that no byte of the request left this process.
+var ErrNotSent = errors.New("httpconn: request not sent")
+
+const (
+	// defaultIdle is how long a connection is kept if its server doesn't say
+	// how long it keeps it.
+	defaultIdle = 2 * time.Second
+	// idleShare is the part of the server's own idle timeout for which a
+	// connection is used, so that a request does not cross its end.
+	idleShare = 0.6
+	// maxIdle bounds how long a connection is kept idle.
+	maxIdle = 30 * time.Second
+	// maxIdlePerServer bounds the idle connections to one server.
+	maxIdlePerServer = 64
+	// sweepInterval is the time between two searches for expired connections.
+	sweepInterval = time.Second
+	readBuffer    = 8 << 10
+)
+
+// Options configures a Pool.
+type Options struct {
+	// DialTimeout bounds the making of a connection.
+	DialTimeout time.Duration
+	// UserTimeout is how long sent bytes may stay unacknowledged.
+	UserTimeout time.Duration
+}
+
+// Pool keeps idle connections by address. It is safe for concurrent use.
+type Pool struct {
+	options Options
+
+	mu   sync.Mutex // guards idle
+	idle map[string][]*conn
+}
+
+// New returns an empty pool.
+func New(o Options) *Pool {
+	return &Pool{options: o, idle: make(map[string][]*conn)}
+}
+
+// conn is one connection; at most one request uses it at a time.
+type conn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	// expires is when the connection must not be used any more.
+	expires time.Time
+	idleFor time.Duration
+	reused  bool
+}
+
+// Do sends a request, whose body must be in memory, and returns the answer's
+// head. The answer's body must be closed; the connection is used again only if
+// the body was read to its end. The end of ctx closes the connection. The
+// error matches ErrNotSent if the server can't have got any of the request.
+func (p *Pool) Do(ctx context.Context, address string, request *http.Request) (*http.Response, error) {
+	c, err := p.get(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w: %w", address, ErrNotSent, err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	response, err := c.exchange(request)
+	if err != nil {
+		stop()
+		_ = c.Close()
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, fmt.Errorf("exchange with %s: %w", address, err)
+	}
+	response.Body = &body{ReadCloser: response.Body, pool: p, conn: c, stop: stop, close: response.Close}
+	c.noteKeepAlive(response.Header)
+	return response, nil
+}
+
+// exchange writes the request and reads the head of its final answer.
+func (c *conn) exchange(request *http.Request) (*http.Response, error) {
+	writer := bufio.NewWriter(c)
+	if err := request.Write(writer); err != nil {
+		return nil, err
+	}
+	if err := writer.Flush(); err != nil {
+		return nil, err
+	}
+	for {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
+// noteKeepAlive takes the server's idle timeout from its answer.
+func (c *conn) noteKeepAlive(header http.Header) {
+	c.idleFor = defaultIdle
+	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
+			c.idleFor = min(maxIdle, time.Duration(float64(seconds)*idleShare*float64(time.Second)))
+		}
+	}
+}
+
+// get returns an idle connection that is still sound, or a new one.
+func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+	for {
+		c := p.take(address)
+		if c == nil {
+			return p.dial(ctx, address)
+		}
+		if time.Now().Before(c.expires) && c.quiet() {
+			c.reused = true
+			return c, nil
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) take(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[address]
+	if len(idle) == 0 {
+		return nil
+	}
+	c := idle[len(idle)-1]
+	p.idle[address] = idle[:len(idle)-1]
+	return c
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	dialer := net.Dialer{
+		Timeout:   p.options.DialTimeout,
+		KeepAlive: -1,
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return tcpopt.SetUserTimeout(raw, p.options.UserTimeout)
+		},
+	}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+// quiet reports whether the connection is open and has nothing to read.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	syscallConn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peekErr error
+	var one [1]byte
+	if err := raw.Read(func(fd uintptr) bool {
+		_, _, peekErr = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return true
+	}); err != nil {
+		return false
+	}
+	return errors.Is(peekErr, unix.EAGAIN)
+}
+
+// put keeps a connection for the next request.
+func (p *Pool) put(c *conn) {
+	if c.idleFor <= 0 {
+		_ = c.Close()
+		return
+	}
+	c.expires = time.Now().Add(c.idleFor)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) >= maxIdlePerServer {
+		_ = c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Run closes expired connections until ctx ends, then all idle ones.
+func (p *Pool) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.closeIdle(func(*conn) bool { return true })
+			return nil
+		case now := <-ticker.C:
+			p.closeIdle(func(c *conn) bool { return now.After(c.expires) })
+		}
+	}
+}
+
+func (p *Pool) closeIdle(selected func(*conn) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, idle := range p.idle {
+		kept := idle[:0]
+		for _, c := range idle {
+			if selected(c) {
+				_ = c.Close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+}
--- a/internal/transport/peergrpc/dial.go
+++ b/internal/transport/peergrpc/dial.go
@@ -86,6 +86,16 @@
 	return conn, nil
 }
 
+// Drop closes the connection to an address; the next use makes a new one.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn := p.conns[address]; conn != nil {
+		_ = conn.Close()
+		delete(p.conns, address)
+	}
+}
+
 // Close closes all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/transport/peergrpc/fleethub.go
@@ -0,0 +1,358 @@
+package peergrpc
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/state/document"
+	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
+)
+
+const (
+	// fleetHeartbeat is the longest pause between two messages of a watch,
+	// in either direction. Load figures are that old at most, plus a trip.
+	fleetHeartbeat = 200 * time.Millisecond
+	// fleetSilence ends a watch without messages: six heartbeats.
+	fleetSilence = 1200 * time.Millisecond
+	// documentPoll is the time between two looks at the applied document.
+	documentPoll = 25 * time.Millisecond
+)
+
+// EntryInfo is an entry process as a control replica knows it.
+type EntryInfo struct {
+	Name        string
+	Incarnation uint64
+	// Address is where callers reach the entry, as IP:port.
+	Address string
+	Zone    string
+	Ready   bool
+	// DocumentVersion is the document that the entry has in force.
+	DocumentVersion uint64
+}
+
+// HubOptions configures a FleetHub.
+type HubOptions struct {
+	ReplicaID uint64
+	// Document returns the newest applied document.
+	Document func() document.Document
+	// ControlAddresses returns the peer addresses of the control replicas.
+	ControlAddresses func() []string
+	Log              hclog.Logger
+}
+
+// FleetHub serves the Fleet service of one control replica: it knows the
+// entries that watch it and tells them of documents, engines and load.
+type FleetHub struct {
+	peerpb.UnimplementedFleetServer
+
+	options HubOptions
+	// engines is the newest list, or nil before the first.
+	engines atomic.Pointer[engineList]
+	stopped chan struct{}
+	once    sync.Once
+
+	mu      sync.Mutex // guards entries
+	entries map[*watcher]struct{}
+}
+
+// engineList is one list of engines in encoded form.
+type engineList struct {
+	engines []*peerpb.Engine
+}
+
+// watcher is one entry's watch.
+type watcher struct {
+	// info and loads are replaced whole by each report.
+	info  atomic.Pointer[EntryInfo]
+	loads atomic.Pointer[map[string]fleet.Load]
+	// wantsDocument is set by a report and cleared by the answer.
+	wantsDocument atomic.Bool
+	// wake has room for one signal.
+	wake chan struct{}
+}
+
+func (w *watcher) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// NewFleetHub returns a hub without entries.
+func NewFleetHub(o HubOptions) *FleetHub {
+	return &FleetHub{options: o, stopped: make(chan struct{}), entries: make(map[*watcher]struct{})}
+}
+
+// Register adds the service to a gRPC server.
+func (h *FleetHub) Register(server *grpc.Server) {
+	peerpb.RegisterFleetServer(server, h)
+}
+
+// Stop ends all watches, so that entries go to other replicas.
+func (h *FleetHub) Stop() {
+	h.once.Do(func() { close(h.stopped) })
+}
+
+// Run wakes the watches when a new document is applied, until ctx ends.
+func (h *FleetHub) Run(ctx context.Context) error {
+	seen := uint64(0)
+	return clock.Every(ctx, documentPoll, func(context.Context) {
+		if version := h.options.Document().Version; version != seen {
+			seen = version
+			h.wakeAll()
+		}
+	})
+}
+
+// SetEngines replaces the list of engines.
+func (h *FleetHub) SetEngines(engines []fleet.Engine) {
+	next := &engineList{}
+	for _, e := range engines {
+		next.engines = append(next.engines, fromEngine(e))
+	}
+	if held := h.engines.Load(); held != nil && slices.EqualFunc(held.engines, next.engines, sameEngine) {
+		return
+	}
+	h.engines.Store(next)
+	h.wakeAll()
+}
+
+// Entries returns the entries that watch this replica, each incarnation once.
+func (h *FleetHub) Entries() []EntryInfo {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	newest := make(map[string]EntryInfo, len(h.entries))
+	for w := range h.entries {
+		info := w.info.Load()
+		if info != nil && info.Incarnation >= newest[info.Name].Incarnation {
+			newest[info.Name] = *info
+		}
+	}
+	out := make([]EntryInfo, 0, len(newest))
+	for _, info := range newest {
+		out = append(out, info)
+	}
+	return out
+}
+
+// Loads returns the load that all entries reported, by engine.
+func (h *FleetHub) Loads() map[string]fleet.Load {
+	return h.loadsWithout(nil)
+}
+
+func (h *FleetHub) loadsWithout(self *watcher) map[string]fleet.Load {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sum := make(map[string]fleet.Load)
+	for w := range h.entries {
+		loads := w.loads.Load()
+		if w == self || loads == nil {
+			continue
+		}
+		for engine, load := range *loads {
+			sum[engine] = sum[engine].Add(load)
+		}
+	}
+	return sum
+}
+
+func (h *FleetHub) wakeAll() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for w := range h.entries {
+		w.signal()
+	}
+}
+
+// Watch implements peerpb.FleetServer.
+func (h *FleetHub) Watch(stream grpc.BidiStreamingServer[peerpb.EntryReport, peerpb.FleetUpdate]) error {
+	w := &watcher{wake: make(chan struct{}, 1)}
+	ended := make(chan error, 1)
+	reports := make(chan struct{}, 1)
+	go func() { ended <- h.receive(stream, w, reports) }()
+	defer h.remove(w)
+	return h.send(stream, w, reports, ended)
+}
+
+// receive takes reports in until the stream ends.
+func (h *FleetHub) receive(stream grpc.BidiStreamingServer[peerpb.EntryReport, peerpb.FleetUpdate], w *watcher, reports chan<- struct{}) error {
+	for {
+		report, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		h.take(w, report)
+		select {
+		case reports <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (h *FleetHub) take(w *watcher, report *peerpb.EntryReport) {
+	info := EntryInfo{}
+	if held := w.info.Load(); held != nil {
+		info = *held
+	} else {
+		info.Name, info.Incarnation = report.GetName(), report.GetIncarnation()
+		info.Address, info.Zone = report.GetAddress(), report.GetZone()
+		h.add(w, info)
+	}
+	if info.Ready != report.GetReady() {
+		h.options.Log.Info("entry readiness changed", "entry", info.Name, "ready", report.GetReady(), "document", report.GetDocumentVersion())
+	}
+	info.Ready = report.GetReady()
+	info.DocumentVersion = report.GetDocumentVersion()
+	w.info.Store(&info)
+	loads := make(map[string]fleet.Load, len(report.GetLoads()))
+	for _, l := range report.GetLoads() {
+		loads[l.GetEngine()] = toLoad(l)
+	}
+	w.loads.Store(&loads)
+	if report.GetWantDocument() {
+		w.wantsDocument.Store(true)
+		w.signal()
+	}
+}
+
+func (h *FleetHub) add(w *watcher, info EntryInfo) {
+	h.mu.Lock()
+	h.entries[w] = struct{}{}
+	h.mu.Unlock()
+	h.options.Log.Info("entry connected", "entry", info.Name, "incarnation", info.Incarnation, "address", info.Address)
+}
+
+func (h *FleetHub) remove(w *watcher) {
+	h.mu.Lock()
+	delete(h.entries, w)
+	h.mu.Unlock()
+	if info := w.info.Load(); info != nil {
+		h.options.Log.Info("entry disconnected", "entry", info.Name, "incarnation", info.Incarnation)
+	}
+}
+
+// send sends updates until the stream ends, the entry falls silent or the hub
+// stops.
+func (h *FleetHub) send(stream grpc.BidiStreamingServer[peerpb.EntryReport, peerpb.FleetUpdate], w *watcher, reports <-chan struct{}, ended <-chan error) error {
+	beat := time.NewTicker(fleetHeartbeat)
+	defer beat.Stop()
+	silence := time.NewTimer(fleetSilence)
+	defer silence.Stop()
+	var sent *engineList
+	for {
+		list := h.engines.Load()
+		if err := stream.Send(h.update(w, list, sent)); err != nil {
+			return err
+		}
+		sent = list
+		for waiting := true; waiting; {
+			select {
+			case err := <-ended:
+				return err
+			case <-h.stopped:
+				return status.Error(codes.Unavailable, "replica is stopping")
+			case <-silence.C:
+				return status.Errorf(codes.DeadlineExceeded, "no report for %v", fleetSilence)
+			case <-reports:
+				silence.Reset(fleetSilence)
+			case <-beat.C:
+				waiting = false
+			case <-w.wake:
+				waiting = false
+			}
+		}
+	}
+}
+
+func (h *FleetHub) update(w *watcher, list, sent *engineList) *peerpb.FleetUpdate {
+	held := h.options.Document()
+	update := &peerpb.FleetUpdate{
+		ReplicaId:        h.options.ReplicaID,
+		DocumentVersion:  held.Version,
+		ControlAddresses: h.options.ControlAddresses(),
+	}
+	if w.wantsDocument.Swap(false) {
+		update.Document = held.Content
+	}
+	for _, info := range h.Entries() {
+		if info.Ready {
+			update.Entries++
+		}
+	}
+	if list != nil && list != sent {
+		update.HasEngines = true
+		update.Engines = list.engines
+	}
+	for engine, load := range h.loadsWithout(w) {
+		update.Others = append(update.Others, fromLoad(engine, load))
+	}
+	return update
+}
+
+func fromEngine(e fleet.Engine) *peerpb.Engine {
+	return &peerpb.Engine{
+		Id:        e.ID,
+		Born:      e.Born,
+		Service:   e.Service,
+		Address:   e.Address,
+		Zone:      e.Zone,
+		Phase:     e.Phase.String(),
+		Leaving:   e.Leaving,
+		Slots:     uint32(e.Slots),
+		WarmingMs: uint32(e.WarmingMs),
+	}
+}
+
+func sameEngine(a, b *peerpb.Engine) bool {
+	return a.GetId() == b.GetId() && a.GetBorn() == b.GetBorn() && a.GetService() == b.GetService() &&
+		a.GetAddress() == b.GetAddress() && a.GetZone() == b.GetZone() && a.GetPhase() == b.GetPhase() &&
+		a.GetLeaving() == b.GetLeaving() && a.GetSlots() == b.GetSlots()
+}
+
+func toEngine(e *peerpb.Engine) (fleet.Engine, error) {
+	phase, err := fleet.ParsePhase(e.GetPhase())
+	if err != nil {
+		return fleet.Engine{}, fmt.Errorf("engine %s: %w", e.GetId(), err)
+	}
+	return fleet.Engine{
+		ID:        e.GetId(),
+		Born:      e.GetBorn(),
+		Service:   e.GetService(),
+		Address:   e.GetAddress(),
+		Zone:      e.GetZone(),
+		Phase:     phase,
+		Leaving:   e.GetLeaving(),
+		Slots:     int(e.GetSlots()),
+		WarmingMs: int(e.GetWarmingMs()),
+	}, nil
+}
+
+func fromLoad(engine string, l fleet.Load) *peerpb.EngineLoad {
+	return &peerpb.EngineLoad{
+		Engine:       engine,
+		PromptTokens: uint64(max(0, l.PromptTokens)),
+		Streams:      uint32(max(0, l.Streams)),
+		Calls:        uint32(max(0, l.Calls)),
+		Ailing:       l.Ailing,
+	}
+}
+
+func toLoad(l *peerpb.EngineLoad) fleet.Load {
+	return fleet.Load{
+		PromptTokens: int(l.GetPromptTokens()),
+		Streams:      int(l.GetStreams()),
+		Calls:        int(l.GetCalls()),
+		Ailing:       l.GetAiling(),
+	}
+}
--- /dev/null
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -0,0 +1,295 @@
+package peergrpc
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
+)
+
+// rewatchPause is the pause before a watch that ended is opened again.
+const rewatchPause = 200 * time.Millisecond
+
+// Report is what an entry tells the control replicas of itself.
+type Report struct {
+	EntryInfo
+	// WantDocument asks this replica for the newest document.
+	WantDocument bool
+	Loads        map[string]fleet.Load
+}
+
+// Update is what one control replica told an entry.
+type Update struct {
+	// Source is the replica's peer address.
+	Source string
+	// DocumentVersion is the newest version that the replica has applied.
+	DocumentVersion uint64
+	// Document is the content of that version if it was asked for.
+	Document []byte
+	// Entries counts the entries that take new work.
+	Entries int
+	// Engines is nil unless the replica has a newer list.
+	Engines []fleet.Engine
+	// Others is the load that all other entries reported.
+	Others map[string]fleet.Load
+}
+
+// WatcherOptions configures a FleetWatcher.
+type WatcherOptions struct {
+	Pool *Pool
+	// Seeds returns peer addresses of control processes to begin with.
+	Seeds func() []string
+	// Report returns what the entry tells the replica at an address now.
+	Report func(source string) Report
+	// Deliver takes an update; it is called from several goroutines.
+	Deliver func(Update)
+	Log     hclog.Logger
+}
+
+// FleetWatcher keeps a watch at every control replica, found by way of the
+// seeds.
+type FleetWatcher struct {
+	options WatcherOptions
+	// changed has room for one signal: the set of replicas may have changed.
+	changed chan struct{}
+
+	mu sync.Mutex // guards the fields below
+	// members holds the addresses that each source named last; connected tells
+	// which sources are watched now.
+	members   map[string][]string
+	connected map[string]bool
+	// wake has a channel for each open watch.
+	wake map[string]chan struct{}
+}
+
+// NewFleetWatcher returns a watcher; Run starts it.
+func NewFleetWatcher(o WatcherOptions) *FleetWatcher {
+	return &FleetWatcher{
+		options:   o,
+		changed:   make(chan struct{}, 1),
+		members:   make(map[string][]string),
+		connected: make(map[string]bool),
+		wake:      make(map[string]chan struct{}),
+	}
+}
+
+// Run watches until ctx ends.
+func (f *FleetWatcher) Run(ctx context.Context) error {
+	var group errgroup.Group
+	running := make(map[string]context.CancelFunc)
+	for ctx.Err() == nil {
+		wanted := f.addresses()
+		for _, address := range wanted {
+			if running[address] != nil {
+				continue
+			}
+			watchCtx, cancel := context.WithCancel(ctx)
+			running[address] = cancel
+			group.Go(func() error { f.keep(watchCtx, address); return nil })
+		}
+		for address, cancel := range running {
+			if !slices.Contains(wanted, address) {
+				cancel()
+				delete(running, address)
+				f.forget(address)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.changed:
+		case <-time.After(time.Second): // seeds may change without a signal
+		}
+	}
+	for _, cancel := range running {
+		cancel()
+	}
+	return group.Wait()
+}
+
+// Wake makes all watches send a report now.
+func (f *FleetWatcher) Wake() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, wake := range f.wake {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// WakeSource makes the watch at one replica send a report now.
+func (f *FleetWatcher) WakeSource(source string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case f.wake[source] <- struct{}{}:
+	default:
+	}
+}
+
+// Connected returns the number of open watches.
+func (f *FleetWatcher) Connected() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.connected)
+}
+
+// addresses returns the seeds and all that connected sources name, or, while
+// there is none, what any source named last.
+func (f *FleetWatcher) addresses() []string {
+	out := slices.Clone(f.options.Seeds())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for source, named := range f.members {
+		if len(f.connected) == 0 || f.connected[source] {
+			out = append(out, named...)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+func (f *FleetWatcher) learn(source string, named []string) {
+	f.mu.Lock()
+	same := slices.Equal(f.members[source], named)
+	f.members[source], f.connected[source] = named, true
+	f.mu.Unlock()
+	if !same {
+		select {
+		case f.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (f *FleetWatcher) forget(source string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.connected, source)
+	delete(f.wake, source)
+}
+
+// keep keeps a watch open at one address.
+func (f *FleetWatcher) keep(ctx context.Context, address string) {
+	for ctx.Err() == nil {
+		if err := f.watch(ctx, address); err != nil && ctx.Err() == nil {
+			f.options.Log.Warn("control replica lost", "peer", address, "error", err)
+			// A connection that fell silent serves no new stream either.
+			f.options.Pool.Drop(address)
+		}
+		clock.Sleep(ctx, rewatchPause)
+	}
+}
+
+// watch opens one watch and serves it until it ends.
+func (f *FleetWatcher) watch(ctx context.Context, address string) error {
+	conn, err := f.options.Pool.conn(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(fleetSilence, cancel)
+	defer silence.Stop()
+	stream, err := peerpb.NewFleetClient(conn).Watch(ctx)
+	if err != nil {
+		return fmt.Errorf("watch fleet at %s: %w", address, err)
+	}
+	wake := make(chan struct{}, 1)
+	f.mu.Lock()
+	f.wake[address] = wake
+	f.mu.Unlock()
+	defer f.forget(address)
+	go func() {
+		defer cancel()
+		f.sendReports(ctx, stream, address, wake)
+	}()
+	connected := false
+	for {
+		message, err := stream.Recv()
+		if err != nil {
+			return fmt.Errorf("watch fleet at %s: %w", address, err)
+		}
+		silence.Reset(fleetSilence)
+		if !connected {
+			connected = true
+			f.options.Log.Info("control replica connected", "peer", address, "document", message.GetDocumentVersion())
+		}
+		f.learn(address, message.GetControlAddresses())
+		update, err := toFleetUpdate(address, message)
+		if err != nil {
+			return fmt.Errorf("watch fleet at %s: %w", address, err)
+		}
+		f.options.Deliver(update)
+	}
+}
+
+type reportStream interface {
+	Send(*peerpb.EntryReport) error
+}
+
+// sendReports sends a report at once, at each heartbeat and when woken.
+func (f *FleetWatcher) sendReports(ctx context.Context, stream reportStream, address string, wake <-chan struct{}) {
+	beat := time.NewTicker(fleetHeartbeat)
+	defer beat.Stop()
+	for {
+		if err := stream.Send(fromReport(f.options.Report(address))); err != nil {
+			return // Recv returns the reason.
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-beat.C:
+		case <-wake:
+		}
+	}
+}
+
+func fromReport(r Report) *peerpb.EntryReport {
+	out := &peerpb.EntryReport{
+		Name:            r.Name,
+		Incarnation:     r.Incarnation,
+		Address:         r.Address,
+		Zone:            r.Zone,
+		Ready:           r.Ready,
+		DocumentVersion: r.DocumentVersion,
+		WantDocument:    r.WantDocument,
+	}
+	for engine, load := range r.Loads {
+		out.Loads = append(out.Loads, fromLoad(engine, load))
+	}
+	return out
+}
+
+func toFleetUpdate(source string, m *peerpb.FleetUpdate) (Update, error) {
+	out := Update{
+		Source:          source,
+		DocumentVersion: m.GetDocumentVersion(),
+		Document:        m.GetDocument(),
+		Entries:         int(m.GetEntries()),
+		Others:          make(map[string]fleet.Load, len(m.GetOthers())),
+	}
+	if m.GetHasEngines() {
+		out.Engines = make([]fleet.Engine, 0, len(m.GetEngines()))
+	}
+	for _, e := range m.GetEngines() {
+		engine, err := toEngine(e)
+		if err != nil {
+			return Update{}, err
+		}
+		out.Engines = append(out.Engines, engine)
+	}
+	for _, l := range m.GetOthers() {
+		out.Others[l.GetEngine()] = toLoad(l)
+	}
+	return out, nil
+}
--- a/internal/transport/peergrpc/join.go
+++ b/internal/transport/peergrpc/join.go
@@ -15,12 +15,12 @@
 	joinPause   = 500 * time.Millisecond
 )
 
-// Join asks the replicas at the given addresses in turn to add a new replica
-// until one does, and returns the group's cluster id.
-func Join(ctx context.Context, pool *Pool, addresses []string, request *peerpb.JoinRequest, log hclog.Logger) (string, error) {
+// Join asks the replicas at the addresses, which may change, in turn to add a
+// new replica until one does, and returns the group's cluster id.
+func Join(ctx context.Context, pool *Pool, addresses func() []string, request *peerpb.JoinRequest, log hclog.Logger) (string, error) {
 	for {
-		for _, address := range addresses {
-			clusterID, err := joinAt(ctx, pool, address, request)
+		for _, address := range addresses() {
+			clusterID, err := JoinAt(ctx, pool, address, request)
 			if err == nil {
 				return clusterID, nil
 			}
@@ -34,7 +34,8 @@
 	}
 }
 
-func joinAt(ctx context.Context, pool *Pool, address string, request *peerpb.JoinRequest) (string, error) {
+// JoinAt asks the replica at one address to add a new replica.
+func JoinAt(ctx context.Context, pool *Pool, address string, request *peerpb.JoinRequest) (string, error) {
 	conn, err := pool.conn(address)
 	if err != nil {
 		return "", err
--- a/internal/transport/peergrpc/replica_test.go
+++ b/internal/transport/peergrpc/replica_test.go
@@ -138,7 +138,7 @@
 	t.Helper()
 	pool := NewPool(insecure.NewCredentials())
 	defer pool.Close()
-	_, err := joinAt(t.Context(), pool, at.address, &peerpb.JoinRequest{
+	_, err := JoinAt(t.Context(), pool, at.address, &peerpb.JoinRequest{
 		Name:       name,
 		ReplicaId:  added.identity.ReplicaID,
 		Address:    added.address,
--- a/internal/transport/peergrpc/replicaserver.go
+++ b/internal/transport/peergrpc/replicaserver.go
@@ -25,9 +25,12 @@
 	ClusterID string
 	ReplicaID uint64
 	// Deployment is the deployment's name and Names those of its control
-	// processes; nobody else may join.
+	// processes; nobody else may join. Without Names any process of the
+	// deployment may.
 	Deployment string
 	Names      []string
+	// Pool has the connection to the leader.
+	Pool *Pool
 }
 
 // ReplicaServer serves the Replica service of one replica.
@@ -133,7 +136,8 @@
 
 // Join implements peerpb.ReplicaServer.
 func (r *ReplicaServer) Join(ctx context.Context, request *peerpb.JoinRequest) (*peerpb.JoinResponse, error) {
-	if request.GetDeployment() != r.options.Deployment || !slices.Contains(r.options.Names, request.GetName()) {
+	known := len(r.options.Names) == 0 || slices.Contains(r.options.Names, request.GetName())
+	if request.GetDeployment() != r.options.Deployment || !known {
 		return nil, status.Errorf(codes.PermissionDenied, "join: %q of deployment %q is no control process of deployment %q",
 			request.GetName(), request.GetDeployment(), r.options.Deployment)
 	}
@@ -141,8 +145,7 @@
 	err := r.options.Node.Join(ctx, added)
 	switch {
 	case errors.Is(err, replog.ErrNotLeader):
-		leader := r.options.Node.View().LeaderAddress
-		return nil, status.Errorf(codes.FailedPrecondition, "join: the leader is %q", leader)
+		return r.forwardJoin(ctx, request)
 	case errors.Is(err, raft.ErrNameInUse):
 		return nil, status.Errorf(codes.AlreadyExists, "join: %v", err)
 	case err != nil:
@@ -150,3 +153,24 @@
 	}
 	return &peerpb.JoinResponse{ClusterId: r.options.ClusterID}, nil
 }
+
+// forwardJoin hands a join to the leader, which the joining replica may not
+// know.
+func (r *ReplicaServer) forwardJoin(ctx context.Context, request *peerpb.JoinRequest) (*peerpb.JoinResponse, error) {
+	view := r.options.Node.View()
+	if request.GetForwarded() || view.LeaderAddress == "" || view.LeaderID == view.ReplicaID || r.options.Pool == nil {
+		return nil, status.Errorf(codes.FailedPrecondition, "join: the leader is %q", view.LeaderAddress)
+	}
+	conn, err := r.options.Pool.conn(view.LeaderAddress)
+	if err != nil {
+		return nil, status.Errorf(codes.Unavailable, "join: %v", err)
+	}
+	forwarded := &peerpb.JoinRequest{
+		Name:       request.GetName(),
+		ReplicaId:  request.GetReplicaId(),
+		Address:    request.GetAddress(),
+		Deployment: request.GetDeployment(),
+		Forwarded:  true,
+	}
+	return peerpb.NewReplicaClient(conn).Join(ctx, forwarded)
+}
