--- /dev/null
+++ b/internal/protocol/phaseplan/phaseplan_test.go
@@ -0,0 +1,66 @@
+package phaseplan_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/phaseplan"
+)
+
+func idle(string) fleet.Load { return fleet.Load{} }
+
+// TestPlanIsReachedAndKept applies the changes to drawn fleets: the share is
+// met, both phases keep an engine, and no further change follows.
+func TestPlanIsReachedAndKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := phaseplan.Plan{PrefillShare: rapid.Float64Range(0, 1).Draw(t, "share")}
+		var engines []fleet.Engine
+		for i := range rapid.IntRange(2, 20).Draw(t, "engines") {
+			phase := rapid.SampledFrom([]fleet.Phase{fleet.Prefill, fleet.Decode}).Draw(t, "phase")
+			engines = append(engines, fleet.Engine{ID: fmt.Sprint(i), Zone: fmt.Sprint(i % 3), Phase: phase})
+		}
+		for _, c := range p.Changes(engines, idle) {
+			for i := range engines {
+				if engines[i].ID == c.Engine.ID {
+					engines[i].Phase = c.Phase
+				}
+			}
+		}
+		prefill := 0
+		for _, e := range engines {
+			if e.Phase == fleet.Prefill {
+				prefill++
+			}
+		}
+		if prefill == 0 || prefill == len(engines) {
+			t.Fatalf("%d of %d engines read prompts", prefill, len(engines))
+		}
+		if more := p.Changes(engines, idle); len(more) > 0 {
+			t.Fatalf("%d more changes", len(more))
+		}
+	})
+}
+
+func TestLeavingAndPlainServersAreLeftAlone(t *testing.T) {
+	engines := []fleet.Engine{{ID: "a", Phase: fleet.Decode, Leaving: true}, {ID: "b"}, {ID: "c", Phase: fleet.Decode}}
+	if got := phaseplan.DefaultPlan.Changes(engines, idle); len(got) > 0 {
+		t.Errorf("changes %v", got)
+	}
+}
+
+func TestIdleEngineOfTheFullestZoneChangesFirst(t *testing.T) {
+	engines := []fleet.Engine{
+		{ID: "a", Zone: "x", Phase: fleet.Decode},
+		{ID: "b", Zone: "y", Phase: fleet.Decode},
+		{ID: "c", Zone: "y", Phase: fleet.Decode},
+		{ID: "d", Zone: "x", Phase: fleet.Prefill},
+	}
+	busy := func(id string) fleet.Load { return map[string]fleet.Load{"b": {Streams: 3}}[id] }
+	got := phaseplan.DefaultPlan.Changes(engines, busy)
+	if len(got) != 1 || got[0].Engine.ID != "c" || got[0].Phase != fleet.Prefill {
+		t.Errorf("changes %v", got)
+	}
+}
