End an exchange whose retry budget is used up before its first send

Cause: a prefill that failed while the budget was empty sent the exchange round its loop without a pause until the caller's deadline. Ruled out: garbage collection and the links, by gaps in the log of single processes only. Before: the test makes its prefills for 5 s. After: one prefill, ended at once.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -254,7 +254,7 @@
 			return Outcome{Result: Delivered, Err: err}
 		}
 		last = err
-		if errors.Is(err, errNoServer) || errors.Is(err, errCaller) {
+		if errors.Is(err, errNoServer) || errors.Is(err, errCaller) || errors.Is(err, errBudget) {
 			break
 		}
 	}
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -41,6 +41,8 @@
 	prefills []exchange.Attempt
 	// prefillErrs are the results of the prefill calls, nil after the last.
 	prefillErrs []error
+	// slack is what the retry budget allows beyond its share.
+	slack float64
 	released    []string
 	begun       int
 	answer      bytes.Buffer
@@ -49,7 +51,7 @@
 }
 
 func newWorld(replies ...reply) *world {
-	w := &world{replies: replies}
+	w := &world{replies: replies, slack: 10}
 	var engines []fleet.Engine
 	for i := range 3 {
 		engines = append(engines,
@@ -65,7 +67,7 @@
 		View:    func() *fleet.View { return view },
 		Tracker: fleet.NewTracker(),
 		Outlier: outlier.NewSet(c),
-		Budget:  func(string) (*retry.Window, float64) { return budget, 10 },
+		Budget:  func(string) (*retry.Window, float64) { return budget, w.slack },
 		Random:  func(int) int { return 0 },
 		Log:     hclog.NewNullLogger(),
 	})
@@ -255,6 +257,19 @@
 	}
 }
 
+// TestEmptyBudgetEndsTheExchange loses a prefill while no repeat is paid for:
+// the request must end at once and not be tried until its deadline.
+func TestEmptyBudgetEndsTheExchange(t *testing.T) {
+	w := newWorld()
+	w.slack = -1
+	w.prefillErrs = []error{errReset}
+	start := time.Now()
+	o := w.run(t, stream(true, 5000))
+	if o.Result != exchange.Refused || len(w.prefills) != 1 || time.Since(start) > time.Second {
+		t.Errorf("%v after %d prefills and %v", o.Result, len(w.prefills), time.Since(start))
+	}
+}
+
 func TestPastDeadlineIsRefusedAsNotRun(t *testing.T) {
 	w := newWorld()
 	r := call(route.Unsafe, 1)
