--- a/internal/protocol/phaseplan/phaseplan.go
+++ b/internal/protocol/phaseplan/phaseplan.go
@@ -18,7 +18,7 @@
 }
 
 // DefaultPlan suits the deployments known: long prompts with short answers.
-var DefaultPlan = Plan{PrefillShare: 0.5}
+var DefaultPlan = Plan{PrefillShare: 0.58}
 
 // Change is an engine that is to change its phase.
 type Change struct {
