Fetch shared parts from their home instead of reading them again

Ruled out: a larger preference for the home, which only moved the queue (tried before). An engine other than the home now fetches the part (Kv-Fetch).

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -48,6 +48,9 @@
 	Priority int
 	// Source is where the engine fetches the prompt's KV cache, or nil.
 	Source *Source
+	// FetchFrom is an engine from which this one first fetches what that
+	// keeps of the prompt, or nil.
+	FetchFrom *fleet.Engine
 	// LastEvent is the event after which the stream is to go on, or empty.
 	LastEvent string
 }
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -68,17 +68,23 @@
 // error the decode engine is to read it.
 func (x *run) prefill(ctx context.Context, prompt placement.Prompt) (*Source, error) {
 	for ctx.Err() == nil {
-		chosen, tokens, ok := placement.ForPrefill(prompt, x.candidates(placement.InPhase(fleet.Prefill)), x.options.Random)
+		chosen, ok := placement.ForPrefill(prompt, x.candidates(placement.InPhase(fleet.Prefill)), x.options.Random)
 		if !ok {
 			return nil, nil
 		}
 		if (x.prefilled || x.sends > 0) && !x.spend() {
 			return nil, errBudget
 		}
-		a := Attempt{Engine: chosen.Engine, Remaining: x.remaining(), Priority: x.request.Route.Priority, LastEvent: x.lastEvent}
-		finished := x.options.Tracker.Start(chosen.ID, fleet.Load{PromptTokens: tokens})
+		a := Attempt{
+			Engine:    chosen.Engine,
+			Remaining: x.remaining(),
+			Priority:  x.request.Route.Priority,
+			FetchFrom: chosen.FetchFrom,
+			LastEvent: x.lastEvent,
+		}
+		finished := x.options.Tracker.Start(chosen.ID, fleet.Load{PromptTokens: chosen.Tokens})
 		x.options.Outlier.Start(chosen.ID)
-		patience, cancel := context.WithTimeout(ctx, prefillPatience(chosen.Load.PromptTokens+tokens))
+		patience, cancel := context.WithTimeout(ctx, prefillPatience(chosen.Load.PromptTokens+chosen.Tokens))
 		handle, err := x.sender.Prefill(patience, a)
 		cancel()
 		finished()
--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -18,6 +18,14 @@
 	// zonePenalty is what another zone costs a choice of a decode engine, in
 	// streams: its transfer takes twice as long and is priced.
 	zonePenalty = 4
+	// worthFetching is the number of shared tokens from which an engine other
+	// than their home fetches them instead of reading them: the transfer takes
+	// about a tenth of the time, but is priced.
+	worthFetching = 256
+	// fetchCost is what an engine has to do beside its queue for a fetch, as a
+	// part of the tokens fetched. It also keeps parts at their homes while
+	// these are not much busier, so that there is something to fetch.
+	fetchCost = 0.5
 	// ailingPenalty is what an engine that fails other entries' requests
 	// costs, in streams or calls; a filter drops those that fail this one's.
 	ailingPenalty = 8
@@ -98,38 +106,56 @@
 	}
 }
 
-// Home returns the engine that keeps a shared part, by rendezvous hashing, so
-// that all entries agree without a word and a lost engine moves only its own
-// parts; ok is false without a key or candidates.
-func Home(key string, candidates []Candidate) (home string, ok bool) {
+// homeOf returns the engine that keeps a shared part, by rendezvous hashing,
+// so that all entries agree without a word and a lost engine moves only its
+// own parts; ok is false without a key or candidates.
+func homeOf(key string, candidates []Candidate) (home Candidate, ok bool) {
 	if key == "" {
-		return "", false
+		return Candidate{}, false
 	}
 	best := uint64(0)
 	for _, c := range candidates {
 		if weight := xxhash.Sum64String(key + "@" + c.ID); !ok || weight > best {
-			home, best, ok = c.ID, weight, true
+			home, best, ok = c, weight, true
 		}
 	}
 	return home, ok
 }
 
-// ForPrefill chooses the engine that would have read the prompt first: the
-// one with the fewest tokens before the prompt's end, where the home of its
-// shared part need not read that again. It also returns the tokens to read.
-func ForPrefill(p Prompt, candidates []Candidate, random func(n int) int) (chosen Candidate, tokens int, ok bool) {
+// PrefillChoice is an engine that is to read a prompt.
+type PrefillChoice struct {
+	Candidate
+	// Tokens is about how many tokens the engine has to read.
+	Tokens int
+	// FetchFrom is the engine from which it first fetches the shared part, or
+	// nil.
+	FetchFrom *fleet.Engine
+}
+
+// ForPrefill chooses the engine that would have read the prompt first. The
+// home of its shared part need not read that again; others fetch it there.
+func ForPrefill(p Prompt, candidates []Candidate, random func(n int) int) (choice PrefillChoice, ok bool) {
 	key, shared := p.Shared()
-	home, _ := Home(key, candidates)
-	toRead := func(c Candidate) int {
-		if c.ID == home {
-			return max(0, p.Tokens-shared)
+	home, homeKnown := homeOf(key, candidates)
+	fetch := homeKnown && shared >= worthFetching
+	chosen, ok := least(candidates, random, func(c Candidate) float64 {
+		cost := float64(c.Load.PromptTokens)
+		if fetch && c.ID != home.ID {
+			cost += fetchCost * float64(shared)
 		}
-		return p.Tokens
-	}
-	chosen, ok = least(candidates, random, func(c Candidate) float64 {
-		return float64(c.Load.PromptTokens + toRead(c))
+		return cost
 	})
-	return chosen, toRead(chosen), ok
+	choice = PrefillChoice{Candidate: chosen, Tokens: p.Tokens}
+	switch {
+	case !ok || !homeKnown:
+		return choice, ok
+	case chosen.ID == home.ID || fetch:
+		choice.Tokens = max(0, p.Tokens-shared)
+	}
+	if fetch && chosen.ID != home.ID {
+		choice.FetchFrom = &home.Engine
+	}
+	return choice, true
 }
 
 // ForDecode chooses the engine that produces the tokens; zone is where the
