--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -98,7 +98,11 @@
 		ReplicaID:        r.identity.ReplicaID,
 		Document:         state.Document,
 		ControlAddresses: s.controlAddresses,
-		Log:              o.Log,
+		Leads: func() bool {
+			_, leads := s.Authority()
+			return leads
+		},
+		Log: o.Log,
 	})
 	err = s.run(ctx, serve)
 	if stopErr := stopReplica(); err == nil {
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -25,6 +25,9 @@
 	// askAgain is the time after which a document that was asked for and has
 	// not come is asked for again: several trips within a region.
 	askAgain = 250 * time.Millisecond
+	// leaderSilence is the time without load figures from a leader after which
+	// those of other replicas, which come less often, are taken.
+	leaderSilence = 150 * time.Millisecond
 	// listAge is the age of the newest list of engines from which an entry
 	// reads the list itself: two intervals of the control replicas.
 	listAge = 2500 * time.Millisecond
@@ -69,6 +72,8 @@
 	table   atomic.Pointer[route.Table]
 	view    atomic.Pointer[fleet.View]
 	entries atomic.Int64
+	// ledAt is when the leader last told of the others' load.
+	ledAt   atomic.Int64
 	leaving atomic.Bool
 
 	mu     sync.Mutex // guards the fields below
@@ -181,7 +186,7 @@
 // deliver takes what a control replica tells.
 func (a *Agent) deliver(u peergrpc.Update) {
 	a.entries.Store(int64(max(1, u.Entries)))
-	a.tracker.SetOthers(u.Others)
+	a.setOthers(u)
 	if u.Engines != nil {
 		a.setEngines(u.Source, u.Engines)
 	}
@@ -191,6 +196,19 @@
 	a.askFor(u)
 }
 
+// setOthers takes load figures from the leader, or from any replica while no
+// leader told of any.
+func (a *Agent) setOthers(u peergrpc.Update) {
+	now := a.options.Clock.Now()
+	switch {
+	case u.Leads:
+		a.ledAt.Store(int64(now))
+	case now.Sub(clock.Instant(a.ledAt.Load())) < leaderSilence:
+		return
+	}
+	a.tracker.SetOthers(u.Others)
+}
+
 // askFor asks a source for its document if it is newer than the one in force,
 // unless another source was asked just before.
 func (a *Agent) askFor(u peergrpc.Update) {
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -21,10 +21,18 @@
 
 const (
 	// fleetHeartbeat is the longest pause between two messages of a watch,
-	// in either direction. Load figures are that old at most, plus a trip.
+	// in either direction.
 	fleetHeartbeat = 200 * time.Millisecond
 	// fleetSilence ends a watch without messages: six heartbeats.
 	fleetSilence = 1200 * time.Millisecond
+	// At the leader load figures are exchanged at loadInterval times the
+	// number of entries, so that its work stays the same, within the bounds
+	// of fastestLoad and fleetHeartbeat. Older figures send several entries to
+	// the same engine at once; below the lower bound nothing was gained. Other
+	// replicas, which matter only while none leads, do so less often.
+	loadInterval   = 2 * time.Millisecond
+	fastestLoad    = 25 * time.Millisecond
+	followerFactor = 2
 	// documentPoll is the time between two looks at the applied document.
 	documentPoll = 25 * time.Millisecond
 )
@@ -48,7 +56,9 @@
 	Document func() document.Document
 	// ControlAddresses returns the peer addresses of the control replicas.
 	ControlAddresses func() []string
-	Log              hclog.Logger
+	// Leads reports whether this replica leads the group.
+	Leads func() bool
+	Log   hclog.Logger
 }
 
 // FleetHub serves the Fleet service of one control replica: it knows the
@@ -245,7 +255,7 @@
 // send sends updates until the stream ends, the entry falls silent or the hub
 // stops.
 func (h *FleetHub) send(stream grpc.BidiStreamingServer[peerpb.EntryReport, peerpb.FleetUpdate], w *watcher, reports <-chan struct{}, ended <-chan error) error {
-	beat := time.NewTicker(fleetHeartbeat)
+	beat := time.NewTimer(fleetHeartbeat)
 	defer beat.Stop()
 	silence := time.NewTimer(fleetSilence)
 	defer silence.Stop()
@@ -256,6 +266,7 @@
 			return err
 		}
 		sent = list
+		beat.Reset(h.interval())
 		for waiting := true; waiting; {
 			select {
 			case err := <-ended:
@@ -275,12 +286,26 @@
 	}
 }
 
+// interval returns the pause between two messages of a watch.
+func (h *FleetHub) interval() time.Duration {
+	h.mu.Lock()
+	entries := len(h.entries)
+	h.mu.Unlock()
+	d := time.Duration(entries) * loadInterval
+	if !h.options.Leads() {
+		d *= followerFactor
+	}
+	return min(max(fastestLoad, d), fleetHeartbeat)
+}
+
 func (h *FleetHub) update(w *watcher, list, sent *engineList) *peerpb.FleetUpdate {
 	held := h.options.Document()
 	update := &peerpb.FleetUpdate{
 		ReplicaId:        h.options.ReplicaID,
 		DocumentVersion:  held.Version,
 		ControlAddresses: h.options.ControlAddresses(),
+		ReportMs:         uint32(h.interval().Milliseconds()),
+		Leads:            h.options.Leads(),
 	}
 	if w.wantsDocument.Swap(false) {
 		update.Document = held.Content
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -40,6 +41,10 @@
 	Engines []fleet.Engine
 	// Others is the load that all other entries reported.
 	Others map[string]fleet.Load
+	// Leads is set if the replica leads: its load figures are the newest.
+	Leads bool
+	// ReportAfter is when the replica expects the next report.
+	ReportAfter time.Duration
 }
 
 // WatcherOptions configures a FleetWatcher.
@@ -205,13 +210,15 @@
 		return fmt.Errorf("watch fleet at %s: %w", address, err)
 	}
 	wake := make(chan struct{}, 1)
+	interval := atomic.Int64{}
+	interval.Store(int64(fleetHeartbeat))
 	f.mu.Lock()
 	f.wake[address] = wake
 	f.mu.Unlock()
 	defer f.forget(address)
 	go func() {
 		defer cancel()
-		f.sendReports(ctx, stream, address, wake)
+		f.sendReports(ctx, stream, address, wake, &interval)
 	}()
 	connected := false
 	for {
@@ -229,6 +236,7 @@
 		if err != nil {
 			return fmt.Errorf("watch fleet at %s: %w", address, err)
 		}
+		interval.Store(int64(update.ReportAfter))
 		f.options.Deliver(update)
 	}
 }
@@ -237,11 +245,12 @@
 	Send(*peerpb.EntryReport) error
 }
 
-// sendReports sends a report at once, at each heartbeat and when woken.
-func (f *FleetWatcher) sendReports(ctx context.Context, stream reportStream, address string, wake <-chan struct{}) {
-	beat := time.NewTicker(fleetHeartbeat)
+// sendReports sends a report at once, after each interval and when woken.
+func (f *FleetWatcher) sendReports(ctx context.Context, stream reportStream, address string, wake <-chan struct{}, interval *atomic.Int64) {
+	beat := time.NewTimer(fleetHeartbeat)
 	defer beat.Stop()
 	for {
+		beat.Reset(time.Duration(interval.Load()))
 		if err := stream.Send(fromReport(f.options.Report(address))); err != nil {
 			return // Recv returns the reason.
 		}
@@ -276,6 +285,8 @@
 		DocumentVersion: m.GetDocumentVersion(),
 		Document:        m.GetDocument(),
 		Entries:         int(m.GetEntries()),
+		Leads:           m.GetLeads(),
+		ReportAfter:     max(fastestLoad, time.Duration(m.GetReportMs())*time.Millisecond),
 		Others:          make(map[string]fleet.Load, len(m.GetOthers())),
 	}
 	if m.GetHasEngines() {
