--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -128,6 +128,8 @@
 	// Attempts counts sends, and First is the time to the first byte passed on.
 	Attempts int
 	First    time.Duration
+	// LongestGap is the longest pause between two passes of events.
+	LongestGap time.Duration
 }
 
 // Options configures a Carrier.
@@ -181,10 +183,7 @@
 	if outcome.Result != Delivered && x.kept != nil && !x.begun && ctx.Err() == nil {
 		outcome = Outcome{Result: Delivered, Err: errors.Join(outcome.Err, x.pass(x.kept.Answer, x.kept.body))}
 	}
-	outcome.Attempts = x.sends
-	if x.first > 0 {
-		outcome.First = x.first
-	}
+	outcome.Attempts, outcome.First, outcome.LongestGap = x.sends, x.first, x.longestGap
 	if outcome.Result != Delivered {
 		outcome.Result = x.classify(ctx, deadline, outcome.Result)
 	}
@@ -217,6 +216,9 @@
 	// kept is the newest failure of a server, or nil.
 	kept  *keptAnswer
 	first time.Duration
+	// passed is when events were last passed on.
+	passed     time.Time
+	longestGap time.Duration
 }
 
 // classify turns a failure into what may be said of it: not run is only said
@@ -393,7 +395,7 @@
 		level = hclog.Info
 	}
 	x.options.Log.Log(level, "request ended", "request", x.request.ID, "route", x.request.Route.Name, "result", o.Result,
-		"sends", x.sends, "runs", x.runs, "first_ms", o.First.Milliseconds(), "ms", time.Since(x.started).Milliseconds(), "error", o.Err)
+		"sends", x.sends, "runs", x.runs, "first_ms", o.First.Milliseconds(), "gap_ms", o.LongestGap.Milliseconds(), "ms", time.Since(x.started).Milliseconds(), "error", o.Err)
 }
 
 // ServerError is a failure that a backend server answered with.
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -105,9 +105,13 @@
 	if len(fresh) == 0 {
 		return nil
 	}
+	now := time.Now()
 	if x.first == 0 {
-		x.first = time.Since(x.started)
+		x.first = now.Sub(x.started)
+	} else {
+		x.longestGap = max(x.longestGap, now.Sub(x.passed))
 	}
+	x.passed = now
 	if err := x.sink.Events(fresh); err != nil {
 		return fmt.Errorf("%w: %w", errCaller, err)
 	}
