--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -68,8 +69,14 @@
 	Body io.ReadCloser
 }
 
-// ErrNotRun means that the backend server has not run the request and won't.
-var ErrNotRun = errors.New("not run")
+var (
+	// ErrNotRun means that the backend server has not run the request and
+	// won't.
+	ErrNotRun = errors.New("not run")
+	// ErrNotThere means that no server, or another one, was found at the
+	// address. It matches ErrNotRun.
+	ErrNotThere = fmt.Errorf("server is not there: %w", ErrNotRun)
+)
 
 // Sender sends one caller's request to backend servers.
 type Sender interface {
@@ -180,6 +187,7 @@
 	deadline, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	outcome := x.attempts(deadline)
+	x.release(x.source)
 	if outcome.Result != Delivered && x.kept != nil && !x.begun && ctx.Err() == nil {
 		outcome = Outcome{Result: Delivered, Err: errors.Join(outcome.Err, x.pass(x.kept.Answer, x.kept.body))}
 	}
@@ -211,8 +219,10 @@
 	begun bool
 	// lastEvent is the id of the last event passed on.
 	lastEvent string
-	// prefilled is set once an engine accepted a prefill.
-	prefilled bool
+	// prefills counts prefill calls.
+	prefills int
+	// source is a prefilled prompt that no server has been asked to fetch.
+	source *Source
 	// kept is the newest failure of a server, or nil.
 	kept  *keptAnswer
 	first time.Duration
@@ -382,7 +392,10 @@
 // nothing of the server.
 func (x *run) failed(ctx context.Context, a Attempt, step string, err error) {
 	x.tried = append(x.tried, a.Engine.ID)
-	if ctx.Err() == nil {
+	switch {
+	case errors.Is(err, ErrNotThere):
+		x.options.Outlier.Gone(a.Engine.ID)
+	case ctx.Err() == nil:
 		x.options.Outlier.Failure(a.Engine.ID)
 	}
 	x.options.Log.Info("attempt failed", "request", x.request.ID, "route", x.request.Route.Name, "engine", a.Engine.ID,
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -248,6 +248,29 @@
 	}
 }
 
+// TestHandleIsKeptForAnotherEngine finds nobody at the first decode engine's
+// address: the prompt need not be read again.
+func TestHandleIsKeptForAnotherEngine(t *testing.T) {
+	w := newWorld(reply{err: exchange.ErrNotThere}, reply{status: 200, events: true})
+	if o := w.run(t, stream(false, 5000)); o.Result != exchange.Delivered {
+		t.Fatalf("%+v", o)
+	}
+	if len(w.prefills) != 1 || len(w.released) != 0 || w.sends[1].Source.Handle != "handle-1" {
+		t.Errorf("%d prefills, released %v", len(w.prefills), w.released)
+	}
+}
+
+func TestHandleIsReleasedAtTheEnd(t *testing.T) {
+	w := newWorld(reply{err: exchange.ErrNotThere})
+	w.slack = -1
+	if o := w.run(t, stream(false, 5000)); o.Result != exchange.Refused {
+		t.Fatalf("%+v", o)
+	}
+	if len(w.released) != 1 {
+		t.Errorf("released %v", w.released)
+	}
+}
+
 func TestPrefillGoesToAnotherEngineAfterAFailure(t *testing.T) {
 	w := newWorld(reply{status: 200, events: true})
 	w.prefillErrs = []error{notRun}
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -28,8 +28,9 @@
 // prefill engine first, all others by the decode engine itself.
 func (x *run) generate(ctx context.Context) (done bool, err error) {
 	prompt := *x.request.Prompt
-	source := (*Source)(nil)
-	if prompt.Tokens >= placement.WholeLimit {
+	source := x.source
+	x.source = nil
+	if source == nil && prompt.Tokens >= placement.WholeLimit {
 		if source, err = x.prefill(ctx, prompt); err != nil {
 			return false, err
 		}
@@ -52,7 +53,10 @@
 	}
 	before := x.runs
 	done, err = x.send(ctx, a, fleet.Load{Streams: 1})
-	if !done && x.runs == before {
+	switch {
+	case errors.Is(err, ErrNotThere):
+		x.source = source // nobody has asked for it yet
+	case !done && x.runs == before:
 		x.release(source)
 	}
 	return done, err
@@ -72,9 +76,11 @@
 		if !ok {
 			return nil, nil
 		}
-		if (x.prefilled || x.sends > 0) && !x.spend() {
+		// Only the first call is free of charge.
+		if (x.prefills > 0 || x.sends > 0) && !x.spend() {
 			return nil, errBudget
 		}
+		x.prefills++
 		a := Attempt{
 			Engine:    chosen.Engine,
 			Remaining: x.remaining(),
@@ -89,13 +95,9 @@
 		cancel()
 		finished()
 		if err == nil {
-			x.prefilled = true
 			x.options.Outlier.Success(chosen.ID)
 			return &Source{Engine: chosen.Engine, Handle: handle}, nil
 		}
-		if !errors.Is(err, ErrNotRun) {
-			x.prefilled = true // the engine may have accepted it
-		}
 		x.failed(ctx, a, "prefill", err)
 		if len(x.tried) > refusedSends {
 			return nil, nil
--- a/internal/protocol/outlier/outlier.go
+++ b/internal/protocol/outlier/outlier.go
@@ -52,6 +52,13 @@
 	return h
 }
 
+// Gone returns the record after an attempt that found nobody at the backend's
+// address: one such failure ejects.
+func (h Health) Gone(now clock.Instant) Health {
+	h.Failures = max(h.Failures, threshold-1)
+	return h.Failed(now)
+}
+
 // Probed returns the record after a probe started: the backend stays ejected
 // for everybody else until the probe ends or its time is over.
 func (h Health) Probed(now clock.Instant) Health {
@@ -128,6 +135,11 @@
 	s.change(name, func(h Health, now clock.Instant) (Health, bool) { return h.Failed(now), true })
 }
 
+// Gone tells that an attempt found nobody at a backend's address.
+func (s *Set) Gone(name string) {
+	s.change(name, func(h Health, now clock.Instant) (Health, bool) { return h.Gone(now), true })
+}
+
 // change replaces one record; keep is false if the record is dropped.
 func (s *Set) change(name string, edit func(Health, clock.Instant) (next Health, keep bool)) {
 	s.mu.Lock()
--- a/internal/protocol/outlier/outlier_test.go
+++ b/internal/protocol/outlier/outlier_test.go
@@ -55,3 +55,13 @@
 		t.Errorf("ejection is %v, want %v", got, maxEjection)
 	}
 }
+
+func TestMissingBackendIsEjectedAtOnce(t *testing.T) {
+	now := clock.Instant(0)
+	if h := (Health{}).Gone(now); !h.Ejected(now) {
+		t.Errorf("%+v gets more work", h)
+	}
+	if h := (Health{}).Failed(now); h.Ejected(now) {
+		t.Errorf("%+v is ejected after one failure", h)
+	}
+}
--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -27,8 +27,10 @@
 	// these are not much busier, so that there is something to fetch.
 	fetchCost = 0.5
 	// ailingPenalty is what an engine that fails other entries' requests
-	// costs, in streams or calls; a filter drops those that fail this one's.
+	// costs, in streams or calls, and ailingTokens in tokens; a filter drops
+	// those that fail this one's.
 	ailingPenalty = 8
+	ailingTokens  = 30000
 )
 
 // Part is a part of a prompt; requests with equal part ids share its tokens.
@@ -143,6 +145,9 @@
 		if fetch && c.ID != home.ID {
 			cost += fetchCost * float64(shared)
 		}
+		if c.Load.Ailing {
+			cost += ailingTokens
+		}
 		return cost
 	})
 	choice = PrefillChoice{Candidate: chosen, Tokens: p.Tokens}
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -35,7 +35,7 @@
 	selfListInterval = time.Second
 	// budgetMargin is the part of the deployment's retry budget that is
 	// spent: the number of entries is known with a lag.
-	budgetMargin = 0.7
+	budgetMargin = 0.9
 )
 
 // Options configures an Agent.
