--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -42,12 +42,12 @@
 	// prefillErrs are the results of the prefill calls, nil after the last.
 	prefillErrs []error
 	// slack is what the retry budget allows beyond its share.
-	slack float64
-	released    []string
-	begun       int
-	answer      bytes.Buffer
-	status      int
-	carrier     *exchange.Carrier
+	slack    float64
+	released []string
+	begun    int
+	answer   bytes.Buffer
+	status   int
+	carrier  *exchange.Carrier
 }
 
 func newWorld(replies ...reply) *world {
@@ -271,6 +271,15 @@
 	}
 }
 
+// TestHopelessPromptIsRefusedAtOnce has queues longer than the caller waits.
+func TestHopelessPromptIsRefusedAtOnce(t *testing.T) {
+	w := newWorld()
+	o := w.run(t, stream(true, 1_000_000))
+	if o.Result != exchange.Refused || len(w.prefills) != 0 || o.RetryAfter < 5*time.Second {
+		t.Errorf("%v after %d prefills, come back after %v", o.Result, len(w.prefills), o.RetryAfter)
+	}
+}
+
 func TestPrefillGoesToAnotherEngineAfterAFailure(t *testing.T) {
 	w := newWorld(reply{status: 200, events: true})
 	w.prefillErrs = []error{notRun}
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -16,6 +16,12 @@
 	// slowestPrefill is a reading speed that even a slow engine keeps, in
 	// tokens a millisecond: a third of the slowest model met so far.
 	slowestPrefill = 19
+	// Callers leave a stream after the longest of callerSilence,
+	// callerObjectives objectives and callerGaps allowed pauses without an
+	// event; the platform's pages give the three.
+	callerSilence    = 2 * time.Second
+	callerObjectives = 4
+	callerGaps       = 8
 )
 
 // prefillPatience is how long an engine may take to read tokens, those queued
@@ -51,8 +57,12 @@
 		Source:    source,
 		LastEvent: x.lastEvent,
 	}
+	work := fleet.Load{Streams: 1}
+	if source == nil {
+		work.PromptTokens = prompt.Tokens
+	}
 	before := x.runs
-	done, err = x.send(ctx, a, fleet.Load{Streams: 1})
+	done, err = x.send(ctx, a, work)
 	switch {
 	case errors.Is(err, ErrNotThere):
 		x.source = source // nobody has asked for it yet
@@ -62,6 +72,19 @@
 	return done, err
 }
 
+// goal returns when a first event is in time, and how long the caller waits
+// for one: callers leave a stream that is silent for too long.
+func (x *run) goal() placement.Goal {
+	r := x.request.Route
+	patience := max(callerSilence, callerObjectives*r.Objective, callerGaps*r.EventGap)
+	waited := time.Since(x.started)
+	return placement.Goal{
+		InTime:   r.Objective - waited,
+		Patience: min(patience-waited, x.remaining()),
+		Rate:     x.rate(x.request.Service.Name),
+	}
+}
+
 func (x *run) release(s *Source) {
 	if s != nil {
 		x.sender.Release(*s)
@@ -72,10 +95,15 @@
 // error the decode engine is to read it.
 func (x *run) prefill(ctx context.Context, prompt placement.Prompt) (*Source, error) {
 	for ctx.Err() == nil {
-		chosen, ok := placement.ForPrefill(prompt, x.candidates(placement.InPhase(fleet.Prefill)), x.options.Random)
+		goal := x.goal()
+		chosen, ok := placement.ForPrefill(prompt, goal, x.candidates(placement.InPhase(fleet.Prefill)), x.options.Random)
 		if !ok {
 			return nil, nil
 		}
+		if chosen.Takes > goal.Patience && x.sends == 0 && x.prefills == 0 {
+			x.backlog = chosen.Takes - goal.Patience
+			return nil, errBacklog
+		}
 		// Only the first call is free of charge.
 		if (x.prefills > 0 || x.sends > 0) && !x.spend() {
 			return nil, errBudget
@@ -91,11 +119,13 @@
 		finished := x.options.Tracker.Start(chosen.ID, fleet.Load{PromptTokens: chosen.Tokens})
 		x.options.Outlier.Start(chosen.ID)
 		patience, cancel := context.WithTimeout(ctx, prefillPatience(chosen.Load.PromptTokens+chosen.Tokens))
+		asked := time.Now()
 		handle, err := x.sender.Prefill(patience, a)
 		cancel()
 		finished()
 		if err == nil {
 			x.options.Outlier.Success(chosen.ID)
+			goal.Rate.Measured(chosen.Load.PromptTokens+chosen.Tokens, time.Since(asked))
 			return &Source{Engine: chosen.Engine, Handle: handle}, nil
 		}
 		x.failed(ctx, a, "prefill", err)
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -50,6 +50,7 @@
 			whole = len(pending)
 		}
 		if whole > 0 {
+			x.read()
 			if err := x.passEvents(pending[:whole]); err != nil {
 				return false, err
 			}
