--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -22,6 +22,9 @@
 	callerSilence    = 2 * time.Second
 	callerObjectives = 4
 	callerGaps       = 8
+	// hopeless is the part of a caller's patience that a prompt must be expected
+	// to take beyond it to be refused: estimates are often off by half.
+	hopeless = 2
 )
 
 // prefillPatience is how long an engine may take to read tokens, those queued
@@ -100,7 +103,7 @@
 		if !ok {
 			return nil, nil
 		}
-		if chosen.Takes > goal.Patience && x.sends == 0 && x.prefills == 0 {
+		if chosen.Takes > hopeless*goal.Patience && x.sends == 0 && x.prefills == 0 {
 			x.backlog = chosen.Takes - goal.Patience
 			return nil, errBacklog
 		}
--- a/internal/protocol/placement/rate.go
+++ b/internal/protocol/placement/rate.go
@@ -1,52 +1,65 @@
 package placement
 
 import (
-	"math"
 	"sync/atomic"
 	"time"
 )
 
 const (
-	// firstRate is the reading speed that is assumed before any was measured,
-	// in tokens a millisecond: that of the slowest model met so far.
-	firstRate = 50
-	// rateWeight is the weight of a new measurement.
-	rateWeight = 0.05
-	// shortestMeasured leaves out readings that are mostly fixed cost.
-	shortestMeasured = 30 * time.Millisecond
+	// firstMsPerToken is the reading time that is assumed before any was
+	// measured: that of the slowest model met so far.
+	firstMsPerToken = 1.0 / 50
+	// Measured reading times are kept between these bounds.
+	leastMsPerToken = 1.0 / 500
+	mostMsPerToken  = 1.0 / 5
+	// rateWeight is the weight of a new measurement, and enoughMeasured the
+	// number from which they replace the assumption.
+	rateWeight     = 0.02
+	enoughMeasured = 20
 )
 
-// Rate estimates how fast an engine works off its queue of prompts. The zero
-// value knows no measurement. It is safe for concurrent use.
+// Rate estimates how long an engine takes to work off its queue of prompts: a
+// fixed time and a time for each token, fitted by least squares over weighted
+// measurements. The zero value knows no measurement. It is safe for concurrent
+// use.
 type Rate struct {
-	bits atomic.Uint64
+	// fitted is replaced whole; a lost race loses one measurement.
+	fitted atomic.Pointer[moments]
 }
 
-// PerMs returns the speed in tokens a millisecond.
-func (r *Rate) PerMs() float64 {
-	if bits := r.bits.Load(); bits != 0 {
-		return math.Float64frombits(bits)
-	}
-	return firstRate
+// moments are weighted means over measurements of tokens x and milliseconds y.
+type moments struct {
+	count          int
+	x, y           float64
+	varianceX, cov float64
 }
 
 // Measured takes the time in which an engine worked off tokens, those queued
 // before included.
 func (r *Rate) Measured(tokens int, took time.Duration) {
-	if took < shortestMeasured || tokens <= 0 {
-		return
-	}
-	measured := float64(tokens) / float64(took.Milliseconds())
-	for {
-		old := r.bits.Load()
-		next := r.PerMs()*(1-rateWeight) + measured*rateWeight
-		if r.bits.CompareAndSwap(old, math.Float64bits(next)) {
-			return
+	x, y := float64(tokens), float64(took)/float64(time.Millisecond)
+	held := r.fitted.Load()
+	next := moments{count: 1, x: x, y: y}
+	if held != nil {
+		weight := max(rateWeight, 1/float64(held.count+1))
+		dx, dy := x-held.x, y-held.y
+		next = moments{
+			count:     held.count + 1,
+			x:         held.x + weight*dx,
+			y:         held.y + weight*dy,
+			varianceX: (1 - weight) * (held.varianceX + weight*dx*dx),
+			cov:       (1 - weight) * (held.cov + weight*dx*dy),
 		}
 	}
+	r.fitted.CompareAndSwap(held, &next)
 }
 
 // Time returns how long tokens take.
 func (r *Rate) Time(tokens float64) time.Duration {
-	return time.Duration(tokens / r.PerMs() * float64(time.Millisecond))
+	fixed, slope := 0.0, firstMsPerToken
+	if m := r.fitted.Load(); m != nil && m.count >= enoughMeasured && m.varianceX > 0 {
+		slope = min(max(m.cov/m.varianceX, leastMsPerToken), mostMsPerToken)
+		fixed = max(0, m.y-slope*m.x)
+	}
+	return time.Duration((fixed + slope*tokens) * float64(time.Millisecond))
 }
