--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -159,17 +158,6 @@
 // Carrier carries requests. It is safe for concurrent use.
 type Carrier struct {
 	options Options
-	// rates holds a *placement.Rate for each service.
-	rates sync.Map
-}
-
-// rate returns how fast a service's engines work off prompts.
-func (c *Carrier) rate(service string) *placement.Rate {
-	held, ok := c.rates.Load(service)
-	if !ok {
-		held, _ = c.rates.LoadOrStore(service, &placement.Rate{})
-	}
-	return held.(*placement.Rate)
 }
 
 // New returns a carrier.
@@ -208,7 +196,7 @@
 		outcome.Result = x.classify(ctx, deadline, outcome.Result)
 	}
 	if outcome.Result == Refused {
-		outcome.RetryAfter = max(baseRetryAfter, x.backlog) + time.Duration(c.options.Random(int(retryAfterSpread)))
+		outcome.RetryAfter = baseRetryAfter + time.Duration(c.options.Random(int(retryAfterSpread)))
 	}
 	x.log(outcome)
 	return outcome
@@ -240,9 +228,6 @@
 	first time.Duration
 	// read takes the prompt off the engine's load once its first event came.
 	read func()
-	// backlog is how long the caller should stay away for the queues to get
-	// short enough.
-	backlog time.Duration
 	// passed is when events were last passed on.
 	passed     time.Time
 	longestGap time.Duration
@@ -267,7 +252,6 @@
 var (
 	errNoServer = errors.New("no server takes the request")
 	errBudget   = errors.New("the retry budget is used up")
-	errBacklog  = errors.New("the caller would leave before its prompt is read")
 	errNoEvents = errors.New("a plain answer can't continue a stream")
 )
 
@@ -287,7 +271,7 @@
 			return Outcome{Result: Delivered, Err: err}
 		}
 		last = err
-		if errors.Is(err, errNoServer) || errors.Is(err, errCaller) || errors.Is(err, errBudget) || errors.Is(err, errBacklog) {
+		if errors.Is(err, errNoServer) || errors.Is(err, errCaller) || errors.Is(err, errBudget) {
 			break
 		}
 	}
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -16,15 +16,6 @@
 	// slowestPrefill is a reading speed that even a slow engine keeps, in
 	// tokens a millisecond: a third of the slowest model met so far.
 	slowestPrefill = 19
-	// Callers leave a stream after the longest of callerSilence,
-	// callerObjectives objectives and callerGaps allowed pauses without an
-	// event; the platform's pages give the three.
-	callerSilence    = 2 * time.Second
-	callerObjectives = 4
-	callerGaps       = 8
-	// hopeless is the part of a caller's patience that a prompt must be expected
-	// to take beyond it to be refused: estimates are often off by half.
-	hopeless = 2
 )
 
 // prefillPatience is how long an engine may take to read tokens, those queued
@@ -75,19 +66,6 @@
 	return done, err
 }
 
-// goal returns when a first event is in time, and how long the caller waits
-// for one: callers leave a stream that is silent for too long.
-func (x *run) goal() placement.Goal {
-	r := x.request.Route
-	patience := max(callerSilence, callerObjectives*r.Objective, callerGaps*r.EventGap)
-	waited := time.Since(x.started)
-	return placement.Goal{
-		InTime:   r.Objective - waited,
-		Patience: min(patience-waited, x.remaining()),
-		Rate:     x.rate(x.request.Service.Name),
-	}
-}
-
 func (x *run) release(s *Source) {
 	if s != nil {
 		x.sender.Release(*s)
@@ -98,15 +76,10 @@
 // error the decode engine is to read it.
 func (x *run) prefill(ctx context.Context, prompt placement.Prompt) (*Source, error) {
 	for ctx.Err() == nil {
-		goal := x.goal()
-		chosen, ok := placement.ForPrefill(prompt, goal, x.candidates(placement.InPhase(fleet.Prefill)), x.options.Random)
+		chosen, ok := placement.ForPrefill(prompt, x.candidates(placement.InPhase(fleet.Prefill)), x.options.Random)
 		if !ok {
 			return nil, nil
 		}
-		if chosen.Takes > hopeless*goal.Patience && x.sends == 0 && x.prefills == 0 {
-			x.backlog = chosen.Takes - goal.Patience
-			return nil, errBacklog
-		}
 		// Only the first call is free of charge.
 		if (x.prefills > 0 || x.sends > 0) && !x.spend() {
 			return nil, errBudget
@@ -122,13 +95,11 @@
 		finished := x.options.Tracker.Start(chosen.ID, fleet.Load{PromptTokens: chosen.Tokens})
 		x.options.Outlier.Start(chosen.ID)
 		patience, cancel := context.WithTimeout(ctx, prefillPatience(chosen.Load.PromptTokens+chosen.Tokens))
-		asked := time.Now()
 		handle, err := x.sender.Prefill(patience, a)
 		cancel()
 		finished()
 		if err == nil {
 			x.options.Outlier.Success(chosen.ID)
-			goal.Rate.Measured(chosen.Load.PromptTokens+chosen.Tokens, time.Since(asked))
 			return &Source{Engine: chosen.Engine, Handle: handle}, nil
 		}
 		x.failed(ctx, a, "prefill", err)
--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -5,8 +5,6 @@
 package placement
 
 import (
-	"time"
-
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
@@ -129,16 +127,6 @@
 	return home, ok
 }
 
-// Goal is what a request wants of its placing.
-type Goal struct {
-	// InTime is the time left until a first event counts as late, and
-	// Patience until the caller gives up.
-	InTime   time.Duration
-	Patience time.Duration
-	// Rate is how fast engines work off prompts.
-	Rate *Rate
-}
-
 // PrefillChoice is an engine that is to read a prompt.
 type PrefillChoice struct {
 	Candidate
@@ -147,27 +135,16 @@
 	// FetchFrom is the engine from which it first fetches the shared part, or
 	// nil.
 	FetchFrom *fleet.Engine
-	// Takes is when the prompt will about have been read.
-	Takes time.Duration
 }
 
-// ForPrefill chooses the engine that would have read the prompt first, if that
-// is in time. The home of the prompt's shared part need not read that again;
-// others fetch it there. A prompt that would be late anyway goes to the engine
-// with the longest queue that its caller's patience bears, so that it delays
-// as few others as possible.
-func ForPrefill(p Prompt, g Goal, candidates []Candidate, random func(n int) int) (choice PrefillChoice, ok bool) {
+// ForPrefill chooses the engine that would have read the prompt first. The
+// home of its shared part need not read that again; others fetch it there.
+func ForPrefill(p Prompt, candidates []Candidate, random func(n int) int) (choice PrefillChoice, ok bool) {
 	key, shared := p.Shared()
 	home, homeKnown := homeOf(key, candidates)
 	fetch := homeKnown && shared >= worthFetching
-	toRead := func(c Candidate) int {
-		if homeKnown && (fetch || c.ID == home.ID) {
-			return max(0, p.Tokens-shared)
-		}
-		return p.Tokens
-	}
-	cost := func(c Candidate) float64 {
-		cost := float64(c.Load.PromptTokens + toRead(c))
+	chosen, ok := least(candidates, random, func(c Candidate) float64 {
+		cost := float64(c.Load.PromptTokens)
 		if fetch && c.ID != home.ID {
 			cost += fetchCost * float64(shared)
 		}
@@ -175,35 +152,20 @@
 			cost += ailingTokens
 		}
 		return cost
+	})
+	choice = PrefillChoice{Candidate: chosen, Tokens: p.Tokens}
+	switch {
+	case !ok || !homeKnown:
+		return choice, ok
+	case chosen.ID == home.ID || fetch:
+		choice.Tokens = max(0, p.Tokens-shared)
 	}
-	chosen, ok := least(candidates, random, cost)
-	if !ok {
-		return PrefillChoice{}, false
-	}
-	if g.Rate.Time(cost(chosen)) > g.InTime {
-		chosen = latest(candidates, chosen, func(c Candidate) (float64, bool) {
-			return cost(c), !c.Load.Ailing && g.Rate.Time(cost(c)) <= g.Patience
-		})
-	}
-	choice = PrefillChoice{Candidate: chosen, Tokens: toRead(chosen), Takes: g.Rate.Time(cost(chosen))}
 	if fetch && chosen.ID != home.ID {
 		choice.FetchFrom = &home.Engine
 	}
 	return choice, true
 }
 
-// latest returns the candidate with the highest cost that is admissible, or
-// otherwise the given one.
-func latest(candidates []Candidate, otherwise Candidate, cost func(Candidate) (float64, bool)) Candidate {
-	highest := -1.0
-	for _, c := range candidates {
-		if at, admissible := cost(c); admissible && at > highest {
-			otherwise, highest = c, at
-		}
-	}
-	return otherwise
-}
-
 // ForDecode chooses the engine that produces the tokens; zone is where the
 // prompt was read.
 func ForDecode(zone string, candidates []Candidate, random func(n int) int) (Candidate, bool) {
