--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -38,6 +38,16 @@
 	joinTimeout = time.Second
 )
 
+// seededTiming suits VMs within one region where all control processes may
+// restart at once: callers wait for the election that follows. The timeout is
+// above four times the slowest sync of a working disk.
+var seededTiming = raft.Timing{
+	ElectionTimeout: 600 * time.Millisecond,
+	Heartbeat:       80 * time.Millisecond,
+	LeaseMargin:     60 * time.Millisecond,
+	SilentVoter:     silentVoter,
+}
+
 // SeededOptions configures a control process that knows of no others but by
 // seeds.
 type SeededOptions struct {
@@ -132,8 +142,6 @@
 // replica names the replica after its address, so that one that lost its disk
 // takes the place of the one that it was.
 func (o SeededOptions) replica() replicaOptions {
-	timing := raft.DefaultTiming
-	timing.SilentVoter = silentVoter
 	return replicaOptions{
 		deployment:  SeededDeployment,
 		name:        o.PeerAddress,
@@ -142,7 +150,7 @@
 		peers:       o.otherSeeds,
 		credentials: insecure.NewCredentials(),
 		voters:      o.Voters,
-		timing:      timing,
+		timing:      seededTiming,
 	}
 }
 
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -28,6 +28,11 @@
 	// leaderSilence is the time without load figures from a leader after which
 	// those of other replicas, which come less often, are taken.
 	leaderSilence = 150 * time.Millisecond
+	// loadAge is the age from which load figures of other entries mislead more
+	// than none: prompts are read within less.
+	loadAge = 400 * time.Millisecond
+	// loadCheck is the time between two looks at that age.
+	loadCheck = 100 * time.Millisecond
 	// listAge is the age of the newest list of engines from which an entry
 	// reads the list itself: two intervals of the control replicas.
 	listAge = 2500 * time.Millisecond
@@ -72,9 +77,10 @@
 	table   atomic.Pointer[route.Table]
 	view    atomic.Pointer[fleet.View]
 	entries atomic.Int64
-	// ledAt is when the leader last told of the others' load.
-	ledAt   atomic.Int64
-	leaving atomic.Bool
+	// ledAt is when the leader last told of the others' load, and toldAt when
+	// any replica did.
+	ledAt, toldAt atomic.Int64
+	leaving       atomic.Bool
 
 	mu     sync.Mutex // guards the fields below
 	roster *fleet.Roster
@@ -122,6 +128,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return a.watcher.Run(ctx) })
 	group.Go(func() error { return clock.Every(ctx, selfListInterval, a.listAlone) })
+	group.Go(func() error { return clock.Every(ctx, loadCheck, a.expireOthers) })
 	return group.Wait()
 }
 
@@ -206,9 +213,21 @@
 	case now.Sub(clock.Instant(a.ledAt.Load())) < leaderSilence:
 		return
 	}
+	a.toldAt.Store(int64(now))
 	a.tracker.SetOthers(u.Others)
 }
 
+// expireOthers forgets load figures that are too old.
+func (a *Agent) expireOthers(context.Context) {
+	told := clock.Instant(a.toldAt.Load())
+	if told == 0 || a.options.Clock.Now().Sub(told) < loadAge {
+		return
+	}
+	a.options.Log.Warn("load of other entries is unknown", "age_ms", a.options.Clock.Now().Sub(told).Milliseconds())
+	a.toldAt.CompareAndSwap(int64(told), 0)
+	a.tracker.SetOthers(map[string]fleet.Load{})
+}
+
 // askFor asks a source for its document if it is newer than the one in force,
 // unless another source was asked just before.
 func (a *Agent) askFor(u peergrpc.Update) {
