--- a/internal/fake/fakegroup/group.go
+++ b/internal/fake/fakegroup/group.go
@@ -44,6 +44,8 @@
 	Latency time.Duration
 	// SegmentBytes is the size of a log segment.
 	SegmentBytes int
+	// Voters bounds the number of voters; the default is no bound.
+	Voters int
 }
 
 func (o *Options) setDefaults() {
@@ -228,7 +230,11 @@
 func (g *Group) allVoters(view replog.View) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(view.Voters) != len(g.replicas) || view.VotersIndex > view.CommitIndex {
+	voters := len(g.replicas)
+	if g.options.Voters > 0 {
+		voters = min(voters, g.options.Voters)
+	}
+	if len(view.Voters) != voters || view.VotersIndex > view.CommitIndex {
 		return false
 	}
 	current := make(map[uint64]bool)
--- a/internal/fake/fakegroup/process.go
+++ b/internal/fake/fakegroup/process.go
@@ -159,6 +159,7 @@
 		IsSettings: store.IsSettings,
 		Timing:     g.options.Timing,
 		Compaction: g.options.Compaction,
+		Voters:     g.options.Voters,
 		Seed:       g.options.Seed,
 		Log:        hclog.NewNullLogger(),
 	})
