--- a/cmd/lagoonshift/platform.go
+++ b/cmd/lagoonshift/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/hashicorp/go-hclog"
@@ -28,6 +29,8 @@
 
 func (f *platformFlags) run(name string, process func(context.Context, hclog.Logger) error) command {
 	return func(ctx context.Context) error {
-		return process(ctx, telemetry.NewLogger(name, f.level, true))
+		out := telemetry.NewBoundedWriter(os.Stdout)
+		defer out.Close()
+		return process(ctx, telemetry.NewServiceLogger(name, f.level, out))
 	}
 }
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -23,8 +23,10 @@
 // Request is a caller's request as far as decisions need it.
 type Request struct {
 	// ID names the caller's attempt; backend servers echo it.
-	ID      string
-	Route   *route.Route
+	ID    string
+	Route *route.Route
+	// Version is that of the routes in force.
+	Version uint64
 	Service route.Service
 	// Deadline is when the caller gives up or the route's timeout ends.
 	Deadline time.Time
@@ -171,6 +173,10 @@
 	// refusedSends is how often a request goes to another server after one
 	// that did not run it, beyond the attempts of its route.
 	refusedSends = 2
+	// silentObjectives is how many times its objective a safe call waits for
+	// a server before it is sent to another one: nine in ten answers come
+	// within one.
+	silentObjectives = 3
 	// baseRetryAfter and retryAfterSpread are when a refused caller should
 	// come back: soon, since a missing server is found or replaced within a
 	// second, but not all at once.
@@ -324,10 +330,20 @@
 	if !ok {
 		return false, errNoServer
 	}
+	x.logPlaced("call", chosen)
 	a := Attempt{Engine: chosen.Engine, Remaining: x.remaining(), Priority: x.request.Route.Priority, LastEvent: x.lastEvent}
 	return x.send(ctx, a, fleet.Load{Calls: 1})
 }
 
+// logPlaced logs the choice of an engine with what decided it.
+func (x *run) logPlaced(step string, c placement.Candidate, more ...any) {
+	x.options.Log.Info("request placed", append([]any{
+		"request", x.request.ID, "route", x.request.Route.Name, "version", x.request.Version, "step", step,
+		"engine", c.ID, "zone", c.Zone, "load_tokens", c.Load.PromptTokens, "load_streams", c.Load.Streams,
+		"load_calls", c.Load.Calls, "load_age_ms", x.options.Tracker.Age().Milliseconds(), "sends", x.sends,
+	}, more...)...)
+}
+
 // send sends one attempt and passes its answer on.
 func (x *run) send(ctx context.Context, a Attempt, work fleet.Load) (done bool, err error) {
 	x.sends++
@@ -337,7 +353,7 @@
 	defer finished()
 	x.read = x.options.Tracker.Start(id, fleet.Load{PromptTokens: work.PromptTokens})
 	defer x.read()
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := x.bounded(ctx)
 	defer cancel()
 	answer, err := x.sender.Send(ctx, a)
 	if errors.Is(err, ErrNotRun) {
@@ -356,6 +372,16 @@
 	return x.whole(ctx, a, answer)
 }
 
+// bounded bounds an attempt whose server may be silent while there is time for
+// another one.
+func (x *run) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	r := x.request.Route
+	if r.Kind == route.Safe && x.runs+1 < r.MaxAttempts && r.Objective > 0 {
+		return context.WithTimeout(ctx, silentObjectives*r.Objective)
+	}
+	return context.WithCancel(ctx)
+}
+
 // whole passes a plain answer on. A failure that may be repeated is kept back
 // while another attempt is possible.
 func (x *run) whole(ctx context.Context, a Attempt, answer *Answer) (done bool, err error) {
@@ -407,11 +433,7 @@
 }
 
 func (x *run) log(o Outcome) {
-	level := hclog.Debug
-	if o.Result != Delivered || o.Err != nil {
-		level = hclog.Info
-	}
-	x.options.Log.Log(level, "request ended", "request", x.request.ID, "route", x.request.Route.Name, "result", o.Result,
+	x.options.Log.Info("request ended", "request", x.request.ID, "route", x.request.Route.Name, "result", o.Result,
 		"sends", x.sends, "runs", x.runs, "first_ms", o.First.Milliseconds(), "gap_ms", o.LongestGap.Milliseconds(), "ms", time.Since(x.started).Milliseconds(), "error", o.Err)
 }
 
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -224,6 +224,23 @@
 	})
 }
 
+// TestSilentServerOfASafeCall keeps the first server silent: the second one
+// answers well before the caller's deadline.
+func TestSilentServerOfASafeCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(reply{status: 200, silent: true}, reply{status: 200, body: "good"})
+		r := call(route.Safe, 2)
+		r.Route.Objective = 100 * time.Millisecond
+		start := time.Now()
+		if o := w.run(t, r); o.Result != exchange.Delivered || w.answer.String() != "good" {
+			t.Errorf("%+v, got %q", o, w.answer.String())
+		}
+		if waited := time.Since(start); waited > 500*time.Millisecond {
+			t.Errorf("waited %v", waited)
+		}
+	})
+}
+
 func TestLongPromptsAreReadByAPrefillEngine(t *testing.T) {
 	w := newWorld(reply{status: 200, events: true})
 	w.run(t, stream(true, placement.WholeLimit))
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -39,7 +39,7 @@
 	if source != nil {
 		zone = source.Engine.Zone
 	}
-	chosen, ok := placement.ForDecode(zone, x.candidates(placement.InPhase(fleet.Decode)), x.options.Random)
+	chosen, ok := placement.ForDecode(zone, x.candidates(placement.Decodes), x.options.Random)
 	if !ok {
 		x.release(source)
 		return false, errNoServer
@@ -51,6 +51,7 @@
 		Source:    source,
 		LastEvent: x.lastEvent,
 	}
+	x.logPlaced("decode", chosen, "prefilled", source != nil, "last_event", x.lastEvent)
 	work := fleet.Load{Streams: 1}
 	if source == nil {
 		work.PromptTokens = prompt.Tokens
@@ -66,6 +67,14 @@
 	return done, err
 }
 
+// engineID returns the id of an engine, or nothing.
+func engineID(e *fleet.Engine) string {
+	if e == nil {
+		return ""
+	}
+	return e.ID
+}
+
 func (x *run) release(s *Source) {
 	if s != nil {
 		x.sender.Release(*s)
@@ -85,6 +94,7 @@
 			return nil, errBudget
 		}
 		x.prefills++
+		x.logPlaced("prefill", chosen.Candidate, "tokens", chosen.Tokens, "fetch_from", engineID(chosen.FetchFrom))
 		a := Attempt{
 			Engine:    chosen.Engine,
 			Remaining: x.remaining(),
--- a/internal/protocol/fleet/fleet.go
+++ b/internal/protocol/fleet/fleet.go
@@ -37,6 +37,12 @@
 	return Phase(i), nil
 }
 
+// Does reports whether a server of this phase does the work of another one;
+// one that knows no phases does all.
+func (p Phase) Does(work Phase) bool {
+	return p == Whole || p == work
+}
+
 // Engine is one backend server as a list showed it. It is immutable.
 type Engine struct {
 	// ID names the server; an address alone may be reused by another one.
--- a/internal/protocol/fleet/tracker.go
+++ b/internal/protocol/fleet/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // View is the newest list of engines by service. It is immutable.
@@ -34,7 +35,13 @@
 // others as last reported. It is safe for concurrent use.
 type Tracker struct {
 	own    sync.Map // engine id to *ownLoad
-	others atomic.Pointer[map[string]Load]
+	others atomic.Pointer[othersLoad]
+}
+
+// othersLoad is the load that all other entries reported, as told at a time.
+type othersLoad struct {
+	byEngine map[string]Load
+	told     time.Time
 }
 
 // ownLoad counts this entry's unfinished work at one engine.
@@ -45,18 +52,23 @@
 // NewTracker returns a tracker that knows of no load.
 func NewTracker() *Tracker {
 	t := &Tracker{}
-	t.others.Store(&map[string]Load{})
+	t.SetOthers(nil)
 	return t
 }
 
 // SetOthers replaces what is known of the other entries' load.
 func (t *Tracker) SetOthers(loads map[string]Load) {
-	t.others.Store(&loads)
+	t.others.Store(&othersLoad{byEngine: loads, told: time.Now()})
+}
+
+// Age returns the age of what is known of the other entries' load.
+func (t *Tracker) Age() time.Duration {
+	return time.Since(t.others.Load().told)
 }
 
 // Load returns the load of an engine.
 func (t *Tracker) Load(engine string) Load {
-	return t.ownLoad(engine).Add((*t.others.Load())[engine])
+	return t.ownLoad(engine).Add(t.others.Load().byEngine[engine])
 }
 
 func (t *Tracker) ownLoad(engine string) Load {
--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -99,6 +99,11 @@
 	return func(e fleet.Engine) bool { return e.Phase == phase }
 }
 
+// Decodes keeps engines that produce tokens.
+func Decodes(e fleet.Engine) bool {
+	return e.Phase.Does(fleet.Decode)
+}
+
 // Except drops the engines with the given ids.
 func Except(ids ...string) Filter {
 	return func(e fleet.Engine) bool {
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -77,10 +77,11 @@
 	table   atomic.Pointer[route.Table]
 	view    atomic.Pointer[fleet.View]
 	entries atomic.Int64
-	// ledAt is when the leader last told of the others' load, and toldAt when
-	// any replica did.
-	ledAt, toldAt atomic.Int64
-	leaving       atomic.Bool
+	// ledAt is when the leader last told of the others' load.
+	ledAt atomic.Int64
+	// blind is set while the others' load is unknown.
+	blind   atomic.Bool
+	leaving atomic.Bool
 
 	mu     sync.Mutex // guards the fields below
 	roster *fleet.Roster
@@ -213,19 +214,20 @@
 	case now.Sub(clock.Instant(a.ledAt.Load())) < leaderSilence:
 		return
 	}
-	a.toldAt.Store(int64(now))
 	a.tracker.SetOthers(u.Others)
+	if a.blind.CompareAndSwap(true, false) {
+		a.options.Log.Info("load of other entries is known again", "source", u.Source)
+	}
 }
 
 // expireOthers forgets load figures that are too old.
 func (a *Agent) expireOthers(context.Context) {
-	told := clock.Instant(a.toldAt.Load())
-	if told == 0 || a.options.Clock.Now().Sub(told) < loadAge {
+	age := a.tracker.Age()
+	if age < loadAge || a.blind.Swap(true) {
 		return
 	}
-	a.options.Log.Warn("load of other entries is unknown", "age_ms", a.options.Clock.Now().Sub(told).Milliseconds())
-	a.toldAt.CompareAndSwap(int64(told), 0)
-	a.tracker.SetOthers(map[string]fleet.Load{})
+	a.tracker.SetOthers(nil)
+	a.options.Log.Warn("load of other entries is unknown", "age_ms", age.Milliseconds())
 }
 
 // askFor asks a source for its document if it is newer than the one in force,
--- a/internal/telemetry/admin.go
+++ b/internal/telemetry/admin.go
@@ -23,6 +23,16 @@
 	})
 }
 
+// NewServiceLogger returns a logger of JSON lines to out.
+func NewServiceLogger(name, level string, out io.Writer) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Name:       name,
+		Level:      hclog.LevelFromString(level),
+		JSONFormat: true,
+		Output:     out,
+	})
+}
+
 // Admin describes what a process serves at its administration address.
 type Admin struct {
 	Metrics *Metrics
--- /dev/null
+++ b/internal/telemetry/writer_test.go
@@ -0,0 +1,40 @@
+package telemetry
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// blockedWriter blocks until it is opened.
+type blockedWriter struct {
+	open chan struct{}
+	bytes.Buffer
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.open
+	return w.Buffer.Write(p)
+}
+
+func TestSlowReaderDropsLinesAndBlocksNobody(t *testing.T) {
+	out := &blockedWriter{open: make(chan struct{})}
+	w := NewBoundedWriter(out)
+	start := time.Now()
+	for i := range logQueue + 100 {
+		_, _ = fmt.Fprintf(w, "line %d\n", i)
+	}
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("writing took %v", took)
+	}
+	if w.Dropped() < 99 {
+		t.Errorf("%d lines dropped", w.Dropped())
+	}
+	close(out.open)
+	w.Close()
+	if text := out.String(); !strings.Contains(text, "line 0\n") || !strings.Contains(text, "log lines dropped") {
+		t.Errorf("the first line or the number of dropped ones is missing")
+	}
+}
