--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -423,7 +423,7 @@
 func (x *run) failed(ctx context.Context, a Attempt, step string, err error) {
 	x.tried = append(x.tried, a.Engine.ID)
 	switch {
-	case errors.Is(err, ErrNotThere):
+	case errors.Is(err, ErrNotThere), errors.Is(err, errSilent):
 		x.options.Outlier.Gone(a.Engine.ID)
 	case ctx.Err() == nil:
 		x.options.Outlier.Failure(a.Engine.ID)
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -241,6 +241,22 @@
 	})
 }
 
+// TestSilentEngineGetsNoMoreWork stalls one stream: the next request goes to
+// another engine, though the silent one has the least load.
+func TestSilentEngineGetsNoMoreWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(
+			reply{status: 200, events: true, silent: true},
+			reply{status: 200, events: true, body: "id: 1\n\n"},
+			reply{status: 200, events: true, body: "id: 1\n\n"})
+		w.run(t, stream(true, 10))
+		w.run(t, stream(true, 10))
+		if len(w.sends) != 3 || w.sends[2].Engine.ID == w.sends[0].Engine.ID {
+			t.Errorf("%d sends, the last to %s", len(w.sends), w.sends[len(w.sends)-1].Engine.ID)
+		}
+	})
+}
+
 func TestLongPromptsAreReadByAPrefillEngine(t *testing.T) {
 	w := newWorld(reply{status: 200, events: true})
 	w.run(t, stream(true, placement.WholeLimit))
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
@@ -106,6 +107,9 @@
 		x.options.Outlier.Start(chosen.ID)
 		patience, cancel := context.WithTimeout(ctx, prefillPatience(chosen.Load.PromptTokens+chosen.Tokens))
 		handle, err := x.sender.Prefill(patience, a)
+		if err != nil && patience.Err() != nil && ctx.Err() == nil {
+			err = fmt.Errorf("%w: %w", errSilent, err)
+		}
 		cancel()
 		finished()
 		if err == nil {
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,6 +27,8 @@
 	// errCaller means that the caller can't be written to.
 	errCaller = errors.New("caller can't be written to")
 	errEvent  = errors.New("event is too large")
+	// errSilent means that a server says nothing for too long.
+	errSilent = errors.New("server is silent")
 )
 
 // relay passes a stream's events on as they arrive, whole events only, so
@@ -43,6 +46,7 @@
 	buffer := make([]byte, relayBuffer)
 	for {
 		n, readErr := answer.Body.Read(buffer)
+		readErr = stall.reason(readErr)
 		stall.reset()
 		pending = append(pending, buffer[:n]...)
 		whole := wholeEvents(pending)
@@ -75,6 +79,7 @@
 type stallGuard struct {
 	timer    *time.Timer
 	patience time.Duration
+	fired    atomic.Bool
 }
 
 // watchStall guards a stream that may be resumed. One that can't be is left
@@ -84,7 +89,20 @@
 		return nil
 	}
 	patience := max(stallFloor, stallGaps*x.request.Route.EventGap)
-	return &stallGuard{patience: patience, timer: time.AfterFunc(patience, func() { _ = answer.Body.Close() })}
+	g := &stallGuard{patience: patience}
+	g.timer = time.AfterFunc(patience, func() {
+		g.fired.Store(true)
+		_ = answer.Body.Close()
+	})
+	return g
+}
+
+// reason returns why a read failed: the guard's own end is a silent server.
+func (g *stallGuard) reason(err error) error {
+	if g != nil && err != nil && err != io.EOF && g.fired.Load() {
+		return errSilent
+	}
+	return err
 }
 
 func (g *stallGuard) reset() {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,7 +9,7 @@
 # test_timeout bounds one package's tests.
 test_timeout=8m
 
-unformatted=$(go tool gofumpt -l cmd internal)
+unformatted=$(go tool gofumpt -l cmd internal platform)
 if [ -n "$unformatted" ]; then
   printf 'gofumpt would change:\n%s\n' "$unformatted"
   exit 1
