--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -150,7 +150,7 @@
 	}
 }
 
-var notRun = fmt.Errorf("full: %w", exchange.ErrNotRun)
+var errFull = fmt.Errorf("full: %w", exchange.ErrNotRun)
 
 func TestWhatMayBeSentAgain(t *testing.T) {
 	good := reply{status: 200, body: "good"}
@@ -162,7 +162,7 @@
 		status  int
 		sends   int
 	}{
-		"unsafe after a refusal":          {call(route.Unsafe, 1), []reply{{err: notRun}, good}, exchange.Delivered, 200, 2},
+		"unsafe after a refusal":          {call(route.Unsafe, 1), []reply{{err: errFull}, good}, exchange.Delivered, 200, 2},
 		"unsafe after a lost answer":      {call(route.Unsafe, 2), []reply{{err: errReset}, good}, exchange.Failed, 0, 1},
 		"unsafe after a cut answer":       {call(route.Unsafe, 2), []reply{{status: 200, body: "g", cut: true}, good}, exchange.Failed, 0, 1},
 		"unsafe after a failure":          {call(route.Unsafe, 2), []reply{bad, good}, exchange.Delivered, 500, 1},
@@ -170,10 +170,10 @@
 		"safe after a failure":            {call(route.Safe, 2), []reply{bad, good}, exchange.Delivered, 200, 2},
 		"safe after two failures":         {call(route.Safe, 2), []reply{bad, bad, good}, exchange.Delivered, 500, 2},
 		"safe, first bad and then lost":   {call(route.Safe, 2), []reply{bad, {err: errReset}}, exchange.Delivered, 500, 2},
-		"nothing ran":                     {call(route.Safe, 1), []reply{{err: notRun}, {err: notRun}, {err: notRun}}, exchange.Refused, 0, 3},
-		"one may have run":                {call(route.Safe, 2), []reply{{err: errReset}, {err: notRun}, {err: notRun}}, exchange.Failed, 0, 3},
+		"nothing ran":                     {call(route.Safe, 1), []reply{{err: errFull}, {err: errFull}, {err: errFull}}, exchange.Refused, 0, 3},
+		"one may have run":                {call(route.Safe, 2), []reply{{err: errReset}, {err: errFull}, {err: errFull}}, exchange.Failed, 0, 3},
 		"stream that can't be resumed":    {stream(false, 10), []reply{{status: 200, events: true, body: "id: 1\n\n", cut: true}}, exchange.Cut, 0, 1},
-		"stream after a refusal":          {stream(false, 10), []reply{{err: notRun}, {status: 200, events: true}}, exchange.Delivered, 0, 2},
+		"stream after a refusal":          {stream(false, 10), []reply{{err: errFull}, {status: 200, events: true}}, exchange.Delivered, 0, 2},
 		"stream lost before its answer":   {stream(false, 10), []reply{{err: errReset}}, exchange.Failed, 0, 1},
 		"resumable lost before an answer": {stream(true, 10), []reply{{err: errReset}, {status: 200, events: true}}, exchange.Delivered, 0, 2},
 	} {
@@ -272,7 +272,7 @@
 
 // TestUnusedHandleIsReleased refuses the decode: its handle is not used again.
 func TestUnusedHandleIsReleased(t *testing.T) {
-	w := newWorld(reply{err: notRun}, reply{status: 200, events: true})
+	w := newWorld(reply{err: errFull}, reply{status: 200, events: true})
 	if o := w.run(t, stream(false, 5000)); o.Result != exchange.Delivered {
 		t.Fatalf("%+v", o)
 	}
@@ -306,7 +306,7 @@
 
 func TestPrefillGoesToAnotherEngineAfterAFailure(t *testing.T) {
 	w := newWorld(reply{status: 200, events: true})
-	w.prefillErrs = []error{notRun}
+	w.prefillErrs = []error{errFull}
 	o := w.run(t, stream(false, 5000))
 	if o.Result != exchange.Delivered || len(w.prefills) != 2 || w.prefills[0].Engine.ID == w.prefills[1].Engine.ID {
 		t.Errorf("%v after %d prefills", o.Result, len(w.prefills))
--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -32,5 +32,5 @@
 	if p.Version <= d.Version {
 		return d, Result{Held: d.Version}
 	}
-	return Document{Version: p.Version, Content: p.Content}, Result{Accepted: true, Held: p.Version}
+	return Document(p), Result{Accepted: true, Held: p.Version}
 }
