Test seeded groups over sockets; repeat an interrupted first start

A control process killed between its first log and its identity refused its folder for good, and the group never formed (the test fails so without the change). A folder without an identity has answered nobody; at the first start it is made anew.

--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"slices"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/raftstore"
 	enginefleet "github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/state/document"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
@@ -129,6 +131,15 @@
 		return nil
 	}
 	cluster, err := formGroup(SeededDeployment, o.PeerAddress, o.PeerAddress, o.DataFolder)
+	if errors.Is(err, raftstore.ErrNotEmpty) {
+		// A log without an identity never answered anybody: an earlier try
+		// was interrupted.
+		o.Log.Warn("the first group is formed anew", "data_folder", o.DataFolder, "error", err)
+		if err := os.RemoveAll(o.DataFolder); err != nil {
+			return fmt.Errorf("form the first group: %w", err)
+		}
+		cluster, err = formGroup(SeededDeployment, o.PeerAddress, o.PeerAddress, o.DataFolder)
+	}
 	switch {
 	case errors.Is(err, ErrInitialized):
 		return nil
@@ -240,6 +251,12 @@
 	return s.state.Document(), nil
 }
 
+// Votes reports whether this replica is a voter.
+func (s *Seeded) Votes() bool {
+	view := s.replica.node.View()
+	return slices.Contains(view.Voters, view.ReplicaID)
+}
+
 // Document returns the newest document that this replica has applied.
 func (s *Seeded) Document() document.Document {
 	return s.state.Document()
--- /dev/null
+++ b/internal/role/controlrole/seeded_test.go
@@ -0,0 +1,279 @@
+package controlrole_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+	"github.com/lagoonshift/lagoonshift/internal/role/controlrole"
+	"github.com/lagoonshift/lagoonshift/internal/role/seededentry"
+)
+
+// await fails the test unless the condition holds within 20 s.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// seededGroup is control processes that know each other by seeds only, as
+// goroutines with their own sockets and folders.
+type seededGroup struct {
+	t      *testing.T
+	folder string
+	// net is the first three numbers of the addresses.
+	net   string
+	seeds []string
+	first bool
+
+	mu        sync.Mutex // guards processes
+	processes map[int]*seededProcess
+}
+
+type seededProcess struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+	// part is nil until the process serves.
+	part *controlrole.Seeded
+}
+
+func newSeededGroup(t *testing.T, net string) *seededGroup {
+	g := &seededGroup{t: t, folder: t.TempDir(), net: net, first: true, processes: make(map[int]*seededProcess)}
+	for i := range 3 {
+		g.seeds = append(g.seeds, g.address(i))
+	}
+	t.Cleanup(func() {
+		for i := range g.processes {
+			g.stop(i)
+		}
+	})
+	return g
+}
+
+func (g *seededGroup) address(i int) string {
+	return fmt.Sprintf("%s.%d:7400", g.net, i+1)
+}
+
+func (g *seededGroup) data(i int) string {
+	return filepath.Join(g.folder, strconv.Itoa(i))
+}
+
+func (g *seededGroup) start(i int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &seededProcess{cancel: cancel, done: make(chan struct{})}
+	first := g.first
+	g.processes[i] = p
+	go func() {
+		defer close(p.done)
+		_ = controlrole.RunSeeded(ctx, controlrole.SeededOptions{
+			Name:        strconv.Itoa(i),
+			PeerAddress: g.address(i),
+			DataFolder:  g.data(i),
+			Seeds:       func() []string { return g.seeds },
+			FirstStart:  func() bool { return first },
+			Voters:      3,
+			Log:         hclog.NewNullLogger(),
+		}, func(ctx context.Context, s *controlrole.Seeded) error {
+			g.mu.Lock()
+			p.part = s
+			g.mu.Unlock()
+			<-ctx.Done()
+			return nil
+		})
+	}()
+}
+
+func (g *seededGroup) stop(i int) {
+	p := g.processes[i]
+	p.cancel()
+	<-p.done
+	g.mu.Lock()
+	p.part = nil
+	g.mu.Unlock()
+}
+
+// part returns a process's part in the group, or nil while it does not serve.
+func (g *seededGroup) part(i int) *controlrole.Seeded {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.processes[i].part
+}
+
+// put commits a document at process i, trying again as an operator does.
+func (g *seededGroup) put(i int, version uint64) {
+	g.t.Helper()
+	await(g.t, fmt.Sprintf("document %d is accepted at %d", version, i), func() bool {
+		part := g.part(i)
+		if part == nil {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(g.t.Context(), time.Second)
+		defer cancel()
+		return part.PutDocument(ctx, version, []byte(strconv.FormatUint(version, 10))) == nil
+	})
+}
+
+// holds reports whether a linearizable read at process i returns a version.
+func (g *seededGroup) holds(i int, version uint64) bool {
+	part := g.part(i)
+	if part == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(g.t.Context(), time.Second)
+	defer cancel()
+	held, err := part.ReadDocument(ctx)
+	return err == nil && held.Version == version && string(held.Content) == strconv.FormatUint(version, 10)
+}
+
+// agent starts an entry that knows the group by its seeds.
+func (g *seededGroup) agent(name string) *seededentry.Agent {
+	a := seededentry.New(seededentry.Options{
+		Name:    name,
+		Address: name,
+		Seeds:   func() []string { return g.seeds },
+		Decode: func(content []byte) (*route.Table, error) {
+			version, err := strconv.ParseUint(string(content), 10, 64)
+			if err != nil {
+				return nil, err
+			}
+			return route.New(version, nil, nil, route.Limits{})
+		},
+		List:        func(context.Context) ([]fleet.Engine, error) { return nil, errors.New("no list") },
+		RetryWindow: time.Second,
+		Clock:       clock.Boot{},
+		Log:         hclog.NewNullLogger(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = a.Run(ctx)
+	}()
+	g.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return a
+}
+
+func version(a *seededentry.Agent) uint64 {
+	if table := a.Table(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
+// TestSeededGroupFormsAndInformsEntries starts everything at once in the
+// wrong order.
+func TestSeededGroupFormsAndInformsEntries(t *testing.T) {
+	g := newSeededGroup(t, "127.13.1")
+	first, second := g.agent("entry-1"), g.agent("entry-2")
+	g.start(2)
+	g.start(0)
+	await(t, "the first process serves", func() bool { return g.part(0) != nil })
+	if err := g.part(0).PutDocument(t.Context(), 1, []byte("1")); !errors.Is(err, controlrole.ErrTooFewVoters) {
+		t.Errorf("accepted by too few: %v", err)
+	}
+	g.start(1)
+	g.put(2, 1)
+	await(t, "the document is in force", func() bool { return version(first) == 1 && version(second) == 1 })
+	g.part(1).SetEngines([]fleet.Engine{{ID: "e", Service: "s"}})
+	await(t, "an entry is ready", func() bool {
+		for _, e := range g.part(1).Entries() {
+			if e.Name == "entry-1" && e.Ready && e.DocumentVersion == 1 {
+				return true
+			}
+		}
+		return false
+	})
+	done := first.Tracker().Start("e", fleet.Load{PromptTokens: 7000, Streams: 2})
+	await(t, "entries know each other's load", func() bool {
+		return second.Tracker().Load("e") == fleet.Load{PromptTokens: 7000, Streams: 2}
+	})
+	if own := first.Tracker().Load("e"); own.PromptTokens != 7000 {
+		t.Errorf("own load counts as %+v", own)
+	}
+	done()
+	await(t, "ended work is forgotten", func() bool { return second.Tracker().Load("e") == fleet.Load{} })
+	first.Leave()
+	await(t, "a leaving entry is not ready", func() bool {
+		for _, e := range g.part(1).Entries() {
+			if e.Name == "entry-1" {
+				return !e.Ready
+			}
+		}
+		return false
+	})
+}
+
+// TestSeededGroupSurvivesLosses loses a disk, then a VM for good that a spare
+// replaces, then restarts everybody.
+func TestSeededGroupSurvivesLosses(t *testing.T) {
+	g := newSeededGroup(t, "127.13.2")
+	for i := range 3 {
+		g.start(i)
+	}
+	g.put(0, 1)
+	entry := g.agent("entry")
+	await(t, "the entry knows the document", func() bool { return version(entry) == 1 })
+	g.first = false
+
+	g.stop(2)
+	if err := os.RemoveAll(g.data(2)); err != nil {
+		t.Fatal(err)
+	}
+	g.start(2)
+	await(t, "the wiped replica reads", func() bool { return g.holds(2, 1) })
+	await(t, "the wiped replica is a voter again", func() bool { return g.part(2).Votes() })
+
+	g.start(3) // a spare at another address
+	await(t, "the spare reads", func() bool { return g.holds(3, 1) })
+	if g.part(3).Votes() {
+		t.Error("a fourth replica votes")
+	}
+	g.stop(0)
+	g.put(1, 2)
+	await(t, "the spare took the lost one's place", func() bool { return g.part(3).Votes() })
+	g.stop(1)
+	g.put(3, 3)
+	await(t, "the entry follows to the newcomer", func() bool { return version(entry) == 3 })
+
+	for _, i := range []int{2, 3} {
+		g.stop(i)
+	}
+	for _, i := range []int{2, 3, 1} {
+		g.start(i)
+	}
+	await(t, "everybody reads the newest after a restart of all", func() bool { return g.holds(1, 3) && g.holds(2, 3) && g.holds(3, 3) })
+}
+
+// TestInterruptedFirstStartIsRepeated finds a log without an identity, as a
+// process leaves it that is killed while it forms the group.
+func TestInterruptedFirstStartIsRepeated(t *testing.T) {
+	g := newSeededGroup(t, "127.13.3")
+	if err := os.MkdirAll(g.data(0), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(g.data(0), "log-0000000000000001"), []byte("part of a log"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		g.start(i)
+	}
+	g.put(0, 1)
+}
