--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -31,7 +31,7 @@
 	prompt := *x.request.Prompt
 	source := x.source
 	x.source = nil
-	if source == nil && prompt.Tokens >= placement.WholeLimit {
+	if source == nil && !placement.ReadWhole(prompt, x.candidates(placement.InPhase(fleet.Prefill))) {
 		if source, err = x.prefill(ctx, prompt); err != nil {
 			return false, err
 		}
--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -15,6 +15,12 @@
 	// reads a prompt by itself: the second trip and the transfer take longer
 	// than reading it at half speed between other requests' tokens.
 	WholeLimit = 1000
+	// alwaysWhole is the number of prompt tokens below which that holds even
+	// if a prefill engine is idle.
+	alwaysWhole = 400
+	// idleQueue is the number of tokens before a prefill engine below which it
+	// counts as idle: less than one piece of a prompt.
+	idleQueue = 2000
 	// zonePenalty is what another zone costs a choice of a decode engine, in
 	// streams: its transfer takes twice as long and is priced.
 	zonePenalty = 4
@@ -132,6 +138,21 @@
 	return home, ok
 }
 
+// ReadWhole reports whether a decode engine should read the prompt itself.
+// Prompts of middle length are read by prefill engines only while one of those
+// is idle, to spare the streams at decode engines a pause.
+func ReadWhole(p Prompt, prefill []Candidate) bool {
+	if p.Tokens >= WholeLimit || p.Tokens < alwaysWhole {
+		return p.Tokens < alwaysWhole
+	}
+	for _, c := range prefill {
+		if c.Load.PromptTokens < idleQueue && !c.Load.Ailing {
+			return false
+		}
+	}
+	return true
+}
+
 // PrefillChoice is an engine that is to read a prompt.
 type PrefillChoice struct {
 	Candidate
--- a/internal/protocol/placement/placement_test.go
+++ b/internal/protocol/placement/placement_test.go
@@ -64,6 +64,24 @@
 	}
 }
 
+func TestMiddlePromptsGoToIdlePrefillEngines(t *testing.T) {
+	busy := map[string]fleet.Load{"e0": {PromptTokens: 9000}, "e1": {PromptTokens: 9000}}
+	for _, c := range []struct {
+		tokens int
+		loads  map[string]fleet.Load
+		whole  bool
+	}{
+		{100, nil, true},
+		{800, nil, false},
+		{800, busy, true},
+		{placement.WholeLimit, busy, false},
+	} {
+		if got := placement.ReadWhole(placement.Prompt{Tokens: c.tokens}, candidates(2, c.loads)); got != c.whole {
+			t.Errorf("%d tokens with load %v: whole %v", c.tokens, c.loads, got)
+		}
+	}
+}
+
 func TestDecodeStaysInTheZoneUntilItIsFuller(t *testing.T) {
 	loads := map[string]fleet.Load{"e0": {Streams: 3}}
 	if chosen, _ := placement.ForDecode("z0", candidates(3, loads), first); chosen.ID != "e0" {
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -30,7 +30,7 @@
 	// of fastestLoad and fleetHeartbeat. Older figures send several entries to
 	// the same engine at once; below the lower bound nothing was gained. Other
 	// replicas, which matter only while none leads, do so less often.
-	loadInterval   = 2 * time.Millisecond
+	loadInterval   = time.Millisecond
 	fastestLoad    = 25 * time.Millisecond
 	followerFactor = 2
 	// documentPoll is the time between two looks at the applied document.
