--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -19,8 +19,8 @@
 	// if a prefill engine is idle.
 	alwaysWhole = 400
 	// idleQueue is the number of tokens before a prefill engine below which it
-	// counts as idle: less than one piece of a prompt.
-	idleQueue = 2000
+	// counts as idle.
+	idleQueue = 500
 	// zonePenalty is what another zone costs a choice of a decode engine, in
 	// streams: its transfer takes twice as long and is priced.
 	zonePenalty = 4
