--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -63,7 +63,6 @@
 	c := clock.NewRuntime()
 	budget := retry.NewWindow(c, 0.2, 10*time.Second)
 	w.carrier = exchange.New(exchange.Options{
-		Clock:   c,
 		View:    func() *fleet.View { return view },
 		Tracker: fleet.NewTracker(),
 		Outlier: outlier.NewSet(c),
--- a/internal/protocol/phaseplan/driver.go
+++ b/internal/protocol/phaseplan/driver.go
@@ -96,7 +96,7 @@
 func (d *Driver) order(ctx context.Context, c Change) {
 	count, busy, err := d.options.Engines.Accepted(ctx, c.Engine)
 	if err != nil || busy {
-		d.options.Log.Info("engine not ordered", "engine", c.Engine.ID, "phase", c.Phase, "busy", busy, "error", err)
+		d.options.Log.Info("engine not ordered", "engine", c.Engine.ID, "phase", c.Phase.String(), "busy", busy, "error", err)
 		return
 	}
 	// Asking took time; authority is checked right before the order.
@@ -109,5 +109,5 @@
 	if fenced {
 		d.fenced = token
 	}
-	d.options.Log.Info("engine ordered", "engine", c.Engine.ID, "from", c.Engine.Phase, "phase", c.Phase, "token", token, "expected", count, "fenced", fenced, "error", err)
+	d.options.Log.Info("engine ordered", "engine", c.Engine.ID, "from", c.Engine.Phase.String(), "phase", c.Phase.String(), "token", token, "expected", count, "fenced", fenced, "error", err)
 }
