Hold prompts at the entry while prefill engines have enough

Cause: engines read the prompts they accepted in pieces by turns.

Each entry now keeps its share, by demand, of a short backlog at the engines and holds the rest: short prompts first, then the newest that can be in time, then late ones. Latency and rate of reading are measured.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/prefillqueue"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
@@ -39,7 +40,8 @@
 
 // Carrier carries requests. It is safe for concurrent use.
 type Carrier struct {
-	options Options
+	options  Options
+	prefills *prefillqueue.Queue
 }
 
 // New returns a carrier.
@@ -47,7 +49,24 @@
 	if o.Prefixes == nil {
 		o.Prefixes = prefixdir.New()
 	}
-	return &Carrier{options: o}
+	c := &Carrier{options: o}
+	c.prefills = prefillqueue.New(prefillqueue.Options{Engines: c.prefillEngines, Tracker: o.Tracker})
+	return c
+}
+
+// prefillEngines sums up the work at the prefill engines of a service that
+// take prompts.
+func (c *Carrier) prefillEngines(service string) prefillqueue.Engines {
+	found := placement.Candidates(c.options.View().Engines(service), c.options.Tracker.Load,
+		placement.Open, placement.InPhase(fleet.Prefill), placement.Except(c.options.Outlier.Ejected()...))
+	out := prefillqueue.Engines{Count: len(found)}
+	for i, e := range found {
+		out.Tokens += e.Load.PromptTokens
+		if i == 0 || e.Load.PromptTokens < out.Least {
+			out.Least = e.Load.PromptTokens
+		}
+	}
+	return out
 }
 
 const (
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -8,6 +8,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/prefillqueue"
 )
 
 const (
@@ -89,7 +90,7 @@
 		return nil, nil
 	}
 	for ctx.Err() == nil && len(x.tried) <= refusedSends {
-		source, err := x.prefillOnce(ctx, prompt)
+		source, err := x.prefillInTurn(ctx, prompt)
 		var failed *prefillError
 		if !errors.As(err, &failed) {
 			return source, err
@@ -108,21 +109,29 @@
 
 func (e *prefillError) Unwrap() error { return e.err }
 
-// prefillOnce lets one engine read it. Its
+// prefillInTurn waits for the prompt's turn and lets one engine read it. Its
 // error is a *prefillError if that engine failed.
-func (x *run) prefillOnce(ctx context.Context, prompt placement.Prompt) (*Source, error) {
+func (x *run) prefillInTurn(ctx context.Context, prompt placement.Prompt) (*Source, error) {
+	entered := time.Now()
+	turn, err := x.prefills.Enter(ctx, x.queued(prompt))
+	if err != nil {
+		return nil, fmt.Errorf("wait for a prefill engine: %w", err)
+	}
 	part, shared := prompt.Shared()
 	holder, _ := x.options.Prefixes.Holder(part)
 	chosen, ok := placement.ForPrefill(prompt, holder, x.candidates(placement.InPhase(fleet.Prefill)), x.options.Random)
 	if !ok {
+		turn.End(0, false)
 		return nil, nil
 	}
 	// Only the first call is free of charge.
 	if (x.prefillCalls > 0 || x.sends > 0) && !x.spend() {
+		turn.End(0, false)
 		return nil, errBudget
 	}
 	x.prefillCalls++
-	x.logPlaced("prefill", chosen.Candidate, "tokens", chosen.Tokens, "fetch_from", engineID(chosen.FetchFrom))
+	x.logPlaced("prefill", chosen.Candidate, "tokens", chosen.Tokens, "fetch_from", engineID(chosen.FetchFrom),
+		"queued_ms", time.Since(entered).Milliseconds())
 	a := Attempt{
 		Engine:    chosen.Engine,
 		Remaining: x.remaining(),
@@ -136,6 +145,7 @@
 	defer cancel()
 	handle, err := x.sender.Prefill(patience, a)
 	finished()
+	turn.End(chosen.Load.PromptTokens, err == nil)
 	if err == nil {
 		x.options.Outlier.Success(chosen.ID)
 		x.options.Prefixes.Read(part, shared, chosen.Engine)
@@ -147,3 +157,14 @@
 	x.failed(ctx, a, "prefill", err)
 	return nil, &prefillError{engine: chosen.ID, err: err}
 }
+
+// queued describes the prompt to the queue before the prefill engines.
+func (x *run) queued(prompt placement.Prompt) prefillqueue.Prompt {
+	return prefillqueue.Prompt{
+		Service:   x.request.Service.Name,
+		Tokens:    prompt.Unshared(),
+		Arrived:   x.started,
+		Objective: x.request.Route.Objective,
+		Resumes:   x.lastEvent != "",
+	}
+}
--- a/internal/protocol/exchange/load_test.go
+++ b/internal/protocol/exchange/load_test.go
@@ -354,3 +354,27 @@
 		}
 	})
 }
+
+// TestOverloadServesInTimeWhatFits plays a load half as large again as the
+// engines can read. What can't be read is late for some callers, not for all:
+// short prompts are in time, and long ones for half of what is left or more; the
+// rest of the engines' time goes to prompts that were in time when sent.
+func TestOverloadServesInTimeWhatFits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			capacity = 6 * readRate
+			long     = 60
+			short    = 30
+		)
+		load := []class{at(reports, long), at(triages, short)}
+		got := newCluster(8, 6).play(load, 20*time.Second, true)
+		t.Logf("%+v", got)
+		if c := got[1]; c.inTime*100 < c.asked*95 {
+			t.Errorf("short prompts: %d of %d in time", c.inTime, c.asked)
+		}
+		fits := (capacity - short*1800.0) / (long * 6500.0)
+		if c := got[0]; float64(c.inTime) < fits*float64(c.asked)/2 {
+			t.Errorf("long prompts: %d of %d in time, %.2f fit", c.inTime, c.asked, fits)
+		}
+	})
+}
--- /dev/null
+++ b/internal/protocol/prefillqueue/prefillqueue.go
@@ -0,0 +1,262 @@
+// Package prefillqueue decides which prompt an entry sends to the prefill
+// engines next. It answers loads above what these engines read: they read what
+// they accept in order of arrival, so every prompt is late once the backlog is
+// longer than the objective. Each entry keeps its share of a short backlog at
+// the engines and holds the rest, prompts that can still be in time first.
+package prefillqueue
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+)
+
+const (
+	// backlog is the work that engines are given beyond what covers a
+	// reading's latency. It covers the age of the load figures, in which an
+	// engine would otherwise run dry.
+	backlog = 150 * time.Millisecond
+	// afterRead is the time from the end of the reading to the first event:
+	// the transfer and the first step of the decode engine.
+	afterRead = 60 * time.Millisecond
+	// shortPrompt is the length of the pieces in which engines read, in tokens,
+	// and shortHeadroom how many times the backlog prompts up to it may make.
+	shortPrompt   = 4096
+	shortHeadroom = 3
+	// recheck is the time between two looks at the other entries' load while
+	// prompts wait: well under the age of the figures.
+	recheck = 10 * time.Millisecond
+)
+
+// Prompt is what the order of waiting prompts depends on.
+type Prompt struct {
+	Service string
+	// Tokens is the number of tokens to be read.
+	Tokens int
+	// Arrived is when the caller asked, and Objective the time from then until
+	// the first event is late.
+	Arrived   time.Time
+	Objective time.Duration
+	// Resumes is set for a stream whose caller has had events already; it
+	// goes first.
+	Resumes bool
+}
+
+// Engines is the state of the prefill engines that a service can use.
+type Engines struct {
+	Count int
+	// Tokens is the work of all entries at all engines, and Least that at the
+	// engine which has least.
+	Tokens int
+	Least  int
+}
+
+// Options configures a Queue.
+type Options struct {
+	// Engines returns the prefill engines of a service.
+	Engines func(service string) Engines
+	// Tracker learns how much waits here and knows how much waits elsewhere.
+	Tracker *fleet.Tracker
+}
+
+// Queue holds the prompts that wait at one entry. It is safe for concurrent
+// use.
+type Queue struct {
+	options Options
+
+	mu       sync.Mutex // guards services
+	services map[string]*service
+}
+
+// New returns an empty queue.
+func New(o Options) *Queue {
+	return &Queue{options: o, services: make(map[string]*service)}
+}
+
+// service is the queue of one service.
+type service struct {
+	name string
+	// reading is the number of this entry's tokens at engines.
+	reading  int
+	waiting  []*waiter
+	readTime *readTime
+	// timer looks at the queue again; it runs while prompts wait.
+	timer *time.Timer
+}
+
+// waiter is one prompt that waits.
+type waiter struct {
+	Prompt
+	granted chan struct{}
+}
+
+// Grant is the turn of one prompt.
+type Grant struct {
+	queue   *Queue
+	service *service
+	tokens  int
+	started time.Time
+	once    sync.Once
+}
+
+// Enter waits for the turn of a prompt. The grant must be ended. It returns
+// the error of ctx if that ends first.
+func (q *Queue) Enter(ctx context.Context, p Prompt) (*Grant, error) {
+	w := &waiter{Prompt: p, granted: make(chan struct{})}
+	unlist := q.options.Tracker.Wait(p.Service, p.Tokens)
+	defer unlist()
+	q.mu.Lock()
+	s := q.services[p.Service]
+	if s == nil {
+		s = &service{name: p.Service, readTime: newReadTime()}
+		q.services[p.Service] = s
+	}
+	s.waiting = append(s.waiting, w)
+	q.grant(s)
+	q.mu.Unlock()
+	grant := &Grant{queue: q, service: s, tokens: p.Tokens}
+	select {
+	case <-w.granted:
+	case <-ctx.Done():
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		if i := slices.Index(s.waiting, w); i >= 0 {
+			s.waiting = slices.Delete(s.waiting, i, i+1)
+			return nil, ctx.Err()
+		}
+		// Granted in the same moment: the reading is given back unused.
+		s.reading -= p.Tokens
+		q.grant(s)
+		return nil, ctx.Err()
+	}
+	grant.started = time.Now()
+	return grant, nil
+}
+
+// End gives the turn back. ahead is the number of tokens that the engine had
+// to read before; read is set if the engine has read the prompt.
+func (g *Grant) End(ahead int, read bool) {
+	g.once.Do(func() {
+		q, s := g.queue, g.service
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		s.reading -= g.tokens
+		if read {
+			s.readTime.observe(ahead+g.tokens, time.Since(g.started))
+		}
+		q.grant(s)
+	})
+}
+
+// grant gives turns while this entry's share of the backlog allows. The lock
+// is held.
+func (q *Queue) grant(s *service) {
+	if len(s.waiting) == 0 {
+		return
+	}
+	engines := q.options.Engines(s.name)
+	base, rate := s.readTime.estimate()
+	first := time.Now().Add(duration(base+float64(engines.Least)/rate) + afterRead)
+	all := float64(engines.Count) * (base + backlog.Seconds()) * rate
+	for len(s.waiting) > 0 {
+		i := next(s.waiting, first)
+		w := s.waiting[i]
+		if engines.Count > 0 && float64(s.reading) >= all*q.share(s, engines)*headroom(w.Tokens) {
+			break
+		}
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+		s.reading += w.Tokens
+		engines.Tokens += w.Tokens
+		close(w.granted)
+	}
+	if len(s.waiting) > 0 {
+		s.arm(func() {
+			q.mu.Lock()
+			defer q.mu.Unlock()
+			q.grant(s)
+		})
+	}
+}
+
+// arm calls look after recheck; one call is pending at most.
+func (s *service) arm(look func()) {
+	if s.timer == nil {
+		s.timer = time.AfterFunc(recheck, look)
+		return
+	}
+	s.timer.Reset(recheck)
+}
+
+// headroom returns how much more than its share an entry may have at engines
+// to send a prompt. Engines read in pieces, so a short prompt passes long ones
+// there and needs no place before them.
+func headroom(tokens int) float64 {
+	if tokens <= shortPrompt {
+		return shortHeadroom
+	}
+	return 1
+}
+
+// share returns this entry's part of all entries' demand.
+func (q *Queue) share(s *service, engines Engines) float64 {
+	mine := s.reading
+	for _, w := range s.waiting {
+		mine += w.Tokens
+	}
+	others := max(0, engines.Tokens-s.reading) + q.options.Tracker.OthersWaiting(s.name)
+	return float64(mine) / float64(max(1, mine+others))
+}
+
+// next returns the index of the prompt that goes first; the first event of one
+// whose reading starts now comes at first, but for its own length. Short
+// prompts go before long ones, and those that can be in time before late ones.
+// Of long prompts in time the newest goes first: the oldest would all go at the
+// last moment and be late for any delay.
+func next(waiting []*waiter, first time.Time) int {
+	best := 0
+	for i, w := range waiting {
+		if compare(w, waiting[best], first) < 0 {
+			best = i
+		}
+	}
+	return best
+}
+
+// compare returns a negative number if a goes before b.
+func compare(a, b *waiter, first time.Time) int {
+	rankA, rankB := rankOf(a, first), rankOf(b, first)
+	if rankA == rankB && rankA == inTime {
+		return cmp.Or(cmp.Compare(a.Objective, b.Objective), b.Arrived.Compare(a.Arrived))
+	}
+	return cmp.Or(cmp.Compare(rankA, rankB), cmp.Compare(a.Objective, b.Objective), a.Arrived.Compare(b.Arrived))
+}
+
+// rank is the first criterion of the order.
+type rank int
+
+const (
+	resumes rank = iota
+	short
+	inTime
+	late
+)
+
+func rankOf(w *waiter, first time.Time) rank {
+	switch {
+	case w.Resumes:
+		return resumes
+	case w.Tokens <= shortPrompt:
+		return short
+	case first.Before(w.Arrived.Add(w.Objective)):
+		return inTime
+	}
+	return late
+}
+
+func duration(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/internal/protocol/prefillqueue/prefillqueue_test.go
@@ -0,0 +1,152 @@
+package prefillqueue
+
+import (
+	"context"
+	"errors"
+	"math"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+)
+
+// full is the state of engines that have more than the backlog they should.
+var full = Engines{Count: 1, Tokens: 1 << 20, Least: 1 << 20}
+
+func newQueue(engines *Engines) *Queue {
+	return New(Options{Engines: func(string) Engines { return *engines }, Tracker: fleet.NewTracker()})
+}
+
+// TestOrder checks who goes first of prompts that all wait.
+func TestOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := full
+		q := newQueue(&engines)
+		blocker, err := q.Enter(t.Context(), Prompt{Service: "llm", Tokens: 1 << 20, Resumes: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Now()
+		prompts := map[string]Prompt{
+			"late":          {Arrived: now.Add(-2 * time.Second), Objective: 800 * time.Millisecond, Tokens: 6000},
+			"later":         {Arrived: now.Add(-time.Second), Objective: 800 * time.Millisecond, Tokens: 6000},
+			"in time":       {Arrived: now, Objective: time.Hour, Tokens: 6000},
+			"newer in time": {Arrived: now.Add(time.Millisecond), Objective: time.Hour, Tokens: 6000},
+			"short":         {Arrived: now, Objective: 400 * time.Millisecond, Tokens: 1800},
+			"resumed":       {Arrived: now.Add(-time.Second), Objective: time.Second, Tokens: 6000, Resumes: true},
+		}
+		var (
+			mu    sync.Mutex
+			order []string
+		)
+		for name, p := range prompts {
+			p.Service = "llm"
+			go func() {
+				turn, err := q.Enter(t.Context(), p)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				mu.Lock()
+				order = append(order, name)
+				mu.Unlock()
+				time.Sleep(time.Millisecond)
+				turn.End(0, false)
+			}()
+		}
+		synctest.Wait()
+		blocker.End(0, false)
+		time.Sleep(time.Second)
+		if want := []string{"resumed", "short", "newer in time", "in time", "late", "later"}; !slices.Equal(order, want) {
+			t.Errorf("order %q, want %q", order, want)
+		}
+	})
+}
+
+// TestNobodyWaitsForIdleEngines checks that a prompt goes at once if nothing
+// is under way, however long it is, and if there are no engines to wait for.
+func TestNobodyWaitsForIdleEngines(t *testing.T) {
+	for name, engines := range map[string]Engines{"idle": {Count: 3}, "none": {}} {
+		synctest.Test(t, func(t *testing.T) {
+			q := newQueue(&engines)
+			started := time.Now()
+			for range 3 {
+				if _, err := q.Enter(t.Context(), Prompt{Service: "llm", Tokens: 5000}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if waited := time.Since(started); waited > 0 {
+				t.Errorf("%s: waited %v", name, waited)
+			}
+		})
+	}
+}
+
+// TestCallerLeaves checks that a caller who leaves is no longer counted and
+// that turns go on.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := full
+		q := newQueue(&engines)
+		turn, err := q.Enter(t.Context(), Prompt{Service: "llm", Tokens: 6000})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, leave := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer leave()
+		if _, err := q.Enter(ctx, Prompt{Service: "llm", Tokens: 6000}); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("error %v", err)
+		}
+		if own := q.options.Tracker.Own(); len(own.Waiting) > 0 {
+			t.Errorf("still waiting: %v", own.Waiting)
+		}
+		turn.End(0, false)
+		turn.End(0, false) // the second end changes nothing
+		if s := q.services["llm"]; s.reading != 0 || len(s.waiting) != 0 {
+			t.Errorf("%d tokens are read, %d prompts wait", s.reading, len(s.waiting))
+		}
+	})
+}
+
+// TestShareFollowsDemand checks that an entry with a quarter of all demand gets
+// a quarter of the backlog.
+func TestShareFollowsDemand(t *testing.T) {
+	engines := Engines{Count: 2, Tokens: 2000}
+	q := newQueue(&engines)
+	q.options.Tracker.SetOthers(fleet.Work{Waiting: map[string]int{"llm": 4000}})
+	s := &service{name: "llm", waiting: []*waiter{{Prompt: Prompt{Tokens: 2000}}}}
+	if got := q.share(s, engines); got != 0.25 {
+		t.Errorf("share %v", got)
+	}
+}
+
+// TestReadTimeIsLearned checks that latency and rate are found from readings of
+// different lengths, and found again after both changed.
+func TestReadTimeIsLearned(t *testing.T) {
+	r := newReadTime()
+	for _, want := range []struct{ base, rate float64 }{{0.03, 57000}, {0.07, 125000}} {
+		for i := range 2000 {
+			tokens := 1000 + i%10*2000
+			r.observe(tokens, duration(want.base+float64(tokens)/want.rate))
+		}
+		base, rate := r.estimate()
+		if math.Abs(base-want.base) > 0.01 || math.Abs(rate/want.rate-1) > 0.1 {
+			t.Errorf("latency %.3f s and rate %.0f, want %+v", base, rate, want)
+		}
+	}
+}
+
+// TestReadTimeStaysSane checks that readings that say nothing of the rate leave
+// an estimate that can be used.
+func TestReadTimeStaysSane(t *testing.T) {
+	r := newReadTime()
+	for range 5000 {
+		r.observe(1800, time.Second)
+	}
+	if base, rate := r.estimate(); math.IsNaN(base) || base < 0 || rate < slowestRate {
+		t.Errorf("latency %v s and rate %v", base, rate)
+	}
+}
