Tell all entries of engines that are gone; unsent requests cost no repeat

A refused connection or another engine's answer at the address is sure, so one entry's word is enough: entries report such engines, all others leave them out until an attempt reaches them. Engines that only fail cost by the number of entries they fail. A send that reached no server is no arrival and takes nothing from the budget; six are tried.

Ruled out: leaving out engines that fail others' requests on one entry's word: an entry that is cut off would eject all.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -59,6 +59,7 @@
 func (c *Carrier) prefillEngines(service string) prefillqueue.Engines {
 	found := placement.Candidates(c.options.View().Engines(service), c.options.Tracker.Load,
 		placement.Open, placement.InPhase(fleet.Prefill), placement.Except(c.options.Outlier.Ejected()...))
+	found = placement.Present(found)
 	out := prefillqueue.Engines{Count: len(found)}
 	for i, e := range found {
 		out.Tokens += e.Load.PromptTokens
@@ -75,6 +76,10 @@
 	// refusedSends is how often a request goes to another server after one
 	// that did not run it, beyond the attempts of its route.
 	refusedSends = 2
+	// unsentTries is how often a server is tried at whose address nobody
+	// takes connections: each costs a round trip only, and while many servers
+	// are gone several in a row are likely.
+	unsentTries = 6
 	// silentObjectives is how many times its objective a safe call waits for
 	// a server before it is sent to another one: nine in ten answers come
 	// within one.
@@ -121,6 +126,9 @@
 	// sends counts sends of the request, and runs those that a server may
 	// have run.
 	sends, runs int
+	// unsent counts sends and prefill calls that reached no server, and
+	// unsentSends the sends among them.
+	unsent, unsentSends int
 	// tried holds the servers that failed the request.
 	tried []string
 	// begun is set once the head of a stream was passed on.
@@ -169,7 +177,7 @@
 		if x.sends > 0 && !x.mayRepeat() {
 			break
 		}
-		if x.sends > 0 && !x.spend() {
+		if x.arrivals() > 0 && !x.spend() {
 			last = errors.Join(last, errBudget)
 			break
 		}
@@ -194,7 +202,12 @@
 	if x.runs > 0 && (!x.request.Route.Repeatable() || x.runs >= limit) {
 		return false
 	}
-	return x.sends < limit+refusedSends
+	return x.arrivals() < limit+refusedSends && x.unsent <= unsentTries
+}
+
+// arrivals returns the number of sends that may have reached a server.
+func (x *run) arrivals() int {
+	return x.sends - x.unsentSends
 }
 
 // spend takes a repeat from the service's budget.
@@ -204,15 +217,15 @@
 }
 
 // candidates returns the engines of the service that may get the request.
-// Those that failed it before never do; those that fail other requests only if
-// nobody else is left.
+// Those that failed it before never do; those that fail other requests or were
+// not found by other entries only if nobody else is left.
 func (x *run) candidates(filters ...placement.Filter) []placement.Candidate {
 	engines := x.options.View().Engines(x.request.Service.Name)
 	filters = append([]placement.Filter{placement.Open}, filters...)
 	ejected := placement.Except(x.options.Outlier.Ejected()...)
 	untried := placement.Except(x.tried...)
 	if found := placement.Candidates(engines, x.options.Tracker.Load, append(filters, ejected, untried)...); len(found) > 0 {
-		return found
+		return placement.Present(found)
 	}
 	return placement.Candidates(engines, x.options.Tracker.Load, append(filters, untried)...)
 }
@@ -257,6 +270,9 @@
 	ctx, cancel := x.bounded(ctx)
 	defer cancel()
 	answer, err := x.sender.Send(ctx, a)
+	if errors.Is(err, ErrNotSent) {
+		x.unsentSends++
+	}
 	if errors.Is(err, ErrNotRun) {
 		x.failed(ctx, a, "not run", err)
 		return false, err
@@ -323,9 +339,14 @@
 // nothing of the server.
 func (x *run) failed(ctx context.Context, a Attempt, step string, err error) {
 	x.tried = append(x.tried, a.Engine.ID)
+	if errors.Is(err, ErrNotSent) {
+		x.unsent++
+	}
 	switch {
-	case errors.Is(err, ErrNotThere), errors.Is(err, errSilent):
+	case errors.Is(err, ErrNotThere):
 		x.options.Outlier.Gone(a.Engine.ID)
+	case errors.Is(err, errSilent), errors.Is(err, ErrNotSent) && ctx.Err() == nil:
+		x.options.Outlier.Silent(a.Engine.ID)
 	case ctx.Err() == nil:
 		x.options.Outlier.Failure(a.Engine.ID)
 	}
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -303,6 +303,28 @@
 	}
 }
 
+// TestSendsThatReachNobodyCostNoRepeat finds nobody at two addresses while no
+// repeat is left: nothing arrived anywhere, so the next send is the first.
+func TestSendsThatReachNobodyCostNoRepeat(t *testing.T) {
+	gone := reply{err: fmt.Errorf("%w: %w", exchange.ErrNotThere, exchange.ErrNotSent)}
+	for name, request := range map[string]*exchange.Request{"call": call(route.Unsafe, 1), "stream": stream(false, 100)} {
+		w := newWorld(gone, gone, reply{status: 200, events: name == "stream"})
+		w.slack = -1
+		if o := w.run(t, request); o.Result != exchange.Delivered || len(w.sends) != 3 {
+			t.Errorf("%s: %v after %d sends: %v", name, o.Result, len(w.sends), o.Err)
+		}
+	}
+}
+
+// TestUnsentSendsAreBounded ends an exchange for which nobody is ever found.
+func TestUnsentSendsAreBounded(t *testing.T) {
+	gone := reply{err: exchange.ErrNotSent}
+	w := newWorld(gone, gone, gone, gone, gone, gone, gone, gone, gone)
+	if o := w.run(t, call(route.Safe, 2)); o.Result != exchange.Refused || len(w.sends) > 7 {
+		t.Errorf("%v after %d sends", o.Result, len(w.sends))
+	}
+}
+
 func TestPrefillGoesToAnotherEngineAfterAFailure(t *testing.T) {
 	w := newWorld(reply{status: 200, events: true})
 	w.prefillErrs = []error{errFull}
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -61,7 +61,7 @@
 	before := x.runs
 	done, err = x.send(ctx, a, work)
 	switch {
-	case errors.Is(err, ErrNotThere):
+	case errors.Is(err, ErrNotThere), errors.Is(err, ErrNotSent):
 		x.source = source // nobody has asked for it yet
 	case !done && x.runs == before:
 		x.release(source)
@@ -89,7 +89,7 @@
 	if placement.ReadWhole(prompt, x.candidates(placement.InPhase(fleet.Prefill))) {
 		return nil, nil
 	}
-	for ctx.Err() == nil && len(x.tried) <= refusedSends {
+	for ctx.Err() == nil && len(x.tried)-x.unsent <= refusedSends && x.unsent <= unsentTries {
 		source, err := x.prefillInTurn(ctx, prompt)
 		var failed *prefillError
 		if !errors.As(err, &failed) {
@@ -124,8 +124,8 @@
 		turn.End(0, false)
 		return nil, nil
 	}
-	// Only the first call is free of charge.
-	if (x.prefillCalls > 0 || x.sends > 0) && !x.spend() {
+	// Only the first call that reaches an engine is free of charge.
+	if (x.prefillCalls > 0 || x.arrivals() > 0) && !x.spend() {
 		turn.End(0, false)
 		return nil, errBudget
 	}
@@ -151,6 +151,9 @@
 		x.options.Prefixes.Read(part, shared, chosen.Engine)
 		return &Source{Engine: chosen.Engine, Handle: handle}, nil
 	}
+	if errors.Is(err, ErrNotSent) {
+		x.prefillCalls--
+	}
 	if patience.Err() != nil && ctx.Err() == nil {
 		err = fmt.Errorf("%w: %w", errSilent, err)
 	}
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -67,6 +67,9 @@
 	// ErrNotRun means that the backend server has not run the request and
 	// won't.
 	ErrNotRun = errors.New("not run")
+	// ErrNotSent means that no byte of the request reached a server. It
+	// matches ErrNotRun.
+	ErrNotSent = fmt.Errorf("not sent: %w", ErrNotRun)
 	// ErrNotThere means that no server, or another one, was found at the
 	// address. It matches ErrNotRun.
 	ErrNotThere = fmt.Errorf("server is not there: %w", ErrNotRun)
--- a/internal/protocol/fleet/fleet.go
+++ b/internal/protocol/fleet/fleet.go
@@ -75,8 +75,11 @@
 	// Streams and Calls count requests in progress.
 	Streams int
 	Calls   int
-	// Ailing is set if the engine fails requests.
-	Ailing bool
+	// Ailing counts the entries whose requests the engine fails, and Missing
+	// those that found no such engine at its address. Only the latter is sure:
+	// the other may be due to the entry or its links.
+	Ailing  int
+	Missing int
 }
 
 // Add returns the sum of two loads.
@@ -85,7 +88,8 @@
 		PromptTokens: l.PromptTokens + other.PromptTokens,
 		Streams:      l.Streams + other.Streams,
 		Calls:        l.Calls + other.Calls,
-		Ailing:       l.Ailing || other.Ailing,
+		Ailing:       l.Ailing + other.Ailing,
+		Missing:      l.Missing + other.Missing,
 	}
 }
 
--- a/internal/protocol/fleet/work.go
+++ b/internal/protocol/fleet/work.go
@@ -17,9 +17,8 @@
 // engineSum is the load of all entries at one engine.
 type engineSum struct {
 	load Load
-	// entries counts those that have work there, and ailing those whose
-	// requests the engine fails.
-	entries, ailing int
+	// entries counts those that report anything of it.
+	entries int
 }
 
 // NewSum returns an empty sum.
@@ -52,13 +51,11 @@
 
 func (e engineSum) plus(load Load, sign int) engineSum {
 	e.entries += sign
-	if load.Ailing {
-		e.ailing += sign
-	}
 	e.load.PromptTokens += sign * load.PromptTokens
 	e.load.Streams += sign * load.Streams
 	e.load.Calls += sign * load.Calls
-	e.load.Ailing = e.ailing > 0
+	e.load.Ailing += sign * load.Ailing
+	e.load.Missing += sign * load.Missing
 	return e
 }
 
--- a/internal/protocol/fleet/work_test.go
+++ b/internal/protocol/fleet/work_test.go
@@ -17,7 +17,8 @@
 			PromptTokens: rapid.IntRange(0, 9).Draw(t, "tokens"),
 			Streams:      rapid.IntRange(0, 3).Draw(t, "streams"),
 			Calls:        rapid.IntRange(0, 3).Draw(t, "calls"),
-			Ailing:       rapid.Bool().Draw(t, "ailing"),
+			Ailing:       rapid.IntRange(0, 1).Draw(t, "ailing"),
+			Missing:      rapid.IntRange(0, 1).Draw(t, "missing"),
 		}
 	}
 	if n := rapid.IntRange(0, 5).Draw(t, "waiting"); n > 0 {
--- a/internal/protocol/outlier/outlier.go
+++ b/internal/protocol/outlier/outlier.go
@@ -17,6 +17,9 @@
 	// failed probe up to maxEjection.
 	firstEjection = 500 * time.Millisecond
 	maxEjection   = 30 * time.Second
+	// missingHold is how long after its ejection a backend is still said to be
+	// missing: the time in which the next attempt is due.
+	missingHold = time.Second
 )
 
 // Health is one backend server's record. It is immutable.
@@ -27,6 +30,9 @@
 	Ejections int
 	// Until is the end of the current ejection.
 	Until clock.Instant
+	// Missing is set if the last attempt found nobody at the backend's
+	// address.
+	Missing bool
 	// Probing is true while one attempt tests an ejected backend.
 	Probing bool
 }
@@ -52,11 +58,18 @@
 	return h
 }
 
+// Silent returns the record after an attempt that a backend left without any
+// answer: one such failure ejects.
+func (h Health) Silent(now clock.Instant) Health {
+	h.Failures = max(h.Failures, threshold-1)
+	return h.Failed(now)
+}
+
 // Gone returns the record after an attempt that found nobody at the backend's
 // address: one such failure ejects.
 func (h Health) Gone(now clock.Instant) Health {
-	h.Failures = max(h.Failures, threshold-1)
-	return h.Failed(now)
+	h.Missing = true
+	return h.Silent(now)
 }
 
 // Probed returns the record after a probe started: the backend stays ejected
@@ -108,6 +121,20 @@
 	return out
 }
 
+// Missing returns the names of the backends that were not found at their
+// addresses, until an attempt reaches them or missingHold after their ejection
+// if none is made.
+func (s *Set) Missing() []string {
+	now := s.clock.Now()
+	var out []string
+	for name, health := range *s.ailing.Load() {
+		if health.Missing && now.Before(health.Until.Add(missingHold)) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Start tells that an attempt goes to a backend. If it is the first after an
 // ejection, it is a probe and the others keep off.
 func (s *Set) Start(name string) {
@@ -135,6 +162,11 @@
 	s.change(name, func(h Health, now clock.Instant) (Health, bool) { return h.Failed(now), true })
 }
 
+// Silent tells that a backend left an attempt without any answer.
+func (s *Set) Silent(name string) {
+	s.change(name, func(h Health, now clock.Instant) (Health, bool) { return h.Silent(now), true })
+}
+
 // Gone tells that an attempt found nobody at a backend's address.
 func (s *Set) Gone(name string) {
 	s.change(name, func(h Health, now clock.Instant) (Health, bool) { return h.Gone(now), true })
--- a/internal/protocol/outlier/outlier_test.go
+++ b/internal/protocol/outlier/outlier_test.go
@@ -65,3 +65,31 @@
 		t.Errorf("%+v is ejected after one failure", h)
 	}
 }
+
+// TestMissingIsToldUntilReached checks for how long a backend that was not found
+// is said to be missing: beyond its ejection, until an attempt reaches it, and
+// not for ever if none is made. Silence says nothing of an address.
+func TestMissingIsToldUntilReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewSet(clock.NewRuntime())
+		missing := func(want bool) {
+			t.Helper()
+			if got := slices.Contains(s.Missing(), "a"); got != want {
+				t.Errorf("missing: %t", got)
+			}
+		}
+		s.Silent("a")
+		missing(false)
+		s.Success("a")
+		s.Gone("a")
+		missing(true)
+		time.Sleep(firstEjection + time.Millisecond)
+		missing(true)
+		s.Start("a")
+		s.Success("a")
+		missing(false)
+		s.Gone("a")
+		time.Sleep(firstEjection + missingHold + time.Millisecond)
+		missing(false)
+	})
+}
--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -5,6 +5,8 @@
 package placement
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
@@ -36,11 +38,13 @@
 	// part of the tokens fetched. It also keeps parts at their homes while
 	// these are not much busier, so that there is something to fetch.
 	fetchCost = 0.5
-	// ailingPenalty is what an engine that fails other entries' requests
-	// costs, in streams or calls, and ailingTokens in tokens; a filter drops
-	// those that fail this one's.
+	// ailingPenalty is what an engine costs for each other entry whose
+	// requests it fails, in streams or calls, and ailingTokens in tokens; a
+	// filter drops those that fail this one's. More than maxAiling entries
+	// count as that many.
 	ailingPenalty = 8
 	ailingTokens  = 30000
+	maxAiling     = 4
 )
 
 // Part is a part of a prompt; requests with equal part ids share its tokens.
@@ -105,6 +109,16 @@
 	return out
 }
 
+// Present drops engines that some entry did not find at their addresses,
+// unless nobody would be left.
+func Present(candidates []Candidate) []Candidate {
+	present := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Load.Missing > 0 })
+	if len(present) == 0 {
+		return candidates
+	}
+	return present
+}
+
 // Open keeps engines that take new work.
 func Open(e fleet.Engine) bool {
 	return !e.Leaving
@@ -156,7 +170,7 @@
 		return p.Tokens < alwaysWhole
 	}
 	for _, c := range prefill {
-		if c.Load.PromptTokens < idleQueue && !c.Load.Ailing {
+		if c.Load.PromptTokens < idleQueue && c.Load.Ailing == 0 {
 			return false
 		}
 	}
@@ -196,10 +210,7 @@
 		if fetch && c.ID != keeper.ID {
 			cost += fetchCost * float64(shared)
 		}
-		if c.Load.Ailing {
-			cost += ailingTokens
-		}
-		return cost
+		return cost + ailingTokens*float64(min(c.Load.Ailing, maxAiling))
 	})
 	choice = PrefillChoice{Candidate: chosen, Tokens: p.Tokens}
 	switch {
@@ -238,10 +249,7 @@
 }
 
 func ailing(c Candidate) float64 {
-	if c.Load.Ailing {
-		return ailingPenalty
-	}
-	return 0
+	return ailingPenalty * float64(min(c.Load.Ailing, maxAiling))
 }
 
 // least returns a candidate with the lowest score; equals are drawn by lot,
--- a/internal/protocol/placement/placement_test.go
+++ b/internal/protocol/placement/placement_test.go
@@ -124,3 +124,28 @@
 		t.Errorf("chosen %s after a restart of the reader, the home is %s", chosen.ID, home.ID)
 	}
 }
+
+// TestMissingEnginesAreLeftOut checks that engines that some entry did not find
+// get nothing, unless all are missing.
+func TestMissingEnginesAreLeftOut(t *testing.T) {
+	loads := map[string]fleet.Load{"e0": {Missing: 1}, "e1": {Ailing: 2}}
+	if present := placement.Present(candidates(2, loads)); len(present) != 1 || present[0].ID != "e1" {
+		t.Errorf("present: %+v", present)
+	}
+	loads["e1"] = fleet.Load{Missing: 3}
+	if present := placement.Present(candidates(2, loads)); len(present) != 2 {
+		t.Errorf("%d present, want all if all are missing", len(present))
+	}
+}
+
+// TestAilingCountsByEntries checks that an engine that fails one entry's
+// requests is still used when others are much busier, and that one that fails
+// many entries' is not.
+func TestAilingCountsByEntries(t *testing.T) {
+	for ailing, want := range map[int]string{1: "e0", 4: "e1"} {
+		loads := map[string]fleet.Load{"e0": {Ailing: ailing}, "e1": {Streams: 20}}
+		if chosen, _ := placement.ForDecode("z0", candidates(2, loads), first); chosen.ID != want {
+			t.Errorf("%d entries failed: chosen %s, want %s", ailing, chosen.ID, want)
+		}
+	}
+}
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -191,7 +191,12 @@
 	}
 	for _, engine := range a.outlier.Ejected() {
 		load := r.Work.Engines[engine]
-		load.Ailing = true
+		load.Ailing = 1
+		r.Work.Engines[engine] = load
+	}
+	for _, engine := range a.outlier.Missing() {
+		load := r.Work.Engines[engine]
+		load.Missing = 1
 		r.Work.Engines[engine] = load
 	}
 	a.mu.Lock()
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -464,7 +464,8 @@
 		PromptTokens: uint64(max(0, l.PromptTokens)),
 		Streams:      uint32(max(0, l.Streams)),
 		Calls:        uint32(max(0, l.Calls)),
-		Ailing:       l.Ailing,
+		Ailing:       uint32(max(0, l.Ailing)),
+		Missing:      uint32(max(0, l.Missing)),
 	}
 }
 
@@ -473,6 +474,7 @@
 		PromptTokens: int(l.GetPromptTokens()),
 		Streams:      int(l.GetStreams()),
 		Calls:        int(l.GetCalls()),
-		Ailing:       l.GetAiling(),
+		Ailing:       int(l.GetAiling()),
+		Missing:      int(l.GetMissing()),
 	}
 }
