--- a/cmd/lagoonshift/platform.go
+++ b/cmd/lagoonshift/platform.go
@@ -21,9 +21,13 @@
 	flags := &platformFlags{}
 	clause := app.Command("platform", "Run a process on the users' platform, with the settings file that "+platform.SettingsVariable+" names.")
 	clause.Flag("log-level", "One of trace, debug, info, warn and error.").Default("info").EnumVar(&flags.level, "trace", "debug", "info", "warn", "error")
-	clause.Command("control", "Run a control process: replicated state, operator, directory.")
+	control := clause.Command("control", "Run a control process: replicated state, operator, directory.")
+	var options platform.ControlOptions
+	control.Flag("peer-listen", "Listen for other processes at this IP:port, if they reach the address of the settings through a proxy.").StringVar(&options.PeerListen)
 	clause.Command("entry", "Run an entry process: callers' requests.")
-	commands["platform control"] = flags.run("control", platform.Control)
+	commands["platform control"] = flags.run("control", func(ctx context.Context, log hclog.Logger) error {
+		return platform.Control(ctx, options, log)
+	})
 	commands["platform entry"] = flags.run("entry", platform.Entry)
 }
 
--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -1,6 +1,7 @@
 package controlrole
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -54,7 +55,10 @@
 // seeds.
 type SeededOptions struct {
 	PeerAddress string
-	DataFolder  string
+	// ListenAddress is where this process listens for peers, if that is not
+	// PeerAddress.
+	ListenAddress string
+	DataFolder    string
 	// Seeds returns peer addresses of control processes; they may change.
 	Seeds func() []string
 	// FirstStart is set when the whole system starts for the first time. The
@@ -174,7 +178,7 @@
 	s.hub.Register(s.server.Server)
 	s.replica.register(s.server.Server)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return s.server.listen(s.options.PeerAddress) })
+	group.Go(func() error { return s.server.listen(cmp.Or(s.options.ListenAddress, s.options.PeerAddress)) })
 	group.Go(func() error {
 		<-ctx.Done()
 		s.hub.Stop()
