--- a/internal/protocol/phaseplan/phaseplan.go
+++ b/internal/protocol/phaseplan/phaseplan.go
@@ -13,10 +13,26 @@
 
 // Plan holds what the operators chose.
 type Plan struct {
-	// PrefillShare is the part of the engines that read prompts.
+	// PrefillShare is the part of the engines that read prompts, where engines
+	// have decodeStreams slots or more.
 	PrefillShare float64
 }
 
+// decodeStreams is the number of streams that an engine decodes at once without
+// pauses that callers notice. One with fewer slots is worth that much less in
+// the decode phase, so more engines are needed there.
+const decodeStreams = 20
+
+// share returns the part of the engines that read prompts, for engines with
+// the given slots; zero slots are unknown and count as enough.
+func (p Plan) share(slots int) float64 {
+	if slots <= 0 || slots >= decodeStreams {
+		return p.PrefillShare
+	}
+	decode := (1 - p.PrefillShare) * decodeStreams / float64(slots)
+	return p.PrefillShare / (p.PrefillShare + decode)
+}
+
 // DefaultPlan suits the deployments known: long prompts with short answers.
 var DefaultPlan = Plan{PrefillShare: 0.58}
 
@@ -41,7 +57,7 @@
 	if len(open) < 2 {
 		return nil
 	}
-	wanted := int(math.Round(p.PrefillShare * float64(len(open))))
+	wanted := int(math.Round(p.share(open[0].Slots) * float64(len(open))))
 	wanted = min(max(wanted, 1), len(open)-1)
 	from, to, n := fleet.Decode, fleet.Prefill, wanted-counts[fleet.Prefill]
 	if n < 0 {
--- a/internal/protocol/phaseplan/phaseplan_test.go
+++ b/internal/protocol/phaseplan/phaseplan_test.go
@@ -64,3 +64,20 @@
 		t.Errorf("changes %v", got)
 	}
 }
+
+// TestEnginesWithFewSlotsDecodeMore checks that the plan gives the decode phase
+// as many streams at once when engines have few slots.
+func TestEnginesWithFewSlotsDecodeMore(t *testing.T) {
+	prefill := func(slots int) (n int) {
+		var engines []fleet.Engine
+		for i := range 100 {
+			engines = append(engines, fleet.Engine{ID: fmt.Sprint(i), Phase: fleet.Decode, Slots: slots})
+		}
+		return len(phaseplan.Plan{PrefillShare: 0.6}.Changes(engines, idle))
+	}
+	for slots, want := range map[int]int{0: 60, 64: 60, 20: 60, 12: 47, 10: 43, 1: 7} {
+		if got := prefill(slots); got != want {
+			t.Errorf("%d slots: %d of 100 engines read prompts, want %d", slots, got, want)
+		}
+	}
+}
