Send entries' work to the leader only

Replicas that don't lead get and send heartbeats only, unless an entry has heard of no leader for 300 ms and asks.

--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -27,8 +27,9 @@
 	// not come is asked for again: several trips within a region.
 	askAgain = 250 * time.Millisecond
 	// leaderSilence is the time without load figures from a leader after which
-	// those of other replicas, which come less often, are taken.
-	leaderSilence = 150 * time.Millisecond
+	// those of other replicas are asked for: longer than the longest interval
+	// between two of them.
+	leaderSilence = 300 * time.Millisecond
 	// loadAge is the age from which load figures of other entries mislead more
 	// than none: prompts are read within less.
 	loadAge = 400 * time.Millisecond
@@ -179,8 +180,13 @@
 
 // report tells a control replica of this entry.
 func (a *Agent) report(source string) peergrpc.Report {
-	r := peergrpc.Report{Work: a.tracker.Own()}
-	if leader := a.leader.Load(); leader != nil && *leader == source {
+	var r peergrpc.Report
+	leader := a.leader.Load()
+	r.WantWork = leader == nil || a.leaderSilent()
+	if r.WantWork || *leader == source {
+		r.Work = a.work()
+	}
+	if leader != nil && *leader == source {
 		r.Holdings = a.prefixes.Drain()
 	}
 	r.Name, r.Incarnation = a.options.Name, a.incarnation
@@ -189,16 +195,6 @@
 	if table := a.table.Load(); table != nil {
 		r.DocumentVersion = table.Version
 	}
-	for _, engine := range a.outlier.Ejected() {
-		load := r.Work.Engines[engine]
-		load.Ailing = 1
-		r.Work.Engines[engine] = load
-	}
-	for _, engine := range a.outlier.Missing() {
-		load := r.Work.Engines[engine]
-		load.Missing = 1
-		r.Work.Engines[engine] = load
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ask.source == source && !a.ask.sent {
@@ -207,6 +203,27 @@
 	return r
 }
 
+// work returns what this entry has not finished and which engines fail it.
+func (a *Agent) work() fleet.Work {
+	w := a.tracker.Own()
+	for _, engine := range a.outlier.Ejected() {
+		load := w.Engines[engine]
+		load.Ailing = 1
+		w.Engines[engine] = load
+	}
+	for _, engine := range a.outlier.Missing() {
+		load := w.Engines[engine]
+		load.Missing = 1
+		w.Engines[engine] = load
+	}
+	return w
+}
+
+// leaderSilent reports whether no leader has told of the others' load lately.
+func (a *Agent) leaderSilent() bool {
+	return a.options.Clock.Now().Sub(clock.Instant(a.ledAt.Load())) >= leaderSilence
+}
+
 // deliver takes what a control replica tells.
 func (a *Agent) deliver(u peergrpc.Update) {
 	a.entries.Store(int64(max(1, u.Entries)))
@@ -224,12 +241,11 @@
 // setOthers takes load figures from the leader, or from any replica while no
 // leader told of any.
 func (a *Agent) setOthers(u peergrpc.Update) {
-	now := a.options.Clock.Now()
 	switch {
 	case u.Leads:
-		a.ledAt.Store(int64(now))
+		a.ledAt.Store(int64(a.options.Clock.Now()))
 		a.leader.Store(&u.Source)
-	case now.Sub(clock.Instant(a.ledAt.Load())) < leaderSilence:
+	case !u.HasOthers, !a.leaderSilent():
 		return
 	}
 	a.tracker.SetOthers(u.Others)
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -107,6 +107,8 @@
 	// toldUntil counts the holdings that the entry has been told of; the hub's
 	// lock guards it.
 	toldUntil int
+	// wantsWork is that of the newest report.
+	wantsWork atomic.Bool
 	// wantsDocument is set by a report and cleared by the answer.
 	wantsDocument atomic.Bool
 	// wake has room for one signal.
@@ -241,6 +243,7 @@
 	w.info.Store(&info)
 	h.setWork(w, toWork(report.GetLoads(), report.GetWaiting()))
 	h.addHoldings(w, toHoldings(report.GetHoldings()))
+	w.wantsWork.Store(report.GetWantWork())
 	if report.GetWantDocument() {
 		w.wantsDocument.Store(true)
 		w.signal()
@@ -377,7 +380,10 @@
 		update.HasEngines = true
 		update.Engines = list.engines
 	}
-	update.Others, update.OthersWaiting = fromWork(h.othersWork(w))
+	if update.Leads || w.wantsWork.Load() {
+		update.HasOthers = true
+		update.Others, update.OthersWaiting = fromWork(h.othersWork(w))
+	}
 	update.Holdings = fromHoldings(h.newHoldings(w))
 	return update
 }
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -25,8 +25,11 @@
 	EntryInfo
 	// WantDocument asks this replica for the newest document.
 	WantDocument bool
-	// Work is what the entry has not finished.
+	// Work is what the entry has not finished; empty for replicas that don't
+	// lead while another one does.
 	Work fleet.Work
+	// WantWork asks for the work of the others, for want of a leader's word.
+	WantWork bool
 	// Holdings are shared parts that engines read for the entry.
 	Holdings []prefixdir.Holding
 }
@@ -43,8 +46,9 @@
 	Entries int
 	// Engines is nil unless the replica has a newer list.
 	Engines []fleet.Engine
-	// Others is the work that all other entries reported.
-	Others fleet.Work
+	// Others is the work that all other entries reported, if HasOthers is set.
+	Others    fleet.Work
+	HasOthers bool
 	// Holdings are shared parts that engines read for other entries.
 	Holdings []prefixdir.Holding
 	// Leads is set if the replica leads: its load figures are the newest.
@@ -278,6 +282,7 @@
 		Ready:           r.Ready,
 		DocumentVersion: r.DocumentVersion,
 		WantDocument:    r.WantDocument,
+		WantWork:        r.WantWork,
 	}
 	out.Loads, out.Waiting = fromWork(r.Work)
 	out.Holdings = fromHoldings(r.Holdings)
@@ -291,6 +296,7 @@
 		Document:        m.GetDocument(),
 		Entries:         int(m.GetEntries()),
 		Leads:           m.GetLeads(),
+		HasOthers:       m.GetHasOthers(),
 		ReportAfter:     max(fastestLoad, time.Duration(m.GetReportMs())*time.Millisecond),
 		Others:          toWork(m.GetOthers(), m.GetOthersWaiting()),
 		Holdings:        toHoldings(m.GetHoldings()),
