--- a/internal/protocol/prefillqueue/prefillqueue.go
+++ b/internal/protocol/prefillqueue/prefillqueue.go
@@ -1,8 +1,8 @@
 // Package prefillqueue decides which prompt an entry sends to the prefill
-// engines next. It answers loads above what these engines read: they read what
-// they accept in order of arrival, so every prompt is late once the backlog is
-// longer than the objective. Each entry keeps its share of a short backlog at
-// the engines and holds the rest, prompts that can still be in time first.
+// engines next. It answers loads above what these engines read: they read all
+// prompts that they accepted in pieces, by turns, so that all of them are late
+// together. Each entry keeps its share of a short backlog at the engines and
+// holds the rest, prompts that can still be in time first.
 package prefillqueue
 
 import (
@@ -68,7 +68,7 @@
 type Queue struct {
 	options Options
 
-	mu       sync.Mutex // guards services
+	mu       sync.Mutex // guards services and what they hold
 	services map[string]*service
 }
 
@@ -159,9 +159,9 @@
 		return
 	}
 	engines := q.options.Engines(s.name)
-	base, rate := s.readTime.estimate()
-	first := time.Now().Add(duration(base+float64(engines.Least)/rate) + afterRead)
-	all := float64(engines.Count) * (base + backlog.Seconds()) * rate
+	latency, rate := s.readTime.estimate()
+	first := time.Now().Add(duration(latency+float64(engines.Least)/rate) + afterRead)
+	all := float64(engines.Count) * (latency + backlog.Seconds()) * rate
 	for len(s.waiting) > 0 {
 		i := next(s.waiting, first)
 		w := s.waiting[i]
@@ -211,8 +211,8 @@
 	return float64(mine) / float64(max(1, mine+others))
 }
 
-// next returns the index of the prompt that goes first; the first event of one
-// whose reading starts now comes at first, but for its own length. Short
+// next returns the index of the prompt that goes first. A prompt that is sent
+// now has its first event at first, its own length left out. Short
 // prompts go before long ones, and those that can be in time before late ones.
 // Of long prompts in time the newest goes first: the oldest would all go at the
 // last moment and be late for any delay.
--- a/internal/protocol/prefillqueue/readtime.go
+++ b/internal/protocol/prefillqueue/readtime.go
@@ -52,7 +52,7 @@
 }
 
 // estimate returns the latency in seconds and the rate in tokens a second.
-func (r *readTime) estimate() (base, rate float64) {
+func (r *readTime) estimate() (latency, rate float64) {
 	spread := r.n*r.xx - r.x*r.x
 	if spread <= 0 {
 		return r.y / r.n, firstRate
