An engine that is back and fails is no longer told to be missing

Cause: the mark of a missing engine stayed in the record through later failures, so entries left out an engine that only failed one of them. Seen by reading; TestMissingIsToldUntilReached fails before.

--- a/internal/protocol/outlier/outlier.go
+++ b/internal/protocol/outlier/outlier.go
@@ -48,6 +48,7 @@
 	if h.Ejected(now) && !h.Probing {
 		return h
 	}
+	h.Missing = false
 	h.Failures++
 	if h.Failures < threshold && h.Ejections == 0 {
 		return h
@@ -68,8 +69,9 @@
 // Gone returns the record after an attempt that found nobody at the backend's
 // address: one such failure ejects.
 func (h Health) Gone(now clock.Instant) Health {
+	h = h.Silent(now)
 	h.Missing = true
-	return h.Silent(now)
+	return h
 }
 
 // Probed returns the record after a probe started: the backend stays ejected
--- a/internal/protocol/outlier/outlier_test.go
+++ b/internal/protocol/outlier/outlier_test.go
@@ -89,6 +89,12 @@
 		s.Success("a")
 		missing(false)
 		s.Gone("a")
+		time.Sleep(firstEjection + time.Millisecond)
+		s.Start("a")
+		s.Failure("a") // it is back and fails
+		missing(false)
+		s.Success("a")
+		s.Gone("a")
 		time.Sleep(firstEjection + missingHold + time.Millisecond)
 		missing(false)
 	})
