--- a/internal/protocol/prefillqueue/prefillqueue_test.go
+++ b/internal/protocol/prefillqueue/prefillqueue_test.go
@@ -60,6 +60,8 @@
 		synctest.Wait()
 		blocker.End(0, false)
 		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		if want := []string{"resumed", "short", "newer in time", "in time", "late", "later"}; !slices.Equal(order, want) {
 			t.Errorf("order %q, want %q", order, want)
 		}
