Read the change again: one copy of what stood twice, work done once

- exchange: the engines that are sound are filtered in one place, for the queue and for attempts; attempts are made in one place; a prompt that an engine failed to read is a plain error value instead of a type whose text nobody saw.
- prefillqueue: the entry's share is the same for all turns given at once and is worked out once; a turn given up ends by End like any other.
- prefixdir: a record is a Holding with its time. fleet: a load's fields are added up in one place.
- raft tests: one setup for the two tests with a silent replica.

Behaviour is meant to stay; TestReadyEntriesAreCounted checks the counter against a recount. No bound or assertion changed.

--- a/internal/coordination/raft/commit_test.go
+++ b/internal/coordination/raft/commit_test.go
@@ -97,18 +97,25 @@
 	}
 }
 
-// TestSilentReplicaIsSentNoSnapshot lets a replica answer once that it needs
-// compacted entries and then fall silent.
-func TestSilentReplicaIsSentNoSnapshot(t *testing.T) {
-	s := newSim(3, noFault)
+// simWithSilentReplica returns three replicas, of which the leader has entries
+// that a silent one lacks; behind is the last one that it has.
+func simWithSilentReplica() (s *sim, leader, silent *simReplica, behind uint64) {
+	s = newSim(3, noFault)
 	s.pass(5 * time.Second)
 	leads := slices.IndexFunc(s.replicas, func(r *simReplica) bool { return r.core.IsLeader() })
-	r, silent := s.replicas[leads], s.replicas[(leads+1)%3]
-	behind := silent.core.log.last()
+	leader, silent = s.replicas[leads], s.replicas[(leads+1)%3]
+	behind = silent.core.log.last()
 	silent.cut = true
 	for range 5 {
-		s.propose(r)
+		s.propose(leader)
 	}
+	return s, leader, silent, behind
+}
+
+// TestSilentReplicaIsSentNoSnapshot lets a replica answer once that it needs
+// compacted entries and then fall silent.
+func TestSilentReplicaIsSentNoSnapshot(t *testing.T) {
+	s, r, silent, behind := simWithSilentReplica()
 	s.pass(500 * time.Millisecond)
 	s.compact(r)
 	r.core.Step(r.local(s.now), Message{
@@ -131,15 +138,7 @@
 // goes on for ever to send to a replica which needs compacted entries and last
 // answered long ago.
 func TestLateAnswerOfCompactedReplicaEndsSending(t *testing.T) {
-	s := newSim(3, noFault)
-	s.pass(5 * time.Second)
-	leads := slices.IndexFunc(s.replicas, func(r *simReplica) bool { return r.core.IsLeader() })
-	r, silent := s.replicas[leads], s.replicas[(leads+1)%3]
-	behind := silent.core.log.last()
-	silent.cut = true
-	for range 5 {
-		s.propose(r)
-	}
+	s, r, silent, behind := simWithSilentReplica()
 	s.pass(10 * time.Second)
 	s.compact(r)
 	p := r.core.lead.peers[silent.core.id]
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -57,9 +57,7 @@
 // prefillEngines sums up the work at the prefill engines of a service that
 // take prompts.
 func (c *Carrier) prefillEngines(service string) prefillqueue.Engines {
-	found := placement.Candidates(c.options.View().Engines(service), c.options.Tracker.Load,
-		placement.Open, placement.InPhase(fleet.Prefill), placement.Except(c.options.Outlier.Ejected()...))
-	found = placement.Present(found)
+	found := c.sound(service, placement.InPhase(fleet.Prefill))
 	out := prefillqueue.Engines{Count: len(found)}
 	for i, e := range found {
 		out.Tokens += e.Load.PromptTokens
@@ -216,18 +214,24 @@
 	return budget.Spend(slack)
 }
 
+// sound returns the engines of a service that take new work and don't fail this
+// entry's requests, less those that other entries did not find if any is left.
+func (c *Carrier) sound(service string, filters ...placement.Filter) []placement.Candidate {
+	ejected := placement.Except(c.options.Outlier.Ejected()...)
+	filters = append([]placement.Filter{placement.Open, ejected}, filters...)
+	return placement.Present(placement.Candidates(c.options.View().Engines(service), c.options.Tracker.Load, filters...))
+}
+
 // candidates returns the engines of the service that may get the request.
 // Those that failed it before never do; those that fail other requests or were
 // not found by other entries only if nobody else is left.
 func (x *run) candidates(filters ...placement.Filter) []placement.Candidate {
-	engines := x.options.View().Engines(x.request.Service.Name)
-	filters = append([]placement.Filter{placement.Open}, filters...)
-	ejected := placement.Except(x.options.Outlier.Ejected()...)
-	untried := placement.Except(x.tried...)
-	if found := placement.Candidates(engines, x.options.Tracker.Load, append(filters, ejected, untried)...); len(found) > 0 {
-		return placement.Present(found)
+	service := x.request.Service.Name
+	filters = append(filters, placement.Except(x.tried...))
+	if found := x.sound(service, filters...); len(found) > 0 {
+		return found
 	}
-	return placement.Candidates(engines, x.options.Tracker.Load, append(filters, untried)...)
+	return placement.Candidates(x.options.View().Engines(service), x.options.Tracker.Load, append(filters, placement.Open)...)
 }
 
 func (x *run) remaining() time.Duration {
@@ -245,8 +249,12 @@
 		return false, errNoServer
 	}
 	x.logPlaced("call", chosen)
-	a := Attempt{Engine: chosen.Engine, Remaining: x.remaining(), Priority: x.request.Route.Priority, LastEvent: x.lastEvent}
-	return x.send(ctx, a, fleet.Load{Calls: 1})
+	return x.send(ctx, x.attemptAt(chosen.Engine), fleet.Load{Calls: 1})
+}
+
+// attemptAt returns an attempt at an engine that begins now.
+func (x *run) attemptAt(e fleet.Engine) Attempt {
+	return Attempt{Engine: e, Remaining: x.remaining(), Priority: x.request.Route.Priority, LastEvent: x.lastEvent}
 }
 
 // logPlaced logs the choice of an engine with what decided it.
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -46,13 +46,8 @@
 		x.release(source)
 		return false, errNoServer
 	}
-	a := Attempt{
-		Engine:    chosen.Engine,
-		Remaining: x.remaining(),
-		Priority:  x.request.Route.Priority,
-		Source:    source,
-		LastEvent: x.lastEvent,
-	}
+	a := x.attemptAt(chosen.Engine)
+	a.Source = source
 	x.logPlaced("decode", chosen, "prefilled", source != nil, "last_event", x.lastEvent)
 	work := fleet.Load{Streams: 1}
 	if source == nil {
@@ -91,26 +86,18 @@
 	}
 	for ctx.Err() == nil && len(x.tried)-x.unsent <= refusedSends && x.unsent <= unsentTries {
 		source, err := x.prefillInTurn(ctx, prompt)
-		var failed *prefillError
-		if !errors.As(err, &failed) {
+		if !errors.Is(err, errNotRead) {
 			return source, err
 		}
 	}
 	return nil, ctx.Err()
 }
 
-// prefillError is the failure of an engine to read a prompt.
-type prefillError struct {
-	engine string
-	err    error
-}
-
-func (e *prefillError) Error() string { return "prefill at engine " + e.engine + ": " + e.err.Error() }
+// errNotRead means that an engine failed to read a prompt, which was logged.
+var errNotRead = errors.New("engine has not read the prompt")
 
-func (e *prefillError) Unwrap() error { return e.err }
-
-// prefillInTurn waits for the prompt's turn and lets one engine read it. Its
-// error is a *prefillError if that engine failed.
+// prefillInTurn waits for the prompt's turn and lets one engine read it. It
+// returns errNotRead if that engine failed.
 func (x *run) prefillInTurn(ctx context.Context, prompt placement.Prompt) (*Source, error) {
 	entered := time.Now()
 	turn, err := x.prefills.Enter(ctx, x.queued(prompt))
@@ -132,13 +119,8 @@
 	x.prefillCalls++
 	x.logPlaced("prefill", chosen.Candidate, "tokens", chosen.Tokens, "fetch_from", engineID(chosen.FetchFrom),
 		"queued_ms", time.Since(entered).Milliseconds())
-	a := Attempt{
-		Engine:    chosen.Engine,
-		Remaining: x.remaining(),
-		Priority:  x.request.Route.Priority,
-		FetchFrom: chosen.FetchFrom,
-		LastEvent: x.lastEvent,
-	}
+	a := x.attemptAt(chosen.Engine)
+	a.FetchFrom = chosen.FetchFrom
 	finished := x.options.Tracker.Start(chosen.ID, fleet.Load{PromptTokens: chosen.Tokens})
 	x.options.Outlier.Start(chosen.ID)
 	patience, cancel := context.WithTimeout(ctx, prefillPatience(chosen.Load.PromptTokens+chosen.Tokens))
@@ -158,7 +140,7 @@
 		err = fmt.Errorf("%w: %w", errSilent, err)
 	}
 	x.failed(ctx, a, "prefill", err)
-	return nil, &prefillError{engine: chosen.ID, err: err}
+	return nil, errNotRead
 }
 
 // queued describes the prompt to the queue before the prefill engines.
--- a/internal/protocol/fleet/fleet.go
+++ b/internal/protocol/fleet/fleet.go
@@ -84,12 +84,17 @@
 
 // Add returns the sum of two loads.
 func (l Load) Add(other Load) Load {
+	return l.plus(other, 1)
+}
+
+// plus returns the load with another one added or, with sign -1, taken off.
+func (l Load) plus(other Load, sign int) Load {
 	return Load{
-		PromptTokens: l.PromptTokens + other.PromptTokens,
-		Streams:      l.Streams + other.Streams,
-		Calls:        l.Calls + other.Calls,
-		Ailing:       l.Ailing + other.Ailing,
-		Missing:      l.Missing + other.Missing,
+		PromptTokens: l.PromptTokens + sign*other.PromptTokens,
+		Streams:      l.Streams + sign*other.Streams,
+		Calls:        l.Calls + sign*other.Calls,
+		Ailing:       l.Ailing + sign*other.Ailing,
+		Missing:      l.Missing + sign*other.Missing,
 	}
 }
 
--- a/internal/protocol/fleet/work.go
+++ b/internal/protocol/fleet/work.go
@@ -50,13 +50,7 @@
 }
 
 func (e engineSum) plus(load Load, sign int) engineSum {
-	e.entries += sign
-	e.load.PromptTokens += sign * load.PromptTokens
-	e.load.Streams += sign * load.Streams
-	e.load.Calls += sign * load.Calls
-	e.load.Ailing += sign * load.Ailing
-	e.load.Missing += sign * load.Missing
-	return e
+	return engineSum{load: e.load.plus(load, sign), entries: e.entries + sign}
 }
 
 // Without returns the sum less work that was added before.
--- a/internal/protocol/prefillqueue/prefillqueue.go
+++ b/internal/protocol/prefillqueue/prefillqueue.go
@@ -122,21 +122,27 @@
 	select {
 	case <-w.granted:
 	case <-ctx.Done():
-		q.mu.Lock()
-		defer q.mu.Unlock()
-		if i := slices.Index(s.waiting, w); i >= 0 {
-			s.waiting = slices.Delete(s.waiting, i, i+1)
-			return nil, ctx.Err()
+		if !q.withdraw(s, w) {
+			grant.End(0, false) // granted in the same moment
 		}
-		// Granted in the same moment: the reading is given back unused.
-		s.reading -= p.Tokens
-		q.grant(s)
 		return nil, ctx.Err()
 	}
 	grant.started = time.Now()
 	return grant, nil
 }
 
+// withdraw takes a prompt out of the queue; it reports false if that has had
+// its turn.
+func (q *Queue) withdraw(s *service, w *waiter) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	i := slices.Index(s.waiting, w)
+	if i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+	}
+	return i >= 0
+}
+
 // End gives the turn back. ahead is the number of tokens that the engine had
 // to read before; read is set if the engine has read the prompt.
 func (g *Grant) End(ahead int, read bool) {
@@ -161,34 +167,32 @@
 	engines := q.options.Engines(s.name)
 	latency, rate := s.readTime.estimate()
 	first := time.Now().Add(duration(latency+float64(engines.Least)/rate) + afterRead)
-	all := float64(engines.Count) * (latency + backlog.Seconds()) * rate
+	// A turn moves tokens from waiting to reading, so the share stays.
+	mine := float64(engines.Count) * (latency + backlog.Seconds()) * rate * q.share(s, engines)
 	for len(s.waiting) > 0 {
 		i := next(s.waiting, first)
 		w := s.waiting[i]
-		if engines.Count > 0 && float64(s.reading) >= all*q.share(s, engines)*headroom(w.Tokens) {
-			break
+		if engines.Count > 0 && float64(s.reading) >= mine*headroom(w.Tokens) {
+			q.arm(s)
+			return
 		}
 		s.waiting = slices.Delete(s.waiting, i, i+1)
 		s.reading += w.Tokens
-		engines.Tokens += w.Tokens
 		close(w.granted)
 	}
-	if len(s.waiting) > 0 {
-		s.arm(func() {
-			q.mu.Lock()
-			defer q.mu.Unlock()
-			q.grant(s)
-		})
-	}
 }
 
-// arm calls look after recheck; one call is pending at most.
-func (s *service) arm(look func()) {
-	if s.timer == nil {
-		s.timer = time.AfterFunc(recheck, look)
+// arm looks at a service again after recheck. The lock is held.
+func (q *Queue) arm(s *service) {
+	if s.timer != nil {
+		s.timer.Reset(recheck)
 		return
 	}
-	s.timer.Reset(recheck)
+	s.timer = time.AfterFunc(recheck, func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.grant(s)
+	})
 }
 
 // headroom returns how much more than its share an entry may have at engines
--- a/internal/protocol/prefixdir/prefixdir.go
+++ b/internal/protocol/prefixdir/prefixdir.go
@@ -44,9 +44,8 @@
 
 // record is the last known reader of a part.
 type record struct {
-	engine string
-	born   int64
-	told   time.Time
+	Holding
+	told time.Time
 }
 
 // New returns an empty directory.
@@ -63,13 +62,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	held := d.get(part)
-	next := record{engine: e.ID, born: e.Born, told: held.told}
-	repeated := held.engine == e.ID && held.born == e.Born && now.Sub(held.told) < tellAgain
+	next := record{Holding: Holding{Part: part, Engine: e.ID, Born: e.Born}, told: held.told}
+	repeated := held.Holding == next.Holding && now.Sub(held.told) < tellAgain
 	if tokens >= worthTelling && !repeated && len(d.pending) < maxPending {
-		d.pending = append(d.pending, Holding{Part: part, Engine: e.ID, Born: e.Born})
+		d.pending = append(d.pending, next.Holding)
 		next.told = now
 	}
-	d.put(part, next)
+	d.put(next)
 }
 
 // Learn takes what other entries told.
@@ -78,7 +77,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, h := range holdings {
-		d.put(h.Part, record{engine: h.Engine, born: h.Born, told: now})
+		d.put(record{Holding: h, told: now})
 	}
 }
 
@@ -87,7 +86,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	held := d.get(part)
-	return Holding{Part: part, Engine: held.engine, Born: held.born}, held.engine != ""
+	return held.Holding, held.Engine != ""
 }
 
 // Drain returns what the other entries are to be told and forgets it.
@@ -106,9 +105,9 @@
 	return d.older[part]
 }
 
-func (d *Directory) put(part string, r record) {
+func (d *Directory) put(r record) {
 	if len(d.newer) >= maxHoldings/2 {
 		d.older, d.newer = d.newer, make(map[string]record)
 	}
-	d.newer[part] = r
+	d.newer[r.Part] = r
 }
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -207,14 +207,10 @@
 func (a *Agent) work() fleet.Work {
 	w := a.tracker.Own()
 	for _, engine := range a.outlier.Ejected() {
-		load := w.Engines[engine]
-		load.Ailing = 1
-		w.Engines[engine] = load
+		w.Engines[engine] = w.Engines[engine].Add(fleet.Load{Ailing: 1})
 	}
 	for _, engine := range a.outlier.Missing() {
-		load := w.Engines[engine]
-		load.Missing = 1
-		w.Engines[engine] = load
+		w.Engines[engine] = w.Engines[engine].Add(fleet.Load{Missing: 1})
 	}
 	return w
 }
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -75,6 +75,9 @@
 	engines atomic.Pointer[engineList]
 	stopped chan struct{}
 	once    sync.Once
+	// ready is the number of entries that take new work; it is counted when
+	// that may have changed, not for each update.
+	ready atomic.Uint32
 
 	mu      sync.Mutex // guards the fields below
 	entries map[*watcher]struct{}
@@ -115,9 +118,11 @@
 	wake chan struct{}
 }
 
-func (w *watcher) signal() {
+// signal puts a signal into a channel that has room for one, unless it holds
+// one; a nil channel takes none.
+func signal(wake chan<- struct{}) {
 	select {
-	case w.wake <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 }
@@ -165,6 +170,11 @@
 func (h *FleetHub) Entries() []EntryInfo {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.newest()
+}
+
+// newest returns the newest incarnation of each entry. The lock is held.
+func (h *FleetHub) newest() []EntryInfo {
 	newest := make(map[string]EntryInfo, len(h.entries))
 	for w := range h.entries {
 		info := w.info.Load()
@@ -179,6 +189,17 @@
 	return out
 }
 
+// countReady counts the entries that take new work. The lock is held.
+func (h *FleetHub) countReady() {
+	ready := uint32(0)
+	for _, info := range h.newest() {
+		if info.Ready {
+			ready++
+		}
+	}
+	h.ready.Store(ready)
+}
+
 // Loads returns the load that all entries reported, by engine.
 func (h *FleetHub) Loads() map[string]fleet.Load {
 	h.mu.Lock()
@@ -197,7 +218,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for w := range h.entries {
-		w.signal()
+		signal(w.wake)
 	}
 }
 
@@ -219,34 +240,38 @@
 			return err
 		}
 		h.take(w, report)
-		select {
-		case reports <- struct{}{}:
-		default:
-		}
+		signal(reports)
 	}
 }
 
 func (h *FleetHub) take(w *watcher, report *peerpb.EntryReport) {
 	info := EntryInfo{}
-	if held := w.info.Load(); held != nil {
+	held := w.info.Load()
+	if held != nil {
 		info = *held
 	} else {
 		info.Name, info.Incarnation = report.GetName(), report.GetIncarnation()
 		info.Address, info.Zone = report.GetAddress(), report.GetZone()
 		h.add(w, info)
 	}
-	if info.Ready != report.GetReady() {
+	readinessChanged := info.Ready != report.GetReady()
+	if readinessChanged {
 		h.options.Log.Info("entry readiness changed", "entry", info.Name, "ready", report.GetReady(), "document", report.GetDocumentVersion())
 	}
 	info.Ready = report.GetReady()
 	info.DocumentVersion = report.GetDocumentVersion()
 	w.info.Store(&info)
+	if held == nil || readinessChanged {
+		h.mu.Lock()
+		h.countReady()
+		h.mu.Unlock()
+	}
 	h.setWork(w, toWork(report.GetLoads(), report.GetWaiting()))
 	h.addHoldings(w, toHoldings(report.GetHoldings()))
 	w.wantsWork.Store(report.GetWantWork())
 	if report.GetWantDocument() {
 		w.wantsDocument.Store(true)
-		w.signal()
+		signal(w.wake)
 	}
 }
 
@@ -307,6 +332,7 @@
 	delete(h.entries, w)
 	h.sum.Remove(w.work)
 	w.work = fleet.Work{}
+	h.countReady()
 	h.mu.Unlock()
 	if info := w.info.Load(); info != nil {
 		h.options.Log.Info("entry disconnected", "entry", info.Name, "incarnation", info.Incarnation)
@@ -367,15 +393,11 @@
 		ControlAddresses: h.options.ControlAddresses(),
 		ReportMs:         uint32(h.interval().Milliseconds()),
 		Leads:            h.options.Leads(),
+		Entries:          h.ready.Load(),
 	}
 	if w.wantsDocument.Swap(false) {
 		update.Document = held.Content
 	}
-	for _, info := range h.Entries() {
-		if info.Ready {
-			update.Entries++
-		}
-	}
 	if list != nil && list != sent {
 		update.HasEngines = true
 		update.Engines = list.engines
--- a/internal/transport/peergrpc/fleethub_test.go
+++ b/internal/transport/peergrpc/fleethub_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/state/document"
+	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
 func newTestHub() *FleetHub {
@@ -73,3 +74,38 @@
 		t.Errorf("told again: %v", more)
 	}
 }
+
+// TestReadyEntriesAreCounted checks that the count kept for the updates is that
+// of the newest incarnations that take work, whoever comes, changes and goes.
+func TestReadyEntriesAreCounted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newTestHub()
+		var open []*watcher
+		for incarnation := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(open)).Draw(t, "watch")
+			switch {
+			case i == len(open):
+				open = append(open, &watcher{wake: make(chan struct{}, 1)})
+				h.take(open[i], &peerpb.EntryReport{
+					Name:        rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"),
+					Incarnation: uint64(incarnation),
+					Ready:       rapid.Bool().Draw(t, "ready"),
+				})
+			case rapid.Bool().Draw(t, "leaves"):
+				h.remove(open[i])
+				open = slices.Delete(open, i, i+1)
+			default:
+				h.take(open[i], &peerpb.EntryReport{Ready: rapid.Bool().Draw(t, "ready")})
+			}
+			ready := 0
+			for _, info := range h.Entries() {
+				if info.Ready {
+					ready++
+				}
+			}
+			if got := h.update(&watcher{}, nil, nil).GetEntries(); int(got) != ready {
+				t.Fatalf("%d entries told, %d are ready", got, ready)
+			}
+		}
+	})
+}
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -134,10 +134,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, wake := range f.wake {
-		select {
-		case wake <- struct{}{}:
-		default:
-		}
+		signal(wake)
 	}
 }
 
@@ -145,10 +142,7 @@
 func (f *FleetWatcher) WakeSource(source string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	select {
-	case f.wake[source] <- struct{}{}:
-	default:
-	}
+	signal(f.wake[source])
 }
 
 // Connected returns the number of open watches.
@@ -179,10 +173,7 @@
 	f.members[source], f.connected[source] = named, true
 	f.mu.Unlock()
 	if !same {
-		select {
-		case f.changed <- struct{}{}:
-		default:
-		}
+		signal(f.changed)
 	}
 }
 
