Log how an answer was framed and what followed its last event

Callers got broken-off answers as complete ones; the line 'request ended' could not tell an answer that ends with its connection inside an event from one between two events or from one with wrong framing. It now has last_event, until_close and unfinished_bytes. No decision changes.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -203,6 +203,11 @@
 	// promptPrefilled removes the prompt from the engine's load. It is called at
 	// the engine's first event.
 	promptPrefilled func()
+	// untilClose is set if the newest response had neither a length nor chunks.
+	untilClose bool
+	// unfinishedBytes is what the newest stream sent after its last complete
+	// event.
+	unfinishedBytes int
 	// lastWrite is when events were last written to the caller.
 	lastWrite  time.Time
 	longestGap time.Duration
@@ -360,6 +365,7 @@
 		return false, err
 	}
 	defer response.Body.Close()
+	x.untilClose = response.UntilClose
 	if response.Success && response.EventStream {
 		return x.relayStream(ctx, a, response)
 	}
@@ -444,7 +450,8 @@
 
 func (x *exchange) logOutcome(o Outcome) {
 	x.options.Log.Info("request ended", "request", x.request.ID, "route", x.request.Route.Name, "result", o.Result.String(),
-		"sends", x.sends, "runs", x.runs, "first_ms", o.TimeToFirstByte.Milliseconds(), "gap_ms", o.LongestGap.Milliseconds(), "ms", time.Since(x.started).Milliseconds(), "error", o.Err)
+		"sends", x.sends, "runs", x.runs, "first_ms", o.TimeToFirstByte.Milliseconds(), "gap_ms", o.LongestGap.Milliseconds(), "ms", time.Since(x.started).Milliseconds(),
+		"last_event", x.lastEventID, "until_close", x.untilClose, "unfinished_bytes", x.unfinishedBytes, "error", o.Err)
 }
 
 // ServerError is the error for a backend server's response without success.
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -50,6 +50,7 @@
 		readErr = stall.readError(readErr)
 		pending = append(pending, buffer[:n]...)
 		complete := completeEventsLen(pending)
+		x.unfinishedBytes = len(pending) - complete
 		if readErr == io.EOF {
 			complete = len(pending)
 		}
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -61,7 +61,10 @@
 	Success bool
 	// EventStream is true if the body is a stream of server-sent events.
 	EventStream bool
-	Status      int
+	// UntilClose is true if neither a length nor chunks frame the body, so that
+	// only the close of the connection ends it.
+	UntilClose bool
+	Status     int
 	// Header holds the headers in the Sender's own type; only the Sink reads
 	// it.
 	Header any
