Don't take an orderly close for the end of a stream

Cause: an answer may have neither a length nor chunks and end with its connection. The relay took every io.EOF for the end of the answer, passed on what stood behind the last complete event, and ended its own answer with a last chunk. A crashed engine's connections are closed in order too.

Change: the end of a body is no proof that a stream is complete. A stream that ends inside an event is broken off, whatever framed it, and so is one whose connection is closed before its first event. It is resumed where the route allows that; otherwise the caller's connection is aborted.

--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -34,6 +34,8 @@
 	// cut ends the body with errReset; silent leaves it open without further
 	// data.
 	cut, silent bool
+	// untilClose is set if only the close of the connection ends the body.
+	untilClose bool
 	// drip follows the body with single bytes that never complete an event.
 	drip bool
 	// parts follow the body one by one; closing the body early loses the rest.
@@ -136,6 +138,7 @@
 	return &exchange.Response{
 		Success:     r.status < 300,
 		EventStream: r.events,
+		UntilClose:  r.untilClose,
 		Status:      r.status,
 		Body:        &readCloser{io.MultiReader(body...), pipe},
 	}, nil
@@ -244,6 +247,43 @@
 	}
 }
 
+// TestOrderlyCloseDoesNotCompleteStream ends a stream in order where it can't be
+// complete. The caller must get complete events only, and the rest from another
+// engine if the stream may be resumed.
+func TestOrderlyCloseDoesNotCompleteStream(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for name, c := range map[string]struct {
+		reply    reply
+		received string
+		broken   bool
+	}{
+		"inside an event":                         {reply{body: first + "id: 2\nda"}, first, true},
+		"inside an event, framed":                 {reply{body: first + "id: 2"}, first, true},
+		"between the line ends of an event":       {reply{body: first + "id: 2\ndata: b\n"}, first, true},
+		"inside an event with CRLF":               {reply{body: "id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r"}, "id: 1\r\ndata: a\r\n\r\n", true},
+		"before the first event, until close":     {reply{untilClose: true}, "", true},
+		"after an event, until close":             {reply{body: first + second, untilClose: true}, first + second, false},
+		"after an event with CRLF, until close":   {reply{body: "id: 1\r\n\r\nid: 2\r\n\r\n", untilClose: true}, "id: 1\r\n\r\nid: 2\r\n\r\n", false},
+		"without an event, with length or chunks": {reply{}, "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.reply.status, c.reply.events = 200, true
+			w := newFixture(c.reply)
+			o := w.run(t, streamRequest(false, 10))
+			if (o.Result == exchange.Truncated) != c.broken || !c.broken && o.Result != exchange.Delivered || w.received.String() != c.received {
+				t.Errorf("got %v and events %q, want broken off %t and %q", o.Result, w.received.String(), c.broken, c.received)
+			}
+			if !c.broken {
+				return
+			}
+			w = newFixture(c.reply, reply{status: 200, events: true, body: first + second})
+			if o := w.run(t, streamRequest(true, 10)); o.Result != exchange.Delivered || len(w.sends) != 2 || !strings.HasSuffix(w.received.String(), second) {
+				t.Errorf("resumable: got %v after %d sends and events %q, want the rest from a second engine", o.Result, len(w.sends), w.received.String())
+			}
+		})
+	}
+}
+
 // TestSilentStreamResumesOnAnotherEngine has an engine send nothing more on an
 // open stream. The stream must resume on another engine before the caller
 // disconnects.
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -1,12 +1,10 @@
 package exchange
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -27,6 +25,8 @@
 var (
 	errCallerWrite   = errors.New("write to caller failed")
 	errEventTooLarge = errors.New("event exceeds 1 MiB")
+	// errBrokenOff means that a stream ended where it can't be complete.
+	errBrokenOff = errors.New("stream broken off")
 	// errSilent means that a server sent nothing until a stall timeout or a
 	// prefill timeout expired.
 	errSilent = errors.New("server sent nothing before the timeout")
@@ -44,17 +44,14 @@
 	stall := x.newStallGuard(response)
 	defer stall.stop()
 	var pending []byte
+	hasEvents := false
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, readErr := response.Body.Read(buffer)
 		readErr = stall.readError(readErr)
 		pending = append(pending, buffer[:n]...)
-		complete := completeEventsLen(pending)
-		x.unfinishedBytes = len(pending) - complete
-		if readErr == io.EOF {
-			complete = len(pending)
-		}
-		if complete > 0 {
+		if complete := completeEventsLen(pending); complete > 0 {
+			hasEvents = true
 			x.promptPrefilled()
 			stall.stop() // a caller that reads slowly does not stall the engine
 			if err := x.writeEvents(pending[:complete]); err != nil {
@@ -63,10 +60,14 @@
 			stall.reset()
 			pending = pending[complete:]
 		}
+		x.unfinishedBytes = len(pending)
 		switch {
 		case readErr == io.EOF:
-			x.options.Outlier.Success(a.Engine.ID)
-			return true, nil
+			readErr = checkStreamEnd(response, hasEvents, pending)
+			if readErr == nil {
+				x.options.Outlier.Success(a.Engine.ID)
+				return true, nil
+			}
 		case readErr == nil && len(pending) > maxEventBytes:
 			readErr = errEventTooLarge
 		}
@@ -77,6 +78,20 @@
 	}
 }
 
+// checkStreamEnd checks whether a stream whose body has ended in order can be
+// complete. unfinished is what followed its last complete event. The close of a
+// connection alone proves nothing: a crashed engine's connections are closed in
+// order too.
+func checkStreamEnd(response *Response, hasEvents bool, unfinished []byte) error {
+	switch {
+	case len(unfinished) > 0:
+		return fmt.Errorf("%w: its last event is unfinished after %d bytes", errBrokenOff, len(unfinished))
+	case response.UntilClose && !hasEvents:
+		return fmt.Errorf("%w: its connection was closed before the first event", errBrokenOff)
+	}
+	return nil
+}
+
 // stallGuard closes the body of a stream in which no event is completed for too
 // long, even if single bytes arrive. A nil *stallGuard is valid and never closes
 // anything.
@@ -142,55 +157,3 @@
 	}
 	return nil
 }
-
-var eventSeparator = []byte("\n\n")
-
-// completeEventsLen returns the length in bytes of the complete events at the
-// start of a buffer.
-func completeEventsLen(buffer []byte) int {
-	end := bytes.LastIndex(buffer, eventSeparator)
-	if end < 0 {
-		return 0
-	}
-	return end + len(eventSeparator)
-}
-
-// unseenEvents returns the events after the one with the ID last, and the ID
-// of the newest event. Events without a numeric ID always count as unseen.
-func unseenEvents(events []byte, last string) (unseen []byte, newest string) {
-	newest = last
-	for rest := events; len(rest) > 0; {
-		event := rest
-		if end := bytes.Index(rest, eventSeparator); end >= 0 {
-			event = rest[:end+len(eventSeparator)]
-		}
-		rest = rest[len(event):]
-		id := eventID(event)
-		if id != "" && !idAfter(id, newest) {
-			continue
-		}
-		if id != "" {
-			newest = id
-		}
-		unseen = append(unseen, event...)
-	}
-	return unseen, newest
-}
-
-// eventID returns the id field of an event, or "" if it has none.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
-		}
-	}
-	return ""
-}
-
-// idAfter reports whether event ID a is greater than b. It is true if either
-// is not a number.
-func idAfter(a, b string) bool {
-	first, errA := strconv.ParseUint(a, 10, 64)
-	second, errB := strconv.ParseUint(b, 10, 64)
-	return errA != nil || errB != nil || first > second
-}
