--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -445,7 +445,8 @@
 		x.options.Outlier.Failure(a.Engine.ID)
 	}
 	x.options.Log.Info("attempt failed", "request", x.request.ID, "route", x.request.Route.Name, "engine", a.Engine.ID,
-		"peer", a.Engine.Address, "step", step, "sends", x.sends, "runs", x.runs, "left_ms", x.remaining().Milliseconds(), "error", err)
+		"peer", a.Engine.Address, "step", step, "sends", x.sends, "runs", x.runs, "left_ms", x.remaining().Milliseconds(),
+		"shared_parts", x.request.Prompt.SharedParts(), "last_event", x.lastEventID, "error", err)
 }
 
 func (x *exchange) logOutcome(o Outcome) {
--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -77,6 +77,19 @@
 	return shared[len(shared)-1].ID, tokens
 }
 
+// SharedParts returns the IDs of the parts that other requests may have too. A
+// nil prompt has none.
+func (p *Prompt) SharedParts() []string {
+	if p == nil {
+		return nil
+	}
+	var ids []string
+	for _, part := range p.Parts[:max(0, len(p.Parts)-1)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // Unshared returns the number of tokens that an engine has to prefill if it
 // holds or fetches the shared prefix.
 func (p Prompt) Unshared() int {
