Quarantine prompt parts that crash engines

Cause: a request whose engine had ended was sent on to the next engine, and no entry learned what these requests have in common.

Change: an entry whose attempt ends without an event asks the engine's address for a connection; if that is refused, the prompt's shared parts become evidence, and a request whose answer had begun is not sent to a second engine. Each control replica judges the evidence of all entries and sends verdicts to all of them; a part in quarantine is refused as not run before it reaches an engine.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -21,6 +21,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefillqueue"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 )
@@ -39,6 +40,9 @@
 	// Prefixes records which engines hold shared prefixes of prompts. If it
 	// is nil, New creates an empty directory.
 	Prefixes *prefixdir.Directory
+	// Quarantine holds the prompt parts that no engine may get. If it is nil, New
+	// creates an empty one.
+	Quarantine *quarantine.Guard
 	// Pace counts the streams. If it is nil, New creates a counter.
 	Pace *fleet.PaceCounter
 	// Budget returns the retry budget of a service and the slack that this
@@ -63,6 +67,9 @@
 	if o.Pace == nil {
 		o.Pace = fleet.NewPaceCounter()
 	}
+	if o.Quarantine == nil {
+		o.Quarantine = quarantine.NewGuard(clock.NewRuntime())
+	}
 	if o.Notices == nil {
 		o.Notices = notice.NewBoard(clock.NewRuntime())
 	}
@@ -114,7 +121,10 @@
 func (c *Forwarder) Run(ctx context.Context, r *Request, sender Sender, sink Sink) Outcome {
 	budget, _ := c.options.Budget(r.Service.Name)
 	budget.Request()
-	x := &exchange{Forwarder: c, request: r, sender: sender, sink: sink, started: time.Now(), lastEventID: r.LastEventID}
+	x := &exchange{
+		Forwarder: c, request: r, sender: sender, sink: sink, started: time.Now(), lastEventID: r.LastEventID,
+		sharedParts: r.Prompt.SharedParts(),
+	}
 	deadlineCtx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	outcome := x.attemptUntilDone(deadlineCtx)
@@ -153,10 +163,11 @@
 	x.options.Pace.Record(x.request.Service.Name, p)
 }
 
-// retryAfter returns when a refused caller should try again. If all servers
-// asked for a pause, that is after the first of them ends.
+// retryAfter returns when a refused caller should try again: after the quarantine
+// of its prompt, or, if all servers asked for a pause, after the first of these
+// ends.
 func (x *exchange) retryAfter() time.Duration {
-	wait := baseRetryAfter
+	wait := max(baseRetryAfter, x.quarantineLeft)
 	if pause, ok := x.options.Notices.EarliestReturn(x.capableServers()); ok {
 		wait = max(wait, pause)
 	}
@@ -194,6 +205,12 @@
 	// lastEventID is the ID of the last event written to the caller.
 	lastEventID  string
 	prefillCalls int
+	// sharedParts are the IDs of the prompt's shared parts.
+	sharedParts []string
+	// crashedEngine is set if an engine ended as it began to answer.
+	crashedEngine bool
+	// quarantineLeft is how much longer a part of the prompt is in quarantine.
+	quarantineLeft time.Duration
 	// kvSource is the KV cache of the prefilled prompt while no decode engine
 	// has been asked to fetch it.
 	kvSource *KVSource
@@ -243,6 +260,10 @@
 		if x.sends > 0 && !x.mayRetry() {
 			break
 		}
+		if err := x.checkQuarantine(); err != nil {
+			last = err
+			break
+		}
 		if x.arrivedSends() > 0 && !x.spendRetry() {
 			last = errors.Join(last, errRetryBudget)
 			break
@@ -252,7 +273,7 @@
 			return Outcome{Result: Delivered, Err: err}
 		}
 		last = err
-		if errors.Is(err, errNoServer) || errors.Is(err, errCallerWrite) || errors.Is(err, errRetryBudget) {
+		if errors.Is(err, errNoServer) || errors.Is(err, errCallerWrite) || errors.Is(err, errRetryBudget) || errors.Is(err, errQuarantined) {
 			break
 		}
 	}
@@ -265,6 +286,9 @@
 // mayRetry reports whether the limits on attempts allow another send.
 func (x *exchange) mayRetry() bool {
 	limit := max(1, x.request.Route.MaxAttempts)
+	if x.crashedEngine {
+		return false
+	}
 	if x.runs > 0 && (!x.request.Route.Repeatable() || x.runs >= limit) {
 		return false
 	}
@@ -362,6 +386,7 @@
 	x.runs++
 	if err != nil {
 		x.recordFailure(ctx, a, "no answer", err)
+		x.checkCrash(ctx, a, err, false)
 		return false, err
 	}
 	defer response.Body.Close()
@@ -446,7 +471,7 @@
 	}
 	x.options.Log.Info("attempt failed", "request", x.request.ID, "route", x.request.Route.Name, "engine", a.Engine.ID,
 		"peer", a.Engine.Address, "step", step, "sends", x.sends, "runs", x.runs, "left_ms", x.remaining().Milliseconds(),
-		"shared_parts", x.request.Prompt.SharedParts(), "last_event", x.lastEventID, "error", err)
+		"shared_parts", x.sharedParts, "last_event", x.lastEventID, "error", err)
 }
 
 func (x *exchange) logOutcome(o Outcome) {
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -19,6 +19,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 )
@@ -64,10 +65,15 @@
 	status       int
 	carrier      *exchange.Forwarder
 	prefixes     *prefixdir.Directory
+	quarantine   *quarantine.Guard
+	// ended is set if failed engines have ended.
+	ended bool
+	// onPrefill is called during a prefill call, if set.
+	onPrefill func()
 }
 
 func newFixture(replies ...reply) *fixture {
-	w := &fixture{replies: replies, slack: 10, prefixes: prefixdir.New()}
+	w := &fixture{replies: replies, slack: 10, prefixes: prefixdir.New(), quarantine: quarantine.NewGuard(clock.NewRuntime())}
 	var engines []fleet.Engine
 	for i := range 3 {
 		engines = append(engines,
@@ -79,19 +85,23 @@
 	c := clock.NewRuntime()
 	budget := retry.NewWindow(c, 0.2, 10*time.Second)
 	w.carrier = exchange.New(exchange.Options{
-		View:     func() *fleet.View { return view },
-		Tracker:  fleet.NewTracker(),
-		Outlier:  outlier.NewSet(c),
-		Prefixes: w.prefixes,
-		Budget:   func(string) (*retry.Window, float64) { return budget, w.slack },
-		Random:   func(int) int { return 0 },
-		Log:      hclog.NewNullLogger(),
+		View:       func() *fleet.View { return view },
+		Tracker:    fleet.NewTracker(),
+		Outlier:    outlier.NewSet(c),
+		Prefixes:   w.prefixes,
+		Quarantine: w.quarantine,
+		Budget:     func(string) (*retry.Window, float64) { return budget, w.slack },
+		Random:     func(int) int { return 0 },
+		Log:        hclog.NewNullLogger(),
 	})
 	return w
 }
 
 func (w *fixture) Prefill(_ context.Context, a exchange.Attempt) (string, error) {
 	w.prefills = append(w.prefills, a)
+	if w.onPrefill != nil {
+		w.onPrefill()
+	}
 	if n := len(w.prefills); n <= len(w.prefillErrs) && w.prefillErrs[n-1] != nil {
 		return "", w.prefillErrs[n-1]
 	}
@@ -149,6 +159,8 @@
 	io.Closer
 }
 
+func (w *fixture) Ended(context.Context, fleet.Engine) bool { return w.ended }
+
 func (w *fixture) Release(s exchange.KVSource) { w.released = append(w.released, s.Handle) }
 
 func (w *fixture) WriteResponse(a *exchange.Response, body []byte) error {
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -48,6 +48,10 @@
 		x.release(source)
 		return false, errNoServer
 	}
+	if err := x.checkQuarantine(); err != nil {
+		x.release(source)
+		return false, err
+	}
 	a := x.newAttempt(chosen.Engine)
 	a.KVSource = source
 	x.logPlaced("decode", chosen, "prefilled", source != nil, "last_event", x.lastEventID)
@@ -115,6 +119,10 @@
 		grant.Release(0, false)
 		return nil, nil
 	}
+	if err := x.checkQuarantine(); err != nil {
+		grant.Release(0, false)
+		return nil, err
+	}
 	// Only the first call that reaches an engine costs no retry.
 	if (x.prefillCalls > 0 || x.arrivedSends() > 0) && !x.spendRetry() {
 		grant.Release(0, false)
@@ -146,6 +154,7 @@
 		err = fmt.Errorf("%w: %w", errSilent, err)
 	}
 	x.recordFailure(ctx, a, "prefill", err)
+	x.checkCrash(ctx, a, err, false)
 	return nil, errPrefillFailed
 }
 
--- a/internal/protocol/exchange/load_test.go
+++ b/internal/protocol/exchange/load_test.go
@@ -242,6 +242,8 @@
 	return &exchange.Response{Success: true, EventStream: true, Status: 200, Body: io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n"))}, nil
 }
 
+func (m *modelCall) Ended(context.Context, fleet.Engine) bool { return false }
+
 func (m *modelCall) Release(exchange.KVSource) {}
 
 func (m *modelCall) WriteResponse(*exchange.Response, []byte) error { return nil }
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -51,8 +51,11 @@
 		readErr = stall.readError(readErr)
 		pending = append(pending, buffer[:n]...)
 		if complete := completeEventsLen(pending); complete > 0 {
-			hasEvents = true
-			x.promptPrefilled()
+			if !hasEvents {
+				hasEvents = true
+				x.promptPrefilled()
+				x.options.Quarantine.Answered(x.request.Service.Name, x.sharedParts)
+			}
 			stall.stop() // a caller that reads slowly does not stall the engine
 			if err := x.writeEvents(pending[:complete]); err != nil {
 				return false, err
@@ -73,6 +76,9 @@
 		}
 		if readErr != nil {
 			x.recordFailure(ctx, a, "stream broke", readErr)
+			if !hasEvents {
+				x.checkCrash(ctx, a, readErr, true)
+			}
 			return false, readErr
 		}
 	}
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -93,6 +93,9 @@
 	// Send sends the request. The error matches ErrNotRun only if the server
 	// certainly has not run the request and will not run it.
 	Send(ctx context.Context, a Attempt) (*Response, error)
+	// Ended reports whether nothing listens at a server's address any more. It
+	// takes no longer than a connection attempt.
+	Ended(ctx context.Context, e fleet.Engine) bool
 	// Release frees a KV cache that will not be fetched. It does not block.
 	Release(s KVSource)
 }
--- /dev/null
+++ b/internal/protocol/quarantine/guard.go
@@ -0,0 +1,201 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+)
+
+// Guard holds the verdicts of all control replicas at one entry and collects the
+// evidence that the entry reports to them. It is safe for concurrent use; a
+// look-up costs one atomic load while there are no verdicts.
+type Guard struct {
+	clock clock.Clock
+	// merged is the union of the verdicts of all replicas.
+	merged atomic.Pointer[merged]
+	// lastAnswers holds, by service, the clock.Instant of the newest first event
+	// as *atomic.Int64.
+	lastAnswers sync.Map
+
+	mu sync.Mutex // guards the fields below
+	// bySource holds the verdicts by replica, and received when they arrived.
+	bySource map[string]received
+	// evidence is the newest evidence, oldest first; dropped is the number of
+	// pieces that were dropped from its front.
+	evidence []observation
+	dropped  int
+	// sent is the position up to which a replica has the evidence, counted from
+	// the first piece ever.
+	sent map[string]int
+	// reported is when an answer was last reported.
+	reported map[answerKey]clock.Instant
+}
+
+// observation is a piece of evidence and the time at which it was seen.
+type observation struct {
+	Evidence
+	at clock.Instant
+}
+
+type received struct {
+	Verdicts
+	at clock.Instant
+}
+
+// merged is immutable.
+type merged struct {
+	accused map[string]bool
+	// quarantined is until when a part is in quarantine.
+	quarantined map[string]clock.Instant
+}
+
+// NewGuard returns a guard without verdicts.
+func NewGuard(c clock.Clock) *Guard {
+	g := &Guard{clock: c, bySource: make(map[string]received), sent: make(map[string]int), reported: make(map[answerKey]clock.Instant)}
+	g.merged.Store(&merged{})
+	return g
+}
+
+// Blocked returns the first of the parts that is in quarantine and how much
+// longer it is; ok is false if there is none.
+func (g *Guard) Blocked(parts []string) (part string, left time.Duration, ok bool) {
+	held := g.merged.Load()
+	if len(held.quarantined) == 0 {
+		return "", 0, false
+	}
+	now := g.clock.Now()
+	for _, part := range parts {
+		if until, found := held.quarantined[part]; found && now < until {
+			return part, until.Sub(now), true
+		}
+	}
+	return "", 0, false
+}
+
+// Answered records that an engine of a service has sent the first event of an
+// answer to a request with the given parts.
+func (g *Guard) Answered(service string, parts []string) {
+	now := g.clock.Now()
+	last, ok := g.lastAnswers.Load(service)
+	if !ok {
+		last, _ = g.lastAnswers.LoadOrStore(service, new(atomic.Int64))
+	}
+	last.(*atomic.Int64).Store(int64(now))
+	held := g.merged.Load()
+	if len(held.accused) == 0 && len(held.quarantined) == 0 {
+		return
+	}
+	var suspects []string
+	for _, part := range parts {
+		if _, found := held.quarantined[part]; found || held.accused[part] {
+			suspects = append(suspects, part)
+		}
+	}
+	g.reportAnswer(service, suspects, now)
+}
+
+// answerKey identifies what was answered: an accused part, or without one any
+// other request of the service.
+type answerKey struct {
+	service, part string
+}
+
+// reportAnswer reports that a service answered a request with the given suspects,
+// or with none, unless that was reported within objectionInterval.
+func (g *Guard) reportAnswer(service string, suspects []string, now clock.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.reported, func(_ answerKey, at clock.Instant) bool { return now.Sub(at) >= objectionInterval })
+	if len(suspects) == 0 {
+		suspects = []string{""}
+	}
+	for _, part := range suspects {
+		key := answerKey{service: service, part: part}
+		if _, recent := g.reported[key]; recent {
+			continue
+		}
+		g.reported[key] = now
+		e := Evidence{Kind: Answered, Service: service}
+		if part != "" {
+			e.Parts = []string{part}
+		}
+		g.add(e, now)
+	}
+}
+
+// Crashed records that an engine ended while a request with the given parts was
+// waiting for its first event there; begun is set if the engine had begun to
+// answer. It has no effect unless the service answered other requests shortly
+// before.
+func (g *Guard) Crashed(e fleet.Engine, request string, parts []string, begun bool) {
+	now := g.clock.Now()
+	last, ok := g.lastAnswers.Load(e.Service)
+	if !ok || now.Sub(clock.Instant(last.(*atomic.Int64).Load())) > contrastPeriod || len(parts) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.add(Evidence{Kind: Crash, Service: e.Service, Engine: e.Incarnation(), Request: request, Begun: begun, Parts: parts}, now)
+}
+
+// add adds a piece of evidence. g.mu must be held.
+func (g *Guard) add(e Evidence, at clock.Instant) {
+	g.evidence = append(g.evidence, observation{Evidence: e, at: at})
+	if excess := len(g.evidence) - maxEvidence; excess > 0 {
+		g.evidence = slices.Delete(g.evidence, 0, excess)
+		g.dropped += excess
+	}
+}
+
+// Report returns the evidence that a replica doesn't have yet. The first report
+// over a connection has all that still counts, and the known verdicts.
+func (g *Guard) Report(source string, first bool) []Evidence {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	var out []Evidence
+	if first {
+		g.sent[source] = 0
+		for part, until := range g.merged.Load().quarantined {
+			if now < until {
+				out = append(out, Evidence{Kind: Verdict, Parts: []string{part}, Left: until.Sub(now)})
+			}
+		}
+	}
+	for _, o := range g.evidence[max(0, g.sent[source]-g.dropped):] {
+		if o.Age = now.Sub(o.at); o.Age <= evidenceRetention {
+			out = append(out, o.Evidence)
+		}
+	}
+	g.sent[source] = g.dropped + len(g.evidence)
+	return out
+}
+
+// SetVerdicts replaces the verdicts of one replica. Those of a replica that is
+// gone hold until they end.
+func (g *Guard) SetVerdicts(source string, v Verdicts) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	g.bySource[source] = received{Verdicts: v, at: now}
+	next := &merged{accused: make(map[string]bool), quarantined: make(map[string]clock.Instant)}
+	for source, held := range g.bySource {
+		if now.Sub(held.at) > Duration {
+			delete(g.bySource, source)
+			delete(g.sent, source)
+			continue
+		}
+		for _, part := range held.Accused {
+			next.accused[part] = true
+		}
+		for _, q := range held.Quarantined {
+			next.quarantined[q.Part] = max(next.quarantined[q.Part], held.at.Add(min(q.Left, Duration)))
+		}
+	}
+	g.merged.Store(next)
+}
--- /dev/null
+++ b/internal/protocol/quarantine/quarantine.go
@@ -0,0 +1,101 @@
+// Package quarantine finds parts of prompts that crash the engines which begin to
+// answer them, and keeps requests with such a part from further engines. Entries
+// report crashes and answers as evidence; control replicas judge it with a Ledger
+// and send the verdicts to all entries, each of which holds them in a Guard.
+//
+// No agreement is needed: a verdict is a hint with an end, and an entry follows
+// the verdicts of all replicas.
+package quarantine
+
+import (
+	"time"
+)
+
+const (
+	// Duration is how long a part stays in quarantine. Engines may be repaired
+	// meanwhile.
+	Duration = 10 * time.Minute
+	// crashThreshold is the number of crashes that put a part in quarantine.
+	// certainThreshold is the same for crashes with a single suspect.
+	crashThreshold   = 3
+	certainThreshold = 2
+	// accusedThreshold is the number of crashes from which entries are asked
+	// whether a part was answered. One suffices if the engine had begun to answer.
+	accusedThreshold = 2
+	// crashSpacing is the time within which several crashes count as one: they
+	// may have a common cause outside the engines.
+	crashSpacing = 100 * time.Millisecond
+	// settlePeriod is the time after a crash in which evidence of other entries
+	// may still arrive: only then is a single suspect certain.
+	settlePeriod = 300 * time.Millisecond
+	// objectionPeriod is the minimum time between an accusation and the
+	// quarantine, in which entries report that the part was answered. Reports
+	// and updates take one heartbeat each.
+	objectionPeriod = 600 * time.Millisecond
+	// evidenceRetention is how long crashes and answers count.
+	evidenceRetention = 30 * time.Second
+	// maxCrashes bounds the crashes that a Ledger keeps, and maxCrashParts the
+	// parts of each.
+	maxCrashes    = 256
+	maxCrashParts = 256
+	// maxQuarantined bounds the parts in quarantine and maxAccused those that
+	// entries are asked about.
+	maxQuarantined = 256
+	maxAccused     = 64
+	// maxEvidence bounds the evidence that a Guard keeps for its reports.
+	maxEvidence = 512
+	// contrastPeriod is the time before a crash in which the entry must have seen
+	// the service answer other requests. If it answers none, the requests are
+	// not the cause.
+	contrastPeriod = 2 * time.Second
+	// objectionInterval is the minimum time between two reports of one entry that
+	// the same part was answered.
+	objectionInterval = 200 * time.Millisecond
+)
+
+// Kind is the kind of a piece of evidence.
+type Kind uint8
+
+const (
+	// Crash means that an engine ended while a request with the parts was waiting
+	// for its first event there.
+	Crash Kind = iota + 1
+	// Answered means that an engine of the service answered a request with the
+	// parts. Without parts it answered one that has no accused part.
+	Answered
+	// Verdict means that a replica had put the parts in quarantine.
+	Verdict
+)
+
+// Evidence is what an entry has seen or knows of parts of prompts.
+type Evidence struct {
+	Kind    Kind
+	Service string
+	// Engine is the incarnation that ended, and Request the ID of the request
+	// that waited there; set for Crash.
+	Engine  string
+	Request string
+	// Begun is set for a Crash if the engine had begun to answer the request.
+	Begun bool
+	// Parts are the shared parts of the request's prompt, in order.
+	Parts []string
+	// Age is the time since the observation.
+	Age time.Duration
+	// Left is how much longer the quarantine lasts; set for Verdict.
+	Left time.Duration
+}
+
+// Quarantined is a part in quarantine.
+type Quarantined struct {
+	Part string
+	// Left is how much longer the quarantine lasts.
+	Left time.Duration
+}
+
+// Verdicts are the current results of a Ledger.
+type Verdicts struct {
+	// Accused are the parts that entries must report when they are answered.
+	Accused []string
+	// Quarantined are the parts that no engine may get.
+	Quarantined []Quarantined
+}
--- /dev/null
+++ b/internal/protocol/quarantine/quarantine_test.go
@@ -0,0 +1,345 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"pgregory.net/rapid"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+)
+
+// reportInterval is the time between two exchanges of entries and replicas.
+const reportInterval = 50 * time.Millisecond
+
+// deployment is a number of entries and two control replicas that exchange
+// evidence and verdicts in virtual time.
+type deployment struct {
+	entries  []*quarantine.Guard
+	replicas []*quarantine.Ledger
+	engines  int
+	// watched are parts whose blocking is recorded in everBlocked.
+	watched, everBlocked []string
+}
+
+func newDeployment(entries int) *deployment {
+	d := &deployment{replicas: []*quarantine.Ledger{newLedger(), newLedger()}}
+	for range entries {
+		d.entries = append(d.entries, quarantine.NewGuard(clock.NewRuntime()))
+	}
+	d.exchange(true)
+	return d
+}
+
+func newLedger() *quarantine.Ledger {
+	return quarantine.NewLedger(clock.NewRuntime(), hclog.NewNullLogger())
+}
+
+// exchange sends all reports and then all verdicts.
+func (d *deployment) exchange(first bool) {
+	for i, l := range d.replicas {
+		source := fmt.Sprint("replica-", i)
+		for _, e := range d.entries {
+			l.Record(e.Report(source, first))
+		}
+		l.Advance()
+		verdicts, _ := l.Verdicts()
+		for _, e := range d.entries {
+			e.SetVerdicts(source, verdicts)
+		}
+	}
+	d.everBlocked = append(d.everBlocked, d.blocked(d.watched...)...)
+}
+
+// wait lets time pass; sound is answered at entry 0 every reportInterval.
+func (d *deployment) wait(total time.Duration, sound ...string) {
+	for ; total > 0; total -= reportInterval {
+		time.Sleep(reportInterval)
+		if len(sound) > 0 {
+			d.entries[0].Answered("llm", sound)
+		}
+		d.exchange(false)
+	}
+}
+
+// crash ends an engine that had begun to answer the last of the given prompts
+// and had the others waiting. All are reported by different entries.
+func (d *deployment) crash(prompts ...[]string) {
+	d.engines++
+	e := fleet.Engine{ID: fmt.Sprint("e", d.engines), Service: "llm"}
+	for i, parts := range prompts {
+		d.entries[i%len(d.entries)].Crashed(e, fmt.Sprint(d.engines, "/", i), parts, i == len(prompts)-1)
+	}
+}
+
+// crashSeveral ends an engine that had begun to answer all of the given prompts.
+func (d *deployment) crashSeveral(prompts ...[]string) {
+	d.engines++
+	for i, parts := range prompts {
+		d.entries[i%len(d.entries)].Crashed(fleet.Engine{ID: fmt.Sprint("e", d.engines), Service: "llm"}, fmt.Sprint(d.engines, "/", i), parts, true)
+	}
+}
+
+// blocked returns those of the parts that any entry blocks.
+func (d *deployment) blocked(parts ...string) []string {
+	var out []string
+	for _, part := range parts {
+		if slices.ContainsFunc(d.entries, func(e *quarantine.Guard) bool { _, _, ok := e.Blocked([]string{part}); return ok }) {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
+// warm makes all entries see an answer of the service.
+func (d *deployment) warm() {
+	for _, e := range d.entries {
+		e.Answered("llm", []string{"other"})
+	}
+}
+
+// TestPartThatCrashesEnginesIsKnownToAllEntries crashes engines by one part, at
+// entries by turns. All entries must block it within 3 s of the second crash, and
+// none of the parts that it shared requests with.
+func TestPartThatCrashesEnginesIsKnownToAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(8)
+		for range 2 {
+			d.warm()
+			d.crash([]string{"system", "zz-customer", "deadly"})
+			d.wait(time.Second, "system", "other")
+		}
+		for i, e := range d.entries {
+			if _, left, ok := e.Blocked([]string{"system", "zz-customer", "deadly"}); !ok || left <= 0 {
+				t.Errorf("entry %d doesn't block the part", i)
+			}
+		}
+		if got := d.blocked("system", "zz-customer", "other"); len(got) > 0 {
+			t.Errorf("sound parts %v are blocked", got)
+		}
+	})
+}
+
+// TestPartInTheMiddleIsFound has the deeper parts differ between the requests.
+func TestPartInTheMiddleIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(3)
+		for i := range 3 {
+			d.warm()
+			d.crash([]string{"system", "deadly", fmt.Sprint("deep-", i)})
+			d.wait(time.Second, "system", "other")
+		}
+		if got := d.blocked("system", "deadly", "deep-0", "deep-1", "deep-2"); !slices.Equal(got, []string{"deadly"}) {
+			t.Errorf("blocked %v, want only the deadly part", got)
+		}
+	})
+}
+
+// TestSoundPartsAreNeverBlocked plays crashes that no prompt causes. Nothing may
+// be blocked, since the requests that happen to wait are sound.
+func TestSoundPartsAreNeverBlocked(t *testing.T) {
+	for name, play := range map[string]func(d *deployment){
+		"answered between the crashes": func(d *deployment) {
+			for range 6 {
+				d.warm()
+				d.crash([]string{"a", "b"})
+				d.wait(time.Second, "a", "b")
+			}
+		},
+		"many engines at once": func(d *deployment) {
+			d.warm()
+			for range 10 {
+				d.crash([]string{"a", "b"})
+			}
+			d.wait(3*time.Second, "other")
+		},
+		"all engines, one after another": func(d *deployment) {
+			d.warm()
+			for range 10 {
+				d.crash([]string{"a", "b"})
+				d.wait(150 * time.Millisecond)
+			}
+			d.wait(10 * time.Second)
+		},
+		"service answers nothing before": func(d *deployment) {
+			for range 10 {
+				d.crash([]string{"a", "b"})
+				d.wait(5 * time.Second)
+			}
+		},
+		"two crashes with several suspects": func(d *deployment) {
+			for range 2 {
+				d.warm()
+				d.crashSeveral([]string{"x"}, []string{"a", "b"}, []string{"y"})
+				d.wait(time.Second, "other")
+			}
+		},
+		"answered half a second after the crashes": func(d *deployment) {
+			d.warm()
+			for range 3 {
+				d.crash([]string{"a", "b"})
+				d.wait(150*time.Millisecond, "other")
+			}
+			d.wait(50*time.Millisecond, "a", "b")
+			d.wait(2*time.Second, "other")
+		},
+		"crashes far apart": func(d *deployment) {
+			for range 6 {
+				d.warm()
+				d.crash([]string{"a", "b"})
+				d.wait(31*time.Second, "other")
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment(4)
+				d.watched = []string{"a", "b", "other"}
+				play(d)
+				if len(d.everBlocked) > 0 {
+					t.Errorf("blocked %v for a time, want nothing", d.everBlocked)
+				}
+			})
+		})
+	}
+}
+
+// TestSoundPartsBesideDeadlyOneStayFree draws crashes by one part, with sound
+// requests that wait at the same engines and are answered later by others. Only
+// the deadly part may be blocked, and it must be after five crashes.
+func TestSoundPartsBesideDeadlyOneStayFree(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDeployment(4)
+			var sound []string
+			for range 5 {
+				d.warm()
+				prompts := [][]string{}
+				for range rapid.IntRange(0, 12).Draw(r, "waiting") {
+					part := fmt.Sprint("s", rapid.IntRange(0, 20).Draw(r, "sound"))
+					sound = append(sound, part)
+					prompts = append(prompts, []string{"system", part})
+				}
+				d.crash(append(prompts, []string{"system", "customer", "deadly"})...)
+				d.wait(time.Duration(rapid.IntRange(2, 20).Draw(r, "pause")) * reportInterval)
+				for _, e := range d.entries {
+					e.Answered("llm", append([]string{"system"}, sound...))
+				}
+				d.wait(300*time.Millisecond, "system", "other")
+			}
+			d.wait(time.Second, "system", "other")
+			if got := d.blocked(append(sound, "system", "customer", "other")...); len(got) > 0 {
+				r.Fatalf("sound parts %v are blocked", got)
+			}
+			if len(d.blocked("deadly")) == 0 {
+				r.Fatal("the deadly part is not blocked after five crashes")
+			}
+		})
+	})
+}
+
+// convict puts the part "deadly" in quarantine.
+func convict(t *testing.T, d *deployment) {
+	t.Helper()
+	for range 2 {
+		d.warm()
+		d.crash([]string{"system", "deadly"})
+		d.wait(time.Second, "system")
+	}
+	if len(d.blocked("deadly")) == 0 {
+		t.Fatal("the part is not blocked")
+	}
+}
+
+// TestQuarantineEnds checks that a part is free again after its time, and at once
+// if an engine answers it after all.
+func TestQuarantineEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(3)
+		convict(t, d)
+		d.wait(quarantine.Duration, "system")
+		if len(d.blocked("deadly")) > 0 {
+			t.Error("the part is still blocked after the quarantine")
+		}
+		d = newDeployment(3)
+		convict(t, d)
+		d.entries[1].Answered("llm", []string{"system", "deadly"})
+		d.wait(reportInterval)
+		if len(d.blocked("deadly")) > 0 {
+			t.Error("the part is still blocked although it was answered")
+		}
+	})
+}
+
+// TestQuarantineOutlivesControl checks that entries keep blocking while no replica
+// lives, that they tell new replicas, and these tell new entries.
+func TestQuarantineOutlivesControl(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(3)
+		convict(t, d)
+		d.replicas = nil
+		time.Sleep(5 * time.Second)
+		if len(d.blocked("deadly")) == 0 {
+			t.Error("the part is free without control")
+		}
+		d.replicas = []*quarantine.Ledger{newLedger(), newLedger()}
+		late := quarantine.NewGuard(clock.NewRuntime())
+		d.entries = append(d.entries, late)
+		d.exchange(true)
+		if _, _, ok := late.Blocked([]string{"deadly"}); !ok {
+			t.Error("an entry that starts later doesn't block the part")
+		}
+	})
+}
+
+// TestReleasedPartIsNotAdopted has an entry that missed a release report the old
+// verdict again.
+func TestReleasedPartIsNotAdopted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(3)
+		convict(t, d)
+		stale := d.entries[2]
+		d.entries = d.entries[:2]
+		d.entries[0].Answered("llm", []string{"deadly"})
+		d.wait(reportInterval)
+		d.replicas[0].Record(stale.Report("replica-0", true))
+		d.wait(reportInterval)
+		if len(d.blocked("deadly")) > 0 {
+			t.Error("a stale verdict blocks the part again")
+		}
+	})
+}
+
+// TestMemoryIsBounded reports far more than a deployment could.
+func TestMemoryIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(1)
+		for i := range 3000 {
+			if i%500 == 0 {
+				d.warm()
+			}
+			d.crash([]string{"system", fmt.Sprint("p", i%1500)})
+		}
+		if got := len(d.entries[0].Report("replica-9", true)); got > 512 {
+			t.Errorf("an entry reports %d pieces of evidence, want at most 512", got)
+		}
+		for i := range 5000 {
+			d.replicas[0].Record([]quarantine.Evidence{{Kind: quarantine.Verdict, Parts: []string{fmt.Sprint("v", i)}, Left: time.Hour}})
+		}
+		verdicts, _ := d.replicas[0].Verdicts()
+		if len(verdicts.Quarantined) > 256 || len(verdicts.Accused) > 64 {
+			t.Errorf("got %d parts in quarantine and %d accused, want at most 256 and 64", len(verdicts.Quarantined), len(verdicts.Accused))
+		}
+		for _, q := range verdicts.Quarantined {
+			if q.Left > quarantine.Duration {
+				t.Fatalf("quarantine of %s lasts %v, want at most %v", q.Part, q.Left, quarantine.Duration)
+			}
+		}
+	})
+}
--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -17,6 +17,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raftstore"
 	enginefleet "github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/state/document"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
@@ -78,6 +79,7 @@
 	state   *store.Store
 	server  *peerServer
 	hub     *peergrpc.FleetHub
+	ledger  *quarantine.Ledger
 }
 
 // ErrTooFewVoters means that the group has not yet grown to its full size.
@@ -109,6 +111,7 @@
 	}
 	stopReplica := r.start(ctx)
 	s := &Seeded{options: o, replica: r, state: state, server: newPeerServer(insecure.NewCredentials())}
+	s.ledger = quarantine.NewLedger(clock.Boot{}, o.Log)
 	s.hub = peergrpc.NewFleetHub(peergrpc.HubOptions{
 		ReplicaID:        r.identity.ReplicaID,
 		Document:         state.Document,
@@ -117,7 +120,8 @@
 			_, leads := s.Authority()
 			return leads
 		},
-		Log: o.Log,
+		Quarantine: s.ledger,
+		Log:        o.Log,
 	})
 	err = s.run(ctx, serve)
 	if stopErr := stopReplica(); err == nil {
@@ -189,6 +193,7 @@
 	group.Go(func() error { return s.replica.stopServer(ctx, s.server) })
 	group.Go(func() error { return s.hub.Run(ctx) })
 	group.Go(func() error { return s.rejoin(ctx) })
+	group.Go(func() error { return s.keepVerdicts(ctx) })
 	group.Go(func() error { return serve(ctx, s) })
 	s.options.Log.Info("control started", "peer_address", s.options.PeerAddress, "document", s.state.Document().Version)
 	return group.Wait()
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -18,6 +18,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
@@ -81,6 +82,7 @@
 	pace        *fleet.PaceCounter
 	outlier     *outlier.Set
 	notices     *notice.Board
+	quarantine  *quarantine.Guard
 	watcher     *peergrpc.FleetWatcher
 	pool        *peergrpc.Pool
 
@@ -122,6 +124,7 @@
 		pace:        fleet.NewPaceCounter(),
 		outlier:     outlier.NewSet(o.Clock),
 		notices:     o.Notices,
+		quarantine:  quarantine.NewGuard(o.Clock),
 		pool:        peergrpc.NewPool(insecure.NewCredentials()),
 		roster:      fleet.NewRoster(),
 		listedAt:    time.Now(),
@@ -166,6 +169,9 @@
 // Outliers returns the set of engines that fail this entry's requests.
 func (a *Agent) Outliers() *outlier.Set { return a.outlier }
 
+// Quarantine returns the verdicts on prompt parts that crash engines.
+func (a *Agent) Quarantine() *quarantine.Guard { return a.quarantine }
+
 // Ready reports whether the entry accepts new work: it is not leaving and knows
 // routes and engines.
 func (a *Agent) Ready() bool {
@@ -194,9 +200,10 @@
 
 // report returns the next report to the control replica source. Work goes to the
 // leader, or to every replica while none is known; holdings and pace go to
-// the leader only.
-func (a *Agent) report(source string) peergrpc.Report {
-	var r peergrpc.Report
+// the leader only, evidence on prompt parts to every replica. first is set for
+// the first report of a watch.
+func (a *Agent) report(source string, first bool) peergrpc.Report {
+	r := peergrpc.Report{Evidence: a.quarantine.Report(source, first)}
 	leader := a.leader.Load()
 	r.WantWork = leader == nil || a.leaderTimedOut()
 	if r.WantWork || *leader == source {
@@ -246,6 +253,9 @@
 	a.entries.Store(int64(max(1, u.Entries)))
 	a.setOtherLoad(u)
 	a.prefixes.AddRemote(u.Holdings)
+	if u.Verdicts != nil {
+		a.quarantine.SetVerdicts(u.Source, *u.Verdicts)
+	}
 	if u.Engines != nil {
 		a.setEngines(u.Source, u.Engines)
 	}
--- a/internal/role/seededentry/agent_test.go
+++ b/internal/role/seededentry/agent_test.go
@@ -28,18 +28,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		a := newTestAgent()
 		a.tracker.AddWork("engine", fleet.Load{Streams: 1})
-		if r := a.report("follower"); engineCount(r.Work) != 1 || !r.WantWork {
+		if r := a.report("follower", false); engineCount(r.Work) != 1 || !r.WantWork {
 			t.Errorf("report before any leader = %+v, want the work of one engine and WantWork", r)
 		}
 		a.deliver(peergrpc.Update{Source: "leader", Leads: true, HasOthers: true})
-		if r := a.report("follower"); engineCount(r.Work) != 0 || r.WantWork {
+		if r := a.report("follower", false); engineCount(r.Work) != 0 || r.WantWork {
 			t.Errorf("report to a follower = %+v, want no work and no WantWork", r)
 		}
-		if r := a.report("leader"); engineCount(r.Work) != 1 || r.WantWork {
+		if r := a.report("leader", false); engineCount(r.Work) != 1 || r.WantWork {
 			t.Errorf("report to the leader = %+v, want the work of one engine and no WantWork", r)
 		}
 		time.Sleep(leaderTimeout)
-		if r := a.report("follower"); engineCount(r.Work) != 1 || !r.WantWork {
+		if r := a.report("follower", false); engineCount(r.Work) != 1 || !r.WantWork {
 			t.Errorf("report after the leader timed out = %+v, want the work of one engine and WantWork", r)
 		}
 	})
@@ -53,12 +53,12 @@
 		leaving := fleet.Engine{ID: "leaving", StartedMs: 1}
 		a.setEngines("leader", []fleet.Engine{leaving, {ID: "staying"}})
 		a.options.Notices.Post(leaving, notice.Notice{Leaving: true})
-		if got := a.report("leader").Work.Engines; len(got) != 1 || got["leaving"].LeavingEntries != 1 {
+		if got := a.report("leader", false).Work.Engines; len(got) != 1 || got["leaving"].LeavingEntries != 1 {
 			t.Errorf("got %+v, want only the leaving engine", got)
 		}
 		leaving.StartedMs++
 		a.setEngines("leader", []fleet.Engine{leaving})
-		if got := a.report("leader").Work.Engines; len(got) > 0 {
+		if got := a.report("leader", false).Work.Engines; len(got) > 0 {
 			t.Errorf("got %+v after a restart of the engine, want none", got)
 		}
 	})
@@ -101,11 +101,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		a := newTestAgent()
 		a.prefixes.RecordPrefill("part", 5000, fleet.Engine{ID: "engine"})
-		if r := a.report("follower"); len(r.Holdings) != 0 {
+		if r := a.report("follower", false); len(r.Holdings) != 0 {
 			t.Errorf("holdings reported to a follower = %v, want none", r.Holdings)
 		}
 		a.deliver(peergrpc.Update{Source: "leader", Leads: true, Holdings: []prefixdir.Holding{{Part: "other", Engine: "engine"}}})
-		if r := a.report("leader"); len(r.Holdings) != 1 {
+		if r := a.report("leader", false); len(r.Holdings) != 1 {
 			t.Errorf("holdings reported to the leader = %v, want one", r.Holdings)
 		}
 		if h, ok := a.prefixes.Holder("other"); !ok || h.Engine != "engine" {
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -164,6 +164,19 @@
 	}
 }
 
+// Refused reports whether a new connection to a server is refused: nothing
+// listens at its address. A connection that is not refused is kept for later
+// requests.
+func (p *Pool) Refused(ctx context.Context, address string) bool {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.idleTimeout = defaultIdleTimeout
+	p.put(c)
+	return false
+}
+
 func (p *Pool) popIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -16,6 +16,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/state/document"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
@@ -66,7 +67,9 @@
 	ControlAddresses func() []string
 	// Leads reports whether this replica is the leader of the group.
 	Leads func() bool
-	Log   hclog.Logger
+	// Quarantine judges what entries report on prompt parts that crash engines.
+	Quarantine *quarantine.Ledger
+	Log        hclog.Logger
 }
 
 // FleetHub serves the Fleet service of one control replica. It keeps a list of
@@ -153,12 +156,15 @@
 	h.once.Do(func() { close(h.stopped) })
 }
 
-// Run wakes the watches when a new document is applied, until ctx ends.
+// Run wakes the watches when a new document is applied or verdicts on prompt
+// parts change, until ctx ends.
 func (h *FleetHub) Run(ctx context.Context) error {
-	seen := uint64(0)
+	seen, seenVerdicts := uint64(0), uint64(0)
 	return clock.Every(ctx, documentPollInterval, func(context.Context) {
-		if version := h.options.Document().Version; version != seen {
-			seen = version
+		h.options.Quarantine.Advance()
+		version, verdicts := h.options.Document().Version, h.options.Quarantine.Generation()
+		if version != seen || verdicts != seenVerdicts {
+			seen, seenVerdicts = version, verdicts
 			h.wakeAll()
 		}
 	})
@@ -309,6 +315,7 @@
 	}
 	h.setWork(w, toWork(report.GetLoads(), report.GetWaiting()), toPace(report.GetPace()))
 	h.recordHoldings(w, toHoldings(report.GetHoldings()))
+	h.options.Quarantine.Record(toEvidence(report.GetEvidence()))
 	w.wantsWork.Store(report.GetWantWork())
 	if report.GetWantDocument() {
 		w.wantsDocument.Store(true)
@@ -422,6 +429,8 @@
 type sentState struct {
 	engines          *engineList
 	controlAddresses []string
+	// verdicts is the generation of the verdicts; zero means none.
+	verdicts uint64
 }
 
 // interval returns the time between two messages of a watch.
@@ -444,7 +453,7 @@
 // has received it.
 func (h *FleetHub) update(w *entryWatch, sent sentState) (*peerpb.FleetUpdate, sentState) {
 	held := h.options.Document()
-	next := sentState{engines: h.engines.Load(), controlAddresses: h.options.ControlAddresses()}
+	next := sentState{engines: h.engines.Load(), controlAddresses: h.options.ControlAddresses(), verdicts: sent.verdicts}
 	update := &peerpb.FleetUpdate{
 		ReplicaId:       h.options.ReplicaID,
 		DocumentVersion: held.Version,
@@ -471,6 +480,12 @@
 		update.Others, update.OthersWaiting = fromWork(h.othersWork(w))
 	}
 	update.Holdings = fromHoldings(h.unsentHoldings(w))
+	if h.options.Quarantine.Generation() != sent.verdicts {
+		verdicts, generation := h.options.Quarantine.Verdicts()
+		next.verdicts = generation
+		update.HasVerdicts = true
+		update.AccusedParts, update.QuarantinedParts = verdicts.Accused, fromQuarantined(verdicts.Quarantined)
+	}
 	return update, next
 }
 
--- a/internal/transport/peergrpc/fleethub_test.go
+++ b/internal/transport/peergrpc/fleethub_test.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"pgregory.net/rapid"
 
+	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/state/document"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
@@ -19,6 +22,7 @@
 		Document:         func() document.Document { return document.Document{} },
 		ControlAddresses: func() []string { return nil },
 		Leads:            func() bool { return true },
+		Quarantine:       quarantine.NewLedger(clock.Boot{}, hclog.NewNullLogger()),
 		Log:              hclog.NewNullLogger(),
 	})
 }
@@ -209,3 +213,20 @@
 		}
 	})
 }
+
+// TestVerdictsReachEntriesOnce checks that evidence of one entry changes what the
+// next update of another one says, and that updates repeat nothing.
+func TestVerdictsReachEntriesOnce(t *testing.T) {
+	h := newTestHub()
+	reporter, other := &entryWatch{wake: make(chan struct{}, 1)}, &entryWatch{wake: make(chan struct{}, 1)}
+	evidence := []quarantine.Evidence{{Kind: quarantine.Verdict, Parts: []string{"deadly"}, Left: time.Minute}}
+	h.handleReport(reporter, fromReport(Report{EntryInfo: EntryInfo{Name: "reporter"}, Evidence: evidence}))
+	update, sent := h.update(other, sentState{})
+	verdicts := toVerdicts(update)
+	if verdicts == nil || len(verdicts.Quarantined) != 1 || verdicts.Quarantined[0].Part != "deadly" || verdicts.Quarantined[0].Left > time.Minute {
+		t.Fatalf("first update: got verdicts %+v, want the part", verdicts)
+	}
+	if update, _ := h.update(other, sent); update.GetHasVerdicts() {
+		t.Error("second update repeats the verdicts")
+	}
+}
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -14,6 +14,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
@@ -35,6 +36,8 @@
 	Holdings []prefixdir.Holding
 	// Pace counts the entry's recent streams by service.
 	Pace map[string]fleet.Pace
+	// Evidence is what the entry has seen of prompt parts that may crash engines.
+	Evidence []quarantine.Evidence
 }
 
 // Update is a control replica's message to an entry.
@@ -58,6 +61,9 @@
 	// Leads is set if the replica is the leader, which has the newest load
 	// figures.
 	Leads bool
+	// Verdicts are the replica's verdicts on prompt parts, or nil if they did not
+	// change since the last update.
+	Verdicts *quarantine.Verdicts
 	// ReportAfter is how long after the last report the replica expects the next
 	// one.
 	ReportAfter time.Duration
@@ -69,8 +75,8 @@
 	// Seeds returns the peer addresses of control processes to connect to first.
 	Seeds func() []string
 	// Report returns the entry's current report for the replica at a peer
-	// address.
-	Report func(source string) Report
+	// address; first is set for the first one of a watch.
+	Report func(source string, first bool) Report
 	// Deliver handles an update. It is called concurrently.
 	Deliver func(Update)
 	Log     hclog.Logger
@@ -269,9 +275,9 @@
 func (f *FleetWatcher) sendReports(ctx context.Context, stream reportStream, address string, wake <-chan struct{}, interval *atomic.Int64) {
 	heartbeat := time.NewTimer(fleetHeartbeat)
 	defer heartbeat.Stop()
-	for {
+	for first := true; ; first = false {
 		heartbeat.Reset(time.Duration(interval.Load()))
-		if err := stream.Send(fromReport(f.options.Report(address))); err != nil {
+		if err := stream.Send(fromReport(f.options.Report(address, first))); err != nil {
 			return // Recv returns the reason.
 		}
 		select {
@@ -297,6 +303,7 @@
 	out.Loads, out.Waiting = fromWork(r.Work)
 	out.Holdings = fromHoldings(r.Holdings)
 	out.Pace = fromPace(r.Pace)
+	out.Evidence = fromEvidence(r.Evidence)
 	return out
 }
 
@@ -315,6 +322,7 @@
 		ReportAfter:     max(minLoadInterval, time.Duration(m.GetReportMs())*time.Millisecond),
 		Others:          toWork(m.GetOthers(), m.GetOthersWaiting()),
 		Holdings:        toHoldings(m.GetHoldings()),
+		Verdicts:        toVerdicts(m),
 	}
 	if m.GetHasEngines() {
 		out.Engines = make([]fleet.Engine, 0, len(m.GetEngines()))
--- /dev/null
+++ b/internal/transport/peergrpc/verdicts.go
@@ -0,0 +1,73 @@
+package peergrpc
+
+import (
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
+)
+
+func fromEvidence(evidence []quarantine.Evidence) []*peerpb.PartEvidence {
+	out := make([]*peerpb.PartEvidence, 0, len(evidence))
+	for _, e := range evidence {
+		out = append(out, &peerpb.PartEvidence{
+			Kind:    uint32(e.Kind),
+			Service: e.Service,
+			Engine:  e.Engine,
+			Request: e.Request,
+			Begun:   e.Begun,
+			Parts:   e.Parts,
+			AgeMs:   toMillis(e.Age),
+			LeftMs:  toMillis(e.Left),
+		})
+	}
+	return out
+}
+
+func toEvidence(evidence []*peerpb.PartEvidence) []quarantine.Evidence {
+	out := make([]quarantine.Evidence, 0, len(evidence))
+	for _, e := range evidence {
+		out = append(out, quarantine.Evidence{
+			Kind:    quarantine.Kind(e.GetKind()),
+			Service: e.GetService(),
+			Engine:  e.GetEngine(),
+			Request: e.GetRequest(),
+			Begun:   e.GetBegun(),
+			Parts:   e.GetParts(),
+			Age:     fromMillis(e.GetAgeMs()),
+			Left:    fromMillis(e.GetLeftMs()),
+		})
+	}
+	return out
+}
+
+func fromQuarantined(parts []quarantine.Quarantined) []*peerpb.QuarantinedPart {
+	out := make([]*peerpb.QuarantinedPart, 0, len(parts))
+	for _, q := range parts {
+		out = append(out, &peerpb.QuarantinedPart{Part: q.Part, LeftMs: toMillis(q.Left)})
+	}
+	return out
+}
+
+// toVerdicts returns the verdicts of an update, or nil if it has none.
+func toVerdicts(m *peerpb.FleetUpdate) *quarantine.Verdicts {
+	if !m.GetHasVerdicts() {
+		return nil
+	}
+	out := &quarantine.Verdicts{Accused: m.GetAccusedParts()}
+	for _, q := range m.GetQuarantinedParts() {
+		out.Quarantined = append(out.Quarantined, quarantine.Quarantined{Part: q.GetPart(), Left: fromMillis(q.GetLeftMs())})
+	}
+	return out
+}
+
+func toMillis(d time.Duration) uint64 {
+	return uint64(max(0, d.Milliseconds()))
+}
+
+// maxMillis bounds durations from other processes, so that they can't overflow.
+const maxMillis = uint64(time.Duration(1<<62) / time.Millisecond)
+
+func fromMillis(ms uint64) time.Duration {
+	return time.Duration(min(ms, maxMillis)) * time.Millisecond
+}
