Let operators see and release prompt parts in quarantine

A wrongly found part would have stayed for ten minutes with no way to free it, and callers could not tell its refusals from others.

--- a/internal/protocol/exchange/crash.go
+++ b/internal/protocol/exchange/crash.go
@@ -6,18 +6,18 @@
 	"fmt"
 )
 
-// errQuarantined means that a part of the prompt is in quarantine, because it
+// ErrQuarantined means that a part of the prompt is in quarantine, because it
 // crashed engines.
-var errQuarantined = errors.New("prompt part in quarantine")
+var ErrQuarantined = errors.New("prompt part in quarantine")
 
-// checkQuarantine returns errQuarantined if no engine may get the prompt.
+// checkQuarantine returns ErrQuarantined if no engine may get the prompt.
 func (x *exchange) checkQuarantine() error {
 	part, left, blocked := x.options.Quarantine.Blocked(x.sharedParts)
 	if !blocked {
 		return nil
 	}
 	x.quarantineLeft = left
-	return fmt.Errorf("%w: %s, for %v more", errQuarantined, part, left)
+	return fmt.Errorf("%w: %s, for %v more", ErrQuarantined, part, left)
 }
 
 // checkCrash handles an attempt that ended without an event of the stream. If its
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -273,7 +273,7 @@
 			return Outcome{Result: Delivered, Err: err}
 		}
 		last = err
-		if errors.Is(err, errNoServer) || errors.Is(err, errCallerWrite) || errors.Is(err, errRetryBudget) || errors.Is(err, errQuarantined) {
+		if errors.Is(err, errNoServer) || errors.Is(err, errCallerWrite) || errors.Is(err, errRetryBudget) || errors.Is(err, ErrQuarantined) {
 			break
 		}
 	}
--- a/internal/protocol/quarantine/ledger.go
+++ b/internal/protocol/quarantine/ledger.go
@@ -176,7 +176,22 @@
 	}
 	l.quarantined[part] = until
 	l.generation++
-	l.log.Info("prompt part in quarantine", "part", part, "source", "another replica", "left", until.Sub(l.clock.Now()))
+	l.log.Info("prompt part in quarantine", "part", part, "source", "an entry or the file", "left", until.Sub(l.clock.Now()))
+}
+
+// Release ends the quarantine of a part by an operator's decision and reports
+// whether it was in quarantine. Crashes so far no longer count against it.
+func (l *Ledger) Release(part string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.quarantined[part]; !ok {
+		return false
+	}
+	delete(l.quarantined, part)
+	l.answered[part] = l.clock.Now()
+	l.generation++
+	l.log.Warn("prompt part released from quarantine", "part", part, "reason", "an operator released it")
+	return true
 }
 
 // Advance judges the evidence again, since time has passed.
--- a/internal/role/controlrole/verdicts.go
+++ b/internal/role/controlrole/verdicts.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"net/http"
 	"slices"
 	"time"
 
@@ -67,6 +68,43 @@
 	})
 }
 
+// QuarantineAdmin serves the list of prompt parts in quarantine to operators and
+// lets them release one. Ledger returns nil while the replica is not open.
+type QuarantineAdmin struct {
+	Ledger func() *quarantine.Ledger
+}
+
+// Register adds the endpoints to mux.
+func (a *QuarantineAdmin) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/quarantine", a.list)
+	mux.HandleFunc("DELETE /v1/quarantine/{part}", a.release)
+}
+
+func (a *QuarantineAdmin) list(w http.ResponseWriter, _ *http.Request) {
+	ledger := a.Ledger()
+	if ledger == nil {
+		http.Error(w, "the replica is not open", http.StatusServiceUnavailable)
+		return
+	}
+	verdicts, _ := ledger.Verdicts()
+	for _, q := range verdicts.Quarantined {
+		_, _ = fmt.Fprintf(w, "%s %s\n", q.Part, q.Left.Round(time.Second))
+	}
+}
+
+func (a *QuarantineAdmin) release(w http.ResponseWriter, r *http.Request) {
+	ledger := a.Ledger()
+	switch {
+	case ledger == nil:
+		http.Error(w, "the replica is not open", http.StatusServiceUnavailable)
+	case !ledger.Release(r.PathValue("part")):
+		http.Error(w, "the part is not in quarantine", http.StatusNotFound)
+	}
+}
+
+// Quarantine returns the ledger of prompt parts.
+func (s *Seeded) Quarantine() *quarantine.Ledger { return s.ledger }
+
 // partsOf returns the parts in quarantine, sorted.
 func partsOf(l *quarantine.Ledger) []string {
 	verdicts, _ := l.Verdicts()
--- a/internal/role/controlrole/verdicts_test.go
+++ b/internal/role/controlrole/verdicts_test.go
@@ -1,6 +1,8 @@
 package controlrole
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"testing"
@@ -51,3 +53,31 @@
 		t.Errorf("damaged file: got %v, error %v, want an error", restored, err)
 	}
 }
+
+// TestOperatorReleasesPart lists a part in quarantine and releases it. An entry
+// that still has the old verdict must not bring it back.
+func TestOperatorReleasesPart(t *testing.T) {
+	ledger := quarantine.NewLedger(clock.Boot{}, hclog.NewNullLogger())
+	verdict := []quarantine.Evidence{{Kind: quarantine.Verdict, Parts: []string{"deadly"}, Left: time.Minute}}
+	ledger.Record(verdict)
+	mux := http.NewServeMux()
+	(&QuarantineAdmin{Ledger: func() *quarantine.Ledger { return ledger }}).Register(mux)
+	call := func(method, target string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		mux.ServeHTTP(w, httptest.NewRequest(method, target, nil))
+		return w
+	}
+	if got := call(http.MethodGet, "/v1/quarantine").Body.String(); got != "deadly 1m0s\n" {
+		t.Errorf("got list %q", got)
+	}
+	if got := call(http.MethodDelete, "/v1/quarantine/deadly").Code; got != http.StatusOK {
+		t.Errorf("release: got status %d, want 200", got)
+	}
+	ledger.Record(verdict)
+	if got := call(http.MethodGet, "/v1/quarantine").Body.String(); got != "" {
+		t.Errorf("after the release: got list %q, want none", got)
+	}
+	if got := call(http.MethodDelete, "/v1/quarantine/deadly").Code; got != http.StatusNotFound {
+		t.Errorf("second release: got status %d, want 404", got)
+	}
+}
