--- a/internal/protocol/quarantine/ledger.go
+++ b/internal/protocol/quarantine/ledger.go
@@ -32,6 +32,10 @@
 	quarantined map[string]clock.Instant
 	// generation counts the changes of the verdicts.
 	generation uint64
+	// unjudged is set if there is evidence that judge has not seen, and judged is
+	// when it last ran.
+	unjudged bool
+	judged   clock.Instant
 }
 
 // crash is the end of one incarnation of an engine.
@@ -66,7 +70,8 @@
 	}
 }
 
-// Record adds evidence. Repeated evidence changes nothing.
+// Record adds evidence for the next call of Advance. Repeated evidence changes
+// nothing.
 func (l *Ledger) Record(evidence []Evidence) {
 	if len(evidence) == 0 {
 		return
@@ -87,7 +92,7 @@
 			}
 		}
 	}
-	l.judge(now)
+	l.unjudged = true
 }
 
 func (l *Ledger) recordCrash(e Evidence, at clock.Instant) {
@@ -194,12 +199,15 @@
 	return true
 }
 
-// Advance judges the evidence again, since time has passed.
+// Advance judges new evidence. While parts are accused, and once in
+// expiryInterval, it judges the known evidence again, since time has passed.
 func (l *Ledger) Advance() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.crashes) > 0 || len(l.quarantined) > 0 {
-		l.judge(l.clock.Now())
+	now := l.clock.Now()
+	if l.unjudged || len(l.accused) > 0 || now.Sub(l.judged) >= expiryInterval {
+		l.unjudged, l.judged = false, now
+		l.judge(now)
 	}
 }
 
--- a/internal/protocol/quarantine/quarantine.go
+++ b/internal/protocol/quarantine/quarantine.go
@@ -34,6 +34,8 @@
 	objectionPeriod = 600 * time.Millisecond
 	// evidenceRetention is how long crashes and answers count.
 	evidenceRetention = 30 * time.Second
+	// expiryInterval is the maximum time between two checks for what has expired.
+	expiryInterval = time.Second
 	// maxCrashes bounds the crashes that a Ledger keeps, and maxCrashParts the
 	// parts of each.
 	maxCrashes    = 256
--- a/internal/transport/httpconn/pool_test.go
+++ b/internal/transport/httpconn/pool_test.go
@@ -199,3 +199,25 @@
 		t.Error("connection still open 1 s after the context ended")
 	}
 }
+
+// TestRefusedTellsEndedServers asks for servers that listen, that have ended and
+// that the time does not suffice for. The connection to the first must be kept.
+func TestRefusedTellsEndedServers(t *testing.T) {
+	s := startServer(t, respondOK)
+	p := newPool()
+	if p.Refused(t.Context(), s.Addr().String()) {
+		t.Error("a server that listens counts as ended")
+	}
+	if _, err := post(t, t.Context(), p, s); err != nil || s.conns.Load() != 1 {
+		t.Errorf("got %d connections, error %v, want the one of the question", s.conns.Load(), err)
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if p.Refused(ended, s.Addr().String()) {
+		t.Error("without time a server counts as ended")
+	}
+	_ = s.Close()
+	if !p.Refused(t.Context(), s.Addr().String()) {
+		t.Error("a server that has ended does not count as ended")
+	}
+}
