Weigh the suspects of a crash before a prompt part is blamed

Cause: every request that waited at a crashed engine counted alike. And a part needed no more crashes if others followed it in the prompts.

Change: the requests that an engine had begun to answer share the weight of its crash; without any, those that waited share a third of it. A part that is the last shared one of its suspects needs a weight of 2, another one 3; of several, the deepest is taken. Evidence counts for two minutes instead of 30 s, and the service must have answered others in the last 10 s instead of 2, so that rare crashes and small fleets count too.

--- a/internal/protocol/quarantine/guard.go
+++ b/internal/protocol/quarantine/guard.go
@@ -177,7 +177,7 @@
 }
 
 // SetVerdicts replaces the verdicts of one replica. Those of a replica that is
-// gone hold until they end.
+// gone hold until they end; its accusations only as long as evidence counts.
 func (g *Guard) SetVerdicts(source string, v Verdicts) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -191,7 +191,9 @@
 			continue
 		}
 		for _, part := range held.Accused {
-			next.accused[part] = true
+			if now.Sub(held.at) <= evidenceRetention {
+				next.accused[part] = true
+			}
 		}
 		for _, q := range held.Quarantined {
 			next.quarantined[q.Part] = max(next.quarantined[q.Part], held.at.Add(min(q.Left, Duration)))
--- a/internal/protocol/quarantine/ledger.go
+++ b/internal/protocol/quarantine/ledger.go
@@ -42,19 +42,52 @@
 type crash struct {
 	service string
 	at      clock.Instant
-	// begun holds the IDs of the requests that the engine had begun to answer.
-	begun map[string]struct{}
-	// begunParts holds the parts of those requests.
-	begunParts map[string]struct{}
-	// depths holds the parts of the requests that waited for their first event,
-	// with the part's position in its prompt.
-	depths map[string]int
+	// requests holds those that waited for their first event, by ID.
+	requests map[string]suspect
 }
 
-// certain reports whether a single request is the suspect and no further
-// evidence is expected.
-func (c *crash) certain(now clock.Instant) bool {
-	return len(c.begun) == 1 && now.Sub(c.at) >= settlePeriod
+// suspect is a request that may have ended an engine.
+type suspect struct {
+	// begun is set if the engine had begun to answer.
+	begun bool
+	parts []string
+}
+
+// weight is how much the crash speaks for a part: for one that all suspects share
+// as much as a crash can.
+type weight struct {
+	// total counts all suspects with the part, and deepest those of which it is the
+	// last shared part.
+	total, deepest float64
+	// depth is the largest position of the part in a suspect's prompt.
+	depth int
+	// begun is set if the engine had begun to answer the suspects.
+	begun bool
+}
+
+// weights returns the weight for each part of the suspects: the requests that the
+// engine had begun to answer or, without any, those that waited.
+func (c *crash) weights() map[string]weight {
+	suspects, unit := slices.Collect(maps.Values(c.requests)), waitingWeight
+	begun := slices.DeleteFunc(slices.Clone(suspects), func(s suspect) bool { return !s.begun })
+	if len(begun) > 0 {
+		suspects, unit = begun, 1
+	}
+	unit /= float64(len(suspects))
+	out := make(map[string]weight)
+	for _, s := range suspects {
+		for depth, part := range s.parts {
+			w := out[part]
+			w.begun = s.begun
+			w.total += unit
+			if depth == len(s.parts)-1 {
+				w.deepest += unit
+			}
+			w.depth = max(w.depth, depth)
+			out[part] = w
+		}
+	}
+	return out
 }
 
 // NewLedger returns a ledger without evidence.
@@ -101,21 +134,12 @@
 		if len(l.crashes) >= maxCrashes {
 			l.dropOldestCrash()
 		}
-		held = &crash{service: e.Service, at: at, begun: make(map[string]struct{}), begunParts: make(map[string]struct{}), depths: make(map[string]int)}
+		held = &crash{service: e.Service, at: at, requests: make(map[string]suspect)}
 		l.crashes[e.Engine] = held
 	}
 	held.at = min(held.at, at)
-	if e.Begun && len(held.begun) < maxCrashParts {
-		held.begun[e.Request] = struct{}{}
-	}
-	for depth, part := range e.Parts {
-		if len(held.depths) >= maxCrashParts {
-			return
-		}
-		held.depths[part] = max(held.depths[part], depth)
-		if e.Begun {
-			held.begunParts[part] = struct{}{}
-		}
+	if len(held.requests) < maxSuspects {
+		held.requests[e.Request] = suspect{begun: e.Begun, parts: e.Parts}
 	}
 }
 
@@ -158,11 +182,13 @@
 	return false
 }
 
-// suspected reports whether a part occurs in a crash.
+// suspected reports whether a suspect of a crash that still counts has the part.
 func (l *Ledger) suspected(part string) bool {
 	for _, c := range l.crashes {
-		if _, ok := c.depths[part]; ok {
-			return true
+		for _, s := range c.requests {
+			if slices.Contains(s.parts, part) {
+				return true
+			}
 		}
 	}
 	return false
@@ -212,21 +238,20 @@
 }
 
 // judge drops what has expired, updates the accused parts and puts parts in
-// quarantine. Of several parts that explain the same crashes it takes the one
-// deepest in the prompt: fewer requests share that one.
+// quarantine, one at a time: crashes that it explains no longer count for others.
 func (l *Ledger) judge(now clock.Instant) {
 	l.expire(now)
 	for {
-		counts := l.counts(now)
-		l.accuse(counts, now)
-		part, ok := l.mostCrashes(counts, now)
+		charges := l.charges(now)
+		l.accuse(charges, now)
+		part, ok := l.nextCulprit(charges, now)
 		if !ok {
 			return
 		}
 		l.quarantined[part] = now.Add(Duration)
 		delete(l.accused, part)
 		l.generation++
-		l.log.Warn("prompt part in quarantine", "part", part, "crashes", counts[part].crashes, "accused", len(l.accused), "left", Duration)
+		l.log.Warn("prompt part in quarantine", "part", part, "crashes", charges[part].crashes, "weight", charges[part].weight, "accused", len(l.accused), "left", Duration)
 	}
 }
 
@@ -246,61 +271,65 @@
 	})
 }
 
-// count is how many separate crashes a part explains.
-type count struct {
-	crashes int
-	// certain counts the crashes for which a request with the part is the only
-	// suspect, and begun is set if an engine had begun to answer one.
-	certain int
+// charge is what separate crashes together say of a part.
+type charge struct {
+	weight, deepest float64
+	crashes         int
+	// begun is set if an engine had begun to answer a request with the part.
 	begun   bool
 	depth   int
 	newest  clock.Instant
 	service string
 }
 
-// accused reports whether entries are asked about the part.
-func (c count) accused() bool {
-	return c.begun || c.crashes >= accusedThreshold
+// accuses reports whether entries are asked about the part.
+func (c charge) accuses() bool {
+	return c.begun || c.weight >= accusedWeight
 }
 
-// convicting reports whether the crashes suffice for a quarantine.
-func (c count) convicting() bool {
-	return c.crashes >= crashThreshold || c.certain >= certainThreshold
+// convicts reports whether the crashes suffice for a quarantine.
+func (c charge) convicts() bool {
+	// The sums of thirds fall short of a whole number by rounding.
+	const rounding = 1e-9
+	return c.deepest >= deepThreshold-rounding || c.weight >= shallowThreshold-rounding
 }
 
-// counts returns, by part, the crashes since the part was last answered that no
-// part in quarantine explains.
-func (l *Ledger) counts(now clock.Instant) map[string]count {
+// add returns the charge with a further crash. The crash has no weight while
+// evidence may still arrive, nor shortly after another one.
+func (c charge) add(k *crash, w weight, now clock.Instant) charge {
+	c.service, c.depth = k.service, max(c.depth, w.depth)
+	c.begun = c.begun || w.begun
+	if now.Sub(k.at) < settlePeriod || c.crashes > 0 && k.at.Sub(c.newest) < crashSpacing {
+		return c
+	}
+	c.crashes, c.newest = c.crashes+1, k.at
+	c.weight += w.total
+	c.deepest += w.deepest
+	return c
+}
+
+// charges returns, by part, what the crashes say that no part in quarantine
+// explains and after which the part was not answered.
+func (l *Ledger) charges(now clock.Instant) map[string]charge {
 	ordered := slices.SortedFunc(maps.Values(l.crashes), func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
-	out := make(map[string]count)
+	out := make(map[string]charge)
 	for _, c := range ordered {
-		if l.explained(c) {
+		weights := c.weights()
+		if l.explains(weights) {
 			continue
 		}
-		for part, depth := range c.depths {
-			if answered, ok := l.answered[part]; ok && c.at <= answered {
-				continue
-			}
-			held, known := out[part]
-			if !known || c.at.Sub(held.newest) >= crashSpacing {
-				held.crashes, held.newest = held.crashes+1, c.at
-				if _, begun := c.begunParts[part]; begun && c.certain(now) {
-					held.certain++
-				}
-			}
-			if _, begun := c.begunParts[part]; begun {
-				held.begun = true
+		for part, w := range weights {
+			if answered, ok := l.answered[part]; !ok || c.at > answered {
+				out[part] = out[part].add(c, w, now)
 			}
-			held.depth, held.service = max(held.depth, depth), c.service
-			out[part] = held
 		}
 	}
 	return out
 }
 
-// explained reports whether a crash has a part that is in quarantine.
-func (l *Ledger) explained(c *crash) bool {
-	for part := range c.depths {
+// explains reports whether one of the suspected parts is in quarantine.
+func (l *Ledger) explains(weights map[string]weight) bool {
+	for part := range weights {
 		if _, ok := l.quarantined[part]; ok {
 			return true
 		}
@@ -308,45 +337,46 @@
 	return false
 }
 
-// accuse replaces the accused parts by those with enough crashes.
-func (l *Ledger) accuse(counts map[string]count, now clock.Instant) {
+// accuse replaces the accused parts by those that are charged enough.
+func (l *Ledger) accuse(charges map[string]charge, now clock.Instant) {
 	for part := range l.accused {
-		if !counts[part].accused() {
+		if !charges[part].accuses() {
 			delete(l.accused, part)
 			l.generation++
 		}
 	}
-	for part, c := range counts {
-		if _, ok := l.accused[part]; !ok && c.accused() && len(l.accused) < maxAccused {
+	for part, c := range charges {
+		if _, ok := l.accused[part]; !ok && c.accuses() && len(l.accused) < maxAccused {
 			l.accused[part] = now
 			l.generation++
 		}
 	}
 }
 
-// mostCrashes returns the part to put in quarantine next: one with enough
-// crashes, to which no entry has objected in time although its service answered
+// nextCulprit returns the part to put in quarantine next: one that is charged
+// enough, to which no entry has objected in time although its service answered
 // other requests meanwhile.
-func (l *Ledger) mostCrashes(counts map[string]count, now clock.Instant) (best string, ok bool) {
+func (l *Ledger) nextCulprit(charges map[string]charge, now clock.Instant) (best string, ok bool) {
 	if len(l.quarantined) >= maxQuarantined {
 		return "", false
 	}
 	for part, since := range l.accused {
-		c := counts[part]
-		if !c.convicting() || now.Sub(since) < objectionPeriod || l.answers[c.service] < since {
+		c := charges[part]
+		if !c.convicts() || now.Sub(since) < objectionPeriod || l.answers[c.service] < since {
 			continue
 		}
-		if !ok || c.exceeds(counts[best], part, best) {
+		if !ok || c.precedes(charges[best], part, best) {
 			best, ok = part, true
 		}
 	}
 	return best, ok
 }
 
-// exceeds reports whether a part with this count is more likely the cause than
-// another one.
-func (c count) exceeds(other count, part, otherPart string) bool {
-	return cmp.Or(cmp.Compare(c.crashes, other.crashes), cmp.Compare(c.depth, other.depth), strings.Compare(part, otherPart)) > 0
+// precedes reports whether a part with this charge is taken before another one:
+// fewer requests share a deeper part, and if that is not the cause, further
+// crashes count for the other one.
+func (c charge) precedes(other charge, part, otherPart string) bool {
+	return cmp.Or(cmp.Compare(c.depth, other.depth), cmp.Compare(c.weight, other.weight), strings.Compare(part, otherPart)) > 0
 }
 
 // Generation changes whenever the verdicts do.
--- a/internal/protocol/quarantine/quarantine.go
+++ b/internal/protocol/quarantine/quarantine.go
@@ -15,31 +15,36 @@
 	// Duration is how long a part stays in quarantine. Engines may be repaired
 	// meanwhile.
 	Duration = 10 * time.Minute
-	// crashThreshold is the number of crashes that put a part in quarantine.
-	// certainThreshold is the same for crashes with a single suspect.
-	crashThreshold   = 3
-	certainThreshold = 2
-	// accusedThreshold is the number of crashes from which entries are asked
-	// whether a part was answered. One suffices if the engine had begun to answer.
-	accusedThreshold = 2
+	// deepThreshold is the weight of crashes that puts a part in quarantine that was
+	// the last shared one of the suspects' prompts. shallowThreshold is the same for
+	// other parts: more requests share these, and a deeper part may be the cause.
+	deepThreshold    = 2.0
+	shallowThreshold = 3.0
+	// waitingWeight is the weight of a crash without a request that the engine had
+	// begun to answer. Sound requests wait at any engine that crashes, whereas few
+	// are caught between headers and first event.
+	waitingWeight = 1.0 / 3
+	// accusedWeight is the weight of crashes from which entries are asked whether a
+	// part was answered.
+	accusedWeight = 0.5
 	// crashSpacing is the time within which several crashes count as one: they
 	// may have a common cause outside the engines.
 	crashSpacing = 100 * time.Millisecond
 	// settlePeriod is the time after a crash in which evidence of other entries
-	// may still arrive: only then is a single suspect certain.
+	// may still arrive. Only then is it known how many suspects there are.
 	settlePeriod = 300 * time.Millisecond
 	// objectionPeriod is the minimum time between an accusation and the
 	// quarantine, in which entries report that the part was answered. Reports
 	// and updates take one heartbeat each.
 	objectionPeriod = 600 * time.Millisecond
 	// evidenceRetention is how long crashes and answers count.
-	evidenceRetention = 30 * time.Second
+	evidenceRetention = 2 * time.Minute
 	// expiryInterval is the maximum time between two checks for what has expired.
 	expiryInterval = time.Second
-	// maxCrashes bounds the crashes that a Ledger keeps, and maxCrashParts the
-	// parts of each.
-	maxCrashes    = 256
-	maxCrashParts = 256
+	// maxCrashes bounds the crashes that a Ledger keeps, and maxSuspects the
+	// requests of each.
+	maxCrashes  = 256
+	maxSuspects = 64
 	// maxQuarantined bounds the parts in quarantine and maxAccused those that
 	// entries are asked about.
 	maxQuarantined = 256
@@ -49,7 +54,7 @@
 	// contrastPeriod is the time before a crash in which the entry must have seen
 	// the service answer other requests. If it answers none, the requests are
 	// not the cause.
-	contrastPeriod = 2 * time.Second
+	contrastPeriod = 10 * time.Second
 	// objectionInterval is the minimum time between two reports of one entry that
 	// the same part was answered.
 	objectionInterval = 200 * time.Millisecond
