Charge the retry budget for a send after rejected prefill calls

Cause: a request whose prefill calls were all rejected goes to a decode engine with its whole prompt. That send was taken for the first arrival of its request and cost no retry, although the rejected calls had arrived before. With many engines gone at once each such request was one retry short.

TestRejectedPrefillsCountAsRetries: before, the case 'none accepted' was served with a budget of 2 for its 3 retries; the other cases are as they were.

--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -481,6 +481,40 @@
 	}
 }
 
+// TestRejectedPrefillsCountAsRetries has engines reject prefill calls. A service
+// sees every arrival of a request but the first and the first accepted prefill
+// call as a retry, so the budget must pay for as many.
+func TestRejectedPrefillsCountAsRetries(t *testing.T) {
+	whole := reply{status: 200, events: true, body: "id: 1\n\n"}
+	for name, c := range map[string]struct {
+		prefillErrs []error
+		replies     []reply
+		retries     int
+	}{
+		"first accepted":                   {nil, []reply{whole}, 0},
+		"second accepted":                  {[]error{errRejected}, []reply{whole}, 1},
+		"third accepted":                   {[]error{errRejected, errRejected}, []reply{whole}, 2},
+		"none accepted":                    {[]error{errRejected, errRejected, errRejected}, []reply{whole}, 3},
+		"accepted, decode rejected":        {nil, []reply{{err: errRejected}, whole}, 2},
+		"second accepted, decode rejected": {[]error{errRejected}, []reply{{err: errRejected}, whole}, 3},
+		"no server at the first's address": {[]error{exchange.ErrNotSent}, []reply{whole}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for slack, served := range map[int]bool{c.retries: true, c.retries - 1: false} {
+				if slack < 0 {
+					continue
+				}
+				w := newFixture(c.replies...)
+				w.slack = float64(slack) - 0.2 + 0.01 // the request itself adds a share of 0.2
+				w.prefillErrs = c.prefillErrs
+				if o := w.run(t, streamRequest(true, 5000)); (o.Result == exchange.Delivered) != served {
+					t.Errorf("with a budget of %d: got %v after %d prefill calls and %d sends, want served %t", slack, o.Result, len(w.prefills), len(w.sends), served)
+				}
+			}
+		})
+	}
+}
+
 // TestEmptyBudgetEndsTheExchange fails a prefill call while the retry budget is
 // empty. The request must end at once instead of being tried until its
 // deadline.
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -39,6 +39,10 @@
 			return false, err
 		}
 	}
+	// The rejected prefill calls have arrived, so this send is a retry.
+	if source == nil && x.prefillCalls > 0 && x.arrivedSends() == 0 && !x.spendRetry() {
+		return false, errRetryBudget
+	}
 	zone := x.options.Zone
 	if source != nil {
 		zone = source.Engine.Zone
