Quarantine: terms of the field instead of a metaphor

Ledger was the name of the memory of calls that run at most once already; the other names were those of a court. Detector, suspected parts, scores and part lists instead; files, messages and pages follow.

--- a/internal/protocol/exchange/crash_test.go
+++ b/internal/protocol/exchange/crash_test.go
@@ -27,7 +27,7 @@
 // that requests without it go on.
 func TestQuarantinedPartReachesNoEngine(t *testing.T) {
 	w := newFixture(reply{status: 200, events: true, body: "id: 1\n\n"})
-	w.quarantine.SetVerdicts("replica", quarantine.Verdicts{Quarantined: []quarantine.Quarantined{{Part: "deadly", Left: time.Minute}}})
+	w.quarantine.SetPartLists("replica", quarantine.PartLists{Quarantined: []quarantine.Quarantined{{Part: "deadly", Left: time.Minute}}})
 	r := promptRequest("system", "deadly", "customer")
 	r.Prompt.Tokens = 5000
 	o := w.run(t, r)
@@ -47,7 +47,7 @@
 	r := promptRequest("deadly")
 	r.Prompt.Tokens = 5000
 	w.onPrefill = func() {
-		w.quarantine.SetVerdicts("replica", quarantine.Verdicts{Quarantined: []quarantine.Quarantined{{Part: "deadly", Left: time.Minute}}})
+		w.quarantine.SetPartLists("replica", quarantine.PartLists{Quarantined: []quarantine.Quarantined{{Part: "deadly", Left: time.Minute}}})
 	}
 	if o := w.run(t, r); o.Result != exchange.Refused || len(w.sends) != 0 || len(w.released) != 1 {
 		t.Errorf("got %v after %d sends, released %v; want refused and the handle released", o.Result, len(w.sends), w.released)
--- /dev/null
+++ b/internal/protocol/quarantine/detector.go
@@ -0,0 +1,400 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+)
+
+// Detector collects the evidence of all entries and decides which parts are in
+// quarantine. It is safe for concurrent use.
+type Detector struct {
+	clock clock.Clock
+	log   hclog.Logger
+
+	mu sync.Mutex // guards the fields below
+	// crashes holds the engines that ended, by incarnation.
+	crashes map[string]*crash
+	// answered is when a part of a crash, or one in quarantine, was last answered.
+	answered map[string]clock.Instant
+	// answers is when a service last answered a request without suspected parts.
+	answers map[string]clock.Instant
+	// suspected is since when a part has been suspected.
+	suspected map[string]clock.Instant
+	// quarantined is until when a part is in quarantine.
+	quarantined map[string]clock.Instant
+	// generation counts the changes of the lists.
+	generation uint64
+	// pending is set if there is evidence that evaluate has not seen, and evaluatedAt is
+	// when it last ran.
+	pending     bool
+	evaluatedAt clock.Instant
+}
+
+// crash is the end of one incarnation of an engine.
+type crash struct {
+	service string
+	at      clock.Instant
+	// requests holds those that waited for their first event, by ID.
+	requests map[string]candidate
+}
+
+// candidate is a request that may have ended an engine.
+type candidate struct {
+	// begun is set if the engine had begun to answer.
+	begun bool
+	parts []string
+}
+
+// weight is how much the crash speaks for a part: for one that all candidates share
+// as much as a crash can.
+type weight struct {
+	// total counts all candidates with the part, and deepest those of which it is the
+	// last shared part.
+	total, deepest float64
+	// depth is the largest position of the part in a candidate's prompt.
+	depth int
+	// begun is set if the engine had begun to answer the candidates.
+	begun bool
+}
+
+// weights returns the weight for each part of the candidates: the requests that the
+// engine had begun to answer or, without any, those that waited.
+func (c *crash) weights() map[string]weight {
+	candidates, unit := slices.Collect(maps.Values(c.requests)), waitingWeight
+	begun := slices.DeleteFunc(slices.Clone(candidates), func(s candidate) bool { return !s.begun })
+	if len(begun) > 0 {
+		candidates, unit = begun, 1
+	}
+	unit /= float64(len(candidates))
+	out := make(map[string]weight)
+	for _, s := range candidates {
+		for depth, part := range s.parts {
+			w := out[part]
+			w.begun = s.begun
+			w.total += unit
+			if depth == len(s.parts)-1 {
+				w.deepest += unit
+			}
+			w.depth = max(w.depth, depth)
+			out[part] = w
+		}
+	}
+	return out
+}
+
+// NewDetector returns a detector without evidence.
+func NewDetector(c clock.Clock, log hclog.Logger) *Detector {
+	return &Detector{
+		clock:       c,
+		log:         log,
+		crashes:     make(map[string]*crash),
+		answered:    make(map[string]clock.Instant),
+		answers:     make(map[string]clock.Instant),
+		suspected:   make(map[string]clock.Instant),
+		quarantined: make(map[string]clock.Instant),
+	}
+}
+
+// Record adds evidence for the next call of Advance. Repeated evidence changes
+// nothing.
+func (d *Detector) Record(evidence []Evidence) {
+	if len(evidence) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	for _, e := range evidence {
+		at := now.Add(-e.Age)
+		switch e.Kind {
+		case Crash:
+			d.recordCrash(e, at)
+		case Answered:
+			d.recordAnswer(e, at)
+		case InQuarantine:
+			for _, part := range e.Parts {
+				d.adopt(part, now.Add(min(e.Left, Duration)))
+			}
+		}
+	}
+	d.pending = true
+}
+
+func (d *Detector) recordCrash(e Evidence, at clock.Instant) {
+	held := d.crashes[e.Engine]
+	if held == nil {
+		if len(d.crashes) >= maxCrashes {
+			d.dropOldestCrash()
+		}
+		held = &crash{service: e.Service, at: at, requests: make(map[string]candidate)}
+		d.crashes[e.Engine] = held
+	}
+	held.at = min(held.at, at)
+	if len(held.requests) < maxCandidates {
+		held.requests[e.Request] = candidate{begun: e.Begun, parts: e.Parts}
+	}
+}
+
+func (d *Detector) dropOldestCrash() {
+	oldest := ""
+	for engine, c := range d.crashes {
+		if oldest == "" || c.at < d.crashes[oldest].at {
+			oldest = engine
+		}
+	}
+	delete(d.crashes, oldest)
+}
+
+// recordAnswer clears parts of all crashes up to the answer and ends their
+// quarantine.
+func (d *Detector) recordAnswer(e Evidence, at clock.Instant) {
+	if len(e.Parts) == 0 && d.answers[e.Service] < at && d.knows(e.Service) {
+		d.answers[e.Service] = at
+	}
+	for _, part := range e.Parts {
+		until, quarantined := d.quarantined[part]
+		if quarantined && at >= until.Add(-Duration) {
+			delete(d.quarantined, part)
+			d.generation++
+			d.log.Warn("prompt part released from quarantine", "part", part, "reason", "an engine answered it")
+		}
+		if quarantined || d.inCrash(part) {
+			d.answered[part] = max(d.answered[part], at)
+		}
+	}
+}
+
+// knows reports whether an engine of the service ended, which bounds answers.
+func (d *Detector) knows(service string) bool {
+	for _, c := range d.crashes {
+		if c.service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// inCrash reports whether a suspect of a crash that still counts has the part.
+func (d *Detector) inCrash(part string) bool {
+	for _, c := range d.crashes {
+		for _, s := range c.requests {
+			if slices.Contains(s.parts, part) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// adopt takes over a quarantine that another replica has imposed, unless the part
+// was answered since.
+func (d *Detector) adopt(part string, until clock.Instant) {
+	if d.answered[part] != 0 && d.answered[part] >= until.Add(-Duration) {
+		return
+	}
+	held, known := d.quarantined[part]
+	// An entry reports what is left with a delay: only a clearly later end is news.
+	if known && until <= held.Add(time.Second) || !known && len(d.quarantined) >= maxQuarantined {
+		return
+	}
+	d.quarantined[part] = until
+	d.generation++
+	d.log.Info("prompt part in quarantine", "part", part, "source", "an entry or the file", "left", until.Sub(d.clock.Now()))
+}
+
+// Release ends the quarantine of a part by an operator's decision and reports
+// whether it was in quarantine. Crashes so far no longer count against it.
+func (d *Detector) Release(part string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, ok := d.quarantined[part]; !ok {
+		return false
+	}
+	delete(d.quarantined, part)
+	d.answered[part] = d.clock.Now()
+	d.generation++
+	d.log.Warn("prompt part released from quarantine", "part", part, "reason", "an operator released it")
+	return true
+}
+
+// Advance evaluates new evidence. While parts are suspected, and once in
+// expiryInterval, it evaluates the known evidence again, since time has passed.
+func (d *Detector) Advance() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	if d.pending || len(d.suspected) > 0 || now.Sub(d.evaluatedAt) >= expiryInterval {
+		d.pending, d.evaluatedAt = false, now
+		d.evaluate(now)
+	}
+}
+
+// evaluate drops what has expired, updates the suspected parts and puts parts in
+// quarantine, one at a time: crashes that it explains no longer count for others.
+func (d *Detector) evaluate(now clock.Instant) {
+	d.expire(now)
+	for {
+		scores := d.scores(now)
+		d.updateSuspected(scores, now)
+		part, ok := d.nextToQuarantine(scores, now)
+		if !ok {
+			return
+		}
+		d.quarantined[part] = now.Add(Duration)
+		delete(d.suspected, part)
+		d.generation++
+		d.log.Warn("prompt part in quarantine", "part", part, "crashes", scores[part].crashes, "weight", scores[part].weight, "suspected", len(d.suspected), "left", Duration)
+	}
+}
+
+func (d *Detector) expire(now clock.Instant) {
+	maps.DeleteFunc(d.crashes, func(_ string, c *crash) bool { return now.Sub(c.at) > evidenceRetention })
+	maps.DeleteFunc(d.answers, func(service string, _ clock.Instant) bool { return !d.knows(service) })
+	maps.DeleteFunc(d.answered, func(part string, at clock.Instant) bool {
+		return now.Sub(at) > evidenceRetention && !d.inCrash(part)
+	})
+	maps.DeleteFunc(d.quarantined, func(part string, until clock.Instant) bool {
+		expired := now >= until
+		if expired {
+			d.generation++
+			d.log.Info("prompt part released from quarantine", "part", part, "reason", "its time is over")
+		}
+		return expired
+	})
+}
+
+// score is what separate crashes together say of a part.
+type score struct {
+	weight, deepest float64
+	crashes         int
+	// begun is set if an engine had begun to answer a request with the part.
+	begun   bool
+	depth   int
+	newest  clock.Instant
+	service string
+}
+
+// isSuspected reports whether entries are asked about the part.
+func (c score) isSuspected() bool {
+	return c.begun || c.weight >= suspectedWeight
+}
+
+// suffices reports whether the crashes suffice for a quarantine.
+func (c score) suffices() bool {
+	// The sums of thirds fall short of a whole number by rounding.
+	const rounding = 1e-9
+	return c.deepest >= deepThreshold-rounding || c.weight >= shallowThreshold-rounding
+}
+
+// add returns the score with a further crash. The crash has no weight while
+// evidence may still arrive, nor shortly after another one.
+func (c score) add(k *crash, w weight, now clock.Instant) score {
+	c.service, c.depth = k.service, max(c.depth, w.depth)
+	c.begun = c.begun || w.begun
+	if now.Sub(k.at) < settlePeriod || c.crashes > 0 && k.at.Sub(c.newest) < crashSpacing {
+		return c
+	}
+	c.crashes, c.newest = c.crashes+1, k.at
+	c.weight += w.total
+	c.deepest += w.deepest
+	return c
+}
+
+// scores returns, by part, what the crashes say that no part in quarantine
+// explains and after which the part was not answered.
+func (d *Detector) scores(now clock.Instant) map[string]score {
+	ordered := slices.SortedFunc(maps.Values(d.crashes), func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
+	out := make(map[string]score)
+	for _, c := range ordered {
+		weights := c.weights()
+		if d.explains(weights) {
+			continue
+		}
+		for part, w := range weights {
+			if answered, ok := d.answered[part]; !ok || c.at > answered {
+				out[part] = out[part].add(c, w, now)
+			}
+		}
+	}
+	return out
+}
+
+// explains reports whether one of the weighed parts is in quarantine.
+func (d *Detector) explains(weights map[string]weight) bool {
+	for part := range weights {
+		if _, ok := d.quarantined[part]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// updateSuspected replaces the suspected parts by those whose scores suffice.
+func (d *Detector) updateSuspected(scores map[string]score, now clock.Instant) {
+	for part := range d.suspected {
+		if !scores[part].isSuspected() {
+			delete(d.suspected, part)
+			d.generation++
+		}
+	}
+	for part, c := range scores {
+		if _, ok := d.suspected[part]; !ok && c.isSuspected() && len(d.suspected) < maxSuspected {
+			d.suspected[part] = now
+			d.generation++
+		}
+	}
+}
+
+// nextToQuarantine returns the part to put in quarantine next: one whose score
+// suffices, and that no engine answered in time although its service answered
+// other requests meanwhile.
+func (d *Detector) nextToQuarantine(scores map[string]score, now clock.Instant) (best string, ok bool) {
+	if len(d.quarantined) >= maxQuarantined {
+		return "", false
+	}
+	for part, since := range d.suspected {
+		c := scores[part]
+		if !c.suffices() || now.Sub(since) < answerPeriod || d.answers[c.service] < since {
+			continue
+		}
+		if !ok || c.precedes(scores[best], part, best) {
+			best, ok = part, true
+		}
+	}
+	return best, ok
+}
+
+// precedes reports whether a part with this score is taken before another one:
+// fewer requests share a deeper part, and if that is not the cause, further
+// crashes count for the other one.
+func (c score) precedes(other score, part, otherPart string) bool {
+	return cmp.Or(cmp.Compare(c.depth, other.depth), cmp.Compare(c.weight, other.weight), strings.Compare(part, otherPart)) > 0
+}
+
+// Generation changes whenever the lists do.
+func (d *Detector) Generation() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.generation
+}
+
+// PartLists returns the current lists and their generation.
+func (d *Detector) PartLists() (PartLists, uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	out := PartLists{Suspected: slices.Sorted(maps.Keys(d.suspected))}
+	for part, until := range d.quarantined {
+		out.Quarantined = append(out.Quarantined, Quarantined{Part: part, Left: until.Sub(now)})
+	}
+	slices.SortFunc(out.Quarantined, func(a, b Quarantined) int { return strings.Compare(a.Part, b.Part) })
+	return out, d.generation
+}
--- a/internal/protocol/quarantine/guard.go
+++ b/internal/protocol/quarantine/guard.go
@@ -11,19 +11,19 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 )
 
-// Guard holds the verdicts of all control replicas at one entry and collects the
+// Guard holds the lists of all control replicas at one entry and collects the
 // evidence that the entry reports to them. It is safe for concurrent use; a
-// look-up costs one atomic load while there are no verdicts.
+// look-up costs one atomic load while there are no lists.
 type Guard struct {
 	clock clock.Clock
-	// merged is the union of the verdicts of all replicas.
+	// merged is the union of the lists of all replicas.
 	merged atomic.Pointer[merged]
 	// lastAnswers holds, by service, the clock.Instant of the newest first event
 	// as *atomic.Int64.
 	lastAnswers sync.Map
 
 	mu sync.Mutex // guards the fields below
-	// bySource holds the verdicts by replica, and received when they arrived.
+	// bySource holds the lists by replica, and received when they arrived.
 	bySource map[string]received
 	// evidence is the newest evidence, oldest first; dropped is the number of
 	// pieces that were dropped from its front.
@@ -43,18 +43,18 @@
 }
 
 type received struct {
-	Verdicts
+	PartLists
 	at clock.Instant
 }
 
 // merged is immutable.
 type merged struct {
-	accused map[string]bool
+	suspected map[string]bool
 	// quarantined is until when a part is in quarantine.
 	quarantined map[string]clock.Instant
 }
 
-// NewGuard returns a guard without verdicts.
+// NewGuard returns a guard without lists.
 func NewGuard(c clock.Clock) *Guard {
 	g := &Guard{clock: c, bySource: make(map[string]received), sent: make(map[string]int), reported: make(map[answerKey]clock.Instant)}
 	g.merged.Store(&merged{})
@@ -87,34 +87,34 @@
 	}
 	last.(*atomic.Int64).Store(int64(now))
 	held := g.merged.Load()
-	if len(held.accused) == 0 && len(held.quarantined) == 0 {
+	if len(held.suspected) == 0 && len(held.quarantined) == 0 {
 		return
 	}
-	var suspects []string
+	var candidates []string
 	for _, part := range parts {
-		if _, found := held.quarantined[part]; found || held.accused[part] {
-			suspects = append(suspects, part)
+		if _, found := held.quarantined[part]; found || held.suspected[part] {
+			candidates = append(candidates, part)
 		}
 	}
-	g.reportAnswer(service, suspects, now)
+	g.reportAnswer(service, candidates, now)
 }
 
-// answerKey identifies what was answered: an accused part, or without one any
+// answerKey identifies what was answered: an suspected part, or without one any
 // other request of the service.
 type answerKey struct {
 	service, part string
 }
 
-// reportAnswer reports that a service answered a request with the given suspects,
-// or with none, unless that was reported within objectionInterval.
-func (g *Guard) reportAnswer(service string, suspects []string, now clock.Instant) {
+// reportAnswer reports that a service answered a request with the given candidates,
+// or with none, unless that was reported within answerReportInterval.
+func (g *Guard) reportAnswer(service string, candidates []string, now clock.Instant) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	maps.DeleteFunc(g.reported, func(_ answerKey, at clock.Instant) bool { return now.Sub(at) >= objectionInterval })
-	if len(suspects) == 0 {
-		suspects = []string{""}
+	maps.DeleteFunc(g.reported, func(_ answerKey, at clock.Instant) bool { return now.Sub(at) >= answerReportInterval })
+	if len(candidates) == 0 {
+		candidates = []string{""}
 	}
-	for _, part := range suspects {
+	for _, part := range candidates {
 		key := answerKey{service: service, part: part}
 		if _, recent := g.reported[key]; recent {
 			continue
@@ -153,7 +153,7 @@
 }
 
 // Report returns the evidence that a replica doesn't have yet. The first report
-// over a connection has all that still counts, and the known verdicts.
+// over a connection has all that still counts, and the parts known to be in quarantine.
 func (g *Guard) Report(source string, first bool) []Evidence {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -163,7 +163,7 @@
 		g.sent[source] = 0
 		for part, until := range g.merged.Load().quarantined {
 			if now < until {
-				out = append(out, Evidence{Kind: Verdict, Parts: []string{part}, Left: until.Sub(now)})
+				out = append(out, Evidence{Kind: InQuarantine, Parts: []string{part}, Left: until.Sub(now)})
 			}
 		}
 	}
@@ -176,23 +176,23 @@
 	return out
 }
 
-// SetVerdicts replaces the verdicts of one replica. Those of a replica that is
-// gone hold until they end; its accusations only as long as evidence counts.
-func (g *Guard) SetVerdicts(source string, v Verdicts) {
+// SetPartLists replaces the lists of one replica. Those of a replica that is
+// gone hold until they end; its suspected parts only as long as evidence counts.
+func (g *Guard) SetPartLists(source string, v PartLists) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	g.bySource[source] = received{Verdicts: v, at: now}
-	next := &merged{accused: make(map[string]bool), quarantined: make(map[string]clock.Instant)}
+	g.bySource[source] = received{PartLists: v, at: now}
+	next := &merged{suspected: make(map[string]bool), quarantined: make(map[string]clock.Instant)}
 	for source, held := range g.bySource {
 		if now.Sub(held.at) > Duration {
 			delete(g.bySource, source)
 			delete(g.sent, source)
 			continue
 		}
-		for _, part := range held.Accused {
+		for _, part := range held.Suspected {
 			if now.Sub(held.at) <= evidenceRetention {
-				next.accused[part] = true
+				next.suspected[part] = true
 			}
 		}
 		for _, q := range held.Quarantined {
--- a/internal/protocol/quarantine/quarantine.go
+++ b/internal/protocol/quarantine/quarantine.go
@@ -1,10 +1,11 @@
 // Package quarantine finds parts of prompts that crash the engines which begin to
 // answer them, and keeps requests with such a part from further engines. Entries
-// report crashes and answers as evidence; control replicas judge it with a Ledger
-// and send the verdicts to all entries, each of which holds them in a Guard.
+// report crashes and answers as evidence; control replicas evaluate it with a
+// Detector and send the parts that they suspect or quarantine to all entries, each
+// of which holds these lists in a Guard.
 //
-// No agreement is needed: a verdict is a hint with an end, and an entry follows
-// the verdicts of all replicas.
+// No agreement is needed: a quarantine is a hint with an end, and an entry follows
+// the lists of all replicas.
 package quarantine
 
 import (
@@ -16,7 +17,7 @@
 	// meanwhile.
 	Duration = 10 * time.Minute
 	// deepThreshold is the weight of crashes that puts a part in quarantine that was
-	// the last shared one of the suspects' prompts. shallowThreshold is the same for
+	// the last shared one of the candidates' prompts. shallowThreshold is the same for
 	// other parts: more requests share these, and a deeper part may be the cause.
 	deepThreshold    = 2.0
 	shallowThreshold = 3.0
@@ -24,40 +25,40 @@
 	// begun to answer. Sound requests wait at any engine that crashes, whereas few
 	// are caught between headers and first event.
 	waitingWeight = 1.0 / 3
-	// accusedWeight is the weight of crashes from which entries are asked whether a
+	// suspectedWeight is the weight of crashes from which entries are asked whether a
 	// part was answered.
-	accusedWeight = 0.5
+	suspectedWeight = 0.5
 	// crashSpacing is the time within which several crashes count as one: they
 	// may have a common cause outside the engines.
 	crashSpacing = 100 * time.Millisecond
 	// settlePeriod is the time after a crash in which evidence of other entries
-	// may still arrive. Only then is it known how many suspects there are.
+	// may still arrive. Only then is it known how many candidates there are.
 	settlePeriod = 300 * time.Millisecond
-	// objectionPeriod is the minimum time between an accusation and the
-	// quarantine, in which entries report that the part was answered. Reports
+	// answerPeriod is the minimum time between the first suspicion of a part and
+	// its quarantine, in which entries report that the part was answered. Reports
 	// and updates take one heartbeat each.
-	objectionPeriod = 600 * time.Millisecond
+	answerPeriod = 600 * time.Millisecond
 	// evidenceRetention is how long crashes and answers count.
 	evidenceRetention = 2 * time.Minute
 	// expiryInterval is the maximum time between two checks for what has expired.
 	expiryInterval = time.Second
-	// maxCrashes bounds the crashes that a Ledger keeps, and maxSuspects the
+	// maxCrashes bounds the crashes that a Detector keeps, and maxCandidates the
 	// requests of each.
-	maxCrashes  = 256
-	maxSuspects = 64
-	// maxQuarantined bounds the parts in quarantine and maxAccused those that
+	maxCrashes    = 256
+	maxCandidates = 64
+	// maxQuarantined bounds the parts in quarantine and maxSuspected those that
 	// entries are asked about.
 	maxQuarantined = 256
-	maxAccused     = 64
+	maxSuspected   = 64
 	// maxEvidence bounds the evidence that a Guard keeps for its reports.
 	maxEvidence = 512
 	// contrastPeriod is the time before a crash in which the entry must have seen
 	// the service answer other requests. If it answers none, the requests are
 	// not the cause.
 	contrastPeriod = 10 * time.Second
-	// objectionInterval is the minimum time between two reports of one entry that
+	// answerReportInterval is the minimum time between two reports of one entry that
 	// the same part was answered.
-	objectionInterval = 200 * time.Millisecond
+	answerReportInterval = 200 * time.Millisecond
 )
 
 // Kind is the kind of a piece of evidence.
@@ -68,10 +69,10 @@
 	// for its first event there.
 	Crash Kind = iota + 1
 	// Answered means that an engine of the service answered a request with the
-	// parts. Without parts it answered one that has no accused part.
+	// parts. Without parts it answered one that has no suspected part.
 	Answered
-	// Verdict means that a replica had put the parts in quarantine.
-	Verdict
+	// InQuarantine means that a replica had put the parts in quarantine.
+	InQuarantine
 )
 
 // Evidence is what an entry has seen or knows of parts of prompts.
@@ -88,7 +89,7 @@
 	Parts []string
 	// Age is the time since the observation.
 	Age time.Duration
-	// Left is how much longer the quarantine lasts; set for Verdict.
+	// Left is how much longer the quarantine lasts; set for InQuarantine.
 	Left time.Duration
 }
 
@@ -99,10 +100,10 @@
 	Left time.Duration
 }
 
-// Verdicts are the current results of a Ledger.
-type Verdicts struct {
-	// Accused are the parts that entries must report when they are answered.
-	Accused []string
+// PartLists are the current results of a Detector.
+type PartLists struct {
+	// Suspected are the parts that entries must report when they are answered.
+	Suspected []string
 	// Quarantined are the parts that no engine may get.
 	Quarantined []Quarantined
 }
--- a/internal/protocol/quarantine/quarantine_test.go
+++ b/internal/protocol/quarantine/quarantine_test.go
@@ -19,17 +19,17 @@
 const reportInterval = 50 * time.Millisecond
 
 // deployment is a number of entries and two control replicas that exchange
-// evidence and verdicts in virtual time.
+// evidence and lists in virtual time.
 type deployment struct {
 	entries  []*quarantine.Guard
-	replicas []*quarantine.Ledger
+	replicas []*quarantine.Detector
 	engines  int
 	// watched are parts whose blocking is recorded in everBlocked.
 	watched, everBlocked []string
 }
 
 func newDeployment(entries int) *deployment {
-	d := &deployment{replicas: []*quarantine.Ledger{newLedger(), newLedger()}}
+	d := &deployment{replicas: []*quarantine.Detector{newDetector(), newDetector()}}
 	for range entries {
 		d.entries = append(d.entries, quarantine.NewGuard(clock.NewRuntime()))
 	}
@@ -37,11 +37,11 @@
 	return d
 }
 
-func newLedger() *quarantine.Ledger {
-	return quarantine.NewLedger(clock.NewRuntime(), hclog.NewNullLogger())
+func newDetector() *quarantine.Detector {
+	return quarantine.NewDetector(clock.NewRuntime(), hclog.NewNullLogger())
 }
 
-// exchange sends all reports and then all verdicts.
+// exchange sends all reports and then all lists.
 func (d *deployment) exchange(first bool) {
 	for i, l := range d.replicas {
 		source := fmt.Sprint("replica-", i)
@@ -49,9 +49,9 @@
 			l.Record(e.Report(source, first))
 		}
 		l.Advance()
-		verdicts, _ := l.Verdicts()
+		lists, _ := l.PartLists()
 		for _, e := range d.entries {
-			e.SetVerdicts(source, verdicts)
+			e.SetPartLists(source, lists)
 		}
 	}
 	d.everBlocked = append(d.everBlocked, d.blocked(d.watched...)...)
@@ -221,7 +221,7 @@
 				d.wait(5 * time.Second)
 			}
 		},
-		"two crashes with several suspects": func(d *deployment) {
+		"two crashes with several candidates": func(d *deployment) {
 			for range 2 {
 				d.warm()
 				d.crashSeveral([]string{"x"}, []string{"a", "b"}, []string{"y"})
@@ -309,8 +309,8 @@
 	})
 }
 
-// convict puts the part "deadly" in quarantine.
-func convict(t *testing.T, d *deployment) {
+// quarantineDeadly puts the part "deadly" in quarantine.
+func quarantineDeadly(t *testing.T, d *deployment) {
 	t.Helper()
 	for range 2 {
 		d.warm()
@@ -327,13 +327,13 @@
 func TestQuarantineEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeployment(3)
-		convict(t, d)
+		quarantineDeadly(t, d)
 		d.wait(quarantine.Duration, "system")
 		if len(d.blocked("deadly")) > 0 {
 			t.Error("the part is still blocked after the quarantine")
 		}
 		d = newDeployment(3)
-		convict(t, d)
+		quarantineDeadly(t, d)
 		d.entries[1].Answered("llm", []string{"system", "deadly"})
 		d.wait(reportInterval)
 		if len(d.blocked("deadly")) > 0 {
@@ -347,13 +347,13 @@
 func TestQuarantineOutlivesControl(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeployment(3)
-		convict(t, d)
+		quarantineDeadly(t, d)
 		d.replicas = nil
 		time.Sleep(5 * time.Second)
 		if len(d.blocked("deadly")) == 0 {
 			t.Error("the part is free without control")
 		}
-		d.replicas = []*quarantine.Ledger{newLedger(), newLedger()}
+		d.replicas = []*quarantine.Detector{newDetector(), newDetector()}
 		late := quarantine.NewGuard(clock.NewRuntime())
 		d.entries = append(d.entries, late)
 		d.exchange(true)
@@ -364,11 +364,11 @@
 }
 
 // TestReleasedPartIsNotAdopted has an entry that missed a release report the old
-// verdict again.
+// quarantine again.
 func TestReleasedPartIsNotAdopted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeployment(3)
-		convict(t, d)
+		quarantineDeadly(t, d)
 		stale := d.entries[2]
 		d.entries = d.entries[:2]
 		d.entries[0].Answered("llm", []string{"deadly"})
@@ -376,7 +376,7 @@
 		d.replicas[0].Record(stale.Report("replica-0", true))
 		d.wait(reportInterval)
 		if len(d.blocked("deadly")) > 0 {
-			t.Error("a stale verdict blocks the part again")
+			t.Error("a stale report blocks the part again")
 		}
 	})
 }
@@ -395,13 +395,13 @@
 			t.Errorf("an entry reports %d pieces of evidence, want at most 512", got)
 		}
 		for i := range 5000 {
-			d.replicas[0].Record([]quarantine.Evidence{{Kind: quarantine.Verdict, Parts: []string{fmt.Sprint("v", i)}, Left: time.Hour}})
+			d.replicas[0].Record([]quarantine.Evidence{{Kind: quarantine.InQuarantine, Parts: []string{fmt.Sprint("v", i)}, Left: time.Hour}})
 		}
-		verdicts, _ := d.replicas[0].Verdicts()
-		if len(verdicts.Quarantined) > 256 || len(verdicts.Accused) > 64 {
-			t.Errorf("got %d parts in quarantine and %d accused, want at most 256 and 64", len(verdicts.Quarantined), len(verdicts.Accused))
+		lists, _ := d.replicas[0].PartLists()
+		if len(lists.Quarantined) > 256 || len(lists.Suspected) > 64 {
+			t.Errorf("got %d parts in quarantine and %d suspected, want at most 256 and 64", len(lists.Quarantined), len(lists.Suspected))
 		}
-		for _, q := range verdicts.Quarantined {
+		for _, q := range lists.Quarantined {
 			if q.Left > quarantine.Duration {
 				t.Fatalf("quarantine of %s lasts %v, want at most %v", q.Part, q.Left, quarantine.Duration)
 			}
--- a/internal/role/controlrole/verdicts.go
+++ b/internal/role/controlrole/quarantine.go
@@ -18,15 +18,15 @@
 )
 
 const (
-	// verdictsName is the file of the prompt parts in quarantine. It keeps them
+	// quarantineName is the file of the prompt parts in quarantine. It keeps them
 	// over the loss of power of all processes.
-	verdictsName = "quarantine"
-	// verdictsInterval is the interval at which a changed list is saved.
-	verdictsInterval = 100 * time.Millisecond
+	quarantineName = "quarantine"
+	// quarantineSaveInterval is the interval at which a changed list is saved.
+	quarantineSaveInterval = 100 * time.Millisecond
 )
 
-// savedVerdict is one part in the file.
-type savedVerdict struct {
+// savedPart is one part in the file.
+type savedPart struct {
 	Part string `cbor:"1,keyasint"`
 	// LeftMs is how long the quarantine lasted at the time of the save, in
 	// milliseconds. After a restart it lasts as long again, since the time in
@@ -34,15 +34,15 @@
 	LeftMs int64 `cbor:"2,keyasint"`
 }
 
-// keepVerdicts restores the parts in quarantine and saves them whenever they
+// keepQuarantine restores the parts in quarantine and saves them whenever they
 // change, until ctx ends. A failure costs only what is remembered over a restart
 // of all processes, so it is logged.
-func (s *Seeded) keepVerdicts(ctx context.Context) error {
+func (s *Seeded) keepQuarantine(ctx context.Context) error {
 	folder, err := disk.Open(s.options.DataFolder)
 	if err != nil {
-		return fmt.Errorf("open folder of verdicts: %w", err)
+		return fmt.Errorf("open folder of the quarantine list: %w", err)
 	}
-	restored, err := loadVerdicts(folder)
+	restored, err := loadQuarantine(folder)
 	if err != nil {
 		s.options.Log.Warn("prompt parts in quarantine not restored", "error", err)
 	}
@@ -50,14 +50,14 @@
 	for _, e := range restored {
 		saved = append(saved, e.Parts...)
 	}
-	s.ledger.Record(restored)
+	s.detector.Record(restored)
 	failing := false
-	return clock.Every(ctx, verdictsInterval, func(context.Context) {
-		parts := partsOf(s.ledger)
+	return clock.Every(ctx, quarantineSaveInterval, func(context.Context) {
+		parts := partsOf(s.detector)
 		if slices.Equal(parts, saved) {
 			return
 		}
-		err := saveVerdicts(folder, s.ledger)
+		err := saveQuarantine(folder, s.detector)
 		switch {
 		case err == nil:
 			saved = parts
@@ -69,9 +69,9 @@
 }
 
 // QuarantineAdmin serves the list of prompt parts in quarantine to operators and
-// lets them release one. Ledger returns nil while the replica is not open.
+// lets them release one. Detector returns nil while the replica is not open.
 type QuarantineAdmin struct {
-	Ledger func() *quarantine.Ledger
+	Detector func() *quarantine.Detector
 }
 
 // Register adds the endpoints to mux.
@@ -81,69 +81,69 @@
 }
 
 func (a *QuarantineAdmin) list(w http.ResponseWriter, _ *http.Request) {
-	ledger := a.Ledger()
-	if ledger == nil {
+	detector := a.Detector()
+	if detector == nil {
 		http.Error(w, "the replica is not open", http.StatusServiceUnavailable)
 		return
 	}
-	verdicts, _ := ledger.Verdicts()
-	for _, q := range verdicts.Quarantined {
+	lists, _ := detector.PartLists()
+	for _, q := range lists.Quarantined {
 		_, _ = fmt.Fprintf(w, "%s %s\n", q.Part, q.Left.Round(time.Second))
 	}
 }
 
 func (a *QuarantineAdmin) release(w http.ResponseWriter, r *http.Request) {
-	ledger := a.Ledger()
+	detector := a.Detector()
 	switch {
-	case ledger == nil:
+	case detector == nil:
 		http.Error(w, "the replica is not open", http.StatusServiceUnavailable)
-	case !ledger.Release(r.PathValue("part")):
+	case !detector.Release(r.PathValue("part")):
 		http.Error(w, "the part is not in quarantine", http.StatusNotFound)
 	}
 }
 
-// Quarantine returns the ledger of prompt parts.
-func (s *Seeded) Quarantine() *quarantine.Ledger { return s.ledger }
+// Quarantine returns the detector of prompt parts.
+func (s *Seeded) Quarantine() *quarantine.Detector { return s.detector }
 
 // partsOf returns the parts in quarantine, sorted.
-func partsOf(l *quarantine.Ledger) []string {
-	verdicts, _ := l.Verdicts()
-	out := make([]string, 0, len(verdicts.Quarantined))
-	for _, q := range verdicts.Quarantined {
+func partsOf(l *quarantine.Detector) []string {
+	lists, _ := l.PartLists()
+	out := make([]string, 0, len(lists.Quarantined))
+	for _, q := range lists.Quarantined {
 		out = append(out, q.Part)
 	}
 	return out
 }
 
-func saveVerdicts(folder disk.Folder, l *quarantine.Ledger) error {
-	verdicts, _ := l.Verdicts()
-	out := make([]savedVerdict, 0, len(verdicts.Quarantined))
-	for _, q := range verdicts.Quarantined {
-		out = append(out, savedVerdict{Part: q.Part, LeftMs: q.Left.Milliseconds()})
+func saveQuarantine(folder disk.Folder, l *quarantine.Detector) error {
+	lists, _ := l.PartLists()
+	out := make([]savedPart, 0, len(lists.Quarantined))
+	for _, q := range lists.Quarantined {
+		out = append(out, savedPart{Part: q.Part, LeftMs: q.Left.Milliseconds()})
 	}
 	content, err := cbor.Marshal(out)
 	if err != nil {
-		return fmt.Errorf("encode verdicts: %w", err)
+		return fmt.Errorf("encode quarantine list: %w", err)
 	}
-	return snapshot.Save(folder, verdictsName, "", content)
+	return snapshot.Save(folder, quarantineName, "", content)
 }
 
-// loadVerdicts returns the saved parts as evidence; none if there is no file.
-func loadVerdicts(folder disk.Folder) ([]quarantine.Evidence, error) {
-	content, err := snapshot.Load(folder, verdictsName, "")
+// loadQuarantine returns the saved parts as evidence; none if there is no file.
+func loadQuarantine(folder disk.Folder) ([]quarantine.Evidence, error) {
+	content, err := snapshot.Load(folder, quarantineName, "")
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
 	if err != nil {
 		return nil, err
 	}
-	var saved []savedVerdict
+	var saved []savedPart
 	if err := cbor.Unmarshal(content, &saved); err != nil {
-		return nil, fmt.Errorf("decode verdicts: %w", err)
+		return nil, fmt.Errorf("decode quarantine list: %w", err)
 	}
 	out := make([]quarantine.Evidence, 0, len(saved))
 	for _, v := range saved {
-		out = append(out, quarantine.Evidence{Kind: quarantine.Verdict, Parts: []string{v.Part}, Left: time.Duration(v.LeftMs) * time.Millisecond})
+		out = append(out, quarantine.Evidence{Kind: quarantine.InQuarantine, Parts: []string{v.Part}, Left: time.Duration(v.LeftMs) * time.Millisecond})
 	}
 	return out, nil
 }
--- a/internal/role/controlrole/verdicts_test.go
+++ b/internal/role/controlrole/quarantine_test.go
@@ -15,33 +15,33 @@
 	"github.com/lagoonshift/lagoonshift/internal/state/disk"
 )
 
-// TestVerdictsSurviveRestart saves parts in quarantine and loads them into a new
-// ledger, as after the loss of power of all processes. A damaged file must give
+// TestQuarantineSurvivesRestart saves parts in quarantine and loads them into a new
+// detector, as after the loss of power of all processes. A damaged file must give
 // an error and no parts.
-func TestVerdictsSurviveRestart(t *testing.T) {
+func TestQuarantineSurvivesRestart(t *testing.T) {
 	path := t.TempDir()
 	folder, err := disk.Open(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if restored, err := loadVerdicts(folder); err != nil || len(restored) != 0 {
+	if restored, err := loadQuarantine(folder); err != nil || len(restored) != 0 {
 		t.Errorf("empty folder: got %v, error %v, want nothing", restored, err)
 	}
-	before := quarantine.NewLedger(clock.Boot{}, hclog.NewNullLogger())
-	before.Record([]quarantine.Evidence{{Kind: quarantine.Verdict, Parts: []string{"deadly"}, Left: time.Minute}})
-	if err := saveVerdicts(folder, before); err != nil {
+	before := quarantine.NewDetector(clock.Boot{}, hclog.NewNullLogger())
+	before.Record([]quarantine.Evidence{{Kind: quarantine.InQuarantine, Parts: []string{"deadly"}, Left: time.Minute}})
+	if err := saveQuarantine(folder, before); err != nil {
 		t.Fatal(err)
 	}
-	restored, err := loadVerdicts(folder)
+	restored, err := loadQuarantine(folder)
 	if err != nil {
 		t.Fatal(err)
 	}
-	after := quarantine.NewLedger(clock.Boot{}, hclog.NewNullLogger())
+	after := quarantine.NewDetector(clock.Boot{}, hclog.NewNullLogger())
 	after.Record(restored)
-	if verdicts, _ := after.Verdicts(); len(verdicts.Quarantined) != 1 || verdicts.Quarantined[0].Part != "deadly" || verdicts.Quarantined[0].Left < 50*time.Second {
-		t.Errorf("got verdicts %+v, want the part with its time", verdicts)
+	if lists, _ := after.PartLists(); len(lists.Quarantined) != 1 || lists.Quarantined[0].Part != "deadly" || lists.Quarantined[0].Left < 50*time.Second {
+		t.Errorf("got lists %+v, want the part with its time", lists)
 	}
-	file := filepath.Join(path, verdictsName)
+	file := filepath.Join(path, quarantineName)
 	content, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
@@ -49,19 +49,19 @@
 	if err := os.WriteFile(file, content[:len(content)-1], 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if restored, err := loadVerdicts(folder); err == nil || len(restored) != 0 {
+	if restored, err := loadQuarantine(folder); err == nil || len(restored) != 0 {
 		t.Errorf("damaged file: got %v, error %v, want an error", restored, err)
 	}
 }
 
 // TestOperatorReleasesPart lists a part in quarantine and releases it. An entry
-// that still has the old verdict must not bring it back.
+// that still has the part on its list must not bring it back.
 func TestOperatorReleasesPart(t *testing.T) {
-	ledger := quarantine.NewLedger(clock.Boot{}, hclog.NewNullLogger())
-	verdict := []quarantine.Evidence{{Kind: quarantine.Verdict, Parts: []string{"deadly"}, Left: time.Minute}}
-	ledger.Record(verdict)
+	detector := quarantine.NewDetector(clock.Boot{}, hclog.NewNullLogger())
+	known := []quarantine.Evidence{{Kind: quarantine.InQuarantine, Parts: []string{"deadly"}, Left: time.Minute}}
+	detector.Record(known)
 	mux := http.NewServeMux()
-	(&QuarantineAdmin{Ledger: func() *quarantine.Ledger { return ledger }}).Register(mux)
+	(&QuarantineAdmin{Detector: func() *quarantine.Detector { return detector }}).Register(mux)
 	call := func(method, target string) *httptest.ResponseRecorder {
 		w := httptest.NewRecorder()
 		mux.ServeHTTP(w, httptest.NewRequest(method, target, nil))
@@ -73,7 +73,7 @@
 	if got := call(http.MethodDelete, "/v1/quarantine/deadly").Code; got != http.StatusOK {
 		t.Errorf("release: got status %d, want 200", got)
 	}
-	ledger.Record(verdict)
+	detector.Record(known)
 	if got := call(http.MethodGet, "/v1/quarantine").Body.String(); got != "" {
 		t.Errorf("after the release: got list %q, want none", got)
 	}
--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -74,12 +74,12 @@
 
 // Seeded is a running control process that found its group through seeds.
 type Seeded struct {
-	options SeededOptions
-	replica *replica
-	state   *store.Store
-	server  *peerServer
-	hub     *peergrpc.FleetHub
-	ledger  *quarantine.Ledger
+	options  SeededOptions
+	replica  *replica
+	state    *store.Store
+	server   *peerServer
+	hub      *peergrpc.FleetHub
+	detector *quarantine.Detector
 }
 
 // ErrTooFewVoters means that the group has not yet grown to its full size.
@@ -111,7 +111,7 @@
 	}
 	stopReplica := r.start(ctx)
 	s := &Seeded{options: o, replica: r, state: state, server: newPeerServer(insecure.NewCredentials())}
-	s.ledger = quarantine.NewLedger(clock.Boot{}, o.Log)
+	s.detector = quarantine.NewDetector(clock.Boot{}, o.Log)
 	s.hub = peergrpc.NewFleetHub(peergrpc.HubOptions{
 		ReplicaID:        r.identity.ReplicaID,
 		Document:         state.Document,
@@ -120,7 +120,7 @@
 			_, leads := s.Authority()
 			return leads
 		},
-		Quarantine: s.ledger,
+		Quarantine: s.detector,
 		Log:        o.Log,
 	})
 	err = s.run(ctx, serve)
@@ -193,7 +193,7 @@
 	group.Go(func() error { return s.replica.stopServer(ctx, s.server) })
 	group.Go(func() error { return s.hub.Run(ctx) })
 	group.Go(func() error { return s.rejoin(ctx) })
-	group.Go(func() error { return s.keepVerdicts(ctx) })
+	group.Go(func() error { return s.keepQuarantine(ctx) })
 	group.Go(func() error { return serve(ctx, s) })
 	s.options.Log.Info("control started", "peer_address", s.options.PeerAddress, "document", s.state.Document().Version)
 	return group.Wait()
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -169,7 +169,7 @@
 // Outliers returns the set of engines that fail this entry's requests.
 func (a *Agent) Outliers() *outlier.Set { return a.outlier }
 
-// Quarantine returns the verdicts on prompt parts that crash engines.
+// Quarantine returns the guard that holds the prompt parts in quarantine.
 func (a *Agent) Quarantine() *quarantine.Guard { return a.quarantine }
 
 // Ready reports whether the entry accepts new work: it is not leaving and knows
@@ -253,8 +253,8 @@
 	a.entries.Store(int64(max(1, u.Entries)))
 	a.setOtherLoad(u)
 	a.prefixes.AddRemote(u.Holdings)
-	if u.Verdicts != nil {
-		a.quarantine.SetVerdicts(u.Source, *u.Verdicts)
+	if u.PartLists != nil {
+		a.quarantine.SetPartLists(u.Source, *u.PartLists)
 	}
 	if u.Engines != nil {
 		a.setEngines(u.Source, u.Engines)
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -67,8 +67,8 @@
 	ControlAddresses func() []string
 	// Leads reports whether this replica is the leader of the group.
 	Leads func() bool
-	// Quarantine judges what entries report on prompt parts that crash engines.
-	Quarantine *quarantine.Ledger
+	// Quarantine evaluates what entries report on prompt parts that crash engines.
+	Quarantine *quarantine.Detector
 	Log        hclog.Logger
 }
 
@@ -156,15 +156,15 @@
 	h.once.Do(func() { close(h.stopped) })
 }
 
-// Run wakes the watches when a new document is applied or verdicts on prompt
-// parts change, until ctx ends.
+// Run wakes the watches when a new document is applied or the lists of
+// prompt parts change, until ctx ends.
 func (h *FleetHub) Run(ctx context.Context) error {
-	seen, seenVerdicts := uint64(0), uint64(0)
+	seen, seenPartLists := uint64(0), uint64(0)
 	return clock.Every(ctx, documentPollInterval, func(context.Context) {
 		h.options.Quarantine.Advance()
-		version, verdicts := h.options.Document().Version, h.options.Quarantine.Generation()
-		if version != seen || verdicts != seenVerdicts {
-			seen, seenVerdicts = version, verdicts
+		version, lists := h.options.Document().Version, h.options.Quarantine.Generation()
+		if version != seen || lists != seenPartLists {
+			seen, seenPartLists = version, lists
 			h.wakeAll()
 		}
 	})
@@ -429,8 +429,8 @@
 type sentState struct {
 	engines          *engineList
 	controlAddresses []string
-	// verdicts is the generation of the verdicts; zero means none.
-	verdicts uint64
+	// partLists is the generation of the lists of prompt parts; zero means none.
+	partLists uint64
 }
 
 // interval returns the time between two messages of a watch.
@@ -453,7 +453,7 @@
 // has received it.
 func (h *FleetHub) update(w *entryWatch, sent sentState) (*peerpb.FleetUpdate, sentState) {
 	held := h.options.Document()
-	next := sentState{engines: h.engines.Load(), controlAddresses: h.options.ControlAddresses(), verdicts: sent.verdicts}
+	next := sentState{engines: h.engines.Load(), controlAddresses: h.options.ControlAddresses(), partLists: sent.partLists}
 	update := &peerpb.FleetUpdate{
 		ReplicaId:       h.options.ReplicaID,
 		DocumentVersion: held.Version,
@@ -480,11 +480,11 @@
 		update.Others, update.OthersWaiting = fromWork(h.othersWork(w))
 	}
 	update.Holdings = fromHoldings(h.unsentHoldings(w))
-	if h.options.Quarantine.Generation() != sent.verdicts {
-		verdicts, generation := h.options.Quarantine.Verdicts()
-		next.verdicts = generation
-		update.HasVerdicts = true
-		update.AccusedParts, update.QuarantinedParts = verdicts.Accused, fromQuarantined(verdicts.Quarantined)
+	if h.options.Quarantine.Generation() != sent.partLists {
+		lists, generation := h.options.Quarantine.PartLists()
+		next.partLists = generation
+		update.HasPartLists = true
+		update.SuspectedParts, update.QuarantinedParts = lists.Suspected, fromQuarantined(lists.Quarantined)
 	}
 	return update, next
 }
--- a/internal/transport/peergrpc/fleethub_test.go
+++ b/internal/transport/peergrpc/fleethub_test.go
@@ -22,7 +22,7 @@
 		Document:         func() document.Document { return document.Document{} },
 		ControlAddresses: func() []string { return nil },
 		Leads:            func() bool { return true },
-		Quarantine:       quarantine.NewLedger(clock.Boot{}, hclog.NewNullLogger()),
+		Quarantine:       quarantine.NewDetector(clock.Boot{}, hclog.NewNullLogger()),
 		Log:              hclog.NewNullLogger(),
 	})
 }
@@ -214,19 +214,19 @@
 	})
 }
 
-// TestVerdictsReachEntriesOnce checks that evidence of one entry changes what the
+// TestPartListsReachEntriesOnce checks that evidence of one entry changes what the
 // next update of another one says, and that updates repeat nothing.
-func TestVerdictsReachEntriesOnce(t *testing.T) {
+func TestPartListsReachEntriesOnce(t *testing.T) {
 	h := newTestHub()
 	reporter, other := &entryWatch{wake: make(chan struct{}, 1)}, &entryWatch{wake: make(chan struct{}, 1)}
-	evidence := []quarantine.Evidence{{Kind: quarantine.Verdict, Parts: []string{"deadly"}, Left: time.Minute}}
+	evidence := []quarantine.Evidence{{Kind: quarantine.InQuarantine, Parts: []string{"deadly"}, Left: time.Minute}}
 	h.handleReport(reporter, fromReport(Report{EntryInfo: EntryInfo{Name: "reporter"}, Evidence: evidence}))
 	update, sent := h.update(other, sentState{})
-	verdicts := toVerdicts(update)
-	if verdicts == nil || len(verdicts.Quarantined) != 1 || verdicts.Quarantined[0].Part != "deadly" || verdicts.Quarantined[0].Left > time.Minute {
-		t.Fatalf("first update: got verdicts %+v, want the part", verdicts)
+	lists := toPartLists(update)
+	if lists == nil || len(lists.Quarantined) != 1 || lists.Quarantined[0].Part != "deadly" || lists.Quarantined[0].Left > time.Minute {
+		t.Fatalf("first update: got lists %+v, want the part", lists)
 	}
-	if update, _ := h.update(other, sent); update.GetHasVerdicts() {
-		t.Error("second update repeats the verdicts")
+	if update, _ := h.update(other, sent); update.GetHasPartLists() {
+		t.Error("second update repeats the lists")
 	}
 }
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -61,9 +61,9 @@
 	// Leads is set if the replica is the leader, which has the newest load
 	// figures.
 	Leads bool
-	// Verdicts are the replica's verdicts on prompt parts, or nil if they did not
+	// PartLists are the replica's lists of prompt parts, or nil if they did not
 	// change since the last update.
-	Verdicts *quarantine.Verdicts
+	PartLists *quarantine.PartLists
 	// ReportAfter is how long after the last report the replica expects the next
 	// one.
 	ReportAfter time.Duration
@@ -322,7 +322,7 @@
 		ReportAfter:     max(minLoadInterval, time.Duration(m.GetReportMs())*time.Millisecond),
 		Others:          toWork(m.GetOthers(), m.GetOthersWaiting()),
 		Holdings:        toHoldings(m.GetHoldings()),
-		Verdicts:        toVerdicts(m),
+		PartLists:       toPartLists(m),
 	}
 	if m.GetHasEngines() {
 		out.Engines = make([]fleet.Engine, 0, len(m.GetEngines()))
--- a/internal/transport/peergrpc/verdicts.go
+++ b/internal/transport/peergrpc/partlists.go
@@ -49,12 +49,12 @@
 	return out
 }
 
-// toVerdicts returns the verdicts of an update, or nil if it has none.
-func toVerdicts(m *peerpb.FleetUpdate) *quarantine.Verdicts {
-	if !m.GetHasVerdicts() {
+// toPartLists returns the lists of an update, or nil if it has none.
+func toPartLists(m *peerpb.FleetUpdate) *quarantine.PartLists {
+	if !m.GetHasPartLists() {
 		return nil
 	}
-	out := &quarantine.Verdicts{Accused: m.GetAccusedParts()}
+	out := &quarantine.PartLists{Suspected: m.GetSuspectedParts()}
 	for _, q := range m.GetQuarantinedParts() {
 		out.Quarantined = append(out.Quarantined, quarantine.Quarantined{Part: q.GetPart(), Left: fromMillis(q.GetLeftMs())})
 	}
