--- a/internal/protocol/quarantine/detector.go
+++ b/internal/protocol/quarantine/detector.go
@@ -182,7 +182,7 @@
 	return false
 }
 
-// inCrash reports whether a suspect of a crash that still counts has the part.
+// inCrash reports whether a candidate of a crash that still counts has the part.
 func (d *Detector) inCrash(part string) bool {
 	for _, c := range d.crashes {
 		for _, s := range c.requests {
--- a/internal/protocol/quarantine/quarantine_test.go
+++ b/internal/protocol/quarantine/quarantine_test.go
@@ -394,6 +394,15 @@
 		if got := len(d.entries[0].Report("replica-9", true)); got > 512 {
 			t.Errorf("an entry reports %d pieces of evidence, want at most 512", got)
 		}
+		waiting := make([][]string, 200)
+		for i := range waiting {
+			waiting[i] = []string{fmt.Sprint("w", i)}
+		}
+		d.crashWaiting(waiting...)
+		d.exchange(false)
+		if crashes, candidates := d.replicas[0].Kept(); crashes > 256 || candidates > 64 {
+			t.Errorf("a replica keeps %d crashes and up to %d candidates, want at most 256 and 64", crashes, candidates)
+		}
 		for i := range 5000 {
 			d.replicas[0].Record([]quarantine.Evidence{{Kind: quarantine.InQuarantine, Parts: []string{fmt.Sprint("v", i)}, Left: time.Hour}})
 		}
