--- a/internal/protocol/notice/notice.go
+++ b/internal/protocol/notice/notice.go
@@ -5,6 +5,7 @@
 package notice
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,27 @@
 	// Pause is how long the server wants no requests from this process; zero if
 	// it did not ask for a pause.
 	Pause time.Duration
+	// RateLimit is nil if the response says nothing of a rate limit.
+	RateLimit *RateLimit
+}
+
+// RateLimit bounds the requests that all entries together may send to a server.
+type RateLimit struct {
+	// Limited is false if the server takes any number of requests.
+	Limited bool
+	// PerSecond is the number of requests that a limited server takes in a second.
+	PerSecond float64
+}
+
+// String returns the limit for logs; it is empty for a nil limit.
+func (l *RateLimit) String() string {
+	switch {
+	case l == nil:
+		return ""
+	case !l.Limited:
+		return "none"
+	}
+	return strconv.FormatFloat(l.PerSecond, 'g', -1, 64) + "/s"
 }
 
 // record holds the announcements of one incarnation of a server. It is
@@ -38,10 +60,11 @@
 	// leavingUntil is when the incarnation's departure may be forgotten.
 	leavingUntil clock.Instant
 	pausedUntil  clock.Instant
+	rateLimit    RateLimit
 }
 
 func (r record) expired(now clock.Instant) bool {
-	return !now.Before(r.leavingUntil) && !now.Before(r.pausedUntil)
+	return !now.Before(r.leavingUntil) && !now.Before(r.pausedUntil) && !r.rateLimit.Limited
 }
 
 // Board holds the announcements of all servers by incarnation: only a restart
@@ -61,10 +84,10 @@
 }
 
 // Post records a server's notice and reports whether it is news: a departure
-// that was not known, or a pause that ends later than the known one. Pauses
-// longer than MaxPause are shortened to it.
+// that was not known, a pause that ends later than the known one, or another
+// rate limit. Pauses longer than MaxPause are shortened to it.
 func (b *Board) Post(e fleet.Engine, n Notice) (news bool) {
-	if !n.Leaving && n.Pause <= 0 {
+	if known, _ := b.record(e); !n.Leaving && n.Pause <= 0 && (n.RateLimit == nil || *n.RateLimit == known.rateLimit) {
 		return false
 	}
 	b.mu.Lock()
@@ -86,6 +109,10 @@
 		news = true
 		held.pausedUntil = until
 	}
+	if n.RateLimit != nil && *n.RateLimit != held.rateLimit {
+		news = true
+		held.rateLimit = *n.RateLimit
+	}
 	next[e.Incarnation()] = held
 	b.records.Store(&next)
 	return news
