Keep all entries together within the rates that servers announce

Cause: no code read the announcement; and what servers announce was kept by each entry for itself, which can't do for a bound on the sum over all entries.

Change: announcements are exchanged through control replicas, the newest wins. A rate is divided among 1 + floor(rate) entries, by their places in an order that the replicas tell; each send (call, prefill, decode, retry) takes a token from the entry's bucket.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -318,8 +318,8 @@
 }
 
 // candidates returns the engines that may get the request. Engines that have
-// failed this request, and those that announced that they leave or asked for a
-// pause, are never candidates. Ejected engines and those that other entries left
+// failed this request, those that announced that they leave or asked for a pause,
+// and those at their rate limits are never candidates. Ejected engines and those that other entries left
 // out are candidates only if there are no others.
 func (x *exchange) candidates(filters ...placement.Filter) []placement.Candidate {
 	service := x.request.Service.Name
@@ -339,8 +339,9 @@
 	if x.request.Prompt != nil {
 		return x.generate(ctx)
 	}
-	candidates := x.candidates()
-	chosen, ok := placement.ForCall(x.options.Zone, candidates, x.options.Random)
+	chosen, ok := x.choose(ctx, func(candidates []placement.Candidate) (placement.Candidate, bool) {
+		return placement.ForCall(x.options.Zone, candidates, x.options.Random)
+	})
 	if !ok {
 		return false, errNoServer
 	}
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -47,7 +47,9 @@
 	if source != nil {
 		zone = source.Engine.Zone
 	}
-	chosen, ok := placement.ForDecode(zone, x.candidates(placement.CanDecode), x.options.Random)
+	chosen, ok := x.choose(ctx, func(candidates []placement.Candidate) (placement.Candidate, bool) {
+		return placement.ForDecode(zone, candidates, x.options.Random)
+	}, placement.CanDecode)
 	if !ok {
 		x.release(source)
 		return false, errNoServer
@@ -118,7 +120,12 @@
 	}
 	prefix, prefixTokens := prompt.Shared()
 	holder := x.holderOf(prefix)
-	chosen, ok := placement.ForPrefill(prompt, holder, x.candidates(placement.InPhase(fleet.Prefill)), x.options.Random)
+	var chosen placement.PrefillChoice
+	_, ok := x.admit(func(candidates []placement.Candidate) (placement.Candidate, bool) {
+		choice, ok := placement.ForPrefill(prompt, holder, candidates, x.options.Random)
+		chosen = choice
+		return choice.Candidate, ok
+	}, placement.InPhase(fleet.Prefill))
 	if !ok {
 		grant.Release(0, false)
 		return nil, nil
--- a/internal/protocol/notice/notice.go
+++ b/internal/protocol/notice/notice.go
@@ -1,17 +1,18 @@
 // Package notice keeps what backend servers announce in their responses: that
-// they are leaving, or that they want no requests for some time. It is built for
+// they are leaving, that they want no requests for some time, or how many they
+// take in a second. It is built for
 // fleets in which a server's own word arrives before the list of servers shows
 // it.
 package notice
 
 import (
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
 )
 
 const (
@@ -32,26 +33,9 @@
 	// it did not ask for a pause.
 	Pause time.Duration
 	// RateLimit is nil if the response says nothing of a rate limit.
-	RateLimit *RateLimit
-}
-
-// RateLimit bounds the requests that all entries together may send to a server.
-type RateLimit struct {
-	// Limited is false if the server takes any number of requests.
-	Limited bool
-	// PerSecond is the number of requests that a limited server takes in a second.
-	PerSecond float64
-}
-
-// String returns the limit for logs; it is empty for a nil limit.
-func (l *RateLimit) String() string {
-	switch {
-	case l == nil:
-		return ""
-	case !l.Limited:
-		return "none"
-	}
-	return strconv.FormatFloat(l.PerSecond, 'g', -1, 64) + "/s"
+	RateLimit *ratelimit.Limit
+	// Sent is when the request was sent.
+	Sent clock.Instant
 }
 
 // record holds the announcements of one incarnation of a server. It is
@@ -60,17 +44,18 @@
 	// leavingUntil is when the incarnation's departure may be forgotten.
 	leavingUntil clock.Instant
 	pausedUntil  clock.Instant
-	rateLimit    RateLimit
 }
 
 func (r record) expired(now clock.Instant) bool {
-	return !now.Before(r.leavingUntil) && !now.Before(r.pausedUntil) && !r.rateLimit.Limited
+	return !now.Before(r.leavingUntil) && !now.Before(r.pausedUntil)
 }
 
 // Board holds the announcements of all servers by incarnation: only a restart
 // ends a departure. It is safe for concurrent use; a look-up costs one atomic
 // load.
 type Board struct {
+	// Limits holds the rate limits.
+	Limits  *ratelimit.Limiter
 	clock   clock.Clock
 	records atomic.Pointer[map[string]record]
 	mu      sync.Mutex // serializes writers
@@ -78,7 +63,7 @@
 
 // NewBoard returns a board without announcements.
 func NewBoard(c clock.Clock) *Board {
-	b := &Board{clock: c}
+	b := &Board{clock: c, Limits: ratelimit.NewLimiter(c)}
 	b.records.Store(&map[string]record{})
 	return b
 }
@@ -87,8 +72,11 @@
 // that was not known, a pause that ends later than the known one, or another
 // rate limit. Pauses longer than MaxPause are shortened to it.
 func (b *Board) Post(e fleet.Engine, n Notice) (news bool) {
-	if known, _ := b.record(e); !n.Leaving && n.Pause <= 0 && (n.RateLimit == nil || *n.RateLimit == known.rateLimit) {
-		return false
+	if n.RateLimit != nil {
+		news = b.Limits.Announce(e, *n.RateLimit, n.Sent)
+	}
+	if !n.Leaving && n.Pause <= 0 {
+		return news
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -102,28 +90,30 @@
 	}
 	held := next[e.Incarnation()]
 	if n.Leaving {
-		news = !now.Before(held.leavingUntil)
+		news = news || !now.Before(held.leavingUntil)
 		held.leavingUntil = now.Add(leavingRetention)
 	}
 	if until := now.Add(min(n.Pause, MaxPause)); n.Pause > 0 && held.pausedUntil.Before(until) {
 		news = true
 		held.pausedUntil = until
 	}
-	if n.RateLimit != nil && *n.RateLimit != held.rateLimit {
-		news = true
-		held.rateLimit = *n.RateLimit
-	}
 	next[e.Incarnation()] = held
 	b.records.Store(&next)
 	return news
 }
 
-// Accepts reports whether a server may be sent a request: it has neither
-// announced that it leaves nor asked for a pause that still lasts.
-func (b *Board) Accepts(e fleet.Engine) bool {
+// Open reports whether a server takes requests, apart from its rate limit: it has
+// neither announced that it leaves nor asked for a pause that still lasts.
+func (b *Board) Open(e fleet.Engine) bool {
 	return !b.Leaving(e) && b.PausedFor(e) == 0
 }
 
+// Accepts reports whether this entry may send a request to a server now: it is
+// open and not at its rate limit.
+func (b *Board) Accepts(e fleet.Engine) bool {
+	return b.Open(e) && b.Limits.Wait(e) == 0
+}
+
 // Leaving reports whether a server has announced that it leaves.
 func (b *Board) Leaving(e fleet.Engine) bool {
 	r, ok := b.record(e)
@@ -165,20 +155,27 @@
 }
 
 // EarliestReturn returns how long it takes until the first of the servers
-// accepts requests again. ok is false unless all of them either leave or have
-// asked for a pause, and at least one has asked for a pause.
+// accepts requests again. ok is false unless all of them leave, have asked for a
+// pause or are at their rate limits, and at least one does not leave.
 func (b *Board) EarliestReturn(engines []fleet.Engine) (wait time.Duration, ok bool) {
 	for _, e := range engines {
 		if e.Leaving || b.Leaving(e) {
 			continue
 		}
-		paused := b.PausedFor(e)
-		if paused == 0 {
+		blocked := max(b.PausedFor(e), b.limitedFor(e))
+		if blocked == 0 {
 			return 0, false
 		}
-		if !ok || paused < wait {
-			wait, ok = paused, true
+		if !ok || blocked < wait {
+			wait, ok = blocked, true
 		}
 	}
 	return wait, ok
 }
+
+// limitedFor returns how long a caller should wait for a server that is at its
+// rate limit. An entry without a share of the rate says when the server takes its
+// next request from another one.
+func (b *Board) limitedFor(e fleet.Engine) time.Duration {
+	return min(b.Limits.Wait(e), b.Limits.Interval(e))
+}
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -19,6 +19,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
@@ -200,10 +201,10 @@
 
 // report returns the next report to the control replica source. Work goes to the
 // leader, or to every replica while none is known; holdings and pace go to
-// the leader only, evidence on prompt parts to every replica. first is set for
+// the leader only, evidence on prompt parts and rate limits to every replica. first is set for
 // the first report of a watch.
 func (a *Agent) report(source string, first bool) peergrpc.Report {
-	r := peergrpc.Report{Evidence: a.quarantine.Report(source, first)}
+	r := peergrpc.Report{Evidence: a.quarantine.Report(source, first), RateLimits: a.notices.Limits.Pending(source, first)}
 	leader := a.leader.Load()
 	r.WantWork = leader == nil || a.leaderTimedOut()
 	if r.WantWork || *leader == source {
@@ -253,6 +254,9 @@
 	a.entries.Store(int64(max(1, u.Entries)))
 	a.setOtherLoad(u)
 	a.prefixes.AddRemote(u.Holdings)
+	for _, l := range a.notices.Limits.Merge(u.Source, u.RateLimits) {
+		a.options.Log.Info("rate limit of a server known", "server", l.Server, "limit", l.Limit.String(), "age_ms", l.Age.Milliseconds(), "source", u.Source)
+	}
 	if u.PartLists != nil {
 		a.quarantine.SetPartLists(u.Source, *u.PartLists)
 	}
@@ -265,8 +269,8 @@
 	a.requestDocument(u)
 }
 
-// setOtherLoad applies the load of other entries from the leader, or from any
-// replica while no leader sends updates.
+// setOtherLoad applies the load of other entries, and this entry's place among
+// them, from the leader, or from any replica while no leader sends updates.
 func (a *Agent) setOtherLoad(u peergrpc.Update) {
 	switch {
 	case u.Leads:
@@ -276,6 +280,7 @@
 		return
 	}
 	a.tracker.SetOthers(u.Others)
+	a.notices.Limits.SetPosition(ratelimit.Position{Index: u.Index, Count: u.Entries})
 	if a.otherLoadUnknown.CompareAndSwap(true, false) {
 		a.options.Log.Info("load of other entries is known again", "source", u.Source)
 	}
@@ -340,6 +345,7 @@
 	view := fleet.NewView(a.roster.Update(engines))
 	a.view.Store(view)
 	a.tracker.Prune(view)
+	a.notices.Limits.SetView(view)
 	a.options.Log.Debug("engines listed", "source", source, "before", before.Len(), "now", view.Len())
 }
 
--- a/internal/role/seededentry/agent_test.go
+++ b/internal/role/seededentry/agent_test.go
@@ -11,6 +11,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
 )
 
@@ -64,6 +65,33 @@
 	})
 }
 
+// TestRateLimitsAreExchanged checks that the rate limits that this entry learns are
+// reported to every replica once, and that those of other entries hold here.
+func TestRateLimitsAreExchanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newTestAgent()
+		own, other := fleet.Engine{ID: "own", StartedMs: 1}, fleet.Engine{ID: "other", StartedMs: 1}
+		a.setEngines("leader", []fleet.Engine{own, other})
+		a.options.Notices.Post(own, notice.Notice{RateLimit: &ratelimit.Limit{Limited: true, PerSecond: 2}})
+		for _, replica := range []string{"leader", "follower"} {
+			first, second, again := a.report(replica, true), a.report(replica, false), a.report(replica, true)
+			if len(first.RateLimits) != 1 || len(second.RateLimits) != 0 || len(again.RateLimits) != 1 {
+				t.Errorf("%s got %v, %v, and %v over a new connection", replica, first.RateLimits, second.RateLimits, again.RateLimits)
+			}
+		}
+		limit := ratelimit.Announcement{Server: other.Incarnation(), Limit: ratelimit.Limit{Limited: true, PerSecond: 2}}
+		a.deliver(peergrpc.Update{Source: "leader", Leads: true, Entries: 2, Index: -1, RateLimits: []ratelimit.Announcement{limit}})
+		if a.options.Notices.Accepts(other) {
+			t.Error("an entry that has no place among the others may send to a limited server")
+		}
+		a.deliver(peergrpc.Update{Source: "leader", Leads: true, Entries: 1})
+		time.Sleep(time.Second)
+		if !a.options.Notices.Accepts(other) {
+			t.Error("the only entry may not send to a limited server")
+		}
+	})
+}
+
 // TestOthersWorkComesFromTheLeader checks that a follower's figures on the other
 // entries' work are ignored until the leader has timed out, and that figures
 // older than maxLoadAge are discarded.
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
 	"github.com/lagoonshift/lagoonshift/internal/state/document"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
@@ -97,6 +99,8 @@
 	// droppedHoldings is the number of holdings that were dropped from its front.
 	holdings        []reportedHolding
 	droppedHoldings int
+	// rateLimits holds the rate limits of servers.
+	rateLimits *ratelimit.Register
 }
 
 // reportedHolding is a holding and the watch of the entry that reported it.
@@ -129,6 +133,12 @@
 	// wantsDocument is set by a report and cleared by the update that has the
 	// document.
 	wantsDocument atomic.Bool
+	// position is the entry's place among those that accept new work, from 1, or
+	// zero if it accepts none.
+	position atomic.Uint32
+	// rateLimits is what the entry holds of the hub's rate limits. It is guarded by
+	// the hub's lock.
+	rateLimits ratelimit.Peer
 	// wake triggers an update to the entry; its capacity is 1.
 	wake chan struct{}
 }
@@ -143,7 +153,7 @@
 
 // NewFleetHub returns a hub without entries.
 func NewFleetHub(o HubOptions) *FleetHub {
-	return &FleetHub{options: o, stopped: make(chan struct{}), entries: make(map[*entryWatch]struct{}), sum: fleet.NewSum()}
+	return &FleetHub{options: o, stopped: make(chan struct{}), entries: make(map[*entryWatch]struct{}), sum: fleet.NewSum(), rateLimits: ratelimit.NewRegister(clock.Boot{})}
 }
 
 // Register adds the service to a gRPC server.
@@ -180,6 +190,13 @@
 		return
 	}
 	h.engines.Store(next)
+	listed := make(map[string]bool, len(engines))
+	for _, e := range engines {
+		listed[e.Incarnation()] = true
+	}
+	h.mu.Lock()
+	h.rateLimits.Retain(func(server string) bool { return listed[server] })
+	h.mu.Unlock()
 	h.wakeAll()
 }
 
@@ -208,16 +225,21 @@
 	return out
 }
 
-// countReady recomputes the number of entries that accept new work. The caller
-// holds the lock.
+// countReady recomputes the number of entries that accept new work, and the place
+// of each in the order of their names. The caller holds the lock.
 func (h *FleetHub) countReady() {
-	ready := uint32(0)
-	for _, info := range h.newestIncarnations() {
-		if info.Ready {
-			ready++
+	ready := slices.DeleteFunc(h.newestIncarnations(), func(info EntryInfo) bool { return !info.Ready })
+	slices.SortFunc(ready, func(a, b EntryInfo) int { return strings.Compare(a.Name, b.Name) })
+	positions := make(map[uint64]uint32, len(ready))
+	for i, info := range ready {
+		positions[info.Incarnation] = uint32(i + 1)
+	}
+	for w := range h.entries {
+		if info := w.info.Load(); info != nil {
+			w.position.Store(positions[info.Incarnation])
 		}
 	}
-	h.ready.Store(ready)
+	h.ready.Store(uint32(len(ready)))
 }
 
 // Loads returns the total load that entries reported, by engine id.
@@ -316,6 +338,7 @@
 	h.setWork(w, toWork(report.GetLoads(), report.GetWaiting()), toPace(report.GetPace()))
 	h.recordHoldings(w, toHoldings(report.GetHoldings()))
 	h.options.Quarantine.Record(toEvidence(report.GetEvidence()))
+	h.mergeRateLimits(w, report.GetRateLimits())
 	w.wantsWork.Store(report.GetWantWork())
 	if report.GetWantDocument() {
 		w.wantsDocument.Store(true)
@@ -379,6 +402,23 @@
 	return out
 }
 
+// mergeRateLimits records the rate limits that an entry reported.
+func (h *FleetHub) mergeRateLimits(w *entryWatch, limits []*peerpb.RateLimit) {
+	if len(limits) == 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rateLimits.Merge(&w.rateLimits, toRateLimits(limits))
+}
+
+// pendingRateLimits returns the rate limits in which an entry differs.
+func (h *FleetHub) pendingRateLimits(w *entryWatch) []ratelimit.Announcement {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.rateLimits.Pending(&w.rateLimits)
+}
+
 func (h *FleetHub) remove(w *entryWatch) {
 	h.mu.Lock()
 	delete(h.entries, w)
@@ -460,6 +500,8 @@
 		ReportMs:        uint32(h.interval(w).Milliseconds()),
 		Leads:           h.options.Leads(),
 		Entries:         h.ready.Load(),
+		Position:        w.position.Load(),
+		RateLimits:      fromRateLimits(h.pendingRateLimits(w)),
 	}
 	if !slices.Equal(next.controlAddresses, sent.controlAddresses) {
 		update.ControlAddresses = next.controlAddresses
@@ -543,6 +585,26 @@
 	return out
 }
 
+func fromRateLimits(limits []ratelimit.Announcement) []*peerpb.RateLimit {
+	out := make([]*peerpb.RateLimit, 0, len(limits))
+	for _, l := range limits {
+		out = append(out, &peerpb.RateLimit{Server: l.Server, Limited: l.Limit.Limited, PerSecond: l.Limit.PerSecond, AgeMs: uint64(l.Age.Milliseconds())})
+	}
+	return out
+}
+
+func toRateLimits(limits []*peerpb.RateLimit) []ratelimit.Announcement {
+	out := make([]ratelimit.Announcement, 0, len(limits))
+	for _, l := range limits {
+		out = append(out, ratelimit.Announcement{
+			Server: l.GetServer(),
+			Limit:  ratelimit.Limit{Limited: l.GetLimited(), PerSecond: l.GetPerSecond()},
+			Age:    time.Duration(l.GetAgeMs()) * time.Millisecond,
+		})
+	}
+	return out
+}
+
 func fromPace(pace map[string]fleet.Pace) map[string]*peerpb.Pace {
 	out := make(map[string]*peerpb.Pace, len(pace))
 	for service, p := range pace {
--- a/internal/transport/peergrpc/fleethub_test.go
+++ b/internal/transport/peergrpc/fleethub_test.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
 	"github.com/lagoonshift/lagoonshift/internal/state/document"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
@@ -230,3 +231,60 @@
 		t.Error("second update repeats the lists")
 	}
 }
+
+// TestRateLimitsReachOtherEntries checks that a rate limit that one entry reports
+// is in the next update of each other one, and is not repeated.
+func TestRateLimitsReachOtherEntries(t *testing.T) {
+	h := newTestHub()
+	reporter, other := &entryWatch{wake: make(chan struct{}, 1)}, &entryWatch{wake: make(chan struct{}, 1)}
+	limit := ratelimit.Announcement{Server: "e/1", Limit: ratelimit.Limit{Limited: true, PerSecond: 2.9}, Age: time.Second}
+	h.handleReport(reporter, fromReport(Report{EntryInfo: EntryInfo{Name: "reporter"}, RateLimits: []ratelimit.Announcement{limit}}))
+	sent := func(w *entryWatch) []ratelimit.Announcement {
+		message, _ := h.update(w, sentState{})
+		update, err := toFleetUpdate("source", message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return update.RateLimits
+	}
+	if got := sent(other); len(got) != 1 || got[0].Server != limit.Server || got[0].Limit != limit.Limit || got[0].Age < limit.Age || got[0].Age > 2*limit.Age {
+		t.Errorf("got %+v, want %+v", got, limit)
+	}
+	if again, back := sent(other), sent(reporter); len(again) > 0 || len(back) > 0 {
+		t.Errorf("got %+v again, and %+v back at the reporter", again, back)
+	}
+}
+
+// TestPositionsAreDistinct checks that the entries that accept new work have the
+// positions from 1 to their number, and all others none.
+func TestPositionsAreDistinct(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newTestHub()
+		watches := make(map[*entryWatch]bool)
+		for incarnation := range rapid.IntRange(1, 12).Draw(t, "entries") {
+			w := &entryWatch{wake: make(chan struct{}, 1)}
+			watches[w] = rapid.Bool().Draw(t, "ready")
+			h.handleReport(w, &peerpb.EntryReport{Name: fmt.Sprint("e", incarnation), Incarnation: uint64(incarnation + 1), Ready: watches[w]})
+			if rapid.IntRange(0, 3).Draw(t, "leaves") == 0 {
+				h.remove(w)
+				delete(watches, w)
+			}
+		}
+		var got []uint32
+		for w, ready := range watches {
+			update, _ := h.update(w, sentState{})
+			if !ready && update.GetPosition() != 0 {
+				t.Errorf("an entry that is not ready has position %d", update.GetPosition())
+			}
+			if ready {
+				got = append(got, update.GetPosition())
+			}
+		}
+		slices.Sort(got)
+		for i, position := range got {
+			if int(position) != i+1 {
+				t.Fatalf("got positions %v, want 1 to %d", got, len(got))
+			}
+		}
+	})
+}
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -15,6 +15,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
@@ -38,6 +39,8 @@
 	Pace map[string]fleet.Pace
 	// Evidence is what the entry has seen of prompt parts that may crash engines.
 	Evidence []quarantine.Evidence
+	// RateLimits are rate limits of servers that the replica doesn't have yet.
+	RateLimits []ratelimit.Announcement
 }
 
 // Update is a control replica's message to an entry.
@@ -48,8 +51,12 @@
 	DocumentVersion uint64
 	// Document is the content of that version if the entry asked for it.
 	Document []byte
-	// Entries is the number of entries that accept new work.
+	// Entries is the number of entries that accept new work, and Index this entry's
+	// place among them; negative if it accepts none.
 	Entries int
+	Index   int
+	// RateLimits are rate limits of servers that the entry didn't report so.
+	RateLimits []ratelimit.Announcement
 	// Engines is nil unless the list changed since the last update.
 	Engines []fleet.Engine
 	// Others is the work that all other entries reported, if HasOthers is set.
@@ -304,6 +311,7 @@
 	out.Holdings = fromHoldings(r.Holdings)
 	out.Pace = fromPace(r.Pace)
 	out.Evidence = fromEvidence(r.Evidence)
+	out.RateLimits = fromRateLimits(r.RateLimits)
 	return out
 }
 
@@ -317,6 +325,8 @@
 		DocumentVersion: m.GetDocumentVersion(),
 		Document:        content,
 		Entries:         int(m.GetEntries()),
+		Index:           int(m.GetPosition()) - 1,
+		RateLimits:      toRateLimits(m.GetRateLimits()),
 		Leads:           m.GetLeads(),
 		HasOthers:       m.GetHasOthers(),
 		ReportAfter:     max(minLoadInterval, time.Duration(m.GetReportMs())*time.Millisecond),
