--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -472,7 +472,15 @@
 	}
 	x.options.Log.Info("attempt failed", "request", x.request.ID, "route", x.request.Route.Name, "engine", a.Engine.ID,
 		"peer", a.Engine.Address, "step", step, "sends", x.sends, "runs", x.runs, "left_ms", x.remaining().Milliseconds(),
-		"shared_parts", x.sharedParts, "last_event", x.lastEventID, "error", err)
+		"shared_parts", x.sharedParts, "fingerprint", x.fingerprint().String(), "last_event", x.lastEventID, "error", err)
+}
+
+// fingerprint returns the request's fingerprint, or an empty one.
+func (x *exchange) fingerprint() quarantine.Fingerprint {
+	if x.request.Fingerprint == nil {
+		return quarantine.Fingerprint{}
+	}
+	return x.request.Fingerprint()
 }
 
 func (x *exchange) logOutcome(o Outcome) {
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -9,6 +9,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 )
 
@@ -28,6 +29,9 @@
 	// LastEventID is the ID of the last event that the caller has already
 	// received, or empty.
 	LastEventID string
+	// Fingerprint returns what a repeat of the request has in common with it. It is
+	// called only when a server has failed; nil if there is none.
+	Fingerprint func() quarantine.Fingerprint
 }
 
 // KVSource locates the KV cache of a prefilled prompt. The engine keeps it until
--- /dev/null
+++ b/internal/protocol/quarantine/fingerprint.go
@@ -0,0 +1,43 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// Fingerprint identifies a request and its repeats.
+type Fingerprint struct {
+	// Content is a hash of what is sent, and Caller one of who sends it.
+	Content, Caller string
+}
+
+// fingerprintBytes is the length of a hash: 128 bits rule out that two requests have
+// the same by chance.
+const fingerprintBytes = 16
+
+// NewFingerprint returns the fingerprint of a request. content are the fields that a
+// repeat has in common with it.
+func NewFingerprint(caller string, content ...[]byte) Fingerprint {
+	return Fingerprint{Content: hash(content...), Caller: hash([]byte(caller))}
+}
+
+// hash returns a hash of fields in hexadecimal. The lengths keep the fields apart.
+func hash(fields ...[]byte) string {
+	h := sha256.New()
+	for _, field := range fields {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		h.Write(length[:])
+		h.Write(field)
+	}
+	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
+}
+
+// String returns the fingerprint for logs.
+func (f Fingerprint) String() string {
+	if f == (Fingerprint{}) {
+		return ""
+	}
+	return f.Content + "." + f.Caller
+}
