Keep requests that crash servers, and their repeats, from further servers

Cause: the quarantine knew shared parts of prompts alone. A request without a prompt, or whose own part is to blame, left no evidence; each repeat comes under a new ID, at another entry, and was taken for a new request.

Change: each attempt that ends without an answer at a server that is gone is evidence, whatever its service and kind, with the request's fingerprint. A request is in quarantine after three crashes without an answer since; a content after three from several callers. Lists, memory, file and the operators' interface are those of parts. A part needs crashes under two different requests: one and its repeats speak against the request, not against the session it belongs to. One exchange ends two servers at most. A request that its server refused is no evidence any more; it was not there.

--- a/internal/protocol/exchange/crash.go
+++ b/internal/protocol/exchange/crash.go
@@ -4,15 +4,31 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 )
 
-// ErrQuarantined means that a part of the prompt is in quarantine, because it
-// crashed engines.
-var ErrQuarantined = errors.New("prompt part in quarantine")
+// ErrQuarantined means that the request or a part of its prompt is in quarantine,
+// because it crashed servers.
+var ErrQuarantined = errors.New("request or prompt part in quarantine")
+
+// maxCrashes is the number of servers that may end under one request. Its repeats are
+// stopped by the quarantine.
+const maxCrashes = 2
+
+// quarantineKeys returns the shared parts of the prompt and, while anything is
+// suspected or in quarantine, the keys of the request.
+func (x *exchange) quarantineKeys() []string {
+	if !x.options.Quarantine.Active() {
+		return x.sharedParts
+	}
+	return append(slices.Clone(x.sharedParts), x.fingerprint().Keys()...)
+}
 
-// checkQuarantine returns ErrQuarantined if no engine may get the prompt.
+// checkQuarantine returns ErrQuarantined if no server may get the request.
 func (x *exchange) checkQuarantine() error {
-	part, left, blocked := x.options.Quarantine.Blocked(x.sharedParts)
+	part, left, blocked := x.options.Quarantine.Blocked(x.quarantineKeys())
 	if !blocked {
 		return nil
 	}
@@ -20,18 +36,22 @@
 	return fmt.Errorf("%w: %s, for %v more", ErrQuarantined, part, left)
 }
 
-// checkCrash handles an attempt that ended without an event of the stream. If its
-// engine has ended too, the prompt may be the cause. begun is set if the engine
-// had begun to answer: then the prompt is the most likely cause, and the request
-// is not sent to another engine.
+// checkCrash handles an attempt that ended without an answer, or without an event of
+// the stream. If its server has ended too, the request may be the cause. begun is set
+// if the server had begun to answer: then the request is the most likely cause, and is
+// not sent to another one.
 func (x *exchange) checkCrash(ctx context.Context, a Attempt, err error, begun bool) {
-	resumed := x.timeToFirstByte > 0 // an engine has answered the prompt
-	if x.request.Prompt == nil || resumed || errors.Is(err, errSilent) || ctx.Err() != nil || !x.sender.Ended(ctx, a.Engine) {
+	if errors.Is(err, ErrNotRun) || errors.Is(err, errSilent) || ctx.Err() != nil || !x.sender.Ended(ctx, a.Engine) {
 		return
 	}
+	x.crashes++
 	x.options.Outlier.Unreachable(a.Engine.ID)
-	x.options.Quarantine.Crashed(a.Engine, x.request.ID, x.sharedParts, begun)
-	x.crashedEngine = begun
-	x.options.Log.Info("engine ended before its first event", "request", x.request.ID, "engine", a.Engine.ID, "peer", a.Engine.Address,
-		"begun", begun, "shared_parts", x.sharedParts)
+	suspect := quarantine.Suspect{Request: x.request.ID, Fingerprint: x.fingerprint(), Begun: begun}
+	if resumed := x.timeToFirstByte > 0; !resumed { // else an engine has answered the prompt
+		suspect.Parts = x.sharedParts
+		x.crashedEngine = begun
+	}
+	x.options.Quarantine.Crashed(a.Engine, suspect)
+	x.options.Log.Info("server ended before it answered", "request", x.request.ID, "engine", a.Engine.ID, "peer", a.Engine.Address,
+		"begun", begun, "crashes", x.crashes, "shared_parts", suspect.Parts, "fingerprint", suspect.Fingerprint.String())
 }
--- a/internal/protocol/exchange/crash_test.go
+++ b/internal/protocol/exchange/crash_test.go
@@ -10,6 +10,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/exchange"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 )
 
 // promptRequest returns a resumable request with the given parts and one of its
@@ -123,3 +124,76 @@
 		t.Errorf("got evidence %+v, want one crash before the answer had begun", got)
 	}
 }
+
+// repeatedCall returns a safe call with a fingerprint.
+func repeatedCall(attempts int) (*exchange.Request, quarantine.Fingerprint) {
+	f := quarantine.NewFingerprint("caller", []byte("deadly"))
+	return &exchange.Request{
+		ID: "r", Service: route.Service{Name: "plain"}, Deadline: time.Now().Add(time.Second),
+		Route:       &route.Route{Kind: route.Safe, MaxAttempts: attempts},
+		Fingerprint: func() quarantine.Fingerprint { return f },
+	}, f
+}
+
+// TestCrashesUnderCallAreEvidence has servers without prompts end under a call: it ends two of them at most, and both are reported with its fingerprint.
+func TestCrashesUnderCallAreEvidence(t *testing.T) {
+	w := newFixture(reply{status: 200, body: "answer"}, reply{err: errReset}, reply{status: 200, body: "ans", cut: true}, reply{status: 200, body: "answer"})
+	warm, _ := repeatedCall(1)
+	w.run(t, warm)
+	w.ended = true
+	r, f := repeatedCall(3)
+	if o := w.run(t, r); o.Result != exchange.Failed || len(w.sends) != 3 {
+		t.Errorf("got %v after %d sends, want failed after two more", o.Result, len(w.sends)-1)
+	}
+	got := w.quarantine.Report("replica", true)
+	if len(got) != 2 || got[0].Fingerprint != f || got[0].Engine == got[1].Engine || got[0].Kind != quarantine.Crash {
+		t.Errorf("got evidence %+v, want the crashes of two servers", got)
+	}
+}
+
+// TestRequestInQuarantineReachesNoServer checks that a call in quarantine is refused as not run, and that the same content of another caller is not.
+func TestRequestInQuarantineReachesNoServer(t *testing.T) {
+	w := newFixture(reply{status: 200, body: "answer"})
+	r, f := repeatedCall(3)
+	w.quarantine.SetPartLists("replica", quarantine.PartLists{Quarantined: []quarantine.Quarantined{{Part: f.Keys()[0], Left: time.Minute}}})
+	if o := w.run(t, r); o.Result != exchange.Refused || len(w.sends) != 0 || o.RetryAfter < 50*time.Second {
+		t.Errorf("got %v after %d sends, Retry-After %v; want refused at once until the end of the quarantine", o.Result, len(w.sends), o.RetryAfter)
+	}
+	r.Fingerprint = func() quarantine.Fingerprint {
+		return quarantine.NewFingerprint("another caller", []byte("deadly"))
+	}
+	if o := w.run(t, r); o.Result != exchange.Delivered {
+		t.Errorf("got %v for another caller, want delivered", o.Result)
+	}
+}
+
+// TestAnswersOfSuspectedRequestsAreReported checks that an entry reports an answer to a request that is suspected.
+func TestAnswersOfSuspectedRequestsAreReported(t *testing.T) {
+	w := newFixture(reply{status: 500, body: "error"})
+	r, f := repeatedCall(1)
+	w.quarantine.SetPartLists("replica", quarantine.PartLists{Suspected: f.Keys()})
+	w.run(t, r)
+	var reported []string
+	for _, e := range w.quarantine.Report("replica", false) {
+		if e.Kind == quarantine.Answered {
+			reported = append(reported, e.Parts...)
+		}
+	}
+	if !slices.Equal(reported, f.Keys()) {
+		t.Errorf("got answers of %v, want %v", reported, f.Keys())
+	}
+}
+
+// TestServerThatRefusesIsNoEvidence has a prefill engine refuse a prompt before it ends: the prompt was not there.
+func TestServerThatRefusesIsNoEvidence(t *testing.T) {
+	w := newFixture(reply{status: 200, events: true, body: "id: 1\n\n"}, reply{status: 200, events: true, body: "id: 1\n\n"})
+	w.run(t, promptRequest("first"))
+	w.ended = true
+	w.prefillErrs = []error{errRejected}
+	r := promptRequest("system", "suspect")
+	r.Prompt.Tokens = 5000
+	w.run(t, r)
+	if got := w.quarantine.Report("replica", true); len(got) != 0 {
+		t.Errorf("got evidence %+v, want none", got)
+	}
+}
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -40,7 +40,7 @@
 	// Prefixes records which engines hold shared prefixes of prompts. If it
 	// is nil, New creates an empty directory.
 	Prefixes *prefixdir.Directory
-	// Quarantine holds the prompt parts that no engine may get. If it is nil, New
+	// Quarantine holds the requests and prompt parts that no server may get. If it is nil, New
 	// creates an empty one.
 	Quarantine *quarantine.Guard
 	// Pace counts the streams. If it is nil, New creates a counter.
@@ -207,9 +207,12 @@
 	prefillCalls int
 	// sharedParts are the IDs of the prompt's shared parts.
 	sharedParts []string
-	// crashedEngine is set if an engine ended as it began to answer.
+	// crashedEngine is set if an engine ended as it began to answer, and crashes
+	// counts the servers that ended before they answered.
 	crashedEngine bool
-	// quarantineLeft is how much longer a part of the prompt is in quarantine.
+	crashes       int
+	// quarantineLeft is how much longer the request or a part of its prompt is in
+	// quarantine.
 	quarantineLeft time.Duration
 	// kvSource is the KV cache of the prefilled prompt while no decode engine
 	// has been asked to fetch it.
@@ -286,7 +289,7 @@
 // mayRetry reports whether the limits on attempts allow another send.
 func (x *exchange) mayRetry() bool {
 	limit := max(1, x.request.Route.MaxAttempts)
-	if x.crashedEngine {
+	if x.crashedEngine || x.crashes >= maxCrashes {
 		return false
 	}
 	if x.runs > 0 && (!x.request.Route.Repeatable() || x.runs >= limit) {
@@ -427,8 +430,10 @@
 	}
 	if err != nil {
 		x.recordFailure(ctx, a, "answer cut", err)
+		x.checkCrash(ctx, a, err, false)
 		return false, err
 	}
+	x.options.Quarantine.Answered(x.request.Service.Name, x.quarantineKeys())
 	if !response.Success {
 		err = &ServerError{Status: response.Status, Engine: a.Engine.ID}
 		x.recordFailure(ctx, a, "server error", err)
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -54,7 +54,7 @@
 			if !hasEvents {
 				hasEvents = true
 				x.promptPrefilled()
-				x.options.Quarantine.Answered(x.request.Service.Name, x.sharedParts)
+				x.options.Quarantine.Answered(x.request.Service.Name, x.quarantineKeys())
 			}
 			stall.stop() // a caller that reads slowly does not stall the engine
 			if err := x.writeEvents(pending[:complete]); err != nil {
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -30,7 +30,7 @@
 	// received, or empty.
 	LastEventID string
 	// Fingerprint returns what a repeat of the request has in common with it. It is
-	// called only when a server has failed; nil if there is none.
+	// called only after a server has failed. It is nil if there is none.
 	Fingerprint func() quarantine.Fingerprint
 }
 
--- a/internal/protocol/quarantine/detector.go
+++ b/internal/protocol/quarantine/detector.go
@@ -22,6 +22,10 @@
 	mu sync.Mutex // guards the fields below
 	// crashes holds the engines that ended, by incarnation.
 	crashes map[string]*crash
+	// byKey holds, by key of a request, the newest crashes with a candidate that has it, and
+	// repeated the keys that have at least suspectedCrashes.
+	byKey    map[string][]*crash
+	repeated map[string]bool
 	// answered is when a part of a crash, or one in quarantine, was last answered.
 	answered map[string]clock.Instant
 	// answers is when a service last answered a request without suspected parts.
@@ -50,7 +54,31 @@
 type candidate struct {
 	// begun is set if the engine had begun to answer.
 	begun bool
-	parts []string
+	// identity is the fingerprint, or the request's ID without one.
+	identity, caller string
+	// parts are the shared parts of its prompt, and keys those of the fingerprint.
+	parts, keys []string
+}
+
+// distinct tells whether several different values were added.
+type distinct struct {
+	first   string
+	several bool
+}
+
+func (d distinct) add(value string) distinct {
+	if d.first == "" {
+		return distinct{first: value}
+	}
+	return distinct{first: d.first, several: d.several || value != d.first}
+}
+
+func (d distinct) merge(other distinct) distinct {
+	if other.first != "" {
+		d = d.add(other.first)
+	}
+	d.several = d.several || other.several
+	return d
 }
 
 // weight is how much the crash speaks for a part: for one that all candidates share
@@ -61,6 +89,9 @@
 	total, deepest float64
 	// depth is the largest position of the part in a candidate's prompt.
 	depth int
+	// requests are the fingerprints, or the IDs of those without one, of the candidates
+	// with the part.
+	requests distinct
 	// begun is set if the engine had begun to answer the candidates.
 	begun bool
 }
@@ -69,6 +100,7 @@
 // engine had begun to answer or, without any, those that waited.
 func (c *crash) weights() map[string]weight {
 	candidates, unit := slices.Collect(maps.Values(c.requests)), waitingWeight
+	candidates = slices.DeleteFunc(candidates, func(s candidate) bool { return len(s.parts) == 0 })
 	begun := slices.DeleteFunc(slices.Clone(candidates), func(s candidate) bool { return !s.begun })
 	if len(begun) > 0 {
 		candidates, unit = begun, 1
@@ -78,6 +110,7 @@
 	for _, s := range candidates {
 		for depth, part := range s.parts {
 			w := out[part]
+			w.requests = w.requests.add(s.identity)
 			w.begun = s.begun
 			w.total += unit
 			if depth == len(s.parts)-1 {
@@ -96,6 +129,8 @@
 		clock:       c,
 		log:         log,
 		crashes:     make(map[string]*crash),
+		byKey:       make(map[string][]*crash),
+		repeated:    make(map[string]bool),
 		answered:    make(map[string]clock.Instant),
 		answers:     make(map[string]clock.Instant),
 		suspected:   make(map[string]clock.Instant),
@@ -138,8 +173,69 @@
 		d.crashes[e.Engine] = held
 	}
 	held.at = min(held.at, at)
-	if len(held.requests) < maxCandidates {
-		held.requests[e.Request] = candidate{begun: e.Begun, parts: e.Parts}
+	if _, known := held.requests[e.Request]; known || len(held.requests) >= maxCandidates && !(e.Begun && d.dropWaiting(held)) {
+		return
+	}
+	s := candidate{begun: e.Begun, identity: cmp.Or(e.Fingerprint.String(), e.Request), caller: e.Fingerprint.Caller, parts: e.Parts, keys: e.Fingerprint.Keys()}
+	held.requests[e.Request] = s
+	for _, key := range s.keys {
+		if !slices.Contains(d.byKey[key], held) {
+			newest := d.byKey[key][max(0, len(d.byKey[key])-maxKeyCrashes+1):]
+			d.byKey[key] = append(slices.Clone(newest), held)
+		}
+		if len(d.byKey[key]) >= suspectedCrashes {
+			d.repeated[key] = true
+		}
+	}
+}
+
+// dropWaiting drops a candidate that the engine had not begun to answer and reports
+// whether there was one.
+func (d *Detector) dropWaiting(c *crash) bool {
+	for request, s := range c.requests {
+		if !s.begun {
+			delete(c.requests, request)
+			d.removeKeys(c, s)
+			return true
+		}
+	}
+	return false
+}
+
+// removeKeys removes a crash from the keys of a candidate that it no longer has,
+// unless another candidate has them too.
+func (d *Detector) removeKeys(c *crash, s candidate) {
+	for _, key := range s.keys {
+		if c.hasKey(key) {
+			continue
+		}
+		d.byKey[key] = slices.DeleteFunc(d.byKey[key], func(held *crash) bool { return held == c })
+		if len(d.byKey[key]) < suspectedCrashes {
+			delete(d.repeated, key)
+		}
+		if len(d.byKey[key]) == 0 {
+			delete(d.byKey, key)
+		}
+	}
+}
+
+func (c *crash) hasKey(key string) bool {
+	for _, s := range c.requests {
+		if slices.Contains(s.keys, key) {
+			return true
+		}
+	}
+	return false
+}
+
+// dropCrash forgets the end of an incarnation.
+func (d *Detector) dropCrash(engine string) {
+	c := d.crashes[engine]
+	delete(d.crashes, engine)
+	requests := c.requests
+	c.requests = nil
+	for _, s := range requests {
+		d.removeKeys(c, s)
 	}
 }
 
@@ -150,7 +246,7 @@
 			oldest = engine
 		}
 	}
-	delete(d.crashes, oldest)
+	d.dropCrash(oldest)
 }
 
 // recordAnswer clears parts of all crashes up to the answer and ends their
@@ -164,7 +260,7 @@
 		if quarantined && at >= until.Add(-Duration) {
 			delete(d.quarantined, part)
 			d.generation++
-			d.log.Warn("prompt part released from quarantine", "part", part, "reason", "an engine answered it")
+			d.log.Warn(describe(part)+" released from quarantine", "part", part, "reason", "an engine answered it")
 		}
 		if quarantined || d.inCrash(part) {
 			d.answered[part] = max(d.answered[part], at)
@@ -182,8 +278,12 @@
 	return false
 }
 
-// inCrash reports whether a candidate of a crash that still counts has the part.
+// inCrash reports whether a candidate of a crash that still counts has the part or
+// key.
 func (d *Detector) inCrash(part string) bool {
+	if isRequestKey(part) {
+		return len(d.byKey[part]) > 0
+	}
 	for _, c := range d.crashes {
 		for _, s := range c.requests {
 			if slices.Contains(s.parts, part) {
@@ -202,12 +302,12 @@
 	}
 	held, known := d.quarantined[part]
 	// An entry reports what is left with a delay: only a clearly later end is news.
-	if known && until <= held.Add(time.Second) || !known && len(d.quarantined) >= maxQuarantined {
+	if known && until <= held.Add(time.Second) || !known && countKind(d.quarantined, part) >= maxQuarantined {
 		return
 	}
 	d.quarantined[part] = until
 	d.generation++
-	d.log.Info("prompt part in quarantine", "part", part, "source", "an entry or the file", "left", until.Sub(d.clock.Now()))
+	d.log.Info(describe(part)+" in quarantine", "part", part, "source", "an entry or the file", "left", until.Sub(d.clock.Now()))
 }
 
 // Release ends the quarantine of a part by an operator's decision and reports
@@ -221,7 +321,7 @@
 	delete(d.quarantined, part)
 	d.answered[part] = d.clock.Now()
 	d.generation++
-	d.log.Warn("prompt part released from quarantine", "part", part, "reason", "an operator released it")
+	d.log.Warn(describe(part)+" released from quarantine", "part", part, "reason", "an operator released it")
 	return true
 }
 
@@ -237,13 +337,35 @@
 	}
 }
 
-// evaluate drops what has expired, updates the suspected parts and puts parts in
-// quarantine, one at a time: crashes that it explains no longer count for others.
+// describe names what a key stands for in logs.
+func describe(key string) string {
+	if isRequestKey(key) {
+		return "request"
+	}
+	return "prompt part"
+}
+
+// countKind returns how many keys of a map are of the same kind as key: parts or
+// requests.
+func countKind(keys map[string]clock.Instant, key string) (n int) {
+	for other := range keys {
+		if isRequestKey(other) == isRequestKey(key) {
+			n++
+		}
+	}
+	return n
+}
+
+// evaluate drops what has expired, puts requests in quarantine, updates what is
+// suspected and puts parts in quarantine, one at a time: crashes that it explains no
+// longer count for others.
 func (d *Detector) evaluate(now clock.Instant) {
 	d.expire(now)
+	requests := d.requestScores()
+	d.quarantineRequests(requests, now)
 	for {
 		scores := d.scores(now)
-		d.updateSuspected(scores, now)
+		d.updateSuspected(scores, requests, now)
 		part, ok := d.nextToQuarantine(scores, now)
 		if !ok {
 			return
@@ -256,7 +378,11 @@
 }
 
 func (d *Detector) expire(now clock.Instant) {
-	maps.DeleteFunc(d.crashes, func(_ string, c *crash) bool { return now.Sub(c.at) > evidenceRetention })
+	for engine, c := range d.crashes {
+		if now.Sub(c.at) > evidenceRetention {
+			d.dropCrash(engine)
+		}
+	}
 	maps.DeleteFunc(d.answers, func(service string, _ clock.Instant) bool { return !d.knows(service) })
 	maps.DeleteFunc(d.answered, func(part string, at clock.Instant) bool {
 		return now.Sub(at) > evidenceRetention && !d.inCrash(part)
@@ -265,7 +391,7 @@
 		expired := now >= until
 		if expired {
 			d.generation++
-			d.log.Info("prompt part released from quarantine", "part", part, "reason", "its time is over")
+			d.log.Info(describe(part)+" released from quarantine", "part", part, "reason", "its time is over")
 		}
 		return expired
 	})
@@ -275,6 +401,9 @@
 type score struct {
 	weight, deepest float64
 	crashes         int
+	// requests are the fingerprints, or the IDs of those without one, of the candidates
+	// with the part.
+	requests distinct
 	// begun is set if an engine had begun to answer a request with the part.
 	begun   bool
 	depth   int
@@ -287,11 +416,12 @@
 	return c.begun || c.weight >= suspectedWeight
 }
 
-// suffices reports whether the crashes suffice for a quarantine.
+// suffices reports whether the crashes suffice for a quarantine. Those of a single
+// request and its repeats speak against the request rather than the part.
 func (c score) suffices() bool {
 	// The sums of thirds fall short of a whole number by rounding.
 	const rounding = 1e-9
-	return c.deepest >= deepThreshold-rounding || c.weight >= shallowThreshold-rounding
+	return c.requests.several && (c.deepest >= deepThreshold-rounding || c.weight >= shallowThreshold-rounding)
 }
 
 // add returns the score with a further crash. The crash has no weight while
@@ -299,6 +429,7 @@
 func (c score) add(k *crash, w weight, now clock.Instant) score {
 	c.service, c.depth = k.service, max(c.depth, w.depth)
 	c.begun = c.begun || w.begun
+	c.requests = c.requests.merge(w.requests)
 	if now.Sub(k.at) < settlePeriod || c.crashes > 0 && k.at.Sub(c.newest) < crashSpacing {
 		return c
 	}
@@ -315,7 +446,7 @@
 	out := make(map[string]score)
 	for _, c := range ordered {
 		weights := c.weights()
-		if d.explains(weights) {
+		if d.explains(weights) || d.explainedByRequest(c) {
 			continue
 		}
 		for part, w := range weights {
@@ -337,32 +468,100 @@
 	return false
 }
 
-// updateSuspected replaces the suspected parts by those whose scores suffice.
-func (d *Detector) updateSuspected(scores map[string]score, now clock.Instant) {
+// explainedByRequest reports whether a candidate of a crash is in quarantine.
+func (d *Detector) explainedByRequest(c *crash) bool {
+	for _, s := range c.requests {
+		if slices.ContainsFunc(s.keys, func(key string) bool { _, ok := d.quarantined[key]; return ok }) {
+			return true
+		}
+	}
+	return false
+}
+
+// requestScore is what crashes say of a request or of a content.
+type requestScore struct {
+	crashes int
+	callers distinct
+}
+
+// requestScores returns, by repeated key that is not in quarantine, the crashes that no part in quarantine
+// explains and after which no request with the key was answered.
+func (d *Detector) requestScores() map[string]requestScore {
+	out := make(map[string]requestScore, len(d.repeated))
+	explained := make(map[*crash]bool)
+	for key := range d.repeated {
+		if _, ok := d.quarantined[key]; ok {
+			continue
+		}
+		score := requestScore{}
+		for _, c := range d.byKey[key] {
+			if _, evaluated := explained[c]; !evaluated {
+				explained[c] = d.explains(c.weights())
+			}
+			if answered, ok := d.answered[key]; explained[c] || ok && c.at <= answered {
+				continue
+			}
+			score.crashes++
+			for _, s := range c.requests {
+				if slices.Contains(s.keys, key) {
+					score.callers = score.callers.add(s.caller)
+				}
+			}
+		}
+		out[key] = score
+	}
+	return out
+}
+
+// quarantineRequests puts requests in quarantine that have ended enough servers, and
+// contents that have done so for several callers.
+func (d *Detector) quarantineRequests(scores map[string]requestScore, now clock.Instant) {
+	for key, c := range scores {
+		sameCaller := strings.HasPrefix(key, contentPrefix) && !c.callers.several
+		if sameCaller || c.crashes < requestThreshold || countKind(d.quarantined, key) >= maxQuarantined {
+			continue
+		}
+		d.quarantined[key] = now.Add(Duration)
+		d.generation++
+		d.log.Warn("request in quarantine", "part", key, "crashes", c.crashes, "several_callers", c.callers.several, "left", Duration)
+	}
+}
+
+// isSuspected reports whether entries are asked about the request.
+func (c requestScore) isSuspected() bool {
+	return c.crashes >= suspectedCrashes
+}
+
+// updateSuspected replaces the suspected parts and keys by those whose scores
+// suffice.
+func (d *Detector) updateSuspected(scores map[string]score, requests map[string]requestScore, now clock.Instant) {
 	for part := range d.suspected {
-		if !scores[part].isSuspected() {
+		if !scores[part].isSuspected() && !requests[part].isSuspected() {
 			delete(d.suspected, part)
 			d.generation++
 		}
 	}
 	for part, c := range scores {
-		if _, ok := d.suspected[part]; !ok && c.isSuspected() && len(d.suspected) < maxSuspected {
+		if _, ok := d.suspected[part]; !ok && c.isSuspected() && countKind(d.suspected, part) < maxSuspected {
 			d.suspected[part] = now
 			d.generation++
 		}
 	}
+	for key, c := range requests {
+		if _, ok := d.suspected[key]; !ok && c.isSuspected() && countKind(d.suspected, key) < maxSuspected {
+			d.suspected[key] = now
+			d.generation++
+		}
+	}
 }
 
 // nextToQuarantine returns the part to put in quarantine next: one whose score
 // suffices, and that no engine answered in time although its service answered
 // other requests meanwhile.
 func (d *Detector) nextToQuarantine(scores map[string]score, now clock.Instant) (best string, ok bool) {
-	if len(d.quarantined) >= maxQuarantined {
-		return "", false
-	}
 	for part, since := range d.suspected {
 		c := scores[part]
-		if !c.suffices() || now.Sub(since) < answerPeriod || d.answers[c.service] < since {
+		if !c.suffices() || now.Sub(since) < answerPeriod || d.answers[c.service] < since || countKind(d.quarantined, part) >= maxQuarantined {
 			continue
 		}
 		if !ok || c.precedes(scores[best], part, best) {
--- a/internal/protocol/quarantine/fingerprint.go
+++ b/internal/protocol/quarantine/fingerprint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 )
 
 // Fingerprint identifies a request and its repeats.
@@ -41,3 +42,23 @@
 	}
 	return f.Content + "." + f.Caller
 }
+
+// Keys of requests have a colon, which IDs of prompt parts never have.
+const (
+	contentPrefix = "content:"
+	requestPrefix = "request:"
+)
+
+// Keys returns the keys under which the request may be in quarantine: by content and
+// caller, and by content alone.
+func (f Fingerprint) Keys() []string {
+	if f == (Fingerprint{}) {
+		return nil
+	}
+	return []string{requestPrefix + f.String(), contentPrefix + f.Content}
+}
+
+// isRequestKey reports whether a key stands for requests rather than for a prompt part.
+func isRequestKey(key string) bool {
+	return strings.HasPrefix(key, requestPrefix) || strings.HasPrefix(key, contentPrefix)
+}
--- a/internal/protocol/quarantine/guard.go
+++ b/internal/protocol/quarantine/guard.go
@@ -61,6 +61,13 @@
 	return g
 }
 
+// Active reports whether anything is suspected or in quarantine. If not, requests
+// need no keys.
+func (g *Guard) Active() bool {
+	held := g.merged.Load()
+	return len(held.suspected)+len(held.quarantined) > 0
+}
+
 // Blocked returns the first of the parts that is in quarantine and how much
 // longer it is; ok is false if there is none.
 func (g *Guard) Blocked(parts []string) (part string, left time.Duration, ok bool) {
@@ -77,8 +84,8 @@
 	return "", 0, false
 }
 
-// Answered records that an engine of a service has sent the first event of an
-// answer to a request with the given parts.
+// Answered records that a server of a service has sent an answer, or the first event
+// of one, to a request with the given parts and keys.
 func (g *Guard) Answered(service string, parts []string) {
 	now := g.clock.Now()
 	last, ok := g.lastAnswers.Load(service)
@@ -128,19 +135,32 @@
 	}
 }
 
-// Crashed records that an engine ended while a request with the given parts was
-// waiting for its first event there; begun is set if the engine had begun to
-// answer. It has no effect unless the service answered other requests shortly
-// before.
-func (g *Guard) Crashed(e fleet.Engine, request string, parts []string, begun bool) {
+// Suspect is a request that was waiting for its answer, or for its first event, at a
+// server that ended.
+type Suspect struct {
+	// Request is its ID.
+	Request     string
+	Fingerprint Fingerprint
+	// Parts are the shared parts of its prompt, in order.
+	Parts []string
+	// Begun is set if the server had begun to answer.
+	Begun bool
+}
+
+// Crashed records that a server ended. It has no effect unless the service answered
+// other requests shortly before.
+func (g *Guard) Crashed(e fleet.Engine, s Suspect) {
 	now := g.clock.Now()
 	last, ok := g.lastAnswers.Load(e.Service)
-	if !ok || now.Sub(clock.Instant(last.(*atomic.Int64).Load())) > contrastPeriod || len(parts) == 0 {
+	if !ok || now.Sub(clock.Instant(last.(*atomic.Int64).Load())) > contrastPeriod {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.add(Evidence{Kind: Crash, Service: e.Service, Engine: e.Incarnation(), Request: request, Begun: begun, Parts: parts}, now)
+	g.add(Evidence{
+		Kind: Crash, Service: e.Service, Engine: e.Incarnation(),
+		Request: s.Request, Begun: s.Begun, Fingerprint: s.Fingerprint, Parts: s.Parts,
+	}, now)
 }
 
 // add adds a piece of evidence. g.mu must be held.
--- a/internal/protocol/quarantine/quarantine.go
+++ b/internal/protocol/quarantine/quarantine.go
@@ -1,5 +1,6 @@
 // Package quarantine finds parts of prompts that crash the engines which begin to
-// answer them, and keeps requests with such a part from further engines. Entries
+// answer them, and single requests that crash the servers which run them, and keeps
+// these from further servers. Entries
 // report crashes and answers as evidence; control replicas evaluate it with a
 // Detector and send the parts that they suspect or quarantine to all entries, each
 // of which holds these lists in a Guard.
@@ -25,6 +26,11 @@
 	// begun to answer. Sound requests wait at any engine that crashes, whereas few
 	// are caught between headers and first event.
 	waitingWeight = 1.0 / 3
+	// requestThreshold is the number of crashes that puts a request in quarantine, or a
+	// content if it has several callers; suspectedCrashes is the one from which entries
+	// are asked whether it was answered.
+	requestThreshold = 3
+	suspectedCrashes = 2
 	// suspectedWeight is the weight of crashes from which entries are asked whether a
 	// part was answered.
 	suspectedWeight = 0.5
@@ -42,12 +48,13 @@
 	evidenceRetention = 2 * time.Minute
 	// expiryInterval is the maximum time between two checks for what has expired.
 	expiryInterval = time.Second
-	// maxCrashes bounds the crashes that a Detector keeps, and maxCandidates the
-	// requests of each.
+	// maxCrashes bounds the crashes that a Detector keeps, maxCandidates the requests
+	// of each, and maxKeyCrashes the crashes that are counted for one request.
 	maxCrashes    = 256
 	maxCandidates = 64
-	// maxQuarantined bounds the parts in quarantine and maxSuspected those that
-	// entries are asked about.
+	maxKeyCrashes = 2 * requestThreshold
+	// maxQuarantined bounds the parts, and as many keys of requests, in quarantine;
+	// maxSuspected bounds in the same way those that entries are asked about.
 	maxQuarantined = 256
 	maxSuspected   = 64
 	// maxEvidence bounds the evidence that a Guard keeps for its reports.
@@ -65,8 +72,8 @@
 type Kind uint8
 
 const (
-	// Crash means that an engine ended while a request with the parts was waiting
-	// for its first event there.
+	// Crash means that a server ended while a request was waiting for its answer or
+	// first event there.
 	Crash Kind = iota + 1
 	// Answered means that an engine of the service answered a request with the
 	// parts. Without parts it answered one that has no suspected part.
@@ -85,7 +92,10 @@
 	Request string
 	// Begun is set for a Crash if the engine had begun to answer the request.
 	Begun bool
-	// Parts are the shared parts of the request's prompt, in order.
+	// Fingerprint is that of the request, for a Crash.
+	Fingerprint Fingerprint
+	// Parts are the shared parts of the request's prompt, in order; for other kinds
+	// than Crash also keys of requests.
 	Parts []string
 	// Age is the time since the observation.
 	Age time.Duration
@@ -93,7 +103,7 @@
 	Left time.Duration
 }
 
-// Quarantined is a part in quarantine.
+// Quarantined is a prompt part or the key of requests in quarantine.
 type Quarantined struct {
 	Part string
 	// Left is how much longer the quarantine lasts.
--- a/internal/protocol/quarantine/quarantine_test.go
+++ b/internal/protocol/quarantine/quarantine_test.go
@@ -74,7 +74,7 @@
 	d.engines++
 	e := fleet.Engine{ID: fmt.Sprint("e", d.engines), Service: "llm"}
 	for i, parts := range prompts {
-		d.entries[i%len(d.entries)].Crashed(e, fmt.Sprint(d.engines, "/", i), parts, i == len(prompts)-1)
+		d.entries[i%len(d.entries)].Crashed(e, quarantine.Suspect{Request: fmt.Sprint(d.engines, "/", i), Parts: parts, Begun: i == len(prompts)-1})
 	}
 }
 
@@ -82,7 +82,7 @@
 func (d *deployment) crashSeveral(prompts ...[]string) {
 	d.engines++
 	for i, parts := range prompts {
-		d.entries[i%len(d.entries)].Crashed(fleet.Engine{ID: fmt.Sprint("e", d.engines), Service: "llm"}, fmt.Sprint(d.engines, "/", i), parts, true)
+		d.entries[i%len(d.entries)].Crashed(fleet.Engine{ID: fmt.Sprint("e", d.engines), Service: "llm"}, quarantine.Suspect{Request: fmt.Sprint(d.engines, "/", i), Parts: parts, Begun: true})
 	}
 }
 
@@ -91,7 +91,7 @@
 func (d *deployment) crashWaiting(prompts ...[]string) {
 	d.engines++
 	for i, parts := range prompts {
-		d.entries[i%len(d.entries)].Crashed(fleet.Engine{ID: fmt.Sprint("e", d.engines), Service: "llm"}, fmt.Sprint(d.engines, "/", i), parts, false)
+		d.entries[i%len(d.entries)].Crashed(fleet.Engine{ID: fmt.Sprint("e", d.engines), Service: "llm"}, quarantine.Suspect{Request: fmt.Sprint(d.engines, "/", i), Parts: parts, Begun: false})
 	}
 }
 
@@ -417,3 +417,248 @@
 		}
 	})
 }
+
+// request returns the fingerprint of a content sent by a caller.
+func request(content, caller string) quarantine.Fingerprint {
+	return quarantine.NewFingerprint(caller, []byte(content))
+}
+
+// crashUnder ends a server at which the given requests waited, each known to another
+// entry.
+func (d *deployment) crashUnder(parts []string, requests ...quarantine.Fingerprint) {
+	d.engines++
+	for i, f := range requests {
+		e := fleet.Engine{ID: fmt.Sprint("e", d.engines), Service: "llm"}
+		d.entries[(d.engines+i)%len(d.entries)].Crashed(e, quarantine.Suspect{Request: fmt.Sprint(d.engines, "/", i), Fingerprint: f, Parts: parts})
+	}
+}
+
+// blocksRequest reports at how many entries a request is in quarantine.
+func (d *deployment) blocksRequest(f quarantine.Fingerprint) (entries int) {
+	for _, e := range d.entries {
+		if _, _, ok := e.Blocked(f.Keys()); ok {
+			entries++
+		}
+	}
+	return entries
+}
+
+// TestRequestThatCrashesServersIsKnownToAllEntries ends three servers under repeats of
+// one request. All entries must block it soon after the third, and neither the
+// same content of another caller nor what waited beside it once.
+func TestRequestThatCrashesServersIsKnownToAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(8)
+		deadly := request("deadly", "caller")
+		for i := range 3 {
+			d.warm()
+			if got := d.blocksRequest(deadly); got != 0 {
+				t.Errorf("%d entries block the request after %d crashes", got, i)
+			}
+			d.crashUnder(nil, deadly, request(fmt.Sprint("beside ", i), "caller"))
+			d.wait(time.Second)
+		}
+		if got := d.blocksRequest(deadly); got != len(d.entries) {
+			t.Errorf("%d entries block the request, want all", got)
+		}
+		for _, sound := range []quarantine.Fingerprint{request("deadly", "another"), request("other", "caller"), request("beside 2", "caller")} {
+			if got := d.blocksRequest(sound); got != 0 {
+				t.Errorf("%d entries block a sound request", got)
+			}
+		}
+	})
+}
+
+// TestContentThatCrashesServersForSeveralCallers has each repeat come from another caller.
+func TestContentThatCrashesServersForSeveralCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(3)
+		for i := range 3 {
+			d.warm()
+			d.crashUnder(nil, request("deadly", fmt.Sprint("caller ", i)))
+			d.wait(time.Second)
+		}
+		if got := d.blocksRequest(request("deadly", "a fourth caller")); got != len(d.entries) {
+			t.Errorf("%d entries block the content, want all", got)
+		}
+	})
+}
+
+// TestAnsweredRequestIsNotBlocked answers a request between the crashes at which it waited, and one that several callers send.
+func TestAnsweredRequestIsNotBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(3)
+		popular := request("popular", "caller")
+		for range 6 {
+			d.warm()
+			d.crashUnder(nil, popular, request("popular", "another"))
+			d.wait(time.Second)
+			d.entries[1].Answered("llm", popular.Keys())
+			d.wait(time.Second)
+			if d.blocksRequest(popular) > 0 {
+				t.Fatal("an answered request is blocked")
+			}
+		}
+	})
+}
+
+// TestSingleRequestDoesNotBlameItsParts ends servers under one request of a session. The session's other requests must not be refused for it.
+func TestSingleRequestDoesNotBlameItsParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(3)
+		d.watched = []string{"system", "session"}
+		deadly := request("deadly", "caller")
+		for range 8 {
+			d.warm()
+			d.engines++
+			e := fleet.Engine{ID: fmt.Sprint("e", d.engines), Service: "llm"}
+			d.entries[0].Crashed(e, quarantine.Suspect{Request: fmt.Sprint(d.engines), Fingerprint: deadly, Parts: d.watched, Begun: true})
+			d.wait(time.Second, "other")
+		}
+		if len(d.everBlocked) > 0 {
+			t.Errorf("parts %v were blocked for a single request", d.everBlocked)
+		}
+		if got := d.blocksRequest(deadly); got != len(d.entries) {
+			t.Errorf("%d entries block the request, want all", got)
+		}
+	})
+}
+
+// TestBegunRequestReplacesWaitingOnes has more requests wait at a server than are kept. The one that it had begun to answer must be among them.
+func TestBegunRequestReplacesWaitingOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(1)
+		deadly := request("deadly", "caller")
+		for round := range 3 {
+			d.warm()
+			e := fleet.Engine{ID: fmt.Sprint("e", round), Service: "llm"}
+			for i := range 200 {
+				d.entries[0].Crashed(e, quarantine.Suspect{Request: fmt.Sprint(i), Fingerprint: request(fmt.Sprint(round, "/", i), "caller")})
+			}
+			d.entries[0].Crashed(e, quarantine.Suspect{Request: "last", Fingerprint: deadly, Begun: true})
+			d.wait(time.Second)
+		}
+		if d.blocksRequest(deadly) != 1 {
+			t.Error("the request is not blocked")
+		}
+	})
+}
+
+// TestCrashesOfPartInQuarantineDoNotCount has the same request wait beside several requests with a deadly part.
+func TestCrashesOfPartInQuarantineDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(3)
+		beside := request("beside", "caller")
+		for i := range 6 {
+			d.warm()
+			d.crash([]string{"system", "deadly"})
+			d.entries[0].Crashed(fleet.Engine{ID: fmt.Sprint("e", d.engines), Service: "llm"}, quarantine.Suspect{Request: "beside", Fingerprint: beside})
+			d.wait(time.Second, "system", "other")
+			if d.blocksRequest(beside) > 0 {
+				t.Fatalf("the request beside the part is blocked after %d crashes", i+1)
+			}
+		}
+	})
+}
+
+// TestCrashesOfRequestInQuarantineDoNotCount has other requests of its session wait beside a deadly request that some entries still send.
+func TestCrashesOfRequestInQuarantineDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(3)
+		d.watched = []string{"system", "session"}
+		deadly := request("deadly", "caller")
+		for _, replica := range d.replicas {
+			replica.Record([]quarantine.Evidence{{Kind: quarantine.InQuarantine, Parts: deadly.Keys()[:1], Left: time.Minute}})
+		}
+		for i := range 6 {
+			d.warm()
+			d.engines++
+			e := fleet.Engine{ID: fmt.Sprint("e", d.engines), Service: "llm"}
+			for j, f := range []quarantine.Fingerprint{deadly, request(fmt.Sprint("beside ", i), "caller")} {
+				d.entries[0].Crashed(e, quarantine.Suspect{Request: fmt.Sprint(j), Fingerprint: f, Parts: d.watched, Begun: true})
+			}
+			d.wait(time.Second, "other")
+		}
+		if len(d.everBlocked) > 0 {
+			t.Errorf("parts %v were blocked for a request in quarantine", d.everBlocked)
+		}
+	})
+}
+
+// TestManySuspectedRequestsLeaveRoomForParts has more requests than are suspected at once wait at two servers each that end.
+func TestManySuspectedRequestsLeaveRoomForParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(3)
+		for wave := range 4 {
+			for range 2 {
+				var sound []quarantine.Fingerprint
+				for i := range 40 {
+					sound = append(sound, request(fmt.Sprint(wave, "/", i), "caller"))
+				}
+				d.warm()
+				d.crashUnder(nil, sound...)
+				d.wait(500 * time.Millisecond)
+			}
+		}
+		for range 2 {
+			d.warm()
+			d.crash([]string{"system", "deadly"})
+			d.wait(time.Second, "system", "other")
+		}
+		if got := d.blocked("deadly"); len(got) != 1 {
+			t.Error("the part is not blocked")
+		}
+	})
+}
+
+// TestCrashCountsOnceForItsRepeats has several repeats of a request wait at the same server.
+func TestCrashCountsOnceForItsRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(3)
+		d.warm()
+		f := request("repeated", "caller")
+		d.crashUnder(nil, f, f, f, f)
+		d.wait(time.Second)
+		if d.blocksRequest(f) > 0 {
+			t.Error("a request is blocked after one crash")
+		}
+	})
+}
+
+// TestRequestsWithoutPartsDoNotSpeakForParts has requests without shared parts at the engines that a part crashes.
+func TestRequestsWithoutPartsDoNotSpeakForParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(3)
+		for i := range 2 {
+			d.warm()
+			d.crash([]string{"system", "deadly"})
+			for j := range 5 {
+				f := request(fmt.Sprint(i, "/", j), "caller")
+				d.entries[0].Crashed(fleet.Engine{ID: fmt.Sprint("e", d.engines), Service: "llm"}, quarantine.Suspect{Request: fmt.Sprint("beside ", j), Fingerprint: f, Begun: true})
+			}
+			d.wait(time.Second, "system", "other")
+		}
+		if got := d.blocked("deadly"); len(got) != 1 {
+			t.Error("the part is not blocked")
+		}
+	})
+}
+
+// TestFingerprintKeepsFieldsApart checks that no field of a request runs into the next one.
+func TestFingerprintKeepsFieldsApart(t *testing.T) {
+	seen := make(map[quarantine.Fingerprint]bool)
+	for _, f := range []quarantine.Fingerprint{
+		quarantine.NewFingerprint("c", []byte("ab"), []byte("")),
+		quarantine.NewFingerprint("c", []byte("a"), []byte("b")),
+		quarantine.NewFingerprint("c", []byte("ab")),
+		quarantine.NewFingerprint("d", []byte("ab")),
+	} {
+		if seen[f] {
+			t.Errorf("two requests have the fingerprint %v", f)
+		}
+		seen[f] = true
+	}
+	if !seen[quarantine.NewFingerprint("c", []byte("ab"))] || len((quarantine.Fingerprint{}).Keys()) > 0 {
+		t.Error("repeats differ, or an empty fingerprint has keys")
+	}
+}
--- a/internal/transport/peergrpc/fleethub_test.go
+++ b/internal/transport/peergrpc/fleethub_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -232,6 +233,18 @@
 	}
 }
 
+// TestEvidenceSurvivesTransport checks that a replica gets all of what an entry has seen.
+func TestEvidenceSurvivesTransport(t *testing.T) {
+	sent := quarantine.Evidence{
+		Kind: quarantine.Crash, Service: "llm", Engine: "e/1", Request: "r", Begun: true, Parts: []string{"a", "b"}, Age: time.Second, Left: time.Minute,
+		Fingerprint: quarantine.NewFingerprint("caller", []byte("content")),
+	}
+	got := toEvidence(fromReport(Report{Evidence: []quarantine.Evidence{sent}}).GetEvidence())
+	if !reflect.DeepEqual(got, []quarantine.Evidence{sent}) {
+		t.Errorf("got %+v, want %+v", got, sent)
+	}
+}
+
 // TestRateLimitsReachOtherEntries checks that a rate limit that one entry reports
 // is in the next update of each other one, and is not repeated.
 func TestRateLimitsReachOtherEntries(t *testing.T) {
--- a/internal/transport/peergrpc/partlists.go
+++ b/internal/transport/peergrpc/partlists.go
@@ -19,6 +19,8 @@
 			Parts:   e.Parts,
 			AgeMs:   toMillis(e.Age),
 			LeftMs:  toMillis(e.Left),
+			Content: e.Fingerprint.Content,
+			Caller:  e.Fingerprint.Caller,
 		})
 	}
 	return out
@@ -36,6 +38,8 @@
 			Parts:   e.GetParts(),
 			Age:     fromMillis(e.GetAgeMs()),
 			Left:    fromMillis(e.GetLeftMs()),
+
+			Fingerprint: quarantine.Fingerprint{Content: e.GetContent(), Caller: e.GetCaller()},
 		})
 	}
 	return out
