--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -40,8 +40,8 @@
 	// Prefixes records which engines hold shared prefixes of prompts. If it
 	// is nil, New creates an empty directory.
 	Prefixes *prefixdir.Directory
-	// Quarantine holds the requests and prompt parts that no server may get. If it is nil, New
-	// creates an empty one.
+	// Quarantine holds the requests and prompt parts that no server may get. If it is
+	// nil, New creates an empty one.
 	Quarantine *quarantine.Guard
 	// Pace counts the streams. If it is nil, New creates a counter.
 	Pace *fleet.PaceCounter
@@ -322,8 +322,8 @@
 
 // candidates returns the engines that may get the request. Engines that have
 // failed this request, those that announced that they leave or asked for a pause,
-// and those at their rate limits are never candidates. Ejected engines and those that other entries left
-// out are candidates only if there are no others.
+// and those at their rate limits are never candidates. Ejected engines and those
+// that other entries left out are candidates only if there are no others.
 func (x *exchange) candidates(filters ...placement.Filter) []placement.Candidate {
 	service := x.request.Service.Name
 	filters = append(filters, placement.Except(x.failedEngines...))
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -201,8 +201,8 @@
 
 // report returns the next report to the control replica source. Work goes to the
 // leader, or to every replica while none is known; holdings and pace go to
-// the leader only, evidence on prompt parts and rate limits to every replica. first is set for
-// the first report of a watch.
+// the leader only, evidence of crashes and rate limits to every replica. first is
+// set for the first report of a watch.
 func (a *Agent) report(source string, first bool) peergrpc.Report {
 	r := peergrpc.Report{Evidence: a.quarantine.Report(source, first), RateLimits: a.notices.Limits.Pending(source, first)}
 	leader := a.leader.Load()
