--- a/internal/role/seededentry/agent_test.go
+++ b/internal/role/seededentry/agent_test.go
@@ -81,6 +81,7 @@
 		}
 		limit := ratelimit.Announcement{Server: other.Incarnation(), Limit: ratelimit.Limit{Limited: true, PerSecond: 2}}
 		a.deliver(peergrpc.Update{Source: "leader", Leads: true, Entries: 2, Index: -1, RateLimits: []ratelimit.Announcement{limit}})
+		time.Sleep(time.Second)
 		if a.options.Notices.Accepts(other) {
 			t.Error("an entry that has no place among the others may send to a limited server")
 		}
