--- a/internal/protocol/exchange/choose.go
+++ b/internal/protocol/exchange/choose.go
@@ -16,9 +16,9 @@
 // picker chooses one of the candidates.
 type picker func(candidates []placement.Candidate) (chosen placement.Candidate, ok bool)
 
-// choose picks the engine for the next send, which must follow. If all that pass
-// the filters are at their rate limits, it waits for one that takes the request
-// soon.
+// choose picks the engine for the next send and takes one request of its rate. If
+// all that pass the filters are at their rate limits, it waits for one that takes
+// the request soon.
 func (x *exchange) choose(ctx context.Context, pick picker, filters ...placement.Filter) (chosen placement.Candidate, ok bool) {
 	if chosen, ok = x.admit(pick, filters...); ok {
 		return chosen, true
--- a/internal/protocol/quarantine/quarantine.go
+++ b/internal/protocol/quarantine/quarantine.go
@@ -82,7 +82,7 @@
 	InQuarantine
 )
 
-// Evidence is what an entry has seen or knows of parts of prompts.
+// Evidence is what an entry has seen or knows of requests and parts of prompts.
 type Evidence struct {
 	Kind    Kind
 	Service string
--- a/internal/protocol/ratelimit/limiter.go
+++ b/internal/protocol/ratelimit/limiter.go
@@ -20,6 +20,7 @@
 
 	mu       sync.Mutex // guards the fields below
 	register *Register
+	// peers holds what is known of each control replica, by source.
 	peers    map[string]*Peer
 	position Position
 	// ranks holds the place of each listed incarnation among those of its service.
@@ -173,7 +174,8 @@
 	return b.reserve(l.clock.Now(), maxWait)
 }
 
-// Charge takes a request from the share that is sent in any case.
+// Charge counts a call that is sent to a server whether or not the entry's share has
+// room for it.
 func (l *Limiter) Charge(e fleet.Engine) {
 	if b := l.bucket(e); b != nil {
 		b.charge(l.clock.Now())
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -69,7 +69,8 @@
 	ControlAddresses func() []string
 	// Leads reports whether this replica is the leader of the group.
 	Leads func() bool
-	// Quarantine evaluates what entries report on prompt parts that crash engines.
+	// Quarantine evaluates what entries report on requests and prompt parts that crash
+	// servers.
 	Quarantine *quarantine.Detector
 	Log        hclog.Logger
 }
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -37,7 +37,8 @@
 	Holdings []prefixdir.Holding
 	// Pace counts the entry's recent streams by service.
 	Pace map[string]fleet.Pace
-	// Evidence is what the entry has seen of prompt parts that may crash engines.
+	// Evidence is what the entry has seen of requests and prompt parts that may crash
+	// servers.
 	Evidence []quarantine.Evidence
 	// RateLimits are rate limits of servers that the replica doesn't have yet.
 	RateLimits []ratelimit.Announcement
