--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -335,6 +335,23 @@
 	}
 }
 
+// peakMemory returns the most memory that the process has used so far, as the
+// kernel counts it.
+func (p *process) peakMemory() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return "unknown"
+	}
+	for line := range strings.Lines(string(content)) {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			return strings.TrimSpace(value)
+		}
+	}
+	return "unknown"
+}
+
 func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
 func (p *process) resume() { p.signal(syscall.SIGCONT) }
 
