--- a/review/harness/crash.go
+++ b/review/harness/crash.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -37,6 +38,10 @@
 	address     string
 	host        int
 	incarnation int
+	// server is the stand-in that the process runs; "engine" if empty.
+	server string
+	// output gets what the process writes to its standard output.
+	output io.Writer
 
 	mu      sync.Mutex // guards the fields below
 	command *exec.Cmd
@@ -54,8 +59,8 @@
 	e.born = time.Now().UnixMilli()
 	program, err := os.Executable()
 	must(err, "find the stand-in")
-	e.command = exec.Command(program, "engine", e.address, e.id(), e.service, e.phase)
-	e.command.Stderr = os.Stderr
+	e.command = exec.Command(program, cmp.Or(e.server, "engine"), e.address, e.id(), e.service, e.phase)
+	e.command.Stdout, e.command.Stderr = e.output, os.Stderr
 	must(e.command.Start(), "start an engine")
 }
 
@@ -78,7 +83,9 @@
 	defer e.mu.Unlock()
 	if e.command != nil {
 		_ = e.command.Process.Kill()
-		_ = e.command.Wait()
+		if e.output == nil { // else another goroutine waits
+			_ = e.command.Wait()
+		}
 	}
 }
 
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -127,7 +127,6 @@
 		end()
 	}
 	for _, p := range procs {
-		p.resume()
 		p.kill()
 	}
 	if os.Getenv("KEEP") != "" {
@@ -282,21 +281,6 @@
 	}()
 }
 
-func (p *process) running() bool {
-	p.mu.Lock()
-	exited := p.exited
-	p.mu.Unlock()
-	if exited == nil {
-		return false
-	}
-	select {
-	case <-exited:
-		return false
-	default:
-		return true
-	}
-}
-
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -352,9 +336,6 @@
 	return "unknown"
 }
 
-func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
-func (p *process) resume() { p.signal(syscall.SIGCONT) }
-
 // wipe removes the files on the machine's disk.
 func (p *process) wipe() {
 	must(os.RemoveAll(p.dataFolder()), "wipe a disk")
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -57,9 +57,6 @@
 	return mux
 }
 
-// stop ends the engine: its connections are closed and its port is free.
-func (e *engine) stop() { _ = e.server.Close() }
-
 // entry is the engine's entry in the platform's list.
 func (e *engine) entry() json.RawMessage {
 	e.mu.Lock()
