--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -29,6 +29,9 @@
 	// LastEventID is the ID of the last event that the caller has already
 	// received, or empty.
 	LastEventID string
+	// Resumes is the ID of the caller's request whose response had the stream's first
+	// event. It is empty for a new stream, or if the caller doesn't say.
+	Resumes string
 	// Fingerprint returns what a repeat of the request has in common with it. It is
 	// called only after a server has failed. It is nil if there is none.
 	Fingerprint func() quarantine.Fingerprint
--- a/internal/protocol/fleet/fleet.go
+++ b/internal/protocol/fleet/fleet.go
@@ -57,6 +57,9 @@
 	// Address is where the server accepts requests, as IP:port.
 	Address string
 	Zone    string
+	// Version is the version of the server's software, not of its weights; empty if
+	// the list doesn't contain it.
+	Version string
 	Phase   Phase
 	// Leaving is set once the server must get no new work.
 	Leaving bool
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -543,13 +543,14 @@
 		Leaving:   e.Leaving,
 		Slots:     uint32(e.Slots),
 		WarmingMs: uint32(e.WarmingMs),
+		Version:   e.Version,
 	}
 }
 
 func sameEngine(a, b *peerpb.Engine) bool {
 	return a.GetId() == b.GetId() && a.GetBorn() == b.GetBorn() && a.GetService() == b.GetService() &&
 		a.GetAddress() == b.GetAddress() && a.GetZone() == b.GetZone() && a.GetPhase() == b.GetPhase() &&
-		a.GetLeaving() == b.GetLeaving() && a.GetSlots() == b.GetSlots()
+		a.GetLeaving() == b.GetLeaving() && a.GetSlots() == b.GetSlots() && a.GetVersion() == b.GetVersion()
 }
 
 func toEngine(e *peerpb.Engine) (fleet.Engine, error) {
@@ -567,6 +568,7 @@
 		Leaving:   e.GetLeaving(),
 		Slots:     int(e.GetSlots()),
 		WarmingMs: int(e.GetWarmingMs()),
+		Version:   e.GetVersion(),
 	}, nil
 }
 
--- a/internal/transport/peergrpc/fleethub_test.go
+++ b/internal/transport/peergrpc/fleethub_test.go
@@ -301,3 +301,21 @@
 		}
 	})
 }
+
+// TestEngineSurvivesEncoding checks that entries receive every field of an engine,
+// and an update when any of them changes.
+func TestEngineSurvivesEncoding(t *testing.T) {
+	engine := fleet.Engine{
+		ID: "e", StartedMs: 7, Service: "llm", Address: "127.0.0.1:1", Zone: "a", Version: "v1.1", Phase: fleet.Decode,
+		Leaving: true, Slots: 4, WarmingMs: 9,
+	}
+	got, err := toEngine(fromEngine(engine))
+	if err != nil || got != engine {
+		t.Errorf("got %+v and error %v, want %+v", got, err, engine)
+	}
+	upgraded := engine
+	upgraded.Version = "v1.2"
+	if sameEngine(fromEngine(engine), fromEngine(upgraded)) {
+		t.Error("an engine with another software version counts as unchanged")
+	}
+}
