--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -275,8 +275,11 @@
 		if done {
 			return Outcome{Result: Delivered, Err: err}
 		}
+		if endsAttempts(err) {
+			err = errors.Join(last, err)
+		}
 		last = err
-		if errors.Is(err, errNoServer) || errors.Is(err, errCallerWrite) || errors.Is(err, errRetryBudget) || errors.Is(err, ErrQuarantined) {
+		if endsAttempts(err) {
 			break
 		}
 	}
@@ -286,6 +289,11 @@
 	return Outcome{Result: Failed, Err: last}
 }
 
+// endsAttempts reports whether no attempt can follow one that failed with err.
+func endsAttempts(err error) bool {
+	return errors.Is(err, errNoServer) || errors.Is(err, errCallerWrite) || errors.Is(err, errRetryBudget) || errors.Is(err, ErrQuarantined)
+}
+
 // mayRetry reports whether the limits on attempts allow another send.
 func (x *exchange) mayRetry() bool {
 	limit := max(1, x.request.Route.MaxAttempts)
@@ -491,7 +499,7 @@
 func (x *exchange) logOutcome(o Outcome) {
 	x.options.Log.Info("request ended", "request", x.request.ID, "route", x.request.Route.Name, "result", o.Result.String(),
 		"sends", x.sends, "runs", x.runs, "first_ms", o.TimeToFirstByte.Milliseconds(), "gap_ms", o.LongestGap.Milliseconds(), "ms", time.Since(x.started).Milliseconds(),
-		"last_event", x.lastEventID, "resumes", x.request.Resumes, "until_close", x.untilClose, "unfinished_bytes", x.unfinishedBytes, "error", o.Err)
+		"last_event", x.lastEventID, "resumes", x.request.Resumes, "written", x.timeToFirstByte > 0, "until_close", x.untilClose, "unfinished_bytes", x.unfinishedBytes, "error", o.Err)
 }
 
 // ServerError is the error for a backend server's response without success.
