Own engine interface: a silent engine keeps its stream until another may take it

What callers would see: a completion ended with backend-failed although its engine was about to go on. Evidence: TestSilentEngineKeepsStreamThatNoOtherCanTake failed before: 'engines failed the request: attempt 1 at engine engine-0: request: engine stalled' with no retry left, and 'no engine takes new work' after three attempts with no other engine. Change: the watchdog ends an attempt only once a retry has been taken for another engine that takes work, and a retry that is not made is given back. Result: the test passes; packages request, callerhttp and entryrole pass with the race detector.

--- a/internal/protocol/request/attempt.go
+++ b/internal/protocol/request/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
@@ -37,14 +38,14 @@
 	s.runner.Outliers.AttemptStarted(engine.Name)
 	id := s.runner.NewAttempt()
 	dispatched := s.runner.Clock.Now()
-	dog, ctx := newWatchdog(requestCtx, s.request.ExpectedWait)
-	defer dog.stop()
+	dog, ctx := newWatchdog(requestCtx, s.request.ExpectedWait, func() bool { return s.secureRetry(engine.Name) })
 	stream, err := s.runner.Engines.Complete(ctx, engine.URL, s.completionRequest(ctx, id))
 	s.sent = s.sent || !errors.Is(err, backend.ErrNotSent)
 	if err == nil {
 		defer stream.Close()
 		err = s.copyTokens(stream, id, flight, dog, dispatched)
 	}
+	s.retryPaid = dog.stop()
 	if err != nil {
 		err = fmt.Errorf("attempt %d at engine %s: %w", s.attempts, engine.Name, dog.explain(err))
 		s.request.Exclude = append(s.request.Exclude, engine.Name)
@@ -55,6 +56,18 @@
 	return err
 }
 
+// secureRetry takes a retry from the budget if another engine may continue the request
+// in place of a silent one.
+func (s *relay) secureRetry(silent string) bool {
+	if s.attempts >= maxAttempts {
+		return false
+	}
+	request := s.request
+	request.Exclude = append(slices.Clone(s.request.Exclude), silent)
+	_, err := routing.LeastRequests{}.Pick(s.runner.Tracker.Snapshot(), &request)
+	return err == nil && s.runner.Budget.Spend()
+}
+
 // completionRequest returns the request to the engine for one attempt.
 func (s *relay) completionRequest(ctx context.Context, id string) *backend.CompletionRequest {
 	r := &backend.CompletionRequest{
--- a/internal/protocol/request/fakes_test.go
+++ b/internal/protocol/request/fakes_test.go
@@ -43,6 +43,7 @@
 	duplicates
 	mixesAttempts
 	moves
+	pauses
 	faultKinds
 )
 
@@ -130,6 +131,10 @@
 		return backend.ErrTruncated
 	case stalls:
 		return s.wait(time.Hour)
+	case pauses:
+		if err := s.wait(tokenTimeout + time.Second); err != nil {
+			return err
+		}
 	case skips:
 		return s.produce()
 	case corrupts:
--- a/internal/protocol/request/relay.go
+++ b/internal/protocol/request/relay.go
@@ -43,7 +43,9 @@
 	// reached an engine.
 	attempts int
 	sent     bool
-	gaps     tokenGaps
+	// retryPaid is set while a retry has been taken from the budget and not made.
+	retryPaid bool
+	gaps      tokenGaps
 }
 
 func newRelay(p *Runner, call *Call, class settings.Class, sink Sink) *relay {
@@ -122,7 +124,7 @@
 	if refused, ok := s.refusedByRouting(cause); ok {
 		return refused
 	}
-	if s.attempts >= maxAttempts || !errors.Is(cause, backend.ErrMoved) && !s.runner.Budget.Spend() {
+	if s.attempts >= maxAttempts || !errors.Is(cause, backend.ErrMoved) && !s.spendRetry() {
 		return s.refuse(refusal.BackendFailed, "engines failed the request", retryAfter, cause)
 	}
 	if !clock.Sleep(ctx, s.retryDelay(cause)) {
@@ -131,6 +133,23 @@
 	return nil
 }
 
+// spendRetry takes a retry from the budget, unless one has been taken already.
+func (s *relay) spendRetry() bool {
+	if s.retryPaid {
+		s.retryPaid = false
+		return true
+	}
+	return s.runner.Budget.Spend()
+}
+
+// returnRetry gives back a retry that was taken and will not be made.
+func (s *relay) returnRetry() {
+	if s.retryPaid {
+		s.retryPaid = false
+		s.runner.Budget.Return()
+	}
+}
+
 // refusedByRouting handles an error of the picker. It returns the refusal and
 // true if the error ends the request. If no engine takes new work, a stream
 // that has begun is retried with no engine excluded; any other request is
--- a/internal/protocol/request/request.go
+++ b/internal/protocol/request/request.go
@@ -123,6 +123,7 @@
 // deadline.
 func (p *Runner) Run(ctx context.Context, call *Call, class settings.Class, sink Sink) error {
 	s := newRelay(p, call, class, sink)
+	defer s.returnRetry()
 	for {
 		choice, err := s.chooseEngine()
 		if err == nil {
--- a/internal/protocol/request/request_test.go
+++ b/internal/protocol/request/request_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 )
 
 const callerTimeout = 30 * time.Second
@@ -188,3 +189,30 @@
 		}
 	})
 }
+
+// TestSilentEngineKeepsStreamThatNoOtherCanTake guards against ending a stream for its
+// engine's silence when no retry or no other engine is left.
+func TestSilentEngineKeepsStreamThatNoOtherCanTake(t *testing.T) {
+	for name, c := range map[string]struct{ engines, reserve int }{
+		"no retry left":   {2, 0},
+		"no other engine": {1, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeEngines{faultFor: func(int) (fault, int) { return pauses, 2 }}
+				p := f.newRunner(c.engines)
+				p.Budget = retry.NewBudget(retry.DefaultShare, c.reserve)
+				caller := &fakeCaller{disconnectAfter: -1}
+				call := &Call{Prompt: "p", MaxTokens: 5}
+				if err := p.Run(t.Context(), call, testClass, caller); err != nil || caller.check(call) != nil || f.attempts != 1 {
+					t.Errorf("got error %v after %d attempts, want the whole answer of one", err, f.attempts)
+				}
+				for range c.reserve {
+					if !p.Budget.Spend() {
+						t.Error("retries were spent that were not made")
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/protocol/retry/retry.go
+++ b/internal/protocol/retry/retry.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// Return gives a retry back that was spent and not made.
+func (b *Budget) Return() {
+	for {
+		current := b.balance.Load()
+		if b.balance.CompareAndSwap(current, min(current+unitsPerRetry, b.limit)) {
+			return
+		}
+	}
+}
+
 // Random returns a random number in [0, 1).
 type Random func() float64
 
