--- a/internal/protocol/fleet/fleet.go
+++ b/internal/protocol/fleet/fleet.go
@@ -72,6 +72,13 @@
 	return fmt.Sprintf("%s/%d", e.ID, e.StartedMs)
 }
 
+// List is one reading of the list of engines.
+type List struct {
+	Engines []Engine
+	// Skipped counts the entries that name no engine to use.
+	Skipped int
+}
+
 // Load is the unfinished work at one engine.
 type Load struct {
 	// PromptTokens is the number of tokens sent for prefill and not prefilled
