Use the part of a list of engines that was read, and keep the others

What callers saw: while a page of the platform's list was cut off, longer than its limit, or named no usable next page, no process followed the list; one that had just started knew no engine at all. Two pages that name each other as the next one cost 100 calls and gave no list.

Cause: only a list read to its end was used, since an engine that a list doesn't name counts as gone.

Change: such a list is used and marked as incomplete. Over an incomplete list, control and entries keep the engines that they knew, except leaving ones. The mark is sent to the entries (engines_incomplete), so that a control replica that has read a part doesn't hide what others know. An entry of an older version takes the list as complete.

--- a/internal/protocol/fleet/fleet.go
+++ b/internal/protocol/fleet/fleet.go
@@ -77,6 +77,29 @@
 	Engines []Engine
 	// Skipped counts the entries that name no engine to use.
 	Skipped int
+	// Incomplete is set if a part of the list couldn't be read that may name other
+	// engines.
+	Incomplete bool
+}
+
+// Over returns the engines to use after this reading, when known were used before.
+// An engine that an incomplete list doesn't name is not taken as gone, unless it
+// was leaving.
+func (l List) Over(known []Engine) []Engine {
+	if !l.Incomplete {
+		return l.Engines
+	}
+	listed := make(map[string]bool, len(l.Engines))
+	for _, e := range l.Engines {
+		listed[e.ID] = true
+	}
+	out := slices.Clone(l.Engines)
+	for _, e := range known {
+		if !listed[e.ID] && !e.Leaving {
+			out = append(out, e)
+		}
+	}
+	return out
 }
 
 // Load is the unfinished work at one engine.
--- a/internal/protocol/fleet/fleet_test.go
+++ b/internal/protocol/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
@@ -30,3 +31,18 @@
 		t.Error("a list without the engine cleared its Leaving flag")
 	}
 }
+
+// TestIncompleteListRemovesNoEngine guards against engines that are taken as gone
+// because their part of the list couldn't be read.
+func TestIncompleteListRemovesNoEngine(t *testing.T) {
+	known := []fleet.Engine{{ID: "a", StartedMs: 1}, {ID: "b", StartedMs: 1}, {ID: "c", Leaving: true}}
+	read := fleet.List{Engines: []fleet.Engine{{ID: "a", StartedMs: 2}, {ID: "d"}}}
+	if got := read.Over(known); !slices.Equal(got, read.Engines) {
+		t.Errorf("a complete list gave %+v", got)
+	}
+	read.Incomplete = true
+	want := []fleet.Engine{{ID: "a", StartedMs: 2}, {ID: "d"}, {ID: "b", StartedMs: 1}}
+	if got := read.Over(known); !slices.Equal(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -294,8 +294,8 @@
 }
 
 // SetEngines sends the entries a new list of engines.
-func (s *Seeded) SetEngines(engines []enginefleet.Engine) {
-	s.hub.SetEngines(engines)
+func (s *Seeded) SetEngines(list enginefleet.List) {
+	s.hub.SetEngines(list)
 }
 
 // Authority returns the term in which this replica may currently send orders to
--- a/internal/role/controlrole/seeded_test.go
+++ b/internal/role/controlrole/seeded_test.go
@@ -155,7 +155,7 @@
 			}
 			return route.New(version, nil, nil, route.Limits{})
 		},
-		List:        func(context.Context) ([]fleet.Engine, error) { return nil, errors.New("no list") },
+		List:        func(context.Context) (fleet.List, error) { return fleet.List{}, errors.New("no list") },
 		RetryWindow: time.Second,
 		Clock:       clock.Boot{},
 		Log:         hclog.NewNullLogger(),
@@ -196,7 +196,7 @@
 	g.start(1)
 	g.putDocument(2, 1)
 	await(t, "the document is in force", func() bool { return version(first) == 1 && version(second) == 1 })
-	g.control(1).SetEngines([]fleet.Engine{{ID: "e", Service: "s"}})
+	g.control(1).SetEngines(fleet.List{Engines: []fleet.Engine{{ID: "e", Service: "s"}}})
 	await(t, "an entry is ready", func() bool {
 		for _, e := range g.control(1).Entries() {
 			if e.Name == "entry-1" && e.Ready && e.DocumentVersion == 1 {
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -62,7 +62,7 @@
 	Decode func(content []byte) (*route.Table, error)
 	// List reads the list of engines. It is used only while no control replica is
 	// connected.
-	List func(ctx context.Context) ([]fleet.Engine, error)
+	List func(ctx context.Context) (fleet.List, error)
 	// RetryShare, RetryWindow and RetrySlack bound the retries of all entries
 	// together at one service.
 	RetryShare  float64
@@ -100,6 +100,8 @@
 
 	mu     sync.Mutex // guards the fields below
 	roster *fleet.Roster
+	// engines are those of the newest list.
+	engines []fleet.Engine
 	// listedAt is the time at which the newest list of engines arrived.
 	listedAt time.Time
 	// pending is the open request for a newer document, if any.
@@ -261,7 +263,7 @@
 		a.quarantine.SetPartLists(u.Source, *u.PartLists)
 	}
 	if u.Engines != nil {
-		a.setEngines(u.Source, u.Engines)
+		a.setEngines(u.Source, *u.Engines)
 	}
 	if u.Document != nil {
 		a.setDocument(u.Source, u.Document)
@@ -337,16 +339,17 @@
 	a.options.Log.Info("document in force", "version", table.Version, "source", source, "routes", len(table.Routes))
 }
 
-func (a *Agent) setEngines(source string, engines []fleet.Engine) {
+func (a *Agent) setEngines(source string, list fleet.List) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.listedAt = time.Now()
 	before := a.view.Load()
-	view := fleet.NewView(a.roster.Update(engines))
+	a.engines = a.roster.Update(list.Over(a.engines))
+	view := fleet.NewView(a.engines)
 	a.view.Store(view)
 	a.tracker.Prune(view)
 	a.notices.Limits.SetView(view)
-	a.options.Log.Debug("engines listed", "source", source, "before", before.Len(), "now", view.Len())
+	a.options.Log.Debug("engines listed", "source", source, "before", before.Len(), "now", view.Len(), "incomplete", list.Incomplete)
 }
 
 // listWithoutControl reads the list of engines directly if the newest one is
@@ -358,10 +361,10 @@
 	if age < maxListAge || a.watcher.Connected() > 0 {
 		return
 	}
-	engines, err := a.options.List(ctx)
+	list, err := a.options.List(ctx)
 	if err != nil {
 		a.options.Log.Warn("engines not listed", "list_age_ms", age.Milliseconds(), "error", err)
 		return
 	}
-	a.setEngines("list", engines)
+	a.setEngines("list", list)
 }
--- a/internal/role/seededentry/agent_test.go
+++ b/internal/role/seededentry/agent_test.go
@@ -52,26 +52,47 @@
 	synctest.Test(t, func(t *testing.T) {
 		a := newTestAgent()
 		leaving := fleet.Engine{ID: "leaving", StartedMs: 1}
-		a.setEngines("leader", []fleet.Engine{leaving, {ID: "staying"}})
+		a.setEngines("leader", fleet.List{Engines: []fleet.Engine{leaving, {ID: "staying"}}})
 		a.options.Notices.Post(leaving, notice.Notice{Leaving: true})
 		if got := a.report("leader", false).Work.Engines; len(got) != 1 || got["leaving"].LeavingEntries != 1 {
 			t.Errorf("got %+v, want only the leaving engine", got)
 		}
 		leaving.StartedMs++
-		a.setEngines("leader", []fleet.Engine{leaving})
+		a.setEngines("leader", fleet.List{Engines: []fleet.Engine{leaving}})
 		if got := a.report("leader", false).Work.Engines; len(got) > 0 {
 			t.Errorf("got %+v after a restart of the engine, want none", got)
 		}
 	})
 }
 
+// TestIncompleteListOfOneReplicaRemovesNoEngine guards against a control replica
+// that has read a part of the list only and hides the engines that others know.
+func TestIncompleteListOfOneReplicaRemovesNoEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newTestAgent()
+		update := func(source string, list fleet.List) int {
+			a.deliver(peergrpc.Update{Source: source, Engines: &list})
+			return a.View().Len()
+		}
+		if got := update("whole", fleet.List{Engines: []fleet.Engine{{ID: "a"}, {ID: "b"}}}); got != 2 {
+			t.Errorf("got %d engines, want 2", got)
+		}
+		if got := update("part", fleet.List{Engines: []fleet.Engine{{ID: "a"}}, Incomplete: true}); got != 2 {
+			t.Errorf("got %d engines after an incomplete list, want 2", got)
+		}
+		if got := update("whole", fleet.List{Engines: []fleet.Engine{{ID: "a"}}}); got != 1 {
+			t.Errorf("got %d engines after a complete list, want 1", got)
+		}
+	})
+}
+
 // TestRateLimitsAreExchanged checks that the rate limits that this entry learns are
 // reported to every replica once, and that those of other entries hold here.
 func TestRateLimitsAreExchanged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := newTestAgent()
 		own, other := fleet.Engine{ID: "own", StartedMs: 1}, fleet.Engine{ID: "other", StartedMs: 1}
-		a.setEngines("leader", []fleet.Engine{own, other})
+		a.setEngines("leader", fleet.List{Engines: []fleet.Engine{own, other}})
 		a.options.Notices.Post(own, notice.Notice{RateLimit: &ratelimit.Limit{Limited: true, PerSecond: 2}})
 		for _, replica := range []string{"leader", "follower"} {
 			first, second, again := a.report(replica, true), a.report(replica, false), a.report(replica, true)
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -113,6 +113,8 @@
 // engineList is a list of engines in its wire form. It is immutable.
 type engineList struct {
 	engines []*peerpb.Engine
+	// incomplete is set if there may be other engines.
+	incomplete bool
 }
 
 // entryWatch is one entry's watch.
@@ -182,17 +184,17 @@
 }
 
 // SetEngines replaces the list of engines.
-func (h *FleetHub) SetEngines(engines []fleet.Engine) {
-	next := &engineList{}
-	for _, e := range engines {
+func (h *FleetHub) SetEngines(list fleet.List) {
+	next := &engineList{incomplete: list.Incomplete}
+	for _, e := range list.Engines {
 		next.engines = append(next.engines, fromEngine(e))
 	}
-	if held := h.engines.Load(); held != nil && slices.EqualFunc(held.engines, next.engines, sameEngine) {
+	if held := h.engines.Load(); held != nil && held.incomplete == next.incomplete && slices.EqualFunc(held.engines, next.engines, sameEngine) {
 		return
 	}
 	h.engines.Store(next)
-	listed := make(map[string]bool, len(engines))
-	for _, e := range engines {
+	listed := make(map[string]bool, len(list.Engines))
+	for _, e := range list.Engines {
 		listed[e.Incarnation()] = true
 	}
 	h.mu.Lock()
@@ -517,6 +519,7 @@
 	if next.engines != nil && next.engines != sent.engines {
 		update.HasEngines = true
 		update.Engines = next.engines.engines
+		update.EnginesIncomplete = next.engines.incomplete
 	}
 	if update.Leads || w.wantsWork.Load() {
 		update.HasOthers = true
--- a/internal/transport/peergrpc/fleethub_test.go
+++ b/internal/transport/peergrpc/fleethub_test.go
@@ -80,6 +80,24 @@
 	}
 }
 
+// TestIncompleteListReachesEntries checks that entries learn whether the list of
+// engines was read whole, also when the engines stay the same.
+func TestIncompleteListReachesEntries(t *testing.T) {
+	h := newTestHub()
+	w := &entryWatch{}
+	h.add(w, EntryInfo{Name: "entry"})
+	var sent sentState
+	for _, incomplete := range []bool{true, false, true} {
+		h.SetEngines(fleet.List{Engines: []fleet.Engine{{ID: "a"}}, Incomplete: incomplete})
+		var message *peerpb.FleetUpdate
+		message, sent = h.update(w, sent)
+		update, err := toFleetUpdate("source", message)
+		if err != nil || update.Engines == nil || update.Engines.Incomplete != incomplete || len(update.Engines.Engines) != 1 {
+			t.Errorf("got %+v, error %v, want one engine, incomplete %t", update.Engines, err, incomplete)
+		}
+	}
+}
+
 // TestFollowerSendsHeartbeats checks that a follower sends only heartbeats to
 // entries that have a leader, and load figures more often to all others.
 func TestFollowerSendsHeartbeats(t *testing.T) {
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -59,7 +59,7 @@
 	// RateLimits are rate limits of servers that the entry didn't report so.
 	RateLimits []ratelimit.Announcement
 	// Engines is nil unless the list changed since the last update.
-	Engines []fleet.Engine
+	Engines *fleet.List
 	// Others is the work that all other entries reported, if HasOthers is set.
 	Others    fleet.Work
 	HasOthers bool
@@ -336,14 +336,21 @@
 		PartLists:       toPartLists(m),
 	}
 	if m.GetHasEngines() {
-		out.Engines = make([]fleet.Engine, 0, len(m.GetEngines()))
+		if out.Engines, err = toEngineList(m); err != nil {
+			return Update{}, err
+		}
 	}
+	return out, nil
+}
+
+func toEngineList(m *peerpb.FleetUpdate) (*fleet.List, error) {
+	list := &fleet.List{Engines: make([]fleet.Engine, 0, len(m.GetEngines())), Incomplete: m.GetEnginesIncomplete()}
 	for _, e := range m.GetEngines() {
 		engine, err := toEngine(e)
 		if err != nil {
-			return Update{}, err
+			return nil, err
 		}
-		out.Engines = append(out.Engines, engine)
+		list.Engines = append(list.Engines, engine)
 	}
-	return out, nil
+	return list, nil
 }
