--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -544,11 +545,16 @@
 		Zone:      e.Zone,
 		Phase:     e.Phase.String(),
 		Leaving:   e.Leaving,
-		Slots:     uint32(e.Slots),
-		WarmingMs: uint32(e.WarmingMs),
+		Slots:     toUint32(e.Slots),
+		WarmingMs: toUint32(e.WarmingMs),
 	}
 }
 
+// toUint32 returns the nearest number to n that its field can hold.
+func toUint32(n int) uint32 {
+	return uint32(min(max(0, n), math.MaxUint32))
+}
+
 func sameEngine(a, b *peerpb.Engine) bool {
 	return a.GetId() == b.GetId() && a.GetBorn() == b.GetBorn() && a.GetService() == b.GetService() &&
 		a.GetAddress() == b.GetAddress() && a.GetZone() == b.GetZone() && a.GetPhase() == b.GetPhase() &&
--- a/internal/transport/peergrpc/fleethub_test.go
+++ b/internal/transport/peergrpc/fleethub_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"slices"
 	"testing"
@@ -98,6 +99,17 @@
 	}
 }
 
+// TestNumbersOfEnginesDoNotWrap guards against an engine that seems to have
+// billions of slots because a number was out of the range of its field.
+func TestNumbersOfEnginesDoNotWrap(t *testing.T) {
+	for in, want := range map[int]int{-1: 0, 64: 64, math.MaxUint32 + 2: math.MaxUint32, math.MinInt: 0} {
+		got, err := toEngine(fromEngine(fleet.Engine{Slots: in, WarmingMs: in}))
+		if err != nil || got.Slots != want || got.WarmingMs != want {
+			t.Errorf("%d became %d slots and %d ms, error %v, want %d", in, got.Slots, got.WarmingMs, err, want)
+		}
+	}
+}
+
 // TestFollowerSendsHeartbeats checks that a follower sends only heartbeats to
 // entries that have a leader, and load figures more often to all others.
 func TestFollowerSendsHeartbeats(t *testing.T) {
