Read the list of VMs around entries that can't be read

What callers saw: while one entry of the platform's list of VMs had a number out of range, a field of another type or bytes that aren't JSON, no VM is observed as leaving, so entries go on sending to VMs that leave (read from the code and the test; no run of a deployment showed it).

Cause: the list was decoded as a whole, into typed fields.

Evidence, on: TestOddVMHidesNoOther failed in 11 of its 12 cases, such as negative_incarnation: json: cannot unmarshal number -1 into Go struct field VM.vms.incarnation of type uint64 unknown_field_of_any_type: invalid character '[' exceeded max depth quote_missing: invalid character 'a' after object key:value pair

Change: entries are decoded one by one with lenientjson. Those that are skipped are logged when their number changes. An answer without a list is an error.

Measured: the tests pass with the race detector, in platformhttp, settingsync, role and cmd.

--- a/internal/role/controlrole/fleet.go
+++ b/internal/role/controlrole/fleet.go
@@ -50,7 +50,7 @@
 		logger:    logger,
 	}
 	if d.Platform != "" {
-		f.platform = platformhttp.New(d.Platform)
+		f.platform = platformhttp.New(d.Platform, logger)
 	}
 	return f
 }
