--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -113,6 +114,8 @@
 // engineList is a list of engines in its wire form. It is immutable.
 type engineList struct {
 	engines []*peerpb.Engine
+	// incomplete is set if there may be other engines.
+	incomplete bool
 }
 
 // entryWatch is one entry's watch.
@@ -182,17 +185,17 @@
 }
 
 // SetEngines replaces the list of engines.
-func (h *FleetHub) SetEngines(engines []fleet.Engine) {
-	next := &engineList{}
-	for _, e := range engines {
+func (h *FleetHub) SetEngines(list fleet.List) {
+	next := &engineList{incomplete: list.Incomplete}
+	for _, e := range list.Engines {
 		next.engines = append(next.engines, fromEngine(e))
 	}
-	if held := h.engines.Load(); held != nil && slices.EqualFunc(held.engines, next.engines, sameEngine) {
+	if held := h.engines.Load(); held != nil && held.incomplete == next.incomplete && slices.EqualFunc(held.engines, next.engines, sameEngine) {
 		return
 	}
 	h.engines.Store(next)
-	listed := make(map[string]bool, len(engines))
-	for _, e := range engines {
+	listed := make(map[string]bool, len(list.Engines))
+	for _, e := range list.Engines {
 		listed[e.Incarnation()] = true
 	}
 	h.mu.Lock()
@@ -517,6 +520,7 @@
 	if next.engines != nil && next.engines != sent.engines {
 		update.HasEngines = true
 		update.Engines = next.engines.engines
+		update.EnginesIncomplete = next.engines.incomplete
 	}
 	if update.Leads || w.wantsWork.Load() {
 		update.HasOthers = true
@@ -541,12 +545,17 @@
 		Zone:      e.Zone,
 		Phase:     e.Phase.String(),
 		Leaving:   e.Leaving,
-		Slots:     uint32(e.Slots),
-		WarmingMs: uint32(e.WarmingMs),
+		Slots:     toUint32(e.Slots),
+		WarmingMs: toUint32(e.WarmingMs),
 		Version:   e.Version,
 	}
 }
 
+// toUint32 returns the nearest number to n that its field can hold.
+func toUint32(n int) uint32 {
+	return uint32(min(max(0, n), math.MaxUint32))
+}
+
 func sameEngine(a, b *peerpb.Engine) bool {
 	return a.GetId() == b.GetId() && a.GetBorn() == b.GetBorn() && a.GetService() == b.GetService() &&
 		a.GetAddress() == b.GetAddress() && a.GetZone() == b.GetZone() && a.GetPhase() == b.GetPhase() &&
--- a/internal/transport/peergrpc/fleethub_test.go
+++ b/internal/transport/peergrpc/fleethub_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"slices"
 	"testing"
@@ -80,6 +81,35 @@
 	}
 }
 
+// TestIncompleteListReachesEntries checks that entries learn whether the list of
+// engines was read whole, also when the engines stay the same.
+func TestIncompleteListReachesEntries(t *testing.T) {
+	h := newTestHub()
+	w := &entryWatch{}
+	h.add(w, EntryInfo{Name: "entry"})
+	var sent sentState
+	for _, incomplete := range []bool{true, false, true} {
+		h.SetEngines(fleet.List{Engines: []fleet.Engine{{ID: "a"}}, Incomplete: incomplete})
+		var message *peerpb.FleetUpdate
+		message, sent = h.update(w, sent)
+		update, err := toFleetUpdate("source", message)
+		if err != nil || update.Engines == nil || update.Engines.Incomplete != incomplete || len(update.Engines.Engines) != 1 {
+			t.Errorf("got %+v, error %v, want one engine, incomplete %t", update.Engines, err, incomplete)
+		}
+	}
+}
+
+// TestNumbersOfEnginesDoNotWrap guards against an engine that seems to have
+// billions of slots because a number was out of the range of its field.
+func TestNumbersOfEnginesDoNotWrap(t *testing.T) {
+	for in, want := range map[int]int{-1: 0, 64: 64, math.MaxUint32 + 2: math.MaxUint32, math.MinInt: 0} {
+		got, err := toEngine(fromEngine(fleet.Engine{Slots: in, WarmingMs: in}))
+		if err != nil || got.Slots != want || got.WarmingMs != want {
+			t.Errorf("%d became %d slots and %d ms, error %v, want %d", in, got.Slots, got.WarmingMs, err, want)
+		}
+	}
+}
+
 // TestFollowerSendsHeartbeats checks that a follower sends only heartbeats to
 // entries that have a leader, and load figures more often to all others.
 func TestFollowerSendsHeartbeats(t *testing.T) {
