httpconn: believe no response that may belong to another request

Callers saw (test): an unsafe request that an engine ran was sent to a second engine and ran there too (TWICE); with no other engine the caller got 503, not run (REFUSED); other responses got through as well, such as a 404 (MIXED). Cause: requests and control calls to an engine share its connections. A response to a control call bears no request ID. If the engine wrote one once more, it was read as the response to the next request on that connection, and a response without an ID passed the comparison of IDs. Change: the pool knows the header with the ID. A response counts only if it echoes the ID, or has none and is the first on a new connection. The error names the IDs and the status.

--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -24,6 +24,10 @@
 // ErrNotSent means that no byte of the request was written to a connection.
 var ErrNotSent = errors.New("httpconn: request not sent")
 
+// ErrOtherResponse means that a response may answer another request than the one
+// that was sent, which the server may have executed.
+var ErrOtherResponse = errors.New("httpconn: response may belong to another request")
+
 const (
 	// defaultIdleTimeout is how long an idle connection is kept if its server
 	// sends no Keep-Alive timeout.
@@ -55,6 +59,9 @@
 	// response: informational responses, status line and headers. Zero means
 	// 256 KiB.
 	MaxHeadBytes int64
+	// IDHeader names the header with a request's ID, which servers echo in the
+	// response. Empty means that requests have no IDs.
+	IDHeader string
 }
 
 // Pool keeps idle connections by server address. It is safe for concurrent use.
@@ -86,13 +93,16 @@
 	expires time.Time
 	// idleTimeout is how long the connection may stay in the pool.
 	idleTimeout time.Duration
+	// reused is set once the connection has been in the pool.
+	reused bool
 }
 
 // Do sends a request and returns the response once its header has arrived. The
 // request's body must be in memory. The caller must close the response's body;
 // the connection is reused only if the body was read to its end. The connection
 // is closed when ctx ends. The error matches ErrNotSent if the server cannot
-// have received any part of the request.
+// have received any part of the request, and ErrOtherResponse if the request has
+// an ID and the response isn't certain to answer it.
 func (p *Pool) Do(ctx context.Context, address string, request *http.Request) (*http.Response, error) {
 	c, err := p.get(ctx, address)
 	if err != nil {
@@ -100,6 +110,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, err := c.exchange(request, p.options.MaxHeadBytes)
+	if err == nil {
+		err = c.checkID(p.options.IDHeader, request, response)
+	}
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -136,6 +149,18 @@
 	}
 }
 
+// checkID returns ErrOtherResponse if the response may answer another request than
+// the one with the given ID. A response without an ID can do so only on a connection
+// that was used before.
+func (c *conn) checkID(header string, request *http.Request, response *http.Response) error {
+	sent := request.Header.Get(header)
+	echoed := response.Header.Get(header)
+	if sent == "" || echoed == sent || echoed == "" && !c.reused {
+		return nil
+	}
+	return fmt.Errorf("%w: sent ID %.64q, got status %d with ID %.64q, connection reused: %t", ErrOtherResponse, sent, response.StatusCode, echoed, c.reused)
+}
+
 // setIdleTimeout derives the idle timeout from a response's Keep-Alive header.
 func (c *conn) setIdleTimeout(header http.Header) {
 	c.idleTimeout = defaultIdleTimeout
@@ -242,6 +267,7 @@
 		return
 	}
 	c.expires = time.Now().Add(c.idleTimeout)
+	c.reused = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.ended || len(p.idle[c.address]) >= maxIdlePerServer {
--- a/internal/transport/httpconn/pool_test.go
+++ b/internal/transport/httpconn/pool_test.go
@@ -221,3 +221,46 @@
 		t.Error("a server that has ended does not count as ended")
 	}
 }
+
+// TestResponseIDTellsItsRequest guards against taking a response for the answer to a request that it may not belong to.
+func TestResponseIDTellsItsRequest(t *testing.T) {
+	const header = "X-Id"
+	for name, c := range map[string]struct {
+		sent, echoed string
+		reused       bool
+		want         error
+	}{
+		"echoed":                           {"a", "a", false, nil},
+		"echoed, reused connection":        {"a", "a", true, nil},
+		"other":                            {"a", "b", false, httpconn.ErrOtherResponse},
+		"other, reused connection":         {"a", "b", true, httpconn.ErrOtherResponse},
+		"not echoed":                       {"a", "", false, nil},
+		"not echoed, reused connection":    {"a", "", true, httpconn.ErrOtherResponse},
+		"request without ID":               {"", "", true, nil},
+		"request without ID, other echoed": {"", "b", true, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startServer(t, func(conn net.Conn, _ int32) {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", header, c.echoed)
+			})
+			p := httpconn.New(httpconn.Options{DialTimeout: time.Second, UserTimeout: time.Second, IDHeader: header})
+			if c.reused {
+				if _, err := post(t, t.Context(), p, s); err != nil {
+					t.Fatal(err)
+				}
+			}
+			request, err := http.NewRequest(http.MethodPost, "http://x/", strings.NewReader("body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set(header, c.sent)
+			response, err := p.Do(t.Context(), s.Addr().String(), request)
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			if !errors.Is(err, c.want) || s.conns.Load() != 1 {
+				t.Errorf("sent ID %q, got %q: error %v on connection %d, want %v on the first", c.sent, c.echoed, err, s.conns.Load(), c.want)
+			}
+		})
+	}
+}
