httpconn: send an ID on one connection once

Callers saw (test): a caller repeated an unsafe request with its ID after a true refusal; the engine ran it, and the caller got 503, not run (REFUSED). Cause: the repeat was sent on the connection that had carried the first request. The refusal that the engine wrote there once more has the same ID, so the ID doesn't tell which of the two it answers.

--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -8,8 +8,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,6 +42,9 @@
 	maxIdleTimeout = 30 * time.Second
 	// maxIdlePerServer bounds the idle connections to one server.
 	maxIdlePerServer = 64
+	// maxIDsPerConn bounds the request IDs that a connection remembers; it is not kept
+	// after that many requests.
+	maxIDsPerConn = 1024
 	// sweepInterval is the time between two removals of expired connections.
 	sweepInterval   = time.Second
 	readBufferBytes = 8 << 10
@@ -67,6 +72,8 @@
 // Pool keeps idle connections by server address. It is safe for concurrent use.
 type Pool struct {
 	options Options
+	// seed hashes request IDs.
+	seed maphash.Seed
 
 	mu   sync.Mutex // guards the fields below
 	idle map[string][]*conn
@@ -79,7 +86,7 @@
 	if o.MaxHeadBytes <= 0 {
 		o.MaxHeadBytes = defaultMaxHeadBytes
 	}
-	return &Pool{options: o, idle: make(map[string][]*conn)}
+	return &Pool{options: o, seed: maphash.MakeSeed(), idle: make(map[string][]*conn)}
 }
 
 // conn is one connection; at most one request uses it at a time.
@@ -95,6 +102,8 @@
 	idleTimeout time.Duration
 	// reused is set once the connection has been in the pool.
 	reused bool
+	// ids are the hashes of the IDs of the requests that it has carried.
+	ids []uint64
 }
 
 // Do sends a request and returns the response once its header has arrived. The
@@ -104,7 +113,7 @@
 // have received any part of the request, and ErrOtherResponse if the request has
 // an ID and the response isn't certain to answer it.
 func (p *Pool) Do(ctx context.Context, address string, request *http.Request) (*http.Response, error) {
-	c, err := p.get(ctx, address)
+	c, err := p.get(ctx, address, request.Header.Get(p.options.IDHeader))
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", address, ErrNotSent, err)
 	}
@@ -175,10 +184,22 @@
 	}
 }
 
-// get returns a usable idle connection or, without one, a new connection.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// get returns a connection for a request with the given ID, or with none: a usable
+// idle one or, without one, a new one. A connection carries each ID once, so that an
+// echoed ID tells the response from a late one to an earlier request with that ID.
+func (p *Pool) get(ctx context.Context, address, id string) (*conn, error) {
+	hash := maphash.String(p.seed, id)
+	c, err := p.getWithout(ctx, address, hash)
+	if err == nil && id != "" {
+		c.ids = append(c.ids, hash)
+	}
+	return c, err
+}
+
+// getWithout returns a connection that has not carried the ID with the given hash.
+func (p *Pool) getWithout(ctx context.Context, address string, id uint64) (*conn, error) {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, id)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -202,16 +223,19 @@
 	return false
 }
 
-func (p *Pool) popIdle(address string) *conn {
+// popIdle removes and returns the idle connection that was used last, of those that
+// have not carried the ID with the given hash. It returns nil if there is none.
+func (p *Pool) popIdle(address string, id uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[address]
-	if len(idle) == 0 {
-		return nil
+	for i, c := range slices.Backward(idle) {
+		if !slices.Contains(c.ids, id) {
+			p.idle[address] = slices.Delete(idle, i, i+1)
+			return c
+		}
 	}
-	c := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
@@ -259,10 +283,10 @@
 	return errors.Is(peekErr, unix.EAGAIN)
 }
 
-// put adds a connection to the idle ones, or closes it if it may not be kept, its
-// server has maxIdlePerServer idle connections, or Run has ended.
+// put adds a connection to the idle ones, or closes it if it may not be kept or has
+// carried maxIDsPerConn IDs, its server has maxIdlePerServer idle connections, or Run has ended.
 func (p *Pool) put(c *conn) {
-	if c.idleTimeout <= 0 {
+	if c.idleTimeout <= 0 || len(c.ids) >= maxIDsPerConn {
 		_ = c.Close()
 		return
 	}
--- a/internal/transport/httpconn/pool_test.go
+++ b/internal/transport/httpconn/pool_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -264,3 +265,45 @@
 		})
 	}
 }
+
+// TestConnectionCarriesEachIDOnce guards against a connection on which one ID names two requests, and against IDs kept without bound.
+func TestConnectionCarriesEachIDOnce(t *testing.T) {
+	const header = "X-Id"
+	for name, c := range map[string]struct {
+		ids   func(i int) string
+		sends int
+		conns int32
+	}{
+		"different IDs":    {strconv.Itoa, 100, 1},
+		"two IDs by turns": {func(i int) string { return strconv.Itoa(i % 2) }, 10, 5},
+		"no IDs":           {func(int) string { return "" }, 1100, 1},
+		"many IDs":         {strconv.Itoa, 1100, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ids := make(chan string, 1)
+			s := startServer(t, func(conn net.Conn, _ int32) {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", header, <-ids)
+			})
+			p := httpconn.New(httpconn.Options{DialTimeout: time.Second, UserTimeout: time.Second, IDHeader: header})
+			for i := range c.sends {
+				id := c.ids(i)
+				ids <- id
+				request, err := http.NewRequest(http.MethodPost, "http://x/", strings.NewReader("body"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				request.Header.Set(header, id)
+				response, err := p.Do(t.Context(), s.Addr().String(), request)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := io.ReadAll(response.Body); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if got := s.conns.Load(); got != c.conns {
+				t.Errorf("got %d connections for %d requests, want %d", got, c.sends, c.conns)
+			}
+		})
+	}
+}
