client: give each order and report a connection of its own

Seen (test): an order that the engine carried out counted as refused because of a higher fencing token, so the leader would have given no more orders in its term and withdrawn the change. The refusal of an earlier order, written once more, was read as that of the next one.

--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -111,9 +111,10 @@
 // the connection is reused only if the body was read to its end. The connection
 // is closed when ctx ends. The error matches ErrNotSent if the server cannot
 // have received any part of the request, and ErrOtherResponse if the request has
-// an ID and the response isn't certain to answer it.
+// an ID and the response isn't certain to answer it. A request with Close set gets
+// a new connection that nothing else uses.
 func (p *Pool) Do(ctx context.Context, address string, request *http.Request) (*http.Response, error) {
-	c, err := p.get(ctx, address, request.Header.Get(p.options.IDHeader))
+	c, err := p.connect(ctx, address, request)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", address, ErrNotSent, err)
 	}
@@ -130,7 +131,7 @@
 		}
 		return nil, fmt.Errorf("exchange with %s: %w", address, err)
 	}
-	response.Body = &body{ReadCloser: response.Body, pool: p, conn: c, stopContextWatch: stop, close: response.Close}
+	response.Body = &body{ReadCloser: response.Body, pool: p, conn: c, stopContextWatch: stop, close: request.Close || response.Close}
 	c.setIdleTimeout(response.Header)
 	return response, nil
 }
@@ -184,20 +185,25 @@
 	}
 }
 
-// get returns a connection for a request with the given ID, or with none: a usable
-// idle one or, without one, a new one. A connection carries each ID once, so that an
-// echoed ID tells the response from a late one to an earlier request with that ID.
-func (p *Pool) get(ctx context.Context, address, id string) (*conn, error) {
+// connect returns a connection for a request. A connection carries each request ID
+// once, so that an echoed ID tells the response from a late one to an earlier request
+// with that ID.
+func (p *Pool) connect(ctx context.Context, address string, request *http.Request) (*conn, error) {
+	if request.Close {
+		return p.dial(ctx, address)
+	}
+	id := request.Header.Get(p.options.IDHeader)
 	hash := maphash.String(p.seed, id)
-	c, err := p.getWithout(ctx, address, hash)
+	c, err := p.get(ctx, address, hash)
 	if err == nil && id != "" {
 		c.ids = append(c.ids, hash)
 	}
 	return c, err
 }
 
-// getWithout returns a connection that has not carried the ID with the given hash.
-func (p *Pool) getWithout(ctx context.Context, address string, id uint64) (*conn, error) {
+// get returns a connection that has not carried the ID with the given hash: a usable
+// idle one or, without one, a new one.
+func (p *Pool) get(ctx context.Context, address string, id uint64) (*conn, error) {
 	for {
 		c := p.popIdle(address, id)
 		if c == nil {
--- a/internal/transport/httpconn/pool_test.go
+++ b/internal/transport/httpconn/pool_test.go
@@ -307,3 +307,29 @@
 		})
 	}
 }
+
+// TestRequestWithCloseHasItsOwnConnection guards against a late response on the connection of a request that is to have a new one, and against keeping that one.
+func TestRequestWithCloseHasItsOwnConnection(t *testing.T) {
+	s := startServer(t, respondOK)
+	p := newPool()
+	for i, c := range []struct {
+		own   bool
+		conns int32
+	}{{false, 1}, {true, 2}, {false, 2}, {true, 3}, {false, 3}} {
+		request, err := http.NewRequest(http.MethodPost, "http://x/", strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Close = c.own
+		response, err := p.Do(t.Context(), s.Addr().String(), request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(response.Body); err != nil {
+			t.Fatal(err)
+		}
+		if got := s.conns.Load(); got != c.conns {
+			t.Errorf("request %d: got %d connections, want %d", i, got, c.conns)
+		}
+	}
+}
