--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -290,7 +290,8 @@
 }
 
 // put adds a connection to the idle ones, or closes it if it may not be kept or has
-// carried maxIDsPerConn IDs, its server has maxIdlePerServer idle connections, or Run has ended.
+// carried maxIDsPerConn IDs, its server has maxIdlePerServer idle connections, or Run
+// has ended.
 func (p *Pool) put(c *conn) {
 	if c.idleTimeout <= 0 || len(c.ids) >= maxIDsPerConn {
 		_ = c.Close()
