--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -8,8 +8,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +26,10 @@
 // ErrNotSent means that no byte of the request was written to a connection.
 var ErrNotSent = errors.New("httpconn: request not sent")
 
+// ErrOtherResponse means that a response may answer another request than the one
+// that was sent, which the server may have executed.
+var ErrOtherResponse = errors.New("httpconn: response may belong to another request")
+
 const (
 	// defaultIdleTimeout is how long an idle connection is kept if its server
 	// sends no Keep-Alive timeout.
@@ -36,6 +42,9 @@
 	maxIdleTimeout = 30 * time.Second
 	// maxIdlePerServer bounds the idle connections to one server.
 	maxIdlePerServer = 64
+	// maxIDsPerConn bounds the request IDs that a connection remembers; it is not kept
+	// after that many requests.
+	maxIDsPerConn = 1024
 	// sweepInterval is the time between two removals of expired connections.
 	sweepInterval   = time.Second
 	readBufferBytes = 8 << 10
@@ -55,11 +64,16 @@
 	// response: informational responses, status line and headers. Zero means
 	// 256 KiB.
 	MaxHeadBytes int64
+	// IDHeader names the header with a request's ID, which servers echo in the
+	// response. Empty means that requests have no IDs.
+	IDHeader string
 }
 
 // Pool keeps idle connections by server address. It is safe for concurrent use.
 type Pool struct {
 	options Options
+	// seed hashes request IDs.
+	seed maphash.Seed
 
 	mu   sync.Mutex // guards the fields below
 	idle map[string][]*conn
@@ -72,7 +86,7 @@
 	if o.MaxHeadBytes <= 0 {
 		o.MaxHeadBytes = defaultMaxHeadBytes
 	}
-	return &Pool{options: o, idle: make(map[string][]*conn)}
+	return &Pool{options: o, seed: maphash.MakeSeed(), idle: make(map[string][]*conn)}
 }
 
 // conn is one connection; at most one request uses it at a time.
@@ -86,20 +100,29 @@
 	expires time.Time
 	// idleTimeout is how long the connection may stay in the pool.
 	idleTimeout time.Duration
+	// reused is set once the connection has been in the pool.
+	reused bool
+	// ids are the hashes of the IDs of the requests that it has carried.
+	ids []uint64
 }
 
 // Do sends a request and returns the response once its header has arrived. The
 // request's body must be in memory. The caller must close the response's body;
 // the connection is reused only if the body was read to its end. The connection
 // is closed when ctx ends. The error matches ErrNotSent if the server cannot
-// have received any part of the request.
+// have received any part of the request, and ErrOtherResponse if the request has
+// an ID and the response isn't certain to answer it. A request with Close set gets
+// a new connection that nothing else uses.
 func (p *Pool) Do(ctx context.Context, address string, request *http.Request) (*http.Response, error) {
-	c, err := p.get(ctx, address)
+	c, err := p.connect(ctx, address, request)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", address, ErrNotSent, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, err := c.exchange(request, p.options.MaxHeadBytes)
+	if err == nil {
+		err = c.checkID(p.options.IDHeader, request, response)
+	}
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -108,7 +131,7 @@
 		}
 		return nil, fmt.Errorf("exchange with %s: %w", address, err)
 	}
-	response.Body = &body{ReadCloser: response.Body, pool: p, conn: c, stopContextWatch: stop, close: response.Close}
+	response.Body = &body{ReadCloser: response.Body, pool: p, conn: c, stopContextWatch: stop, close: request.Close || response.Close}
 	c.setIdleTimeout(response.Header)
 	return response, nil
 }
@@ -136,6 +159,18 @@
 	}
 }
 
+// checkID returns ErrOtherResponse if the response may answer another request than
+// the one with the given ID. A response without an ID can do so only on a connection
+// that was used before.
+func (c *conn) checkID(header string, request *http.Request, response *http.Response) error {
+	sent := request.Header.Get(header)
+	echoed := response.Header.Get(header)
+	if sent == "" || echoed == sent || echoed == "" && !c.reused {
+		return nil
+	}
+	return fmt.Errorf("%w: sent ID %.64q, got status %d with ID %.64q, connection reused: %t", ErrOtherResponse, sent, response.StatusCode, echoed, c.reused)
+}
+
 // setIdleTimeout derives the idle timeout from a response's Keep-Alive header.
 func (c *conn) setIdleTimeout(header http.Header) {
 	c.idleTimeout = defaultIdleTimeout
@@ -150,10 +185,27 @@
 	}
 }
 
-// get returns a usable idle connection or, without one, a new connection.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// connect returns a connection for a request. A connection carries each request ID
+// once, so that an echoed ID tells the response from a late one to an earlier request
+// with that ID.
+func (p *Pool) connect(ctx context.Context, address string, request *http.Request) (*conn, error) {
+	if request.Close {
+		return p.dial(ctx, address)
+	}
+	id := request.Header.Get(p.options.IDHeader)
+	hash := maphash.String(p.seed, id)
+	c, err := p.get(ctx, address, hash)
+	if err == nil && id != "" {
+		c.ids = append(c.ids, hash)
+	}
+	return c, err
+}
+
+// get returns a connection that has not carried the ID with the given hash: a usable
+// idle one or, without one, a new one.
+func (p *Pool) get(ctx context.Context, address string, id uint64) (*conn, error) {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, id)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -177,16 +229,19 @@
 	return false
 }
 
-func (p *Pool) popIdle(address string) *conn {
+// popIdle removes and returns the idle connection that was used last, of those that
+// have not carried the ID with the given hash. It returns nil if there is none.
+func (p *Pool) popIdle(address string, id uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[address]
-	if len(idle) == 0 {
-		return nil
+	for i, c := range slices.Backward(idle) {
+		if !slices.Contains(c.ids, id) {
+			p.idle[address] = slices.Delete(idle, i, i+1)
+			return c
+		}
 	}
-	c := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
@@ -234,14 +289,16 @@
 	return errors.Is(peekErr, unix.EAGAIN)
 }
 
-// put adds a connection to the idle ones, or closes it if it may not be kept, its
-// server has maxIdlePerServer idle connections, or Run has ended.
+// put adds a connection to the idle ones, or closes it if it may not be kept or has
+// carried maxIDsPerConn IDs, its server has maxIdlePerServer idle connections, or Run
+// has ended.
 func (p *Pool) put(c *conn) {
-	if c.idleTimeout <= 0 {
+	if c.idleTimeout <= 0 || len(c.ids) >= maxIDsPerConn {
 		_ = c.Close()
 		return
 	}
 	c.expires = time.Now().Add(c.idleTimeout)
+	c.reused = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.ended || len(p.idle[c.address]) >= maxIdlePerServer {
--- a/internal/transport/httpconn/pool_test.go
+++ b/internal/transport/httpconn/pool_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -221,3 +222,114 @@
 		t.Error("a server that has ended does not count as ended")
 	}
 }
+
+// TestResponseIDTellsItsRequest guards against taking a response for the answer to a request that it may not belong to.
+func TestResponseIDTellsItsRequest(t *testing.T) {
+	const header = "X-Id"
+	for name, c := range map[string]struct {
+		sent, echoed string
+		reused       bool
+		want         error
+	}{
+		"echoed":                           {"a", "a", false, nil},
+		"echoed, reused connection":        {"a", "a", true, nil},
+		"other":                            {"a", "b", false, httpconn.ErrOtherResponse},
+		"other, reused connection":         {"a", "b", true, httpconn.ErrOtherResponse},
+		"not echoed":                       {"a", "", false, nil},
+		"not echoed, reused connection":    {"a", "", true, httpconn.ErrOtherResponse},
+		"request without ID":               {"", "", true, nil},
+		"request without ID, other echoed": {"", "b", true, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startServer(t, func(conn net.Conn, _ int32) {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", header, c.echoed)
+			})
+			p := httpconn.New(httpconn.Options{DialTimeout: time.Second, UserTimeout: time.Second, IDHeader: header})
+			if c.reused {
+				if _, err := post(t, t.Context(), p, s); err != nil {
+					t.Fatal(err)
+				}
+			}
+			request, err := http.NewRequest(http.MethodPost, "http://x/", strings.NewReader("body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set(header, c.sent)
+			response, err := p.Do(t.Context(), s.Addr().String(), request)
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			if !errors.Is(err, c.want) || s.conns.Load() != 1 {
+				t.Errorf("sent ID %q, got %q: error %v on connection %d, want %v on the first", c.sent, c.echoed, err, s.conns.Load(), c.want)
+			}
+		})
+	}
+}
+
+// TestConnectionCarriesEachIDOnce guards against a connection on which one ID names two requests, and against IDs kept without bound.
+func TestConnectionCarriesEachIDOnce(t *testing.T) {
+	const header = "X-Id"
+	for name, c := range map[string]struct {
+		ids   func(i int) string
+		sends int
+		conns int32
+	}{
+		"different IDs":    {strconv.Itoa, 100, 1},
+		"two IDs by turns": {func(i int) string { return strconv.Itoa(i % 2) }, 10, 5},
+		"no IDs":           {func(int) string { return "" }, 1100, 1},
+		"many IDs":         {strconv.Itoa, 1100, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ids := make(chan string, 1)
+			s := startServer(t, func(conn net.Conn, _ int32) {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", header, <-ids)
+			})
+			p := httpconn.New(httpconn.Options{DialTimeout: time.Second, UserTimeout: time.Second, IDHeader: header})
+			for i := range c.sends {
+				id := c.ids(i)
+				ids <- id
+				request, err := http.NewRequest(http.MethodPost, "http://x/", strings.NewReader("body"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				request.Header.Set(header, id)
+				response, err := p.Do(t.Context(), s.Addr().String(), request)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := io.ReadAll(response.Body); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if got := s.conns.Load(); got != c.conns {
+				t.Errorf("got %d connections for %d requests, want %d", got, c.sends, c.conns)
+			}
+		})
+	}
+}
+
+// TestRequestWithCloseHasItsOwnConnection guards against a late response on the connection of a request that is to have a new one, and against keeping that one.
+func TestRequestWithCloseHasItsOwnConnection(t *testing.T) {
+	s := startServer(t, respondOK)
+	p := newPool()
+	for i, c := range []struct {
+		own   bool
+		conns int32
+	}{{false, 1}, {true, 2}, {false, 2}, {true, 3}, {false, 3}} {
+		request, err := http.NewRequest(http.MethodPost, "http://x/", strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Close = c.own
+		response, err := p.Do(t.Context(), s.Addr().String(), request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(response.Body); err != nil {
+			t.Fatal(err)
+		}
+		if got := s.conns.Load(); got != c.conns {
+			t.Errorf("request %d: got %d connections, want %d", i, got, c.conns)
+		}
+	}
+}
