Remember which software version began each stream

Part of the fix for streams joined from two software versions.

Only the entry that saw a stream begin knew the version of its server, and a caller whose entry is gone takes the stream up at another one.

Package origin holds the versions that were listed for each service and the versions that began streams. Entries report begun streams of services with more than one version to every control replica, and ask all replicas for a stream that they don't know. A service that has had one version for longer than any stream lasts needs no records.

--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -33,6 +33,8 @@
 	// load is requested from other replicas. It is longer than the longest
 	// interval between two load reports.
 	leaderTimeout = 300 * time.Millisecond
+	// maxReportInterval is the interval between two reports while no leader is known.
+	maxReportInterval = 200 * time.Millisecond
 	// maxLoadAge is the age at which load reports of other entries are discarded.
 	// Prompts are prefilled in less time, so older figures mislead more than
 	// having none.
@@ -86,6 +88,7 @@
 	quarantine  *quarantine.Guard
 	watcher     *peergrpc.FleetWatcher
 	pool        *peergrpc.Pool
+	origins     *Origins
 
 	table   atomic.Pointer[route.Table]
 	view    atomic.Pointer[fleet.View]
@@ -94,6 +97,8 @@
 	// the clock.Instant at which that update arrived.
 	leader           atomic.Pointer[string]
 	leaderReportedAt atomic.Int64
+	// reportInterval is the time.Duration between two reports to the leader.
+	reportInterval atomic.Int64
 	// otherLoadUnknown is set while the load of the other entries is unknown.
 	otherLoadUnknown atomic.Bool
 	leaving          atomic.Bool
@@ -131,6 +136,8 @@
 		listedAt:    time.Now(),
 		budgets:     make(map[string]*retry.Window),
 	}
+	a.origins = newOrigins(a)
+	a.reportInterval.Store(int64(maxReportInterval))
 	a.view.Store(fleet.NewView(nil))
 	a.watcher = peergrpc.NewFleetWatcher(peergrpc.WatcherOptions{
 		Pool:    a.pool,
@@ -147,6 +154,7 @@
 	defer a.pool.Close()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return a.watcher.Run(ctx) })
+	group.Go(func() error { return a.origins.run(ctx) })
 	group.Go(func() error { return clock.Every(ctx, directListInterval, a.listWithoutControl) })
 	group.Go(func() error { return clock.Every(ctx, loadCheckInterval, a.expireOtherLoad) })
 	return group.Wait()
@@ -173,6 +181,9 @@
 // Quarantine returns the guard that holds the prompt parts in quarantine.
 func (a *Agent) Quarantine() *quarantine.Guard { return a.quarantine }
 
+// Origins returns the record of the software versions that began streams.
+func (a *Agent) Origins() *Origins { return a.origins }
+
 // Ready reports whether the entry accepts new work: it is not leaving and knows
 // routes and engines.
 func (a *Agent) Ready() bool {
@@ -201,10 +212,14 @@
 
 // report returns the next report to the control replica source. Work goes to the
 // leader, or to every replica while none is known; holdings and pace go to
-// the leader only, evidence of crashes and rate limits to every replica. first is
-// set for the first report of a watch.
+// the leader only, evidence of crashes, rate limits and begun streams to every
+// replica. first is set for the first report of a watch.
 func (a *Agent) report(source string, first bool) peergrpc.Report {
-	r := peergrpc.Report{Evidence: a.quarantine.Report(source, first), RateLimits: a.notices.Limits.Pending(source, first)}
+	r := peergrpc.Report{
+		Evidence:   a.quarantine.Report(source, first),
+		RateLimits: a.notices.Limits.Pending(source, first),
+		Streams:    a.origins.memory.Pending(source, first),
+	}
 	leader := a.leader.Load()
 	r.WantWork = leader == nil || a.leaderTimedOut()
 	if r.WantWork || *leader == source {
@@ -276,6 +291,7 @@
 	case u.Leads:
 		a.leaderReportedAt.Store(int64(a.options.Clock.Now()))
 		a.leader.Store(&u.Source)
+		a.reportInterval.Store(int64(u.ReportAfter))
 	case !u.HasOthers, !a.leaderTimedOut():
 		return
 	}
@@ -342,6 +358,7 @@
 	defer a.mu.Unlock()
 	a.listedAt = time.Now()
 	before := a.view.Load()
+	a.origins.setEngines(engines)
 	view := fleet.NewView(a.roster.Update(engines))
 	a.view.Store(view)
 	a.tracker.Prune(view)
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -16,6 +16,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/origin"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
@@ -84,6 +85,8 @@
 	// engines is the newest list, or nil before the first one.
 	engines    atomic.Pointer[engineList]
 	compressed compressedDocument
+	// origins holds which software versions began streams.
+	origins *origin.Memory
 	stopped    chan struct{}
 	once       sync.Once
 	// ready is the number of entries that accept new work. It is recomputed when
@@ -154,7 +157,7 @@
 
 // NewFleetHub returns a hub without entries.
 func NewFleetHub(o HubOptions) *FleetHub {
-	return &FleetHub{options: o, stopped: make(chan struct{}), entries: make(map[*entryWatch]struct{}), sum: fleet.NewSum(), rateLimits: ratelimit.NewRegister(clock.Boot{})}
+	return &FleetHub{options: o, stopped: make(chan struct{}), entries: make(map[*entryWatch]struct{}), sum: fleet.NewSum(), rateLimits: ratelimit.NewRegister(clock.Boot{}), origins: origin.NewMemory(clock.Boot{})}
 }
 
 // Register adds the service to a gRPC server.
@@ -183,6 +186,7 @@
 
 // SetEngines replaces the list of engines.
 func (h *FleetHub) SetEngines(engines []fleet.Engine) {
+	h.recordVersions(engines)
 	next := &engineList{}
 	for _, e := range engines {
 		next.engines = append(next.engines, fromEngine(e))
@@ -340,6 +344,7 @@
 	h.recordHoldings(w, toHoldings(report.GetHoldings()))
 	h.options.Quarantine.Record(toEvidence(report.GetEvidence()))
 	h.mergeRateLimits(w, report.GetRateLimits())
+	h.origins.Merge(toStreams(report.GetBegunStreams()))
 	w.wantsWork.Store(report.GetWantWork())
 	if report.GetWantDocument() {
 		w.wantsDocument.Store(true)
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -13,6 +13,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/origin"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
@@ -42,6 +43,9 @@
 	Evidence []quarantine.Evidence
 	// RateLimits are rate limits of servers that the replica doesn't have yet.
 	RateLimits []ratelimit.Announcement
+	// Streams are streams that began, by the version that began them, and that the
+	// replica doesn't know yet.
+	Streams []origin.Streams
 }
 
 // Update is a control replica's message to an entry.
@@ -313,6 +317,7 @@
 	out.Pace = fromPace(r.Pace)
 	out.Evidence = fromEvidence(r.Evidence)
 	out.RateLimits = fromRateLimits(r.RateLimits)
+	out.BegunStreams = fromStreams(r.Streams)
 	return out
 }
 
