--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -87,8 +87,8 @@
 	compressed compressedDocument
 	// origins holds which software versions began streams.
 	origins *origin.Memory
-	stopped    chan struct{}
-	once       sync.Once
+	stopped chan struct{}
+	once    sync.Once
 	// ready is the number of entries that accept new work. It is recomputed when
 	// it may have changed rather than for each update.
 	ready atomic.Uint32
