--- /dev/null
+++ b/internal/role/controlrole/origins_test.go
@@ -0,0 +1,156 @@
+package controlrole_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/role/seededentry"
+)
+
+// originGroup is a control group with entries, and a list of engines.
+type originGroup struct {
+	*seededGroup
+	engines []fleet.Engine
+}
+
+func newOriginGroup(t *testing.T, addressPrefix string, engines ...fleet.Engine) *originGroup {
+	g := &originGroup{seededGroup: newSeededGroup(t, addressPrefix), engines: engines}
+	for i := range 3 {
+		g.start(i)
+	}
+	g.putDocument(0, 1)
+	g.firstStart = false
+	g.list()
+	return g
+}
+
+// list gives all control processes the list of engines.
+func (g *originGroup) list() {
+	for i := range 3 {
+		if c := g.control(i); c != nil {
+			c.SetEngines(g.engines)
+		}
+	}
+}
+
+// startReady starts an entry and waits until it accepts requests and is connected to
+// all control processes.
+func (g *originGroup) startReady(name string) *seededentry.Agent {
+	a := g.startEntry(name)
+	g.awaitConnected(name, 0, 1, 2)
+	await(g.t, name+" is ready", a.Ready)
+	return a
+}
+
+func (g *originGroup) awaitConnected(name string, controls ...int) {
+	g.t.Helper()
+	for _, i := range controls {
+		await(g.t, fmt.Sprintf("%s is connected to %d", name, i), func() bool {
+			c := g.control(i)
+			if c == nil {
+				return false
+			}
+			for _, e := range c.Entries() {
+				if e.Name == name {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
+
+// awaitFound waits until an entry names the version that began a stream.
+func (g *originGroup) awaitFound(a *seededentry.Agent, request, want string) {
+	g.t.Helper()
+	await(g.t, fmt.Sprintf("%s began request %q", want, request), func() bool {
+		got, found := a.Origins().Find(g.t.Context(), "s", request)
+		if found && got != want {
+			g.t.Fatalf("request %q: got version %q, want %q", request, got, want)
+		}
+		return found
+	})
+}
+
+func (g *originGroup) wantUnknown(a *seededentry.Agent, request string) {
+	g.t.Helper()
+	if got, found := a.Origins().Find(g.t.Context(), "s", request); found {
+		g.t.Errorf("request %q: got version %q, want none", request, got)
+	}
+}
+
+func engineOf(version string, age time.Duration) fleet.Engine {
+	return fleet.Engine{ID: version, Service: "s", Version: version, StartedMs: time.Now().Add(-age).UnixMilli()}
+}
+
+// TestOriginsOutliveAllEntries replaces all entries at once while two versions are
+// listed, and then the control processes one after the other. New entries must find
+// the version of every stream that the old ones reported, and of no other one.
+func TestOriginsOutliveAllEntries(t *testing.T) {
+	g := newOriginGroup(t, "127.13.4", engineOf("v1", time.Hour), engineOf("v2", time.Hour))
+	first := g.startReady("entry-1")
+	first.Origins().Began("s", "r1", "v1")
+	first.Origins().Began("s", "r2", "v2")
+	other := g.startReady("entry-2")
+	g.awaitFound(other, "r1", "v1")
+	g.awaitFound(other, "r2", "v2")
+	g.wantUnknown(other, "r3")
+	g.wantUnknown(other, "")
+
+	g.stopEntries()
+	fresh := g.startReady("entry-3")
+	g.awaitFound(fresh, "r1", "v1")
+	g.wantUnknown(fresh, "r3")
+
+	for i := range 3 {
+		g.stop(i)
+		g.start(i)
+		await(t, "the restarted control process is serving", func() bool { return g.control(i) != nil })
+		g.list()
+		g.awaitConnected("entry-3", i)
+	}
+	last := g.startReady("entry-4")
+	g.awaitFound(last, "r1", "v1")
+	g.wantUnknown(last, "r3")
+}
+
+// TestStreamsOfTheOnlyVersionGoOnAfterPowerLoss checks that processes that have all
+// just started let streams of a service with one version go on, until a second
+// version is listed.
+func TestStreamsOfTheOnlyVersionGoOnAfterPowerLoss(t *testing.T) {
+	g := newOriginGroup(t, "127.13.5", engineOf("v1", time.Hour))
+	a := g.startReady("entry-1")
+	g.awaitFound(a, "unseen", "v1")
+	g.awaitFound(a, "", "v1")
+	a.Origins().Began("s", "r1", "v1")
+	g.engines = append(g.engines, engineOf("v2", time.Second))
+	g.list()
+	await(t, "the second version is listed at the entry", func() bool { return a.View().Len() == 2 })
+	g.wantUnknown(a, "another")
+	b := g.startReady("entry-2")
+	g.awaitFound(b, "r1", "v1") // reported only once there was a second version
+	g.wantUnknown(b, "another")
+}
+
+// TestRecentStartsAreNoEvidence checks that processes that have all just started
+// know no origin while servers have started recently: these may have replaced
+// servers of another version.
+func TestRecentStartsAreNoEvidence(t *testing.T) {
+	g := newOriginGroup(t, "127.13.6", engineOf("v1", time.Second))
+	a := g.startReady("entry-1")
+	g.wantUnknown(a, "unseen")
+	a.Origins().Began("s", "r1", "v1")
+	g.awaitFound(g.startReady("entry-2"), "r1", "v1")
+}
+
+// TestNewVersionAtOneReplicaIsSeenByAll checks that an entry that still has a list
+// with one version doesn't rely on it once a control process has a newer list.
+func TestNewVersionAtOneReplicaIsSeenByAll(t *testing.T) {
+	g := newOriginGroup(t, "127.13.7", engineOf("v1", time.Hour))
+	a := g.startReady("entry-1")
+	g.awaitFound(a, "unseen", "v1")
+	g.control(2).SetEngines(append(g.engines, engineOf("v2", time.Second)))
+	g.wantUnknown(a, "another")
+}
--- a/internal/role/controlrole/seeded_test.go
+++ b/internal/role/controlrole/seeded_test.go
@@ -44,6 +44,8 @@
 
 	mu        sync.Mutex // guards processes
 	processes map[int]*seededProcess
+	// entries end the entries.
+	entries []func()
 }
 
 type seededProcess struct {
@@ -166,13 +168,23 @@
 		defer close(done)
 		_ = a.Run(ctx)
 	}()
-	g.t.Cleanup(func() {
+	stop := func() {
 		cancel()
 		<-done
-	})
+	}
+	g.entries = append(g.entries, stop)
+	g.t.Cleanup(stop)
 	return a
 }
 
+// stopEntries ends all entries.
+func (g *seededGroup) stopEntries() {
+	for _, stop := range g.entries {
+		stop()
+	}
+	g.entries = nil
+}
+
 func version(a *seededentry.Agent) uint64 {
 	if table := a.Table(); table != nil {
 		return table.Version
