Keep the origins of streams over a restart of all processes

Part of the fix for streams joined from two software versions.

With two versions listed and all processes killed at once, or after a release or a crash of a server, nobody knew the origins any more and all streams that callers took up again would be refused.

Control replicas save the recorded streams and the listed versions four times a second while they change, and less often once the file is large.

--- a/internal/protocol/origin/history.go
+++ b/internal/protocol/origin/history.go
@@ -105,6 +105,30 @@
 	return out
 }
 
+// allRecent returns the versions of all services that were listed within Retention.
+func (h *history) allRecent() (out []Version) {
+	for service := range h.services {
+		for _, version := range h.recent(service) {
+			out = append(out, Version{Service: service, Version: version})
+		}
+	}
+	return out
+}
+
+// restore adds versions that were listed before a restart, as if they had been
+// listed until now.
+func (h *history) restore(listed []Version) {
+	now := h.clock.Now()
+	for _, v := range listed {
+		if h.services[v.Service] == nil {
+			h.services[v.Service] = make(map[string]presence)
+		}
+		if !h.services[v.Service][v.Version].listed {
+			h.services[v.Service][v.Version] = presence{last: now}
+		}
+	}
+}
+
 // covered reports whether the versions listed within Retention are known
 // completely.
 func (h *history) covered(service string) bool {
--- a/internal/protocol/origin/memory.go
+++ b/internal/protocol/origin/memory.go
@@ -15,6 +15,16 @@
 	history *history
 	// peers holds the next sequence number to report, by peer.
 	peers map[string]uint64
+	// generation counts the changes of what Save returns.
+	generation uint64
+}
+
+// Saved is what outlives a restart of all processes.
+type Saved struct {
+	// Listed are the versions that were listed within Retention.
+	Listed []Version
+	// Streams are the streams of services with more than one version.
+	Streams []Streams
 }
 
 // NewMemory returns an empty memory.
@@ -29,6 +39,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	changes := m.history.setEngines(engines)
+	m.generation += uint64(len(changes))
 	for _, c := range changes {
 		if c.Listed && c.Others > 0 {
 			clear(m.peers)
@@ -44,7 +55,11 @@
 	defer m.mu.Unlock()
 	id := StreamID(service, request)
 	m.records.add(Version{Service: service, Version: version}, id)
-	return id != 0 && !m.settled(service)
+	shared = id != 0 && !m.settled(service)
+	if shared {
+		m.generation++
+	}
+	return shared
 }
 
 // Merge records what a peer reported.
@@ -54,13 +69,48 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, s := range reported {
+	m.generation++
+	m.addStreams(reported)
+}
+
+// addStreams adds records. m.mu must be held.
+func (m *Memory) addStreams(streams []Streams) {
+	for _, s := range streams {
 		for _, id := range s.IDs {
 			m.records.add(s.Version, id)
 		}
 	}
 }
 
+// Generation changes whenever there is something new to save.
+func (m *Memory) Generation() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.generation
+}
+
+// Save returns what is to outlive a restart of all processes.
+func (m *Memory) Save() Saved {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := Saved{Listed: m.history.allRecent()}
+	for next := uint64(0); next < m.records.next(); {
+		var some []Streams
+		some, next = m.records.since(next, func(service string) bool { return !m.settled(service) })
+		s.Streams = append(s.Streams, some...)
+	}
+	return s
+}
+
+// Restore adds what was saved before a restart. Since the time in between isn't
+// known, records and versions count as new.
+func (m *Memory) Restore(s Saved) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.history.restore(s.Listed)
+	m.addStreams(s.Streams)
+}
+
 // Pending returns the streams that a peer doesn't have yet, which the caller must
 // send to it; first is set for the first message over a connection. Streams of a
 // service with one version are left out.
--- a/internal/protocol/origin/origin_test.go
+++ b/internal/protocol/origin/origin_test.go
@@ -253,6 +253,40 @@
 	}
 }
 
+// TestRepeatedRecordsAreReportedOnce checks that a stream that is recorded again
+// before a report is in it once.
+func TestRepeatedRecordsAreReportedOnce(t *testing.T) {
+	m := NewMemory(&manualClock{})
+	m.SetEngines(servers("v1", "v2"))
+	for range 3 {
+		m.Record("s", "r", "v1")
+	}
+	if got := m.Pending("peer", true); count(got) != 1 {
+		t.Errorf("reported %v, want one stream", got)
+	}
+}
+
+// TestSavedOriginsOutliveRestart checks that a restored memory knows the recorded
+// streams, and that a saved version that is no longer listed counts until its
+// streams have ended.
+func TestSavedOriginsOutliveRestart(t *testing.T) {
+	c := &manualClock{now: clock.Instant(time.Hour)}
+	before := NewMemory(c)
+	before.SetEngines([]fleet.Engine{c.server("v1", time.Hour), c.server("v2", time.Hour)})
+	before.Record("s", "r", "v2")
+	if before.Generation() == 0 {
+		t.Error("there is nothing to save")
+	}
+	after := NewMemory(c)
+	after.Restore(before.Save())
+	wantFound(t, after, "r", "v2")
+	after.SetEngines([]fleet.Engine{c.server("v1", time.Hour)})
+	wantFound(t, after, "r", "v2")
+	wantUnknown(t, after, "another")
+	c.advance(Retention)
+	wantFound(t, after, "another", "v1")
+}
+
 // TestReportsAreBounded checks that many streams are reported in several messages.
 func TestReportsAreBounded(t *testing.T) {
 	c := &manualClock{}
--- a/internal/protocol/origin/records.go
+++ b/internal/protocol/origin/records.go
@@ -114,7 +114,9 @@
 	byVersion := make(map[uint32][]ID)
 	for reported := 0; next < r.next() && reported < maxReported; next++ {
 		q := r.queue[next-r.first]
-		if accepted[q.version] {
+		held := r.byID[q.id]
+		repeated := held.sequence != next && held.version == q.version
+		if accepted[q.version] && !repeated {
 			byVersion[q.version] = append(byVersion[q.version], q.id)
 			reported++
 		}
--- /dev/null
+++ b/internal/role/controlrole/origins.go
@@ -0,0 +1,124 @@
+package controlrole
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/origin"
+	"github.com/lagoonshift/lagoonshift/internal/state/disk"
+	"github.com/lagoonshift/lagoonshift/internal/state/snapshot"
+)
+
+const (
+	// originsName is the file of the origins of streams. It keeps them over a
+	// restart of all processes.
+	originsName = "origins"
+	// originsSaveInterval is the interval at which changed origins are saved. Large
+	// files are saved less often, so that no more than originsSaveBytes are written
+	// a second.
+	originsSaveInterval = 250 * time.Millisecond
+	originsSaveBytes    = 256 << 10
+)
+
+// savedOrigins is the content of the file.
+type savedOrigins struct {
+	Listed  []savedVersion `cbor:"1,keyasint"`
+	Streams []savedStreams `cbor:"2,keyasint"`
+}
+
+type savedVersion struct {
+	Service string `cbor:"1,keyasint"`
+	Version string `cbor:"2,keyasint"`
+}
+
+type savedStreams struct {
+	Version savedVersion `cbor:"1,keyasint"`
+	IDs     []origin.ID  `cbor:"2,keyasint"`
+}
+
+// restoreOrigins restores the origins of streams. A failure costs only what is
+// remembered over a restart of all processes, so it is logged.
+func (s *Seeded) restoreOrigins(folder disk.Folder) {
+	saved, err := loadOrigins(folder)
+	if err != nil {
+		s.options.Log.Warn("origins of streams not restored", "error", err)
+		return
+	}
+	s.hub.Origins().Restore(saved)
+	s.options.Log.Info("origins of streams restored", "versions", len(saved.Listed), "streams", countStreams(saved))
+}
+
+// keepOrigins saves the origins of streams whenever they change, until ctx ends.
+func (s *Seeded) keepOrigins(ctx context.Context, folder disk.Folder) error {
+	origins := s.hub.Origins()
+	saved, failing := uint64(0), false
+	for pause := originsSaveInterval; clock.Sleep(ctx, pause); {
+		pause = originsSaveInterval
+		generation := origins.Generation()
+		if generation == saved {
+			continue
+		}
+		size, err := saveOrigins(folder, origins.Save())
+		switch {
+		case err == nil:
+			saved = generation
+		case !failing:
+			s.options.Log.Warn("origins of streams not saved; trying again", "error", err)
+		}
+		failing = err != nil
+		pause = max(pause, time.Duration(size)*time.Second/originsSaveBytes)
+	}
+	return nil
+}
+
+func countStreams(s origin.Saved) (n int) {
+	for _, streams := range s.Streams {
+		n += len(streams.IDs)
+	}
+	return n
+}
+
+// saveOrigins returns the size of the content.
+func saveOrigins(folder disk.Folder, s origin.Saved) (size int, err error) {
+	var out savedOrigins
+	for _, v := range s.Listed {
+		out.Listed = append(out.Listed, savedVersion(v))
+	}
+	for _, streams := range s.Streams {
+		out.Streams = append(out.Streams, savedStreams{Version: savedVersion(streams.Version), IDs: streams.IDs})
+	}
+	content, err := cbor.Marshal(out)
+	if err != nil {
+		return 0, fmt.Errorf("encode origins of streams: %w", err)
+	}
+	return len(content), snapshot.Save(folder, originsName, "", content)
+}
+
+// loadOrigins returns what was saved; nothing if there is no file.
+func loadOrigins(folder disk.Folder) (origin.Saved, error) {
+	content, err := snapshot.Load(folder, originsName, "")
+	if errors.Is(err, fs.ErrNotExist) {
+		return origin.Saved{}, nil
+	}
+	if err != nil {
+		return origin.Saved{}, err
+	}
+	var saved savedOrigins
+	if err := cbor.Unmarshal(content, &saved); err != nil {
+		return origin.Saved{}, fmt.Errorf("decode origins of streams: %w", err)
+	}
+	var out origin.Saved
+	for _, v := range saved.Listed {
+		out.Listed = append(out.Listed, origin.Version(v))
+	}
+	for _, streams := range saved.Streams {
+		out.Streams = append(out.Streams, origin.Streams{Version: origin.Version(streams.Version), IDs: streams.IDs})
+	}
+	return out, nil
+}
--- a/internal/role/controlrole/origins_test.go
+++ b/internal/role/controlrole/origins_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/role/seededentry"
+	"github.com/lagoonshift/lagoonshift/internal/state/disk"
+	"github.com/lagoonshift/lagoonshift/internal/state/snapshot"
 )
 
 // originGroup is a control group with entries, and a list of engines.
@@ -154,3 +160,78 @@
 	g.control(2).SetEngines(append(g.engines, engineOf("v2", time.Second)))
 	g.wantUnknown(a, "another")
 }
+
+// TestOriginsOutliveAllProcesses restarts all control processes and replaces all
+// entries at once while two versions are listed.
+func TestOriginsOutliveAllProcesses(t *testing.T) {
+	g := newOriginGroup(t, "127.13.8", engineOf("v1", time.Hour), engineOf("v2", time.Hour))
+	a := g.startReady("entry-1")
+	a.Origins().Began("s", "r1", "v1")
+	g.awaitFound(g.startReady("entry-2"), "r1", "v1")
+	await(t, "the record is on disk", func() bool { return g.savedStreams(0) == 1 && g.savedStreams(1) == 1 && g.savedStreams(2) == 1 })
+	g.stopEntries()
+	for i := range 3 {
+		g.stop(i)
+	}
+	// The second version has left meanwhile.
+	g.engines = []fleet.Engine{engineOf("v1", time.Hour)}
+	for i := range 3 {
+		g.start(i)
+	}
+	for i := range 3 {
+		await(t, "the restarted control process is serving", func() bool { return g.control(i) != nil })
+	}
+	g.list()
+	b := g.startReady("entry-3")
+	g.awaitFound(b, "r1", "v1")
+	g.wantUnknown(b, "another")
+	g.wantUnknown(b, "")
+}
+
+// savedStreams returns the number of streams in the file of a control process.
+func (g *originGroup) savedStreams(i int) (n int) {
+	folder, err := disk.Open(g.dataFolder(i))
+	if err != nil {
+		return 0
+	}
+	content, err := snapshot.Load(folder, "origins", "")
+	if err != nil {
+		return 0
+	}
+	var saved struct {
+		Streams []struct {
+			IDs []uint64 `cbor:"2,keyasint"`
+		} `cbor:"2,keyasint"`
+	}
+	if err := cbor.Unmarshal(content, &saved); err != nil {
+		g.t.Fatal(err)
+	}
+	for _, s := range saved.Streams {
+		n += len(s.IDs)
+	}
+	return n
+}
+
+// TestDamagedOriginsAreIgnored checks that a control process starts with a damaged
+// file of origins, and knows none.
+func TestDamagedOriginsAreIgnored(t *testing.T) {
+	g := newSeededGroup(t, "127.13.9")
+	for i := range 3 {
+		g.start(i)
+	}
+	g.putDocument(0, 1)
+	g.firstStart = false
+	for i := range 3 {
+		g.stop(i)
+		if err := os.WriteFile(filepath.Join(g.dataFolder(i), "origins"), []byte("no origins"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 3 {
+		g.start(i)
+	}
+	await(t, "the document is read", func() bool { return g.readsVersion(0, 1) })
+	og := &originGroup{seededGroup: g, engines: []fleet.Engine{engineOf("v1", time.Second)}}
+	og.list()
+	og.wantUnknown(og.startReady("entry-1"), "r1")
+}
--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -18,6 +18,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raftstore"
 	enginefleet "github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/state/disk"
 	"github.com/lagoonshift/lagoonshift/internal/state/document"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
@@ -179,6 +180,11 @@
 
 // run serves requests until ctx ends or the replica stops.
 func (s *Seeded) run(ctx context.Context, serve func(context.Context, *Seeded) error) error {
+	folder, err := disk.Open(s.options.DataFolder)
+	if err != nil {
+		return fmt.Errorf("open folder of the origins of streams: %w", err)
+	}
+	s.restoreOrigins(folder)
 	control := peergrpc.NewControlServer(s.replica.log, s.state)
 	control.Register(s.server.Server)
 	s.hub.Register(s.server.Server)
@@ -194,6 +200,7 @@
 	group.Go(func() error { return s.hub.Run(ctx) })
 	group.Go(func() error { return s.rejoin(ctx) })
 	group.Go(func() error { return s.keepQuarantine(ctx) })
+	group.Go(func() error { return s.keepOrigins(ctx, folder) })
 	group.Go(func() error { return serve(ctx, s) })
 	s.options.Log.Info("control started", "peer_address", s.options.PeerAddress, "document", s.state.Document().Version)
 	return group.Wait()
--- a/internal/transport/peergrpc/streamorigin.go
+++ b/internal/transport/peergrpc/streamorigin.go
@@ -26,6 +26,9 @@
 	}
 }
 
+// Origins returns what the replica knows of the software versions that began streams.
+func (h *FleetHub) Origins() *origin.Memory { return h.origins }
+
 // StreamOrigin implements peerpb.FleetServer.
 func (h *FleetHub) StreamOrigin(_ context.Context, r *peerpb.StreamOriginRequest) (*peerpb.StreamOriginResponse, error) {
 	a := h.origins.Answer(r.GetService(), origin.ID(r.GetId()))
