Count an engine once that the list names twice

What callers saw: an engine that moved to the next page between two calls, or whose entry was copied, was listed twice, so it could get twice its share of requests and counted twice in the split of phases (read from the code; no run of a deployment showed it).

Cause: pages were put one after the other.

Change: fleet.Distinct drops repeated entries of the same run at the same address. Entries with the same ID but another start or address stay, as before.

--- a/internal/protocol/fleet/fleet.go
+++ b/internal/protocol/fleet/fleet.go
@@ -102,6 +102,29 @@
 	return out
 }
 
+// Distinct returns the engines in their order without those that are listed again.
+// An engine is leaving if one of its entries says so. Engines with the same ID but
+// another start or address stay: either may be the one that runs.
+func Distinct(engines []Engine) []Engine {
+	type run struct {
+		id        string
+		startedMs int64
+		address   string
+	}
+	out := make([]Engine, 0, len(engines))
+	listed := make(map[run]int, len(engines))
+	for _, e := range engines {
+		key := run{e.ID, e.StartedMs, e.Address}
+		if i, again := listed[key]; again {
+			out[i].Leaving = out[i].Leaving || e.Leaving
+			continue
+		}
+		listed[key] = len(out)
+		out = append(out, e)
+	}
+	return out
+}
+
 // Load is the unfinished work at one engine.
 type Load struct {
 	// PromptTokens is the number of tokens sent for prefill and not prefilled
--- a/internal/protocol/fleet/fleet_test.go
+++ b/internal/protocol/fleet/fleet_test.go
@@ -46,3 +46,15 @@
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+// TestEngineListedTwiceIsOne guards against an engine that counts twice because
+// the list names it twice.
+func TestEngineListedTwiceIsOne(t *testing.T) {
+	a := fleet.Engine{ID: "a", StartedMs: 1, Address: "10.0.0.1:1"}
+	leaving, restarted, moved := a, a, a
+	leaving.Leaving, restarted.StartedMs, moved.Address = true, 2, "10.0.0.2:1"
+	want := []fleet.Engine{leaving, restarted, moved}
+	if got := fleet.Distinct([]fleet.Engine{a, restarted, leaving, moved, a, moved}); !slices.Equal(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
