Know the versions of a new system, and keep that over a restart

Part of the fix for streams joined from two software versions.

A control replica that starts with the whole system for the first time knows all versions from its first list on. Which services are known completely is saved with the records.

--- a/internal/protocol/origin/history.go
+++ b/internal/protocol/origin/history.go
@@ -26,9 +26,11 @@
 	known bool
 	// services holds the versions of each service that were listed within Retention.
 	services map[string]map[string]presence
-	// coveredSince holds the services for which the first list is evidence of the
-	// time before it.
+	// coveredSince holds the services for which the first list, or what was saved
+	// before a restart, is evidence of the time before it.
 	coveredSince map[string]clock.Instant
+	// complete is set if nothing was listed to anyone before the first list.
+	complete bool
 }
 
 // presence is when a version was listed.
@@ -48,7 +50,9 @@
 	now := h.clock.Now()
 	if !h.known {
 		h.since, h.known = now, true
-		h.coveredSince = coverageByStarts(engines, now, h.clock.Wall())
+		for service, since := range coverageByStarts(engines, now, h.clock.Wall()) {
+			h.cover(service, since)
+		}
 	}
 	listed := make(map[Version]bool)
 	for _, e := range engines {
@@ -116,9 +120,12 @@
 }
 
 // restore adds versions that were listed before a restart, as if they had been
-// listed until now.
-func (h *history) restore(listed []Version) {
+// listed until now, and the services whose versions are known completely.
+func (h *history) restore(listed []Version, covered []string) {
 	now := h.clock.Now()
+	for _, service := range covered {
+		h.cover(service, now.Add(-Retention))
+	}
 	for _, v := range listed {
 		if h.services[v.Service] == nil {
 			h.services[v.Service] = make(map[string]presence)
@@ -129,12 +136,32 @@
 	}
 }
 
+// cover notes that the versions of a service are known since the given time.
+func (h *history) cover(service string, since clock.Instant) {
+	if held, covered := h.coveredSince[service]; !covered || since.Before(held) {
+		h.coveredSince[service] = since
+	}
+}
+
+// allCovered returns the services whose versions are known completely.
+func (h *history) allCovered() (out []string) {
+	for service := range h.services {
+		if h.covered(service) {
+			out = append(out, service)
+		}
+	}
+	return out
+}
+
 // covered reports whether the versions listed within Retention are known
 // completely.
 func (h *history) covered(service string) bool {
 	if !h.known {
 		return false
 	}
+	if h.complete {
+		return true
+	}
 	since, earlier := h.coveredSince[service]
 	if !earlier || h.since.Before(since) {
 		since = h.since
--- a/internal/protocol/origin/memory.go
+++ b/internal/protocol/origin/memory.go
@@ -17,12 +17,16 @@
 	peers map[string]uint64
 	// generation counts the changes of what Save returns.
 	generation uint64
+	// covered is the number of completely known services at the last generation.
+	covered int
 }
 
 // Saved is what outlives a restart of all processes.
 type Saved struct {
 	// Listed are the versions that were listed within Retention.
 	Listed []Version
+	// Covered are the services of which no version is missing in Listed.
+	Covered []string
 	// Streams are the streams of services with more than one version.
 	Streams []Streams
 }
@@ -86,14 +90,26 @@
 func (m *Memory) Generation() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if covered := len(m.history.allCovered()); covered != m.covered {
+		m.covered = covered
+		m.generation++
+	}
 	return m.generation
 }
 
+// StartFirst notes that the whole system starts for the first time: no stream and no
+// version were before the first list.
+func (m *Memory) StartFirst() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.history.complete = true
+}
+
 // Save returns what is to outlive a restart of all processes.
 func (m *Memory) Save() Saved {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := Saved{Listed: m.history.allRecent()}
+	s := Saved{Listed: m.history.allRecent(), Covered: m.history.allCovered()}
 	for next := uint64(0); next < m.records.next(); {
 		var some []Streams
 		some, next = m.records.since(next, func(service string) bool { return !m.settled(service) })
@@ -107,7 +123,7 @@
 func (m *Memory) Restore(s Saved) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.history.restore(s.Listed)
+	m.history.restore(s.Listed, s.Covered)
 	m.addStreams(s.Streams)
 }
 
--- a/internal/protocol/origin/origin_test.go
+++ b/internal/protocol/origin/origin_test.go
@@ -285,6 +285,35 @@
 	wantUnknown(t, after, "another")
 	c.advance(Retention)
 	wantFound(t, after, "another", "v1")
+
+	only := NewMemory(c)
+	generation := only.Generation()
+	only.SetEngines(servers("v1"))
+	c.advance(Retention)
+	if only.Generation() == generation {
+		t.Error("there is nothing to save once a service is settled")
+	}
+	restarted := NewMemory(c)
+	restarted.Restore(only.Save())
+	restarted.SetEngines([]fleet.Engine{c.server("v1", time.Second)})
+	wantFound(t, restarted, "unseen", "v1")
+	restarted.SetEngines([]fleet.Engine{c.server("v2", time.Second)})
+	wantUnknown(t, restarted, "unseen")
+}
+
+// TestFirstStartKnowsAllVersions checks that streams of a new service with one
+// version go on soon after the system has started for the first time, and only those.
+func TestFirstStartKnowsAllVersions(t *testing.T) {
+	c := &manualClock{}
+	m := NewMemory(c)
+	m.StartFirst()
+	wantUnknown(t, m, "")
+	m.SetEngines(servers("v1"))
+	wantFound(t, m, "", "v1")
+	m.SetEngines(servers("v2"))
+	wantUnknown(t, m, "")
+	c.advance(Retention)
+	wantFound(t, m, "", "v2")
 }
 
 // TestReportsAreBounded checks that many streams are reported in several messages.
@@ -438,6 +467,13 @@
 				m.controls[j], m.restartedAt = NewMemory(&m.clock), m.clock.now
 				m.list()
 			},
+			"all control replicas restart with their files": func(*rapid.T) {
+				for j, c := range m.controls {
+					m.controls[j] = NewMemory(&m.clock)
+					m.controls[j].Restore(c.Save())
+				}
+				m.list()
+			},
 			"": func(t *rapid.T) {
 				for _, s := range m.begun {
 					if m.clock.now.Sub(s.at) > streamLifetime {
--- a/internal/role/controlrole/origins.go
+++ b/internal/role/controlrole/origins.go
@@ -30,6 +30,7 @@
 type savedOrigins struct {
 	Listed  []savedVersion `cbor:"1,keyasint"`
 	Streams []savedStreams `cbor:"2,keyasint"`
+	Covered []string       `cbor:"3,keyasint"`
 }
 
 type savedVersion struct {
@@ -46,7 +47,13 @@
 // remembered over a restart of all processes, so it is logged.
 func (s *Seeded) restoreOrigins(folder disk.Folder) {
 	saved, err := loadOrigins(folder)
-	if err != nil {
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		if s.options.FirstStart() && s.state.Document().Version == 0 {
+			s.hub.Origins().StartFirst()
+		}
+		return
+	case err != nil:
 		s.options.Log.Warn("origins of streams not restored", "error", err)
 		return
 	}
@@ -86,7 +93,7 @@
 
 // saveOrigins returns the size of the content.
 func saveOrigins(folder disk.Folder, s origin.Saved) (size int, err error) {
-	var out savedOrigins
+	out := savedOrigins{Covered: s.Covered}
 	for _, v := range s.Listed {
 		out.Listed = append(out.Listed, savedVersion(v))
 	}
@@ -100,12 +107,9 @@
 	return len(content), snapshot.Save(folder, originsName, "", content)
 }
 
-// loadOrigins returns what was saved; nothing if there is no file.
+// loadOrigins returns what was saved. It fails with fs.ErrNotExist if nothing was.
 func loadOrigins(folder disk.Folder) (origin.Saved, error) {
 	content, err := snapshot.Load(folder, originsName, "")
-	if errors.Is(err, fs.ErrNotExist) {
-		return origin.Saved{}, nil
-	}
 	if err != nil {
 		return origin.Saved{}, err
 	}
@@ -113,7 +117,7 @@
 	if err := cbor.Unmarshal(content, &saved); err != nil {
 		return origin.Saved{}, fmt.Errorf("decode origins of streams: %w", err)
 	}
-	var out origin.Saved
+	out := origin.Saved{Covered: saved.Covered}
 	for _, v := range saved.Listed {
 		out.Listed = append(out.Listed, origin.Version(v))
 	}
--- a/internal/role/controlrole/origins_test.go
+++ b/internal/role/controlrole/origins_test.go
@@ -19,19 +19,42 @@
 type originGroup struct {
 	*seededGroup
 	engines []fleet.Engine
+	// first is set if the control processes are those of the system's first start.
+	first bool
 }
 
-func newOriginGroup(t *testing.T, addressPrefix string, engines ...fleet.Engine) *originGroup {
-	g := &originGroup{seededGroup: newSeededGroup(t, addressPrefix), engines: engines}
+// newOriginGroup returns a group whose control processes have just started, for the
+// first time if first is set.
+func newOriginGroup(t *testing.T, addressPrefix string, first bool, engines ...fleet.Engine) *originGroup {
+	g := &originGroup{seededGroup: newSeededGroup(t, addressPrefix), engines: engines, first: first}
 	for i := range 3 {
 		g.start(i)
 	}
 	g.putDocument(0, 1)
 	g.firstStart = false
+	if !g.first {
+		g.restartWithoutFiles()
+	}
 	g.list()
 	return g
 }
 
+// restartWithoutFiles restarts all control processes, which have lost the origins.
+func (g *originGroup) restartWithoutFiles() {
+	for i := range 3 {
+		g.stop(i)
+		if err := os.RemoveAll(filepath.Join(g.dataFolder(i), "origins")); err != nil {
+			g.t.Fatal(err)
+		}
+	}
+	for i := range 3 {
+		g.start(i)
+	}
+	for i := range 3 {
+		await(g.t, "the restarted control process is serving", func() bool { return g.control(i) != nil })
+	}
+}
+
 // list gives all control processes the list of engines.
 func (g *originGroup) list() {
 	for i := range 3 {
@@ -95,7 +118,7 @@
 // listed, and then the control processes one after the other. New entries must find
 // the version of every stream that the old ones reported, and of no other one.
 func TestOriginsOutliveAllEntries(t *testing.T) {
-	g := newOriginGroup(t, "127.13.4", engineOf("v1", time.Hour), engineOf("v2", time.Hour))
+	g := newOriginGroup(t, "127.13.4", false, engineOf("v1", time.Hour), engineOf("v2", time.Hour))
 	first := g.startReady("entry-1")
 	first.Origins().Began("s", "r1", "v1")
 	first.Origins().Began("s", "r2", "v2")
@@ -126,7 +149,7 @@
 // just started let streams of a service with one version go on, until a second
 // version is listed.
 func TestStreamsOfTheOnlyVersionGoOnAfterPowerLoss(t *testing.T) {
-	g := newOriginGroup(t, "127.13.5", engineOf("v1", time.Hour))
+	g := newOriginGroup(t, "127.13.5", false, engineOf("v1", time.Hour))
 	a := g.startReady("entry-1")
 	g.awaitFound(a, "unseen", "v1")
 	g.awaitFound(a, "", "v1")
@@ -144,7 +167,7 @@
 // know no origin while servers have started recently: these may have replaced
 // servers of another version.
 func TestRecentStartsAreNoEvidence(t *testing.T) {
-	g := newOriginGroup(t, "127.13.6", engineOf("v1", time.Second))
+	g := newOriginGroup(t, "127.13.6", false, engineOf("v1", time.Second))
 	a := g.startReady("entry-1")
 	g.wantUnknown(a, "unseen")
 	a.Origins().Began("s", "r1", "v1")
@@ -154,7 +177,7 @@
 // TestNewVersionAtOneReplicaIsSeenByAll checks that an entry that still has a list
 // with one version doesn't rely on it once a control process has a newer list.
 func TestNewVersionAtOneReplicaIsSeenByAll(t *testing.T) {
-	g := newOriginGroup(t, "127.13.7", engineOf("v1", time.Hour))
+	g := newOriginGroup(t, "127.13.7", false, engineOf("v1", time.Hour))
 	a := g.startReady("entry-1")
 	g.awaitFound(a, "unseen", "v1")
 	g.control(2).SetEngines(append(g.engines, engineOf("v2", time.Second)))
@@ -164,7 +187,7 @@
 // TestOriginsOutliveAllProcesses restarts all control processes and replaces all
 // entries at once while two versions are listed.
 func TestOriginsOutliveAllProcesses(t *testing.T) {
-	g := newOriginGroup(t, "127.13.8", engineOf("v1", time.Hour), engineOf("v2", time.Hour))
+	g := newOriginGroup(t, "127.13.8", false, engineOf("v1", time.Hour), engineOf("v2", time.Hour))
 	a := g.startReady("entry-1")
 	a.Origins().Began("s", "r1", "v1")
 	g.awaitFound(g.startReady("entry-2"), "r1", "v1")
@@ -235,3 +258,35 @@
 	og.list()
 	og.wantUnknown(og.startReady("entry-1"), "r1")
 }
+
+// TestNewSystemKnowsItsVersions checks that streams of servers that have just started
+// go on if the system started for the first time, also after a restart of all
+// processes, until a second version is listed.
+func TestNewSystemKnowsItsVersions(t *testing.T) {
+	g := newOriginGroup(t, "127.13.10", true, engineOf("v1", time.Second))
+	g.awaitFound(g.startReady("entry-1"), "", "v1")
+	await(t, "the origins are on disk", func() bool {
+		for i := range 3 {
+			if _, err := os.Stat(filepath.Join(g.dataFolder(i), "origins")); err != nil {
+				return false
+			}
+		}
+		return true
+	})
+	g.stopEntries()
+	for i := range 3 {
+		g.stop(i)
+	}
+	for i := range 3 {
+		g.start(i)
+	}
+	for i := range 3 {
+		await(t, "the restarted control process is serving", func() bool { return g.control(i) != nil })
+	}
+	g.list()
+	a := g.startReady("entry-2")
+	g.awaitFound(a, "", "v1")
+	g.engines = append(g.engines, engineOf("v2", time.Second))
+	g.list()
+	g.wantUnknown(a, "")
+}
