Start no preparation from a timer that a restart has overtaken

What callers would see: an entry process ends and with it every request on it. Cause: found in review. The timer of a silence guard could expire as an event arrived; its goroutine then took the restarted guard for its own, prepared although nothing was silent, and a second preparation beside it called a nil function in a timer's goroutine, which ends the process. Evidence: TestEventAtTimeoutStartsNoPreparation on the code before: 'panic: invalid memory address or nil pointer dereference' in fire, 2 of 2 runs. Change: a guard knows when its timer is due; an earlier run does nothing. A panic of a preparation is passed on to the goroutine of the exchange, where it costs one connection. Result: the test and TestPanicOfPreparationReachesTheExchange pass, 3 runs with the race detector.

--- a/internal/protocol/exchange/silence.go
+++ b/internal/protocol/exchange/silence.go
@@ -40,11 +40,16 @@
 	mu    sync.Mutex // guards the fields below
 	timer *time.Timer
 	armed bool
+	// due is when the timer is to fire: a run of fire before it was overtaken by a
+	// restart.
+	due time.Time
 	// cancel and done belong to the preparation that is running, if any.
 	cancel context.CancelFunc
 	done   chan struct{}
-	// undo is set once the attempt has been abandoned for a replacement.
-	undo func()
+	// undo is set once the attempt has been abandoned for a replacement, and panicked
+	// to the reason if prepare panicked.
+	undo     func()
+	panicked any
 }
 
 // guardSilence starts a guard.
@@ -52,6 +57,7 @@
 	g := &silenceGuard{parent: parent, timeout: timeout, prepare: prepare, abandon: abandon, armed: true}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.due = time.Now().Add(timeout)
 	g.timer = time.AfterFunc(timeout, g.fire)
 	return g
 }
@@ -63,30 +69,45 @@
 	if ctx == nil {
 		return
 	}
-	undo := g.prepare(ctx)
+	undo, panicked := g.tryPrepare(ctx)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
+	case panicked != nil:
+		g.armed, g.panicked = false, panicked
+		g.abandon()
 	case undo != nil && g.armed:
-		g.armed = false
-		g.undo = undo
+		g.armed, g.undo = false, undo
 		g.abandon()
 	case undo != nil:
 		undo()
 	case g.armed:
-		g.timer.Reset(replacementRetryInterval)
+		g.schedule(replacementRetryInterval)
 	}
 	g.cancel()
 	g.cancel = nil
 	close(g.done)
 }
 
+// tryPrepare calls prepare and returns the reason if that panics, which stop passes on:
+// a panic in the goroutine of a timer would end the process.
+func (g *silenceGuard) tryPrepare(ctx context.Context) (undo func(), panicked any) {
+	defer func() { panicked = recover() }()
+	return g.prepare(ctx), nil
+}
+
+// schedule sets the timer. g.mu must be held.
+func (g *silenceGuard) schedule(after time.Duration) {
+	g.due = time.Now().Add(after)
+	g.timer.Reset(after)
+}
+
 // beginPreparation returns the context of a new preparation, or nil if the guard has
-// been stopped.
+// been stopped or restarted.
 func (g *silenceGuard) beginPreparation() context.Context {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.armed {
+	if !g.armed || time.Now().Before(g.due) {
 		return nil
 	}
 	var ctx context.Context
@@ -112,6 +133,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.panicked != nil {
+		panic(g.panicked)
+	}
 	return g.undo != nil
 }
 
@@ -133,7 +157,7 @@
 	defer g.mu.Unlock()
 	if g.undo == nil {
 		g.armed = true
-		g.timer.Reset(g.timeout)
+		g.schedule(g.timeout)
 	}
 }
 
