Replace a silent attempt only if the limits let another one follow

Cause: found in review. The guard compared the runs with the route's attempts only; after it had ended the attempt, the limits on sends, unsent attempts and crashes could still forbid the next one, which was then discarded. Safe calls with a prompt had lost their time limit, and streams of plain services had got one. Evidence: TestSilentServerIsKeptOnceAttemptsAreUsedUp failed in 3 of 3 cases. Change: the same rule decides before and after a replacement is placed. Guards are for safe calls and for streams that may be resumed. A silent server that can't be replaced is reported to outlier detection, as one that was. Result: the test passes, and the package with the race detector.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -295,11 +295,16 @@
 
 // mayRetry reports whether the limits on attempts allow another send.
 func (x *exchange) mayRetry() bool {
+	return x.mayRetryAfter(x.runs)
+}
+
+// mayRetryAfter is like mayRetry, after the given number of runs.
+func (x *exchange) mayRetryAfter(runs int) bool {
 	limit := max(1, x.request.Route.MaxAttempts)
 	if x.crashedEngine || x.crashes >= maxCrashes {
 		return false
 	}
-	if x.runs > 0 && (!x.request.Route.Repeatable() || x.runs >= limit) {
+	if runs > 0 && (!x.request.Route.Repeatable() || runs >= limit) {
 		return false
 	}
 	return x.arrivedSends() < limit+maxRefusedSends && x.unsentAttempts <= maxUnsentAttempts
--- a/internal/protocol/exchange/silence.go
+++ b/internal/protocol/exchange/silence.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 )
 
 const (
@@ -163,59 +164,68 @@
 
 // guardStream returns a guard for a stream, or nil if it can't go on at another server.
 func (x *exchange) guardStream(ctx context.Context, a Attempt, response *Response) *silenceGuard {
-	if !x.mayReplace(x.runs) {
+	runs := x.runs
+	if !x.mayReplace(runs) {
 		return nil
 	}
 	timeout := max(minStallTimeout, stallTimeoutGaps*x.request.Route.EventGap)
-	return guardSilence(ctx, timeout, func(ctx context.Context) func() { return x.prepareNext(ctx, a) }, func() { _ = response.Body.Close() })
+	return guardSilence(ctx, timeout, func(ctx context.Context) func() { return x.prepareNext(ctx, a, runs) }, func() { _ = response.Body.Close() })
 }
 
-// guardCall returns a guard for a call that has just been sent, or nil if it must not be
-// sent again or has no objective.
+// guardCall returns a guard for a safe call that is about to be sent, or nil if it must
+// not be sent again or has no objective.
 func (x *exchange) guardCall(ctx context.Context, a Attempt, abandon func()) *silenceGuard {
-	if x.request.Prompt != nil || x.request.Route.Objective <= 0 || !x.mayReplace(x.runs+1) {
+	r, runs := x.request.Route, x.runs+1
+	if r.Kind != route.Safe || r.Objective <= 0 || !x.mayReplace(runs) {
 		return nil
 	}
-	return guardSilence(ctx, attemptTimeoutObjectives*x.request.Route.Objective, func(ctx context.Context) func() { return x.prepareNext(ctx, a) }, abandon)
+	return guardSilence(ctx, attemptTimeoutObjectives*r.Objective, func(ctx context.Context) func() { return x.prepareNext(ctx, a, runs) }, abandon)
 }
 
-// mayReplace reports whether the route allows another run after the given number.
+// mayReplace reports whether another attempt may follow one that is in progress. runs is
+// the number of runs including that one.
 func (x *exchange) mayReplace(runs int) bool {
-	return x.request.Route.Repeatable() && runs < x.request.Route.MaxAttempts
+	return x.request.Route.Repeatable() && x.mayRetryAfter(runs)
 }
 
-// prepareNext places the next attempt while the server of another one is silent.
-func (x *exchange) prepareNext(ctx context.Context, silent Attempt) (undo func()) {
+// prepareNext places the next attempt while the server of another one is silent. runs is
+// the number of runs including that one.
+func (x *exchange) prepareNext(ctx context.Context, silent Attempt, runs int) (undo func()) {
 	x.silentEngine = silent.Engine.ID
 	defer func() { x.silentEngine = "" }()
-	next, err := x.placeElsewhere(ctx)
+	next, err := x.placeElsewhere(ctx, runs)
 	if err != nil {
 		if ctx.Err() == nil { // else the server has gone on, or the request has ended
-			x.logNotReplaced(silent.Engine.ID, err)
+			x.keepSilent(silent.Engine.ID, err)
 		}
 		return nil
 	}
 	x.next = next
+	if !x.mayReplace(runs) { // prefill calls may have failed meanwhile
+		x.discardNext()
+		return nil
+	}
 	return x.discardNext
 }
 
-// logNotReplaced logs once for each attempt that its server is silent and stays.
-func (x *exchange) logNotReplaced(engine string, err error) {
+// placeElsewhere is like place, but has no prompt prefilled that no server can decode.
+func (x *exchange) placeElsewhere(ctx context.Context, runs int) (*placedAttempt, error) {
+	if !x.mayReplace(runs) || x.request.Prompt != nil && len(x.candidates(placement.CanDecode)) == 0 {
+		return nil, errNoServer
+	}
+	return x.place(ctx)
+}
+
+// keepSilent reports, once for each attempt, that its server is silent and stays.
+func (x *exchange) keepSilent(engine string, err error) {
 	if x.notReplaced == engine {
 		return
 	}
 	x.notReplaced = engine
+	x.options.Outlier.Unanswered(engine)
 	x.options.Log.Info("silent server not replaced", "request", x.request.ID, "engine", engine, "left_ms", x.remaining().Milliseconds(), "error", err)
 }
 
-// placeElsewhere is like place, but has no prompt prefilled that no server can decode.
-func (x *exchange) placeElsewhere(ctx context.Context) (*placedAttempt, error) {
-	if x.request.Prompt != nil && len(x.candidates(placement.CanDecode)) == 0 {
-		return nil, errNoServer
-	}
-	return x.place(ctx)
-}
-
 // preparePrefill pays for the call that replaces a silent prefill call.
 func (x *exchange) preparePrefill(context.Context) (undo func()) {
 	r, ok := x.takeRetry()
--- a/internal/protocol/exchange/silence_test.go
+++ b/internal/protocol/exchange/silence_test.go
@@ -33,7 +33,7 @@
 		spoil  func(w *fixture)
 	}{
 		"no retry left":             {10, func(w *fixture) { w.slack = 0 }},
-		"no retry left for prefill": {5000, func(w *fixture) { w.slack = 0.5 }},
+		"no retry left for prefill": {5000, func(w *fixture) { w.slack = 1.5 }},
 		"no other server": {10, func(w *fixture) {
 			w.view = fleet.NewView([]fleet.Engine{{ID: "d0", Service: "llm", Phase: fleet.Decode}})
 		}},
@@ -62,6 +62,52 @@
 	}
 }
 
+// decoders returns a list of servers that do all work of their service.
+func decoders(count int) *fleet.View {
+	var engines []fleet.Engine
+	for i := range count {
+		engines = append(engines,
+			fleet.Engine{ID: fmt.Sprint("d", i), Service: "llm", Phase: fleet.Decode},
+			fleet.Engine{ID: fmt.Sprint("s", i), Service: "plain", Slots: 6})
+	}
+	return fleet.NewView(engines)
+}
+
+// TestSilentServerIsKeptOnceAttemptsAreUsedUp guards against ending a silent attempt that
+// the limits on attempts allow no other one to follow.
+func TestSilentServerIsKeptOnceAttemptsAreUsedUp(t *testing.T) {
+	rejected := reply{err: errRejected}
+	late, second := reply{status: 200, body: "late", pause: silence}, reply{status: 200, body: "second"}
+	call := callRequest(route.Safe, 2)
+	call.Route.Objective = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		request *exchange.Request
+		spoil   func(w *fixture)
+		replies []reply
+	}{
+		"stream after three rejections": {streamRequest(true, 10), func(*fixture) {}, []reply{rejected, rejected, rejected, pausing(silence), pausing(0)}},
+		"call after three rejections":   {call, func(*fixture) {}, []reply{rejected, rejected, rejected, late, second}},
+		"prefill servers end in the preparation": {streamRequest(true, 5000), func(w *fixture) {
+			w.ended, w.prefillErrs = true, []error{nil, errReset, errReset}
+			w.view = fleet.NewView(append(w.view.Engines("llm"), decoders(8).Engines("llm")...))
+		}, []reply{pausing(silence), pausing(0)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newFixture(c.replies...)
+				w.view = decoders(8)
+				if c.request.Prompt != nil && c.request.Prompt.Tokens > 1000 {
+					w.view = newFixture().view
+				}
+				c.spoil(w)
+				if o := w.run(t, c.request); o.Result != exchange.Delivered || strings.Contains(w.received.String(), "second") {
+					t.Errorf("got %+v after %d sends and %q, want the response of the silent server", o, len(w.sends), w.received.String())
+				}
+			})
+		})
+	}
+}
+
 // TestServerThatGoesOnKeepsItsStream guards against moving a stream whose server goes on
 // while the prompt is prefilled for another one, and against leaving its KV cache behind.
 func TestServerThatGoesOnKeepsItsStream(t *testing.T) {
