End a silent attempt only once another server has begun to answer

Cause: found in review. The silent attempt was ended before the next server had accepted the request. If that one was full or gone, and no retry or server was left, the stream was cut. Evidence: TestReplacementThatRefusesCostsNoStream failed in 3 of 3 cases. Change: the replacement is sent while the silent attempt goes on, which ends when the headers of the other response arrive; if its server goes on first, the replacement ends. Nothing of the silent stream is written once the other has begun. A replacement counts as a run, so no more servers than before run a request.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -202,9 +202,9 @@
 	silentEngine  string
 	// notReplaced is the newest engine that was silent and could not be replaced.
 	notReplaced string
-	// next is the next attempt if it has been placed, and paidRetries counts retries
-	// that have been taken from the budget and not made yet.
-	next        *placedAttempt
+	// next is the attempt that has begun in place of a silent one, and paidRetries
+	// counts retries that have been taken from the budget and not made yet.
+	next        *startedAttempt
 	paidRetries int
 	// streamBegun is set once the headers of an event stream have been
 	// written to the caller.
@@ -227,9 +227,6 @@
 	// heldFailure is the newest error response of a server, or nil.
 	heldFailure     *heldResponse
 	timeToFirstByte time.Duration
-	// promptPrefilled removes the prompt from the engine's load. It is called at
-	// the engine's first event.
-	promptPrefilled func()
 	// untilClose is set if the newest response had neither a length nor chunks.
 	untilClose bool
 	// unfinishedBytes is what the newest stream sent after its last complete
@@ -267,7 +264,7 @@
 func (x *exchange) attemptUntilDone(ctx context.Context) Outcome {
 	var last error
 	for ctx.Err() == nil {
-		if x.sends > 0 && !x.mayRetry() {
+		if x.next == nil && x.sends > 0 && !x.mayRetry() {
 			break
 		}
 		done, err := x.attempt(ctx)
@@ -295,16 +292,11 @@
 
 // mayRetry reports whether the limits on attempts allow another send.
 func (x *exchange) mayRetry() bool {
-	return x.mayRetryAfter(x.runs)
-}
-
-// mayRetryAfter is like mayRetry, after the given number of runs.
-func (x *exchange) mayRetryAfter(runs int) bool {
 	limit := max(1, x.request.Route.MaxAttempts)
 	if x.crashedEngine || x.crashes >= maxCrashes {
 		return false
 	}
-	if runs > 0 && (!x.request.Route.Repeatable() || runs >= limit) {
+	if x.runs > 0 && (!x.request.Route.Repeatable() || x.runs >= limit) {
 		return false
 	}
 	return x.arrivedSends() < limit+maxRefusedSends && x.unsentAttempts <= maxUnsentAttempts
@@ -361,48 +353,87 @@
 	}, more...)...)
 }
 
-// send sends one attempt and writes the response to the caller. work is the
-// load that the attempt adds to the engine.
-func (x *exchange) send(ctx context.Context, a Attempt, work fleet.Load) (done bool, err error) {
+// startedAttempt is an attempt whose response has begun.
+type startedAttempt struct {
+	attempt  Attempt
+	response *Response
+	// guard watches for a silent server until the response is complete, or is nil.
+	guard *silenceGuard
+	// promptPrefilled removes the prompt from the engine's load. It is called at the
+	// engine's first event.
+	promptPrefilled func()
+	// end closes the response and removes the attempt from the engine's load.
+	end func()
+}
+
+// start sends a placed attempt. Its response lasts as long as ctx; until the response
+// has begun, the attempt ends with waiting too.
+func (x *exchange) start(ctx, waiting context.Context, p *placedAttempt) (*startedAttempt, error) {
+	a, id := p.attempt, p.attempt.Engine.ID
 	x.sends++
-	id := a.Engine.ID
+	x.runs++ // unless the server proves otherwise
 	x.options.Outlier.AttemptStarted(id)
-	finished := x.options.Tracker.AddWork(id, fleet.Load{Streams: work.Streams, Calls: work.Calls})
-	defer finished()
-	x.promptPrefilled = x.options.Tracker.AddWork(id, fleet.Load{PromptTokens: work.PromptTokens})
-	defer x.promptPrefilled()
+	finished := x.options.Tracker.AddWork(id, fleet.Load{Streams: p.work.Streams, Calls: p.work.Calls})
+	s := &startedAttempt{attempt: a, promptPrefilled: x.options.Tracker.AddWork(id, fleet.Load{PromptTokens: p.work.PromptTokens})}
 	attemptCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	guard := x.guardCall(ctx, a, cancel)
-	response, err := x.sender.Send(attemptCtx, a)
-	err = guard.explain(err)
+	s.end = func() {
+		s.guard.stop()
+		if s.response != nil {
+			_ = s.response.Body.Close()
+		}
+		cancel()
+		s.promptPrefilled()
+		finished()
+	}
+	stopWaiting := context.AfterFunc(waiting, cancel)
+	s.guard = x.guardCall(ctx, a, cancel)
+	var err error
+	s.response, err = x.sender.Send(attemptCtx, a)
+	stopWaiting()
+	err = s.guard.explain(err)
+	if err != nil {
+		s.end()
+		return nil, x.sendFailed(waiting, a, err)
+	}
+	return s, nil
+}
+
+// sendFailed handles an attempt without a response and returns its error.
+func (x *exchange) sendFailed(ctx context.Context, a Attempt, err error) error {
 	if errors.Is(err, ErrNotSent) {
 		x.unsentSends++
 	}
-	if errors.Is(err, ErrNotRun) {
-		x.recordFailure(ctx, a, "not run", err)
-		return false, err
-	}
-	x.runs++
-	if err != nil {
+	if !errors.Is(err, ErrNotRun) {
 		x.recordFailure(ctx, a, "no answer", err)
 		x.checkCrash(ctx, a, err, false)
-		return false, err
+		return err
+	}
+	x.runs--
+	x.recordFailure(ctx, a, "not run", err)
+	if errors.Is(err, ErrServerNotFound) || errors.Is(err, ErrNotSent) {
+		x.kvSource = a.KVSource // no engine has been asked to fetch it yet
+	} else {
+		x.release(a.KVSource)
 	}
-	defer response.Body.Close()
-	x.untilClose = response.UntilClose
-	if response.Success && response.EventStream {
-		return x.relayStream(ctx, a, response)
+	return err
+}
+
+// relay writes the response of an attempt to the caller.
+func (x *exchange) relay(ctx context.Context, s *startedAttempt) (done bool, err error) {
+	x.untilClose = s.response.UntilClose
+	if s.response.Success && s.response.EventStream {
+		return x.relayStream(ctx, s)
 	}
-	return x.relayResponse(ctx, guard, a, response)
+	return x.relayResponse(ctx, s)
 }
 
 // relayResponse reads a plain response and writes it to the caller. It holds
 // an error response back, to be written only if no further attempt succeeds.
-func (x *exchange) relayResponse(ctx context.Context, guard *silenceGuard, a Attempt, response *Response) (done bool, err error) {
-	guard.restart()
+func (x *exchange) relayResponse(ctx context.Context, s *startedAttempt) (done bool, err error) {
+	a, response := s.attempt, s.response
+	s.guard.restart()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
-	err = guard.explain(err)
+	err = s.guard.explain(err)
 	if err == nil && len(body) > maxBodyBytes {
 		err = errors.New("response body exceeds 8 MiB")
 	}
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -79,7 +79,8 @@
 	quickPrefills int
 	handles       int
 	// view holds the listed servers.
-	view *fleet.View
+	view   *fleet.View
+	budget *retry.Window
 }
 
 func newFixture(replies ...reply) *fixture {
@@ -94,6 +95,7 @@
 	w.view = fleet.NewView(engines)
 	c := clock.NewRuntime()
 	budget := retry.NewWindow(c, 0.2, 10*time.Second)
+	w.budget = budget
 	w.carrier = exchange.New(exchange.Options{
 		View:       func() *fleet.View { return w.view },
 		Tracker:    fleet.NewTracker(),
--- a/internal/protocol/exchange/place.go
+++ b/internal/protocol/exchange/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
@@ -19,27 +18,22 @@
 	retry retry.Retry
 }
 
-// attempt makes the next attempt, which may have been placed before. done is true if the
+// attempt makes the next attempt, which may have begun already. done is true if the
 // caller has its response.
 func (x *exchange) attempt(ctx context.Context) (done bool, err error) {
-	p := x.next
+	s := x.next
 	x.next = nil
-	if p == nil {
-		if p, err = x.place(ctx); err != nil {
+	if s == nil {
+		placed, err := x.place(ctx)
+		if err != nil {
+			return false, err
+		}
+		if s, err = x.start(ctx, ctx, placed); err != nil {
 			return false, err
 		}
 	}
-	a := p.attempt
-	a.Remaining, a.LastEventID = x.remaining(), x.lastEventID
-	runsBefore := x.runs
-	done, err = x.send(ctx, a, p.work)
-	switch {
-	case errors.Is(err, ErrServerNotFound), errors.Is(err, ErrNotSent):
-		x.kvSource = a.KVSource // no engine has been asked to fetch it yet
-	case !done && x.runs == runsBefore:
-		x.release(a.KVSource)
-	}
-	return done, err
+	defer s.end()
+	return x.relay(ctx, s)
 }
 
 // place chooses the server of the next attempt and pays for it.
@@ -79,14 +73,18 @@
 	return &placedAttempt{attempt: x.newAttempt(chosen.Engine), work: fleet.Load{Calls: 1}}, nil
 }
 
-// discardNext gives back what the next attempt holds, if one has been placed.
+// discard gives back what a placed attempt holds.
+func (x *exchange) discard(p *placedAttempt) {
+	x.release(p.attempt.KVSource)
+	p.retry.Return()
+}
+
+// discardNext ends the attempt that has begun in place of a silent one, if there is one.
 func (x *exchange) discardNext() {
-	if x.next == nil {
-		return
+	if x.next != nil {
+		x.next.end()
+		x.next = nil
 	}
-	x.release(x.next.attempt.KVSource)
-	x.next.retry.Return()
-	x.next = nil
 }
 
 // takeRetry takes one retry, which may have been paid before.
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -27,8 +27,9 @@
 
 // relayStream writes a stream's events to the caller as they arrive. It writes
 // complete events only, so that another engine can continue a broken stream.
-func (x *exchange) relayStream(ctx context.Context, a Attempt, response *Response) (done bool, err error) {
-	guard := x.guardStream(ctx, a, response)
+func (x *exchange) relayStream(ctx context.Context, s *startedAttempt) (done bool, err error) {
+	a, response := s.attempt, s.response
+	guard := x.guardStream(ctx, s)
 	defer guard.stop()
 	var pending []byte
 	hasEvents := false
@@ -40,14 +41,15 @@
 		if complete == 0 && readErr == nil && len(pending) <= maxEventBytes {
 			continue // single bytes don't end the server's silence
 		}
-		if readErr != io.EOF {
-			readErr = guard.explain(readErr)
+		// Stopped until the next read: a caller that reads slowly does not make the
+		// server silent.
+		if guard.stop() {
+			complete, readErr = 0, errSilent // another server has begun after the last event
 		}
-		guard.stop() // a caller that reads slowly does not make the server silent
 		if complete > 0 {
 			if !hasEvents {
 				hasEvents = true
-				x.promptPrefilled()
+				s.promptPrefilled()
 				x.options.Quarantine.Answered(x.request.Service.Name, x.quarantineKeys())
 			}
 			if err := x.writeEvents(response, pending[:complete]); err != nil {
--- a/internal/protocol/exchange/silence.go
+++ b/internal/protocol/exchange/silence.go
@@ -22,9 +22,9 @@
 	replacementRetryInterval = 250 * time.Millisecond
 )
 
-// silenceGuard ends an attempt whose server is silent, but only once a replacement is
-// secured: a silent server may go on, and without a replacement it is the only one that
-// can still answer. A nil *silenceGuard is valid and does nothing.
+// silenceGuard ends an attempt whose server is silent, but only once another server has
+// begun to answer: a silent server may go on, and until then it is the only one that
+// does. A nil *silenceGuard is valid and does nothing.
 //
 // prepare runs in a goroutine of its own and uses the state of the exchange. The
 // goroutine of the exchange must not, from the start of a blocking call to the server
@@ -32,7 +32,7 @@
 type silenceGuard struct {
 	parent  context.Context
 	timeout time.Duration
-	// prepare secures a replacement and returns a function that gives it up again, or
+	// prepare obtains a replacement and returns a function that gives it up again, or
 	// nil if there is none.
 	prepare func(ctx context.Context) (undo func())
 	// abandon ends the attempt, so that the blocking call returns.
@@ -163,57 +163,62 @@
 }
 
 // guardStream returns a guard for a stream, or nil if it can't go on at another server.
-func (x *exchange) guardStream(ctx context.Context, a Attempt, response *Response) *silenceGuard {
-	runs := x.runs
-	if !x.mayReplace(runs) {
+func (x *exchange) guardStream(ctx context.Context, s *startedAttempt) *silenceGuard {
+	if !x.mayReplace() {
 		return nil
 	}
 	timeout := max(minStallTimeout, stallTimeoutGaps*x.request.Route.EventGap)
-	return guardSilence(ctx, timeout, func(ctx context.Context) func() { return x.prepareNext(ctx, a, runs) }, func() { _ = response.Body.Close() })
+	return guardSilence(ctx, timeout, x.replacing(ctx, s.attempt), func() { _ = s.response.Body.Close() })
 }
 
-// guardCall returns a guard for a safe call that is about to be sent, or nil if it must
-// not be sent again or has no objective.
+// guardCall returns a guard for a safe call that is being sent, or nil if it must not be
+// sent again or has no objective.
 func (x *exchange) guardCall(ctx context.Context, a Attempt, abandon func()) *silenceGuard {
-	r, runs := x.request.Route, x.runs+1
-	if r.Kind != route.Safe || r.Objective <= 0 || !x.mayReplace(runs) {
+	r := x.request.Route
+	if r.Kind != route.Safe || r.Objective <= 0 || !x.mayReplace() {
 		return nil
 	}
-	return guardSilence(ctx, attemptTimeoutObjectives*r.Objective, func(ctx context.Context) func() { return x.prepareNext(ctx, a, runs) }, abandon)
+	return guardSilence(ctx, attemptTimeoutObjectives*r.Objective, x.replacing(ctx, a), abandon)
 }
 
-// mayReplace reports whether another attempt may follow one that is in progress. runs is
-// the number of runs including that one.
-func (x *exchange) mayReplace(runs int) bool {
-	return x.request.Route.Repeatable() && x.mayRetryAfter(runs)
+// mayReplace reports whether another attempt may follow the one in progress.
+func (x *exchange) mayReplace() bool {
+	return x.request.Route.Repeatable() && x.mayRetry()
 }
 
-// prepareNext places the next attempt while the server of another one is silent. runs is
-// the number of runs including that one.
-func (x *exchange) prepareNext(ctx context.Context, silent Attempt, runs int) (undo func()) {
-	x.silentEngine = silent.Engine.ID
-	defer func() { x.silentEngine = "" }()
-	next, err := x.placeElsewhere(ctx, runs)
-	if err != nil {
-		if ctx.Err() == nil { // else the server has gone on, or the request has ended
-			x.keepSilent(silent.Engine.ID, err)
+// replacing returns a function that starts the next attempt while the server of another
+// one is silent. ctx is that of the exchange.
+func (x *exchange) replacing(ctx context.Context, silent Attempt) func(preparing context.Context) (undo func()) {
+	return func(preparing context.Context) (undo func()) {
+		x.silentEngine = silent.Engine.ID
+		defer func() { x.silentEngine = "" }()
+		next, err := x.startElsewhere(ctx, preparing)
+		if err != nil {
+			if preparing.Err() == nil { // else the server has gone on, or the request has ended
+				x.keepSilent(silent.Engine.ID, err)
+			}
+			return nil
 		}
-		return nil
-	}
-	x.next = next
-	if !x.mayReplace(runs) { // prefill calls may have failed meanwhile
-		x.discardNext()
-		return nil
+		x.next = next
+		return x.discardNext
 	}
-	return x.discardNext
 }
 
-// placeElsewhere is like place, but has no prompt prefilled that no server can decode.
-func (x *exchange) placeElsewhere(ctx context.Context, runs int) (*placedAttempt, error) {
-	if !x.mayReplace(runs) || x.request.Prompt != nil && len(x.candidates(placement.CanDecode)) == 0 {
+// startElsewhere starts an attempt at another server than the silent one. It has no prompt
+// prefilled that no server can decode.
+func (x *exchange) startElsewhere(ctx, preparing context.Context) (*startedAttempt, error) {
+	if !x.mayReplace() || x.request.Prompt != nil && len(x.candidates(placement.CanDecode)) == 0 {
+		return nil, errNoServer
+	}
+	placed, err := x.place(preparing)
+	if err != nil {
+		return nil, err
+	}
+	if !x.mayReplace() { // prefill calls may have failed meanwhile
+		x.discard(placed)
 		return nil, errNoServer
 	}
-	return x.place(ctx)
+	return x.start(ctx, preparing, placed)
 }
 
 // keepSilent reports, once for each attempt, that its server is silent and stays.
--- a/internal/protocol/exchange/silence_test.go
+++ b/internal/protocol/exchange/silence_test.go
@@ -118,9 +118,34 @@
 		if o.Result != exchange.Delivered || w.received.String() != "id: 1\n\nid: 2\n\n" || len(w.sends) != 1 {
 			t.Errorf("got %+v after %d sends and events %q, want both events from one server", o, len(w.sends), w.received.String())
 		}
+		left := 0
+		for w.budget.Spend(w.slack) {
+			left++
+		}
+		if want := int(w.slack) - 1; left != want {
+			t.Errorf("%d retries are left, want %d: only the prefill call was made", left, want)
+		}
 	})
 }
 
+// TestReplacementThatRefusesCostsNoStream guards against giving a silent server up for one
+// that then refuses the request.
+func TestReplacementThatRefusesCostsNoStream(t *testing.T) {
+	notFound := fmt.Errorf("%w: %w", exchange.ErrServerNotFound, exchange.ErrNotSent)
+	for name, refusal := range map[string]error{"full": errRejected, "not found": notFound, "lost": errReset} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newFixture(pausing(silence), reply{err: refusal}, reply{err: refusal}, reply{err: refusal}, reply{err: refusal})
+				w.view, w.slack = decoders(2), 1
+				o := w.run(t, streamRequest(true, 10))
+				if o.Result != exchange.Delivered || w.received.String() != "id: 1\n\nid: 2\n\n" || len(w.sends) != 2 {
+					t.Errorf("got %+v after %d sends and events %q, want both events from the silent server", o, len(w.sends), w.received.String())
+				}
+			})
+		})
+	}
+}
+
 // TestSilentServerKeepsCallThatNoOtherCanTake guards against giving up a call for its
 // server's silence when no other server may get it.
 func TestSilentServerKeepsCallThatNoOtherCanTake(t *testing.T) {
@@ -172,7 +197,9 @@
 // silent and go on must never make a stream incomplete.
 func TestSilenceAloneNeverCutsAStream(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		pauses := rapid.SliceOfN(rapid.IntRange(0, 1900), 4, 4).Draw(rt, "pauses_ms")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 1900), 20, 20).Draw(rt, "pauses_ms")
+		notFound := fmt.Errorf("%w: %w", exchange.ErrServerNotFound, exchange.ErrNotSent)
+		errs := rapid.SliceOfN(rapid.SampledFrom([]error{nil, errRejected, notFound}), 20, 20).Draw(rt, "errs")
 		slack := rapid.Float64Range(0, 3).Draw(rt, "slack")
 		tokens := rapid.SampledFrom([]int{10, 5000}).Draw(rt, "tokens")
 		servers := rapid.IntRange(1, 3).Draw(rt, "servers")
@@ -180,8 +207,12 @@
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
 			var replies []reply
-			for _, ms := range pauses {
-				replies = append(replies, pausing(time.Duration(ms)*time.Millisecond))
+			for i, ms := range pauses {
+				r := pausing(time.Duration(ms) * time.Millisecond)
+				if i > 0 {
+					r.err = errs[i]
+				}
+				replies = append(replies, r)
 			}
 			w := newFixture(replies...)
 			w.slack, w.prefillTime = slack, prefillTime
@@ -197,8 +228,8 @@
 				failure = fmt.Sprintf("got %+v after %d sends and events %q, want both events", o, len(w.sends), got)
 			}
 			used := 0
-			for _, a := range w.sends {
-				if a.KVSource != nil {
+			for i, a := range w.sends {
+				if a.KVSource != nil && (i == 0 || errs[i] == nil) {
 					used++
 				}
 			}
