Own engine interface: replace a silent engine by what the next attempt would choose

What callers would see: a stream ended although its silent engine may go on. Cause: found in review. The watchdog asked the simplest picker for another engine; the next attempt asks the class's own picker and the lease, which could refuse it. Evidence: case 'lease has lapsed' of TestSilentEngineKeepsStreamThatNoOtherCanTake failed before. Change: the watchdog asks the same picker and gate. A retry that is paid is not paid twice. Result: the test passes, with the race detector.

--- a/internal/protocol/request/attempt.go
+++ b/internal/protocol/request/attempt.go
@@ -38,14 +38,15 @@
 	s.runner.Outliers.AttemptStarted(engine.Name)
 	id := s.runner.NewAttempt()
 	dispatched := s.runner.Clock.Now()
-	dog, ctx := newWatchdog(requestCtx, s.request.ExpectedWait, func() bool { return s.secureRetry(engine.Name) })
+	begun := s.begun()
+	dog, ctx := newWatchdog(requestCtx, s.request.ExpectedWait, func(received bool) bool { return s.secureRetry(engine.Name, begun || received) })
 	stream, err := s.runner.Engines.Complete(ctx, engine.URL, s.completionRequest(ctx, id))
 	s.sent = s.sent || !errors.Is(err, backend.ErrNotSent)
 	if err == nil {
 		defer stream.Close()
 		err = s.copyTokens(stream, id, flight, dog, dispatched)
 	}
-	s.retryPaid = dog.stop()
+	s.retryPaid = dog.stop() || s.retryPaid
 	if err != nil {
 		err = fmt.Errorf("attempt %d at engine %s: %w", s.attempts, engine.Name, dog.explain(err))
 		s.request.Exclude = append(s.request.Exclude, engine.Name)
@@ -57,15 +58,18 @@
 }
 
 // secureRetry takes a retry from the budget if another engine may continue the request
-// in place of a silent one.
-func (s *relay) secureRetry(silent string) bool {
+// in place of a silent one. begun is set if the caller has a part of the answer.
+func (s *relay) secureRetry(silent string, begun bool) bool {
 	if s.attempts >= maxAttempts {
 		return false
 	}
+	version := s.runner.Settings.Load().Version
 	request := s.request
 	request.Exclude = append(slices.Clone(s.request.Exclude), silent)
-	_, err := routing.LeastRequests{}.Pick(s.runner.Tracker.Snapshot(), &request)
-	return err == nil && s.runner.Budget.Spend()
+	if _, err := s.pick(request, begun); err != nil || s.runner.Gate.Check(version) != nil {
+		return false
+	}
+	return s.retryPaid || s.runner.Budget.Spend()
 }
 
 // completionRequest returns the request to the engine for one attempt.
--- a/internal/protocol/request/fakes_test.go
+++ b/internal/protocol/request/fakes_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
@@ -183,6 +184,17 @@
 // Check implements Gate.
 func (openGate) Check(uint64) error { return nil }
 
+// lapsingGate is a Gate that lets the first work pass only.
+type lapsingGate struct{ passed atomic.Bool }
+
+// Check implements Gate.
+func (g *lapsingGate) Check(uint64) error {
+	if g.passed.Swap(true) {
+		return lease.ErrLapsed
+	}
+	return nil
+}
+
 // newRunner returns a [Runner] for one entry with count fake engines.
 func (f *fakeEngines) newRunner(count int) *Runner {
 	c := clock.NewRuntime()
--- a/internal/protocol/request/relay.go
+++ b/internal/protocol/request/relay.go
@@ -76,25 +76,30 @@
 	}
 }
 
-// pickEngine picks an engine. Ejected engines are used only if there is no
-// other. A stream that has begun is never refused because of load: it falls
-// back to the engine with the fewest requests.
+// pickEngine picks the engine for the next attempt.
 func (s *relay) pickEngine() (routing.Choice, error) {
-	snapshot := s.runner.Tracker.Snapshot()
 	request := s.request
-	request.Exclude = append(slices.Clip(s.request.Exclude), s.runner.Outliers.Ejected()...)
-	request.Retry = s.request.Retry
 	s.request.Retry = true
-	choice, err := s.runner.Picker.Pick(snapshot, &request)
-	if errors.Is(err, routing.ErrNoEngine) && len(request.Exclude) > len(s.request.Exclude) {
-		choice, err = s.runner.Picker.Pick(snapshot, &s.request)
+	return s.pick(request, s.begun())
+}
+
+// pick picks an engine. Ejected engines are used only if there is no other. A stream that
+// has begun is never refused because of load: it falls back to the engine with the
+// fewest requests. It uses nothing that an attempt in progress changes.
+func (s *relay) pick(request routing.Request, begun bool) (routing.Choice, error) {
+	snapshot := s.runner.Tracker.Snapshot()
+	healthy := request
+	healthy.Exclude = append(slices.Clip(request.Exclude), s.runner.Outliers.Ejected()...)
+	choice, err := s.runner.Picker.Pick(snapshot, &healthy)
+	if errors.Is(err, routing.ErrNoEngine) && len(healthy.Exclude) > len(request.Exclude) {
+		choice, err = s.runner.Picker.Pick(snapshot, &request)
 	}
-	if err == nil || !s.begun() {
+	if err == nil || !begun {
 		return choice, err
 	}
-	choice, err = routing.LeastRequests{}.Pick(snapshot, &request)
+	choice, err = routing.LeastRequests{}.Pick(snapshot, &healthy)
 	if err != nil {
-		choice, err = routing.LeastRequests{}.Pick(snapshot, &s.request)
+		choice, err = routing.LeastRequests{}.Pick(snapshot, &request)
 	}
 	return choice, err
 }
--- a/internal/protocol/request/request_test.go
+++ b/internal/protocol/request/request_test.go
@@ -193,15 +193,19 @@
 // TestSilentEngineKeepsStreamThatNoOtherCanTake guards against ending a stream for its
 // engine's silence when no retry or no other engine is left.
 func TestSilentEngineKeepsStreamThatNoOtherCanTake(t *testing.T) {
-	for name, c := range map[string]struct{ engines, reserve int }{
-		"no retry left":   {2, 0},
-		"no other engine": {1, 5},
+	for name, c := range map[string]struct {
+		engines, reserve int
+		gate             Gate
+	}{
+		"no retry left":    {2, 0, openGate{}},
+		"no other engine":  {1, 5, openGate{}},
+		"lease has lapsed": {2, 5, &lapsingGate{}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := &fakeEngines{faultFor: func(int) (fault, int) { return pauses, 2 }}
 				p := f.newRunner(c.engines)
-				p.Budget = retry.NewBudget(retry.DefaultShare, c.reserve)
+				p.Budget, p.Gate = retry.NewBudget(retry.DefaultShare, c.reserve), c.gate
 				caller := &fakeCaller{disconnectAfter: -1}
 				call := &Call{Prompt: "p", MaxTokens: 5}
 				if err := p.Run(t.Context(), call, testClass, caller); err != nil || caller.check(call) != nil || f.attempts != 1 {
--- a/internal/protocol/request/watchdog.go
+++ b/internal/protocol/request/watchdog.go
@@ -18,9 +18,10 @@
 type watchdog struct {
 	cancel context.CancelCauseFunc
 	ctx    context.Context
-	// secure takes what another attempt needs, and reports whether it could. It is
-	// called in a goroutine of its own, but never after stop has returned.
-	secure func() bool
+	// secure takes what another attempt needs, and reports whether it could. received
+	// is set if the engine has sent a message. It is called in a goroutine of its own,
+	// but never after stop has returned.
+	secure func(received bool) bool
 	// started is when the attempt began. lastMessage is the time from then to
 	// the newest message, in nanoseconds; zero if there was none.
 	started     time.Time
@@ -35,7 +36,7 @@
 // newWatchdog returns a watchdog and the context that it cancels. The first
 // message may take half of the time until the parent's deadline, so that
 // another attempt can follow, but no less than firstMessageTimeout.
-func newWatchdog(parent context.Context, firstMessageTimeout time.Duration, secure func() bool) (*watchdog, context.Context) {
+func newWatchdog(parent context.Context, firstMessageTimeout time.Duration, secure func(received bool) bool) (*watchdog, context.Context) {
 	ctx, cancel := context.WithCancelCause(parent)
 	w := &watchdog{cancel: cancel, ctx: ctx, secure: secure, started: time.Now()}
 	if deadline, ok := parent.Deadline(); ok {
@@ -67,7 +68,7 @@
 	case w.ctx.Err() != nil:
 	case last != 0 && left > 0:
 		w.armLocked(left)
-	case !w.secure():
+	case !w.secure(last != 0):
 		w.armLocked(replacementRetryInterval)
 	default:
 		w.secured = true
