Answer requests that wait at the end of a graceful shutdown

What callers saw: a request read whole gets neither an answer nor a refusal (LOST); here from an entry that is being stopped. At the end of the grace period the server closed all connections, also those of requests that still waited for a server. Change: all exchanges end shortly before, as at their deadlines, so that those without a response are refused or answered 504.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -55,6 +55,9 @@
 type Forwarder struct {
 	options  Options
 	prefills *prefillqueue.Queue
+	// ending is done once End has been called.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New returns a [Forwarder] with an empty prefill queue.
@@ -72,10 +75,15 @@
 		o.Notices = notice.NewBoard(clock.NewRuntime())
 	}
 	c := &Forwarder{options: o}
+	c.ending, c.end = context.WithCancel(context.Background())
 	c.prefills = prefillqueue.New(prefillqueue.Options{Engines: c.prefillBacklog, Tracker: o.Tracker})
 	return c
 }
 
+// End ends all exchanges at once, as at their deadlines: requests whose responses have
+// not begun can still be answered by the caller of Run.
+func (c *Forwarder) End() { c.end() }
+
 // prefillBacklog sums up the pending prompt tokens at the healthy prefill
 // engines of a service.
 func (c *Forwarder) prefillBacklog(service string) prefillqueue.Engines {
@@ -125,6 +133,8 @@
 	}
 	deadlineCtx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	stopEnd := context.AfterFunc(c.ending, cancel)
+	defer stopEnd()
 	outcome := x.attemptUntilDone(deadlineCtx)
 	x.discardNext()
 	x.release(x.kvSource)
