--- a/internal/protocol/exchange/silence.go
+++ b/internal/protocol/exchange/silence.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 )
 
 const (
@@ -21,9 +22,9 @@
 	replacementRetryInterval = 250 * time.Millisecond
 )
 
-// silenceGuard ends an attempt whose server is silent, but only once a replacement is
-// secured: a silent server may go on, and without a replacement it is the only one that
-// can still answer. A nil *silenceGuard is valid and does nothing.
+// silenceGuard ends an attempt whose server is silent, but only once another server has
+// begun to answer: a silent server may go on, and until then it is the only one that
+// does. A nil *silenceGuard is valid and does nothing.
 //
 // prepare runs in a goroutine of its own and uses the state of the exchange. The
 // goroutine of the exchange must not, from the start of a blocking call to the server
@@ -31,7 +32,7 @@
 type silenceGuard struct {
 	parent  context.Context
 	timeout time.Duration
-	// prepare secures a replacement and returns a function that gives it up again, or
+	// prepare obtains a replacement and returns a function that gives it up again, or
 	// nil if there is none.
 	prepare func(ctx context.Context) (undo func())
 	// abandon ends the attempt, so that the blocking call returns.
@@ -40,11 +41,16 @@
 	mu    sync.Mutex // guards the fields below
 	timer *time.Timer
 	armed bool
+	// due is when the timer is to fire: a run of fire before it was overtaken by a
+	// restart.
+	due time.Time
 	// cancel and done belong to the preparation that is running, if any.
 	cancel context.CancelFunc
 	done   chan struct{}
-	// undo is set once the attempt has been abandoned for a replacement.
-	undo func()
+	// undo is set once the attempt has been abandoned for a replacement, and panicked
+	// to the reason if prepare panicked.
+	undo     func()
+	panicked any
 }
 
 // guardSilence starts a guard.
@@ -52,6 +58,7 @@
 	g := &silenceGuard{parent: parent, timeout: timeout, prepare: prepare, abandon: abandon, armed: true}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.due = time.Now().Add(timeout)
 	g.timer = time.AfterFunc(timeout, g.fire)
 	return g
 }
@@ -63,30 +70,45 @@
 	if ctx == nil {
 		return
 	}
-	undo := g.prepare(ctx)
+	undo, panicked := g.tryPrepare(ctx)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
+	case panicked != nil:
+		g.armed, g.panicked = false, panicked
+		g.abandon()
 	case undo != nil && g.armed:
-		g.armed = false
-		g.undo = undo
+		g.armed, g.undo = false, undo
 		g.abandon()
 	case undo != nil:
 		undo()
 	case g.armed:
-		g.timer.Reset(replacementRetryInterval)
+		g.schedule(replacementRetryInterval)
 	}
 	g.cancel()
 	g.cancel = nil
 	close(g.done)
 }
 
+// tryPrepare calls prepare and returns the reason if that panics, which stop passes on:
+// a panic in the goroutine of a timer would end the process.
+func (g *silenceGuard) tryPrepare(ctx context.Context) (undo func(), panicked any) {
+	defer func() { panicked = recover() }()
+	return g.prepare(ctx), nil
+}
+
+// schedule sets the timer. g.mu must be held.
+func (g *silenceGuard) schedule(after time.Duration) {
+	g.due = time.Now().Add(after)
+	g.timer.Reset(after)
+}
+
 // beginPreparation returns the context of a new preparation, or nil if the guard has
-// been stopped.
+// been stopped or restarted.
 func (g *silenceGuard) beginPreparation() context.Context {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.armed {
+	if !g.armed || time.Now().Before(g.due) {
 		return nil
 	}
 	var ctx context.Context
@@ -112,6 +134,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.panicked != nil {
+		panic(g.panicked)
+	}
 	return g.undo != nil
 }
 
@@ -133,65 +158,79 @@
 	defer g.mu.Unlock()
 	if g.undo == nil {
 		g.armed = true
-		g.timer.Reset(g.timeout)
+		g.schedule(g.timeout)
 	}
 }
 
 // guardStream returns a guard for a stream, or nil if it can't go on at another server.
-func (x *exchange) guardStream(ctx context.Context, a Attempt, response *Response) *silenceGuard {
-	if !x.mayReplace(x.runs) {
+func (x *exchange) guardStream(ctx context.Context, s *startedAttempt) *silenceGuard {
+	if !x.mayReplace() {
 		return nil
 	}
 	timeout := max(minStallTimeout, stallTimeoutGaps*x.request.Route.EventGap)
-	return guardSilence(ctx, timeout, func(ctx context.Context) func() { return x.prepareNext(ctx, a) }, func() { _ = response.Body.Close() })
+	return guardSilence(ctx, timeout, x.replacing(ctx, s.attempt), func() { _ = s.response.Body.Close() })
 }
 
-// guardCall returns a guard for a call that has just been sent, or nil if it must not be
+// guardCall returns a guard for a safe call that is being sent, or nil if it must not be
 // sent again or has no objective.
 func (x *exchange) guardCall(ctx context.Context, a Attempt, abandon func()) *silenceGuard {
-	if x.request.Prompt != nil || x.request.Route.Objective <= 0 || !x.mayReplace(x.runs+1) {
+	r := x.request.Route
+	if r.Kind != route.Safe || r.Objective <= 0 || !x.mayReplace() {
 		return nil
 	}
-	return guardSilence(ctx, attemptTimeoutObjectives*x.request.Route.Objective, func(ctx context.Context) func() { return x.prepareNext(ctx, a) }, abandon)
+	return guardSilence(ctx, attemptTimeoutObjectives*r.Objective, x.replacing(ctx, a), abandon)
 }
 
-// mayReplace reports whether the route allows another run after the given number.
-func (x *exchange) mayReplace(runs int) bool {
-	return x.request.Route.Repeatable() && runs < x.request.Route.MaxAttempts
+// mayReplace reports whether another attempt may follow the one in progress.
+func (x *exchange) mayReplace() bool {
+	return x.request.Route.Repeatable() && x.mayRetry()
 }
 
-// prepareNext places the next attempt while the server of another one is silent.
-func (x *exchange) prepareNext(ctx context.Context, silent Attempt) (undo func()) {
-	x.silentEngine = silent.Engine.ID
-	defer func() { x.silentEngine = "" }()
-	next, err := x.placeElsewhere(ctx)
-	if err != nil {
-		if ctx.Err() == nil { // else the server has gone on, or the request has ended
-			x.logNotReplaced(silent.Engine.ID, err)
+// replacing returns a function that starts the next attempt while the server of another
+// one is silent. ctx is that of the exchange.
+func (x *exchange) replacing(ctx context.Context, silent Attempt) func(preparing context.Context) (undo func()) {
+	return func(preparing context.Context) (undo func()) {
+		x.silentEngine = silent.Engine.ID
+		defer func() { x.silentEngine = "" }()
+		next, err := x.startElsewhere(ctx, preparing)
+		if err != nil {
+			if preparing.Err() == nil { // else the server has gone on, or the request has ended
+				x.keepSilent(silent.Engine.ID, err)
+			}
+			return nil
 		}
-		return nil
+		x.next = next
+		return x.discardNext
+	}
+}
+
+// startElsewhere starts an attempt at another server than the silent one. It has no prompt
+// prefilled that no server can decode.
+func (x *exchange) startElsewhere(ctx, preparing context.Context) (*startedAttempt, error) {
+	if !x.mayReplace() || x.request.Prompt != nil && len(x.candidates(placement.CanDecode)) == 0 {
+		return nil, errNoServer
+	}
+	placed, err := x.place(preparing)
+	if err != nil {
+		return nil, err
+	}
+	if !x.mayReplace() { // prefill calls may have failed meanwhile
+		x.discard(placed)
+		return nil, errNoServer
 	}
-	x.next = next
-	return x.discardNext
+	return x.start(ctx, preparing, placed)
 }
 
-// logNotReplaced logs once for each attempt that its server is silent and stays.
-func (x *exchange) logNotReplaced(engine string, err error) {
+// keepSilent reports, once for each attempt, that its server is silent and stays.
+func (x *exchange) keepSilent(engine string, err error) {
 	if x.notReplaced == engine {
 		return
 	}
 	x.notReplaced = engine
+	x.options.Outlier.Unanswered(engine)
 	x.options.Log.Info("silent server not replaced", "request", x.request.ID, "engine", engine, "left_ms", x.remaining().Milliseconds(), "error", err)
 }
 
-// placeElsewhere is like place, but has no prompt prefilled that no server can decode.
-func (x *exchange) placeElsewhere(ctx context.Context) (*placedAttempt, error) {
-	if x.request.Prompt != nil && len(x.candidates(placement.CanDecode)) == 0 {
-		return nil, errNoServer
-	}
-	return x.place(ctx)
-}
-
 // preparePrefill pays for the call that replaces a silent prefill call.
 func (x *exchange) preparePrefill(context.Context) (undo func()) {
 	r, ok := x.takeRetry()
--- a/internal/protocol/exchange/silence_test.go
+++ b/internal/protocol/exchange/silence_test.go
@@ -33,7 +33,7 @@
 		spoil  func(w *fixture)
 	}{
 		"no retry left":             {10, func(w *fixture) { w.slack = 0 }},
-		"no retry left for prefill": {5000, func(w *fixture) { w.slack = 0.5 }},
+		"no retry left for prefill": {5000, func(w *fixture) { w.slack = 1.5 }},
 		"no other server": {10, func(w *fixture) {
 			w.view = fleet.NewView([]fleet.Engine{{ID: "d0", Service: "llm", Phase: fleet.Decode}})
 		}},
@@ -62,6 +62,52 @@
 	}
 }
 
+// decoders returns a list of servers that do all work of their service.
+func decoders(count int) *fleet.View {
+	var engines []fleet.Engine
+	for i := range count {
+		engines = append(engines,
+			fleet.Engine{ID: fmt.Sprint("d", i), Service: "llm", Phase: fleet.Decode},
+			fleet.Engine{ID: fmt.Sprint("s", i), Service: "plain", Slots: 6})
+	}
+	return fleet.NewView(engines)
+}
+
+// TestSilentServerIsKeptOnceAttemptsAreUsedUp guards against ending a silent attempt that
+// the limits on attempts allow no other one to follow.
+func TestSilentServerIsKeptOnceAttemptsAreUsedUp(t *testing.T) {
+	rejected := reply{err: errRejected}
+	late, second := reply{status: 200, body: "late", pause: silence}, reply{status: 200, body: "second"}
+	call := callRequest(route.Safe, 2)
+	call.Route.Objective = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		request *exchange.Request
+		spoil   func(w *fixture)
+		replies []reply
+	}{
+		"stream after three rejections": {streamRequest(true, 10), func(*fixture) {}, []reply{rejected, rejected, rejected, pausing(silence), pausing(0)}},
+		"call after three rejections":   {call, func(*fixture) {}, []reply{rejected, rejected, rejected, late, second}},
+		"prefill servers end in the preparation": {streamRequest(true, 5000), func(w *fixture) {
+			w.ended, w.prefillErrs = true, []error{nil, errReset, errReset}
+			w.view = fleet.NewView(append(w.view.Engines("llm"), decoders(8).Engines("llm")...))
+		}, []reply{pausing(silence), pausing(0)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newFixture(c.replies...)
+				w.view = decoders(8)
+				if c.request.Prompt != nil && c.request.Prompt.Tokens > 1000 {
+					w.view = newFixture().view
+				}
+				c.spoil(w)
+				if o := w.run(t, c.request); o.Result != exchange.Delivered || strings.Contains(w.received.String(), "second") {
+					t.Errorf("got %+v after %d sends and %q, want the response of the silent server", o, len(w.sends), w.received.String())
+				}
+			})
+		})
+	}
+}
+
 // TestServerThatGoesOnKeepsItsStream guards against moving a stream whose server goes on
 // while the prompt is prefilled for another one, and against leaving its KV cache behind.
 func TestServerThatGoesOnKeepsItsStream(t *testing.T) {
@@ -72,9 +118,34 @@
 		if o.Result != exchange.Delivered || w.received.String() != "id: 1\n\nid: 2\n\n" || len(w.sends) != 1 {
 			t.Errorf("got %+v after %d sends and events %q, want both events from one server", o, len(w.sends), w.received.String())
 		}
+		left := 0
+		for w.budget.Spend(w.slack) {
+			left++
+		}
+		if want := int(w.slack) - 1; left != want {
+			t.Errorf("%d retries are left, want %d: only the prefill call was made", left, want)
+		}
 	})
 }
 
+// TestReplacementThatRefusesCostsNoStream guards against giving a silent server up for one
+// that then refuses the request.
+func TestReplacementThatRefusesCostsNoStream(t *testing.T) {
+	notFound := fmt.Errorf("%w: %w", exchange.ErrServerNotFound, exchange.ErrNotSent)
+	for name, refusal := range map[string]error{"full": errRejected, "not found": notFound, "lost": errReset} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newFixture(pausing(silence), reply{err: refusal}, reply{err: refusal}, reply{err: refusal}, reply{err: refusal})
+				w.view, w.slack = decoders(2), 1
+				o := w.run(t, streamRequest(true, 10))
+				if o.Result != exchange.Delivered || w.received.String() != "id: 1\n\nid: 2\n\n" || len(w.sends) != 2 {
+					t.Errorf("got %+v after %d sends and events %q, want both events from the silent server", o, len(w.sends), w.received.String())
+				}
+			})
+		})
+	}
+}
+
 // TestSilentServerKeepsCallThatNoOtherCanTake guards against giving up a call for its
 // server's silence when no other server may get it.
 func TestSilentServerKeepsCallThatNoOtherCanTake(t *testing.T) {
@@ -126,7 +197,9 @@
 // silent and go on must never make a stream incomplete.
 func TestSilenceAloneNeverCutsAStream(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		pauses := rapid.SliceOfN(rapid.IntRange(0, 1900), 4, 4).Draw(rt, "pauses_ms")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 1900), 20, 20).Draw(rt, "pauses_ms")
+		notFound := fmt.Errorf("%w: %w", exchange.ErrServerNotFound, exchange.ErrNotSent)
+		errs := rapid.SliceOfN(rapid.SampledFrom([]error{nil, errRejected, notFound}), 20, 20).Draw(rt, "errs")
 		slack := rapid.Float64Range(0, 3).Draw(rt, "slack")
 		tokens := rapid.SampledFrom([]int{10, 5000}).Draw(rt, "tokens")
 		servers := rapid.IntRange(1, 3).Draw(rt, "servers")
@@ -134,8 +207,12 @@
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
 			var replies []reply
-			for _, ms := range pauses {
-				replies = append(replies, pausing(time.Duration(ms)*time.Millisecond))
+			for i, ms := range pauses {
+				r := pausing(time.Duration(ms) * time.Millisecond)
+				if i > 0 {
+					r.err = errs[i]
+				}
+				replies = append(replies, r)
 			}
 			w := newFixture(replies...)
 			w.slack, w.prefillTime = slack, prefillTime
@@ -151,8 +228,8 @@
 				failure = fmt.Sprintf("got %+v after %d sends and events %q, want both events", o, len(w.sends), got)
 			}
 			used := 0
-			for _, a := range w.sends {
-				if a.KVSource != nil {
+			for i, a := range w.sends {
+				if a.KVSource != nil && (i == 0 || errs[i] == nil) {
 					used++
 				}
 			}
