exchange: failing tests for streams joined from two software versions

Cause of this change: the fault has to be shown before it is mended. Change: tests of broken streams, KV caches, fetched prefixes and streams that callers take up, and a property test over mixes of versions, phases and failures. exchange.Origins is where the forwarder will record and look up the version that began a stream; nothing calls it yet.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -43,6 +43,9 @@
 	// Quarantine holds the requests and prompt parts that no server may get. If it is
 	// nil, New creates an empty one.
 	Quarantine *quarantine.Guard
+	// Origins knows which software version began each stream. If it is nil, New
+	// creates one that knows the streams of this process.
+	Origins Origins
 	// Pace counts the streams. If it is nil, New creates a counter.
 	Pace *fleet.PaceCounter
 	// Budget returns the retry budget of a service and the slack that this
@@ -67,6 +70,9 @@
 	if o.Pace == nil {
 		o.Pace = fleet.NewPaceCounter()
 	}
+	if o.Origins == nil {
+		o.Origins = newLocalOrigins()
+	}
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.NewGuard(clock.NewRuntime())
 	}
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -16,6 +16,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/exchange"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
@@ -70,10 +71,11 @@
 	ended bool
 	// onPrefill is called during a prefill call, if set.
 	onPrefill func()
+	origins   *fakeOrigins
+	notices   *notice.Board
 }
 
 func newFixture(replies ...reply) *fixture {
-	w := &fixture{replies: replies, slack: 10, prefixes: prefixdir.New(), quarantine: quarantine.NewGuard(clock.NewRuntime())}
 	var engines []fleet.Engine
 	for i := range 3 {
 		engines = append(engines,
@@ -81,6 +83,15 @@
 			fleet.Engine{ID: fmt.Sprint("d", i), Service: "llm", Phase: fleet.Decode},
 			fleet.Engine{ID: fmt.Sprint("s", i), Service: "plain", Slots: 6})
 	}
+	return newFixtureOf(engines, replies...)
+}
+
+// newFixtureOf returns a fixture with the given servers.
+func newFixtureOf(engines []fleet.Engine, replies ...reply) *fixture {
+	w := &fixture{
+		replies: replies, slack: 10, prefixes: prefixdir.New(), quarantine: quarantine.NewGuard(clock.NewRuntime()), origins: newFakeOrigins(),
+		notices: notice.NewBoard(clock.NewRuntime()),
+	}
 	view := fleet.NewView(engines)
 	c := clock.NewRuntime()
 	budget := retry.NewWindow(c, 0.2, 10*time.Second)
@@ -90,6 +101,8 @@
 		Outlier:    outlier.NewSet(c),
 		Prefixes:   w.prefixes,
 		Quarantine: w.quarantine,
+		Origins:    w.origins,
+		Notices:    w.notices,
 		Budget:     func(string) (*retry.Window, float64) { return budget, w.slack },
 		Random:     func(int) int { return 0 },
 		Log:        hclog.NewNullLogger(),
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -89,6 +89,12 @@
 	// ErrServerNotFound means that no server, or a different one, listens at the
 	// address. It matches ErrNotRun.
 	ErrServerNotFound = fmt.Errorf("server not found at its address: %w", ErrNotRun)
+	// ErrOriginUnknown means that a caller takes up a stream of which the software
+	// version that began it isn't known.
+	ErrOriginUnknown = errors.New("the version that began the stream is unknown")
+	// ErrVersionGone means that no server of the software version that began the
+	// stream takes the rest of it.
+	ErrVersionGone = errors.New("no server of the version that began the stream takes the request")
 )
 
 // Sender sends one caller's request to backend servers.
@@ -107,6 +113,18 @@
 	Release(s KVSource)
 }
 
+// Origins knows which software version of a service began each stream.
+type Origins interface {
+	// Began records that a server of the version began the stream of a caller's
+	// request. It is called before the caller gets the first event. It does not
+	// block.
+	Began(service, request, version string)
+	// Find returns the version that began the stream of an earlier request. found is
+	// false if that can't be known. request is empty if the caller doesn't name it.
+	// It takes at most a round trip to a control replica and ends with ctx.
+	Find(ctx context.Context, service, request string) (version string, found bool)
+}
+
 // Sink writes to the caller.
 type Sink interface {
 	// WriteResponse writes a response whose body has been read completely.
