exchange: a broken stream goes on only at the version that began it

What callers saw: within one answer, the first events of one software version and the rest of another (ORDER). Cause: after a stream broke or stalled, every other server of the service was a candidate, and so was every server whose rate limit the request may wait for. Change: the first event fixes the version. From then on candidates, rate limit waits and the time of a refusal only count servers of that version. Without any the stream ends as cut. With one version in service nothing changes.

--- a/internal/protocol/exchange/choose.go
+++ b/internal/protocol/exchange/choose.go
@@ -45,7 +45,7 @@
 func (x *exchange) awaitRateLimit(ctx context.Context, filters ...placement.Filter) (chosen placement.Candidate, ok bool) {
 	limits := x.options.Notices.Limits
 	maxWait := time.Duration(limitWaitFraction * float64(min(x.request.Route.Objective, x.remaining())))
-	filters = append(filters, placement.Except(x.failedEngines...), placement.AcceptsWork, x.options.Notices.Open)
+	filters = append(filters, placement.Except(x.failedEngines...), x.origin.allows, placement.AcceptsWork, x.options.Notices.Open)
 	shortest := maxWait
 	for _, c := range placement.Candidates(x.options.View().Engines(x.request.Service.Name), x.options.Tracker.Load, filters...) {
 		if wait := limits.Wait(c.Engine); wait <= shortest {
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -182,11 +182,9 @@
 
 // capableServers returns the listed servers that can answer the request.
 func (x *exchange) capableServers() []fleet.Engine {
-	servers := x.options.View().Engines(x.request.Service.Name)
-	if x.request.Prompt == nil {
-		return servers
-	}
-	return slices.DeleteFunc(slices.Clone(servers), func(e fleet.Engine) bool { return !placement.CanDecode(e) })
+	return slices.DeleteFunc(slices.Clone(x.options.View().Engines(x.request.Service.Name)), func(e fleet.Engine) bool {
+		return !x.origin.allows(e) || x.request.Prompt != nil && !placement.CanDecode(e)
+	})
 }
 
 // exchange is the state of one request.
@@ -208,6 +206,8 @@
 	// streamBegun is set once the headers of an event stream have been
 	// written to the caller.
 	streamBegun bool
+	// origin is the software version that began the stream.
+	origin streamOrigin
 	// lastEventID is the ID of the last event written to the caller.
 	lastEventID  string
 	prefillCalls int
@@ -327,12 +327,13 @@
 }
 
 // candidates returns the engines that may get the request. Engines that have
-// failed this request, those that announced that they leave or asked for a pause,
-// and those at their rate limits are never candidates. Ejected engines and those
+// failed this request, those of another software version than the one that began
+// its stream, those that announced that they leave or asked for a pause, and those
+// at their rate limits are never candidates. Ejected engines and those
 // that other entries left out are candidates only if there are no others.
 func (x *exchange) candidates(filters ...placement.Filter) []placement.Candidate {
 	service := x.request.Service.Name
-	filters = append(filters, placement.Except(x.failedEngines...))
+	filters = append(filters, placement.Except(x.failedEngines...), x.origin.allows)
 	if found := x.healthyEngines(service, filters...); len(found) > 0 {
 		return found
 	}
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -33,7 +33,8 @@
 )
 
 // relayStream writes a stream's events to the caller as they arrive. It writes
-// complete events only, so that another engine can continue a broken stream.
+// complete events only, so that another engine of the same software version can
+// continue a broken stream.
 func (x *exchange) relayStream(ctx context.Context, a Attempt, response *Response) (done bool, err error) {
 	if !x.streamBegun {
 		x.streamBegun = true
@@ -53,6 +54,7 @@
 		if complete := completeEventsLen(pending); complete > 0 {
 			if !hasEvents {
 				hasEvents = true
+				x.origin.set(a.Engine.Version)
 				x.promptPrefilled()
 				x.options.Quarantine.Answered(x.request.Service.Name, x.quarantineKeys())
 			}
--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -151,6 +151,11 @@
 	return e.Phase.Serves(fleet.Decode)
 }
 
+// OfVersion returns a filter for engines of that software version.
+func OfVersion(version string) Filter {
+	return func(e fleet.Engine) bool { return e.Version == version }
+}
+
 // Except returns a filter that drops the engines with the given ids.
 func Except(ids ...string) Filter {
 	return func(e fleet.Engine) bool {
