exchange: a KV cache stays within its software version

Cause: a prompt was prefilled at one engine and decoded at another, and a shared prefix fetched from a third, whatever their versions. Change: prompts are prefilled only at versions that can also decode, and decoded at the version that prefilled them; without an engine left there the handle is released and the decode engine prefills. Prefixes are fetched within a version. The load of a version's decode engines counts when the prefill engine is chosen, so that few decode engines don't get the prompts of many prefill engines. With one version all of these are the same for each engine, and the choice is as before.

--- a/internal/protocol/exchange/choose.go
+++ b/internal/protocol/exchange/choose.go
@@ -45,9 +45,8 @@
 func (x *exchange) awaitRateLimit(ctx context.Context, filters ...placement.Filter) (chosen placement.Candidate, ok bool) {
 	limits := x.options.Notices.Limits
 	maxWait := time.Duration(limitWaitFraction * float64(min(x.request.Route.Objective, x.remaining())))
-	filters = append(filters, placement.Except(x.failedEngines...), x.origin.allows, placement.AcceptsWork, x.options.Notices.Open)
 	shortest := maxWait
-	for _, c := range placement.Candidates(x.options.View().Engines(x.request.Service.Name), x.options.Tracker.Load, filters...) {
+	for _, c := range x.openServers(filters...) {
 		if wait := limits.Wait(c.Engine); wait <= shortest {
 			chosen, shortest, ok = c, wait, true
 		}
@@ -63,3 +62,10 @@
 	x.options.Log.Info("request waited for a rate limit", "request", x.request.ID, "engine", chosen.ID, "ms", wait.Milliseconds())
 	return chosen, ctx.Err() == nil && x.options.Notices.Open(chosen.Engine)
 }
+
+// openServers returns the servers that may get the request, now or once their rate
+// limits allow it.
+func (x *exchange) openServers(filters ...placement.Filter) []placement.Candidate {
+	filters = append(filters, placement.Except(x.failedEngines...), x.origin.allows, placement.AcceptsWork, x.options.Notices.Open)
+	return placement.Candidates(x.options.View().Engines(x.request.Service.Name), x.options.Tracker.Load, filters...)
+}
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -85,9 +85,10 @@
 }
 
 // prefillBacklog sums up the pending prompt tokens at the healthy prefill
-// engines of a service.
+// engines of a service, of the software versions that can also decode.
 func (c *Forwarder) prefillBacklog(service string) prefillqueue.Engines {
-	found := c.healthyEngines(service, placement.InPhase(fleet.Prefill))
+	decode := placement.Candidates(c.options.View().Engines(service), c.options.Tracker.Load, placement.AcceptsWork, placement.CanDecode)
+	found := c.healthyEngines(service, placement.InPhase(fleet.Prefill), placement.OfVersionAmong(decode))
 	out := prefillqueue.Engines{Count: len(found)}
 	for i, e := range found {
 		out.Tokens += e.Load.PromptTokens
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -43,15 +43,8 @@
 	if source == nil && x.prefillCalls > 0 && x.arrivedSends() == 0 && !x.spendRetry() {
 		return false, errRetryBudget
 	}
-	zone := x.options.Zone
-	if source != nil {
-		zone = source.Engine.Zone
-	}
-	chosen, ok := x.choose(ctx, func(candidates []placement.Candidate) (placement.Candidate, bool) {
-		return placement.ForDecode(zone, candidates, x.options.Random)
-	}, placement.CanDecode)
+	chosen, source, ok := x.chooseDecode(ctx, source)
 	if !ok {
-		x.release(source)
 		return false, errNoServer
 	}
 	if err := x.checkQuarantine(); err != nil {
@@ -76,6 +69,29 @@
 	return done, err
 }
 
+// chooseDecode chooses the engine that decodes. If a prompt was prefilled at a
+// software version that has no such engine any more, its KV cache is released, and
+// an engine of another version is to prefill it again. usable is source, or nil if
+// it was released.
+func (x *exchange) chooseDecode(ctx context.Context, source *KVSource) (chosen placement.Candidate, usable *KVSource, ok bool) {
+	choose := func(zone string, filter placement.Filter) (placement.Candidate, bool) {
+		return x.choose(ctx, func(candidates []placement.Candidate) (placement.Candidate, bool) {
+			return placement.ForDecode(zone, candidates, x.options.Random)
+		}, placement.CanDecode, filter)
+	}
+	if source == nil {
+		chosen, ok = choose(x.options.Zone, x.origin.allows)
+		return chosen, nil, ok
+	}
+	same := placement.OfVersion(source.Engine.Version)
+	if chosen, ok = choose(source.Engine.Zone, same); ok {
+		return chosen, source, true
+	}
+	x.release(source)
+	chosen, ok = choose(x.options.Zone, func(e fleet.Engine) bool { return !same(e) })
+	return chosen, nil, ok
+}
+
 // engineID returns the ID of an engine, or "" for nil.
 func engineID(e *fleet.Engine) string {
 	if e == nil {
@@ -94,7 +110,8 @@
 // if one fails. If both results are nil, the decode engine must prefill the
 // prompt itself.
 func (x *exchange) prefill(ctx context.Context, prompt placement.Prompt) (*KVSource, error) {
-	if placement.PrefillLocally(prompt, x.candidates(placement.InPhase(fleet.Prefill))) {
+	inPhase, decodable := placement.InPhase(fleet.Prefill), placement.OfVersionAmong(x.decodeEngines())
+	if placement.PrefillLocally(prompt, x.candidates(inPhase, decodable)) || len(x.openServers(inPhase, decodable)) == 0 {
 		return nil, nil
 	}
 	for ctx.Err() == nil && len(x.failedEngines)-x.unsentAttempts <= maxRefusedSends && x.unsentAttempts <= maxUnsentAttempts {
@@ -119,13 +136,13 @@
 		return nil, fmt.Errorf("wait for a prefill engine: %w", err)
 	}
 	prefix, prefixTokens := prompt.Shared()
-	holder := x.holderOf(prefix)
+	holder, decode := x.holderOf(prefix), x.decodeEngines()
 	var chosen placement.PrefillChoice
 	_, ok := x.admit(func(candidates []placement.Candidate) (placement.Candidate, bool) {
-		choice, ok := placement.ForPrefill(prompt, holder, candidates, x.options.Random)
+		choice, ok := placement.ForPrefill(prompt, holder, candidates, decode, x.options.Random)
 		chosen = choice
 		return choice.Candidate, ok
-	}, placement.InPhase(fleet.Prefill))
+	}, placement.InPhase(fleet.Prefill), placement.OfVersionAmong(decode))
 	if !ok {
 		grant.Release(0, false)
 		return nil, nil
@@ -169,6 +186,15 @@
 	return nil, errPrefillFailed
 }
 
+// decodeEngines returns the engines that may decode the prompt, which must be of the
+// software version that prefills it.
+func (x *exchange) decodeEngines() []placement.Candidate {
+	if found := x.candidates(placement.CanDecode); len(found) > 0 {
+		return found
+	}
+	return x.openServers(placement.CanDecode)
+}
+
 // holderOf returns the engine that last prefilled a shared prefix, or nil if none
 // is known, it has restarted since, or it was not found at its address. It may
 // have failed this request or run another phase by now: its KV cache can still
--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -156,6 +156,18 @@
 	return func(e fleet.Engine) bool { return e.Version == version }
 }
 
+// OfVersionAmong returns a filter for engines of the software versions of the
+// candidates.
+func OfVersionAmong(candidates []Candidate) Filter {
+	var versions []string
+	for _, c := range candidates {
+		if !slices.Contains(versions, c.Version) {
+			versions = append(versions, c.Version)
+		}
+	}
+	return func(e fleet.Engine) bool { return slices.Contains(versions, e.Version) }
+}
+
 // Except returns a filter that drops the engines with the given ids.
 func Except(ids ...string) Filter {
 	return func(e fleet.Engine) bool {
@@ -213,14 +225,17 @@
 // ForPrefill chooses the engine that would finish the prefill first, counting the
 // KV cache that a copy of the shared prefix displaces. holder is the engine that
 // last prefilled the shared prefix, or nil if none is known; it need not be a
-// candidate. Other engines fetch the prefix from the holder if it is long
-// enough. Without a holder, the owner of the prefix is preferred, so that all
-// entries have it prefilled at the same engine.
-func ForPrefill(p Prompt, holder *fleet.Engine, candidates []Candidate, random func(n int) int) (choice PrefillChoice, ok bool) {
+// candidate. Other engines of the same software version fetch the prefix from the
+// holder if it is long enough. Without a holder, the owner of the prefix is
+// preferred, so that all entries have it prefilled at the same engine. decode holds
+// the engines that may decode: the KV cache can go only to those of the chosen
+// engine's version.
+func ForPrefill(p Prompt, holder *fleet.Engine, candidates, decode []Candidate, random func(n int) int) (choice PrefillChoice, ok bool) {
 	key, shared := p.Shared()
 	home := homeOf(key, holder, candidates)
+	waiting := decodeTokens(decode)
 	chosen, ok := pickLowest(candidates, random, func(c Candidate) float64 {
-		cost := float64(c.Load.PromptTokens)
+		cost := float64(c.Load.PromptTokens) + waiting[c.Version]
 		if home != nil && shared >= minFetchTokens && c.ID != home.ID {
 			cost += copyCostRatio * float64(shared)
 		}
@@ -231,13 +246,26 @@
 	case !ok || holder == nil:
 	case chosen.ID == holder.ID:
 		choice.Tokens = max(0, p.Tokens-shared)
-	case shared >= minFetchTokens:
+	case shared >= minFetchTokens && chosen.Version == holder.Version:
 		choice.Tokens = max(0, p.Tokens-shared)
 		choice.FetchFrom = holder
 	}
 	return choice, ok
 }
 
+// decodeTokens returns, by software version, the load of the least loaded engine in
+// prompt tokens.
+func decodeTokens(decode []Candidate) map[string]float64 {
+	out := make(map[string]float64)
+	for _, c := range decode {
+		tokens := float64(c.Load.Streams*tokensPerStream + c.Load.PromptTokens)
+		if least, ok := out[c.Version]; !ok || tokens < least {
+			out[c.Version] = tokens
+		}
+	}
+	return out
+}
+
 // homeOf returns the engine at which a shared prefix should be prefilled: its
 // holder if that is a candidate, and its owner otherwise. It returns nil without
 // a key or candidates.
--- a/internal/protocol/placement/placement_test.go
+++ b/internal/protocol/placement/placement_test.go
@@ -32,7 +32,7 @@
 		stays  bool
 	}{{0, true}, {19999, true}, {20001, false}} {
 		loads := map[string]fleet.Load{holder.ID: {PromptTokens: c.queued}}
-		chosen, _ := placement.ForPrefill(prompt("customer"), &holder, candidates(6, loads), firstTied)
+		chosen, _ := placement.ForPrefill(prompt("customer"), &holder, candidates(6, loads), nil, firstTied)
 		if (chosen.ID == holder.ID) != c.stays || (chosen.FetchFrom == nil) != c.stays || chosen.Tokens != 7000 {
 			t.Errorf("%d tokens queued: chose %s to prefill %d tokens and fetch from %v, want 7000 tokens at the holder: %v", c.queued, chosen.ID, chosen.Tokens, chosen.FetchFrom, c.stays)
 		}
@@ -43,12 +43,12 @@
 // no engine is known to hold counts in full, and that all entries choose the
 // same engine for it.
 func TestUnknownPrefixIsPrefilledWhole(t *testing.T) {
-	chosen, _ := placement.ForPrefill(prompt("customer"), nil, candidates(6, nil), firstTied)
+	chosen, _ := placement.ForPrefill(prompt("customer"), nil, candidates(6, nil), nil, firstTied)
 	if chosen.Tokens != 12000 || chosen.FetchFrom != nil {
 		t.Errorf("%d tokens counted and fetched from %v, want 12000 tokens and no fetch", chosen.Tokens, chosen.FetchFrom)
 	}
 	last := func(int) int { return 1 }
-	if other, _ := placement.ForPrefill(prompt("customer"), nil, candidates(6, nil), last); other.ID != chosen.ID {
+	if other, _ := placement.ForPrefill(prompt("customer"), nil, candidates(6, nil), nil, last); other.ID != chosen.ID {
 		t.Errorf("chose %s and %s, want one owner", chosen.ID, other.ID)
 	}
 }
@@ -59,7 +59,7 @@
 func TestPrefixIsFetchedFromExcludedHolder(t *testing.T) {
 	all := candidates(6, nil)
 	holder := all[2].Engine
-	chosen, _ := placement.ForPrefill(prompt("customer"), &holder, slices.Delete(all, 2, 3), firstTied)
+	chosen, _ := placement.ForPrefill(prompt("customer"), &holder, slices.Delete(all, 2, 3), nil, firstTied)
 	if chosen.ID == holder.ID || chosen.FetchFrom == nil || chosen.FetchFrom.ID != holder.ID || chosen.Tokens != 7000 {
 		t.Errorf("chose %s to prefill %d tokens and fetch from %v, want 7000 tokens fetched from the holder", chosen.ID, chosen.Tokens, chosen.FetchFrom)
 	}
@@ -71,7 +71,7 @@
 	p := placement.Prompt{Tokens: 2000, Parts: []placement.Part{{ID: "a", Tokens: 200}, {ID: "own", Tokens: 1800}}}
 	holder := candidates(6, nil)[0].Engine
 	loads := map[string]fleet.Load{holder.ID: {PromptTokens: 90000}}
-	if chosen, _ := placement.ForPrefill(p, &holder, candidates(6, loads), firstTied); chosen.FetchFrom != nil || chosen.Tokens != 2000 {
+	if chosen, _ := placement.ForPrefill(p, &holder, candidates(6, loads), nil, firstTied); chosen.FetchFrom != nil || chosen.Tokens != 2000 {
 		t.Errorf("200 tokens are fetched from %s, want no fetch", chosen.FetchFrom.ID)
 	}
 }
@@ -82,8 +82,8 @@
 	all := candidates(6, nil)
 	for i := range 300 {
 		key := fmt.Sprint("part", i)
-		before, _ := placement.ForPrefill(prompt(key), nil, all, firstTied)
-		after, _ := placement.ForPrefill(prompt(key), nil, all[1:], firstTied)
+		before, _ := placement.ForPrefill(prompt(key), nil, all, nil, firstTied)
+		after, _ := placement.ForPrefill(prompt(key), nil, all[1:], nil, firstTied)
 		if before.ID != all[0].ID && before.ID != after.ID {
 			t.Errorf("owner of %s moved from %s to %s after the loss of another engine", key, before.ID, after.ID)
 		}
@@ -168,3 +168,17 @@
 		}
 	}
 }
+
+// TestPrefillGoesToTheVersionWhoseDecodeEnginesWaitLeast has one decode engine for two versions of prefill engines, with different loads.
+func TestPrefillGoesToTheVersionWhoseDecodeEnginesWaitLeast(t *testing.T) {
+	all := candidates(6, map[string]fleet.Load{"e1": {Streams: 40}, "e2": {Streams: 30}, "e3": {Streams: 10}})
+	prefill, decode := slices.Concat(all[:1], all[4:5]), all[1:4]
+	prefill[0].Version, decode[0].Version, decode[1].Version = "v1", "v1", "v1"
+	prefill[1].Version, decode[2].Version = "v2", "v2"
+	for tokens, want := range map[int]string{3999: "v2", 4001: "v1"} {
+		prefill[1].Load.PromptTokens = tokens
+		if chosen, _ := placement.ForPrefill(placement.Prompt{Tokens: 12000}, nil, prefill, decode, firstTied); chosen.Version != want {
+			t.Errorf("%d tokens queued at v2: chose %s, want %s", tokens, chosen.Version, want)
+		}
+	}
+}
