exchange: a stream that a caller takes up goes on at the version that began it

Cause: a request with a last event was placed like a new one. Nothing recorded which version began a stream. Change: the forwarder records the version of a new stream before its first event is written, and looks it up before a request that takes a stream up is placed. If the version is unknown, or none of its servers takes the request, it is refused as not run, with a reason of its own. Until a shared registry is passed in, an entry knows the streams that it began itself. The property test counted a handle as leaked if the send that named it ended without an answer. The engine may have fetched it then, and a release could hit a run; such a send now counts as the fetch. A send that was not run still has to release it.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -265,6 +265,9 @@
 // attemptUntilDone makes attempts until the caller has its response or no
 // further attempt is allowed.
 func (x *exchange) attemptUntilDone(ctx context.Context) Outcome {
+	if err := x.findOrigin(ctx); err != nil {
+		return Outcome{Result: Failed, Err: err}
+	}
 	var last error
 	for ctx.Err() == nil {
 		if x.sends > 0 && !x.mayRetry() {
@@ -354,7 +357,7 @@
 		return placement.ForCall(x.options.Zone, candidates, x.options.Random)
 	})
 	if !ok {
-		return false, errNoServer
+		return false, x.noServer()
 	}
 	x.logPlaced("call", chosen)
 	return x.send(ctx, x.newAttempt(chosen.Engine), fleet.Load{Calls: 1})
@@ -499,7 +502,7 @@
 func (x *exchange) logOutcome(o Outcome) {
 	x.options.Log.Info("request ended", "request", x.request.ID, "route", x.request.Route.Name, "result", o.Result.String(),
 		"sends", x.sends, "runs", x.runs, "first_ms", o.TimeToFirstByte.Milliseconds(), "gap_ms", o.LongestGap.Milliseconds(), "ms", time.Since(x.started).Milliseconds(),
-		"last_event", x.lastEventID, "resumes", x.request.Resumes, "until_close", x.untilClose, "unfinished_bytes", x.unfinishedBytes, "error", o.Err)
+		"last_event", x.lastEventID, "resumes", x.request.Resumes, "began_at", x.origin.version, "until_close", x.untilClose, "unfinished_bytes", x.unfinishedBytes, "error", o.Err)
 }
 
 // ServerError is the error for a backend server's response without success.
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -45,7 +45,7 @@
 	}
 	chosen, source, ok := x.chooseDecode(ctx, source)
 	if !ok {
-		return false, errNoServer
+		return false, x.noServer()
 	}
 	if err := x.checkQuarantine(); err != nil {
 		x.release(source)
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -54,7 +54,7 @@
 		if complete := completeEventsLen(pending); complete > 0 {
 			if !hasEvents {
 				hasEvents = true
-				x.origin.set(a.Engine.Version)
+				x.recordOrigin(a.Engine)
 				x.promptPrefilled()
 				x.options.Quarantine.Answered(x.request.Service.Name, x.quarantineKeys())
 			}
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -94,7 +94,7 @@
 	ErrOriginUnknown = errors.New("the version that began the stream is unknown")
 	// ErrVersionGone means that no server of the software version that began the
 	// stream takes the rest of it.
-	ErrVersionGone = errors.New("no server of the version that began the stream takes the request")
+	ErrVersionGone = fmt.Errorf("%w: none of the version that began the stream", errNoServer)
 )
 
 // Sender sends one caller's request to backend servers.
--- a/internal/protocol/exchange/version.go
+++ b/internal/protocol/exchange/version.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"context"
+
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
 )
@@ -24,3 +26,37 @@
 func (o *streamOrigin) allows(e fleet.Engine) bool {
 	return !o.known || placement.OfVersion(o.version)(e)
 }
+
+// findOrigin looks up the version that began a stream that the caller takes up. It
+// returns ErrOriginUnknown if the caller has events of an unknown version.
+func (x *exchange) findOrigin(ctx context.Context) error {
+	r := x.request
+	if r.LastEventID == "" && r.Resumes == "" {
+		return nil
+	}
+	version, found := x.options.Origins.Find(ctx, r.Service.Name, r.Resumes)
+	switch {
+	case found:
+		x.origin.set(version)
+	case r.LastEventID != "":
+		return ErrOriginUnknown
+	}
+	return nil
+}
+
+// recordOrigin records the server that is about to send the stream's first event. A
+// stream that the caller takes up began with an earlier request.
+func (x *exchange) recordOrigin(e fleet.Engine) {
+	x.origin.set(e.Version)
+	if x.timeToFirstByte == 0 && x.request.LastEventID == "" {
+		x.options.Origins.Began(x.request.Service.Name, x.request.ID, e.Version)
+	}
+}
+
+// noServer returns the error for a request without a candidate.
+func (x *exchange) noServer() error {
+	if x.origin.known {
+		return ErrVersionGone
+	}
+	return errNoServer
+}
--- a/internal/protocol/exchange/version_test.go
+++ b/internal/protocol/exchange/version_test.go
@@ -285,11 +285,15 @@
 
 func (w *versionedServers) Send(ctx context.Context, a exchange.Attempt) (*exchange.Response, error) {
 	w.check(a)
+	var err error
 	if w.random.IntN(4) == 0 {
-		return nil, w.failure()
+		err = w.failure()
 	}
-	if a.KVSource != nil {
-		delete(w.handles, a.KVSource.Handle)
+	if mayHaveRun := !errors.Is(err, exchange.ErrNotRun); mayHaveRun && a.KVSource != nil {
+		delete(w.handles, a.KVSource.Handle) // the engine fetches it
+	}
+	if err != nil {
+		return nil, err
 	}
 	from, _ := strconv.Atoi(a.LastEventID) // zero for a new stream
 	var events strings.Builder
