prefixdir: hold shared prefixes by software version

What callers saw: first events come later while two versions serve, because shared prefixes are prefilled again. Cause: the directory knew one holder of a prefix. Since prefixes are no longer fetched from another version, each change of the version made the other one's copies unknown. Change: one holder of each version; a version without a copy counts the cost of making one.

--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -9,6 +9,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefillqueue"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 )
 
 const (
@@ -92,6 +93,15 @@
 	return chosen, nil, ok
 }
 
+// engineIDs returns the IDs of engines.
+func engineIDs(engines []fleet.Engine) []string {
+	var ids []string
+	for _, e := range engines {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
 // engineID returns the ID of an engine, or "" for nil.
 func engineID(e *fleet.Engine) string {
 	if e == nil {
@@ -136,10 +146,10 @@
 		return nil, fmt.Errorf("wait for a prefill engine: %w", err)
 	}
 	prefix, prefixTokens := prompt.Shared()
-	holder, decode := x.holderOf(prefix), x.decodeEngines()
+	holders, decode := x.holdersOf(prefix), x.decodeEngines()
 	var chosen placement.PrefillChoice
 	_, ok := x.admit(func(candidates []placement.Candidate) (placement.Candidate, bool) {
-		choice, ok := placement.ForPrefill(prompt, holder, candidates, decode, x.options.Random)
+		choice, ok := placement.ForPrefill(prompt, holders, candidates, decode, x.options.Random)
 		chosen = choice
 		return choice.Candidate, ok
 	}, placement.InPhase(fleet.Prefill), placement.OfVersionAmong(decode))
@@ -157,7 +167,7 @@
 		return nil, errRetryBudget
 	}
 	x.prefillCalls++
-	x.logPlaced("prefill", chosen.Candidate, "prefix", prefix, "holder", engineID(holder), "tokens", chosen.Tokens, "fetch_from", engineID(chosen.FetchFrom),
+	x.logPlaced("prefill", chosen.Candidate, "prefix", prefix, "holders", engineIDs(holders), "tokens", chosen.Tokens, "fetch_from", engineID(chosen.FetchFrom),
 		"queued_ms", time.Since(queuedAt).Milliseconds())
 	a := x.newAttempt(chosen.Engine)
 	a.FetchFrom = chosen.FetchFrom
@@ -195,21 +205,24 @@
 	return x.openServers(placement.CanDecode)
 }
 
-// holderOf returns the engine that last prefilled a shared prefix, or nil if none
-// is known, it has restarted since, or it was not found at its address. It may
-// have failed this request or run another phase by now: its KV cache can still
-// be fetched.
-func (x *exchange) holderOf(prefix string) *fleet.Engine {
-	holding, ok := x.options.Prefixes.Holder(prefix)
-	if !ok {
-		return nil
-	}
+// holdersOf returns the engines that last prefilled a shared prefix, one of each
+// software version. It leaves out those that have restarted since or were not found
+// at their addresses. A holder may have failed this request or run another phase by
+// now: its KV cache can still be fetched.
+func (x *exchange) holdersOf(prefix string) []fleet.Engine {
+	var holders []fleet.Engine
+	known := make(map[string]prefixdir.Holding) // by version
 	for _, e := range x.options.View().Engines(x.request.Service.Name) {
+		holding, seen := known[e.Version]
+		if !seen {
+			holding, _ = x.options.Prefixes.Holder(prefix, e.Version)
+			known[e.Version] = holding
+		}
 		if e.ID == holding.Engine && e.StartedMs == holding.EngineStartedMs && x.options.Tracker.Load(e.ID).MissingEntries == 0 {
-			return &e
+			holders = append(holders, e)
 		}
 	}
-	return nil
+	return holders
 }
 
 // queueEntry returns the prompt as the prefill queue orders it.
--- a/internal/protocol/exchange/version_test.go
+++ b/internal/protocol/exchange/version_test.go
@@ -167,7 +167,7 @@
 // TestPrefixIsNotFetchedFromAnotherVersion has the holder of a shared prefix run another version than the only engines left.
 func TestPrefixIsNotFetchedFromAnotherVersion(t *testing.T) {
 	w := newFixtureOf([]fleet.Engine{prefillEngine("p1", "v1"), prefillEngine("p2", "v2"), decodeEngine("d2", "v2")}, reply{status: 200, events: true, body: "id: 1\n\n"})
-	w.prefixes.AddRemote([]prefixdir.Holding{{Part: "customer", Engine: "p1"}})
+	w.prefixes.RecordPrefill("customer", 9000, prefillEngine("p1", "v1"))
 	r := streamRequest(true, 12000)
 	r.Prompt.Parts = []placement.Part{{ID: "customer", Tokens: 9000}, {ID: "own", Tokens: 3000}}
 	w.run(t, r)
@@ -371,7 +371,7 @@
 func (w *versionedServers) run(ctx context.Context, r *exchange.Request, engines []fleet.Engine, holder fleet.Engine) {
 	c, view, origins, prefixes := clock.NewRuntime(), fleet.NewView(engines), newFakeOrigins(), prefixdir.New()
 	budget := retry.NewWindow(c, 0.2, 10*time.Second)
-	prefixes.AddRemote([]prefixdir.Holding{{Part: "shared", Engine: holder.ID}})
+	prefixes.RecordPrefill("shared", r.Prompt.Tokens/2, holder)
 	if w.required != "" {
 		origins.began["r"] = w.required
 	}
--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -223,36 +223,63 @@
 }
 
 // ForPrefill chooses the engine that would finish the prefill first, counting the
-// KV cache that a copy of the shared prefix displaces. holder is the engine that
-// last prefilled the shared prefix, or nil if none is known; it need not be a
-// candidate. Other engines of the same software version fetch the prefix from the
-// holder if it is long enough. Without a holder, the owner of the prefix is
-// preferred, so that all entries have it prefilled at the same engine. decode holds
-// the engines that may decode: the KV cache can go only to those of the chosen
-// engine's version.
-func ForPrefill(p Prompt, holder *fleet.Engine, candidates, decode []Candidate, random func(n int) int) (choice PrefillChoice, ok bool) {
+// KV cache that a copy of the shared prefix displaces. holders are the engines that
+// last prefilled the shared prefix, at most one of each software version; they need
+// not be candidates. Other engines of that version fetch the prefix from its holder
+// if it is long enough. Without a holder, the owner of the prefix is preferred, so
+// that all entries have it prefilled at the same engine. decode holds the engines that
+// may decode: the KV cache can go only to those of the chosen engine's version.
+func ForPrefill(p Prompt, holders []fleet.Engine, candidates, decode []Candidate, random func(n int) int) (choice PrefillChoice, ok bool) {
 	key, shared := p.Shared()
-	home := homeOf(key, holder, candidates)
-	waiting := decodeTokens(decode)
+	waiting, copies := decodeTokens(decode), make(map[string]float64)
+	homes := make(map[string]*fleet.Engine)
+	for _, c := range candidates {
+		if _, known := homes[c.Version]; !known {
+			homes[c.Version] = homeOf(key, holderOf(c.Version, holders), ofVersion(c.Version, candidates))
+			if len(holders) > 0 && holderOf(c.Version, holders) == nil {
+				copies[c.Version] = 1
+			}
+		}
+	}
 	chosen, ok := pickLowest(candidates, random, func(c Candidate) float64 {
 		cost := float64(c.Load.PromptTokens) + waiting[c.Version]
-		if home != nil && shared >= minFetchTokens && c.ID != home.ID {
-			cost += copyCostRatio * float64(shared)
+		if home := homes[c.Version]; home != nil && shared >= minFetchTokens {
+			made := copies[c.Version]
+			if c.ID != home.ID {
+				made++
+			}
+			cost += copyCostRatio * made * float64(shared)
 		}
 		return cost + failingPenaltyTokens*float64(min(c.Load.FailingEntries, maxFailingEntries))
 	})
 	choice = PrefillChoice{Candidate: chosen, Tokens: p.Tokens}
+	holder := holderOf(chosen.Version, holders)
 	switch {
 	case !ok || holder == nil:
 	case chosen.ID == holder.ID:
 		choice.Tokens = max(0, p.Tokens-shared)
-	case shared >= minFetchTokens && chosen.Version == holder.Version:
+	case shared >= minFetchTokens:
 		choice.Tokens = max(0, p.Tokens-shared)
 		choice.FetchFrom = holder
 	}
 	return choice, ok
 }
 
+// holderOf returns the holder of a software version, or nil.
+func holderOf(version string, holders []fleet.Engine) *fleet.Engine {
+	for _, h := range holders {
+		if h.Version == version {
+			return &h
+		}
+	}
+	return nil
+}
+
+// ofVersion returns the candidates of a software version.
+func ofVersion(version string, candidates []Candidate) []Candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Version != version })
+}
+
 // decodeTokens returns, by software version, the load of the least loaded engine in
 // prompt tokens.
 func decodeTokens(decode []Candidate) map[string]float64 {
--- a/internal/protocol/placement/placement_test.go
+++ b/internal/protocol/placement/placement_test.go
@@ -32,7 +32,7 @@
 		stays  bool
 	}{{0, true}, {19999, true}, {20001, false}} {
 		loads := map[string]fleet.Load{holder.ID: {PromptTokens: c.queued}}
-		chosen, _ := placement.ForPrefill(prompt("customer"), &holder, candidates(6, loads), nil, firstTied)
+		chosen, _ := placement.ForPrefill(prompt("customer"), []fleet.Engine{holder}, candidates(6, loads), nil, firstTied)
 		if (chosen.ID == holder.ID) != c.stays || (chosen.FetchFrom == nil) != c.stays || chosen.Tokens != 7000 {
 			t.Errorf("%d tokens queued: chose %s to prefill %d tokens and fetch from %v, want 7000 tokens at the holder: %v", c.queued, chosen.ID, chosen.Tokens, chosen.FetchFrom, c.stays)
 		}
@@ -59,7 +59,7 @@
 func TestPrefixIsFetchedFromExcludedHolder(t *testing.T) {
 	all := candidates(6, nil)
 	holder := all[2].Engine
-	chosen, _ := placement.ForPrefill(prompt("customer"), &holder, slices.Delete(all, 2, 3), nil, firstTied)
+	chosen, _ := placement.ForPrefill(prompt("customer"), []fleet.Engine{holder}, slices.Delete(all, 2, 3), nil, firstTied)
 	if chosen.ID == holder.ID || chosen.FetchFrom == nil || chosen.FetchFrom.ID != holder.ID || chosen.Tokens != 7000 {
 		t.Errorf("chose %s to prefill %d tokens and fetch from %v, want 7000 tokens fetched from the holder", chosen.ID, chosen.Tokens, chosen.FetchFrom)
 	}
@@ -71,7 +71,7 @@
 	p := placement.Prompt{Tokens: 2000, Parts: []placement.Part{{ID: "a", Tokens: 200}, {ID: "own", Tokens: 1800}}}
 	holder := candidates(6, nil)[0].Engine
 	loads := map[string]fleet.Load{holder.ID: {PromptTokens: 90000}}
-	if chosen, _ := placement.ForPrefill(p, &holder, candidates(6, loads), nil, firstTied); chosen.FetchFrom != nil || chosen.Tokens != 2000 {
+	if chosen, _ := placement.ForPrefill(p, []fleet.Engine{holder}, candidates(6, loads), nil, firstTied); chosen.FetchFrom != nil || chosen.Tokens != 2000 {
 		t.Errorf("200 tokens are fetched from %s, want no fetch", chosen.FetchFrom.ID)
 	}
 }
@@ -182,3 +182,19 @@
 		}
 	}
 }
+
+// TestPrefixIsCopiedToAnotherVersionOnlyUnderLoad fills the holder's queue up to the cost of a copy at a version that has none.
+func TestPrefixIsCopiedToAnotherVersionOnlyUnderLoad(t *testing.T) {
+	for queued, want := range map[int]string{19999: "v1", 20001: "v2"} {
+		all := candidates(2, map[string]fleet.Load{"e0": {PromptTokens: queued}})
+		all[0].Version, all[1].Version = "v1", "v2"
+		chosen, _ := placement.ForPrefill(prompt("customer"), []fleet.Engine{all[0].Engine}, all, nil, firstTied)
+		if chosen.Version != want || chosen.FetchFrom != nil {
+			t.Errorf("%d tokens queued: chose %s to fetch from %v, want %s and no fetch", queued, chosen.Version, chosen.FetchFrom, want)
+		}
+		both := []fleet.Engine{all[0].Engine, all[1].Engine}
+		if chosen, _ := placement.ForPrefill(prompt("customer"), both, all, nil, firstTied); chosen.Version != "v2" || chosen.Tokens != 7000 {
+			t.Errorf("%d tokens queued: chose %s for %d tokens, want v2, which holds the prefix too", queued, chosen.Version, chosen.Tokens)
+		}
+	}
+}
--- a/internal/protocol/prefixdir/prefixdir.go
+++ b/internal/protocol/prefixdir/prefixdir.go
@@ -27,7 +27,7 @@
 
 // Holding states that an engine prefilled a shared prefix.
 type Holding struct {
-	// Part is the key of the shared prefix.
+	// Part is the key of the shared prefix at the engine's software version.
 	Part string
 	// Engine is the engine's id.
 	Engine string
@@ -58,17 +58,26 @@
 	return &Directory{current: make(map[string]record)}
 }
 
+// keyOf returns the key of a shared prefix at one software version: the KV caches of
+// two versions don't fit together.
+func keyOf(part, version string) string {
+	if version == "" {
+		return part
+	}
+	return part + "@" + version
+}
+
 // RecordPrefill records that an engine prefilled a prefix of the given length for this
 // entry. An empty part is ignored.
 func (d *Directory) RecordPrefill(part string, tokens int, e fleet.Engine) {
 	if part == "" {
 		return
 	}
-	now := time.Now()
+	key, now := keyOf(part, e.Version), time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	known := d.get(part)
-	next := record{Holding: Holding{Part: part, Engine: e.ID, EngineStartedMs: e.StartedMs}, announced: known.announced}
+	known := d.get(key)
+	next := record{Holding: Holding{Part: key, Engine: e.ID, EngineStartedMs: e.StartedMs}, announced: known.announced}
 	repeated := known.Holding == next.Holding && now.Sub(known.announced) < reannounceInterval
 	if tokens >= minAnnouncedTokens && !repeated && len(d.pending) < maxPending {
 		d.pending = append(d.pending, next.Holding)
@@ -87,12 +96,12 @@
 	}
 }
 
-// Holder returns the holding of the engine that last prefilled a prefix; ok is
-// false if none is known.
-func (d *Directory) Holder(part string) (h Holding, ok bool) {
+// Holder returns the holding of the engine of a software version that last prefilled a
+// prefix; ok is false if none is known.
+func (d *Directory) Holder(part, version string) (h Holding, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	held := d.get(part)
+	held := d.get(keyOf(part, version))
 	return held.Holding, held.Engine != ""
 }
 
--- a/internal/role/seededentry/agent_test.go
+++ b/internal/role/seededentry/agent_test.go
@@ -137,7 +137,7 @@
 		if r := a.report("leader", false); len(r.Holdings) != 1 {
 			t.Errorf("holdings reported to the leader = %v, want one", r.Holdings)
 		}
-		if h, ok := a.prefixes.Holder("other"); !ok || h.Engine != "engine" {
+		if h, ok := a.prefixes.Holder("other", ""); !ok || h.Engine != "engine" {
 			t.Errorf("Holder(other) = %+v, %t, want engine", h, ok)
 		}
 	})
