phaseplan: each software version keeps both phases

What callers saw: first events come later while two versions serve. Cause: a prompt is prefilled and decoded at one version, but the plan chose the engines that change their phase by zone and load only, so that a version could be left with prefill engines or with decode engines alone. Evidence: TestEachVersionKeepsBothPhases on the code before: of six engines of v1 and six of v2, all in one phase, v1 got five and one, v2 two and four. Change: engines are taken from the version with the largest share of the phase first. With one version the order is as before. Result: the test passes; it failed before.

--- a/internal/protocol/phaseplan/phaseplan.go
+++ b/internal/protocol/phaseplan/phaseplan.go
@@ -45,8 +45,9 @@
 
 // Changes returns the changes that bring a service's engines to the plan. Each
 // phase keeps at least one engine; with fewer than two engines there are no
-// changes. Engines are taken from the zone with the most engines of the phase,
-// the least loaded first. Leaving engines and plain servers are not changed.
+// changes. Engines are taken from the software version with the largest share of the
+// phase, since prefill and decode of a prompt need engines of one version; then from
+// the zone with the most engines of the phase, the least loaded first. Leaving engines and plain servers are not changed.
 func (p Plan) Changes(engines []fleet.Engine, load func(engine string) fleet.Load) []Change {
 	eligible, counts := eligibleEngines(engines)
 	if len(eligible) < 2 {
@@ -92,15 +93,19 @@
 
 // nextToChange returns the engine of a phase that should change first.
 func nextToChange(engines []fleet.Engine, from fleet.Phase, load func(string) fleet.Load) fleet.Engine {
-	byZone := make(map[string]int)
+	byZone, byVersion, versionSize := make(map[string]int), make(map[string]int), make(map[string]int)
 	for _, e := range engines {
+		versionSize[e.Version]++
 		if e.Phase == from {
 			byZone[e.Zone]++
+			byVersion[e.Version]++
 		}
 	}
+	share := func(e fleet.Engine) float64 { return float64(byVersion[e.Version]) / float64(versionSize[e.Version]) }
 	candidates := slices.DeleteFunc(slices.Clone(engines), func(e fleet.Engine) bool { return e.Phase != from })
 	return slices.MinFunc(candidates, func(a, b fleet.Engine) int {
 		return cmp.Or(
+			cmp.Compare(share(b), share(a)),
 			cmp.Compare(byZone[b.Zone], byZone[a.Zone]),
 			cmp.Compare(pendingWork(load(a.ID)), pendingWork(load(b.ID))),
 			cmp.Compare(a.ID, b.ID),
--- a/internal/protocol/phaseplan/phaseplan_test.go
+++ b/internal/protocol/phaseplan/phaseplan_test.go
@@ -82,3 +82,27 @@
 		}
 	}
 }
+
+// TestEachVersionKeepsBothPhases has a release bring engines that all start in one phase.
+func TestEachVersionKeepsBothPhases(t *testing.T) {
+	for _, phase := range []fleet.Phase{fleet.Prefill, fleet.Decode} {
+		var engines []fleet.Engine
+		for i := range 12 {
+			e := fleet.Engine{ID: fmt.Sprintf("e%02d", i), Zone: fmt.Sprint("z", i%3), Version: "v1", Phase: phase, Slots: 20}
+			if i >= 6 {
+				e.Version, e.Zone = "v2", fmt.Sprint("z", i%2)
+			}
+			engines = append(engines, e)
+		}
+		counts := map[string]map[fleet.Phase]int{"v1": {phase: 6}, "v2": {phase: 6}}
+		for _, c := range phaseplan.DefaultPlan.Changes(engines, func(string) fleet.Load { return fleet.Load{} }) {
+			counts[c.Engine.Version][phase]--
+			counts[c.Engine.Version][c.Phase]++
+		}
+		for version, byPhase := range counts {
+			if byPhase[fleet.Prefill] < 3 || byPhase[fleet.Decode] < 2 {
+				t.Errorf("all in phase %v: the plan gives %s %v, want its share of both phases", phase, version, byPhase)
+			}
+		}
+	}
+}
