request: an answer goes on only at the software version that began it

What callers saw: nothing yet; found by looking for the same cause elsewhere. An answer whose engine failed went on at any engine. With two software versions its digest doesn't match at the end, and the caller gets an error instead of the rest. Cause: an engine had no way to name the version of its software. Change: load reports have an optional software version, which takes effect at once; after the first token only engines of that version are candidates. Engines that report none count as one version. An answer that a caller resumes at another entry is not covered: the entry doesn't know where it began, and the digest shows the join. Result: TestAnswerIsNotJoinedFromTwoVersions passes; without the filter an answer of v1 went on at an engine of v2.

--- a/internal/fake/fakeengine/engine.go
+++ b/internal/fake/fakeengine/engine.go
@@ -40,6 +40,8 @@
 	// WeightStore is the base URL of the weight store from which weights are
 	// pulled; if it is empty, none are pulled.
 	WeightStore string
+	// Software is the version that the engine reports; empty if it reports none.
+	Software string
 	// Slots is the maximum number of requests that run concurrently; 0 means
 	// no limit. Waiting requests are started in order of priority.
 	Slots int
@@ -147,6 +149,7 @@
 		Queued:             e.queued,
 		Running:            e.running,
 		QueuedPromptTokens: e.queuedPromptTokens,
+		Software:           e.options.Software,
 		AtUnixMilli:        time.Now().UnixMilli(),
 	}
 	e.mu.Unlock()
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -61,6 +61,9 @@
 	Running int `json:"running"`
 	// QueuedPromptTokens counts prompt tokens not yet prefilled.
 	QueuedPromptTokens int `json:"queued_prompt_tokens"`
+	// Software is the version of the engine's software. What two versions generate
+	// doesn't fit together. Empty if all engines of the model run the same version.
+	Software string `json:"software,omitempty"`
 	// AtUnixMilli is the time of the report by the engine's wall clock, in
 	// milliseconds since the Unix epoch.
 	AtUnixMilli int64 `json:"at_ms"`
--- a/internal/protocol/request/attempt.go
+++ b/internal/protocol/request/attempt.go
@@ -43,7 +43,7 @@
 	s.sent = s.sent || !errors.Is(err, backend.ErrNotSent)
 	if err == nil {
 		defer stream.Close()
-		err = s.copyTokens(stream, id, flight, dog, dispatched)
+		err = s.copyTokens(stream, id, engine.Report.Software, flight, dog, dispatched)
 	}
 	if err != nil {
 		err = fmt.Errorf("attempt %d at engine %s: %w", s.attempts, engine.Name, dog.explain(err))
@@ -87,8 +87,9 @@
 	}
 }
 
-// copyTokens writes the stream's tokens to the caller, each offset once.
-func (s *relay) copyTokens(stream backend.Stream, id string, flight *routing.InFlightRequest, dog *watchdog, dispatched clock.Instant) error {
+// copyTokens writes the stream's tokens to the caller, each offset once. software is
+// the version of the engine's software.
+func (s *relay) copyTokens(stream backend.Stream, id, software string, flight *routing.InFlightRequest, dog *watchdog, dispatched clock.Instant) error {
 	var e backend.Event
 	for {
 		if err := stream.Next(&e); err != nil {
@@ -104,6 +105,7 @@
 		case backend.KindToken:
 			if s.nextOffset == s.call.ResumeFrom {
 				s.reportFirstToken(flight, dispatched)
+				s.request.Software = &software
 			}
 			if err := s.writeToken(&e, now, stream.Pending()); err != nil {
 				return err
--- a/internal/protocol/request/fakes_test.go
+++ b/internal/protocol/request/fakes_test.go
@@ -52,7 +52,12 @@
 	// of the token at which it comes.
 	faultFor func(attempt int) (fault, int)
 
-	mu          sync.Mutex // guards attempts and openStreams
+	// software holds the versions that the engines report, by engine; empty if they
+	// report none.
+	software []string
+
+	mu          sync.Mutex // guards the fields below
+	urls        []string   // of the attempts in order
 	attempts    int
 	openStreams int
 }
@@ -61,6 +66,7 @@
 func (f *fakeEngines) Complete(ctx context.Context, url string, r *backend.CompletionRequest) (backend.Stream, error) {
 	f.mu.Lock()
 	f.attempts++
+	f.urls = append(f.urls, url)
 	kind, at := f.faultFor(f.attempts)
 	f.mu.Unlock()
 	switch kind {
@@ -187,6 +193,9 @@
 		config.Models["drafting"].Engines[fmt.Sprintf("engine-%d", i)] = settings.Engine{URL: fmt.Sprintf("http://engine-%d", i)}
 	}
 	tracker.Configure(config)
+	for i, version := range f.software {
+		tracker.ApplyReport(fmt.Sprintf("engine-%d", i), backend.LoadReport{Role: settings.RoleMixed, Software: version}, c.Now())
+	}
 	inForce := &atomic.Pointer[settings.Configuration]{}
 	inForce.Store(config)
 	return New(Options{
--- a/internal/protocol/request/request_test.go
+++ b/internal/protocol/request/request_test.go
@@ -188,3 +188,44 @@
 		}
 	})
 }
+
+// TestAnswerIsNotJoinedFromTwoVersions breaks answers while engines of another version are idle.
+func TestAnswerIsNotJoinedFromTwoVersions(t *testing.T) {
+	for name, c := range map[string]struct {
+		software []string
+		complete bool
+	}{
+		"another engine of v1":    {[]string{"v1", "v2", "v2", "v1"}, true},
+		"no other engine of v1":   {[]string{"v1", "v2", "v2"}, false},
+		"engines report none":     {[]string{"", ""}, true},
+		"only one engine reports": {[]string{"", "v2"}, false},
+	} {
+		for _, kind := range []fault{crashes, stalls, moves} {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeEngines{software: c.software, faultFor: func(int) (fault, int) { return noFault, 0 }}
+				brokenAt := ""
+				f.faultFor = func(attempt int) (fault, int) {
+					if attempt == 1 || f.urls[attempt-1] == brokenAt {
+						brokenAt = f.urls[0]
+						return kind, 3
+					}
+					return noFault, 0
+				}
+				err := f.newRunner(len(c.software)).Run(t.Context(), &Call{Prompt: "p", MaxTokens: 10}, testClass, &fakeCaller{disconnectAfter: -1})
+				if kind == crashes && (err == nil) != c.complete {
+					t.Errorf("%s, fault %d: got error %v, want a complete answer: %t", name, kind, err, c.complete)
+				}
+				for _, url := range f.urls[1:] {
+					if got, want := c.software[engineIndex(url)], c.software[engineIndex(f.urls[0])]; got != want {
+						t.Errorf("%s, fault %d: an answer of %q went on at %s of %q: %v", name, kind, want, url, got, f.urls)
+					}
+				}
+			})
+		}
+	}
+}
+
+// engineIndex returns the index of the fake engine with the given URL.
+func engineIndex(url string) int {
+	return int(url[len(url)-1] - '0')
+}
--- a/internal/protocol/routing/filter.go
+++ b/internal/protocol/routing/filter.go
@@ -24,7 +24,16 @@
 	return !slices.Contains(r.Exclude, e.Name)
 }
 
-var defaultFilters = []Filter{Accepting{}, NotExcluded{}}
+// SameSoftware drops the engines that can't go on with an answer that another
+// software version began.
+type SameSoftware struct{}
+
+// Keep implements Filter.
+func (SameSoftware) Keep(e *Engine, r *Request) bool {
+	return r.Software == nil || e.Report.Software == *r.Software
+}
+
+var defaultFilters = []Filter{Accepting{}, NotExcluded{}, SameSoftware{}}
 
 func candidates(v *ModelView, r *Request, filters []Filter) []*Engine {
 	out := make([]*Engine, 0, len(v.Engines))
--- a/internal/protocol/routing/routing.go
+++ b/internal/protocol/routing/routing.go
@@ -57,6 +57,9 @@
 	Zone string
 	// Retry is true if the request was admitted before and is being retried.
 	Retry bool
+	// Software is the software version that began the answer, or nil before its first
+	// token. Only engines of that version may go on with it.
+	Software *string
 	// Exclude names the engines that already failed this request.
 	Exclude []string
 }
--- a/internal/protocol/routing/tracker.go
+++ b/internal/protocol/routing/tracker.go
@@ -149,7 +149,7 @@
 		return
 	}
 	accepting := !e.drainRequested && !report.Draining
-	urgent := e.Role != report.Role || accepting != e.Accepting
+	urgent := e.Role != report.Role || accepting != e.Accepting || e.Report.Software != report.Software
 	if e.Report.Incarnation != report.Incarnation {
 		e.prefixes.clear(e.position)
 		e.cacheSeq = 0
