--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -41,6 +41,9 @@
 	// Quarantine holds the requests and prompt parts that no server may get. If it is
 	// nil, New creates an empty one.
 	Quarantine *quarantine.Guard
+	// Origins knows which software version began each stream. If it is nil, New
+	// creates one that knows the streams of this process.
+	Origins Origins
 	// Pace counts the streams. If it is nil, New creates a counter.
 	Pace *fleet.PaceCounter
 	// Budget returns the retry budget of a service and the slack that this
@@ -68,6 +71,9 @@
 	if o.Pace == nil {
 		o.Pace = fleet.NewPaceCounter()
 	}
+	if o.Origins == nil {
+		o.Origins = newLocalOrigins()
+	}
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.NewGuard(clock.NewRuntime())
 	}
@@ -85,9 +91,10 @@
 func (c *Forwarder) End() { c.end() }
 
 // prefillBacklog sums up the pending prompt tokens at the healthy prefill
-// engines of a service.
+// engines of a service, of the software versions that can also decode.
 func (c *Forwarder) prefillBacklog(service string) prefillqueue.Engines {
-	found := c.healthyEngines(service, placement.InPhase(fleet.Prefill))
+	decode := placement.Candidates(c.options.View().Engines(service), c.options.Tracker.Load, placement.AcceptsWork, placement.CanDecode)
+	found := c.healthyEngines(service, placement.InPhase(fleet.Prefill), placement.OfVersionAmong(decode))
 	out := prefillqueue.Engines{Count: len(found)}
 	for i, e := range found {
 		out.Tokens += e.Load.PromptTokens
@@ -185,11 +192,9 @@
 
 // capableServers returns the listed servers that can answer the request.
 func (x *exchange) capableServers() []fleet.Engine {
-	servers := x.options.View().Engines(x.request.Service.Name)
-	if x.request.Prompt == nil {
-		return servers
-	}
-	return slices.DeleteFunc(slices.Clone(servers), func(e fleet.Engine) bool { return !placement.CanDecode(e) })
+	return slices.DeleteFunc(slices.Clone(x.options.View().Engines(x.request.Service.Name)), func(e fleet.Engine) bool {
+		return !x.origin.allows(e) || x.request.Prompt != nil && !placement.CanDecode(e)
+	})
 }
 
 // exchange is the state of one request.
@@ -219,6 +224,8 @@
 	// streamBegun is set once the headers of an event stream have been
 	// written to the caller.
 	streamBegun bool
+	// origin is the software version that began the stream.
+	origin streamOrigin
 	// lastEventID is the ID of the last event written to the caller.
 	lastEventID  string
 	prefillCalls int
@@ -272,6 +279,9 @@
 // attemptUntilDone makes attempts until the caller has its response or no
 // further attempt is allowed.
 func (x *exchange) attemptUntilDone(ctx context.Context) Outcome {
+	if err := x.findOrigin(ctx); err != nil {
+		return Outcome{Result: Failed, Err: err}
+	}
 	var last error
 	for ctx.Err() == nil {
 		if x.next == nil && x.sends > 0 && !x.mayRetry() {
@@ -328,12 +338,13 @@
 }
 
 // candidates returns the engines that may get the request. Engines that have
-// failed this request, those that announced that they leave or asked for a pause,
-// and those at their rate limits are never candidates. Ejected engines and those
+// failed this request, those of another software version than the one that began
+// its stream, those that announced that they leave or asked for a pause, and those
+// at their rate limits are never candidates. Ejected engines and those
 // that other entries left out are candidates only if there are no others.
 func (x *exchange) candidates(filters ...placement.Filter) []placement.Candidate {
 	service := x.request.Service.Name
-	filters = append(filters, x.untried())
+	filters = append(filters, x.untried(), x.origin.allows)
 	if found := x.healthyEngines(service, filters...); len(found) > 0 {
 		return found
 	}
@@ -510,7 +521,7 @@
 func (x *exchange) logOutcome(o Outcome) {
 	x.options.Log.Info("request ended", "request", x.request.ID, "route", x.request.Route.Name, "result", o.Result.String(),
 		"sends", x.sends, "runs", x.runs, "first_ms", o.TimeToFirstByte.Milliseconds(), "gap_ms", o.LongestGap.Milliseconds(), "ms", time.Since(x.started).Milliseconds(),
-		"last_event", x.lastEventID, "resumes", x.request.Resumes, "written", x.timeToFirstByte > 0, "until_close", x.untilClose, "unfinished_bytes", x.unfinishedBytes, "error", o.Err)
+		"last_event", x.lastEventID, "resumes", x.request.Resumes, "began_at", x.origin.version, "written", x.timeToFirstByte > 0, "until_close", x.untilClose, "unfinished_bytes", x.unfinishedBytes, "error", o.Err)
 }
 
 // ServerError is the error for a backend server's response without success.
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -16,6 +16,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/exchange"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
@@ -79,12 +80,13 @@
 	quickPrefills int
 	handles       int
 	// view holds the listed servers.
-	view   *fleet.View
-	budget *retry.Window
+	view    *fleet.View
+	budget  *retry.Window
+	origins *fakeOrigins
+	notices *notice.Board
 }
 
 func newFixture(replies ...reply) *fixture {
-	w := &fixture{replies: replies, slack: 10, prefixes: prefixdir.New(), quarantine: quarantine.NewGuard(clock.NewRuntime())}
 	var engines []fleet.Engine
 	for i := range 3 {
 		engines = append(engines,
@@ -92,6 +94,15 @@
 			fleet.Engine{ID: fmt.Sprint("d", i), Service: "llm", Phase: fleet.Decode},
 			fleet.Engine{ID: fmt.Sprint("s", i), Service: "plain", Slots: 6})
 	}
+	return newFixtureOf(engines, replies...)
+}
+
+// newFixtureOf returns a fixture with the given servers.
+func newFixtureOf(engines []fleet.Engine, replies ...reply) *fixture {
+	w := &fixture{
+		replies: replies, slack: 10, prefixes: prefixdir.New(), quarantine: quarantine.NewGuard(clock.NewRuntime()), origins: newFakeOrigins(),
+		notices: notice.NewBoard(clock.NewRuntime()),
+	}
 	w.view = fleet.NewView(engines)
 	c := clock.NewRuntime()
 	budget := retry.NewWindow(c, 0.2, 10*time.Second)
@@ -102,6 +113,8 @@
 		Outlier:    outlier.NewSet(c),
 		Prefixes:   w.prefixes,
 		Quarantine: w.quarantine,
+		Origins:    w.origins,
+		Notices:    w.notices,
 		Budget:     func(string) (*retry.Window, float64) { return budget, w.slack },
 		Random:     func(int) int { return 0 },
 		Log:        hclog.NewNullLogger(),
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -9,6 +9,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefillqueue"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 )
 
 const (
@@ -43,16 +44,9 @@
 	if source == nil && x.prefillCalls > 0 && x.arrivedSends() == 0 && !x.spendRetry() {
 		return nil, errRetryBudget
 	}
-	zone := x.options.Zone
-	if source != nil {
-		zone = source.Engine.Zone
-	}
-	chosen, ok := x.choose(ctx, func(candidates []placement.Candidate) (placement.Candidate, bool) {
-		return placement.ForDecode(zone, candidates, x.options.Random)
-	}, placement.CanDecode)
+	chosen, source, ok := x.chooseDecode(ctx, source)
 	if !ok {
-		x.release(source)
-		return nil, errNoServer
+		return nil, x.noServer()
 	}
 	if err := x.checkQuarantine(); err != nil {
 		x.release(source)
@@ -67,6 +61,38 @@
 	return p, nil
 }
 
+// chooseDecode chooses the engine that decodes. If a prompt was prefilled at a
+// software version that has no such engine any more, its KV cache is released, and
+// an engine of another version is to prefill it again. usable is source, or nil if
+// it was released.
+func (x *exchange) chooseDecode(ctx context.Context, source *KVSource) (chosen placement.Candidate, usable *KVSource, ok bool) {
+	choose := func(zone string, filter placement.Filter) (placement.Candidate, bool) {
+		return x.choose(ctx, func(candidates []placement.Candidate) (placement.Candidate, bool) {
+			return placement.ForDecode(zone, candidates, x.options.Random)
+		}, placement.CanDecode, filter)
+	}
+	if source == nil {
+		chosen, ok = choose(x.options.Zone, x.origin.allows)
+		return chosen, nil, ok
+	}
+	same := placement.OfVersion(source.Engine.Version)
+	if chosen, ok = choose(source.Engine.Zone, same); ok {
+		return chosen, source, true
+	}
+	x.release(source)
+	chosen, ok = choose(x.options.Zone, func(e fleet.Engine) bool { return !same(e) })
+	return chosen, nil, ok
+}
+
+// engineIDs returns the IDs of engines.
+func engineIDs(engines []fleet.Engine) []string {
+	var ids []string
+	for _, e := range engines {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
 // engineID returns the ID of an engine, or "" for nil.
 func engineID(e *fleet.Engine) string {
 	if e == nil {
@@ -85,7 +111,8 @@
 // if one fails. If both results are nil, the decode engine must prefill the
 // prompt itself.
 func (x *exchange) prefill(ctx context.Context, prompt placement.Prompt) (*KVSource, error) {
-	if placement.PrefillLocally(prompt, x.candidates(placement.InPhase(fleet.Prefill))) {
+	inPhase, decodable := placement.InPhase(fleet.Prefill), placement.OfVersionAmong(x.decodeEngines())
+	if placement.PrefillLocally(prompt, x.candidates(inPhase, decodable)) || len(x.openServers(inPhase, decodable)) == 0 {
 		return nil, nil
 	}
 	for ctx.Err() == nil && len(x.failedEngines)-x.unsentAttempts <= maxRefusedSends && x.unsentAttempts <= maxUnsentAttempts {
@@ -110,13 +137,13 @@
 		return nil, fmt.Errorf("wait for a prefill engine: %w", err)
 	}
 	prefix, prefixTokens := prompt.Shared()
-	holder := x.holderOf(prefix)
+	holders, decode := x.holdersOf(prefix), x.decodeEngines()
 	var chosen placement.PrefillChoice
 	_, ok := x.admit(func(candidates []placement.Candidate) (placement.Candidate, bool) {
-		choice, ok := placement.ForPrefill(prompt, holder, candidates, x.options.Random)
+		choice, ok := placement.ForPrefill(prompt, holders, candidates, decode, x.options.Random)
 		chosen = choice
 		return choice.Candidate, ok
-	}, placement.InPhase(fleet.Prefill))
+	}, placement.InPhase(fleet.Prefill), placement.OfVersionAmong(decode))
 	if !ok {
 		grant.Release(0, false)
 		return nil, nil
@@ -131,7 +158,7 @@
 		return nil, errRetryBudget
 	}
 	x.prefillCalls++
-	x.logPlaced("prefill", chosen.Candidate, "prefix", prefix, "holder", engineID(holder), "tokens", chosen.Tokens, "fetch_from", engineID(chosen.FetchFrom),
+	x.logPlaced("prefill", chosen.Candidate, "prefix", prefix, "holders", engineIDs(holders), "tokens", chosen.Tokens, "fetch_from", engineID(chosen.FetchFrom),
 		"queued_ms", time.Since(queuedAt).Milliseconds())
 	a := x.newAttempt(chosen.Engine)
 	a.FetchFrom = chosen.FetchFrom
@@ -168,21 +195,33 @@
 	return nil, errPrefillFailed
 }
 
-// holderOf returns the engine that last prefilled a shared prefix, or nil if none
-// is known, it has restarted since, or it was not found at its address. It may
-// have failed this request or run another phase by now: its KV cache can still
-// be fetched.
-func (x *exchange) holderOf(prefix string) *fleet.Engine {
-	holding, ok := x.options.Prefixes.Holder(prefix)
-	if !ok {
-		return nil
+// decodeEngines returns the engines that may decode the prompt, which must be of the
+// software version that prefills it.
+func (x *exchange) decodeEngines() []placement.Candidate {
+	if found := x.candidates(placement.CanDecode); len(found) > 0 {
+		return found
 	}
+	return x.openServers(placement.CanDecode)
+}
+
+// holdersOf returns the engines that last prefilled a shared prefix, one of each
+// software version. It leaves out those that have restarted since or were not found
+// at their addresses. A holder may have failed this request or run another phase by
+// now: its KV cache can still be fetched.
+func (x *exchange) holdersOf(prefix string) []fleet.Engine {
+	var holders []fleet.Engine
+	known := make(map[string]prefixdir.Holding) // by version
 	for _, e := range x.options.View().Engines(x.request.Service.Name) {
+		holding, seen := known[e.Version]
+		if !seen {
+			holding, _ = x.options.Prefixes.Holder(prefix, e.Version)
+			known[e.Version] = holding
+		}
 		if e.ID == holding.Engine && e.StartedMs == holding.EngineStartedMs && x.options.Tracker.Load(e.ID).MissingEntries == 0 {
-			return &e
+			holders = append(holders, e)
 		}
 	}
-	return nil
+	return holders
 }
 
 // queueEntry returns the prompt as the prefill queue orders it.
--- a/internal/protocol/exchange/place.go
+++ b/internal/protocol/exchange/place.go
@@ -67,7 +67,7 @@
 		return placement.ForCall(x.options.Zone, candidates, x.options.Random)
 	})
 	if !ok {
-		return nil, errNoServer
+		return nil, x.noServer()
 	}
 	x.logPlaced("call", chosen)
 	return &placedAttempt{attempt: x.newAttempt(chosen.Engine), work: fleet.Load{Calls: 1}}, nil
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -26,7 +26,8 @@
 )
 
 // relayStream writes a stream's events to the caller as they arrive. It writes
-// complete events only, so that another engine can continue a broken stream.
+// complete events only, so that another engine of the same software version can
+// continue a broken stream.
 func (x *exchange) relayStream(ctx context.Context, s *startedAttempt) (done bool, err error) {
 	a, response := s.attempt, s.response
 	guard := x.guardStream(ctx, s)
@@ -49,6 +50,7 @@
 		if complete > 0 {
 			if !hasEvents {
 				hasEvents = true
+				x.recordOrigin(a.Engine)
 				s.promptPrefilled()
 				x.options.Quarantine.Answered(x.request.Service.Name, x.quarantineKeys())
 			}
--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -151,6 +151,23 @@
 	return e.Phase.Serves(fleet.Decode)
 }
 
+// OfVersion returns a filter for engines of that software version.
+func OfVersion(version string) Filter {
+	return func(e fleet.Engine) bool { return e.Version == version }
+}
+
+// OfVersionAmong returns a filter for engines of the software versions of the
+// candidates.
+func OfVersionAmong(candidates []Candidate) Filter {
+	var versions []string
+	for _, c := range candidates {
+		if !slices.Contains(versions, c.Version) {
+			versions = append(versions, c.Version)
+		}
+	}
+	return func(e fleet.Engine) bool { return slices.Contains(versions, e.Version) }
+}
+
 // Except returns a filter that drops the engines with the given ids.
 func Except(ids ...string) Filter {
 	return func(e fleet.Engine) bool {
@@ -206,22 +223,37 @@
 }
 
 // ForPrefill chooses the engine that would finish the prefill first, counting the
-// KV cache that a copy of the shared prefix displaces. holder is the engine that
-// last prefilled the shared prefix, or nil if none is known; it need not be a
-// candidate. Other engines fetch the prefix from the holder if it is long
-// enough. Without a holder, the owner of the prefix is preferred, so that all
-// entries have it prefilled at the same engine.
-func ForPrefill(p Prompt, holder *fleet.Engine, candidates []Candidate, random func(n int) int) (choice PrefillChoice, ok bool) {
+// KV cache that a copy of the shared prefix displaces. holders are the engines that
+// last prefilled the shared prefix, at most one of each software version; they need
+// not be candidates. Other engines of that version fetch the prefix from its holder
+// if it is long enough. Without a holder, the owner of the prefix is preferred, so
+// that all entries have it prefilled at the same engine. decode holds the engines that
+// may decode: the KV cache can go only to those of the chosen engine's version.
+func ForPrefill(p Prompt, holders []fleet.Engine, candidates, decode []Candidate, random func(n int) int) (choice PrefillChoice, ok bool) {
 	key, shared := p.Shared()
-	home := homeOf(key, holder, candidates)
+	waiting, copies := decodeTokens(decode), make(map[string]float64)
+	homes := make(map[string]*fleet.Engine)
+	for _, c := range candidates {
+		if _, known := homes[c.Version]; !known {
+			homes[c.Version] = homeOf(key, holderOf(c.Version, holders), ofVersion(c.Version, candidates))
+			if len(holders) > 0 && holderOf(c.Version, holders) == nil {
+				copies[c.Version] = 1
+			}
+		}
+	}
 	chosen, ok := pickLowest(candidates, random, func(c Candidate) float64 {
-		cost := float64(c.Load.PromptTokens)
-		if home != nil && shared >= minFetchTokens && c.ID != home.ID {
-			cost += copyCostRatio * float64(shared)
+		cost := float64(c.Load.PromptTokens) + waiting[c.Version]
+		if home := homes[c.Version]; home != nil && shared >= minFetchTokens {
+			made := copies[c.Version]
+			if c.ID != home.ID {
+				made++
+			}
+			cost += copyCostRatio * made * float64(shared)
 		}
 		return cost + failingPenaltyTokens*float64(min(c.Load.FailingEntries, maxFailingEntries))
 	})
 	choice = PrefillChoice{Candidate: chosen, Tokens: p.Tokens}
+	holder := holderOf(chosen.Version, holders)
 	switch {
 	case !ok || holder == nil:
 	case chosen.ID == holder.ID:
@@ -233,6 +265,34 @@
 	return choice, ok
 }
 
+// holderOf returns the holder of a software version, or nil.
+func holderOf(version string, holders []fleet.Engine) *fleet.Engine {
+	for _, h := range holders {
+		if h.Version == version {
+			return &h
+		}
+	}
+	return nil
+}
+
+// ofVersion returns the candidates of a software version.
+func ofVersion(version string, candidates []Candidate) []Candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Version != version })
+}
+
+// decodeTokens returns, by software version, the load of the least loaded engine in
+// prompt tokens.
+func decodeTokens(decode []Candidate) map[string]float64 {
+	out := make(map[string]float64)
+	for _, c := range decode {
+		tokens := float64(c.Load.Streams*tokensPerStream + c.Load.PromptTokens)
+		if least, ok := out[c.Version]; !ok || tokens < least {
+			out[c.Version] = tokens
+		}
+	}
+	return out
+}
+
 // homeOf returns the engine at which a shared prefix should be prefilled: its
 // holder if that is a candidate, and its owner otherwise. It returns nil without
 // a key or candidates.
