Start no second preparation from a timer that runs late

What callers would see: an entry process ends. Cause: a silence guard's timer that had expired before a restart could run after the restarted one was due; both then prepared, and the second to end called a function that the first had cleared. Evidence: scripts/test.sh beside other work, once: 'invalid memory address or nil pointer dereference' in silenceGuard.fire. TestLateTimerStartsNoSecondPreparation failed before. Change: no preparation begins while another one runs.

--- a/internal/protocol/exchange/silence.go
+++ b/internal/protocol/exchange/silence.go
@@ -41,8 +41,8 @@
 	mu    sync.Mutex // guards the fields below
 	timer *time.Timer
 	armed bool
-	// due is when the timer is to fire: a run of fire before it was overtaken by a
-	// restart.
+	// due is when the timer is to fire: a run of fire that was overtaken by a restart
+	// may come before it, or later.
 	due time.Time
 	// cancel and done belong to the preparation that is running, if any.
 	cancel context.CancelFunc
@@ -104,11 +104,11 @@
 }
 
 // beginPreparation returns the context of a new preparation, or nil if the guard has
-// been stopped or restarted.
+// been stopped or restarted, or another preparation is running.
 func (g *silenceGuard) beginPreparation() context.Context {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.armed || time.Now().Before(g.due) {
+	if !g.armed || g.cancel != nil || time.Now().Before(g.due) {
 		return nil
 	}
 	var ctx context.Context
--- a/internal/protocol/exchange/silenceguard_test.go
+++ b/internal/protocol/exchange/silenceguard_test.go
@@ -66,3 +66,23 @@
 	}()
 	g.stop()
 }
+
+// TestLateTimerStartsNoSecondPreparation guards against a timer that expired before a
+// restart and runs when the restarted one does.
+func TestLateTimerStartsNoSecondPreparation(t *testing.T) {
+	started := make(chan struct{}, 2)
+	g := guardSilence(context.Background(), time.Millisecond, func(ctx context.Context) func() {
+		started <- struct{}{}
+		<-ctx.Done()
+		return nil
+	}, func() {})
+	<-started
+	late := make(chan struct{})
+	go func() { g.fire(); close(late) }()
+	select {
+	case <-late:
+	case <-started:
+		t.Error("a second preparation began beside the first")
+	}
+	g.stop()
+}
