A stream that is taken up goes to the service that began it

What callers would see: on a route that is split between services, a stream taken up again is refused, or goes on at another service. Cause: found in review. The service was drawn at random for every request. Change: the service follows from the ID of the request that began the stream; it is the same at all entries, and the weights hold over many requests.

--- a/internal/protocol/route/route.go
+++ b/internal/protocol/route/route.go
@@ -3,6 +3,8 @@
 package route
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"slices"
@@ -79,6 +81,15 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
+// ServiceFor returns the service for a stream or call that began with the request of the
+// given ID. It is the same at all entries, so that a stream that is taken up again goes
+// to the service that began it, and requests are spread by the shares' weights.
+func (r *Route) ServiceFor(request string) string {
+	sum := sha256.Sum256([]byte(request))
+	const significant = 53 // bits of a float64
+	return r.Service(float64(binary.BigEndian.Uint64(sum[:])>>(64-significant)) / (1 << significant))
+}
+
 // EngineClass describes the engines of a model service.
 type EngineClass struct {
 	// Slots is the maximum batch size of an engine, in requests.
--- a/internal/protocol/route/route_test.go
+++ b/internal/protocol/route/route_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -59,3 +61,19 @@
 		}
 	}
 }
+
+// TestServiceForFollowsTheWeights guards against shares of requests that don't follow the
+// weights of their services.
+func TestServiceForFollowsTheWeights(t *testing.T) {
+	const requests, heavy = 10_000, 90
+	r := &route.Route{Shares: []route.Share{{Service: "heavy", Weight: heavy}, {Service: "light", Weight: 100 - heavy}}}
+	count := 0
+	for i := range requests {
+		if r.ServiceFor(fmt.Sprintf("%016x", i)) == "heavy" {
+			count++
+		}
+	}
+	if share := float64(count) / requests; math.Abs(share-heavy/100.0) > 0.02 {
+		t.Errorf("%.3f of the requests go to a service with a share of %.2f", share, heavy/100.0)
+	}
+}
