exchange: look up the origin of streams only

Calls have no event that another version could have sent; one with a Last-Event-Id was refused while its service had two versions. Result: packages exchange and platform (TestStreamTakenUp...) pass.

--- a/internal/protocol/exchange/version.go
+++ b/internal/protocol/exchange/version.go
@@ -5,6 +5,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 )
 
 // streamOrigin is the software version that sent the first event of a stream. What
@@ -31,7 +32,7 @@
 // returns ErrOriginUnknown if the caller has events of an unknown version.
 func (x *exchange) findOrigin(ctx context.Context) error {
 	r := x.request
-	if r.LastEventID == "" && r.Resumes == "" {
+	if r.Route.Kind != route.Streaming || r.LastEventID == "" && r.Resumes == "" {
 		return nil
 	}
 	version, found := x.options.Origins.Find(ctx, r.Service.Name, r.Resumes)
