Replace a silent attempt by a successful response only

Cause: found on reading. The silent attempt ended as soon as the other server answered, also with an error, after which nothing could follow. Evidence: cases 'error response' and 'no event stream' of TestReplacementThatRefusesCostsNoStream failed before. Change: an error response, or one that is no stream where a stream has begun, is no replacement; the silent attempt goes on. Result: the test passes, and the package with the race detector.

--- a/internal/protocol/exchange/silence.go
+++ b/internal/protocol/exchange/silence.go
@@ -218,7 +218,28 @@
 		x.discard(placed)
 		return nil, errNoServer
 	}
-	return x.start(ctx, preparing, placed)
+	s, err := x.start(ctx, preparing, placed)
+	if err != nil {
+		return nil, err
+	}
+	if err := x.checkReplacement(s); err != nil {
+		s.end()
+		x.recordFailure(preparing, s.attempt, "server error", err)
+		return nil, err
+	}
+	return s, nil
+}
+
+// checkReplacement returns an error unless the response can take the place of a silent
+// one.
+func (x *exchange) checkReplacement(s *startedAttempt) error {
+	switch {
+	case !s.response.Success:
+		return &ServerError{Status: s.response.Status, Engine: s.attempt.Engine.ID}
+	case x.streamBegun && !s.response.EventStream:
+		return errPlainResponse
+	}
+	return nil
 }
 
 // keepSilent reports, once for each attempt, that its server is silent and stays.
--- a/internal/protocol/exchange/silence_test.go
+++ b/internal/protocol/exchange/silence_test.go
@@ -132,10 +132,16 @@
 // that then refuses the request.
 func TestReplacementThatRefusesCostsNoStream(t *testing.T) {
 	notFound := fmt.Errorf("%w: %w", exchange.ErrServerNotFound, exchange.ErrNotSent)
-	for name, refusal := range map[string]error{"full": errRejected, "not found": notFound, "lost": errReset} {
+	for name, refusal := range map[string]reply{
+		"full":            {err: errRejected},
+		"not found":       {err: notFound},
+		"lost":            {err: errReset},
+		"error response":  {status: 500, body: "bad"},
+		"no event stream": {status: 200, body: "plain"},
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newFixture(pausing(silence), reply{err: refusal}, reply{err: refusal}, reply{err: refusal}, reply{err: refusal})
+				w := newFixture(pausing(silence), refusal, refusal, refusal, refusal)
 				w.view, w.slack = decoders(2), 1
 				o := w.run(t, streamRequest(true, 10))
 				if o.Result != exchange.Delivered || w.received.String() != "id: 1\n\nid: 2\n\n" || len(w.sends) != 2 {
