--- a/internal/protocol/phaseplan/phaseplan.go
+++ b/internal/protocol/phaseplan/phaseplan.go
@@ -47,7 +47,8 @@
 // phase keeps at least one engine; with fewer than two engines there are no
 // changes. Engines are taken from the software version with the largest share of the
 // phase, since prefill and decode of a prompt need engines of one version; then from
-// the zone with the most engines of the phase, the least loaded first. Leaving engines and plain servers are not changed.
+// the zone with the most engines of the phase, the least loaded first. Leaving engines
+// and plain servers are not changed.
 func (p Plan) Changes(engines []fleet.Engine, load func(engine string) fleet.Load) []Change {
 	eligible, counts := eligibleEngines(engines)
 	if len(eligible) < 2 {
