A replacement of a silent attempt is not replaced itself before it has begun

What callers would see: on routes with three attempts and more, no answer though the third server would give one, and a server that gets one request twice. Cause: found in review. The replacement had a guard of its own; what that one started was lost on the way out, and load was never taken away. Change: a replacement has no guard until it has begun; while a third attempt may follow it has limited time to begin.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -388,8 +388,9 @@
 }
 
 // start sends a placed attempt. Its response lasts as long as ctx; until the response
-// has begun, the attempt ends with waiting too.
-func (x *exchange) start(ctx, waiting context.Context, p *placedAttempt) (*startedAttempt, error) {
+// has begun, the attempt ends with waiting too. guarded is set unless the attempt is to
+// replace another one, whose guard is at work.
+func (x *exchange) start(ctx, waiting context.Context, p *placedAttempt, guarded bool) (*startedAttempt, error) {
 	a, id := p.attempt, p.attempt.Engine.ID
 	x.sends++
 	x.runs++ // unless the server proves otherwise
@@ -407,7 +408,9 @@
 		finished()
 	}
 	stopWaiting := context.AfterFunc(waiting, cancel)
-	s.guard = x.guardCall(ctx, a, cancel)
+	if guarded {
+		s.guard = x.guardCall(ctx, a, cancel)
+	}
 	var err error
 	s.response, err = x.sender.Send(attemptCtx, a)
 	stopWaiting()
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,6 +55,7 @@
 // implements exchange.Sender and exchange.Sink.
 type fixture struct {
 	replies  []reply
+	mu       sync.Mutex // guards sends while attempts overlap
 	sends    []exchange.Attempt
 	prefills []exchange.Attempt
 	// prefillErrs are the errors of the prefill calls in order; calls beyond
@@ -81,6 +83,7 @@
 	handles       int
 	// view holds the listed servers.
 	view    *fleet.View
+	tracker *fleet.Tracker
 	budget  *retry.Window
 	origins *fakeOrigins
 	notices *notice.Board
@@ -103,13 +106,13 @@
 		replies: replies, slack: 10, prefixes: prefixdir.New(), quarantine: quarantine.NewGuard(clock.NewRuntime()), origins: newFakeOrigins(),
 		notices: notice.NewBoard(clock.NewRuntime()),
 	}
-	w.view = fleet.NewView(engines)
+	w.view, w.tracker = fleet.NewView(engines), fleet.NewTracker()
 	c := clock.NewRuntime()
 	budget := retry.NewWindow(c, 0.2, 10*time.Second)
 	w.budget = budget
 	w.carrier = exchange.New(exchange.Options{
 		View:       func() *fleet.View { return w.view },
-		Tracker:    fleet.NewTracker(),
+		Tracker:    w.tracker,
 		Outlier:    outlier.NewSet(c),
 		Prefixes:   w.prefixes,
 		Quarantine: w.quarantine,
@@ -138,8 +141,10 @@
 }
 
 func (w *fixture) Send(ctx context.Context, a exchange.Attempt) (*exchange.Response, error) {
+	w.mu.Lock()
 	w.sends = append(w.sends, a)
 	r := w.replies[len(w.sends)-1]
+	w.mu.Unlock()
 	if r.err != nil {
 		return nil, r.err
 	}
--- a/internal/protocol/exchange/place.go
+++ b/internal/protocol/exchange/place.go
@@ -28,7 +28,7 @@
 		if err != nil {
 			return false, err
 		}
-		if s, err = x.start(ctx, ctx, placed); err != nil {
+		if s, err = x.start(ctx, ctx, placed, true); err != nil {
 			return false, err
 		}
 	}
--- a/internal/protocol/exchange/silence.go
+++ b/internal/protocol/exchange/silence.go
@@ -168,7 +168,7 @@
 		return nil
 	}
 	timeout := max(minStallTimeout, stallTimeoutGaps*x.request.Route.EventGap)
-	return guardSilence(ctx, timeout, x.replacing(ctx, s.attempt), func() { _ = s.response.Body.Close() })
+	return guardSilence(ctx, timeout, x.replacing(ctx, s.attempt, timeout), func() { _ = s.response.Body.Close() })
 }
 
 // guardCall returns a guard for a safe call that is being sent, or nil if it must not be
@@ -178,7 +178,8 @@
 	if r.Kind != route.Safe || r.Objective <= 0 || !x.mayReplace() {
 		return nil
 	}
-	return guardSilence(ctx, attemptTimeoutObjectives*r.Objective, x.replacing(ctx, a), abandon)
+	timeout := attemptTimeoutObjectives * r.Objective
+	return guardSilence(ctx, timeout, x.replacing(ctx, a, timeout), abandon)
 }
 
 // mayReplace reports whether another attempt may follow the one in progress.
@@ -187,12 +188,13 @@
 }
 
 // replacing returns a function that starts the next attempt while the server of another
-// one is silent. ctx is that of the exchange.
-func (x *exchange) replacing(ctx context.Context, silent Attempt) func(preparing context.Context) (undo func()) {
+// one is silent. ctx is that of the exchange. While a third attempt could follow, the next
+// one gets no more time than timeout to begin its response.
+func (x *exchange) replacing(ctx context.Context, silent Attempt, timeout time.Duration) func(preparing context.Context) (undo func()) {
 	return func(preparing context.Context) (undo func()) {
 		x.silentEngine = silent.Engine.ID
 		defer func() { x.silentEngine = "" }()
-		next, err := x.startElsewhere(ctx, preparing)
+		next, err := x.startElsewhere(ctx, preparing, timeout)
 		if err != nil {
 			if preparing.Err() == nil { // else the server has gone on, or the request has ended
 				x.keepSilent(silent.Engine.ID, err)
@@ -206,7 +208,7 @@
 
 // startElsewhere starts an attempt at another server than the silent one. It has no prompt
 // prefilled that no server can decode.
-func (x *exchange) startElsewhere(ctx, preparing context.Context) (*startedAttempt, error) {
+func (x *exchange) startElsewhere(ctx, preparing context.Context, timeout time.Duration) (*startedAttempt, error) {
 	if !x.mayReplace() || x.request.Prompt != nil && len(x.candidates(placement.CanDecode)) == 0 {
 		return nil, errNoServer
 	}
@@ -218,7 +220,12 @@
 		x.discard(placed)
 		return nil, errNoServer
 	}
-	s, err := x.start(ctx, preparing, placed)
+	if x.runs+1 < x.request.Route.MaxAttempts {
+		var cancel context.CancelFunc
+		preparing, cancel = context.WithTimeout(preparing, timeout)
+		defer cancel()
+	}
+	s, err := x.start(ctx, preparing, placed, false)
 	if err != nil {
 		return nil, err
 	}
