A silent server that is lost leaves its replacement at work

What callers saw: a stream cut, or a call failed, although another server was about to answer. When the silent attempt failed, the replacement that was being prepared was ended, counted as a run, and nothing could follow. Change: a failed attempt waits for the preparation that is running; only a server that goes on ends it.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -414,8 +414,7 @@
 	var err error
 	s.response, err = x.sender.Send(attemptCtx, a)
 	stopWaiting()
-	err = s.guard.explain(err)
-	if err != nil {
+	if err = s.guard.stopAfter(err); err != nil {
 		s.end()
 		return nil, x.sendFailed(waiting, a, err)
 	}
@@ -457,7 +456,7 @@
 	a, response := s.attempt, s.response
 	s.guard.restart()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
-	err = s.guard.explain(err)
+	err = s.guard.stopAfter(err)
 	if err == nil && len(body) > maxBodyBytes {
 		err = errors.New("response body exceeds 8 MiB")
 	}
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -44,8 +44,15 @@
 		}
 		// Stopped until the next read: a caller that reads slowly does not make the
 		// server silent.
-		if guard.stop() {
-			complete, readErr = 0, errSilent // another server has begun after the last event
+		ended := readErr == io.EOF
+		if ended {
+			readErr = checkStreamEnd(response, hasEvents || complete > 0, pending[complete:])
+		}
+		if readErr = guard.stopAfter(readErr); guard.replaced() {
+			if readErr == nil {
+				readErr = errSilent
+			}
+			complete, ended = 0, false // the replacement has begun after the last event
 		}
 		if complete > 0 {
 			if !hasEvents {
@@ -61,12 +68,9 @@
 		}
 		x.unfinishedBytes = len(pending)
 		switch {
-		case readErr == io.EOF:
-			readErr = checkStreamEnd(response, hasEvents, pending)
-			if readErr == nil {
-				x.options.Outlier.Success(a.Engine.ID)
-				return true, x.beginStream(response)
-			}
+		case ended && readErr == nil:
+			x.options.Outlier.Success(a.Engine.ID)
+			return true, x.beginStream(response)
 		case readErr == nil && len(pending) > maxEventBytes:
 			readErr = errEventTooLarge
 		}
--- a/internal/protocol/exchange/silence.go
+++ b/internal/protocol/exchange/silence.go
@@ -44,13 +44,16 @@
 	// due is when the timer is to fire: a run of fire that was overtaken by a restart
 	// may come before it, or later.
 	due time.Time
-	// cancel and done belong to the preparation that is running, if any.
+	// cancel and done belong to the preparation that is running, if any. failed is set
+	// if the attempt has failed meanwhile.
 	cancel context.CancelFunc
 	done   chan struct{}
-	// undo is set once the attempt has been abandoned for a replacement, and panicked
-	// to the reason if prepare panicked.
-	undo     func()
-	panicked any
+	failed bool
+	// undo is set once there is a replacement, and panicked to the reason if prepare
+	// panicked. abandoned is set once the attempt has been ended.
+	undo      func()
+	panicked  any
+	abandoned bool
 }
 
 // guardSilence starts a guard.
@@ -78,8 +81,10 @@
 		g.armed, g.panicked = false, panicked
 		g.abandon()
 	case undo != nil && g.armed:
-		g.armed, g.undo = false, undo
+		g.armed, g.undo, g.abandoned = false, undo, true
 		g.abandon()
+	case undo != nil && g.failed:
+		g.undo = undo
 	case undo != nil:
 		undo()
 	case g.armed:
@@ -120,16 +125,33 @@
 // stop ends the guard and waits for a preparation that is running. It reports whether
 // the attempt has been abandoned for a replacement.
 func (g *silenceGuard) stop() bool {
+	return g.end(false)
+}
+
+// fail ends the guard of an attempt that has failed with err. A preparation that is
+// running goes on and is waited for: its replacement may follow. If the attempt was
+// abandoned, the error returned matches errSilent.
+func (g *silenceGuard) fail(err error) error {
+	if g.end(true) {
+		return fmt.Errorf("%w: %w", errSilent, err)
+	}
+	return err
+}
+
+// end implements stop and fail.
+func (g *silenceGuard) end(failed bool) (abandoned bool) {
 	if g == nil {
 		return false
 	}
 	g.mu.Lock()
-	g.armed = false
+	g.armed, g.failed = false, failed
 	g.timer.Stop()
 	cancel, done := g.cancel, g.done
 	g.mu.Unlock()
 	if cancel != nil {
-		cancel()
+		if !failed {
+			cancel()
+		}
 		<-done
 	}
 	g.mu.Lock()
@@ -137,19 +159,30 @@
 	if g.panicked != nil {
 		panic(g.panicked)
 	}
+	return g.abandoned
+}
+
+// replaced reports whether there is a replacement. It may be called once the guard has
+// ended.
+func (g *silenceGuard) replaced() bool {
+	if g == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return g.undo != nil
 }
 
-// explain stops the guard and adds errSilent to the error of an attempt that has been
-// abandoned.
-func (g *silenceGuard) explain(err error) error {
-	if g.stop() && err != nil {
-		return fmt.Errorf("%w: %w", errSilent, err)
+// stopAfter ends the guard after a call that returned err.
+func (g *silenceGuard) stopAfter(err error) error {
+	if err != nil {
+		return g.fail(err)
 	}
-	return err
+	g.stop()
+	return nil
 }
 
-// restart starts a guard again that was stopped, unless the attempt has been abandoned.
+// restart starts a guard again that was stopped, unless there is a replacement.
 func (g *silenceGuard) restart() {
 	if g == nil {
 		return
