phaseplan: each software version keeps or gets an engine that decodes

What callers saw: streams that are taken up again are refused, although servers of their version are there (LOST), since none of them decodes. Cause: found in review. Engines were ranked by their version's share before the change, without a floor, and a version without a decode engine was left so once the counts were right. Change: the last engine of a version that decodes stays, and a version without one gets one; ranks are by the share after the change.

--- a/internal/protocol/phaseplan/phaseplan.go
+++ b/internal/protocol/phaseplan/phaseplan.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -47,8 +48,9 @@
 // phase keeps at least one engine; with fewer than two engines there are no
 // changes. Engines are taken from the software version with the largest share of the
 // phase, since prefill and decode of a prompt need engines of one version; then from
-// the zone with the most engines of the phase, the least loaded first. Leaving engines
-// and plain servers are not changed.
+// the zone with the most engines of the phase, the least loaded first. Each version keeps
+// or gets an engine that decodes, since no other version can continue its streams.
+// Leaving engines and plain servers are not changed.
 func (p Plan) Changes(engines []fleet.Engine, load func(engine string) fleet.Load) []Change {
 	eligible, counts := eligibleEngines(engines)
 	if len(eligible) < 2 {
@@ -80,8 +82,11 @@
 		from, to, n = fleet.Prefill, fleet.Decode, -n
 	}
 	var out []Change
-	for range n {
-		e := nextToChange(eligible, from, load)
+	change := func(candidates []fleet.Engine, to fleet.Phase) {
+		if len(candidates) == 0 {
+			return
+		}
+		e := nextToChange(eligible, candidates, load)
 		out = append(out, Change{Engine: e, Phase: to})
 		for i := range eligible {
 			if eligible[i].ID == e.ID {
@@ -89,24 +94,70 @@
 			}
 		}
 	}
+	for range n {
+		change(spareEngines(eligible, from), to)
+	}
+	for _, version := range slices.Sorted(maps.Keys(enginesByVersion(eligible))) {
+		if countVersion(eligible, version, fleet.Decode) == 0 {
+			change(ofVersion(eligible, version), fleet.Decode)
+		}
+	}
 	return out
 }
 
-// nextToChange returns the engine of a phase that should change first.
-func nextToChange(engines []fleet.Engine, from fleet.Phase, load func(string) fleet.Load) fleet.Engine {
-	byZone, byVersion, versionSize := make(map[string]int), make(map[string]int), make(map[string]int)
+// spareEngines returns the engines that may leave a phase: not the only one of its
+// version that decodes.
+func spareEngines(engines []fleet.Engine, from fleet.Phase) (out []fleet.Engine) {
+	for _, e := range engines {
+		if e.Phase == from && (from != fleet.Decode || countVersion(engines, e.Version, from) > 1) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func ofVersion(engines []fleet.Engine, version string) (out []fleet.Engine) {
+	for _, e := range engines {
+		if e.Version == version {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// countVersion counts the engines of a version in a phase.
+func countVersion(engines []fleet.Engine, version string, phase fleet.Phase) (n int) {
+	for _, e := range engines {
+		if e.Version == version && e.Phase == phase {
+			n++
+		}
+	}
+	return n
+}
+
+func enginesByVersion(engines []fleet.Engine) map[string]int {
+	out := make(map[string]int)
+	for _, e := range engines {
+		out[e.Version]++
+	}
+	return out
+}
+
+// nextToChange returns which of the candidates, which are in one phase, should change
+// first.
+func nextToChange(engines, candidates []fleet.Engine, load func(string) fleet.Load) fleet.Engine {
+	from, byZone, versionSize := candidates[0].Phase, make(map[string]int), enginesByVersion(engines)
 	for _, e := range engines {
-		versionSize[e.Version]++
 		if e.Phase == from {
 			byZone[e.Zone]++
-			byVersion[e.Version]++
 		}
 	}
-	share := func(e fleet.Engine) float64 { return float64(byVersion[e.Version]) / float64(versionSize[e.Version]) }
-	candidates := slices.DeleteFunc(slices.Clone(engines), func(e fleet.Engine) bool { return e.Phase != from })
+	shareAfter := func(e fleet.Engine) float64 {
+		return float64(countVersion(engines, e.Version, from)-1) / float64(versionSize[e.Version])
+	}
 	return slices.MinFunc(candidates, func(a, b fleet.Engine) int {
 		return cmp.Or(
-			cmp.Compare(share(b), share(a)),
+			cmp.Compare(shareAfter(b), shareAfter(a)),
 			cmp.Compare(byZone[b.Zone], byZone[a.Zone]),
 			cmp.Compare(pendingWork(load(a.ID)), pendingWork(load(b.ID))),
 			cmp.Compare(a.ID, b.ID),
--- a/internal/protocol/phaseplan/phaseplan_test.go
+++ b/internal/protocol/phaseplan/phaseplan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -106,3 +107,33 @@
 		}
 	}
 }
+
+// TestEachVersionKeepsAnEngineThatDecodes guards against plans that leave the streams of a
+// software version without an engine, in all mixes of two versions.
+func TestEachVersionKeepsAnEngineThatDecodes(t *testing.T) {
+	const most1, most2 = 8, 3
+	for i := range (most1 + 1) * (most1 + 1) * (most2 + 1) * (most2 + 1) {
+		counts := []int{i % (most1 + 1), i / (most1 + 1) % (most1 + 1), i / (most1 + 1) / (most1 + 1) % (most2 + 1), i / (most1 + 1) / (most1 + 1) / (most2 + 1)}
+		var engines []fleet.Engine
+		phases := make(map[string]fleet.Phase)
+		for kind, n := range counts {
+			for range n {
+				e := fleet.Engine{ID: fmt.Sprintf("e%02d", len(engines)), Zone: fmt.Sprint("z", len(engines)%3), Version: []string{"v1", "v2"}[kind/2], Phase: []fleet.Phase{fleet.Prefill, fleet.Decode}[kind%2], Slots: 20}
+				engines = append(engines, e)
+				phases[e.ID] = e.Phase
+			}
+		}
+		for _, c := range phaseplan.DefaultPlan.Changes(slices.Clone(engines), func(string) fleet.Load { return fleet.Load{} }) {
+			phases[c.Engine.ID] = c.Phase
+		}
+		decode := make(map[string]int)
+		for _, e := range engines {
+			decode[e.Version] += map[fleet.Phase]int{fleet.Decode: 1}[phases[e.ID]]
+		}
+		for version, n := range decode {
+			if n == 0 && len(engines) > 1 {
+				t.Errorf("prefill and decode engines of v1 and v2 %v: the plan leaves %s without one that decodes", counts, version)
+			}
+		}
+	}
+}
