origin: old files and starts of servers keep no origin unknown

What callers would see: streams of a service with one version are refused when they are taken up again, for up to 30 s (LOST). Cause: found in review. A replica that had been away restored versions that had left long ago, and entries kept records back by the starts of servers while replicas remembered a second version. Evidence: TestReplicaWithOldFileHidesNoVersion and TestStartsOfServersKeepNoRecordBack failed before. Change: files bear their time, are refreshed every 10 s and dropped after Retention; only what a process has seen itself keeps records back.

--- a/internal/protocol/origin/history.go
+++ b/internal/protocol/origin/history.go
@@ -169,6 +169,12 @@
 	return h.clock.Now().Sub(since) >= Retention
 }
 
+// watched reports whether lists have been seen for Retention, or since the system's first
+// start.
+func (h *history) watched() bool {
+	return h.known && (h.complete || h.clock.Now().Sub(h.since) >= Retention)
+}
+
 // coverageByStarts returns, for each service whose listed servers have one version
 // and a known start, since when no other version can have served: a new version's
 // servers start before those of the old one leave, so the newest start bounds the
--- a/internal/protocol/origin/memory.go
+++ b/internal/protocol/origin/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
@@ -23,6 +24,8 @@
 
 // Saved is what outlives a restart of all processes.
 type Saved struct {
+	// At is the wall-clock time of saving.
+	At time.Time
 	// Listed are the versions that were listed within Retention.
 	Listed []Version
 	// Covered are the services of which no version is missing in Listed.
@@ -109,7 +112,7 @@
 func (m *Memory) Save() Saved {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := Saved{Listed: m.history.allRecent(), Covered: m.history.allCovered()}
+	s := Saved{At: m.history.clock.Wall(), Listed: m.history.allRecent(), Covered: m.history.allCovered()}
 	for next := uint64(0); next < m.records.next(); {
 		var some []Streams
 		some, next = m.records.since(next, func(service string) bool { return !m.settled(service) })
@@ -118,11 +121,19 @@
 	return s
 }
 
-// Restore adds what was saved before a restart. Since the time in between isn't
-// known, records and versions count as new.
+// Restore adds what was saved before a restart. Records and versions count as new. What
+// was saved longer than Retention ago says nothing of streams that go on. By a clock that
+// went back, the time in between isn't known, and so not which services are covered.
 func (m *Memory) Restore(s Saved) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	age := m.history.clock.Wall().Sub(s.At)
+	if age > Retention {
+		return
+	}
+	if age < 0 {
+		s.Covered = nil
+	}
 	m.history.restore(s.Listed, s.Covered)
 	m.addStreams(s.Streams)
 }
@@ -156,8 +167,9 @@
 	return a
 }
 
-// settled reports whether a service has had one version for longer than any stream
-// lasts. m.mu must be held.
+// settled reports whether this process has seen one version of a service only, for longer
+// than any stream lasts. Evidence of the time before it doesn't count: others may have
+// seen more, and need the records. m.mu must be held.
 func (m *Memory) settled(service string) bool {
-	return m.history.covered(service) && len(m.history.recent(service)) == 1
+	return m.history.watched() && len(m.history.recent(service)) == 1
 }
--- a/internal/protocol/origin/origin_test.go
+++ b/internal/protocol/origin/origin_test.go
@@ -497,3 +497,51 @@
 		})
 	})
 }
+
+// TestReplicaWithOldFileHidesNoVersion guards against versions of an old file that keep the
+// origins of a settled service unknown.
+func TestReplicaWithOldFileHidesNoVersion(t *testing.T) {
+	c := &manualClock{now: clock.Instant(time.Hour)}
+	away, control, began, other := NewMemory(c), NewMemory(c), NewMemory(c), NewMemory(c)
+	for _, m := range []*Memory{away, control, began, other} {
+		m.SetEngines(servers("v1"))
+	}
+	c.advance(2 * Retention)
+	file := away.Save()
+	for _, m := range []*Memory{control, began, other} {
+		m.SetEngines(servers("v2"))
+	}
+	c.advance(10 * Retention)
+	back := NewMemory(c)
+	back.Restore(file)
+	back.SetEngines(servers("v2"))
+	began.Record("s", "r", "v2")
+	for _, m := range []*Memory{control, began, other} {
+		m.SetEngines(servers("v2"))
+	}
+	id := StreamID("s", "r")
+	if got, found := Resolve(other.Answer("s", id), control.Answer("s", id), back.Answer("s", id)); !found || got != "v2" {
+		t.Errorf("got %q, found %t, want v2, the only version for %v", got, found, 10*Retention)
+	}
+}
+
+// TestStartsOfServersKeepNoRecordBack guards against entries that take a service for settled
+// by its servers' starts while control replicas remember a second version.
+func TestStartsOfServersKeepNoRecordBack(t *testing.T) {
+	c := &manualClock{now: clock.Instant(time.Hour)}
+	control := NewMemory(c)
+	control.SetEngines([]fleet.Engine{c.server("v1", time.Hour), c.server("v2", time.Hour)})
+	c.advance(2 * Retention)
+	withdrawn := []fleet.Engine{c.server("v1", 2*time.Hour)}
+	control.SetEngines(withdrawn)
+	c.advance(time.Second)
+	began, other := NewMemory(c), NewMemory(c)
+	began.SetEngines(withdrawn)
+	other.SetEngines(withdrawn)
+	began.Record("s", "new", "v1")
+	control.Merge(began.Pending("control", true))
+	id := StreamID("s", "new")
+	if got, found := Resolve(other.Answer("s", id), control.Answer("s", id)); !found || got != "v1" {
+		t.Errorf("got %q, found %t, want v1, which began the stream", got, found)
+	}
+}
--- a/internal/role/controlrole/origins.go
+++ b/internal/role/controlrole/origins.go
@@ -23,7 +23,10 @@
 	// files are saved less often, so that no more than originsSaveBytes are written
 	// a second.
 	originsSaveInterval = 250 * time.Millisecond
-	originsSaveBytes    = 256 << 10
+	// originsRefreshInterval is the longest time between two savings: old files are not
+	// restored.
+	originsRefreshInterval = origin.Retention / 3
+	originsSaveBytes       = 256 << 10
 )
 
 // savedOrigins is the content of the file.
@@ -31,6 +34,8 @@
 	Listed  []savedVersion `cbor:"1,keyasint"`
 	Streams []savedStreams `cbor:"2,keyasint"`
 	Covered []string       `cbor:"3,keyasint"`
+	// AtUnixMilli is the time of saving, in milliseconds since the Unix epoch.
+	AtUnixMilli int64 `cbor:"4,keyasint"`
 }
 
 type savedVersion struct {
@@ -64,17 +69,17 @@
 // keepOrigins saves the origins of streams whenever they change, until ctx ends.
 func (s *Seeded) keepOrigins(ctx context.Context, folder disk.Folder) error {
 	origins := s.hub.Origins()
-	saved, failing := uint64(0), false
+	saved, savedAt, failing := uint64(0), time.Time{}, false
 	for pause := originsSaveInterval; clock.Sleep(ctx, pause); {
 		pause = originsSaveInterval
 		generation := origins.Generation()
-		if generation == saved {
+		if generation == saved && time.Since(savedAt) < originsRefreshInterval {
 			continue
 		}
 		size, err := saveOrigins(folder, origins.Save())
 		switch {
 		case err == nil:
-			saved = generation
+			saved, savedAt = generation, time.Now()
 		case !failing:
 			s.options.Log.Warn("origins of streams not saved; trying again", "error", err)
 		}
@@ -93,7 +98,7 @@
 
 // saveOrigins returns the size of the content.
 func saveOrigins(folder disk.Folder, s origin.Saved) (size int, err error) {
-	out := savedOrigins{Covered: s.Covered}
+	out := savedOrigins{Covered: s.Covered, AtUnixMilli: s.At.UnixMilli()}
 	for _, v := range s.Listed {
 		out.Listed = append(out.Listed, savedVersion(v))
 	}
@@ -117,7 +122,7 @@
 	if err := cbor.Unmarshal(content, &saved); err != nil {
 		return origin.Saved{}, fmt.Errorf("decode origins of streams: %w", err)
 	}
-	out := origin.Saved{Covered: saved.Covered}
+	out := origin.Saved{At: time.UnixMilli(saved.AtUnixMilli), Covered: saved.Covered}
 	for _, v := range saved.Listed {
 		out.Listed = append(out.Listed, origin.Version(v))
 	}
