--- a/internal/protocol/exchange/silence.go
+++ b/internal/protocol/exchange/silence.go
@@ -44,13 +44,16 @@
 	// due is when the timer is to fire: a run of fire that was overtaken by a restart
 	// may come before it, or later.
 	due time.Time
-	// cancel and done belong to the preparation that is running, if any.
+	// cancel and done belong to the preparation that is running, if any. failed is set
+	// if the attempt has failed meanwhile.
 	cancel context.CancelFunc
 	done   chan struct{}
-	// undo is set once the attempt has been abandoned for a replacement, and panicked
-	// to the reason if prepare panicked.
-	undo     func()
-	panicked any
+	failed bool
+	// undo is set once there is a replacement, and panicked to the reason if prepare
+	// panicked. abandoned is set once the attempt has been ended.
+	undo      func()
+	panicked  any
+	abandoned bool
 }
 
 // guardSilence starts a guard.
@@ -78,8 +81,10 @@
 		g.armed, g.panicked = false, panicked
 		g.abandon()
 	case undo != nil && g.armed:
-		g.armed, g.undo = false, undo
+		g.armed, g.undo, g.abandoned = false, undo, true
 		g.abandon()
+	case undo != nil && g.failed:
+		g.undo = undo
 	case undo != nil:
 		undo()
 	case g.armed:
@@ -120,16 +125,33 @@
 // stop ends the guard and waits for a preparation that is running. It reports whether
 // the attempt has been abandoned for a replacement.
 func (g *silenceGuard) stop() bool {
+	return g.end(false)
+}
+
+// fail ends the guard of an attempt that has failed with err. A preparation that is
+// running goes on and is waited for: its replacement may follow. If the attempt was
+// abandoned, the error returned matches errSilent.
+func (g *silenceGuard) fail(err error) error {
+	if g.end(true) {
+		return fmt.Errorf("%w: %w", errSilent, err)
+	}
+	return err
+}
+
+// end implements stop and fail.
+func (g *silenceGuard) end(failed bool) (abandoned bool) {
 	if g == nil {
 		return false
 	}
 	g.mu.Lock()
-	g.armed = false
+	g.armed, g.failed = false, failed
 	g.timer.Stop()
 	cancel, done := g.cancel, g.done
 	g.mu.Unlock()
 	if cancel != nil {
-		cancel()
+		if !failed {
+			cancel()
+		}
 		<-done
 	}
 	g.mu.Lock()
@@ -137,19 +159,30 @@
 	if g.panicked != nil {
 		panic(g.panicked)
 	}
+	return g.abandoned
+}
+
+// replaced reports whether there is a replacement. It may be called once the guard has
+// ended.
+func (g *silenceGuard) replaced() bool {
+	if g == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return g.undo != nil
 }
 
-// explain stops the guard and adds errSilent to the error of an attempt that has been
-// abandoned.
-func (g *silenceGuard) explain(err error) error {
-	if g.stop() && err != nil {
-		return fmt.Errorf("%w: %w", errSilent, err)
+// stopAfter ends the guard after a call that returned err.
+func (g *silenceGuard) stopAfter(err error) error {
+	if err != nil {
+		return g.fail(err)
 	}
-	return err
+	g.stop()
+	return nil
 }
 
-// restart starts a guard again that was stopped, unless the attempt has been abandoned.
+// restart starts a guard again that was stopped, unless there is a replacement.
 func (g *silenceGuard) restart() {
 	if g == nil {
 		return
@@ -168,7 +201,7 @@
 		return nil
 	}
 	timeout := max(minStallTimeout, stallTimeoutGaps*x.request.Route.EventGap)
-	return guardSilence(ctx, timeout, x.replacing(ctx, s.attempt), func() { _ = s.response.Body.Close() })
+	return guardSilence(ctx, timeout, x.replacing(ctx, s.attempt, timeout), func() { _ = s.response.Body.Close() })
 }
 
 // guardCall returns a guard for a safe call that is being sent, or nil if it must not be
@@ -178,7 +211,8 @@
 	if r.Kind != route.Safe || r.Objective <= 0 || !x.mayReplace() {
 		return nil
 	}
-	return guardSilence(ctx, attemptTimeoutObjectives*r.Objective, x.replacing(ctx, a), abandon)
+	timeout := attemptTimeoutObjectives * r.Objective
+	return guardSilence(ctx, timeout, x.replacing(ctx, a, timeout), abandon)
 }
 
 // mayReplace reports whether another attempt may follow the one in progress.
@@ -187,12 +221,13 @@
 }
 
 // replacing returns a function that starts the next attempt while the server of another
-// one is silent. ctx is that of the exchange.
-func (x *exchange) replacing(ctx context.Context, silent Attempt) func(preparing context.Context) (undo func()) {
+// one is silent. ctx is that of the exchange. While a third attempt could follow, the next
+// one gets no more time than timeout to begin its response.
+func (x *exchange) replacing(ctx context.Context, silent Attempt, timeout time.Duration) func(preparing context.Context) (undo func()) {
 	return func(preparing context.Context) (undo func()) {
 		x.silentEngine = silent.Engine.ID
 		defer func() { x.silentEngine = "" }()
-		next, err := x.startElsewhere(ctx, preparing)
+		next, err := x.startElsewhere(ctx, preparing, timeout)
 		if err != nil {
 			if preparing.Err() == nil { // else the server has gone on, or the request has ended
 				x.keepSilent(silent.Engine.ID, err)
@@ -206,7 +241,7 @@
 
 // startElsewhere starts an attempt at another server than the silent one. It has no prompt
 // prefilled that no server can decode.
-func (x *exchange) startElsewhere(ctx, preparing context.Context) (*startedAttempt, error) {
+func (x *exchange) startElsewhere(ctx, preparing context.Context, timeout time.Duration) (*startedAttempt, error) {
 	if !x.mayReplace() || x.request.Prompt != nil && len(x.candidates(placement.CanDecode)) == 0 {
 		return nil, errNoServer
 	}
@@ -218,7 +253,33 @@
 		x.discard(placed)
 		return nil, errNoServer
 	}
-	return x.start(ctx, preparing, placed)
+	if x.runs+1 < x.request.Route.MaxAttempts {
+		var cancel context.CancelFunc
+		preparing, cancel = context.WithTimeout(preparing, timeout)
+		defer cancel()
+	}
+	s, err := x.start(ctx, preparing, placed, false)
+	if err != nil {
+		return nil, err
+	}
+	if err := x.checkReplacement(s); err != nil {
+		s.end()
+		x.recordFailure(preparing, s.attempt, "server error", err)
+		return nil, err
+	}
+	return s, nil
+}
+
+// checkReplacement returns an error unless the response can take the place of a silent
+// one.
+func (x *exchange) checkReplacement(s *startedAttempt) error {
+	switch {
+	case !s.response.Success:
+		return &ServerError{Status: s.response.Status, Engine: s.attempt.Engine.ID}
+	case x.streamBegun && !s.response.EventStream:
+		return errPlainResponse
+	}
+	return nil
 }
 
 // keepSilent reports, once for each attempt, that its server is silent and stays.
