--- a/internal/protocol/exchange/silence.go
+++ b/internal/protocol/exchange/silence.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// A repeatable stream whose server sends no event may move to another server
+	// For a repeatable stream whose server sends no event another server is looked for
 	// after minStallTimeout or stallTimeoutGaps times the route's event gap,
 	// whichever is longer. Callers disconnect after two seconds or eight times that
 	// gap, and the next server needs part of that time.
--- a/internal/role/controlrole/origins.go
+++ b/internal/role/controlrole/origins.go
@@ -23,10 +23,10 @@
 	// files are saved less often, so that no more than originsSaveBytes are written
 	// a second.
 	originsSaveInterval = 250 * time.Millisecond
+	originsSaveBytes    = 256 << 10
 	// originsRefreshInterval is the longest time between two savings: old files are not
 	// restored.
 	originsRefreshInterval = origin.Retention / 3
-	originsSaveBytes       = 256 << 10
 )
 
 // savedOrigins is the content of the file.
@@ -66,7 +66,8 @@
 	s.options.Log.Info("origins of streams restored", "versions", len(saved.Listed), "streams", countStreams(saved))
 }
 
-// keepOrigins saves the origins of streams whenever they change, until ctx ends.
+// keepOrigins saves the origins of streams whenever they change, and as long as they
+// don't every originsRefreshInterval, until ctx ends.
 func (s *Seeded) keepOrigins(ctx context.Context, folder disk.Folder) error {
 	origins := s.hub.Origins()
 	saved, savedAt, failing := uint64(0), time.Time{}, false
