--- a/internal/protocol/exchange/silence.go
+++ b/internal/protocol/exchange/silence.go
@@ -28,7 +28,7 @@
 //
 // prepare runs in a goroutine of its own and uses the state of the exchange. The
 // goroutine of the exchange must not, from the start of a blocking call to the server
-// until stop has returned.
+// until stop or fail has returned.
 type silenceGuard struct {
 	parent  context.Context
 	timeout time.Duration
@@ -95,7 +95,7 @@
 	close(g.done)
 }
 
-// tryPrepare calls prepare and returns the reason if that panics, which stop passes on:
+// tryPrepare calls prepare and returns the reason if that panics, which end passes on:
 // a panic in the goroutine of a timer would end the process.
 func (g *silenceGuard) tryPrepare(ctx context.Context) (undo func(), panicked any) {
 	defer func() { panicked = recover() }()
--- a/internal/protocol/origin/memory.go
+++ b/internal/protocol/origin/memory.go
@@ -30,7 +30,8 @@
 	Listed []Version
 	// Covered are the services of which no version is missing in Listed.
 	Covered []string
-	// Streams are the streams of services with more than one version.
+	// Streams are the streams of services of which more than one version may have been
+	// seen.
 	Streams []Streams
 }
 
@@ -62,7 +63,7 @@
 	defer m.mu.Unlock()
 	id := StreamID(service, request)
 	m.records.add(Version{Service: service, Version: version}, id)
-	shared = id != 0 && !m.settled(service)
+	shared = id != 0 && !m.seenOneVersion(service)
 	if shared {
 		m.generation++
 	}
@@ -115,7 +116,7 @@
 	s := Saved{At: m.history.clock.Wall(), Listed: m.history.allRecent(), Covered: m.history.allCovered()}
 	for next := uint64(0); next < m.records.next(); {
 		var some []Streams
-		some, next = m.records.since(next, func(service string) bool { return !m.settled(service) })
+		some, next = m.records.since(next, func(service string) bool { return !m.seenOneVersion(service) })
 		s.Streams = append(s.Streams, some...)
 	}
 	return s
@@ -140,14 +141,14 @@
 
 // Pending returns the streams that a peer doesn't have yet, which the caller must
 // send to it; first is set for the first message over a connection. Streams of a
-// service with one version are left out.
+// service of which only one version was seen for Retention are left out.
 func (m *Memory) Pending(peer string, first bool) []Streams {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if first {
 		delete(m.peers, peer)
 	}
-	pending, next := m.records.since(m.peers[peer], func(service string) bool { return !m.settled(service) })
+	pending, next := m.records.since(m.peers[peer], func(service string) bool { return !m.seenOneVersion(service) })
 	m.peers[peer] = next
 	return pending
 }
@@ -167,9 +168,9 @@
 	return a
 }
 
-// settled reports whether this process has seen one version of a service only, for longer
-// than any stream lasts. Evidence of the time before it doesn't count: others may have
-// seen more, and need the records. m.mu must be held.
-func (m *Memory) settled(service string) bool {
+// seenOneVersion reports whether this process has seen one version of a service only, for
+// longer than any stream lasts. Evidence of the time before it doesn't count: others may
+// have seen more, and need the records. m.mu must be held.
+func (m *Memory) seenOneVersion(service string) bool {
 	return m.history.watched() && len(m.history.recent(service)) == 1
 }
--- a/internal/protocol/phaseplan/phaseplan_test.go
+++ b/internal/protocol/phaseplan/phaseplan_test.go
@@ -84,8 +84,9 @@
 	}
 }
 
-// TestEachVersionKeepsBothPhases has a release bring engines that all start in one phase.
-func TestEachVersionKeepsBothPhases(t *testing.T) {
+// TestEachVersionGetsItsShareOfBothPhases has a release bring engines that all start in one
+// phase.
+func TestEachVersionGetsItsShareOfBothPhases(t *testing.T) {
 	for _, phase := range []fleet.Phase{fleet.Prefill, fleet.Decode} {
 		var engines []fleet.Engine
 		for i := range 12 {
