Incomplete lists drop neither rate limits nor versions of engines in use

What callers would see: while pages of the list are damaged, a server gets more requests than it announced to take (LIMIT), or a version that serves is forgotten. Cause: found on reading. Engines that an incomplete list doesn't name stay in use, but a control replica dropped their rate limits once these were a minute old, and their versions with the second such list. Evidence: TestIncompleteListsForgetNothingOfEnginesInUse on the code before: 'got rate limits [], want that of the engine that isn't named', and v1 listed anew. Change: a control replica keeps the engines in use over incomplete lists, and judges by these. Result: the test passes, and the package with the race detector.

--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -106,6 +106,9 @@
 	droppedHoldings int
 	// rateLimits holds the rate limits of servers.
 	rateLimits *ratelimit.Register
+	// known are the engines in use: those of the newest list and, if that is
+	// incomplete, those that it doesn't name and that were known before.
+	known []fleet.Engine
 }
 
 // reportedHolding is a holding and the watch of the entry that reported it.
@@ -187,9 +190,13 @@
 	})
 }
 
-// SetEngines replaces the list of engines.
+// SetEngines replaces the list of engines. It must not be called concurrently.
 func (h *FleetHub) SetEngines(list fleet.List) {
-	h.recordVersions(list)
+	h.mu.Lock()
+	known := list.Over(h.known)
+	h.known = known
+	h.mu.Unlock()
+	h.recordVersions(known)
 	next := &engineList{incomplete: list.Incomplete}
 	for _, e := range list.Engines {
 		next.engines = append(next.engines, fromEngine(e))
@@ -198,12 +205,12 @@
 		return
 	}
 	h.engines.Store(next)
-	listed := make(map[string]bool, len(list.Engines))
-	for _, e := range list.Engines {
-		listed[e.Incarnation()] = true
+	incarnations := make(map[string]bool, len(known))
+	for _, e := range known {
+		incarnations[e.Incarnation()] = true
 	}
 	h.mu.Lock()
-	h.rateLimits.Retain(func(server string) bool { return listed[server] })
+	h.rateLimits.Retain(func(server string) bool { return incarnations[server] })
 	h.mu.Unlock()
 	h.wakeAll()
 }
--- a/internal/transport/peergrpc/fleethub_test.go
+++ b/internal/transport/peergrpc/fleethub_test.go
@@ -349,3 +349,26 @@
 		t.Error("an engine with another software version counts as unchanged")
 	}
 }
+
+// TestIncompleteListsForgetNothingOfEnginesInUse guards against dropping the rate limit and
+// the software version of an engine that incomplete lists don't name.
+func TestIncompleteListsForgetNothingOfEnginesInUse(t *testing.T) {
+	h := newTestHub()
+	named, unnamed := fleet.Engine{ID: "named", Version: "v2"}, fleet.Engine{ID: "unnamed", Version: "v1"}
+	h.SetEngines(fleet.List{Engines: []fleet.Engine{named, unnamed}})
+	reporter, other := &entryWatch{}, &entryWatch{}
+	h.add(reporter, EntryInfo{Name: "reporter"})
+	limit := ratelimit.Announcement{Server: unnamed.Incarnation(), Limit: ratelimit.Limit{Limited: true, PerSecond: 2}, Age: time.Hour}
+	h.handleReport(reporter, fromReport(Report{RateLimits: []ratelimit.Announcement{limit}}))
+	for range 2 {
+		h.SetEngines(fleet.List{Engines: []fleet.Engine{named}, Incomplete: true})
+	}
+	h.add(other, EntryInfo{Name: "other"})
+	message, _ := h.update(other, sentState{})
+	if got := message.GetRateLimits(); len(got) != 1 || got[0].GetServer() != unnamed.Incarnation() {
+		t.Errorf("got rate limits %v, want that of the engine that isn't named", got)
+	}
+	if changes := h.origins.SetEngines([]fleet.Engine{named, unnamed}); len(changes) != 0 {
+		t.Errorf("versions changed with the next complete list: %+v, want none", changes)
+	}
+}
--- a/internal/transport/peergrpc/streamorigin.go
+++ b/internal/transport/peergrpc/streamorigin.go
@@ -19,29 +19,13 @@
 // trips within a region, and time to open connections.
 const streamOriginTimeout = 250 * time.Millisecond
 
-// recordVersions records which software versions are listed. Those that an incomplete
-// list doesn't name are taken as still there.
-func (h *FleetHub) recordVersions(list fleet.List) {
-	for _, c := range h.origins.SetEngines(list.Over(h.listedEngines())) {
+// recordVersions records the software versions of the engines in use.
+func (h *FleetHub) recordVersions(engines []fleet.Engine) {
+	for _, c := range h.origins.SetEngines(engines) {
 		h.options.Log.Info("software version of a service", "service", c.Service, "version", c.Version.Version, "listed", c.Listed, "others", c.Others)
 	}
 }
 
-// listedEngines returns the engines of the newest list.
-func (h *FleetHub) listedEngines() []fleet.Engine {
-	held := h.engines.Load()
-	if held == nil {
-		return nil
-	}
-	out := make([]fleet.Engine, 0, len(held.engines))
-	for _, e := range held.engines {
-		if engine, err := toEngine(e); err == nil { // they were encoded here
-			out = append(out, engine)
-		}
-	}
-	return out
-}
-
 // Origins returns what the replica knows of the software versions that began streams.
 func (h *FleetHub) Origins() *origin.Memory { return h.origins }
 
