Free the vote of a leaving or dead voter within catchUpS

Cause: a learner replaced a voter only after 5 s without an answer, a constant, although the deployment's catchUpS is 4 s. The removed machine was still one of three voters when the second one lost its data. An election restarted the 5 s, and a voter that was shutting down kept its vote.

Change: a vote is free after a third of catchUpS without an answer; the election that a dead leader causes doesn't restart that time. On SIGTERM a voter hands its vote over to a learner that has caught up, which is promoted first. A removed replica learns of its removal and asks to join again. Requests to join go to all known replicas at once. "members changed" is logged.

--- a/internal/coordination/raft/core.go
+++ b/internal/coordination/raft/core.go
@@ -37,7 +37,8 @@
 	// IsSettings reports whether a command is a settings command.
 	IsSettings func(command []byte) bool
 	// MaxVoters limits the number of voters; zero means no limit. Further
-	// replicas stay learners until a voter has to be replaced.
+	// replicas stay learners until a voter has to be replaced. While a leaving voter
+	// is replaced there is one more.
 	MaxVoters int
 }
 
@@ -64,6 +65,10 @@
 	// before its last restart.
 	noVoteBefore clock.Instant
 	electionAt   clock.Instant
+	// heardLeaderID is the leader that this replica heard from last, and heardLeaderAt
+	// the instant at which it did. They outlive an election.
+	heardLeaderID uint64
+	heardLeaderAt clock.Instant
 	// votes holds the voters that granted their vote in the current campaign.
 	votes map[uint64]bool
 
@@ -162,6 +167,8 @@
 		c.handleTimeoutNow(now)
 	case MsgRead:
 		c.handleRead(now, m)
+	case MsgLeaving:
+		c.handleLeaving(now, m)
 	case MsgReadReply:
 		c.pending.Reads = append(c.pending.Reads, ReadResult{ID: m.ReadID, Index: m.Index})
 	}
@@ -226,6 +233,7 @@
 		c.becomeFollower(now, c.term, m.From)
 	}
 	c.leaderID = m.From
+	c.heardLeaderID, c.heardLeaderAt = m.From, now
 	c.noVoteBefore = max(c.noVoteBefore, now.Add(c.timing.ElectionTimeout))
 	c.resetElectionTimer(now)
 }
--- a/internal/coordination/raft/core_test.go
+++ b/internal/coordination/raft/core_test.go
@@ -34,6 +34,18 @@
 	})
 }
 
+// TestRaftPropertiesWithLearners checks the same properties while learners replace
+// voters that leave, don't respond or are lost for good.
+func TestRaftPropertiesWithLearners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 5}).Draw(t, "replicas")
+		seeds := rapid.SliceOfN(rapid.Uint64(), 2, 2).Draw(t, "seeds")
+		if err := newBoundedSim(n, n, noFault).run(drawSchedule(seeds[0], seeds[1])); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 func TestChecksDetectInjectedFaults(t *testing.T) {
 	for name, f := range map[string]fault{
 		"acknowledge before sync": ackBeforeSync,
--- a/internal/coordination/raft/election.go
+++ b/internal/coordination/raft/election.go
@@ -6,7 +6,12 @@
 // starting a new term (dissertation, section 9.6).
 func (c *Core) startPreVote(now clock.Instant) {
 	c.resetElectionTimer(now)
-	if !c.isVoter() || now.Before(c.noVoteBefore) {
+	if !c.isVoter() {
+		// A replica that was removed must notice that no leader contacts it.
+		c.leaderID = 0
+		return
+	}
+	if now.Before(c.noVoteBefore) {
 		return
 	}
 	c.role = preCandidate
--- a/internal/coordination/raft/leader.go
+++ b/internal/coordination/raft/leader.go
@@ -34,6 +34,9 @@
 	acked       bool
 	ackedSentAt clock.Instant
 	ackedRound  uint64
+	// leavingUntil is the end of the time in which the replica counts as shutting
+	// down. It is zero if the replica has not said so.
+	leavingUntil clock.Instant
 }
 
 // pendingRead is a read that waits for a heartbeat round to be acknowledged by
@@ -216,7 +219,7 @@
 	}
 	c.leaderState.heartbeatAt = now.Add(c.timing.Heartbeat)
 	c.broadcastHeartbeat(now)
-	c.promoteLearner(now)
+	c.reviseVoters(now)
 }
 
 func (c *Core) handleAppendReply(now clock.Instant, m Message) {
--- a/internal/coordination/raft/learner_test.go
+++ b/internal/coordination/raft/learner_test.go
@@ -108,3 +108,66 @@
 		}
 	})
 }
+
+// TestLeavingVoterHandsOverVote stops a voter by signal while a learner is ready,
+// and loses another disk at once. The group must keep its quorum and the committed
+// changes.
+func TestLeavingVoterHandsOverVote(t *testing.T) {
+	for _, role := range []string{"leader", "follower"} {
+		t.Run(role, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newLearnerGroup(t)
+				submit(t, g, "0")
+				leaving := g.Leader()
+				if role == "follower" {
+					leaving = votingFollower(g)
+				}
+				g.StopGracefully(leaving)
+				submit(t, g, "1")
+				if voters := g.Node(g.Leader()).View().Voters; len(voters) != 3 {
+					t.Errorf("%d voters after one has left, want 3", len(voters))
+				}
+				lost := g.Leader()
+				g.LoseDisk(lost)
+				g.Restart(lost)
+				submit(t, g, "2")
+				if missing := countMissingKeys(t, g, g.Leader(), 3); missing > 0 {
+					t.Errorf("%d of 3 changes are missing", missing)
+				}
+			})
+		})
+	}
+}
+
+// TestElectionKeepsSilenceOfDeadLeader kills the leader. The election must not
+// restart the time after which a learner replaces it.
+func TestElectionKeepsSilenceOfDeadLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newLearnerGroup(t)
+		dead := g.Leader()
+		id := g.Node(dead).View().ReplicaID
+		g.Kill(dead)
+		time.Sleep(voterReplacementTimeout + 500*time.Millisecond)
+		if voters := g.Node(g.Leader()).View().Voters; len(voters) != 3 || slices.Contains(voters, id) {
+			t.Errorf("voters are %x, want three without the dead leader %x", voters, id)
+		}
+	})
+}
+
+// TestReplacedVoterRejoins freezes a voter until the learner replaces it. Once it
+// resumes it must find out and join again, although it knew a leader.
+func TestReplacedVoterRejoins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timing := raft.DefaultTiming
+		timing.VoterReplacementTimeout = voterReplacementTimeout
+		g := fakegroup.New(t, fakegroup.Options{Replicas: 4, Voters: 3, Timing: timing, RejoinAfter: time.Second})
+		frozen := votingFollower(g)
+		g.Freeze(frozen)
+		time.Sleep(voterReplacementTimeout + 2*time.Second)
+		g.Thaw(frozen)
+		time.Sleep(5 * time.Second)
+		if members, err := g.Node(g.Leader()).Members(t.Context()); err != nil || len(members) != 4 {
+			t.Errorf("got members %v, error %v, want 4 members and no error", members, err)
+		}
+	})
+}
--- a/internal/coordination/raft/node.go
+++ b/internal/coordination/raft/node.go
@@ -223,6 +223,27 @@
 	}
 }
 
+// Leave hands this replica's vote over to a caught-up learner, if the group has
+// one that doesn't vote. It returns when that is done or not possible, or after
+// two election timeouts. A leader must transfer its leadership first.
+func (n *Node) Leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 2*n.options.Timing.ElectionTimeout)
+	defer cancel()
+	ticker := time.NewTicker(n.options.Timing.Heartbeat)
+	defer ticker.Stop()
+	for {
+		pending := false
+		if err := n.runInLoop(ctx, func(clock.Instant) { pending = n.core.Leave() }); err != nil || !pending {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // transferPollsPerHeartbeat is the number of checks for a new leader per
 // heartbeat interval.
 const transferPollsPerHeartbeat = 10
@@ -254,9 +275,13 @@
 	c := n.core
 	newest := c.log.newestMembers()
 	leaderMember, _ := newest.members.find(c.leaderID)
-	if old := n.view.Load(); old != nil && old.LeaderID != c.leaderID {
+	old := n.view.Load()
+	if old != nil && old.LeaderID != c.leaderID {
 		n.options.Log.Info("leader changed", "term", c.term, "leader", leaderMember.Name, "address", leaderMember.Address)
 	}
+	if old != nil && old.VotersIndex != newest.index {
+		n.options.Log.Info("members changed", "index", newest.index, "voters", newest.members.names(true), "learners", newest.members.names(false))
+	}
 	n.view.Store(&replog.View{
 		ReplicaID:        n.options.ID,
 		ClusterID:        n.options.ClusterID,
--- a/internal/coordination/raft/sim_test.go
+++ b/internal/coordination/raft/sim_test.go
@@ -63,7 +63,10 @@
 // sim runs cores with a random schedule of events. After each event it checks
 // the properties in figure 3 of the Raft paper, and that leases don't overlap.
 type sim struct {
-	fault          fault
+	fault fault
+	// maxVoters is CoreOptions.MaxVoters. If it is set, machines are also replaced by
+	// others of another name, and voters hand over their vote.
+	maxVoters      int
 	now            clock.Instant
 	replicas       []*simReplica
 	bootstrapEntry Entry
@@ -83,9 +86,17 @@
 	err         error
 }
 
+// newSim returns a group of n voters whose number of voters has no limit.
 func newSim(n int, f fault) *sim {
+	return newBoundedSim(n, 0, f)
+}
+
+// newBoundedSim returns a group of n voters with a limit on their number; zero
+// means no limit.
+func newBoundedSim(n, maxVoters int, f fault) *sim {
 	s := &sim{
 		fault:     f,
+		maxVoters: maxVoters,
 		rand:      rand.New(rand.NewPCG(1, 2)),
 		leaders:   make(map[uint64]uint64),
 		committed: make(map[uint64]Entry),
@@ -119,6 +130,9 @@
 	if s.fault == noLeaseMargin {
 		timing.LeaseMargin = 0
 	}
+	if s.maxVoters > 0 {
+		timing.VoterReplacementTimeout = 2 * timing.ElectionTimeout
+	}
 	return timing
 }
 
@@ -130,6 +144,7 @@
 		Timing:     s.timing(),
 		Rand:       s.rand,
 		IsSettings: func([]byte) bool { return false },
+		MaxVoters:  s.maxVoters,
 	}, StoredState{HardState: r.state, Snapshot: r.snapshot, Entries: r.entries}, r.localTime(s.now))
 	if err != nil {
 		s.fail("start: %v", err)
@@ -276,11 +291,12 @@
 	case how%2 == 0 && s.fault != voteAfterAmnesia && s.canLoseDisk():
 		r.diskLost = true
 		member, _ := r.core.Members().find(r.core.id)
-		s.replicas = append(s.replicas, &simReplica{clockRate: s.drawClockRate()})
-		s.start(len(s.replicas) - 1)
-		added := s.replicas[len(s.replicas)-1]
-		added.member = Member{ID: uint64(len(s.replicas)), Name: member.Name}
-		s.addLearner(added.member)
+		if s.maxVoters > 0 && how%4 == 0 {
+			member.Name = fmt.Sprint(len(s.replicas)) // replaced by another machine
+		}
+		s.addReplica(member.Name)
+	case s.maxVoters > 0 && how%8 == 1 && len(s.replicas) < maxSimReplicas:
+		s.addReplica(fmt.Sprint(len(s.replicas)))
 	case how%2 == 0 && s.fault == voteAfterAmnesia:
 		*r = *s.newReplica()
 		s.start(i)
@@ -292,6 +308,19 @@
 	}
 }
 
+// maxSimReplicas limits the replicas that join in addition to those that replace a
+// lost one.
+const maxSimReplicas = 16
+
+// addReplica starts a replica with an empty disk, which asks to join the group.
+func (s *sim) addReplica(name string) {
+	s.replicas = append(s.replicas, &simReplica{clockRate: s.drawClockRate()})
+	s.start(len(s.replicas) - 1)
+	added := s.replicas[len(s.replicas)-1]
+	added.member = Member{ID: uint64(len(s.replicas)), Name: name}
+	s.addLearner(added.member)
+}
+
 // addLearner proposes a new replica to every replica; a leader adds it.
 func (s *sim) addLearner(added Member) {
 	for _, r := range s.replicas {
@@ -302,7 +331,7 @@
 	}
 }
 
-// housekeeping transfers leadership, compacts the log, or, for a replica that
+// housekeeping transfers leadership or the vote, compacts the log, or, for a replica that
 // has no membership yet, repeats its request to join.
 func (s *sim) housekeeping(i, how int) {
 	r := s.replicas[i]
@@ -310,6 +339,8 @@
 	case r.diskLost:
 	case len(r.core.Members()) == 0:
 		s.addLearner(r.member)
+	case s.maxVoters > 0 && how%3 == 0:
+		r.core.Leave()
 	case how%2 == 0:
 		r.core.TransferLeadership(r.localTime(s.now))
 		if s.fault == noTransferWait {
--- a/internal/coordination/raft/types.go
+++ b/internal/coordination/raft/types.go
@@ -107,6 +107,8 @@
 	MsgRead
 	// MsgReadReply answers MsgRead.
 	MsgReadReply
+	// MsgLeaving tells the leader that the sender, a voter, is shutting down.
+	MsgLeaving
 )
 
 // Message is sent from one replica to another. Receivers must not modify it.
@@ -198,7 +200,8 @@
 	// that run at different rates.
 	LeaseMargin time.Duration
 	// VoterReplacementTimeout is the time without a reply after which a voter
-	// may be replaced by a caught-up learner. Zero means never.
+	// may be replaced by a caught-up learner. Zero means that only learners of the
+	// same name replace voters.
 	VoterReplacementTimeout time.Duration
 }
 
@@ -246,6 +249,17 @@
 	return out
 }
 
+// names returns the names of the voters, or of the learners.
+func (m Members) names(voters bool) []string {
+	var out []string
+	for _, member := range m {
+		if member.Voter == voters {
+			out = append(out, member.Name)
+		}
+	}
+	return out
+}
+
 // addresses returns the peer addresses of all members.
 func (m Members) addresses() []string {
 	out := make([]string, 0, len(m))
@@ -270,6 +284,11 @@
 	return slices.DeleteFunc(slices.Clone(m), drop)
 }
 
+// withoutID returns a copy without the member with the given ID.
+func (m Members) withoutID(id uint64) Members {
+	return m.without(func(member Member) bool { return member.ID == id })
+}
+
 // with returns a copy in which the given member is added or replaced.
 func (m Members) with(added Member) Members {
 	out := m.without(func(member Member) bool { return member.ID == added.ID })
--- a/internal/fake/fakegroup/group.go
+++ b/internal/fake/fakegroup/group.go
@@ -48,6 +48,9 @@
 	SegmentBytes int
 	// Voters is the maximum number of voters; the default is no limit.
 	Voters int
+	// RejoinAfter is the time without a known leader after which a replica asks to
+	// join again, because it may have been removed; the default is never.
+	RejoinAfter time.Duration
 }
 
 func (o *Options) setDefaults() {
@@ -112,6 +115,17 @@
 	return g
 }
 
+// Add starts a new replica, which joins the group, and returns its number.
+func (g *Group) Add() int {
+	g.t.Helper()
+	g.mu.Lock()
+	i := len(g.replicas)
+	g.replicas = append(g.replicas, &replica{disk: memdisk.New(g.options.Seed + uint64(i)), identity: identityOf(i, 0)})
+	g.mu.Unlock()
+	g.Restart(i)
+	return i
+}
+
 // identityOf returns the identity of a replica after the given number of disk
 // losses.
 func identityOf(i int, losses uint64) raftstore.Identity {
@@ -140,7 +154,9 @@
 
 // Size returns the number of replicas, whether they run or not.
 func (g *Group) Size() int {
-	return g.options.Replicas
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.replicas)
 }
 
 // Clock returns the clock that all replicas share. It never blocks.
--- a/internal/fake/fakegroup/process.go
+++ b/internal/fake/fakegroup/process.go
@@ -190,16 +190,27 @@
 }
 
 // join asks the leader to add the replica, again and again until it is a member
-// or its process has ended.
+// or its process has ended. With Options.RejoinAfter it goes on as long as the process
+// runs.
 func (g *Group) join(i int, p *process) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	added := raft.Member{ID: p.id, Name: identityOf(i, 0).Name, Address: address(i)}
-	for !p.ended() && !p.isMember(ctx) {
+	joined, ledAt := false, g.clock.Now()
+	for ; !p.ended(); time.Sleep(joinInterval) {
+		if p.node.View().LeaderID != 0 {
+			ledAt = g.clock.Now()
+		}
+		joined = joined || p.isMember(ctx)
+		if joined && g.options.RejoinAfter == 0 {
+			return
+		}
+		if joined && g.clock.Now().Sub(ledAt) < g.options.RejoinAfter {
+			continue
+		}
 		if to := g.CurrentLeader(); to >= 0 && to != i && !g.network.isCut(i, to) {
 			_ = g.Node(to).Join(ctx, added)
 		}
-		time.Sleep(joinInterval)
 	}
 }
 
@@ -248,11 +259,12 @@
 	g.network.stop()
 }
 
-// StopGracefully transfers leadership and then ends a replica's process, as on
-// SIGTERM.
+// StopGracefully transfers leadership and the vote and then ends a replica's
+// process, as on SIGTERM.
 func (g *Group) StopGracefully(i int) {
 	p := g.process(i)
 	p.node.TransferLeadership(context.Background())
+	p.node.Leave(context.Background())
 	g.endProcess(p)
 }
 
--- a/internal/role/controlrole/replica.go
+++ b/internal/role/controlrole/replica.go
@@ -174,8 +174,8 @@
 	}
 }
 
-// stopServer waits until ctx ends, transfers leadership and stops the server
-// gracefully. If the replica stops by itself first, stopServer stops the server
+// stopServer waits until ctx ends, transfers leadership and the vote, and stops
+// the server gracefully. If the replica stops by itself first, stopServer stops the server
 // immediately and returns the replica's error.
 func (r *replica) stopServer(ctx context.Context, server *peerServer) error {
 	select {
@@ -185,6 +185,7 @@
 	case <-ctx.Done():
 	}
 	r.node.TransferLeadership(context.WithoutCancel(ctx))
+	r.node.Leave(context.WithoutCancel(ctx))
 	server.stop(r.server.Stop)
 	return nil
 }
--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -28,28 +28,29 @@
 	// SeededDeployment is the deployment name used when processes know only seed
 	// addresses: any process that reaches them belongs to the deployment.
 	SeededDeployment = "seeded"
-	// voterReplacementTimeout is how long a voter may be unresponsive before a
-	// caught-up replica replaces it. It is longer than a restart takes.
-	voterReplacementTimeout = 5 * time.Second
 	// reopenDelay is the delay before a stopped replica, such as one whose
 	// storage failed, is reopened.
 	reopenDelay = 500 * time.Millisecond
+	// Within SeededOptions.CatchUp after a loss the group must be back at its full
+	// number of voters. The fractions of it below leave time for two elections,
+	// each at most twice the election timeout.
+	replacementsPerCatchUp = 3
+	rejoinsPerCatchUp      = 4
 	// rejoinInterval is the interval at which a replica checks whether it must
-	// rejoin the group; it does after knowing no leader for rejoinAfter.
-	rejoinInterval = time.Second
-	rejoinAfter    = 3 * time.Second
-	// joinTimeout bounds one join request.
-	joinTimeout = time.Second
+	// rejoin the group.
+	rejoinInterval = 250 * time.Millisecond
 )
 
-// seededTiming suits VMs within one region where all control processes may
-// restart at once: callers wait for the election that follows. The election
-// timeout is more than four times the slowest sync of a working disk.
-var seededTiming = raft.Timing{
-	ElectionTimeout:         600 * time.Millisecond,
-	Heartbeat:               80 * time.Millisecond,
-	LeaseMargin:             60 * time.Millisecond,
-	VoterReplacementTimeout: voterReplacementTimeout,
+// seededTiming returns timing that suits VMs within one region where all control
+// processes may restart at once: callers wait for the election that follows. The
+// election timeout is more than four times the slowest sync of a working disk.
+func seededTiming(catchUp time.Duration) raft.Timing {
+	return raft.Timing{
+		ElectionTimeout:         600 * time.Millisecond,
+		Heartbeat:               80 * time.Millisecond,
+		LeaseMargin:             60 * time.Millisecond,
+		VoterReplacementTimeout: catchUp / replacementsPerCatchUp,
+	}
 }
 
 // SeededOptions configures a control process that finds the others only through
@@ -70,7 +71,10 @@
 	// Voters is the number of voters to which the group grows. The first document
 	// is accepted only once the group has that many.
 	Voters int
-	Log    hclog.Logger
+	// CatchUp is the time after which the group must survive the next loss of a VM
+	// or disk, from the end of the previous one.
+	CatchUp time.Duration
+	Log     hclog.Logger
 }
 
 // Seeded is a running control process that found its group through seeds.
@@ -170,7 +174,7 @@
 		peers:       o.otherSeeds,
 		credentials: insecure.NewCredentials(),
 		maxVoters:   o.Voters,
-		timing:      seededTiming,
+		timing:      seededTiming(o.CatchUp),
 	}
 }
 
@@ -215,26 +219,22 @@
 			lastLeader = time.Now()
 			return
 		}
-		if time.Since(lastLeader) < rejoinAfter {
+		if time.Since(lastLeader) < s.options.CatchUp/rejoinsPerCatchUp {
 			return
 		}
-		peers := append(s.options.otherSeeds(), s.controlAddresses()...)
-		slices.Sort(peers)
-		for _, address := range slices.Compact(peers) {
-			if address == s.options.PeerAddress {
-				continue
-			}
-			callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
-			_, err := peergrpc.JoinAt(callCtx, s.replica.pool, address, s.options.replicaOptions().joinRequest(s.replica.identity))
-			cancel()
-			s.options.Log.Info("asked to rejoin the group", "peer", address, "error", err)
-			if err == nil {
-				return
-			}
-		}
+		lastLeader = time.Now()
+		_, err := peergrpc.JoinAny(ctx, s.replica.pool, s.otherControls(), s.options.replicaOptions().joinRequest(s.replica.identity))
+		s.options.Log.Info("asked to rejoin the group", "error", err)
 	})
 }
 
+// otherControls returns the peer addresses of the other seeds and replicas.
+func (s *Seeded) otherControls() []string {
+	peers := append(s.options.otherSeeds(), s.controlAddresses()...)
+	slices.Sort(peers)
+	return slices.DeleteFunc(slices.Compact(peers), func(address string) bool { return address == s.options.PeerAddress })
+}
+
 // controlAddresses returns the peer addresses of all replicas of the group.
 func (s *Seeded) controlAddresses() []string {
 	return s.replica.node.View().MemberAddresses
--- a/internal/role/controlrole/seeded_test.go
+++ b/internal/role/controlrole/seeded_test.go
@@ -21,6 +21,9 @@
 	"github.com/lagoonshift/lagoonshift/internal/role/seededentry"
 )
 
+// catchUp is SeededOptions.CatchUp of the tests.
+const catchUp = 4 * time.Second
+
 // await waits until holds returns true and fails the test after 20 s.
 func await(t *testing.T, condition string, holds func() bool) {
 	t.Helper()
@@ -89,6 +92,7 @@
 			Seeds:       func() []string { return g.seeds },
 			FirstStart:  func() bool { return firstStart },
 			Voters:      3,
+			CatchUp:     catchUp,
 			Log:         hclog.NewNullLogger(),
 		}, func(ctx context.Context, s *controlrole.Seeded) error {
 			g.mu.Lock()
@@ -279,6 +283,31 @@
 	await(t, "all replicas read the newest document after all were restarted", func() bool { return g.readsVersion(1, 3) && g.readsVersion(2, 3) && g.readsVersion(3, 3) })
 }
 
+// TestSeededGroupSurvivesDiskLossAfterReplacement replaces a VM whose successor is
+// ready and then lets another one lose its disk. The group must not be left
+// without a quorum by the removed VM's vote.
+func TestSeededGroupSurvivesDiskLossAfterReplacement(t *testing.T) {
+	g := newSeededGroup(t, "127.13.8")
+	for i := range 3 {
+		g.start(i)
+	}
+	g.putDocument(0, 1)
+	g.firstStart = false
+	g.start(3)
+	await(t, "the successor reads the document", func() bool { return g.readsVersion(3, 1) })
+	g.stop(0)
+	g.putDocument(1, 2)
+	time.Sleep(catchUp + 300*time.Millisecond)
+	g.stop(1)
+	if err := os.RemoveAll(g.dataFolder(1)); err != nil {
+		t.Fatal(err)
+	}
+	g.start(1)
+	for _, i := range []int{1, 2, 3} {
+		await(t, fmt.Sprintf("replica %d reads the document", i), func() bool { return g.readsVersion(i, 2) })
+	}
+}
+
 // TestInterruptedFirstStartIsRepeated starts with a log without an identity, as
 // left by a process that was killed while it formed the group. The group must
 // form anyway.
--- a/internal/transport/peergrpc/join.go
+++ b/internal/transport/peergrpc/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -11,22 +12,21 @@
 )
 
 const (
-	joinTimeout    = 2 * time.Second
-	joinRetryDelay = 500 * time.Millisecond
+	// joinTimeout is the timeout of one join request.
+	joinTimeout    = time.Second
+	joinRetryDelay = 250 * time.Millisecond
 )
 
-// Join asks one replica after the other to add a new replica until one does or
-// ctx ends, and returns the group's cluster id. It calls addresses before each
-// pass, as the replicas' addresses may change.
+// Join asks the replicas at the given addresses to add a new replica until one
+// does or ctx ends, and returns the group's cluster id. It calls addresses before
+// each attempt, as the replicas' addresses may change.
 func Join(ctx context.Context, pool *Pool, addresses func() []string, request *peerpb.JoinRequest, log hclog.Logger) (string, error) {
 	for {
-		for _, address := range addresses() {
-			clusterID, err := JoinAt(ctx, pool, address, request)
-			if err == nil {
-				return clusterID, nil
-			}
-			log.Info("join request failed; trying again", "peer", address, "error", err)
+		clusterID, err := JoinAny(ctx, pool, addresses(), request)
+		if err == nil {
+			return clusterID, nil
 		}
+		log.Info("join request failed; trying again", "error", err)
 		select {
 		case <-ctx.Done():
 			return "", fmt.Errorf("join group: %w", ctx.Err())
@@ -35,6 +35,40 @@
 	}
 }
 
+// JoinAny asks the replicas at all given addresses at the same time to add a new
+// replica, so that an unreachable one delays nothing. It returns the cluster id from
+// the first that does, or the errors of all after joinTimeout at the latest.
+// Adding a replica twice has no effect.
+func JoinAny(ctx context.Context, pool *Pool, addresses []string, request *peerpb.JoinRequest) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	type answer struct {
+		clusterID string
+		err       error
+	}
+	answers := make(chan answer, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			clusterID, err := JoinAt(ctx, pool, address, request)
+			answers <- answer{clusterID, err}
+		}()
+	}
+	var errs []error
+	for range addresses {
+		a := <-answers
+		if a.err == nil {
+			return a.clusterID, nil
+		}
+		errs = append(errs, a.err)
+	}
+	if len(errs) == 0 {
+		return "", errNoAddress
+	}
+	return "", errors.Join(errs...)
+}
+
+var errNoAddress = errors.New("no address of a replica to join is known")
+
 // JoinAt asks the replica at one address to add a new replica, and returns the
 // group's cluster id.
 func JoinAt(ctx context.Context, pool *Pool, address string, request *peerpb.JoinRequest) (string, error) {
@@ -42,8 +76,6 @@
 	if err != nil {
 		return "", err
 	}
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
 	response, err := peerpb.NewReplicaClient(conn).Join(ctx, request)
 	if err != nil {
 		return "", fmt.Errorf("join at %s: %w", address, err)
