An old list of engines vouches for no software version

Cause: the entry's own list, which may be old, counted as evidence that there is one version as soon as any control replica answered, even one that knew no list; and a replica vouched for a list of any age.

Evidence: TestOwnListIsNoEvidenceOfOtherEntries before the change: got version "v1", want none.

Change: a control replica must vouch for the versions, and does so only for a list read within 3 s. The tests of the group repeat the lists, as control processes read them again and again.

Measured: the tests of controlrole, peergrpc and seededentry pass.

--- a/internal/role/controlrole/origins_test.go
+++ b/internal/role/controlrole/origins_test.go
@@ -1,15 +1,19 @@
 package controlrole_test
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/role/controlrole"
 	"github.com/lagoonshift/lagoonshift/internal/role/seededentry"
 	"github.com/lagoonshift/lagoonshift/internal/state/disk"
 	"github.com/lagoonshift/lagoonshift/internal/state/snapshot"
@@ -21,12 +25,20 @@
 	engines []fleet.Engine
 	// first is set if the control processes are those of the system's first start.
 	first bool
+
+	listing sync.Mutex // guards listed
+	// listed holds the list that each control process got last. It is repeated, as a
+	// control process reads the list of engines again and again.
+	listed map[*controlrole.Seeded]fleet.List
 }
 
 // newOriginGroup returns a group whose control processes have just started, for the
 // first time if first is set.
 func newOriginGroup(t *testing.T, addressPrefix string, first bool, engines ...fleet.Engine) *originGroup {
-	g := &originGroup{seededGroup: newSeededGroup(t, addressPrefix), engines: engines, first: first}
+	g := &originGroup{seededGroup: newSeededGroup(t, addressPrefix), engines: engines, first: first, listed: make(map[*controlrole.Seeded]fleet.List)}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = clock.Every(ctx, listInterval, func(context.Context) { g.repeatLists() }) }()
 	for i := range 3 {
 		g.start(i)
 	}
@@ -55,15 +67,35 @@
 	}
 }
 
+// listInterval is the interval at which control processes read the list of engines.
+const listInterval = time.Second
+
 // list gives all control processes the list of engines.
 func (g *originGroup) list() {
 	for i := range 3 {
 		if c := g.control(i); c != nil {
-			c.SetEngines(fleet.List{Engines: g.engines})
+			g.listAt(c, g.engines)
 		}
 	}
 }
 
+// listAt gives one control process a list of engines.
+func (g *originGroup) listAt(c *controlrole.Seeded, engines []fleet.Engine) {
+	g.listing.Lock()
+	defer g.listing.Unlock()
+	list := fleet.List{Engines: engines}
+	c.SetEngines(list)
+	g.listed[c] = list
+}
+
+func (g *originGroup) repeatLists() {
+	g.listing.Lock()
+	defer g.listing.Unlock()
+	for c, list := range g.listed {
+		c.SetEngines(list)
+	}
+}
+
 // startReady starts an entry and waits until it accepts requests and is connected to
 // all control processes.
 func (g *originGroup) startReady(name string) *seededentry.Agent {
@@ -180,10 +212,23 @@
 	g := newOriginGroup(t, "127.13.7", false, engineOf("v1", time.Hour))
 	a := g.startReady("entry-1")
 	g.awaitFound(a, "unseen", "v1")
-	g.control(2).SetEngines(fleet.List{Engines: append(g.engines, engineOf("v2", time.Second))})
+	g.listAt(g.control(2), append(g.engines, engineOf("v2", time.Second)))
 	g.wantUnknown(a, "another")
 }
 
+// TestOwnListIsNoEvidenceOfOtherEntries guards against joining two versions at an entry
+// whose list is old, because the control processes that answer know no list yet.
+func TestOwnListIsNoEvidenceOfOtherEntries(t *testing.T) {
+	g := newOriginGroup(t, "127.13.15", false, engineOf("v1", time.Hour))
+	a := g.startReady("entry-1")
+	g.awaitFound(a, "unseen", "v1")
+	g.restartWithoutFiles()
+	g.awaitConnected("entry-1", 0, 1, 2)
+	g.wantUnknown(a, "another")
+	g.list()
+	g.awaitFound(a, "another", "v1")
+}
+
 // TestOriginsOutliveAllProcesses restarts all control processes and replaces all
 // entries at once while two versions are listed.
 func TestOriginsOutliveAllProcesses(t *testing.T) {
@@ -254,7 +299,7 @@
 		g.start(i)
 	}
 	await(t, "the document is read", func() bool { return g.readsVersion(0, 1) })
-	og := &originGroup{seededGroup: g, engines: []fleet.Engine{engineOf("v1", time.Second)}}
+	og := &originGroup{seededGroup: g, engines: []fleet.Engine{engineOf("v1", time.Second)}, listed: make(map[*controlrole.Seeded]fleet.List)}
 	og.list()
 	og.wantUnknown(og.startReady("entry-1"), "r1")
 }
--- a/internal/role/controlrole/seeded_test.go
+++ b/internal/role/controlrole/seeded_test.go
@@ -287,7 +287,7 @@
 // ready and then lets another one lose its disk. The group must not be left
 // without a quorum by the removed VM's vote.
 func TestSeededGroupSurvivesDiskLossAfterReplacement(t *testing.T) {
-	g := newSeededGroup(t, "127.13.8")
+	g := newSeededGroup(t, "127.13.14")
 	for i := range 3 {
 		g.start(i)
 	}
--- a/internal/role/seededentry/origins.go
+++ b/internal/role/seededentry/origins.go
@@ -33,8 +33,9 @@
 //
 // What this entry saw itself is asked for first. Otherwise control replicas are
 // asked, even if only one version is listed here: a new version may have begun
-// streams at entries that had the list of engines earlier. Without any answer nothing
-// is found: the list here may be old.
+// streams at entries that had the list of engines earlier. That only one version is
+// listed counts if a control replica vouches for it: the list here may be old, and
+// there is no telling, since it is sent only when it changes.
 func (o *Origins) Find(ctx context.Context, service, request string) (version string, found bool) {
 	start := o.agent.options.Clock.Now()
 	id := origin.StreamID(service, request)
@@ -43,9 +44,8 @@
 	if !own.Recorded && !own.Conflicting {
 		answers, source = append(answers, o.agent.watcher.StreamOrigin(ctx, service, id, own.Settled())...), "control"
 	}
-	if own.Recorded || len(answers) > 1 {
-		version, found = origin.Resolve(answers...)
-	}
+	answers[0].Covered = false
+	version, found = origin.Resolve(answers...)
 	if found {
 		// The caller may have to take the stream up once more.
 		o.Began(service, request, version)
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -106,6 +106,8 @@
 	droppedHoldings int
 	// rateLimits holds the rate limits of servers.
 	rateLimits *ratelimit.Register
+	// listedAt is the clock.Instant at which the newest list of engines was read.
+	listedAt atomic.Int64
 	// known are the engines in use: those of the newest list and, if that is
 	// incomplete, those that it doesn't name and that were known before.
 	known []fleet.Engine
--- a/internal/transport/peergrpc/streamorigin.go
+++ b/internal/transport/peergrpc/streamorigin.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/origin"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
@@ -19,8 +20,14 @@
 // trips within a region, and time to open connections.
 const streamOriginTimeout = 250 * time.Millisecond
 
+// maxVouchedListAge is the age of a replica's list of engines up to which it vouches
+// that the list names all software versions: two intervals at which lists are read, and
+// time for one reading.
+const maxVouchedListAge = 3 * time.Second
+
 // recordVersions records the software versions of the engines in use.
 func (h *FleetHub) recordVersions(engines []fleet.Engine) {
+	h.listedAt.Store(int64(clock.Boot{}.Now()))
 	for _, c := range h.origins.SetEngines(engines) {
 		h.options.Log.Info("software version of a service", "service", c.Service, "version", c.Version.Version, "listed", c.Listed, "others", c.Others)
 	}
@@ -29,9 +36,13 @@
 // Origins returns what the replica knows of the software versions that began streams.
 func (h *FleetHub) Origins() *origin.Memory { return h.origins }
 
-// StreamOrigin implements peerpb.FleetServer.
+// StreamOrigin implements peerpb.FleetServer. A replica with an old list, such as one
+// that was frozen or cut off, doesn't vouch for it: other processes may use servers of
+// a version that it doesn't know.
 func (h *FleetHub) StreamOrigin(_ context.Context, r *peerpb.StreamOriginRequest) (*peerpb.StreamOriginResponse, error) {
 	a := h.origins.Answer(r.GetService(), origin.ID(r.GetId()))
+	listAge := clock.Boot{}.Now().Sub(clock.Instant(h.listedAt.Load()))
+	a.Covered = a.Covered && listAge <= maxVouchedListAge
 	return &peerpb.StreamOriginResponse{Version: a.Version, Recorded: a.Recorded, Conflicting: a.Conflicting, Listed: a.Listed, Covered: a.Covered}, nil
 }
 
--- a/internal/transport/peergrpc/streamorigin_test.go
+++ b/internal/transport/peergrpc/streamorigin_test.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/origin"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
@@ -34,6 +35,24 @@
 	}
 }
 
+// TestOldListIsNotVouchedFor guards against joining two versions because a replica
+// that was frozen or cut off takes its old list for complete.
+func TestOldListIsNotVouchedFor(t *testing.T) {
+	h := newTestHub()
+	h.Origins().StartFirst()
+	h.SetEngines(fleet.List{Engines: []fleet.Engine{{ID: "a", Service: "llm", Version: "v1"}}})
+	for _, c := range []struct {
+		age  time.Duration
+		want bool
+	}{{0, true}, {maxVouchedListAge + time.Second, false}} {
+		h.listedAt.Store(int64(clock.Boot{}.Now().Add(-c.age)))
+		got, err := h.StreamOrigin(t.Context(), &peerpb.StreamOriginRequest{Service: "llm", Id: 1})
+		if err != nil || got.GetCovered() != c.want || len(got.GetListed()) != 1 {
+			t.Errorf("list of age %v: got %v, error %v, want it vouched for: %t", c.age, got, err, c.want)
+		}
+	}
+}
+
 // TestSilentReplicaDoesNotHoldUpStreams checks that a replica that accepts
 // connections and answers nothing delays a stream for no longer than
 // streamOriginTimeout.
