Bytes that are no events never enter a stream

Evidence: TestErrorAfterBrokenStreamStaysOutOfIt before the change, in 1 of 20 ways in which the next engine answers: the caller got "id: 1\ndata: a\n\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\n".

Change: an event has a field that the format defines or a comment, and each of its lines a field name. Other bytes break the stream off.

Measured: the 20 ways pass, for callers in HTTP/1.1 and HTTP/1.0, and the tests of platform, protocol and transport.

--- a/internal/protocol/exchange/events.go
+++ b/internal/protocol/exchange/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 )
 
@@ -32,6 +33,48 @@
 	}
 }
 
+// validEventsLen returns the length in bytes of the valid events at the start of a
+// buffer of complete events.
+func validEventsLen(events []byte) int {
+	valid := 0
+	for valid < len(events) {
+		n := eventLen(events[valid:])
+		if n == 0 || !validEvent(events[valid:valid+n]) {
+			break
+		}
+		valid += n
+	}
+	return valid
+}
+
+// validEvent reports whether the lines up to an empty one are an event of a stream,
+// not an error text or the head of another response: each is a comment or has a field
+// name, and one of them is a comment or a field that the format defines. An empty
+// line alone is valid.
+func validEvent(event []byte) bool {
+	empty, defined := true, false
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			continue
+		}
+		empty = false
+		name, _, found := bytes.Cut(line, []byte(":"))
+		switch {
+		case found && len(name) == 0: // a comment
+			defined = true
+		case slices.Contains(definedFields, string(name)):
+			defined = true
+		case !found || bytes.ContainsAny(name, " \t/"):
+			return false
+		}
+	}
+	return empty || defined
+}
+
+// definedFields are the fields of server-sent events. Engines may add others.
+var definedFields = []string{"id", "event", "data", "retry"}
+
 // unseenEvents returns those of the given complete events that follow the one
 // with the ID last, and the ID of the newest event. Events without a numeric ID
 // always count as unseen.
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -20,6 +20,9 @@
 	errEventTooLarge = errors.New("event exceeds 1 MiB")
 	// errBrokenOff means that a stream ended where it can't be complete.
 	errBrokenOff = errors.New("stream broken off")
+	// errNoEvents means that a stream contains bytes that are no events, such as an
+	// error text or the head of another response.
+	errNoEvents = errors.New("bytes in the stream are no events")
 	// errSilent means that an attempt was abandoned because its server sent nothing
 	// before a timeout expired.
 	errSilent = errors.New("server sent nothing before the timeout")
@@ -42,6 +45,9 @@
 		if complete == 0 && readErr == nil && len(pending) <= maxEventBytes {
 			continue // single bytes don't end the server's silence
 		}
+		if valid := validEventsLen(pending[:complete]); valid < complete {
+			complete, readErr = valid, errNoEvents
+		}
 		// Stopped until the next read: a caller that reads slowly does not make the
 		// server silent.
 		ended := readErr == io.EOF
