A begun stream waits for engines that can't be reached

What callers could see, in the product's own engine interface: a stream whose engine crashed ended with an error in under a second if the other engines of its version refused connections for a moment.

Cause: attempts that reach no engine counted as attempts and cost retries.

Evidence: TestBegunStreamWaitsForItsEngines before the change: "engines failed the request: attempt 4 at engine engine-0: dial http://engine-0: backend: call not sent".

Change: such attempts of a stream that has begun neither count nor cost a retry; the stream waits for 5 s at most.

Measured: the test passes for engines that are back after 3 s; the stream is given up after the 5 s otherwise.

--- a/internal/protocol/request/relay.go
+++ b/internal/protocol/request/relay.go
@@ -21,11 +21,17 @@
 	maxAttempts = 6
 	// retryAfter is the Retry-After of refusals for which no backlog is known.
 	retryAfter = time.Second
+	// unreachableTimeout is how long a stream that has begun waits while no engine can
+	// be reached: an engine that crashed is back within seconds.
+	unreachableTimeout = 5 * time.Second
 )
 
 // backoff sets the delays between the attempts of one request.
 var backoff = retry.Backoff{Base: 20 * time.Millisecond, Max: time.Second}
 
+// unreachableBackoff sets the delays between attempts that reach no engine.
+var unreachableBackoff = retry.Backoff{Base: 50 * time.Millisecond, Max: 400 * time.Millisecond}
+
 // relay is the state of one request over all its attempts. It is not safe for
 // concurrent use.
 type relay struct {
@@ -45,7 +51,11 @@
 	sent     bool
 	// retryPaid is set while a retry has been taken from the budget and not made.
 	retryPaid bool
-	gaps      tokenGaps
+	// unreached counts the attempts since unreachedSince that reached no engine, while
+	// no other one did.
+	unreached      int
+	unreachedSince clock.Instant
+	gaps           tokenGaps
 }
 
 func newRelay(p *Runner, call *Call, class settings.Class, sink Sink) *relay {
@@ -126,6 +136,12 @@
 	if errors.Is(cause, lease.ErrLapsed) {
 		return s.refuse(refusal.NoLease, "this entry may not take new work; use another address", retryAfter, cause)
 	}
+	if s.awaitsEngine(cause) {
+		if !clock.Sleep(ctx, unreachableBackoff.Pause(s.unreached, s.runner.Random)) {
+			return s.refuse(refusal.DeadlinePassed, "the time for the answer ran out", retryAfter, cause)
+		}
+		return nil
+	}
 	if refused, ok := s.refusedByRouting(cause); ok {
 		return refused
 	}
@@ -138,6 +154,33 @@
 	return nil
 }
 
+// awaitsEngine reports whether a stream that has begun is to try again without a retry,
+// because no engine could be reached: all those that may go on with it, such as those of
+// its software version, can be down for a moment. It forgets the excluded engines once
+// none is left.
+func (s *relay) awaitsEngine(cause error) bool {
+	notSent := errors.Is(cause, backend.ErrNotSent)
+	noneLeft := s.unreached > 0 && errors.Is(cause, routing.ErrNoEngine)
+	if !s.begun() || !notSent && !noneLeft {
+		s.unreached = 0
+		return false
+	}
+	now := s.runner.Clock.Now()
+	if s.unreached == 0 {
+		s.unreachedSince = now
+	}
+	if now.Sub(s.unreachedSince) >= unreachableTimeout {
+		return false
+	}
+	if noneLeft {
+		s.request.Exclude = nil
+		return true
+	}
+	s.unreached++
+	s.attempts--
+	return true
+}
+
 // spendRetry takes a retry from the budget, unless one has been taken already.
 func (s *relay) spendRetry() bool {
 	if s.retryPaid {
