New streams leave room at the last engines of a version

Cause: prompts of new streams went on being prefilled for that version, by the shared prefix that it held, though engines of another version had room.

Change: prefilling for a version whose least loaded decode engine has three quarters of its slots taken costs 30,000 tokens more.

--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -30,6 +30,11 @@
 	// tokensPerStream is the number of pending prompt tokens that slow an
 	// engine's streams as much as one additional stream does.
 	tokensPerStream = 200
+	// reservedSlots is the fraction of a decode engine's slots that is left to streams
+	// that can go on at its software version alone, while another version has room.
+	// reservedSlotsTokens is what prefilling for such an engine costs, in prompt tokens.
+	reservedSlots       = 0.25
+	reservedSlotsTokens = 30000
 	// minFetchTokens is the length of a shared prefix from which an engine that
 	// does not hold it fetches its KV cache instead of computing it: the
 	// transfer takes about a tenth of the prefill time, but is billed.
@@ -281,11 +286,15 @@
 }
 
 // decodeTokens returns, by software version, the load of the least loaded engine in
-// prompt tokens.
+// prompt tokens. Engines that are nearly full cost more: the streams of a version whose
+// other engines have ended have no other place.
 func decodeTokens(decode []Candidate) map[string]float64 {
 	out := make(map[string]float64)
 	for _, c := range decode {
 		tokens := float64(c.Load.Streams*tokensPerStream + c.Load.PromptTokens)
+		if c.Slots > 0 && float64(c.Load.Streams) >= (1-reservedSlots)*float64(c.Slots) {
+			tokens += reservedSlotsTokens
+		}
 		if least, ok := out[c.Version]; !ok || tokens < least {
 			out[c.Version] = tokens
 		}
--- a/internal/protocol/placement/placement_test.go
+++ b/internal/protocol/placement/placement_test.go
@@ -198,3 +198,21 @@
 		}
 	}
 }
+
+// TestNewStreamsLeaveRoomForThoseOfOneVersion guards against filling the last decode engine of a version with new streams while another version has room: broken streams of the first have no other place.
+func TestNewStreamsLeaveRoomForThoseOfOneVersion(t *testing.T) {
+	prefill := []placement.Candidate{{Engine: fleet.Engine{ID: "p1", Version: "v1"}}, {Engine: fleet.Engine{ID: "p2", Version: "v2"}}}
+	for _, c := range []struct {
+		streams1, streams2 int
+		want               string
+	}{{47, 40, "v1"}, {48, 40, "v2"}, {100, 47, "v2"}, {50, 60, "v1"}} {
+		decode := []placement.Candidate{
+			{Engine: fleet.Engine{ID: "d1", Version: "v1", Slots: 64}, Load: fleet.Load{Streams: c.streams1}},
+			{Engine: fleet.Engine{ID: "d2", Version: "v2", Slots: 64}, Load: fleet.Load{Streams: c.streams2}},
+		}
+		chosen, ok := placement.ForPrefill(prompt("customer"), []fleet.Engine{prefill[0].Engine}, prefill, decode, firstTied)
+		if !ok || chosen.Version != c.want {
+			t.Errorf("%d and %d streams of 64 slots: prefill at %s, want %s, where the prefix is held by v1", c.streams1, c.streams2, chosen.Version, c.want)
+		}
+	}
+}
