Substitute decode engines of a version that can't be reached

Cause: the plan of phases counts what the list names. Entries had reported the engines as missing at once.

Change: a version whose listed decode engines are all reported missing gets one of its prefill engines, unless that is the last one or one is changing.

An engine needs three seconds to change, so this helps where engines are away for longer.

--- a/internal/protocol/phaseplan/driver.go
+++ b/internal/protocol/phaseplan/driver.go
@@ -183,7 +183,15 @@
 		d.options.Log.Info("prefill share changed", "service", service, "share", next, "before", before,
 			"streams", pace.Ended, "tight", pace.Tight, "late", pace.Late, "engines", len(eligible))
 	}
-	return changesTo(next, eligible, counts, load)
+	out := changesTo(next, eligible, counts, load)
+	return append(out, substitutes(eligible, load, d.becomesDecoder)...)
+}
+
+// becomesDecoder reports whether an engine has been ordered to decode and isn't listed so
+// yet. d.mu must be held.
+func (d *Driver) becomesDecoder(e fleet.Engine) bool {
+	c, ok := d.changing[e.Incarnation()]
+	return ok && c.Phase == fleet.Decode
 }
 
 // anyFailing reports whether an engine fails requests, is missing or leaves.
--- a/internal/protocol/phaseplan/phaseplan.go
+++ b/internal/protocol/phaseplan/phaseplan.go
@@ -105,6 +105,31 @@
 	return out
 }
 
+// substitutes returns the changes that give each version an engine that decodes, if those
+// listed as decoding can't be reached: their list entries may be old, and no other
+// version can continue their streams. The last engine that prefills stays.
+// becomesDecoder reports whether an engine is changing to decode already.
+func substitutes(engines []fleet.Engine, load func(engine string) fleet.Load, becomesDecoder func(fleet.Engine) bool) (out []Change) {
+	reachable := func(e fleet.Engine) bool { return load(e.ID).MissingEntries == 0 }
+	for _, version := range slices.Sorted(maps.Keys(enginesByVersion(engines))) {
+		var prefill []fleet.Engine
+		decodes := false
+		for _, e := range ofVersion(engines, version) {
+			switch {
+			case !reachable(e):
+			case e.Phase == fleet.Decode || becomesDecoder(e):
+				decodes = true
+			default:
+				prefill = append(prefill, e)
+			}
+		}
+		if !decodes && len(prefill) > 1 {
+			out = append(out, Change{Engine: nextToChange(engines, prefill, load), Phase: fleet.Decode})
+		}
+	}
+	return out
+}
+
 // spareEngines returns the engines that may leave a phase: not the only one of its
 // version that decodes.
 func spareEngines(engines []fleet.Engine, from fleet.Phase) (out []fleet.Engine) {
