Streams wait while all servers of their version are down

Cause: the only servers that could go on with them refused connections. Entries tried these addresses again and again, used up the attempts within milliseconds, and refused the request with seconds of its time left.

Change: a stream that has begun waits until a server of its version accepts connections, for as long as its caller waits. One request of an entry at a time tries an address. A caller that is refused is told to come back after 2 s, as servers are back within seconds.

--- /dev/null
+++ b/internal/protocol/exchange/await.go
@@ -0,0 +1,249 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+)
+
+const (
+	// Callers disconnect from a stream after a pause of the longest of minPatience,
+	// patienceObjectives times the route's objective and patienceGaps times its event
+	// gap. patienceMargin is left of that to answer, or to begin a stream.
+	minPatience        = 2 * time.Second
+	patienceObjectives = 4
+	patienceGaps       = 8
+	patienceMargin     = 250 * time.Millisecond
+	// returnPollInterval is the interval at which a waiting request looks for a
+	// server that is back.
+	returnPollInterval = 50 * time.Millisecond
+	// reachInterval is the interval between two connection attempts to a server that
+	// was unreachable, by all requests of this process together.
+	reachInterval = 100 * time.Millisecond
+	// confirmPeriod is how long a server that accepted a connection is left to the
+	// request that has connected, until it answers: another server may have its address.
+	confirmPeriod = 500 * time.Millisecond
+	// answeredPeriod is how long a server that has answered counts as back although
+	// other entries report it as missing.
+	answeredPeriod = time.Second
+	// maxReturnStates bounds the servers of which returnWatch keeps a state.
+	maxReturnStates = 1024
+)
+
+// awaitServer waits until a server that can go on with a stream of a known version is
+// reachable. A small group of servers, such as those of one version during a release,
+// can be unreachable as a whole for a moment, and no other server can replace them.
+// It returns ErrVersionGone if none is back before the caller disconnects.
+//
+// Streams that have not begun don't wait: they may go to a server of any version.
+func (x *exchange) awaitServer(ctx context.Context) error {
+	if x.returned != "" && !slices.Contains(x.failedEngines, x.returned) {
+		return nil
+	}
+	x.returned = ""
+	if !x.origin.known || x.silentEngine != "" {
+		return nil
+	}
+	started, until := time.Now(), x.patienceEnd()
+	for {
+		servers, mayReturn := x.continuingServers()
+		x.forgetAnswering(servers)
+		if slices.ContainsFunc(servers, x.isReachable) || !mayReturn || x.reachAny(ctx, servers) {
+			break
+		}
+		if !time.Now().Before(until) {
+			return ErrVersionGone
+		}
+		if !clock.Sleep(ctx, returnPollInterval) {
+			return ctx.Err()
+		}
+	}
+	if waited := time.Since(started); waited >= returnPollInterval {
+		x.options.Log.Info("stream waited for a server", "request", x.request.ID, "version", x.origin.version, "returned", x.returned, "ms", waited.Milliseconds())
+	}
+	return nil
+}
+
+// patienceEnd returns when the request must have a server.
+func (x *exchange) patienceEnd() time.Time {
+	r, silentSince := x.request.Route, x.started
+	if x.lastWrite.After(silentSince) {
+		silentSince = x.lastWrite
+	}
+	end := silentSince.Add(max(minPatience, patienceObjectives*r.Objective, patienceGaps*r.EventGap) - patienceMargin)
+	if latest := x.request.Deadline.Add(-patienceMargin); latest.Before(end) {
+		return latest
+	}
+	return end
+}
+
+// continuingServers returns the listed servers that could go on with the stream if they
+// were reachable. mayReturn is false if waiting for one is in vain: all have failed this
+// request, or none of the version takes work.
+func (x *exchange) continuingServers() (servers []placement.Candidate, mayReturn bool) {
+	ofVersion := x.openServersWithout(x.failedAfterSend())
+	if x.request.Prompt == nil {
+		return ofVersion, len(ofVersion) > 0
+	}
+	servers = slices.DeleteFunc(slices.Clone(ofVersion), func(c placement.Candidate) bool { return !placement.CanDecode(c.Engine) })
+	decoderListed := slices.ContainsFunc(x.openServersWithout(nil), func(c placement.Candidate) bool { return placement.CanDecode(c.Engine) })
+	// Without any, an engine that prefills is to change its phase.
+	return servers, len(servers) > 0 || !decoderListed && len(ofVersion) > 0
+}
+
+// openServersWithout returns the servers of the stream's version that take work, except
+// those with the given IDs and those that are known to have ended.
+func (x *exchange) openServersWithout(failed []string) []placement.Candidate {
+	current := func(e fleet.Engine) bool { return !x.returns.hasEnded(e) }
+	return placement.Candidates(x.options.View().Engines(x.request.Service.Name), x.options.Tracker.Load,
+		x.origin.allows, placement.AcceptsWork, x.options.Notices.Open, placement.Except(failed...), current)
+}
+
+// failedAfterSend returns the servers that failed the request after it had reached
+// them.
+func (x *exchange) failedAfterSend() []string {
+	return slices.DeleteFunc(slices.Clone(x.failedEngines), func(id string) bool { return slices.Contains(x.unreached, id) })
+}
+
+// isReachable reports whether nothing is known to keep a server from being reached.
+func (x *exchange) isReachable(c placement.Candidate) bool {
+	return x.returns.answeredLately(c.Engine) ||
+		c.Load.MissingEntries == 0 && !slices.Contains(x.unreached, c.ID) && !slices.Contains(x.options.Outlier.Missing(), c.ID)
+}
+
+// reachAny tries to connect to the servers. It reports whether one accepts the
+// connection, which then gets the next attempt.
+func (x *exchange) reachAny(ctx context.Context, servers []placement.Candidate) bool {
+	for _, c := range servers {
+		if !x.returns.takeTurn(c.Engine) {
+			continue
+		}
+		err := x.sender.Reach(ctx, c.Engine)
+		if err == nil {
+			x.forgetUnreached(c.ID)
+			x.returns.reached(c.Engine)
+			x.returned = c.ID
+			return true
+		}
+		if errors.Is(err, ErrServerNotFound) && !slices.Contains(x.options.Outlier.Ejected(), c.ID) {
+			x.options.Outlier.Unreachable(c.ID)
+		}
+	}
+	return false
+}
+
+// onlyReturned is a filter that leaves only the server that accepts connections again of
+// those that could send events.
+func (x *exchange) onlyReturned(e fleet.Engine) bool {
+	return e.ID == x.returned || !placement.CanDecode(e)
+}
+
+// forgetAnswering makes the servers candidates again that answer other requests.
+func (x *exchange) forgetAnswering(servers []placement.Candidate) {
+	for _, c := range servers {
+		if x.returns.answeredLately(c.Engine) {
+			x.forgetUnreached(c.ID)
+		}
+	}
+}
+
+// forgetUnreached makes a server that the request didn't reach a candidate again.
+func (x *exchange) forgetUnreached(id string) {
+	if i := slices.Index(x.unreached, id); i >= 0 {
+		x.unreached = slices.Delete(x.unreached, i, i+1)
+		x.unsentAttempts--
+		x.failedEngines = slices.DeleteFunc(x.failedEngines, func(failed string) bool { return failed == id })
+	}
+}
+
+// answered records that a server answers again, for the requests that wait for it.
+func (x *exchange) answered(e fleet.Engine) {
+	if e.ID == x.returned {
+		x.options.Outlier.Success(e.ID)
+		x.returns.answered(e)
+	}
+}
+
+// returnWatch coordinates the requests of one process that wait for servers. It is safe
+// for concurrent use.
+type returnWatch struct {
+	mu      sync.Mutex // guards servers
+	servers map[string]returnState
+}
+
+// returnState is the state of one incarnation of a server.
+type returnState struct {
+	// triedAt is the time of the last connection attempt, reachedAt that of the last one
+	// that was accepted, and answeredAt that of the last answer.
+	triedAt, reachedAt, answeredAt time.Time
+	// ended is set if another server answered at the address.
+	ended bool
+}
+
+func newReturnWatch() *returnWatch {
+	return &returnWatch{servers: make(map[string]returnState)}
+}
+
+// takeTurn reports whether the caller may try to connect to a server now.
+func (w *returnWatch) takeTurn(e fleet.Engine) (ok bool) {
+	w.update(e, func(s *returnState) {
+		if ok = time.Since(s.triedAt) >= reachInterval && time.Since(s.reachedAt) >= confirmPeriod; ok {
+			s.triedAt = time.Now()
+		}
+	})
+	return ok
+}
+
+func (w *returnWatch) reached(e fleet.Engine) {
+	w.update(e, func(s *returnState) { s.reachedAt = time.Now() })
+}
+
+// unreached records that a server doesn't accept connections.
+func (w *returnWatch) unreached(e fleet.Engine) {
+	if w.answeredLately(e) {
+		w.update(e, func(s *returnState) { s.answeredAt = time.Time{} })
+	}
+}
+
+func (w *returnWatch) answered(e fleet.Engine) {
+	w.update(e, func(s *returnState) { s.answeredAt = time.Now() })
+}
+
+// end records that a server has ended: another one has its address.
+func (w *returnWatch) end(e fleet.Engine) {
+	w.update(e, func(s *returnState) { s.ended = true })
+}
+
+func (w *returnWatch) answeredLately(e fleet.Engine) bool {
+	return time.Since(w.state(e).answeredAt) < answeredPeriod
+}
+
+func (w *returnWatch) hasEnded(e fleet.Engine) bool {
+	return w.state(e).ended
+}
+
+func (w *returnWatch) state(e fleet.Engine) returnState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.servers) == 0 {
+		return returnState{}
+	}
+	return w.servers[e.Incarnation()]
+}
+
+func (w *returnWatch) update(e fleet.Engine, change func(*returnState)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.servers) >= maxReturnStates {
+		clear(w.servers) // the states only save attempts
+	}
+	s := w.servers[e.Incarnation()]
+	change(&s)
+	w.servers[e.Incarnation()] = s
+}
--- a/internal/protocol/exchange/choose_test.go
+++ b/internal/protocol/exchange/choose_test.go
@@ -68,7 +68,9 @@
 	return &exchange.Response{Success: true, Status: 200, Body: io.NopCloser(strings.NewReader("answer"))}, nil
 }
 
-func (w *limitedServers) Ended(context.Context, fleet.Engine) bool       { return false }
+func (w *limitedServers) Ended(context.Context, fleet.Engine) bool { return false }
+
+func (w *limitedServers) Reach(context.Context, fleet.Engine) error      { return nil }
 func (w *limitedServers) Release(exchange.KVSource)                      {}
 func (w *limitedServers) WriteResponse(*exchange.Response, []byte) error { return nil }
 func (w *limitedServers) BeginStream(*exchange.Response) error           { return nil }
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -58,6 +58,7 @@
 type Forwarder struct {
 	options  Options
 	prefills *prefillqueue.Queue
+	returns  *returnWatch
 	// ending is done once End has been called.
 	ending context.Context
 	end    context.CancelFunc
@@ -80,7 +81,7 @@
 	if o.Notices == nil {
 		o.Notices = notice.NewBoard(clock.NewRuntime())
 	}
-	c := &Forwarder{options: o}
+	c := &Forwarder{options: o, returns: newReturnWatch()}
 	c.ending, c.end = context.WithCancel(context.Background())
 	c.prefills = prefillqueue.New(prefillqueue.Options{Engines: c.prefillBacklog, Tracker: o.Tracker})
 	return c
@@ -127,6 +128,11 @@
 	// a second, and the jitter keeps callers from returning all at once.
 	baseRetryAfter   = 300 * time.Millisecond
 	retryAfterJitter = 700 * time.Millisecond
+	// versionRetryAfter replaces baseRetryAfter where all servers of a version are down,
+	// unless that leaves less than a part of the remaining time; callers wait for at most
+	// a third of it.
+	versionRetryAfter      = 2 * time.Second
+	remainingPerRetryAfter = 4
 )
 
 // Run forwards a request until it is answered, refused or given up, and logs
@@ -153,7 +159,7 @@
 		outcome.Result = x.classify(ctx, deadlineCtx, outcome.Result)
 	}
 	if outcome.Result == Refused {
-		outcome.RetryAfter = x.retryAfter()
+		outcome.RetryAfter = x.retryAfter(outcome.Err)
 	}
 	x.recordPace()
 	x.logOutcome(outcome)
@@ -179,11 +185,14 @@
 	x.options.Pace.Record(x.request.Service.Name, p)
 }
 
-// retryAfter returns when a refused caller should try again: after the quarantine
-// of its prompt, or, if all servers asked for a pause, after the first of these
-// ends.
-func (x *exchange) retryAfter() time.Duration {
+// retryAfter returns when a caller refused because of err should try again: after the
+// quarantine of its prompt, or, if all servers asked for a pause, after the first of these
+// ends. Servers of a version that are all down take seconds to be back and listed.
+func (x *exchange) retryAfter(err error) time.Duration {
 	wait := max(baseRetryAfter, x.quarantineLeft)
+	if errors.Is(err, ErrVersionGone) {
+		wait = max(wait, min(versionRetryAfter, x.remaining()/remainingPerRetryAfter))
+	}
 	if pause, ok := x.options.Notices.EarliestReturn(x.capableServers()); ok {
 		wait = max(wait, pause)
 	}
@@ -215,6 +224,10 @@
 	// silentEngine that of the engine which is to be replaced.
 	failedEngines []string
 	silentEngine  string
+	// unreached holds those of the failed engines that no attempt reached, and returned
+	// the ID of one that accepts connections again and gets the next attempt.
+	unreached []string
+	returned  string
 	// notReplaced is the newest engine that was silent and could not be replaced.
 	notReplaced string
 	// next is the attempt that has begun in place of a silent one, and paidRetries
@@ -345,6 +358,9 @@
 func (x *exchange) candidates(filters ...placement.Filter) []placement.Candidate {
 	service := x.request.Service.Name
 	filters = append(filters, x.untried(), x.origin.allows)
+	if x.returned != "" {
+		filters = append(filters, x.onlyReturned)
+	}
 	if found := x.healthyEngines(service, filters...); len(found) > 0 {
 		return found
 	}
@@ -418,6 +434,9 @@
 		s.end()
 		return nil, x.sendFailed(waiting, a, err)
 	}
+	if s.response.Success {
+		x.answered(a.Engine)
+	}
 	return s, nil
 }
 
@@ -498,6 +517,11 @@
 	x.failedEngines = append(x.failedEngines, a.Engine.ID)
 	if errors.Is(err, ErrNotSent) {
 		x.unsentAttempts++
+		x.unreached = append(x.unreached, a.Engine.ID)
+		x.returns.unreached(a.Engine)
+	}
+	if errors.Is(err, ErrServerNotFound) && !errors.Is(err, ErrNotSent) {
+		x.returns.end(a.Engine)
 	}
 	switch {
 	case errors.Is(err, ErrServerNotFound):
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -199,6 +199,8 @@
 
 func (w *fixture) Ended(context.Context, fleet.Engine) bool { return w.ended }
 
+func (w *fixture) Reach(context.Context, fleet.Engine) error { return nil }
+
 func (w *fixture) Release(s exchange.KVSource) { w.released = append(w.released, s.Handle) }
 
 func (w *fixture) WriteResponse(a *exchange.Response, body []byte) error {
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -44,6 +44,11 @@
 	if source == nil && x.prefillCalls > 0 && x.arrivedSends() == 0 && !x.spendRetry() {
 		return nil, errRetryBudget
 	}
+	// The engines that decode may have ended meanwhile.
+	if err := x.awaitServer(ctx); err != nil {
+		x.release(source)
+		return nil, err
+	}
 	chosen, source, ok := x.chooseDecode(ctx, source)
 	if !ok {
 		return nil, x.noServer()
--- a/internal/protocol/exchange/load_test.go
+++ b/internal/protocol/exchange/load_test.go
@@ -244,6 +244,8 @@
 
 func (m *modelCall) Ended(context.Context, fleet.Engine) bool { return false }
 
+func (m *modelCall) Reach(context.Context, fleet.Engine) error { return nil }
+
 func (m *modelCall) Release(exchange.KVSource) {}
 
 func (m *modelCall) WriteResponse(*exchange.Response, []byte) error { return nil }
--- a/internal/protocol/exchange/place.go
+++ b/internal/protocol/exchange/place.go
@@ -41,6 +41,9 @@
 	if err := x.checkQuarantine(); err != nil {
 		return nil, err
 	}
+	if err := x.awaitServer(ctx); err != nil {
+		return nil, err
+	}
 	var paid retry.Retry
 	if x.arrivedSends() > 0 {
 		var ok bool
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -109,6 +109,9 @@
 	// Ended reports whether nothing listens at a server's address any more. It
 	// takes no longer than a connection attempt.
 	Ended(ctx context.Context, e fleet.Engine) bool
+	// Reach connects to a server and sends nothing. The error matches
+	// ErrServerNotFound if nothing listens at its address.
+	Reach(ctx context.Context, e fleet.Engine) error
 	// Release frees a KV cache that will not be fetched. It does not block.
 	Release(s KVSource)
 }
--- a/internal/protocol/exchange/version_test.go
+++ b/internal/protocol/exchange/version_test.go
@@ -316,6 +316,13 @@
 
 func (w *versionedServers) Ended(context.Context, fleet.Engine) bool { return w.random.IntN(2) == 0 }
 
+func (w *versionedServers) Reach(context.Context, fleet.Engine) error {
+	if w.random.IntN(2) == 0 {
+		return exchange.ErrServerNotFound
+	}
+	return nil
+}
+
 func (w *versionedServers) Release(s exchange.KVSource)                    { delete(w.handles, s.Handle) }
 func (w *versionedServers) WriteResponse(*exchange.Response, []byte) error { return nil }
 func (w *versionedServers) BeginStream(*exchange.Response) error           { return nil }
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -217,16 +217,21 @@
 }
 
 // Refused reports whether a new connection to a server is refused: nothing
-// listens at its address. A connection that is not refused is kept for later
-// requests.
+// listens at its address.
 func (p *Pool) Refused(ctx context.Context, address string) bool {
+	return errors.Is(p.Connect(ctx, address), syscall.ECONNREFUSED)
+}
+
+// Connect opens a connection to a server and keeps it for later requests. The error
+// matches syscall.ECONNREFUSED if nothing listens at the address.
+func (p *Pool) Connect(ctx context.Context, address string) error {
 	c, err := p.dial(ctx, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	c.idleTimeout = defaultIdleTimeout
 	p.put(c)
-	return false
+	return nil
 }
 
 // popIdle removes and returns the idle connection that was used last, of those that
