A leaving voter waits only if a learner can take its vote

What operators saw: a control process of a deployment without a limit on voters took two seconds longer to stop while a new replica was joining.

Cause: the handover of the vote waited for any learner; without a limit each learner becomes a voter by itself.

Evidence: TestLeavingVoterWaitsOnlyForAHandover before the change: "stopped after 2s, want at once".

Measured: the test passes, and all tests of coordination and controlrole.

--- a/internal/coordination/raft/learner_test.go
+++ b/internal/coordination/raft/learner_test.go
@@ -171,3 +171,22 @@
 		}
 	})
 }
+
+// TestLeavingVoterWaitsOnlyForAHandover stops a voter of a group without a limit on
+// voters while a replica that never catches up is a learner. There is nothing to wait
+// for.
+func TestLeavingVoterWaitsOnlyForAHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := fakegroup.New(t, fakegroup.Options{})
+		leader := g.Leader()
+		if err := g.Node(leader).Join(t.Context(), raft.Member{ID: 99, Name: "never", Address: "192.0.2.99:1"}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		start := time.Now()
+		g.StopGracefully((leader + 1) % 3)
+		if took := time.Since(start); took > raft.DefaultTiming.Heartbeat {
+			t.Errorf("stopped after %v, want at once", took)
+		}
+	})
+}
--- a/internal/coordination/raft/membership.go
+++ b/internal/coordination/raft/membership.go
@@ -149,9 +149,10 @@
 // caller then repeats the call, because the message may get lost.
 func (c *Core) Leave() (pending bool) {
 	members := c.Members()
-	voters := members.Voters()
-	surplus := c.maxVoters > 0 && len(voters) > c.maxVoters
-	if c.role == leader || !c.isVoter() || (len(voters) == len(members) && !surplus) {
+	voters := len(members.Voters())
+	learners := len(members) - voters
+	// Without a limit on voters, each learner becomes one anyway.
+	if c.maxVoters == 0 || c.role == leader || !c.isVoter() || learners == 0 && voters <= c.maxVoters {
 		return false
 	}
 	if c.leaderID != 0 {
