--- a/internal/protocol/exchange/await.go
+++ b/internal/protocol/exchange/await.go
@@ -126,8 +126,8 @@
 	return false
 }
 
-// onlyReturned is a filter that leaves only the server that accepts connections again of
-// those that could send events.
+// onlyReturned is a filter that drops the servers that can send events, except the one
+// that accepts connections again.
 func (x *exchange) onlyReturned(e fleet.Engine) bool {
 	return e.ID == x.returned || !placement.CanDecode(e)
 }
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -199,6 +199,7 @@
 	h.known = known
 	h.mu.Unlock()
 	h.recordVersions(known)
+	h.listedAt.Store(int64(clock.Boot{}.Now()))
 	next := &engineList{incomplete: list.Incomplete}
 	for _, e := range list.Engines {
 		next.engines = append(next.engines, fromEngine(e))
--- a/internal/transport/peergrpc/streamorigin.go
+++ b/internal/transport/peergrpc/streamorigin.go
@@ -27,7 +27,6 @@
 
 // recordVersions records the software versions of the engines in use.
 func (h *FleetHub) recordVersions(engines []fleet.Engine) {
-	h.listedAt.Store(int64(clock.Boot{}.Now()))
 	for _, c := range h.origins.SetEngines(engines) {
 		h.options.Log.Info("software version of a service", "service", c.Service, "version", c.Version.Version, "listed", c.Listed, "others", c.Others)
 	}
