A server that answers again is reachable and a candidate at once

What callers could see: of streams that waited for a server of their version, a rare one was refused at the moment at which the server was back.

Cause: whether a server answers was read twice, first to make it a candidate again and then to call it reachable. An answer to another stream between the two left it reachable and excluded.

A trace of one showed the server answering, and still among those that failed.

Change: it is read once.

--- a/internal/protocol/exchange/await.go
+++ b/internal/protocol/exchange/await.go
@@ -41,8 +41,7 @@
 	started, until := time.Now(), x.patienceEnd()
 	for {
 		servers, mayReturn := x.continuingServers()
-		x.forgetAnswering(servers)
-		if slices.ContainsFunc(servers, x.isReachable) || !mayReturn || x.reachAny(ctx, servers) {
+		if x.anyReachable(servers) || !mayReturn || x.reachAny(ctx, servers) {
 			break
 		}
 		if !time.Now().Before(until) {
@@ -99,10 +98,21 @@
 	return slices.DeleteFunc(slices.Clone(x.failedEngines), func(id string) bool { return slices.Contains(x.unreached, id) })
 }
 
-// isReachable reports whether nothing is known to keep a server from being reached.
-func (x *exchange) isReachable(c placement.Candidate) bool {
-	return x.returns.answeredLately(c.Engine) ||
-		c.Load.MissingEntries == 0 && !slices.Contains(x.unreached, c.ID) && !slices.Contains(x.options.Outlier.Missing(), c.ID)
+// anyReachable reports whether nothing is known to keep one of the servers from being
+// reached. Those that answer other requests become candidates again. Whether a server
+// answers is read once: one that counts as reachable must be a candidate.
+func (x *exchange) anyReachable(servers []placement.Candidate) (found bool) {
+	missing := x.options.Outlier.Missing()
+	for _, c := range servers {
+		switch {
+		case x.returns.answeredLately(c.Engine):
+			x.forgetUnreached(c.ID)
+			found = true
+		case c.Load.MissingEntries == 0 && !slices.Contains(x.unreached, c.ID) && !slices.Contains(missing, c.ID):
+			found = true
+		}
+	}
+	return found
 }
 
 // reachAny tries to connect to the servers. It reports whether one accepts the
@@ -132,15 +142,6 @@
 	return e.ID == x.returned || !placement.CanDecode(e)
 }
 
-// forgetAnswering makes the servers candidates again that answer other requests.
-func (x *exchange) forgetAnswering(servers []placement.Candidate) {
-	for _, c := range servers {
-		if x.returns.answeredLately(c.Engine) {
-			x.forgetUnreached(c.ID)
-		}
-	}
-}
-
 // forgetUnreached makes a server that the request didn't reach a candidate again.
 func (x *exchange) forgetUnreached(id string) {
 	if i := slices.Index(x.unreached, id); i >= 0 {
