Entries report the use of their retry budgets

A service gets more retries than the deployment may make, and the logs don't say what an entry allows itself. Each entry now logs, once a second while retries are made or denied, its requests and retries in the window, what it allows, the part of the slack in it, the number of entries that divides the slack, and the process (incarnation). Gauges show the same.

--- a/internal/protocol/retry/window.go
+++ b/internal/protocol/retry/window.go
@@ -24,6 +24,7 @@
 	newestBucket int64
 	requests     [windowBuckets + 1]int
 	retries      [windowBuckets + 1]int
+	denied       int
 }
 
 // NewWindow returns a budget of share retries per request over spans of the
@@ -72,20 +73,45 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	at := w.advanceBuckets()
-	requests, retries := 0, 0
-	for i := range w.requests {
-		retries += w.retries[i]
-		if i != (at+1)%len(w.requests) { // the oldest bucket may lie outside the window
-			requests += w.requests[i]
-		}
-	}
-	if float64(retries+1) > w.share*float64(requests)+slack {
+	u := w.usage(at)
+	if float64(u.Retries+1) > w.share*float64(u.Requests)+slack {
+		w.denied++
 		return Retry{}, false
 	}
 	w.retries[at]++
 	return Retry{window: w, bucket: w.newestBucket}, true
 }
 
+// Usage is what a window holds at one moment.
+type Usage struct {
+	Requests int
+	Retries  int
+	// Allowed is the number of retries that the requests allow, without slack.
+	Allowed float64
+	// Denied counts the retries that were ever denied.
+	Denied int
+}
+
+// Usage returns the requests and retries within the window.
+func (w *Window) Usage() Usage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.usage(w.advanceBuckets())
+}
+
+// usage sums up the buckets; at is the index of the current one. w.mu must be held.
+func (w *Window) usage(at int) Usage {
+	u := Usage{Denied: w.denied}
+	for i := range w.requests {
+		u.Retries += w.retries[i]
+		if i != (at+1)%len(w.requests) { // the oldest bucket may lie outside the window
+			u.Requests += w.requests[i]
+		}
+	}
+	u.Allowed = w.share * float64(u.Requests)
+	return u
+}
+
 // advanceBuckets returns the index of the current bucket and clears those that
 // started since the last call. w.mu must be held.
 func (w *Window) advanceBuckets() int {
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -46,6 +48,9 @@
 	maxListAge = 2500 * time.Millisecond
 	// directListInterval is the interval at which it does so.
 	directListInterval = time.Second
+	// budgetReportInterval is the interval at which the use of the retry budgets is
+	// logged.
+	budgetReportInterval = time.Second
 	// budgetFraction is the fraction of the deployment's retry budget that is
 	// used, because the number of entries is known only with a delay.
 	budgetFraction = 0.9
@@ -72,6 +77,8 @@
 	RetrySlack  float64
 	// Notices holds what engines announced to this entry.
 	Notices *notice.Board
+	// Metrics receives the gauges of the retry budgets. If it is nil, there are none.
+	Metrics tally.Scope
 	Clock   clock.Clock
 	Log     hclog.Logger
 }
@@ -112,6 +119,8 @@
 	// pending is the open request for a newer document, if any.
 	pending documentRequest
 	budgets map[string]*retry.Window
+	// loggedUsage is what was last logged of each budget, by service.
+	loggedUsage map[string]retry.Usage
 }
 
 // documentRequest is a request to one source for its document.
@@ -124,6 +133,9 @@
 
 // New returns an agent, which Run starts.
 func New(o Options) *Agent {
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
 	a := &Agent{
 		options:     o,
 		incarnation: uint64(o.Clock.Wall().UnixNano()),
@@ -137,6 +149,7 @@
 		roster:      fleet.NewRoster(),
 		listedAt:    time.Now(),
 		budgets:     make(map[string]*retry.Window),
+		loggedUsage: make(map[string]retry.Usage),
 	}
 	a.origins = newOrigins(a)
 	a.reportInterval.Store(int64(maxReportInterval))
@@ -159,6 +172,7 @@
 	group.Go(func() error { return a.origins.run(ctx) })
 	group.Go(func() error { return clock.Every(ctx, directListInterval, a.listWithoutControl) })
 	group.Go(func() error { return clock.Every(ctx, loadCheckInterval, a.expireOtherLoad) })
+	group.Go(func() error { return clock.Every(ctx, budgetReportInterval, a.reportBudgets) })
 	return group.Wait()
 }
 
@@ -209,7 +223,36 @@
 		budget = retry.NewWindow(a.options.Clock, a.options.RetryShare*budgetFraction, a.options.RetryWindow)
 		a.budgets[service] = budget
 	}
-	return budget, a.options.RetrySlack * budgetFraction / float64(max(1, a.entries.Load()))
+	return budget, a.slack()
+}
+
+// slack returns this entry's share of the deployment's retry slack.
+func (a *Agent) slack() float64 {
+	return a.options.RetrySlack * budgetFraction / float64(max(1, a.entries.Load()))
+}
+
+// reportBudgets sets the gauges of the retry budgets, and logs each budget of which
+// retries were used or denied since it was last logged.
+func (a *Agent) reportBudgets(context.Context) {
+	a.mu.Lock()
+	budgets := maps.Clone(a.budgets)
+	a.mu.Unlock()
+	for service, budget := range budgets {
+		u, slack := budget.Usage(), a.slack()
+		scope := a.options.Metrics.Tagged(map[string]string{"service": service})
+		scope.Gauge("retry_requests").Update(float64(u.Requests))
+		scope.Gauge("retry_retries").Update(float64(u.Retries))
+		scope.Gauge("retry_allowed").Update(u.Allowed + slack)
+		scope.Gauge("retry_denied").Update(float64(u.Denied))
+		scope.Gauge("retry_entries").Update(float64(a.entries.Load()))
+		logged := a.loggedUsage[service]
+		a.loggedUsage[service] = u
+		if u.Retries == logged.Retries && u.Denied == logged.Denied {
+			continue
+		}
+		a.options.Log.Info("retry budget", "service", service, "requests", u.Requests, "retries", u.Retries, "allowed", u.Allowed+slack,
+			"slack", slack, "entries", a.entries.Load(), "denied", u.Denied, "incarnation", a.incarnation)
+	}
 }
 
 // report returns the next report to the control replica source. Work goes to the
