Count a retry when it is sent

An entry paid for a retry before the request waited for a prefill engine or a rate limit, and counted it from then on. Servers got it up to seconds later, so that retries of more than one window arrived within one: more than the budget allows, without any process that ended.

A retry that is taken is reserved now, and counts within the window from when it is sent; both limit what else may be taken. Retries that aren't made are given back at the end of the exchange at the latest.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -150,6 +150,7 @@
 	defer stopEnd()
 	outcome := x.attemptUntilDone(deadlineCtx)
 	x.discardNext()
+	x.returnPaidRetries()
 	x.release(x.kvSource)
 	if outcome.Result != Delivered && x.heldFailure != nil && !x.streamBegun && ctx.Err() == nil {
 		outcome = Outcome{Result: Delivered, Err: errors.Join(outcome.Err, x.writeResponse(x.heldFailure.Response, x.heldFailure.body))}
@@ -231,9 +232,9 @@
 	// notReplaced is the newest engine that was silent and could not be replaced.
 	notReplaced string
 	// next is the attempt that has begun in place of a silent one, and paidRetries
-	// counts retries that have been taken from the budget and not made yet.
+	// holds retries that have been taken for calls that are still to be placed.
 	next        *startedAttempt
-	paidRetries int
+	paidRetries []retry.Retry
 	// streamBegun is set once the headers of an event stream have been
 	// written to the caller.
 	streamBegun bool
@@ -408,6 +409,7 @@
 // replace another one, whose guard is at work.
 func (x *exchange) start(ctx, waiting context.Context, p *placedAttempt, guarded bool) (*startedAttempt, error) {
 	a, id := p.attempt, p.attempt.Engine.ID
+	p.retry.Made()
 	x.sends++
 	x.runs++ // unless the server proves otherwise
 	x.options.Outlier.AttemptStarted(id)
--- a/internal/protocol/exchange/place.go
+++ b/internal/protocol/exchange/place.go
@@ -92,16 +92,25 @@
 
 // takeRetry takes one retry, which may have been paid before.
 func (x *exchange) takeRetry() (r retry.Retry, ok bool) {
-	if x.paidRetries > 0 {
-		x.paidRetries--
-		return retry.Retry{}, true
+	if n := len(x.paidRetries); n > 0 {
+		r, x.paidRetries = x.paidRetries[n-1], x.paidRetries[:n-1]
+		return r, true
 	}
 	budget, slack := x.options.Budget(x.request.Service.Name)
 	return budget.Take(slack)
 }
 
-// spendRetry is like takeRetry, for a retry that is never given back.
+// spendRetry is like takeRetry, for a retry that is made at once.
 func (x *exchange) spendRetry() bool {
-	_, ok := x.takeRetry()
+	r, ok := x.takeRetry()
+	r.Made()
 	return ok
 }
+
+// returnPaidRetries gives back the retries that were paid and not made.
+func (x *exchange) returnPaidRetries() {
+	for _, r := range x.paidRetries {
+		r.Return()
+	}
+	x.paidRetries = nil
+}
--- a/internal/protocol/exchange/silence.go
+++ b/internal/protocol/exchange/silence.go
@@ -298,9 +298,6 @@
 	if !ok {
 		return nil
 	}
-	x.paidRetries++
-	return func() {
-		x.paidRetries--
-		r.Return()
-	}
+	x.paidRetries = append(x.paidRetries, r)
+	return x.returnPaidRetries
 }
--- a/internal/protocol/retry/window.go
+++ b/internal/protocol/retry/window.go
@@ -24,7 +24,9 @@
 	newestBucket int64
 	requests     [windowBuckets + 1]int
 	retries      [windowBuckets + 1]int
-	denied       int
+	// reserved counts the retries that were taken and not made or given back yet.
+	reserved int
+	denied   int
 }
 
 // NewWindow returns a budget of share retries per request over spans of the
@@ -40,35 +42,39 @@
 	w.requests[w.advanceBuckets()]++
 }
 
-// Retry is a retry that was taken from a Window.
+// Retry is a retry that was taken from a Window and counts against it. Either Made or
+// Return must be called, once. On the zero Retry both do nothing.
 type Retry struct {
 	window *Window
-	bucket int64
 }
 
-// Return gives a retry back that was not made. It must be called once at most. On the
-// zero Retry it does nothing.
-func (r Retry) Return() {
+// Made records that the retry is being sent now: it may have waited since it was
+// taken, and servers count it when it arrives.
+func (r Retry) Made() { r.end(1) }
+
+// Return gives a retry back that was not made.
+func (r Retry) Return() { r.end(0) }
+
+func (r Retry) end(made int) {
 	w := r.window
 	if w == nil {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.advanceBuckets()
-	if w.newestBucket-r.bucket < int64(len(w.retries)) {
-		w.retries[r.bucket%int64(len(w.retries))]--
-	}
+	w.reserved--
+	w.retries[w.advanceBuckets()] += made
 }
 
-// Spend takes one retry from the budget, or reports false if there is none.
-// slack is the number of retries allowed beyond the share.
+// Spend takes one retry from the budget and makes it, or reports false if there is
+// none. slack is the number of retries allowed beyond the share.
 func (w *Window) Spend(slack float64) bool {
-	_, ok := w.Take(slack)
+	r, ok := w.Take(slack)
+	r.Made()
 	return ok
 }
 
-// Take is like Spend, and returns the retry so that it can be given back.
+// Take is like Spend for a retry that is made later, or not at all.
 func (w *Window) Take(slack float64) (r Retry, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -78,14 +84,15 @@
 		w.denied++
 		return Retry{}, false
 	}
-	w.retries[at]++
-	return Retry{window: w, bucket: w.newestBucket}, true
+	w.reserved++
+	return Retry{window: w}, true
 }
 
 // Usage is what a window holds at one moment.
 type Usage struct {
 	Requests int
-	Retries  int
+	// Retries includes those that were taken and are not made yet.
+	Retries int
 	// Allowed is the number of retries that the requests allow, without slack.
 	Allowed float64
 	// Denied counts the retries that were ever denied.
@@ -101,7 +108,7 @@
 
 // usage sums up the buckets; at is the index of the current one. w.mu must be held.
 func (w *Window) usage(at int) Usage {
-	u := Usage{Denied: w.denied}
+	u := Usage{Denied: w.denied, Retries: w.reserved}
 	for i := range w.requests {
 		u.Retries += w.retries[i]
 		if i != (at+1)%len(w.requests) { // the oldest bucket may lie outside the window
--- a/internal/protocol/retry/window_return_test.go
+++ b/internal/protocol/retry/window_return_test.go
@@ -37,6 +37,7 @@
 			switch {
 			case !ok:
 			case rapid.Bool().Draw(t, "makes"):
+				r.Made()
 				made = append(made, c.now)
 			default:
 				taken = append(taken, r)
