One retry bound for the deployment, kept while entries come and go

Callers' retries reached servers beyond the deployment's budget while entries were killed, frozen or cut off.

Cause: the bound was kept by each process for itself. A process that started anew knew nothing of what the one before it had used in the same ten seconds, and the slack was divided by the entries that were ready at the moment, so that it grew for the rest when others died, froze, left or were cut off.

Now entries report what they use to the control replicas, which keep the sum of the deployment for the length of the window, including what processes used that have ended (retry.Ledger). While nothing starts, ends or loses contact, each entry's own part alone decides, as before. Otherwise an entry also keeps to what all entries together have left, in proportion to its own part; one that runs for less than a window makes no retries unless a replica has the whole record; one out of contact counts no requests that came to it later. The slack is divided by the most entries seen within hours, so that a cut divides it by all, and the record outlives a replica that is reopened.

--- a/internal/protocol/exchange/await_test.go
+++ b/internal/protocol/exchange/await_test.go
@@ -183,13 +183,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				var view atomic.Pointer[fleet.View]
 				view.Store(fleet.NewView(c.engines))
-				budget := retry.NewWindow(clock.NewRuntime(), 0.2, 10*time.Second)
+				budget := retry.NewAccount(clock.NewRuntime(), retry.Bound{Share: 0.2, Slack: 2 * streams, Window: 10 * time.Second})
 				carrier := exchange.New(exchange.Options{
 					View:    view.Load,
 					Tracker: fleet.NewTracker(),
 					Outlier: outlier.NewSet(clock.NewRuntime()),
 					Origins: beganAt("v1"),
-					Budget:  func(string) (*retry.Window, float64) { return budget, 2 * streams },
+					Budget:  func(string) *retry.Account { return budget },
 					Random:  func(int) int { return 0 },
 					Log:     hclog.NewNullLogger(),
 				})
--- a/internal/protocol/exchange/choose_test.go
+++ b/internal/protocol/exchange/choose_test.go
@@ -35,7 +35,7 @@
 
 func newLimitedServers(engines ...fleet.Engine) *limitedServers {
 	c := clock.NewRuntime()
-	board, budget := notice.NewBoard(c), retry.NewWindow(c, 1, 10*time.Second)
+	board, budget := notice.NewBoard(c), retry.NewAccount(c, retry.Bound{Share: 1, Slack: 1000, Window: 10 * time.Second})
 	w := &limitedServers{view: fleet.NewView(engines), limits: board.Limits, arrivals: make(map[string]int)}
 	w.limits.SetView(w.view)
 	w.limits.SetPosition(ratelimit.Position{Count: 1})
@@ -44,7 +44,7 @@
 		Tracker: fleet.NewTracker(),
 		Outlier: outlier.NewSet(c),
 		Notices: board,
-		Budget:  func(string) (*retry.Window, float64) { return budget, 1000 },
+		Budget:  func(string) *retry.Account { return budget },
 		Random:  rand.New(rand.NewPCG(1, 1)).IntN,
 		Log:     hclog.NewNullLogger(),
 	})
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -46,9 +46,8 @@
 	Origins Origins
 	// Pace counts the streams. If it is nil, New creates a counter.
 	Pace *fleet.PaceCounter
-	// Budget returns the retry budget of a service and the slack that this
-	// entry may use beyond it.
-	Budget func(service string) (budget *retry.Window, slack float64)
+	// Budget returns this entry's account of a service's retry budget.
+	Budget func(service string) *retry.Account
 	// Random returns a random integer in [0, n).
 	Random func(n int) int
 	Log    hclog.Logger
@@ -138,8 +137,7 @@
 // Run forwards a request until it is answered, refused or given up, and logs
 // the outcome. ctx must end when the caller disconnects.
 func (c *Forwarder) Run(ctx context.Context, r *Request, sender Sender, sink Sink) Outcome {
-	budget, _ := c.options.Budget(r.Service.Name)
-	budget.Request()
+	c.options.Budget(r.Service.Name).Request()
 	x := &exchange{
 		Forwarder: c, request: r, sender: sender, sink: sink, started: time.Now(), lastEventID: r.LastEventID,
 		sharedParts: r.Prompt.SharedParts(),
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -84,7 +84,8 @@
 	// view holds the listed servers.
 	view    *fleet.View
 	tracker *fleet.Tracker
-	budget  *retry.Window
+	// budget is created with the slack at the first request.
+	budget  *retry.Account
 	origins *fakeOrigins
 	notices *notice.Board
 }
@@ -108,8 +109,6 @@
 	}
 	w.view, w.tracker = fleet.NewView(engines), fleet.NewTracker()
 	c := clock.NewRuntime()
-	budget := retry.NewWindow(c, 0.2, 10*time.Second)
-	w.budget = budget
 	w.carrier = exchange.New(exchange.Options{
 		View:       func() *fleet.View { return w.view },
 		Tracker:    w.tracker,
@@ -118,13 +117,20 @@
 		Quarantine: w.quarantine,
 		Origins:    w.origins,
 		Notices:    w.notices,
-		Budget:     func(string) (*retry.Window, float64) { return budget, w.slack },
+		Budget:     w.account,
 		Random:     func(int) int { return 0 },
 		Log:        hclog.NewNullLogger(),
 	})
 	return w
 }
 
+func (w *fixture) account(string) *retry.Account {
+	if w.budget == nil {
+		w.budget = retry.NewAccount(clock.NewRuntime(), retry.Bound{Share: 0.2, Slack: w.slack, Window: 10 * time.Second})
+	}
+	return w.budget
+}
+
 func (w *fixture) Prefill(ctx context.Context, a exchange.Attempt) (string, error) {
 	w.prefills = append(w.prefills, a)
 	if w.onPrefill != nil {
--- a/internal/protocol/exchange/load_test.go
+++ b/internal/protocol/exchange/load_test.go
@@ -108,14 +108,14 @@
 	for i := range entries {
 		random := rand.New(rand.NewPCG(uint64(i), 1))
 		e := &modelEntry{tracker: fleet.NewTracker(), prefixes: prefixdir.New()}
-		budget := retry.NewWindow(clock.NewRuntime(), 0.2, 10*time.Second)
+		budget := retry.NewAccount(clock.NewRuntime(), retry.Bound{Share: 0.2, Slack: 10, Window: 10 * time.Second})
 		var mu sync.Mutex
 		e.carrier = exchange.New(exchange.Options{
 			View:     func() *fleet.View { return view },
 			Tracker:  e.tracker,
 			Prefixes: e.prefixes,
 			Outlier:  outlier.NewSet(clock.NewRuntime()),
-			Budget:   func(string) (*retry.Window, float64) { return budget, 10 },
+			Budget:   func(string) *retry.Account { return budget },
 			Random: func(n int) int {
 				mu.Lock()
 				defer mu.Unlock()
--- a/internal/protocol/exchange/place.go
+++ b/internal/protocol/exchange/place.go
@@ -96,8 +96,7 @@
 		r, x.paidRetries = x.paidRetries[n-1], x.paidRetries[:n-1]
 		return r, true
 	}
-	budget, slack := x.options.Budget(x.request.Service.Name)
-	return budget.Take(slack)
+	return x.options.Budget(x.request.Service.Name).Take()
 }
 
 // spendRetry is like takeRetry, for a retry that is made at once.
--- a/internal/protocol/exchange/silence_test.go
+++ b/internal/protocol/exchange/silence_test.go
@@ -119,7 +119,10 @@
 			t.Errorf("got %+v after %d sends and events %q, want both events from one server", o, len(w.sends), w.received.String())
 		}
 		left := 0
-		for w.budget.Spend(w.slack) {
+		for {
+			if _, ok := w.budget.Take(); !ok {
+				break
+			}
 			left++
 		}
 		if want := int(w.slack) - 1; left != want {
--- a/internal/protocol/exchange/version_test.go
+++ b/internal/protocol/exchange/version_test.go
@@ -377,7 +377,7 @@
 
 func (w *versionedServers) run(ctx context.Context, r *exchange.Request, engines []fleet.Engine, holder fleet.Engine) {
 	c, view, origins, prefixes := clock.NewRuntime(), fleet.NewView(engines), newFakeOrigins(), prefixdir.New()
-	budget := retry.NewWindow(c, 0.2, 10*time.Second)
+	budget := retry.NewAccount(c, retry.Bound{Share: 0.2, Slack: 10, Window: 10 * time.Second})
 	prefixes.RecordPrefill("shared", r.Prompt.Tokens/2, holder)
 	if w.required != "" {
 		origins.began["r"] = w.required
@@ -389,7 +389,7 @@
 		Outlier:  outlier.NewSet(c),
 		Prefixes: prefixes,
 		Origins:  origins,
-		Budget:   func(string) (*retry.Window, float64) { return budget, 10 },
+		Budget:   func(string) *retry.Account { return budget },
 		Random:   w.random.IntN,
 		Log:      hclog.NewNullLogger(),
 	}).Run(ctx, r, w, w)
--- a/internal/protocol/retry/window.go
+++ b/internal/protocol/retry/window.go
@@ -11,13 +11,14 @@
 // bucket is kept, so that every span of the window's length is covered.
 const windowBuckets = 10
 
-// Window is a sliding-window retry budget: over any span of the window's length
-// it bounds retries to a share of the requests plus a slack. It is safe for
+// Window counts requests and retries within a sliding window: never fewer retries, and
+// never more requests, than any span of its length that ends now has. It is safe for
 // concurrent use.
 type Window struct {
 	clock        clock.Clock
-	share        float64
 	bucketLength time.Duration
+	// onRetry is called after each retry with the number of retries so far, if set.
+	onRetry func(made int)
 
 	mu sync.Mutex // guards the fields below
 	// newestBucket is the number of the newest bucket since the clock's zero.
@@ -26,23 +27,71 @@
 	retries      [windowBuckets + 1]int
 	// reserved counts the retries that were taken and not made or given back yet.
 	reserved int
-	denied   int
+	// requestsEver, made and denied count since the window was created.
+	requestsEver, made, denied int
 }
 
-// NewWindow returns a budget of share retries per request over spans of the
-// given length.
-func NewWindow(c clock.Clock, share float64, length time.Duration) *Window {
-	return &Window{clock: c, share: share, bucketLength: length / windowBuckets}
+// NewWindow returns an empty window of the given length; zero means DefaultWindow.
+func NewWindow(c clock.Clock, length time.Duration) *Window {
+	if length <= 0 {
+		length = DefaultWindow
+	}
+	return &Window{clock: c, bucketLength: length / windowBuckets}
+}
+
+// Usage is what a window holds at one moment.
+type Usage struct {
+	Requests int
+	// Retries includes those that were taken and are not made yet.
+	Retries int
+	// RequestsEver and Made count the requests and the retries that were made since the
+	// window was created, Denied the retries that were not allowed. Taken is Made and
+	// those that are not made yet.
+	RequestsEver, Made, Taken, Denied int
 }
 
 // Request counts a request.
-func (w *Window) Request() {
+func (w *Window) Request() { w.add(1, 0) }
+
+// add counts requests and retries that are made now.
+func (w *Window) add(requests, retries int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := w.advanceBuckets()
+	w.requests[at] += requests
+	w.requestsEver += requests
+	w.retries[at] += retries
+	w.made += retries
+}
+
+// recent returns the buckets.
+func (w *Window) recent() *Recent {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, r := w.advanceBuckets(), &Recent{}
+	for age := range w.requests {
+		i := (at - age + len(w.requests)) % len(w.requests)
+		r.Requests, r.Retries = append(r.Requests, w.requests[i]), append(r.Retries, w.retries[i])
+	}
+	return r
+}
+
+// addRecent adds the newest of the requests and retries of another window, up to the
+// given numbers.
+func (w *Window) addRecent(r *Recent, requests, retries int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.requests[w.advanceBuckets()]++
+	at := w.advanceBuckets()
+	for age := range min(len(w.requests), len(r.Requests), len(r.Retries)) {
+		i := (at - age + len(w.requests)) % len(w.requests)
+		addedRequests, addedRetries := min(requests, r.Requests[age]), min(retries, r.Retries[age])
+		w.requests[i] += addedRequests
+		w.retries[i] += addedRetries
+		requests, retries = requests-addedRequests, retries-addedRetries
+	}
 }
 
-// Retry is a retry that was taken from a Window and counts against it. Either Made or
+// Retry is a retry that was taken and counts against the budget. Either Made or
 // Return must be called, once. On the zero Retry both do nothing.
 type Retry struct {
 	window *Window
@@ -50,37 +99,37 @@
 
 // Made records that the retry is being sent now: it may have waited since it was
 // taken, and servers count it when it arrives.
-func (r Retry) Made() { r.end(1) }
+func (r Retry) Made() {
+	if r.window == nil {
+		return
+	}
+	if made := r.window.end(1); r.window.onRetry != nil {
+		r.window.onRetry(made)
+	}
+}
 
 // Return gives a retry back that was not made.
-func (r Retry) Return() { r.end(0) }
-
-func (r Retry) end(made int) {
-	w := r.window
-	if w == nil {
-		return
+func (r Retry) Return() {
+	if r.window != nil {
+		r.window.end(0)
 	}
+}
+
+// end ends a reservation with the given number of retries and returns the number so far.
+func (w *Window) end(retries int) (made int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.reserved--
-	w.retries[w.advanceBuckets()] += made
-}
-
-// Spend takes one retry from the budget and makes it, or reports false if there is
-// none. slack is the number of retries allowed beyond the share.
-func (w *Window) Spend(slack float64) bool {
-	r, ok := w.Take(slack)
-	r.Made()
-	return ok
+	w.retries[w.advanceBuckets()] += retries
+	w.made += retries
+	return w.made
 }
 
-// Take is like Spend for a retry that is made later, or not at all.
-func (w *Window) Take(slack float64) (r Retry, ok bool) {
+// take reserves a retry if allows permits it in view of what the window holds.
+func (w *Window) take(allows func(Usage) bool) (r Retry, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	at := w.advanceBuckets()
-	u := w.usage(at)
-	if float64(u.Retries+1) > w.share*float64(u.Requests)+slack {
+	if !allows(w.usage()) {
 		w.denied++
 		return Retry{}, false
 	}
@@ -88,34 +137,23 @@
 	return Retry{window: w}, true
 }
 
-// Usage is what a window holds at one moment.
-type Usage struct {
-	Requests int
-	// Retries includes those that were taken and are not made yet.
-	Retries int
-	// Allowed is the number of retries that the requests allow, without slack.
-	Allowed float64
-	// Denied counts the retries that were ever denied.
-	Denied int
-}
-
-// Usage returns the requests and retries within the window.
+// Usage returns what the window holds.
 func (w *Window) Usage() Usage {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.usage(w.advanceBuckets())
+	return w.usage()
 }
 
-// usage sums up the buckets; at is the index of the current one. w.mu must be held.
-func (w *Window) usage(at int) Usage {
-	u := Usage{Denied: w.denied, Retries: w.reserved}
+// usage sums up the buckets. w.mu must be held.
+func (w *Window) usage() Usage {
+	at := w.advanceBuckets()
+	u := Usage{Retries: w.reserved, RequestsEver: w.requestsEver, Made: w.made, Taken: w.made + w.reserved, Denied: w.denied}
 	for i := range w.requests {
 		u.Retries += w.retries[i]
 		if i != (at+1)%len(w.requests) { // the oldest bucket may lie outside the window
 			u.Requests += w.requests[i]
 		}
 	}
-	u.Allowed = w.share * float64(u.Requests)
 	return u
 }
 
--- a/internal/protocol/retry/window_return_test.go
+++ b/internal/protocol/retry/window_return_test.go
@@ -23,7 +23,7 @@
 	const length, slack = time.Second, 3
 	rapid.Check(t, func(t *rapid.T) {
 		c := &movingClock{}
-		w := NewWindow(c, 0, length)
+		w := NewAccount(c, Bound{Slack: slack, Window: length})
 		var taken []Retry
 		var made []clock.Instant
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -33,7 +33,7 @@
 				taken = taken[1:]
 				continue
 			}
-			r, ok := w.Take(slack)
+			r, ok := w.Take()
 			switch {
 			case !ok:
 			case rapid.Bool().Draw(t, "makes"):
--- a/internal/protocol/retry/window_test.go
+++ b/internal/protocol/retry/window_test.go
@@ -22,14 +22,15 @@
 	const length, share, slack = 10 * time.Second, 0.2, 3.0
 	rapid.Check(t, func(t *rapid.T) {
 		c := &manualClock{now: clock.Instant(time.Hour)}
-		w := NewWindow(c, share, length)
+		w := NewAccount(c, Bound{Share: share, Slack: slack, Window: length})
 		var requests, retries []clock.Instant
 		for range rapid.IntRange(1, 300).Draw(t, "events") {
 			c.now = c.now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "pause ms")) * time.Millisecond)
 			if rapid.IntRange(0, 2).Draw(t, "request") > 0 {
 				w.Request()
 				requests = append(requests, c.now)
-			} else if w.Spend(slack) {
+			} else if r, ok := w.Take(); ok {
+				r.Made()
 				retries = append(retries, c.now)
 			}
 		}
@@ -56,10 +57,10 @@
 
 func TestWindowExpiresOldRequests(t *testing.T) {
 	c := &manualClock{}
-	w := NewWindow(c, 1, time.Second)
+	w := NewAccount(c, Bound{Share: 1, Window: time.Second})
 	w.Request()
 	c.now = c.now.Add(time.Hour)
-	if w.Spend(0) {
+	if _, ok := w.Take(); ok {
 		t.Error("a request from an hour ago allowed a retry")
 	}
 }
--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -18,6 +18,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raftstore"
 	enginefleet "github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 	"github.com/lagoonshift/lagoonshift/internal/state/disk"
 	"github.com/lagoonshift/lagoonshift/internal/state/document"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
@@ -74,7 +75,9 @@
 	// CatchUp is the time after which the group must survive the next loss of a VM
 	// or disk, from the end of the previous one.
 	CatchUp time.Duration
-	Log     hclog.Logger
+	// RetryBound bounds the retries of all entries together at one service.
+	RetryBound retry.Bound
+	Log        hclog.Logger
 }
 
 // Seeded is a running control process that found its group through seeds.
@@ -94,8 +97,10 @@
 // fails is reopened from disk, as after a restart. RunSeeded calls serve once for
 // each opened replica; serve must return when its context ends.
 func RunSeeded(ctx context.Context, o SeededOptions, serve func(context.Context, *Seeded) error) error {
+	// What entries have used outlives a replica that is reopened.
+	retries := retry.NewLedger(clock.Boot{}, o.RetryBound)
 	for ctx.Err() == nil {
-		if err := runSeededOnce(ctx, o, serve); err != nil && ctx.Err() == nil {
+		if err := runSeededOnce(ctx, o, retries, serve); err != nil && ctx.Err() == nil {
 			o.Log.Error("control replica stopped; reopening it", "pause", reopenDelay, "error", err)
 		}
 		if ctx.Err() == nil {
@@ -105,7 +110,7 @@
 	return nil
 }
 
-func runSeededOnce(ctx context.Context, o SeededOptions, serve func(context.Context, *Seeded) error) error {
+func runSeededOnce(ctx context.Context, o SeededOptions, retries *retry.Ledger, serve func(context.Context, *Seeded) error) error {
 	if err := o.formFirstGroup(); err != nil {
 		return err
 	}
@@ -126,6 +131,7 @@
 			return leads
 		},
 		Quarantine: s.detector,
+		Retries:    retries,
 		Log:        o.Log,
 	})
 	err = s.run(ctx, serve)
--- a/internal/role/controlrole/seeded_test.go
+++ b/internal/role/controlrole/seeded_test.go
@@ -16,6 +16,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 	"github.com/lagoonshift/lagoonshift/internal/role/controlrole"
 	"github.com/lagoonshift/lagoonshift/internal/role/seededentry"
@@ -161,10 +162,10 @@
 			}
 			return route.New(version, nil, nil, route.Limits{})
 		},
-		List:        func(context.Context) (fleet.List, error) { return fleet.List{}, errors.New("no list") },
-		RetryWindow: time.Second,
-		Clock:       clock.Boot{},
-		Log:         hclog.NewNullLogger(),
+		List:       func(context.Context) (fleet.List, error) { return fleet.List{}, errors.New("no list") },
+		RetryBound: retry.Bound{Window: time.Second},
+		Clock:      clock.Boot{},
+		Log:        hclog.NewNullLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,12 +47,6 @@
 	maxListAge = 2500 * time.Millisecond
 	// directListInterval is the interval at which it does so.
 	directListInterval = time.Second
-	// budgetReportInterval is the interval at which the use of the retry budgets is
-	// logged.
-	budgetReportInterval = time.Second
-	// budgetFraction is the fraction of the deployment's retry budget that is
-	// used, because the number of entries is known only with a delay.
-	budgetFraction = 0.9
 )
 
 // Options configures an Agent.
@@ -70,11 +63,8 @@
 	// List reads the list of engines. It is used only while no control replica is
 	// connected.
 	List func(ctx context.Context) (fleet.List, error)
-	// RetryShare, RetryWindow and RetrySlack bound the retries of all entries
-	// together at one service.
-	RetryShare  float64
-	RetryWindow time.Duration
-	RetrySlack  float64
+	// RetryBound bounds the retries of all entries together at one service.
+	RetryBound retry.Bound
 	// Notices holds what engines announced to this entry.
 	Notices *notice.Board
 	// Metrics receives the gauges of the retry budgets. If it is nil, there are none.
@@ -97,9 +87,10 @@
 	pool        *peergrpc.Pool
 	origins     *Origins
 
-	table   atomic.Pointer[route.Table]
-	view    atomic.Pointer[fleet.View]
-	entries atomic.Int64
+	retries *retry.Accounts
+
+	table atomic.Pointer[route.Table]
+	view  atomic.Pointer[fleet.View]
 	// leader is the source of the last update from a leader, and leaderReportedAt
 	// the clock.Instant at which that update arrived.
 	leader           atomic.Pointer[string]
@@ -118,9 +109,6 @@
 	listedAt time.Time
 	// pending is the open request for a newer document, if any.
 	pending documentRequest
-	budgets map[string]*retry.Window
-	// loggedUsage is what was last logged of each budget, by service.
-	loggedUsage map[string]retry.Usage
 }
 
 // documentRequest is a request to one source for its document.
@@ -148,9 +136,8 @@
 		pool:        peergrpc.NewPool(insecure.NewCredentials()),
 		roster:      fleet.NewRoster(),
 		listedAt:    time.Now(),
-		budgets:     make(map[string]*retry.Window),
-		loggedUsage: make(map[string]retry.Usage),
 	}
+	a.retries = retry.NewAccounts(o.Clock, o.RetryBound, func() { a.watcher.Wake() })
 	a.origins = newOrigins(a)
 	a.reportInterval.Store(int64(maxReportInterval))
 	a.view.Store(fleet.NewView(nil))
@@ -172,7 +159,8 @@
 	group.Go(func() error { return a.origins.run(ctx) })
 	group.Go(func() error { return clock.Every(ctx, directListInterval, a.listWithoutControl) })
 	group.Go(func() error { return clock.Every(ctx, loadCheckInterval, a.expireOtherLoad) })
-	group.Go(func() error { return clock.Every(ctx, budgetReportInterval, a.reportBudgets) })
+	budgets := &budgetReporter{agent: a, logged: make(map[string]retry.Usage)}
+	group.Go(func() error { return clock.Every(ctx, budgetReportInterval, budgets.report) })
 	return group.Wait()
 }
 
@@ -213,54 +201,16 @@
 	a.watcher.Wake()
 }
 
-// Budget returns the retry window of a service and this entry's share of the
-// deployment's retry slack.
-func (a *Agent) Budget(service string) (budget *retry.Window, slack float64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	budget = a.budgets[service]
-	if budget == nil {
-		budget = retry.NewWindow(a.options.Clock, a.options.RetryShare*budgetFraction, a.options.RetryWindow)
-		a.budgets[service] = budget
-	}
-	return budget, a.slack()
-}
-
-// slack returns this entry's share of the deployment's retry slack.
-func (a *Agent) slack() float64 {
-	return a.options.RetrySlack * budgetFraction / float64(max(1, a.entries.Load()))
-}
-
-// reportBudgets sets the gauges of the retry budgets, and logs each budget of which
-// retries were used or denied since it was last logged.
-func (a *Agent) reportBudgets(context.Context) {
-	a.mu.Lock()
-	budgets := maps.Clone(a.budgets)
-	a.mu.Unlock()
-	for service, budget := range budgets {
-		u, slack := budget.Usage(), a.slack()
-		scope := a.options.Metrics.Tagged(map[string]string{"service": service})
-		scope.Gauge("retry_requests").Update(float64(u.Requests))
-		scope.Gauge("retry_retries").Update(float64(u.Retries))
-		scope.Gauge("retry_allowed").Update(u.Allowed + slack)
-		scope.Gauge("retry_denied").Update(float64(u.Denied))
-		scope.Gauge("retry_entries").Update(float64(a.entries.Load()))
-		logged := a.loggedUsage[service]
-		a.loggedUsage[service] = u
-		if u.Retries == logged.Retries && u.Denied == logged.Denied {
-			continue
-		}
-		a.options.Log.Info("retry budget", "service", service, "requests", u.Requests, "retries", u.Retries, "allowed", u.Allowed+slack,
-			"slack", slack, "entries", a.entries.Load(), "denied", u.Denied, "incarnation", a.incarnation)
-	}
-}
+// Budget returns this entry's account of a service's retry budget.
+func (a *Agent) Budget(service string) *retry.Account { return a.retries.Account(service) }
 
 // report returns the next report to the control replica source. Work goes to the
 // leader, or to every replica while none is known; holdings and pace go to
-// the leader only, evidence of crashes, rate limits and begun streams to every
-// replica. first is set for the first report of a watch.
+// the leader only, evidence of crashes, rate limits, begun streams and retries to
+// every replica. first is set for the first report of a watch.
 func (a *Agent) report(source string, first bool) peergrpc.Report {
 	r := peergrpc.Report{
+		RetryUses:  a.retries.Pending(source, first),
 		Evidence:   a.quarantine.Report(source, first),
 		RateLimits: a.notices.Limits.Pending(source, first),
 		Streams:    a.origins.memory.Pending(source, first),
@@ -311,7 +261,7 @@
 
 // deliver applies an update from a control replica.
 func (a *Agent) deliver(u peergrpc.Update) {
-	a.entries.Store(int64(max(1, u.Entries)))
+	a.retries.ObserveProcesses(u.Retries.Processes)
 	a.setOtherLoad(u)
 	a.prefixes.AddRemote(u.Holdings)
 	for _, l := range a.notices.Limits.Merge(u.Source, u.RateLimits) {
@@ -341,6 +291,7 @@
 		return
 	}
 	a.tracker.SetOthers(u.Others)
+	a.retries.SetDeployment(u.Retries)
 	a.notices.Limits.SetPosition(ratelimit.Position{Index: u.Index, Count: u.Entries})
 	if a.otherLoadUnknown.CompareAndSwap(true, false) {
 		a.options.Log.Info("load of other entries is known again", "source", u.Source)
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -21,6 +21,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 	"github.com/lagoonshift/lagoonshift/internal/state/document"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
@@ -74,7 +75,9 @@
 	// Quarantine evaluates what entries report on requests and prompt parts that crash
 	// servers.
 	Quarantine *quarantine.Detector
-	Log        hclog.Logger
+	// Retries records what entries use of the retry budgets.
+	Retries *retry.Ledger
+	Log     hclog.Logger
 }
 
 // FleetHub serves the Fleet service of one control replica. It keeps a list of
@@ -246,12 +249,14 @@
 // countReady recomputes the number of entries that accept new work, and the place
 // of each in the order of their names. The caller holds the lock.
 func (h *FleetHub) countReady() {
-	ready := slices.DeleteFunc(h.newestIncarnations(), func(info EntryInfo) bool { return !info.Ready })
+	all := h.newestIncarnations()
+	ready := slices.DeleteFunc(slices.Clone(all), func(info EntryInfo) bool { return !info.Ready })
 	slices.SortFunc(ready, func(a, b EntryInfo) int { return strings.Compare(a.Name, b.Name) })
 	positions := make(map[uint64]uint32, len(ready))
 	for i, info := range ready {
 		positions[info.Incarnation] = uint32(i + 1)
 	}
+	h.options.Retries.SetConnected(len(all))
 	for w := range h.entries {
 		if info := w.info.Load(); info != nil {
 			w.position.Store(positions[info.Incarnation])
@@ -353,6 +358,7 @@
 		h.countReady()
 		h.mu.Unlock()
 	}
+	h.options.Retries.Record(info.Incarnation, toRetryUses(report.GetRetryUses()))
 	h.setWork(w, toWork(report.GetLoads(), report.GetWaiting()), toPace(report.GetPace()))
 	h.recordHoldings(w, toHoldings(report.GetHoldings()))
 	h.options.Quarantine.Record(toEvidence(report.GetEvidence()))
@@ -370,6 +376,7 @@
 	h.entries[w] = struct{}{}
 	w.nextHolding = h.droppedHoldings
 	h.mu.Unlock()
+	h.options.Retries.Joined(info.Name, info.Incarnation)
 	h.options.Log.Info("entry connected", "entry", info.Name, "incarnation", info.Incarnation, "address", info.Address)
 }
 
@@ -446,6 +453,7 @@
 	h.countReady()
 	h.mu.Unlock()
 	if info := w.info.Load(); info != nil {
+		h.options.Retries.Left(info.Incarnation)
 		h.options.Log.Info("entry disconnected", "entry", info.Name, "incarnation", info.Incarnation)
 	}
 }
@@ -522,6 +530,9 @@
 		Position:        w.position.Load(),
 		RateLimits:      fromRateLimits(h.pendingRateLimits(w)),
 	}
+	if info := w.info.Load(); info != nil {
+		update.RetryDeployment = fromRetryDeployment(h.options.Retries.Deployment(info.Incarnation))
+	}
 	if !slices.Equal(next.controlAddresses, sent.controlAddresses) {
 		update.ControlAddresses = next.controlAddresses
 	}
--- a/internal/transport/peergrpc/fleethub_test.go
+++ b/internal/transport/peergrpc/fleethub_test.go
@@ -16,6 +16,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 	"github.com/lagoonshift/lagoonshift/internal/state/document"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
@@ -26,6 +27,7 @@
 		ControlAddresses: func() []string { return nil },
 		Leads:            func() bool { return true },
 		Quarantine:       quarantine.NewDetector(clock.Boot{}, hclog.NewNullLogger()),
+		Retries:          retry.NewLedger(clock.Boot{}, retry.Bound{}),
 		Log:              hclog.NewNullLogger(),
 	})
 }
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -17,6 +17,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
@@ -46,6 +47,9 @@
 	// Streams are streams that began, by the version that began them, and that the
 	// replica doesn't know yet.
 	Streams []origin.Streams
+	// RetryUses is what the entry has used of the retry budgets, where the replica
+	// doesn't know it.
+	RetryUses []retry.Use
 }
 
 // Update is a control replica's message to an entry.
@@ -76,6 +80,8 @@
 	// PartLists are the replica's lists of prompt parts, or nil if they did not
 	// change since the last update.
 	PartLists *quarantine.PartLists
+	// Retries is the state of the deployment's retry budgets.
+	Retries retry.Deployment
 	// ReportAfter is how long after the last report the replica expects the next
 	// one.
 	ReportAfter time.Duration
@@ -318,6 +324,7 @@
 	out.Evidence = fromEvidence(r.Evidence)
 	out.RateLimits = fromRateLimits(r.RateLimits)
 	out.BegunStreams = fromStreams(r.Streams)
+	out.RetryUses = fromRetryUses(r.RetryUses)
 	return out
 }
 
@@ -339,6 +346,7 @@
 		Others:          toWork(m.GetOthers(), m.GetOthersWaiting()),
 		Holdings:        toHoldings(m.GetHoldings()),
 		PartLists:       toPartLists(m),
+		Retries:         toRetryDeployment(m.GetRetryDeployment()),
 	}
 	if m.GetHasEngines() {
 		if out.Engines, err = toEngineList(m); err != nil {
