Bound the memory of all responses of a process together

Servers that send bytes without end make an entry run out of memory, and the requests of all its callers end with it.

Cause: each response was bounded alone, by 256 KiB for a head, 1 MiB for an event and 8 MiB for a plain body. An entry has 184 to 284 MB and may receive more than a hundred responses at once.

Both engine interfaces use it.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -7,12 +7,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/lagoonshift/lagoonshift/internal/buffer"
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
@@ -48,6 +48,9 @@
 	Pace *fleet.PaceCounter
 	// Budget returns this entry's account of a service's retry budget.
 	Budget func(service string) *retry.Account
+	// Buffers bounds what is kept of responses, in sum. If it is nil, New creates a pool
+	// of buffer.DefaultBytes.
+	Buffers *buffer.Pool
 	// Random returns a random integer in [0, n).
 	Random func(n int) int
 	Log    hclog.Logger
@@ -77,6 +80,9 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.NewGuard(clock.NewRuntime())
 	}
+	if o.Buffers == nil {
+		o.Buffers = buffer.NewPool(buffer.DefaultBytes)
+	}
 	if o.Notices == nil {
 		o.Notices = notice.NewBoard(clock.NewRuntime())
 	}
@@ -150,6 +156,7 @@
 	x.discardNext()
 	x.returnPaidRetries()
 	x.release(x.kvSource)
+	defer func() { x.holdFailure(nil) }()
 	if outcome.Result != Delivered && x.heldFailure != nil && !x.streamBegun && ctx.Err() == nil {
 		outcome = Outcome{Result: Delivered, Err: errors.Join(outcome.Err, x.writeResponse(x.heldFailure.Response, x.heldFailure.body))}
 	}
@@ -474,12 +481,15 @@
 func (x *exchange) relayResponse(ctx context.Context, s *startedAttempt) (done bool, err error) {
 	a, response := s.attempt, s.response
 	s.guard.restart()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
-	err = s.guard.stopAfter(err)
-	if err == nil && len(body) > maxBodyBytes {
-		err = errors.New("response body exceeds 8 MiB")
-	}
-	if err != nil {
+	claim := x.options.Buffers.Claim()
+	held := false
+	defer func() {
+		if !held {
+			claim.Release()
+		}
+	}()
+	body, err := buffer.ReadAll(response.Body, maxBodyBytes, &claim)
+	if err = s.guard.stopAfter(err); err != nil {
 		x.recordFailure(ctx, a, "answer cut", err)
 		x.checkCrash(ctx, a, err, false)
 		return false, err
@@ -488,7 +498,8 @@
 	if !response.Success {
 		err = &ServerError{Status: response.Status, Engine: a.Engine.ID}
 		x.recordFailure(ctx, a, "server error", err)
-		x.heldFailure = &heldResponse{Response: response, body: body}
+		x.holdFailure(&heldResponse{Response: response, body: body, claim: claim})
+		held = true
 		return false, err
 	}
 	x.options.Outlier.Success(a.Engine.ID)
@@ -502,7 +513,16 @@
 // other attempt succeeds.
 type heldResponse struct {
 	*Response
-	body []byte
+	body  []byte
+	claim buffer.Claim
+}
+
+// holdFailure holds an error response in place of an earlier one, or none if it is nil.
+func (x *exchange) holdFailure(h *heldResponse) {
+	if x.heldFailure != nil {
+		x.heldFailure.claim.Release()
+	}
+	x.heldFailure = h
 }
 
 func (x *exchange) writeResponse(response *Response, body []byte) error {
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -125,6 +125,8 @@
 }
 
 func (w *fixture) account(string) *retry.Account {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.budget == nil {
 		w.budget = retry.NewAccount(clock.NewRuntime(), retry.Bound{Share: 0.2, Slack: w.slack, Window: 10 * time.Second})
 	}
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -36,11 +36,16 @@
 	guard := x.guardStream(ctx, s)
 	defer guard.stop()
 	var pending []byte
+	claim := x.options.Buffers.Claim()
+	defer claim.Release()
 	hasEvents := false
-	buffer := make([]byte, readBufferBytes)
+	chunk := make([]byte, readBufferBytes)
 	for {
-		n, readErr := response.Body.Read(buffer)
-		pending = append(pending, buffer[:n]...)
+		n, readErr := response.Body.Read(chunk)
+		pending = append(pending, chunk[:n]...)
+		if err := claim.Resize(cap(pending)); err != nil && readErr == nil {
+			readErr = fmt.Errorf("read stream after %d bytes of an event: %w", len(pending), err)
+		}
 		complete := completeEventsLen(pending)
 		if complete == 0 && readErr == nil && len(pending) <= maxEventBytes {
 			continue // single bytes don't end the server's silence
--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lagoonshift/lagoonshift/internal/buffer"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 )
 
@@ -45,6 +46,8 @@
 	http    *http.Client
 	noReuse *http.Client
 	dialer  *net.Dialer
+	// buffers bounds the bodies that are being read, in sum.
+	buffers *buffer.Pool
 }
 
 // New returns a client with its own connection pool.
@@ -62,6 +65,7 @@
 		http:    &http.Client{Transport: transport, CheckRedirect: returnRedirect},
 		noReuse: &http.Client{Transport: single, CheckRedirect: returnRedirect},
 		dialer:  dialer,
+		buffers: buffer.NewPool(buffer.DefaultBytes),
 	}
 }
 
--- a/internal/transport/backendhttp/oldsystem.go
+++ b/internal/transport/backendhttp/oldsystem.go
@@ -46,7 +46,7 @@
 	for _, base := range baseURLs {
 		out := call
 		out.URL = base + call.URL
-		answer, err := send(ctx, c.noReuse, out)
+		answer, err := c.send(ctx, c.noReuse, out)
 		if err == nil {
 			return answer, nil
 		}
--- a/internal/transport/backendhttp/once.go
+++ b/internal/transport/backendhttp/once.go
@@ -27,7 +27,7 @@
 	dialer := &singleDialer{dialer: c.dialer}
 	transport := &http.Transport{DialContext: dialer.dial, DisableKeepAlives: true, DisableCompression: true}
 	defer transport.CloseIdleConnections()
-	answer, err := send(ctx, &http.Client{Transport: transport, CheckRedirect: returnRedirect}, call)
+	answer, err := c.send(ctx, &http.Client{Transport: transport, CheckRedirect: returnRedirect}, call)
 	if err != nil && dialer.gate.forbidWrites() {
 		return answer, fmt.Errorf("%w: %w", backend.ErrNotSent, err)
 	}
--- a/internal/transport/backendhttp/once_test.go
+++ b/internal/transport/backendhttp/once_test.go
@@ -90,10 +90,10 @@
 	c := New()
 	warm := newCall(server.URL)
 	warm.Method = http.MethodGet
-	if _, err := send(t.Context(), c.http, warm); err != nil {
+	if _, err := New().send(t.Context(), c.http, warm); err != nil {
 		t.Fatal(err)
 	}
-	_, _ = send(t.Context(), c.http, newCall(server.URL))
+	_, _ = New().send(t.Context(), c.http, newCall(server.URL))
 	if n := requests.Load(); n != 2 {
 		t.Errorf("the call over a reused connection arrived %d times, want 2", n)
 	}
@@ -201,7 +201,7 @@
 		for i := range 20 {
 			one := newCall(url)
 			one.Attempt = fmt.Sprint(i)
-			answer, err := send(t.Context(), client, one)
+			answer, err := New().send(t.Context(), client, one)
 			if err != nil || string(answer.Body) != one.Attempt {
 				count++
 			}
--- a/internal/transport/backendhttp/service.go
+++ b/internal/transport/backendhttp/service.go
@@ -5,16 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 
+	"github.com/lagoonshift/lagoonshift/internal/buffer"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 )
 
-// errResponseTooLong means that a service's answer is longer than
-// maxResponseBytes.
-var errResponseTooLong = errors.New("backendhttp: service answer exceeds the size limit")
-
 // Headers that this system adds to calls of plain services.
 const (
 	headerKey      = "Idempotency-Key"
@@ -24,7 +20,7 @@
 
 // Call sends a call that may be repeated and reads its whole answer.
 func (c *Client) Call(ctx context.Context, call backend.ServiceCall) (backend.ServiceResponse, error) {
-	return send(ctx, c.noReuse, call)
+	return c.send(ctx, c.noReuse, call)
 }
 
 // Lookup reads the outcome of a call by its idempotency key. found is true only
@@ -33,11 +29,11 @@
 func (c *Client) Lookup(ctx context.Context, call backend.ServiceCall) (answer backend.ServiceResponse, found bool, err error) {
 	call.Method = http.MethodGet
 	call.Body = nil
-	answer, err = send(ctx, c.noReuse, call)
+	answer, err = c.send(ctx, c.noReuse, call)
 	return answer, err == nil && answer.Status == http.StatusOK, err
 }
 
-func send(ctx context.Context, client *http.Client, call backend.ServiceCall) (backend.ServiceResponse, error) {
+func (c *Client) send(ctx context.Context, client *http.Client, call backend.ServiceCall) (backend.ServiceResponse, error) {
 	request, err := http.NewRequestWithContext(ctx, call.Method, call.URL, bytes.NewReader(call.Body))
 	if err != nil {
 		return backend.ServiceResponse{}, fmt.Errorf("make call to %s: %w", call.URL, errors.Join(backend.ErrNotSent, err))
@@ -53,12 +49,11 @@
 		return backend.ServiceResponse{}, fmt.Errorf("call %s: %w", call.URL, markNotSent(err))
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	claim := c.buffers.Claim()
+	defer claim.Release()
+	body, err := buffer.ReadAll(response.Body, maxResponseBytes, &claim)
 	if err != nil {
 		return backend.ServiceResponse{}, fmt.Errorf("read answer of %s: %w", call.URL, err)
 	}
-	if len(body) > maxResponseBytes {
-		return backend.ServiceResponse{}, fmt.Errorf("read answer of %s: %w", call.URL, errResponseTooLong)
-	}
 	return backend.ServiceResponse{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
--- a/internal/transport/httpconn/body.go
+++ b/internal/transport/httpconn/body.go
@@ -39,6 +39,7 @@
 // otherwise. complete reports whether the body was read to its end.
 func (b *body) release(complete bool) {
 	b.once.Do(func() {
+		b.conn.limited.claim.Release()
 		// stopContextWatch returns false if the context has ended and closes the
 		// connection.
 		reusable := b.stopContextWatch() && complete && !b.close && b.conn.reader.Buffered() == 0
--- a/internal/transport/httpconn/fuzz_test.go
+++ b/internal/transport/httpconn/fuzz_test.go
@@ -36,7 +36,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		response, err := newConn(client, "x").exchange(request, defaultMaxHeadBytes)
+		response, err := newConn(client, "x", nil).exchange(request, defaultMaxHeadBytes)
 		if err != nil {
 			return
 		}
--- a/internal/transport/httpconn/limit.go
+++ b/internal/transport/httpconn/limit.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+
+	"github.com/lagoonshift/lagoonshift/internal/buffer"
 )
 
 // errHeadTooLarge means that a server sent more bytes than allowed before the
@@ -16,11 +18,14 @@
 	limited bool
 	// left is the number of bytes that may still be read while limited is set.
 	left int64
+	// claim holds the bytes of the head that have been read, and head is their number.
+	claim buffer.Claim
+	head  int
 }
 
 // limit sets the number of bytes that may be read from now on.
 func (l *limitedReader) limit(n int64) {
-	l.limited, l.left = true, n
+	l.limited, l.left, l.head = true, n, 0
 }
 
 // unlimit removes the limit.
@@ -38,5 +43,9 @@
 	}
 	n, err := l.reader.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
+	l.head += n
+	if claimErr := l.claim.Resize(l.head); claimErr != nil && err == nil {
+		err = claimErr
+	}
 	return n, err
 }
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -20,6 +20,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/lagoonshift/lagoonshift/internal/buffer"
 	"github.com/lagoonshift/lagoonshift/internal/transport/tcpopt"
 )
 
@@ -64,6 +65,9 @@
 	// response: informational responses, status line and headers. Zero means
 	// 256 KiB.
 	MaxHeadBytes int64
+	// Buffers bounds the heads that are being received, in sum. If it is nil, each is
+	// bounded alone.
+	Buffers *buffer.Pool
 	// IDHeader names the header with a request's ID, which servers echo in the
 	// response. Empty means that requests have no IDs.
 	IDHeader string
@@ -125,6 +129,7 @@
 	}
 	if err != nil {
 		stop()
+		c.limited.claim.Release()
 		_ = c.Close()
 		if ctx.Err() != nil {
 			err = ctx.Err()
@@ -261,11 +266,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw, address), nil
+	return newConn(raw, address, p.options.Buffers), nil
 }
 
-func newConn(raw net.Conn, address string) *conn {
-	limited := &limitedReader{reader: raw}
+func newConn(raw net.Conn, address string, buffers *buffer.Pool) *conn {
+	limited := &limitedReader{reader: raw, claim: buffers.Claim()}
 	return &conn{Conn: raw, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}
 }
 
