Bound the head of a response to a call that is sent once

A service that sends a head without end made an entry keep up to 10 MiB of it for each call that is sent once: these calls have a transport of their own, which had the default of net/http. It has the bound of all others now, 256 KiB. TestEndlessHeadEndsEachKindOfCall failed before: 14.1 MB were taken, with what socket buffers hold, 8 MiB allowed.

--- a/internal/transport/backendhttp/once.go
+++ b/internal/transport/backendhttp/once.go
@@ -25,7 +25,7 @@
 // has been written to that connection; nothing is written later either.
 func (c *Client) CallOnce(ctx context.Context, call backend.ServiceCall) (backend.ServiceResponse, error) {
 	dialer := &singleDialer{dialer: c.dialer}
-	transport := &http.Transport{DialContext: dialer.dial, DisableKeepAlives: true, DisableCompression: true}
+	transport := &http.Transport{DialContext: dialer.dial, MaxResponseHeaderBytes: maxHeaderBytes, DisableKeepAlives: true, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	answer, err := c.send(ctx, &http.Client{Transport: transport, CheckRedirect: returnRedirect}, call)
 	if err != nil && dialer.gate.forbidWrites() {
