Keep the vote when a segment starts without its first records

After a disk was full as a log segment started, a control replica could forget its term and its vote: it may vote twice in one term, and two leaders of one term can lose what was acknowledged.

Cause: a segment begins with the hard state, so that earlier ones can be removed. If the process ends or the disk is full between the segment's header and these records, the log is opened with a segment that has the header alone, or is created anew without them, and goes on. The next compaction removes the segment that held the hard state.

A store now appends the hard state on opening if the open segment doesn't hold it. TestVoteSurvivesFullDiskAtNewSegment failed before: term 0 and vote 0 in place of 7 and 1.

--- a/internal/coordination/raftstore/load.go
+++ b/internal/coordination/raftstore/load.go
@@ -26,9 +26,25 @@
 		return err
 	}
 	s.stored.HardState = s.state
+	if err := s.repeatState(); err != nil {
+		return err
+	}
 	return s.dropCoveredEntries()
 }
 
+// repeatState appends the hard state to the open segment unless that holds it: the process
+// may have ended, or the disk have been full, before the segment's first records were
+// written, and earlier segments are removed without regard to the hard state.
+func (s *Store) repeatState() error {
+	if s.state == (raft.HardState{}) || s.stateSegment == s.log.Segment() {
+		return nil
+	}
+	if err := s.log.Append([][]byte{encodeState(s.state)}); err != nil {
+		return fmt.Errorf("repeat hard state: %w", err)
+	}
+	return nil
+}
+
 // replay applies one record of a log segment to the state being loaded.
 func (s *Store) replay(segment uint64, record []byte) error {
 	if len(record) == 0 {
@@ -38,7 +54,7 @@
 	switch recordType(record[0]) {
 	case recordState:
 		state, err := decodeState(body)
-		s.state = state
+		s.state, s.stateSegment = state, segment
 		return err
 	case recordEntry:
 		e, err := decodeEntry(body)
--- a/internal/coordination/raftstore/store.go
+++ b/internal/coordination/raftstore/store.go
@@ -26,6 +26,8 @@
 	mu    sync.Mutex // guards the fields below
 	log   *wal.Log
 	state raft.HardState
+	// stateSegment is the newest segment that was found to hold the hard state.
+	stateSegment uint64
 	// newestIndex holds the highest entry index in each segment.
 	newestIndex map[uint64]uint64
 	// snapshotIndex is the index of the newest stored snapshot, or zero.
