--- a/internal/coordination/raftstore/fulldisk_test.go
+++ b/internal/coordination/raftstore/fulldisk_test.go
@@ -1,11 +1,14 @@
 package raftstore
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
 	"github.com/lagoonshift/lagoonshift/internal/fake/memdisk"
+	"github.com/lagoonshift/lagoonshift/internal/state/snapshot"
+	"github.com/lagoonshift/lagoonshift/internal/state/wal"
 )
 
 var fullDiskIdentity = Identity{ClusterID: "c", Deployment: "d", Name: "n", ReplicaID: 1}
@@ -76,3 +79,36 @@
 		t.Errorf("got hard state %+v, want %+v", got, voted)
 	}
 }
+
+// TestFailedSnapshotsLeaveNoFiles guards against a disk that fills with the parts of
+// snapshots that did not fit.
+func TestFailedSnapshotsLeaveNoFiles(t *testing.T) {
+	d := memdisk.New(1)
+	for i := range uint64(5) {
+		s, err := open(d.Open(nil), fullDiskIdentity, fullDiskOptions)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.SetFull(true)
+		if s.SaveSnapshot(raft.Snapshot{Meta: raft.SnapshotMeta{Index: i + 1, Term: 7}, Data: make([]byte, 1000)}) == nil {
+			t.Fatal("a snapshot was saved on a full disk")
+		}
+		d.SetFull(false)
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, err := open(d.Open(nil), fullDiskIdentity, fullDiskOptions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	names, err := d.Open(nil).List()
+	if err != nil {
+		t.Fatal(err)
+	}
+	left := slices.DeleteFunc(names, func(n string) bool { return wal.IsSegment(n) || !snapshot.IsTemporary(n) })
+	if len(left) > 0 {
+		t.Errorf("files %q are left, want none", left)
+	}
+}
--- a/internal/coordination/raftstore/load.go
+++ b/internal/coordination/raftstore/load.go
@@ -9,6 +9,9 @@
 
 // load reads the newest snapshot and replays the log that follows it.
 func (s *Store) load(o Options) error {
+	if err := s.removeTemporary(); err != nil {
+		return err
+	}
 	snapshot, ok, err := s.loadSnapshot()
 	if err != nil {
 		return err
--- a/internal/coordination/raftstore/snapshots.go
+++ b/internal/coordination/raftstore/snapshots.go
@@ -65,6 +65,24 @@
 	return nil
 }
 
+// removeTemporary removes the snapshots that were not saved completely: a new one has
+// another name and doesn't replace them.
+func (s *Store) removeTemporary() error {
+	names, err := s.folder.List()
+	if err != nil {
+		return err
+	}
+	for _, n := range names {
+		if !strings.HasPrefix(n, snapshotPrefix) || !snapshot.IsTemporary(n) {
+			continue
+		}
+		if err := s.folder.Remove(n); err != nil {
+			return fmt.Errorf("remove unfinished snapshot: %w", err)
+		}
+	}
+	return nil
+}
+
 // Snapshot implements raft.Storage.
 func (s *Store) Snapshot() (raft.Snapshot, bool, error) {
 	s.mu.Lock()
@@ -72,7 +90,7 @@
 	return s.loadSnapshot()
 }
 
-// loadSnapshot reads the newest snapshot and removes what a crash left.
+// loadSnapshot reads the newest snapshot.
 func (s *Store) loadSnapshot() (loaded raft.Snapshot, ok bool, err error) {
 	names, err := s.folder.List()
 	if err != nil {
