Close the log's file when the log can't be opened

A control replica whose disk is full opens its log anew twice a second. Each time a segment could not be created or repaired, its file stayed open, until the process had no descriptors left.

--- a/internal/coordination/raftstore/store.go
+++ b/internal/coordination/raftstore/store.go
@@ -98,6 +98,9 @@
 	}
 	s := &Store{folder: folder, identity: identity, lock: lock, newestIndex: make(map[uint64]uint64)}
 	if err := s.load(o); err != nil {
+		if s.log != nil {
+			_ = s.log.Close() // err says what is wrong
+		}
 		_ = lock.Close()
 		return nil, err
 	}
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -78,15 +78,26 @@
 			return nil, fmt.Errorf("open %s: %w", segmentName(segment), err)
 		}
 	}
+	if err := l.openLastSegment(); err != nil {
+		if l.file != nil {
+			_ = l.file.Close() // err says what is wrong
+		}
+		return nil, err
+	}
+	return l, nil
+}
+
+// openLastSegment opens the last segment for further frames.
+func (l *Log) openLastSegment() error {
 	if l.segmentSize == 0 {
-		return l, l.recreateLastSegment()
+		return l.recreateLastSegment()
 	}
-	file, err := o.Folder.OpenAppend(segmentName(l.current()))
+	file, err := l.options.Folder.OpenAppend(segmentName(l.current()))
 	if err != nil {
-		return nil, fmt.Errorf("open segment: %w", err)
+		return fmt.Errorf("open segment: %w", err)
 	}
 	l.file = file
-	return l, l.truncateTail()
+	return l.truncateTail()
 }
 
 // findSegments lists the segments and checks that none is missing in between.
