--- a/internal/role/controlrole/losses_test.go
+++ b/internal/role/controlrole/losses_test.go
@@ -50,26 +50,29 @@
 	lostUntil map[int]time.Time
 	// acknowledged is the number of keys whose reservation was acknowledged.
 	acknowledged int
+	// padding makes the commands larger.
+	padding string
 	// events describes what happened, for the message of a failure.
 	events []string
 }
 
-func newLossModel(t *testing.T, voters int, seed uint64) *lossModel {
+func newLossModel(t *testing.T, machines, voters int, seed uint64, segmentBytes int) *lossModel {
 	m := &lossModel{
 		t: t,
 		group: fakegroup.New(t, fakegroup.Options{
-			Replicas:    voters,
-			Voters:      voters,
-			Seed:        seed,
-			Timing:      seededTiming(modelCatchUp),
-			Compaction:  raft.Compaction{LogBytes: 6000, TrailingEntries: 5},
-			RejoinAfter: modelCatchUp / rejoinsPerCatchUp,
+			Replicas:     machines,
+			Voters:       voters,
+			Seed:         seed,
+			Timing:       seededTiming(modelCatchUp),
+			Compaction:   raft.Compaction{LogBytes: 6000, TrailingEntries: 5},
+			RejoinAfter:  modelCatchUp / rejoinsPerCatchUp,
+			SegmentBytes: segmentBytes,
 		}),
 		rand:      rand.New(rand.NewPCG(seed, uint64(voters))),
 		tolerance: (voters - 1) / 2,
 		lostUntil: make(map[int]time.Time),
 	}
-	for i := range voters {
+	for i := range machines {
 		m.machines = append(m.machines, i)
 	}
 	return m
@@ -192,7 +195,7 @@
 	if !m.group.Running(i) {
 		return
 	}
-	command := store.Command{Reserve: &ledger.Reserve{Key: ledger.Key{IdempotencyKey: fmt.Sprint(m.acknowledged)}, Attempt: "a"}}
+	command := store.Command{Reserve: &ledger.Reserve{Key: ledger.Key{IdempotencyKey: fmt.Sprint(m.acknowledged)}, Attempt: "a" + m.padding}}
 	encoded, err := command.Encode()
 	if err != nil {
 		m.t.Fatal(err)
@@ -281,7 +284,7 @@
 		for seed := range *lossSchedules {
 			t.Run(fmt.Sprintf("%d voters, seed %d", voters, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					m := newLossModel(t, voters, seed)
+					m := newLossModel(t, voters, voters, seed, 0)
 					m.run()
 					m.loseDisksAtOnce()
 					m.checkAcknowledged()
