--- a/internal/protocol/retry/deployment.go
+++ b/internal/protocol/retry/deployment.go
@@ -16,11 +16,11 @@
 	// unsettledFraction is the fraction of the bound that all processes use together
 	// after one has started, ended or been out of contact. The rest covers what it had
 	// not reported, and what processes take at the same time.
-	unsettledFraction = 0.75
+	unsettledFraction = 0.7
 	// outOfContactFraction replaces ownFraction once no control replica is in contact any
 	// more. Then requests may move to this process from others that have used
 	// their parts; what it had before the contact ended counts alone.
-	outOfContactFraction = 0.75
+	outOfContactFraction = 0.7
 	// maxDeploymentAge is the age at which the figures of a control replica are
 	// discarded: several of the longest intervals between two of them.
 	maxDeploymentAge = 700 * time.Millisecond
