Tests: wait until the origins of a version are saved, not for any file

A control replica saves its origins 250 ms after it starts, with nothing in them. The test waited for the file alone and then stopped all processes, sometimes before the version of the list was saved; then it isn't known after the restart, as docs/design/stream-origins.md says of what comes last. The test now waits until the file names the version. What it requires after that is unchanged.

--- a/internal/role/controlrole/origins_test.go
+++ b/internal/role/controlrole/origins_test.go
@@ -1,6 +1,7 @@
 package controlrole_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"os"
@@ -312,7 +313,8 @@
 	g.awaitFound(g.startReady("entry-1"), "", "v1")
 	await(t, "the origins are on disk", func() bool {
 		for i := range 3 {
-			if _, err := os.Stat(filepath.Join(g.dataFolder(i), "origins")); err != nil {
+			content, err := os.ReadFile(filepath.Join(g.dataFolder(i), "origins"))
+			if err != nil || !bytes.Contains(content, []byte("v1")) {
 				return false
 			}
 		}
