--- a/internal/protocol/retry/ledger.go
+++ b/internal/protocol/retry/aggregator.go
@@ -12,10 +12,10 @@
 // is known of it.
 const maxReportGap = 500 * time.Millisecond
 
-// Ledger is a control replica's record of the retries of all processes of a deployment.
+// Aggregator is a control replica's record of the retries of all processes of a deployment.
 // It holds for the length of the window what processes have used that have ended since.
 // It is safe for concurrent use.
-type Ledger struct {
+type Aggregator struct {
 	clock   clock.Clock
 	bound   Bound
 	created clock.Instant
@@ -31,7 +31,7 @@
 	changed clock.Instant
 }
 
-// process is what a ledger knows of one incarnation of a process.
+// process is what an aggregator knows of one incarnation of a process.
 type process struct {
 	used       map[string]Use // by service
 	reportedAt clock.Instant
@@ -41,129 +41,129 @@
 	lost        bool
 }
 
-// NewLedger returns an empty ledger for a bound, which is complete after one window.
-func NewLedger(c clock.Clock, b Bound) *Ledger {
+// NewAggregator returns an empty aggregator for a bound, which is complete after one window.
+func NewAggregator(c clock.Clock, b Bound) *Aggregator {
 	if b.Window <= 0 {
 		b.Window = DefaultWindow
 	}
 	now := c.Now()
-	return &Ledger{
+	return &Aggregator{
 		clock: c, bound: b, created: now, services: make(map[string]*Window), processes: make(map[uint64]*process),
 		newest: make(map[string]uint64), peak: NewPeak(c), changed: now,
 	}
 }
 
 // SetConnected sets the number of processes that are connected.
-func (l *Ledger) SetConnected(n int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.connected = n
-	l.peak.Observe(n)
+func (g *Aggregator) SetConnected(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.connected = n
+	g.peak.Observe(n)
 }
 
 // Joined records that an incarnation of a named process has connected. Its predecessor has
 // ended; if that was out of contact, it may have used its part of the bound.
-func (l *Ledger) Joined(name string, incarnation uint64) {
-	now := l.clock.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	predecessor := l.processes[l.newest[name]]
-	if l.newest[name] != incarnation && predecessor != nil && (predecessor.lost || now.Sub(predecessor.reportedAt) > maxReportGap && predecessor.connections > 0) {
-		l.addUnknownUse()
+func (g *Aggregator) Joined(name string, incarnation uint64) {
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	predecessor := g.processes[g.newest[name]]
+	if g.newest[name] != incarnation && predecessor != nil && (predecessor.lost || now.Sub(predecessor.reportedAt) > maxReportGap && predecessor.connections > 0) {
+		g.addUnknownUse()
 		predecessor.lost = false
 	}
-	l.newest[name] = max(l.newest[name], incarnation)
-	l.forgetEnded(now)
-	p := l.processes[incarnation]
+	g.newest[name] = max(g.newest[name], incarnation)
+	g.forgetEnded(now)
+	p := g.processes[incarnation]
 	if p == nil {
 		p = &process{used: make(map[string]Use)}
-		l.processes[incarnation] = p
+		g.processes[incarnation] = p
 	}
 	p.connections++
 	p.lost = false
-	p.reportedAt, l.changed = now, now
+	p.reportedAt, g.changed = now, now
 }
 
-// addUnknownUse counts the retries that one process may make at most as made. l.mu must
+// addUnknownUse counts the retries that one process may make at most as made. g.mu must
 // be held.
-func (l *Ledger) addUnknownUse() {
-	processes := max(1, l.peak.Value())
-	for _, w := range l.services {
-		w.add(0, int(ownFraction*l.bound.Part(w.Usage().Requests/processes, processes)))
+func (g *Aggregator) addUnknownUse() {
+	processes := max(1, g.peak.Value())
+	for _, w := range g.services {
+		w.add(0, int(ownFraction*g.bound.Part(w.Usage().Requests/processes, processes)))
 	}
 }
 
 // Left records that the connection of a process has ended.
-func (l *Ledger) Left(incarnation uint64) {
-	now := l.clock.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p := l.processes[incarnation]
+func (g *Aggregator) Left(incarnation uint64) {
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.processes[incarnation]
 	if p == nil {
 		return
 	}
 	p.connections--
-	l.changed = now
+	g.changed = now
 	p.lost = now.Sub(p.reportedAt) > maxReportGap
 }
 
 // forgetEnded drops the incarnations that have ended, and those that have been out of
-// contact for long. l.mu must be held.
-func (l *Ledger) forgetEnded(now clock.Instant) {
-	maps.DeleteFunc(l.processes, func(_ uint64, p *process) bool {
+// contact for long. g.mu must be held.
+func (g *Aggregator) forgetEnded(now clock.Instant) {
+	maps.DeleteFunc(g.processes, func(_ uint64, p *process) bool {
 		age := now.Sub(p.reportedAt)
-		return p.connections == 0 && age > l.bound.Window && (!p.lost || age > peakRetention)
+		return p.connections == 0 && age > g.bound.Window && (!p.lost || age > peakRetention)
 	})
-	maps.DeleteFunc(l.newest, func(_ string, incarnation uint64) bool { return l.processes[incarnation] == nil })
+	maps.DeleteFunc(g.newest, func(_ string, incarnation uint64) bool { return g.processes[incarnation] == nil })
 }
 
 // Record adds a report of a process that has joined.
-func (l *Ledger) Record(incarnation uint64, uses []Use) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p := l.processes[incarnation]
+func (g *Aggregator) Record(incarnation uint64, uses []Use) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.processes[incarnation]
 	if p == nil {
 		return
 	}
-	p.reportedAt = l.clock.Now()
+	p.reportedAt = g.clock.Now()
 	for _, u := range uses {
 		last := p.used[u.Service]
 		requests, retries := max(0, u.Requests-last.Requests), max(0, u.Retries-last.Retries)
 		p.used[u.Service] = u
 		if u.Recent == nil {
-			l.window(u.Service).add(requests, retries)
+			g.window(u.Service).add(requests, retries)
 			continue
 		}
-		l.window(u.Service).addRecent(u.Recent, requests, retries)
+		g.window(u.Service).addRecent(u.Recent, requests, retries)
 	}
 }
 
-// window returns the window of a service. l.mu must be held.
-func (l *Ledger) window(service string) *Window {
-	w := l.services[service]
+// window returns the window of a service. g.mu must be held.
+func (g *Aggregator) window(service string) *Window {
+	w := g.services[service]
 	if w == nil {
-		w = NewWindow(l.clock, l.bound.Window)
-		l.services[service] = w
+		w = NewWindow(g.clock, g.bound.Window)
+		g.services[service] = w
 	}
 	return w
 }
 
 // Deployment returns the state of the deployment as a process gets it.
-func (l *Ledger) Deployment(incarnation uint64) Deployment {
-	now := l.clock.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (g *Aggregator) Deployment(incarnation uint64) Deployment {
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	d := Deployment{
-		Processes: l.peak.Value(),
-		Connected: l.connected,
-		Settled:   now.Sub(l.changed) >= l.bound.Window,
-		Complete:  now.Sub(l.created) >= l.bound.Window,
+		Processes: g.peak.Value(),
+		Connected: g.connected,
+		Settled:   now.Sub(g.changed) >= g.bound.Window,
+		Complete:  now.Sub(g.created) >= g.bound.Window,
 	}
 	if d.Settled {
 		return d
 	}
-	p := l.processes[incarnation]
-	for service, w := range l.services {
+	p := g.processes[incarnation]
+	for service, w := range g.services {
 		u := w.Usage()
 		t := Total{Service: service, Requests: u.Requests, Retries: u.Retries}
 		if p != nil {
--- a/internal/protocol/retry/deployment_test.go
+++ b/internal/protocol/retry/deployment_test.go
@@ -46,15 +46,15 @@
 
 // simulation plays a deployment whose entries make every retry that they may.
 type simulation struct {
-	clock    *manualClock
-	random   *rand.Rand
-	bound    Bound
-	ledger   *Ledger
-	entries  []*simEntry
-	interval time.Duration
-	latency  time.Duration
-	next     uint64
-	inFlight []simMessage
+	clock      *manualClock
+	random     *rand.Rand
+	bound      Bound
+	aggregator *Aggregator
+	entries    []*simEntry
+	interval   time.Duration
+	latency    time.Duration
+	next       uint64
+	inFlight   []simMessage
 	// requests and retries hold when they were made, in order.
 	requests, retries []clock.Instant
 	// calm is set while nothing disturbs the entries; deniedEarly counts the retries that
@@ -69,7 +69,7 @@
 		// The replicas' interval grows with the number of entries.
 		interval: min(max(25*time.Millisecond, time.Duration(entries)*time.Millisecond), 200*time.Millisecond), latency: 2 * time.Millisecond,
 	}
-	s.ledger = NewLedger(s.clock, b)
+	s.aggregator = NewAggregator(s.clock, b)
 	for range entries {
 		s.addEntry()
 	}
@@ -105,13 +105,13 @@
 		return
 	}
 	e.connected = false
-	ledger, incarnation, delay := s.ledger, e.incarnation, s.latency
+	aggregator, incarnation, delay := s.aggregator, e.incarnation, s.latency
 	if silently {
 		delay = simIdleTimeout
 	}
 	s.after(delay, func() {
-		ledger.Left(incarnation)
-		ledger.SetConnected(s.countConnected())
+		aggregator.Left(incarnation)
+		aggregator.SetConnected(s.countConnected())
 	})
 }
 
@@ -136,15 +136,15 @@
 	if !e.connected {
 		e.connected, e.first = true, true
 		e.connection++
-		s.ledger.Joined(e.name, e.incarnation)
-		s.ledger.SetConnected(s.countConnected())
+		s.aggregator.Joined(e.name, e.incarnation)
+		s.aggregator.SetConnected(s.countConnected())
 	}
 	uses := e.accounts.Pending("replica", e.first)
 	e.first, e.wake, e.lastReport = false, false, s.clock.now
-	ledger, incarnation, accounts, connection := s.ledger, e.incarnation, e.accounts, e.connection
+	aggregator, incarnation, accounts, connection := s.aggregator, e.incarnation, e.accounts, e.connection
 	s.after(s.latency, func() {
-		ledger.Record(incarnation, uses)
-		d := ledger.Deployment(incarnation)
+		aggregator.Record(incarnation, uses)
+		d := aggregator.Deployment(incarnation)
 		s.after(s.latency, func() {
 			if e.accounts == accounts && e.connection == connection && !s.clock.now.Before(e.cut) {
 				accounts.SetDeployment(d)
--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -98,7 +98,7 @@
 // each opened replica; serve must return when its context ends.
 func RunSeeded(ctx context.Context, o SeededOptions, serve func(context.Context, *Seeded) error) error {
 	// What entries have used outlives a replica that is reopened.
-	retries := retry.NewLedger(clock.Boot{}, o.RetryBound)
+	retries := retry.NewAggregator(clock.Boot{}, o.RetryBound)
 	for ctx.Err() == nil {
 		if err := runSeededOnce(ctx, o, retries, serve); err != nil && ctx.Err() == nil {
 			o.Log.Error("control replica stopped; reopening it", "pause", reopenDelay, "error", err)
@@ -110,7 +110,7 @@
 	return nil
 }
 
-func runSeededOnce(ctx context.Context, o SeededOptions, retries *retry.Ledger, serve func(context.Context, *Seeded) error) error {
+func runSeededOnce(ctx context.Context, o SeededOptions, retries *retry.Aggregator, serve func(context.Context, *Seeded) error) error {
 	if err := o.formFirstGroup(); err != nil {
 		return err
 	}
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -76,7 +76,7 @@
 	// servers.
 	Quarantine *quarantine.Detector
 	// Retries records what entries use of the retry budgets.
-	Retries *retry.Ledger
+	Retries *retry.Aggregator
 	Log     hclog.Logger
 }
 
--- a/internal/transport/peergrpc/fleethub_test.go
+++ b/internal/transport/peergrpc/fleethub_test.go
@@ -27,7 +27,7 @@
 		ControlAddresses: func() []string { return nil },
 		Leads:            func() bool { return true },
 		Quarantine:       quarantine.NewDetector(clock.Boot{}, hclog.NewNullLogger()),
-		Retries:          retry.NewLedger(clock.Boot{}, retry.Bound{}),
+		Retries:          retry.NewAggregator(clock.Boot{}, retry.Bound{}),
 		Log:              hclog.NewNullLogger(),
 	})
 }
