Simplify the claim of a held error response and the aggregator's check

No change of behaviour: a claim that goes on with a held response is set to the zero claim in place of a flag; whether a process was out of contact is a method.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -156,7 +156,7 @@
 	x.discardNext()
 	x.returnPaidRetries()
 	x.release(x.kvSource)
-	defer func() { x.holdFailure(nil) }()
+	defer x.holdFailure(nil)
 	if outcome.Result != Delivered && x.heldFailure != nil && !x.streamBegun && ctx.Err() == nil {
 		outcome = Outcome{Result: Delivered, Err: errors.Join(outcome.Err, x.writeResponse(x.heldFailure.Response, x.heldFailure.body))}
 	}
@@ -482,12 +482,7 @@
 	a, response := s.attempt, s.response
 	s.guard.restart()
 	claim := x.options.Buffers.Claim()
-	held := false
-	defer func() {
-		if !held {
-			claim.Release()
-		}
-	}()
+	defer claim.Release()
 	body, err := buffer.ReadAll(response.Body, maxBodyBytes, &claim)
 	if err = s.guard.stopAfter(err); err != nil {
 		x.recordFailure(ctx, a, "answer cut", err)
@@ -499,7 +494,7 @@
 		err = &ServerError{Status: response.Status, Engine: a.Engine.ID}
 		x.recordFailure(ctx, a, "server error", err)
 		x.holdFailure(&heldResponse{Response: response, body: body, claim: claim})
-		held = true
+		claim = buffer.Claim{} // held until the exchange ends
 		return false, err
 	}
 	x.options.Outlier.Success(a.Engine.ID)
--- a/internal/protocol/retry/aggregator.go
+++ b/internal/protocol/retry/aggregator.go
@@ -41,6 +41,11 @@
 	lost        bool
 }
 
+// outOfContact reports whether the process may have used more than it reported.
+func (p *process) outOfContact(now clock.Instant) bool {
+	return p.lost || p.connections > 0 && now.Sub(p.reportedAt) > maxReportGap
+}
+
 // NewAggregator returns an empty aggregator for a bound, which is complete after one window.
 func NewAggregator(c clock.Clock, b Bound) *Aggregator {
 	if b.Window <= 0 {
@@ -68,7 +73,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	predecessor := g.processes[g.newest[name]]
-	if g.newest[name] != incarnation && predecessor != nil && (predecessor.lost || now.Sub(predecessor.reportedAt) > maxReportGap && predecessor.connections > 0) {
+	if g.newest[name] != incarnation && predecessor != nil && predecessor.outOfContact(now) {
 		g.addUnknownUse()
 		predecessor.lost = false
 	}
