Entries: a list of the entries that take requests from others

Entries report the address at which they will take requests from other entries, and the services of which they reach no server. The leading control replica, or any replica while none leads, sends each entry what changed in the list of ready entries; an update's interval bounds the rate. An entry keeps the last list without a control replica. Processes that send no address, such as those of an earlier version, are no peers.

Nothing uses the list yet. internal/protocol/forward holds the decisions: filters, the random pick, pauses of peers that don't take requests, and at most two peers for a request.

--- /dev/null
+++ b/internal/protocol/forward/forward.go
@@ -0,0 +1,117 @@
+// Package forward decides which requests an entry hands over to another entry, and to
+// which one. A request is handed over once: an entry that takes it answers it.
+package forward
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxPeers is how many peers may be asked to take one request.
+	maxPeers = 2
+	// minRemaining is the time before a request's deadline from which it isn't handed over
+	// any more: several round trips between availability zones.
+	minRemaining = 50 * time.Millisecond
+)
+
+// Peer is an entry that takes requests from other entries.
+type Peer struct {
+	Name string
+	// Address is where it takes them, as IP:port.
+	Address string
+	// Unreachable holds the services of which it reaches no server.
+	Unreachable []string
+}
+
+// Equal reports whether two peers are the same in all fields.
+func (p Peer) Equal(other Peer) bool {
+	return p.Name == other.Name && p.Address == other.Address && slices.Equal(p.Unreachable, other.Unreachable)
+}
+
+// Filter reports whether a peer may get a request.
+type Filter func(Peer) bool
+
+// Reaches returns a filter for the peers that reach servers of a service.
+func Reaches(service string) Filter {
+	return func(p Peer) bool { return !slices.Contains(p.Unreachable, service) }
+}
+
+// Except returns a filter for all peers but those at the given addresses.
+func Except(addresses ...string) Filter {
+	return func(p Peer) bool { return !slices.Contains(addresses, p.Address) }
+}
+
+// Pick returns a random one of the peers that pass the filters. random returns an integer
+// in [0, n).
+func Pick(peers []Peer, random func(n int) int, filters ...Filter) (picked Peer, ok bool) {
+	var left []Peer
+	for _, p := range peers {
+		if !slices.ContainsFunc(filters, func(f Filter) bool { return !f(p) }) {
+			left = append(left, p)
+		}
+	}
+	if len(left) == 0 {
+		return Peer{}, false
+	}
+	return left[random(len(left))], true
+}
+
+// Options configures a Forwarder.
+type Options struct {
+	// Name is this entry's name.
+	Name string
+	// Peers returns the entries that take requests from others. The slice is not changed.
+	Peers func() []Peer
+	// Random returns a random integer in [0, n).
+	Random func(n int) int
+	Pauses *Pauses
+}
+
+// Forwarder chooses the peers for this entry's requests. It is safe for concurrent use.
+type Forwarder struct {
+	options Options
+}
+
+// New returns a [Forwarder].
+func New(o Options) *Forwarder { return &Forwarder{options: o} }
+
+// Handover is the search for a peer that takes one request. It is used by one goroutine.
+type Handover struct {
+	forwarder *Forwarder
+	service   string
+	deadline  time.Time
+	tried     []string
+}
+
+// Begin begins the search for a peer that takes a request for a service.
+func (f *Forwarder) Begin(service string, deadline time.Time) *Handover {
+	return &Handover{forwarder: f, service: service, deadline: deadline}
+}
+
+// Next returns the next peer to ask. ok is false if none is left, maxPeers have been asked,
+// or the deadline is near. Peers that are paused are asked only if there are no others.
+func (h *Handover) Next() (p Peer, ok bool) {
+	o := h.forwarder.options
+	if len(h.tried) >= maxPeers || time.Until(h.deadline) < minRemaining {
+		return Peer{}, false
+	}
+	own := func(p Peer) bool { return p.Name != o.Name }
+	filters := []Filter{own, Reaches(h.service), Except(h.tried...)}
+	if p, ok = Pick(o.Peers(), o.Random, append(filters, o.Pauses.Open)...); !ok {
+		p, ok = Pick(o.Peers(), o.Random, filters...)
+	}
+	if ok {
+		h.tried = append(h.tried, p.Address)
+	}
+	return p, ok
+}
+
+// Asked returns how many peers have been asked.
+func (h *Handover) Asked() int { return len(h.tried) }
+
+// Unreached records that a peer accepted no connection.
+func (h *Handover) Unreached(p Peer) { h.forwarder.options.Pauses.pause(p, unreachedPause) }
+
+// Declined records that a peer has not taken the request.
+func (h *Handover) Declined(p Peer) { h.forwarder.options.Pauses.pause(p, declinedPause) }
--- /dev/null
+++ b/internal/protocol/forward/forward_test.go
@@ -0,0 +1,125 @@
+package forward
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+)
+
+func first(int) int { return 0 }
+
+// names returns the names of the peers that a handover asks one after the other.
+func names(h *Handover) (out []string) {
+	for p, ok := h.Next(); ok; p, ok = h.Next() {
+		out = append(out, p.Name)
+	}
+	return out
+}
+
+// TestPeersThatCannotServeAreNotAsked guards against loops and against requests that travel
+// between entries without a server.
+func TestPeersThatCannotServeAreNotAsked(t *testing.T) {
+	self, cut := Peer{Name: "self", Address: "0"}, Peer{Name: "cut", Address: "1", Unreachable: []string{"llm"}}
+	a, b, c := Peer{Name: "a", Address: "2"}, Peer{Name: "b", Address: "3", Unreachable: []string{"other"}}, Peer{Name: "c", Address: "4"}
+	for name, tc := range map[string]struct {
+		peers []Peer
+		left  time.Duration
+		want  []string
+	}{
+		"none known":        {nil, time.Second, nil},
+		"only this entry":   {[]Peer{self}, time.Second, nil},
+		"all cut off":       {[]Peer{self, cut}, time.Second, nil},
+		"one":               {[]Peer{self, cut, a}, time.Second, []string{"a"}},
+		"cut off elsewhere": {[]Peer{cut, b}, time.Second, []string{"b"}},
+		"two at most":       {[]Peer{self, cut, a, b, c}, time.Second, []string{"a", "b"}},
+		"deadline near":     {[]Peer{a}, minRemaining - time.Millisecond, nil},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := New(Options{Name: "self", Peers: func() []Peer { return tc.peers }, Random: first, Pauses: NewPauses(clock.NewRuntime())})
+			if got := names(f.Begin("llm", time.Now().Add(tc.left))); !slices.Equal(got, tc.want) {
+				t.Errorf("%s: asked %v, want %v", name, got, tc.want)
+			}
+		})
+	}
+}
+
+// TestPausedPeersAreAskedLast guards against paying a failed connection for each request,
+// and against refusals while a paused peer is all there is.
+func TestPausedPeersAreAskedLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := Peer{Name: "a", Address: "1"}, Peer{Name: "b", Address: "2"}
+		f := New(Options{Name: "self", Peers: func() []Peer { return []Peer{a, b} }, Random: first, Pauses: NewPauses(clock.NewRuntime())})
+		asked := func() []string { return names(f.Begin("llm", time.Now().Add(time.Minute))) }
+		h := f.Begin("llm", time.Now().Add(time.Minute))
+		h.Declined(a)
+		h.Unreached(a) // the longer pause holds
+		h.Declined(a)
+		if got := asked(); !slices.Equal(got, []string{"b", "a"}) {
+			t.Errorf("asked %v while a is paused, want b before a", got)
+		}
+		time.Sleep(unreachedPause)
+		if got := asked(); !slices.Equal(got, []string{"a", "b"}) {
+			t.Errorf("asked %v after the pause, want a before b", got)
+		}
+		h.Declined(b)
+		if n := len(*f.options.Pauses.until.Load()); n != 1 {
+			t.Errorf("%d pauses are kept, want those that are over dropped", n)
+		}
+	})
+}
+
+// TestLoadSpreadsOverPeers guards against a peer that gets all requests.
+func TestLoadSpreadsOverPeers(t *testing.T) {
+	var next int
+	f := New(Options{
+		Peers: func() []Peer {
+			return []Peer{{Name: "a", Address: "1"}, {Name: "b", Address: "2"}, {Name: "c", Address: "3"}}
+		},
+		Random: func(n int) int { next++; return next % n },
+		Pauses: NewPauses(clock.NewRuntime()),
+	})
+	got := make(map[string]int)
+	for range 30 {
+		p, _ := f.Begin("llm", time.Now().Add(time.Minute)).Next()
+		got[p.Name]++
+	}
+	if got["a"] != 10 || got["b"] != 10 || got["c"] != 10 {
+		t.Errorf("got %v, want 10 requests each", got)
+	}
+}
+
+// TestChangesRebuildTheList checks that a receiver of changes holds the sender's list.
+func TestChangesRebuildTheList(t *testing.T) {
+	list := func(t *rapid.T) []Peer {
+		var out []Peer
+		for i := range 5 {
+			if rapid.Bool().Draw(t, "listed") {
+				out = append(out, Peer{Name: fmt.Sprint(i), Address: rapid.SampledFrom([]string{"1", "2"}).Draw(t, "address"), Unreachable: rapid.SampledFrom([][]string{nil, {"llm"}}).Draw(t, "unreachable")})
+			}
+		}
+		return out
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		var sent, held []Peer
+		for step := range rapid.IntRange(1, 6).Draw(t, "steps") {
+			next := Sorted(list(t))
+			change := Difference(sent, next)
+			if step == 0 {
+				change.Whole = true
+			}
+			if change.Empty() != (step > 0 && slices.EqualFunc(sent, next, Peer.Equal)) {
+				t.Fatalf("change %+v from %v to %v", change, sent, next)
+			}
+			held, sent = change.Apply(held), next
+			if !slices.EqualFunc(held, next, Peer.Equal) {
+				t.Fatalf("the receiver holds %v, want %v", held, next)
+			}
+		}
+	})
+}
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -54,7 +54,12 @@
 	Name string
 	// Address is the IP:port at which callers reach this entry.
 	Address string
-	Zone    string
+	// ForwardAddress is the IP:port at which it takes requests from other entries, or empty.
+	ForwardAddress string
+	// Isolated reports whether the entry reaches no server of a service. If it is nil, it
+	// reaches some of each.
+	Isolated func(service string) bool
+	Zone     string
 	// Seeds returns peer addresses of control processes, which may change over
 	// time.
 	Seeds func() []string
@@ -88,6 +93,7 @@
 	origins     *Origins
 
 	retries *retry.Accounts
+	peers   peers
 
 	table atomic.Pointer[route.Table]
 	view  atomic.Pointer[fleet.View]
@@ -232,8 +238,12 @@
 	r.Name, r.Incarnation = a.options.Name, a.incarnation
 	r.Address, r.Zone = a.options.Address, a.options.Zone
 	r.Ready = a.Ready()
+	if first {
+		r.ForwardAddress = a.options.ForwardAddress
+	}
 	if table := a.table.Load(); table != nil {
 		r.DocumentVersion = table.Version
+		r.UnreachableServices = a.unreachableServices(table)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -268,6 +278,7 @@
 func (a *Agent) deliver(u peergrpc.Update) {
 	a.retries.ObserveProcesses(u.Retries.Processes)
 	a.setOtherLoad(u)
+	a.peers.apply(u.Source, u.Peers, u.Leads || a.leader.Load() == nil || a.leaderTimedOut())
 	a.prefixes.AddRemote(u.Holdings)
 	for _, l := range a.notices.Limits.Merge(u.Source, u.RateLimits) {
 		a.options.Log.Info("rate limit of a server known", "server", l.Server, "limit", l.Limit.String(), "age_ms", l.Age.Milliseconds(), "source", u.Source)
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -17,6 +17,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/forward"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/origin"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
@@ -61,6 +62,11 @@
 	Ready   bool
 	// DocumentVersion is the version of the document that the entry has in force.
 	DocumentVersion uint64
+	// ForwardAddress is the IP:port at which the entry takes requests from other entries,
+	// or empty.
+	ForwardAddress string
+	// UnreachableServices are those of which the entry reaches no server.
+	UnreachableServices []string
 }
 
 // HubOptions configures a FleetHub.
@@ -96,6 +102,9 @@
 	// ready is the number of entries that accept new work. It is recomputed when
 	// it may have changed rather than for each update.
 	ready atomic.Uint32
+	// peers are the entries that take requests from others, sorted, or nil before the first
+	// one. They are replaced with ready.
+	peers atomic.Pointer[[]forward.Peer]
 
 	mu      sync.Mutex // guards the fields below
 	entries map[*entryWatch]struct{}
@@ -263,6 +272,7 @@
 		}
 	}
 	h.ready.Store(uint32(len(ready)))
+	h.setPeers(ready)
 }
 
 // Loads returns the total load that entries reported, by engine id.
@@ -344,16 +354,22 @@
 	} else {
 		info.Name, info.Incarnation = report.GetName(), report.GetIncarnation()
 		info.Address, info.Zone = report.GetAddress(), report.GetZone()
+		info.ForwardAddress = report.GetForwardAddress()
 		h.add(w, info)
 	}
 	readinessChanged := info.Ready != report.GetReady()
 	if readinessChanged {
 		h.options.Log.Info("entry readiness changed", "entry", info.Name, "ready", report.GetReady(), "document", report.GetDocumentVersion())
 	}
+	reachChanged := !slices.Equal(info.UnreachableServices, report.GetUnreachableServices())
+	if reachChanged {
+		h.options.Log.Info("entry reaches other services", "entry", info.Name, "unreachable", report.GetUnreachableServices())
+	}
 	info.Ready = report.GetReady()
 	info.DocumentVersion = report.GetDocumentVersion()
+	info.UnreachableServices = report.GetUnreachableServices()
 	w.info.Store(&info)
-	if held == nil || readinessChanged {
+	if held == nil || readinessChanged || reachChanged {
 		h.mu.Lock()
 		h.countReady()
 		h.mu.Unlock()
@@ -498,6 +514,8 @@
 	controlAddresses []string
 	// partLists is the generation of the lists of prompt parts; zero means none.
 	partLists uint64
+	// peers are the entries that take requests from others; nil means that none were sent.
+	peers *[]forward.Peer
 }
 
 // interval returns the time between two messages of a watch.
@@ -520,7 +538,7 @@
 // has received it.
 func (h *FleetHub) update(w *entryWatch, sent sentState) (*peerpb.FleetUpdate, sentState) {
 	held := h.options.Document()
-	next := sentState{engines: h.engines.Load(), controlAddresses: h.options.ControlAddresses(), partLists: sent.partLists}
+	next := sentState{engines: h.engines.Load(), controlAddresses: h.options.ControlAddresses(), partLists: sent.partLists, peers: sent.peers}
 	update := &peerpb.FleetUpdate{
 		ReplicaId:       h.options.ReplicaID,
 		DocumentVersion: held.Version,
@@ -551,6 +569,8 @@
 	if update.Leads || w.wantsWork.Load() {
 		update.HasOthers = true
 		update.Others, update.OthersWaiting = fromWork(h.othersWork(w))
+		next.peers = h.peers.Load()
+		setForwardPeers(update, sent.peers, next.peers)
 	}
 	update.Holdings = fromHoldings(h.unsentHoldings(w))
 	if h.options.Quarantine.Generation() != sent.partLists {
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -13,6 +13,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/forward"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/origin"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
@@ -82,6 +83,8 @@
 	PartLists *quarantine.PartLists
 	// Retries is the state of the deployment's retry budgets.
 	Retries retry.Deployment
+	// Peers is the change in the entries that take requests from others.
+	Peers forward.Change
 	// ReportAfter is how long after the last report the replica expects the next
 	// one.
 	ReportAfter time.Duration
@@ -325,6 +328,9 @@
 		DocumentVersion: r.DocumentVersion,
 		WantDocument:    r.WantDocument,
 		WantWork:        r.WantWork,
+
+		ForwardAddress:      r.ForwardAddress,
+		UnreachableServices: r.UnreachableServices,
 	}
 	out.Loads, out.Waiting = fromWork(r.Work)
 	out.Holdings = fromHoldings(r.Holdings)
@@ -355,6 +361,7 @@
 		Holdings:        toHoldings(m.GetHoldings()),
 		PartLists:       toPartLists(m),
 		Retries:         toRetryDeployment(m.GetRetryDeployment()),
+		Peers:           toForwardPeers(m),
 	}
 	if m.GetHasEngines() {
 		if out.Engines, err = toEngineList(m); err != nil {
