Entries: a request that an entry can't place is served through another one

What callers saw: an entry that is partitioned from all backend servers refused each request with 503 after 7 to 830 ms, while other entries reached them.

Cause: nothing sent a request on.

Evidence: TestCallerOfAnEntryWithoutServersIsServed and TestEntryThatIsGoneIsReplaced with the handover switched off:

call, isolated false: got &{503 Service Unavailable ... Retry-After:[1.000] stream, isolated false: got &{503 Service Unavailable ... Retry-After:[1.000] split stream, isolated true: got &{503 Service Unavailable ... (10 of 10 cases), and: forward_test.go:267: got &{503 Service Unavailable 503

Change: a request is handed over if this entry reaches no server of its service, or if its exchange was refused because connections alone failed (exchange.ErrUnreachable). The peer takes it at its peer address, which callers' connections don't have, by the same handler: its own health, limits, pauses and retry budget, the caller's address for fingerprints, what is left of the time. It never hands it over again. A second peer is asked only if the first accepted no connection or states that it has not taken the request (stopping, isolated, no routes yet, older routes); a handover that breaks off is answered 502 or cut. One of the two entries counts the request for the retry budget. Responses pass as they arrive; a caller that leaves closes the connection to the peer.

That an entry reaches no server isn't detected yet, so only refused exchanges are handed over in a process.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -110,6 +110,9 @@
 // not begun can still be answered by the caller of Run.
 func (c *Forwarder) End() { c.end() }
 
+// Ending returns a context that ends once End has been called.
+func (c *Forwarder) Ending() context.Context { return c.ending }
+
 // prefillBacklog sums up the pending prompt tokens at the healthy prefill
 // engines of a service, of the software versions that can also decode, and the streams at
 // the healthy engines that decode.
@@ -166,7 +169,9 @@
 // Run forwards a request until it is answered, refused or given up, and logs
 // the outcome. ctx must end when the caller disconnects.
 func (c *Forwarder) Run(ctx context.Context, r *Request, sender Sender, sink Sink) Outcome {
-	c.options.Budget(r.Service.Name).Request()
+	if !r.Counted {
+		c.options.Budget(r.Service.Name).Request()
+	}
 	x := &exchange{
 		Forwarder: c, request: r, sender: sender, sink: sink, started: time.Now(), lastEventID: r.LastEventID,
 		sharedParts: r.Prompt.SharedParts(),
@@ -192,6 +197,7 @@
 		outcome.Result = x.classify(ctx, deadlineCtx, outcome.Result)
 	}
 	if outcome.Result == Refused {
+		outcome.Err = x.markUnreachable(outcome.Err)
 		outcome.RetryAfter = x.retryAfter(outcome.Err)
 	}
 	x.recordPace()
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -32,6 +32,8 @@
 	// Resumes is the ID of the caller's request whose response had the stream's first
 	// event. It is empty for a new stream, or if the caller doesn't say.
 	Resumes string
+	// Counted is set if another entry has counted the request for the retry budget.
+	Counted bool
 	// Fingerprint returns what a repeat of the request has in common with it. It is
 	// called only after a server has failed. It is nil if there is none.
 	Fingerprint func() quarantine.Fingerprint
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -56,10 +56,7 @@
 	Address string
 	// ForwardAddress is the IP:port at which it takes requests from other entries, or empty.
 	ForwardAddress string
-	// Isolated reports whether the entry reaches no server of a service. If it is nil, it
-	// reaches some of each.
-	Isolated func(service string) bool
-	Zone     string
+	Zone           string
 	// Seeds returns peer addresses of control processes, which may change over
 	// time.
 	Seeds func() []string
@@ -94,6 +91,8 @@
 
 	retries *retry.Accounts
 	peers   peers
+	// isolated reports whether the entry reaches no server of a service, or is nil.
+	isolated func(service string) bool
 
 	table atomic.Pointer[route.Table]
 	view  atomic.Pointer[fleet.View]
--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -103,6 +103,12 @@
 	s.scope.Tagged(map[string]string{"kind": kind}).Counter("request_refused").Inc(1)
 }
 
+// Forwarded counts that another entry was asked to take a request, by why and by what came
+// of it.
+func (s *ClassSeries) Forwarded(reason, result string) {
+	s.scope.Tagged(map[string]string{"reason": reason, "result": result}).Counter("request_forwarded").Inc(1)
+}
+
 // Customer returns the histogram of the times from arrival to the end of the
 // response for a customer.
 func (r *Requests) Customer(name string) tally.Histogram {
