Entries: a peer that reaches no server declines what it took

Cuts begin at several entries in the same moment. Until a peer has noticed its own, its exchange ended as refused and the caller got its 503 although a third entry reached the servers. Such an exchange now ends as declined, so that the first entry asks its second peer; the request stays counted once. A forwarded request doesn't wait for servers that are all gone: the first entry has waited. A peer that declined is left out for that service alone.

--- a/internal/protocol/exchange/await.go
+++ b/internal/protocol/exchange/await.go
@@ -48,6 +48,9 @@
 		return nil
 	}
 	if !x.origin.known {
+		if x.request.Forwarded {
+			return errAllGone
+		}
 		waiting := x.waitingForServers(x.request.Service.Name)
 		defer waiting.Add(-1)
 		if waiting.Add(1) > maxNewWaiting {
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -32,6 +32,9 @@
 	// Resumes is the ID of the caller's request whose response had the stream's first
 	// event. It is empty for a new stream, or if the caller doesn't say.
 	Resumes string
+	// Forwarded is set if another entry has handed the request over. It doesn't wait here for
+	// servers that are all gone: they are for the other entry too.
+	Forwarded bool
 	// Counted is set if another entry has counted the request for the retry budget.
 	Counted bool
 	// Fingerprint returns what a repeat of the request has in common with it. It is
--- a/internal/protocol/exchange/unreachable_test.go
+++ b/internal/protocol/exchange/unreachable_test.go
@@ -60,6 +60,22 @@
 	}
 }
 
+// TestForwardedRequestsDoNotWaitForServers guards against a refusal that takes the waits of
+// several entries while a service is down.
+func TestForwardedRequestsDoNotWaitForServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refused := reply{err: fmt.Errorf("%w: %w", exchange.ErrServerNotFound, exchange.ErrNotSent)}
+		w := newFixture(refused, refused, refused)
+		w.ended = true
+		forwarded := callRequest(route.Unsafe, 1)
+		forwarded.Forwarded = true
+		began := time.Now()
+		if o := w.run(t, forwarded); !errors.Is(o.Err, exchange.ErrUnreachable) || time.Since(began) > 0 {
+			t.Errorf("got %v with error %v after %v, want a refusal at once", o.Result, o.Err, time.Since(began))
+		}
+	})
+}
+
 // TestRequestsOfOtherEntriesAreCountedOnce guards against a retry budget that grows with
 // each request that another entry has counted.
 func TestRequestsOfOtherEntriesAreCountedOnce(t *testing.T) {
--- a/internal/protocol/forward/forward.go
+++ b/internal/protocol/forward/forward.go
@@ -98,7 +98,7 @@
 	}
 	own := func(p Peer) bool { return p.Name != o.Name }
 	filters := []Filter{own, Reaches(h.service), Except(h.tried...)}
-	if p, ok = Pick(o.Peers(), o.Random, append(filters, o.Pauses.Open)...); !ok {
+	if p, ok = Pick(o.Peers(), o.Random, append(filters, o.Pauses.Open(h.service))...); !ok {
 		p, ok = Pick(o.Peers(), o.Random, filters...)
 	}
 	if ok {
@@ -111,7 +111,11 @@
 func (h *Handover) Asked() int { return len(h.tried) }
 
 // Unreached records that a peer accepted no connection.
-func (h *Handover) Unreached(p Peer) { h.forwarder.options.Pauses.pause(p, unreachedPause) }
+func (h *Handover) Unreached(p Peer) {
+	h.forwarder.options.Pauses.pause(pauseKey{address: p.Address}, unreachedPause)
+}
 
-// Declined records that a peer has not taken the request.
-func (h *Handover) Declined(p Peer) { h.forwarder.options.Pauses.pause(p, declinedPause) }
+// Declined records that a peer has not taken the request, or reached no server for it.
+func (h *Handover) Declined(p Peer) {
+	h.forwarder.options.Pauses.pause(pauseKey{p.Address, h.service}, declinedPause)
+}
--- a/internal/protocol/forward/pauses.go
+++ b/internal/protocol/forward/pauses.go
@@ -22,30 +22,41 @@
 // reader takes no lock.
 type Pauses struct {
 	clock clock.Clock
-	// until holds the ends of the pauses by address. The map is copied on write.
-	until atomic.Pointer[map[string]clock.Instant]
+	// until holds the ends of the pauses. The map is copied on write.
+	until atomic.Pointer[map[pauseKey]clock.Instant]
 	mu    sync.Mutex // serialises writers
 }
 
+// pauseKey is a peer's address, and the service for which the peer is left out, or "" for all.
+type pauseKey struct {
+	address, service string
+}
+
 // NewPauses returns an empty set.
 func NewPauses(c clock.Clock) *Pauses {
 	p := &Pauses{clock: c}
-	p.until.Store(&map[string]clock.Instant{})
+	p.until.Store(&map[pauseKey]clock.Instant{})
 	return p
 }
 
-// Open is a filter for the peers that aren't left out.
-func (p *Pauses) Open(peer Peer) bool {
-	until, paused := (*p.until.Load())[peer.Address]
-	return !paused || !p.clock.Now().Before(until)
+// Open returns a filter for the peers that aren't left out for a service.
+func (p *Pauses) Open(service string) Filter {
+	until := *p.until.Load()
+	if len(until) == 0 {
+		return func(Peer) bool { return true }
+	}
+	now := p.clock.Now()
+	return func(peer Peer) bool {
+		return !now.Before(until[pauseKey{peer.Address, ""}]) && !now.Before(until[pauseKey{peer.Address, service}])
+	}
 }
 
 // pause leaves a peer out for d, and drops the pauses that are over.
-func (p *Pauses) pause(peer Peer, d time.Duration) {
+func (p *Pauses) pause(key pauseKey, d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, next := p.clock.Now(), maps.Clone(*p.until.Load())
-	maps.DeleteFunc(next, func(_ string, until clock.Instant) bool { return !now.Before(until) })
-	next[peer.Address] = max(next[peer.Address], now.Add(d))
+	maps.DeleteFunc(next, func(_ pauseKey, until clock.Instant) bool { return !now.Before(until) })
+	next[key] = now.Add(d)
 	p.until.Store(&next)
 }
