--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -54,7 +54,9 @@
 	Name string
 	// Address is the IP:port at which callers reach this entry.
 	Address string
-	Zone    string
+	// ForwardAddress is the IP:port at which it takes requests from other entries, or empty.
+	ForwardAddress string
+	Zone           string
 	// Seeds returns peer addresses of control processes, which may change over
 	// time.
 	Seeds func() []string
@@ -88,6 +90,9 @@
 	origins     *Origins
 
 	retries *retry.Accounts
+	peers   peers
+	// isolated reports whether the entry reaches no server of a service, or is nil.
+	isolated func(service string) bool
 
 	table atomic.Pointer[route.Table]
 	view  atomic.Pointer[fleet.View]
@@ -232,8 +237,12 @@
 	r.Name, r.Incarnation = a.options.Name, a.incarnation
 	r.Address, r.Zone = a.options.Address, a.options.Zone
 	r.Ready = a.Ready()
+	if first {
+		r.ForwardAddress = a.options.ForwardAddress
+	}
 	if table := a.table.Load(); table != nil {
 		r.DocumentVersion = table.Version
+		r.UnreachableServices = a.unreachableServices(table)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -268,6 +277,7 @@
 func (a *Agent) deliver(u peergrpc.Update) {
 	a.retries.ObserveProcesses(u.Retries.Processes)
 	a.setOtherLoad(u)
+	a.peers.apply(u.Source, u.Peers, u.Leads || a.leader.Load() == nil || a.leaderTimedOut())
 	a.prefixes.AddRemote(u.Holdings)
 	for _, l := range a.notices.Limits.Merge(u.Source, u.RateLimits) {
 		a.options.Log.Info("rate limit of a server known", "server", l.Server, "limit", l.Limit.String(), "age_ms", l.Age.Milliseconds(), "source", u.Source)
