--- a/internal/protocol/outlier/outlier.go
+++ b/internal/protocol/outlier/outlier.go
@@ -282,3 +282,26 @@
 	}
 	s.failing.Store(&next)
 }
+
+// Snapshot is a copy of the records of all backends. The zero value holds none.
+type Snapshot struct {
+	failing map[string]Health
+	rates   map[string]counts
+}
+
+// Snapshot returns a copy of the records.
+func (s *Set) Snapshot() Snapshot {
+	return Snapshot{failing: *s.failing.Load(), rates: s.rates.snapshot()}
+}
+
+// Restore replaces all records by those of a snapshot.
+func (s *Set) Restore(from Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	failing := from.failing
+	if failing == nil {
+		failing = map[string]Health{}
+	}
+	s.failing.Store(&failing)
+	s.rates.restore(from.rates)
+}
--- a/internal/protocol/outlier/rate.go
+++ b/internal/protocol/outlier/rate.go
@@ -33,7 +33,11 @@
 // outcomes counts the successes and failures of one backend. Older ones have less
 // weight. It is safe for concurrent use.
 type outcomes struct {
-	mu                  sync.Mutex // guards the fields below
+	mu sync.Mutex // guards the field below
+	counts
+}
+
+type counts struct {
 	successes, failures float64
 	// inRow counts the successes since the last failure.
 	inRow     int
@@ -122,12 +126,35 @@
 			next[other] = o
 		}
 	}
-	o := &outcomes{successes: earlierSuccesses, countedAt: now}
+	o := &outcomes{counts: counts{successes: earlierSuccesses, countedAt: now}}
 	next[name] = o
 	r.failing.Store(&next)
 	return o
 }
 
+// snapshot returns a copy of all counts.
+func (r *rates) snapshot() map[string]counts {
+	current := *r.failing.Load()
+	out := make(map[string]counts, len(current))
+	for name, o := range current {
+		o.mu.Lock()
+		out[name] = o.counts
+		o.mu.Unlock()
+	}
+	return out
+}
+
+// restore replaces all counts.
+func (r *rates) restore(all map[string]counts) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := make(map[string]*outcomes, len(all))
+	for name, c := range all {
+		next[name] = &outcomes{counts: c}
+	}
+	r.failing.Store(&next)
+}
+
 // Failing returns the names of the backends that are ejected or fail a large part of their
 // attempts.
 func (s *Set) Failing() []string {
