Exchange: an entry that reaches no server holds no requests

Failed connections and those that break off wake the detector. While it finds the entry isolated, no server is chosen: requests that no server has run end at once with an error that matches errAllGone, also those that wait for a server, in the prefill queue or for a prefill call when it begins. An attempt that is being connected ends by its dial timeout.

--- a/internal/protocol/exchange/await.go
+++ b/internal/protocol/exchange/await.go
@@ -192,7 +192,7 @@
 			return true
 		}
 		if errors.Is(err, ErrServerNotFound) && !slices.Contains(x.options.Outlier.Ejected(), c.ID) {
-			x.options.Outlier.Unreachable(c.ID)
+			x.markMissing(c.Engine)
 		}
 	}
 	return false
--- a/internal/protocol/exchange/contact.go
+++ b/internal/protocol/exchange/contact.go
@@ -190,6 +190,7 @@
 		if err == nil || c.forwarder.ending.Err() != nil {
 			return
 		}
+		c.forwarder.options.Isolation.Failed(s.Engine)
 		c.suspectWaiting(s, began)
 		c.forwarder.crashWatch.watch(s.Engine, sender)
 	}()
--- a/internal/protocol/exchange/crash.go
+++ b/internal/protocol/exchange/crash.go
@@ -156,7 +156,7 @@
 func (c *Forwarder) refusesConnections(sender Sender, e fleet.Engine) bool {
 	ended := sender.Ended(context.Background(), e)
 	if ended {
-		c.options.Outlier.Unreachable(e.ID)
+		c.markMissing(e)
 	}
 	return ended
 }
--- a/internal/protocol/exchange/crashwatch.go
+++ b/internal/protocol/exchange/crashwatch.go
@@ -291,7 +291,7 @@
 func (w *crashWatch) tryToConnect(s *watchedServer, sender Sender, now time.Time) {
 	err := sender.Reach(context.Background(), s.Engine)
 	if errors.Is(err, ErrServerNotFound) {
-		w.forwarder.options.Outlier.Unreachable(s.ID)
+		w.forwarder.markMissing(s.Engine)
 		w.confirm(s.Engine, endSign{at: now})
 		return
 	}
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/buffer"
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/isolation"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
@@ -40,6 +41,9 @@
 	// Prefixes records which engines hold shared prefixes of prompts. If it
 	// is nil, New creates an empty directory.
 	Prefixes *prefixdir.Directory
+	// Isolation finds out whether this entry reaches no server at all. If it is nil, every
+	// failure counts against its server.
+	Isolation *isolation.Detector
 	// Quarantine holds the requests and prompt parts that no server may get. If it is
 	// nil, New creates an empty one.
 	Quarantine *quarantine.Guard
@@ -102,6 +106,7 @@
 	c.crashWatch = &crashWatch{forwarder: c, servers: make(map[string]*watchedServer)}
 	c.contacts = newContacts(c)
 	c.ending, c.end = context.WithCancel(context.Background())
+	o.Isolation.OnReturn(c.serversReturned)
 	c.prefills = prefillqueue.New(prefillqueue.Options{Engines: c.prefillBacklog, Tracker: o.Tracker})
 	return c
 }
@@ -328,6 +333,7 @@
 var (
 	errNoServer      = errors.New("no server takes the request")
 	errAllGone       = fmt.Errorf("%w: none is reachable", errNoServer)
+	errIsolated      = fmt.Errorf("%w from this entry", errAllGone)
 	errRetryBudget   = errors.New("the retry budget is used up")
 	errPlainResponse = errors.New("server sent a plain response where an event stream was to resume")
 )
@@ -614,6 +620,9 @@
 // caller, is not counted against the engine.
 func (x *exchange) recordFailure(ctx context.Context, a Attempt, step string, err error) {
 	x.failedEngines = append(x.failedEngines, a.Engine.ID)
+	if linkFailed(err) {
+		x.options.Isolation.Failed(a.Engine)
+	}
 	if errors.Is(err, ErrNotRun) {
 		x.crashWatch.withdraw(a)
 	}
--- /dev/null
+++ b/internal/protocol/exchange/isolated_test.go
@@ -0,0 +1,281 @@
+package exchange_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/exchange"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/isolation"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+)
+
+// cutMode is what a partition does to connections.
+type cutMode int
+
+const (
+	notCut cutMode = iota
+	// cutReset resets connections and refuses new ones, cutHang drops all packets, and
+	// cutNew refuses new connections while those in use live on.
+	cutReset
+	cutHang
+	cutNew
+)
+
+var cutModes = map[string]cutMode{"reset": cutReset, "hang": cutHang, "live on": cutNew}
+
+const (
+	cutRoundTrip   = time.Millisecond
+	cutDialTimeout = 300 * time.Millisecond
+	cutAnswerTime  = 50 * time.Millisecond
+)
+
+// cutEntry is an entry that can be partitioned from its servers. It implements
+// exchange.Sender.
+type cutEntry struct {
+	*exchange.Forwarder
+	detector   *isolation.Detector
+	outlier    *outlier.Set
+	quarantine *quarantine.Guard
+
+	mu   sync.Mutex // guards the fields below
+	mode cutMode
+	// changed is closed at the next change of mode.
+	changed chan struct{}
+	// ended holds the servers that have ended, by ID.
+	ended map[string]bool
+	sends map[string]int
+}
+
+// newCutEntry returns an entry with six engines that decode, three that prefill and three servers of another service. Its detector runs until the test ends.
+func newCutEntry(t *testing.T) *cutEntry {
+	var servers []fleet.Engine
+	for i := range 12 {
+		e := fleet.Engine{ID: fmt.Sprint("e", i), Service: "llm", Phase: fleet.Decode}
+		switch {
+		case i >= 9:
+			e.Service, e.Phase, e.Slots = "plain", fleet.NoPhase, 6
+		case i >= 6:
+			e.Phase = fleet.Prefill
+		}
+		servers = append(servers, e)
+	}
+	c, view := clock.NewRuntime(), fleet.NewView(servers)
+	e := &cutEntry{
+		outlier: outlier.NewSet(c), quarantine: quarantine.NewGuard(c), changed: make(chan struct{}),
+		ended: make(map[string]bool), sends: make(map[string]int),
+	}
+	e.detector = isolation.New(isolation.Options{
+		Clock: c, View: func() *fleet.View { return view }, Reach: e.Reach, Outlier: e.outlier, Log: hclog.NewNullLogger(),
+	})
+	budget := retry.NewAccount(c, retry.Bound{Share: 0.2, Slack: 1000, Window: 10 * time.Second})
+	e.Forwarder = exchange.New(exchange.Options{
+		View: func() *fleet.View { return view }, Tracker: fleet.NewTracker(), Outlier: e.outlier, Quarantine: e.quarantine, Isolation: e.detector,
+		Budget: func(string) *retry.Account { return budget }, Random: func(int) int { return 0 }, Log: hclog.NewNullLogger(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- e.detector.Run(ctx) }()
+	t.Cleanup(func() {
+		e.End()
+		cancel()
+		<-done
+	})
+	return e
+}
+
+func (e *cutEntry) set(mode cutMode) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.mode = mode
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+func (e *cutEntry) end(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended[id] = true
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+func (e *cutEntry) state(s fleet.Engine) (mode cutMode, ended bool, changed chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.mode, e.ended[s.ID], e.changed
+}
+
+// connect opens a connection.
+func (e *cutEntry) connect(ctx context.Context, s fleet.Engine) error {
+	ctx, cancel := context.WithTimeout(ctx, cutDialTimeout)
+	defer cancel()
+	mode, ended, _ := e.state(s)
+	switch {
+	case mode == cutHang:
+		<-ctx.Done()
+		return exchange.ErrNotSent
+	case !clock.Sleep(ctx, cutRoundTrip):
+		return exchange.ErrNotSent
+	case mode != notCut || ended:
+		return errDown
+	}
+	return nil
+}
+
+// answer waits for an answer on an open connection.
+func (e *cutEntry) answer(ctx context.Context, s fleet.Engine, after time.Duration) error {
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	answered := false
+	for {
+		mode, ended, changed := e.state(s)
+		switch {
+		case ended, mode == cutReset:
+			return errReset
+		case answered && mode != cutHang:
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			answered = true
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (e *cutEntry) Send(ctx context.Context, a exchange.Attempt) (*exchange.Response, error) {
+	e.mu.Lock()
+	e.sends[a.Engine.ID]++
+	e.mu.Unlock()
+	if err := e.connect(ctx, a.Engine); err != nil {
+		return nil, err
+	}
+	if err := e.answer(ctx, a.Engine, cutAnswerTime); err != nil {
+		return nil, err
+	}
+	return &exchange.Response{Success: true, EventStream: a.Engine.Service == "llm", Status: 200, Body: &readCloser{strings.NewReader("id: 1\n\n"), nopCloser{}}}, nil
+}
+
+func (e *cutEntry) Prefill(ctx context.Context, a exchange.Attempt) (string, error) {
+	if err := e.connect(ctx, a.Engine); err != nil {
+		return "", err
+	}
+	return "handle", e.answer(ctx, a.Engine, 4*cutAnswerTime)
+}
+
+func (e *cutEntry) Ended(ctx context.Context, s fleet.Engine) bool {
+	mode, ended, _ := e.state(s)
+	if mode == cutHang {
+		clock.Sleep(ctx, 100*time.Millisecond)
+		return false
+	}
+	return clock.Sleep(ctx, cutRoundTrip) && (ended || mode != notCut)
+}
+
+func (e *cutEntry) Reach(ctx context.Context, s fleet.Engine) error {
+	ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+	defer cancel()
+	return e.connect(ctx, s)
+}
+
+func (e *cutEntry) Release(exchange.KVSource) {}
+
+// cutOutcome is the outcome of a request that was sent at a time after the start.
+type cutOutcome struct {
+	exchange.Outcome
+	sentAt, took time.Duration
+}
+
+// play sends requests of three kinds, one each 10 ms, for a time and returns their outcomes.
+func (e *cutEntry) play(ctx context.Context, lasts time.Duration) (out []cutOutcome) {
+	var mu sync.Mutex
+	var requests sync.WaitGroup
+	started := time.Now()
+	for i := 0; time.Since(started) < lasts; i++ {
+		r := callRequest(route.Safe, 3)
+		if i%3 > 0 {
+			r = promptRequest("system")
+			r.Prompt.Tokens = 10 + 5000*(i%3-1)
+		}
+		r.Deadline, r.Route.Objective = time.Now().Add(4*time.Second), 800*time.Millisecond
+		requests.Go(func() {
+			sent := time.Now()
+			o := e.Run(ctx, r, e, discardSink{})
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, cutOutcome{o, sent.Sub(started), time.Since(sent)})
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	requests.Wait()
+	return out
+}
+
+// TestCutEntryHoldsNoRequests guards against requests that wait for connections to servers of which none is reached.
+func TestCutEntryHoldsNoRequests(t *testing.T) {
+	const cutAt, detectedAt = time.Second, 2 * time.Second
+	for name, mode := range cutModes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newCutEntry(t)
+				time.AfterFunc(cutAt, func() { e.set(mode) })
+				held, waited, longest := 0, 0, time.Duration(0)
+				for _, o := range e.play(t.Context(), 4*time.Second) {
+					switch refused := o.Result == exchange.Refused; {
+					case o.sentAt < cutAt-10*cutAnswerTime && o.Result != exchange.Delivered:
+						t.Fatalf("sent at %v, before the cut: got %v, want delivered", o.sentAt, o.Result)
+					case o.sentAt >= detectedAt && (!refused || o.took > 0):
+						held++
+						longest = max(longest, o.took)
+					case refused && o.sentAt+o.took > detectedAt && o.sentAt < detectedAt:
+						waited++
+					}
+				}
+				if held+waited > 0 {
+					t.Errorf("%d of 200 requests were held for up to %v or not refused; %d that no server had run waited beyond %v after the cut; want none", held, longest, waited, detectedAt-cutAt)
+				}
+			})
+		})
+	}
+}
+
+// TestEndedServersAreNoCut guards against requests refused although other servers, or those of another service, are reached.
+func TestEndedServersAreNoCut(t *testing.T) {
+	for name, ended := range map[string][]string{"one engine": {"e0"}, "a small service": {"e9", "e10", "e11"}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newCutEntry(t)
+				time.AfterFunc(time.Second, func() {
+					for _, id := range ended {
+						e.end(id)
+					}
+				})
+				began := false
+				context.AfterFunc(e.detector.Reachable(), func() { began = true })
+				delivered := 0
+				for _, o := range e.play(t.Context(), 3*time.Second) {
+					if o.Result == exchange.Delivered {
+						delivered++
+					}
+				}
+				if most := 100 * len(ended) / 3; began || delivered < 300-most-5 {
+					t.Errorf("isolated %t, %d of 300 requests delivered; want those of the servers that are left", began, delivered)
+				}
+			})
+		})
+	}
+}
--- a/internal/protocol/exchange/place.go
+++ b/internal/protocol/exchange/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
@@ -36,11 +37,26 @@
 	return x.relay(ctx, s)
 }
 
-// place chooses the server of the next attempt and pays for it.
+// place chooses the server of the next attempt and pays for it. Its error matches
+// errIsolated if this entry reaches no server, also if that begins meanwhile.
 func (x *exchange) place(ctx context.Context) (*placedAttempt, error) {
 	if err := x.checkQuarantine(); err != nil {
 		return nil, err
 	}
+	reaching, stop := x.whileReaching(ctx)
+	defer stop()
+	p, err := x.placeReaching(reaching)
+	if err != nil && reaching.Err() != nil && ctx.Err() == nil {
+		err = fmt.Errorf("%w: %w", errIsolated, err)
+	}
+	return p, err
+}
+
+// placeReaching implements place.
+func (x *exchange) placeReaching(ctx context.Context) (*placedAttempt, error) {
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	if err := x.awaitServer(ctx); err != nil {
 		return nil, err
 	}
