Exchange: a server that an isolated entry doesn't reach hasn't crashed

No server had ended. Such evidence puts sound requests and prompt parts in quarantine for callers of all entries.

A refused connection was taken as proof that its server had ended. It counts now once another server has accepted a connection that was begun after it; the detector waits 5 to 10 ms before it tries, as a partition doesn't begin at all servers in the same moment. What is suspected when an isolation ends is dropped and logged. Signs of the list of servers count as before.

--- a/internal/protocol/exchange/crash.go
+++ b/internal/protocol/exchange/crash.go
@@ -83,6 +83,23 @@
 	x.countLateCrashes()
 }
 
+// confirmEnd records that a server has ended. It returns once that counts, or ctx ends.
+func (x *exchange) confirmEnd(ctx context.Context, e fleet.Engine, sign endSign) {
+	if x.options.Isolation == nil || !sign.refused() || !x.crashWatch.suspected(e) {
+		x.crashWatch.confirm(e, sign)
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		x.crashWatch.confirm(e, sign)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // newSuspicion returns what an attempt is suspected of, without its fingerprint and what
 // became of it.
 func (x *exchange) newSuspicion(a Attempt) suspicion {
--- a/internal/protocol/exchange/crashsettle.go
+++ b/internal/protocol/exchange/crashsettle.go
@@ -19,7 +19,7 @@
 	defer cancel()
 	for c.crashWatch.hasSuspicions() && c.ending.Err() == nil && clock.Sleep(ctx, settlePollInterval) {
 	}
-	c.crashWatch.dropAll()
+	c.crashWatch.dropAll(dropStopped)
 }
 
 // hasSuspicions reports whether anything that speaks for an end may still be confirmed.
@@ -35,15 +35,16 @@
 }
 
 // dropAll drops what was not confirmed.
-func (w *crashWatch) dropAll() {
+func (w *crashWatch) dropAll(reason string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, s := range w.servers {
 		for _, c := range s.suspicions {
 			if c.speaksForEnd() {
-				w.forwarder.suspicions.dropped(dropStopped, c.Request, s.ID, s.Address, c.err)
+				w.forwarder.suspicions.dropped(reason, c.Request, s.ID, s.Address, c.err)
 			}
 		}
 		s.suspicions = nil
+		w.noteSilent(s)
 	}
 }
--- a/internal/protocol/exchange/crashwatch.go
+++ b/internal/protocol/exchange/crashwatch.go
@@ -157,8 +157,12 @@
 }
 
 // confirm records that a server has ended: what the sign shows of the suspicions becomes
-// evidence.
+// evidence. If it refused a connection, that counts once another server is reached: an entry
+// that is cut off reaches none.
 func (w *crashWatch) confirm(e fleet.Engine, sign endSign) {
+	if !w.suspected(e) || sign.refused() && !w.forwarder.options.Isolation.Confirm(w.forwarder.ending, e) {
+		return
+	}
 	leaving := w.forwarder.options.Notices.Leaving(e) || listing(w.forwarder.options.View(), e).leaving
 	w.mu.Lock()
 	s := w.servers[e.Incarnation()]
@@ -185,6 +189,14 @@
 	}
 }
 
+// suspected reports whether a server is held that isn't known to have ended.
+func (w *crashWatch) suspected(e fleet.Engine) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.servers[e.Incarnation()]
+	return s != nil && s.endedAt.IsZero()
+}
+
 // endedUnder reports whether a server is known to have ended while an attempt was in
 // progress there.
 func (w *crashWatch) endedUnder(e fleet.Engine, attempt uint64) bool {
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -632,7 +632,7 @@
 		x.returns.unreached(a.Engine)
 	}
 	if errors.Is(err, ErrServerNotFound) {
-		x.crashWatch.confirm(a.Engine, endSign{at: time.Now(), replaced: !errors.Is(err, ErrNotSent)})
+		x.confirmEnd(ctx, a.Engine, endSign{at: time.Now(), replaced: !errors.Is(err, ErrNotSent)})
 		if !errors.Is(err, ErrNotSent) {
 			x.returns.end(a.Engine)
 		}
--- a/internal/protocol/exchange/isolated.go
+++ b/internal/protocol/exchange/isolated.go
@@ -45,5 +45,6 @@
 }
 
 // serversReturned records the end of an isolation.
-func (c *Forwarder) serversReturned(r isolation.Return) {
+func (c *Forwarder) serversReturned(isolation.Return) {
+	c.crashWatch.dropAll(dropIsolated)
 }
--- a/internal/protocol/exchange/suspicion.go
+++ b/internal/protocol/exchange/suspicion.go
@@ -185,6 +185,9 @@
 	leaving, wentOn bool
 }
 
+// refused reports whether the sign is a refused connection.
+func (e endSign) refused() bool { return !e.at.IsZero() && !e.replaced }
+
 // confirmed returns the suspicions that the sign makes evidence.
 func (e endSign) confirmed(all []suspicion) (out []suspicion) {
 	for _, c := range all {
--- a/internal/protocol/exchange/suspicionlog.go
+++ b/internal/protocol/exchange/suspicionlog.go
@@ -15,6 +15,7 @@
 	dropNotConfirmed = "never confirmed"
 	dropTableFull    = "too many at once"
 	dropStopped      = "the entry stops"
+	dropIsolated     = "the entry reached no server"
 )
 
 // suspicionLog logs dropped suspicions, at most one in suspicionLogInterval. It is safe
--- a/internal/protocol/isolation/isolation.go
+++ b/internal/protocol/isolation/isolation.go
@@ -30,9 +30,9 @@
 	// suspended, and nothing of the servers.
 	probeTimeout     = 100 * time.Millisecond
 	maxRoundTimeouts = 2
-	// roundInterval is the time between two rounds while attempts fail and other servers
-	// are reached.
-	roundInterval = 10 * time.Millisecond
+	// settleTime is the time before each round. A partition doesn't begin at all servers in
+	// the same moment: only what is reached at least half of it after a failure counts.
+	settleTime = 10 * time.Millisecond
 	// maxConfirmTime bounds how long a failure waits for the verdict.
 	maxConfirmTime = time.Second
 	// returnInterval is the time between two looks for the end of an isolation, by
@@ -221,10 +221,13 @@
 
 // check tries other servers until one is reached after the last failure, or none is at all.
 func (d *Detector) check(ctx context.Context) {
-	for ctx.Err() == nil {
+	for clock.Sleep(ctx, settleTime/2) {
 		d.mu.Lock()
 		number := d.failures
 		d.mu.Unlock()
+		if !clock.Sleep(ctx, settleTime/2) {
+			return
+		}
 		switch found, known := d.anyReached(ctx); {
 		case !known:
 		case !found:
@@ -234,7 +237,6 @@
 		case d.clear(number):
 			return
 		}
-		clock.Sleep(ctx, roundInterval)
 	}
 }
 
