Entry: reports no server as failing or missing while it reaches none

An entry that was cut off from all servers reported each as failing, and, if connections were refused, as missing. Other entries leave out servers that one reports as missing, and put requests where others are reported as failing.

Entries have a detector now, which the platform's adapter gives its connection attempts. While the entry is isolated its reports name no server as failing or missing; between a failure and the verdict they name those from before. The method Isolated and the gauge "isolated" tell whether it is.

--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -16,6 +16,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/isolation"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
@@ -63,11 +64,15 @@
 	// List reads the list of engines. It is used only while no control replica is
 	// connected.
 	List func(ctx context.Context) (fleet.List, error)
+	// Reach opens a connection to an engine. If it is nil, the entry never counts as
+	// isolated.
+	Reach func(ctx context.Context, e fleet.Engine) error
 	// RetryBound bounds the retries of all entries together at one service.
 	RetryBound retry.Bound
 	// Notices holds what engines announced to this entry.
 	Notices *notice.Board
-	// Metrics receives the gauges of the retry budgets. If it is nil, there are none.
+	// Metrics receives the gauges of the retry budgets and of isolation. If it is nil,
+	// there are none.
 	Metrics tally.Scope
 	Clock   clock.Clock
 	Log     hclog.Logger
@@ -81,6 +86,7 @@
 	prefixes    *prefixdir.Directory
 	pace        *fleet.PaceCounter
 	outlier     *outlier.Set
+	isolation   *isolation.Detector
 	notices     *notice.Board
 	quarantine  *quarantine.Guard
 	watcher     *peergrpc.FleetWatcher
@@ -100,6 +106,8 @@
 	// otherLoadUnknown is set while the load of the other entries is unknown.
 	otherLoadUnknown atomic.Bool
 	leaving          atomic.Bool
+	// findings are those at the last time at which no failure was in doubt.
+	findings atomic.Pointer[findings]
 
 	mu     sync.Mutex // guards the fields below
 	roster *fleet.Roster
@@ -140,6 +148,13 @@
 	a.retries = retry.NewAccounts(o.Clock, o.RetryBound, func() { a.watcher.Wake() })
 	a.quarantine.OnCrash(func() { a.watcher.Wake() })
 	a.origins = newOrigins(a)
+	a.findings.Store(&findings{})
+	if o.Reach != nil {
+		a.isolation = isolation.New(isolation.Options{
+			Clock: o.Clock, View: a.View, Reach: o.Reach, Outlier: a.outlier, OnChange: a.isolationChanged, Log: o.Log,
+		})
+		a.isolationChanged(false)
+	}
 	a.reportInterval.Store(int64(maxReportInterval))
 	a.view.Store(fleet.NewView(nil))
 	a.watcher = peergrpc.NewFleetWatcher(peergrpc.WatcherOptions{
@@ -160,6 +175,9 @@
 	group.Go(func() error { return a.origins.run(ctx) })
 	group.Go(func() error { return clock.Every(ctx, directListInterval, a.listWithoutControl) })
 	group.Go(func() error { return clock.Every(ctx, loadCheckInterval, a.expireOtherLoad) })
+	if a.isolation != nil {
+		group.Go(func() error { return a.isolation.Run(ctx) })
+	}
 	budgets := &budgetReporter{agent: a, logged: make(map[string]retry.Usage)}
 	group.Go(func() error { return clock.Every(ctx, budgetReportInterval, budgets.report) })
 	return group.Wait()
@@ -183,6 +201,18 @@
 // Outliers returns the set of engines that fail this entry's requests.
 func (a *Agent) Outliers() *outlier.Set { return a.outlier }
 
+// Isolation returns the detector of the time in which this entry reaches no engine. It is nil
+// if the options don't say how to reach one.
+func (a *Agent) Isolation() *isolation.Detector { return a.isolation }
+
+// Isolated reports whether this entry reaches no engine.
+func (a *Agent) Isolated() bool { return a.isolation.Reachable().Err() != nil }
+
+// isolationChanged is called at the begin and at the end of each isolation.
+func (a *Agent) isolationChanged(isolated bool) {
+	a.options.Metrics.Gauge("isolated").Update(oneIf(isolated))
+}
+
 // Quarantine returns the guard that holds the prompt parts in quarantine.
 func (a *Agent) Quarantine() *quarantine.Guard { return a.quarantine }
 
@@ -246,11 +276,11 @@
 // work returns this entry's unfinished work and marks the engines that it finds
 // failing or missing, and those that told it that they leave.
 func (a *Agent) work() fleet.Work {
-	w := a.tracker.Own()
-	for _, engine := range a.outlier.Failing() {
+	w, found := a.tracker.Own(), a.currentFindings()
+	for _, engine := range found.failing {
 		w.Engines[engine] = w.Engines[engine].Add(fleet.Load{FailingEntries: 1})
 	}
-	for _, engine := range a.outlier.LatelyMissing() {
+	for _, engine := range found.missing {
 		w.Engines[engine] = w.Engines[engine].Add(fleet.Load{MissingEntries: 1})
 	}
 	for _, engine := range a.notices.LeavingAmong(a.view.Load()) {
@@ -259,6 +289,26 @@
 	return w
 }
 
+// findings are what this entry reports of engines that it can't use.
+type findings struct {
+	failing, missing []string
+}
+
+// currentFindings returns the engines that this entry finds failing and missing. While a
+// failure may be its own, those are the ones from before, and none while it is isolated.
+func (a *Agent) currentFindings() findings {
+	doubtful := a.isolation.Doubtful()
+	found := findings{failing: a.outlier.Failing(), missing: a.outlier.LatelyMissing()}
+	switch {
+	case a.Isolated():
+		return findings{}
+	case doubtful, a.isolation.Doubtful():
+		return *a.findings.Load()
+	}
+	a.findings.Store(&found)
+	return found
+}
+
 // leaderTimedOut reports whether no leader has sent an update for leaderTimeout.
 func (a *Agent) leaderTimedOut() bool {
 	return a.options.Clock.Now().Sub(clock.Instant(a.leaderReportedAt.Load())) >= leaderTimeout
