Exchange: all servers are back at once after an isolation

After a cut each server came back by itself, after its own ejection and at its own interval of connection attempts, both of which grow with the time of the cut; until then the first ones got the requests of all.

An isolation ends with an attempt to connect to each server at the same time. What was found since its first failure is taken back; servers that accept connections are candidates at once, those that don't are ejected or missing before a request tries them.

--- a/internal/protocol/exchange/isolated.go
+++ b/internal/protocol/exchange/isolated.go
@@ -44,7 +44,18 @@
 	c.options.Outlier.Unreachable(e.ID)
 }
 
-// serversReturned records the end of an isolation.
-func (c *Forwarder) serversReturned(isolation.Return) {
+// serversReturned records the end of an isolation. Servers that are reached are so for all
+// requests, and no request tries those that aren't.
+func (c *Forwarder) serversReturned(r isolation.Return) {
 	c.crashWatch.dropAll(dropIsolated)
+	for _, e := range r.Reached {
+		c.options.Outlier.Reached(e.ID)
+	}
+	for _, e := range r.Unreached {
+		if errors.Is(e.Err, ErrServerNotFound) {
+			c.options.Outlier.Unreachable(e.ID)
+			continue
+		}
+		c.options.Outlier.Unconnected(e.ID)
+	}
 }
--- a/internal/protocol/exchange/isolated_test.go
+++ b/internal/protocol/exchange/isolated_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -55,8 +57,8 @@
 	changed chan struct{}
 	// ended holds the servers that have ended, by ID.
 	ended map[string]bool
-	// waiting counts the attempts that wait for an answer.
-	waiting map[string]int
+	// sends counts the attempts, and waiting those that wait for an answer.
+	sends, waiting map[string]int
 }
 
 // newCutEntry returns an entry with six engines that decode, three that prefill and three servers of another service. Its detector runs until the test ends.
@@ -75,7 +77,7 @@
 	c, view := clock.NewRuntime(), fleet.NewView(servers)
 	e := &cutEntry{
 		outlier: outlier.NewSet(c), quarantine: quarantine.NewGuard(c), changed: make(chan struct{}),
-		ended: make(map[string]bool), waiting: make(map[string]int),
+		ended: make(map[string]bool), sends: make(map[string]int), waiting: make(map[string]int),
 	}
 	e.detector = isolation.New(isolation.Options{
 		Clock: c, View: func() *fleet.View { return view }, Reach: e.Reach, Outlier: e.outlier, Log: hclog.NewNullLogger(),
@@ -83,7 +85,7 @@
 	budget := retry.NewAccount(c, retry.Bound{Share: 0.2, Slack: 1000, Window: 10 * time.Second})
 	e.Forwarder = exchange.New(exchange.Options{
 		View: func() *fleet.View { return view }, Tracker: fleet.NewTracker(), Outlier: e.outlier, Quarantine: e.quarantine, Isolation: e.detector,
-		Budget: func(string) *retry.Account { return budget }, Random: func(int) int { return 0 }, Log: hclog.NewNullLogger(),
+		Budget: func(string) *retry.Account { return budget }, Random: rand.IntN, Log: hclog.NewNullLogger(),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
@@ -167,6 +169,9 @@
 }
 
 func (e *cutEntry) Send(ctx context.Context, a exchange.Attempt) (*exchange.Response, error) {
+	e.mu.Lock()
+	e.sends[a.Engine.ID]++
+	e.mu.Unlock()
 	if err := e.connect(ctx, a.Engine); err != nil {
 		return nil, err
 	}
@@ -338,3 +343,40 @@
 		}
 	})
 }
+
+// TestServersAreAllBackAfterCut guards against servers that get no work, or all of it, after a cut, and against requests at one that ended meanwhile.
+func TestServersAreAllBackAfterCut(t *testing.T) {
+	const healedAt, backAt = 13 * time.Second, 13*time.Second + 250*time.Millisecond
+	for name, mode := range cutModes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newCutEntry(t)
+				time.AfterFunc(time.Second, func() { e.set(mode) })
+				time.AfterFunc(2*time.Second, func() { e.end("e0") })
+				time.AfterFunc(healedAt, func() {
+					e.set(notCut)
+					e.mu.Lock()
+					defer e.mu.Unlock()
+					clear(e.sends)
+				})
+				failed := 0
+				for _, o := range e.play(t.Context(), 14*time.Second) {
+					if o.sentAt >= backAt && o.Result != exchange.Delivered {
+						failed++
+					}
+				}
+				for i, most := range []int{0, 25, 25, 25, 25, 25} {
+					if n := e.sends[fmt.Sprint("e", i)]; n > most || n == 0 && most > 0 {
+						t.Errorf("e%d got %d requests in the second after the cut, want at most %d", i, n, most)
+					}
+				}
+				if got := e.outlier.Missing(); !slices.Equal(got, []string{"e0"}) {
+					t.Errorf("missing after the cut: %v, want the server that ended", got)
+				}
+				if failed > 0 {
+					t.Errorf("%d of 75 requests failed from %v after the cut, want none", failed, backAt-healedAt)
+				}
+			})
+		})
+	}
+}
