--- a/cmd/lagoonshift/platform.go
+++ b/cmd/lagoonshift/platform.go
@@ -35,11 +35,15 @@
 	control := clause.Command("control", "Run a control process, which serves the replicated state, operators and the directory.")
 	var options platform.ControlOptions
 	control.Flag("peer-listen", "IP:port at which to listen for other processes, if they reach the address in the settings through a proxy.").StringVar(&options.PeerListen)
-	clause.Command("entry", "Run an entry process, which serves callers' requests.")
+	entry := clause.Command("entry", "Run an entry process, which serves callers' requests.")
+	var entryOptions platform.EntryOptions
+	entry.Flag("engine-network", "FROM=TO, two networks of the same size: connect to engines of the first at their addresses in the second, if a translation of network addresses separates them.").SetValue(&entryOptions.EngineNetwork)
 	commands[platformControl] = flags.run("control", func(ctx context.Context, log hclog.Logger) error {
 		return platform.Control(ctx, options, log)
 	})
-	commands[platformEntry] = flags.run("entry", platform.Entry)
+	commands[platformEntry] = flags.run("entry", func(ctx context.Context, log hclog.Logger) error {
+		return platform.Entry(ctx, entryOptions, log)
+	})
 }
 
 func (f *platformFlags) run(name string, process func(context.Context, hclog.Logger) error) command {
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -61,6 +61,8 @@
 	// UserTimeout is how long sent bytes may stay unacknowledged before the
 	// connection is closed (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
+	// Dial connects to a server. If it is nil, Dialer's DialContext does.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// MaxHeadBytes bounds the bytes that a server may send before the body of its
 	// response: informational responses, status line and headers. Zero means
 	// 256 KiB.
@@ -73,6 +75,17 @@
 	IDHeader string
 }
 
+// Dialer returns a dialer with the timeouts of the options.
+func (o Options) Dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout:   o.DialTimeout,
+		KeepAlive: -1,
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return tcpopt.SetUserTimeout(raw, o.UserTimeout)
+		},
+	}
+}
+
 // Pool keeps idle connections by server address. It is safe for concurrent use.
 type Pool struct {
 	options Options
@@ -90,6 +103,9 @@
 	if o.MaxHeadBytes <= 0 {
 		o.MaxHeadBytes = defaultMaxHeadBytes
 	}
+	if o.Dial == nil {
+		o.Dial = o.Dialer().DialContext
+	}
 	return &Pool{options: o, seed: maphash.MakeSeed(), idle: make(map[string][]*conn)}
 }
 
@@ -255,14 +271,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{
-		Timeout:   p.options.DialTimeout,
-		KeepAlive: -1,
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return tcpopt.SetUserTimeout(raw, p.options.UserTimeout)
-		},
-	}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.options.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
