--- a/cmd/lagoonshift/platform.go
+++ b/cmd/lagoonshift/platform.go
@@ -36,13 +36,13 @@
 	var options platform.ControlOptions
 	control.Flag("peer-listen", "IP:port at which to listen for other processes, if they reach the address in the settings through a proxy.").StringVar(&options.PeerListen)
 	entry := clause.Command("entry", "Run an entry process, which serves callers' requests.")
-	var entryOptions platform.EntryOptions
-	entry.Flag("engine-network", "FROM=TO, two networks of the same size: connect to engines of the first at their addresses in the second, if a translation of network addresses separates them.").SetValue(&entryOptions.EngineNetwork)
+	var network platform.EngineNetwork
+	entry.Flag("engine-network", "FROM=TO, two networks of the same size: connect to engines of the first at their addresses in the second, if a translation of network addresses separates them.").SetValue(&network)
 	commands[platformControl] = flags.run("control", func(ctx context.Context, log hclog.Logger) error {
 		return platform.Control(ctx, options, log)
 	})
 	commands[platformEntry] = flags.run("entry", func(ctx context.Context, log hclog.Logger) error {
-		return platform.Entry(ctx, entryOptions, log)
+		return platform.Entry(ctx, platform.EntryOptions{Dial: network.Dial}, log)
 	})
 }
 
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -54,6 +54,9 @@
 	defaultMaxHeadBytes = 256 << 10
 )
 
+// DialFunc opens a connection, as the DialContext method of net.Dialer does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Options configures a Pool.
 type Options struct {
 	// DialTimeout bounds how long connecting to a server may take.
@@ -62,7 +65,7 @@
 	// connection is closed (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
 	// Dial connects to a server. If it is nil, Dialer's DialContext does.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial DialFunc
 	// MaxHeadBytes bounds the bytes that a server may send before the body of its
 	// response: informational responses, status line and headers. Zero means
 	// 256 KiB.
