--- a/internal/protocol/exchange/events.go
+++ b/internal/protocol/exchange/events.go
@@ -76,9 +76,9 @@
 var definedFields = []string{"id", "event", "data", "retry"}
 
 // unseenEvents returns those of the given complete events that follow the one
-// with the ID last, and the ID of the newest event. Events without a numeric ID
+// with the ID last, their number, and the ID of the newest event. Events without a numeric ID
 // always count as unseen.
-func unseenEvents(events []byte, last string) (unseen []byte, newest string) {
+func unseenEvents(events []byte, last string) (unseen []byte, count int, newest string) {
 	newest = last
 	for rest := events; len(rest) > 0; {
 		event := rest[:eventLen(rest)]
@@ -94,8 +94,9 @@
 			newest = id
 		}
 		unseen = append(unseen, event...)
+		count++
 	}
-	return unseen, newest
+	return unseen, count, newest
 }
 
 // eventID returns the id field of an event, or "" if it has none.
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -110,6 +110,9 @@
 // not begun can still be answered by the caller of Run.
 func (c *Forwarder) End() { c.end() }
 
+// Ended reports whether End has been called.
+func (c *Forwarder) Ended() bool { return c.ending.Err() != nil }
+
 // prefillBacklog sums up the pending prompt tokens at the healthy prefill
 // engines of a service, of the software versions that can also decode, and the streams at
 // the healthy engines that decode.
@@ -188,6 +191,7 @@
 		outcome = Outcome{Result: Delivered, Err: errors.Join(outcome.Err, x.writeResponse(x.heldFailure.Response, x.heldFailure.body))}
 	}
 	outcome.Attempts, outcome.TimeToFirstByte, outcome.LongestGap = x.sends, x.timeToFirstByte, x.longestGap
+	outcome.Events = x.events
 	if outcome.Result != Delivered {
 		outcome.Result = x.classify(ctx, deadlineCtx, outcome.Result)
 	}
@@ -304,6 +308,8 @@
 	// unfinishedBytes is what the newest stream sent after its last complete
 	// event.
 	unfinishedBytes int
+	// events counts the events written to the caller.
+	events int
 	// lastWrite is when events were last written to the caller.
 	lastWrite  time.Time
 	longestGap time.Duration
@@ -659,7 +665,7 @@
 func (x *exchange) logOutcome(o Outcome) {
 	x.options.Log.Info("request ended", "request", x.request.ID, "route", x.request.Route.Name, "result", o.Result.String(),
 		"sends", x.sends, "runs", x.runs, "first_ms", o.TimeToFirstByte.Milliseconds(), "gap_ms", o.LongestGap.Milliseconds(), "ms", time.Since(x.started).Milliseconds(),
-		"last_event", x.lastEventID, "resumes", x.request.Resumes, "began_at", x.origin.version, "written", x.timeToFirstByte > 0, "until_close", x.untilClose, "unfinished_bytes", x.unfinishedBytes, "error", o.Err)
+		"last_event", x.lastEventID, "events", x.events, "resumes", x.request.Resumes, "began_at", x.origin.version, "written", x.timeToFirstByte > 0, "until_close", x.untilClose, "unfinished_bytes", x.unfinishedBytes, "error", o.Err)
 }
 
 // ServerError is the error for a backend server's response without success.
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -128,7 +128,7 @@
 // writeEvents writes complete events of a response to the caller, without those that
 // it has already received.
 func (x *exchange) writeEvents(response *Response, events []byte) error {
-	unseen, last := unseenEvents(events, x.lastEventID)
+	unseen, count, last := unseenEvents(events, x.lastEventID)
 	x.lastEventID = last
 	if len(unseen) == 0 {
 		return nil
@@ -143,6 +143,7 @@
 		x.longestGap = max(x.longestGap, now.Sub(x.lastWrite))
 	}
 	x.lastWrite = now
+	x.events += count
 	if err := x.sink.WriteEvents(unseen); err != nil {
 		return fmt.Errorf("%w: %w", errCallerWrite, err)
 	}
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -188,6 +188,8 @@
 	// TimeToFirstByte is the time from the start of the exchange to the first byte of
 	// the body that was written to the caller.
 	TimeToFirstByte time.Duration
+	// Events counts the events that were written to the caller.
+	Events int
 	// LongestGap is the longest time between two writes of events to the
 	// caller.
 	LongestGap time.Duration
--- a/internal/protocol/shutdown/gate.go
+++ b/internal/protocol/shutdown/gate.go
@@ -23,19 +23,58 @@
 // that can be completed before its end. It is safe for concurrent use.
 type Gate struct {
 	clock clock.Clock
-	// end is the clock.Instant by which all requests must be completed, or zero.
-	end atomic.Int64
+	// end is the clock.Instant by which all requests must be completed, or zero; stopped is
+	// that of Stop.
+	end, stopped atomic.Int64
 
 	mu sync.Mutex // guards the fields below
 	// current holds the longest durations by route since the given instant, and
 	// previous those of the period before.
-	current, previous map[string]time.Duration
+	current, previous map[string]durations
 	since             clock.Instant
 }
 
+// durations are those of the completed requests of a route.
+type durations struct {
+	longest time.Duration
+	count   int
+}
+
+// Decision is whether a request is taken, and what that is based on.
+type Decision struct {
+	Taken bool
+	// Expected is how long the request takes at most, as far as is known, and Basis
+	// what that follows from.
+	Expected time.Duration
+	Basis    Basis
+	// Samples is how many completed requests Expected is based on.
+	Samples int
+	// Left is the time until all requests must be completed.
+	Left time.Duration
+}
+
+// Basis is what the expected duration of a request follows from.
+type Basis uint8
+
+const (
+	// Running means that the process does not stop, so nothing is expected.
+	Running Basis = iota
+	// CallerWaits means that the request ends by its deadline.
+	CallerWaits
+	// RecentRequests means the longest recent request of the route.
+	RecentRequests
+	// RouteSettings means the objective or the timeout of the route.
+	RouteSettings
+)
+
+var basisNames = []string{"running", "deadline", "recent requests", "settings of the route"}
+
+// String returns the name of the basis.
+func (b Basis) String() string { return basisNames[b] }
+
 // NewGate returns a gate that takes all requests.
 func NewGate(c clock.Clock) *Gate {
-	return &Gate{clock: c, current: make(map[string]time.Duration), since: c.Now()}
+	return &Gate{clock: c, current: make(map[string]durations), since: c.Now()}
 }
 
 // Record records how long a request of a route took.
@@ -43,7 +82,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rotate()
-	g.current[name] = max(g.current[name], took)
+	d := g.current[name]
+	g.current[name] = durations{longest: max(d.longest, took), count: d.count + 1}
 }
 
 // rotate starts a new period if the current one is over. g.mu must be held.
@@ -57,35 +97,53 @@
 	if age < 2*recentPeriod {
 		g.previous = g.current
 	}
-	g.current, g.since = make(map[string]time.Duration), now
+	g.current, g.since = make(map[string]durations), now
 }
 
 // Stop makes the gate take only requests that can be completed within the given time.
-func (g *Gate) Stop(left time.Duration) { g.end.Store(int64(g.clock.Now().Add(left))) }
+func (g *Gate) Stop(left time.Duration) {
+	now := g.clock.Now()
+	g.stopped.Store(int64(now))
+	g.end.Store(int64(now.Add(left)))
+}
+
+// SinceStop returns the time since Stop, or zero before it.
+func (g *Gate) SinceStop() time.Duration {
+	if !g.Stopping() {
+		return 0
+	}
+	return g.clock.Now().Sub(clock.Instant(g.stopped.Load()))
+}
 
 // Stopping reports whether Stop has been called.
 func (g *Gate) Stopping() bool { return g.end.Load() != 0 }
 
-// Takes reports whether a request that its caller waits for until timeout can be
+// Decide reports whether a request that its caller waits for until timeout can be
 // completed, or will have ended by then.
-func (g *Gate) Takes(r *route.Route, timeout time.Duration) bool {
+func (g *Gate) Decide(r *route.Route, timeout time.Duration) Decision {
 	if !g.Stopping() {
-		return true
+		return Decision{Taken: true}
+	}
+	d := g.expected(r)
+	if timeout < d.Expected {
+		d = Decision{Expected: timeout, Basis: CallerWaits}
 	}
-	left := clock.Instant(g.end.Load()).Sub(g.clock.Now())
-	return min(timeout, g.expected(r)) < left
+	d.Left = clock.Instant(g.end.Load()).Sub(g.clock.Now())
+	d.Taken = d.Expected < d.Left
+	return d
 }
 
 // expected returns how long a request takes at most, as far as is known.
-func (g *Gate) expected(r *route.Route) time.Duration {
+func (g *Gate) expected(r *route.Route) Decision {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rotate()
-	if longest := max(g.current[r.Name], g.previous[r.Name]); longest > 0 {
-		return longest
+	a, b := g.current[r.Name], g.previous[r.Name]
+	if n := a.count + b.count; n > 0 {
+		return Decision{Expected: max(a.longest, b.longest), Basis: RecentRequests, Samples: n}
 	}
 	if r.Objective > 0 {
-		return unknownObjectives * r.Objective
+		return Decision{Expected: unknownObjectives * r.Objective, Basis: RouteSettings}
 	}
-	return r.Timeout
+	return Decision{Expected: r.Timeout, Basis: RouteSettings}
 }
--- a/internal/protocol/shutdown/gate_test.go
+++ b/internal/protocol/shutdown/gate_test.go
@@ -16,7 +16,7 @@
 		unknown := &route.Route{Name: "unknown", Objective: 100 * time.Millisecond, Timeout: 10 * time.Second}
 		g.Record("slow", 3*time.Second)
 		g.Record("slow", time.Second)
-		if !g.Takes(slow, time.Hour) {
+		if !g.Decide(slow, time.Hour).Taken {
 			t.Error("a request is refused before the process stops")
 		}
 		g.Stop(4 * time.Second)
@@ -34,7 +34,7 @@
 			{time.Second, unknown, time.Millisecond, false},
 		} {
 			time.Sleep(c.after)
-			if got := g.Takes(c.route, c.timeout); got != c.want {
+			if got := g.Decide(c.route, c.timeout).Taken; got != c.want {
 				t.Errorf("route %s, timeout %v: got %t, want %t", c.route.Name, c.timeout, got, c.want)
 			}
 		}
@@ -47,11 +47,11 @@
 		r := &route.Route{Name: "r", Objective: 100 * time.Millisecond}
 		g.Record("r", 3*time.Second)
 		time.Sleep(recentPeriod)
-		if got := g.expected(r); got != 3*time.Second {
+		if got := g.expected(r).Expected; got != 3*time.Second {
 			t.Errorf("got %v after one period, want 3s", got)
 		}
 		time.Sleep(2 * recentPeriod)
-		if got := g.expected(r); got != unknownObjectives*r.Objective {
+		if got := g.expected(r).Expected; got != unknownObjectives*r.Objective {
 			t.Errorf("got %v after three periods, want %v", got, unknownObjectives*r.Objective)
 		}
 	})
