A stopping entry takes no stream that may outlast its grace period

Callers of an entry that was stopped saw streams that it had taken long after SIGTERM begin, and cut at the end of its grace period. It took a request if the longest of its route that it had completed lately fit, or, without one, if four objectives did. That is no bound: the objective of a stream is for its first event, so after a start, and for streams longer or slower than those before, it was far too low.

The deadline of the caller, or the route's timeout, is a bound. Once callers have had time to get other addresses, only that counts. Before, a stream is also taken if its declared output fits at the slowest pace of the service's recent streams, or, without one, with the longest pauses that its route allows. The decision is made when the body has been read: it may take long to arrive.

Before the change: --- FAIL: TestStreamsThatMayOutlastTheGraceAreNotTaken/right_after_the_start drainstream_test.go:115: got unexpected EOF, want a refusal drainstream_test.go:117: the stream reached a server --- FAIL: TestStreamsThatMayOutlastTheGraceAreNotTaken/longer_than_recent_ones drainstream_test.go:115: got unexpected EOF, want a refusal drainstream_test.go:117: the stream reached a server

--- a/internal/protocol/shutdown/gate.go
+++ b/internal/protocol/shutdown/gate.go
@@ -8,82 +8,74 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 )
 
 const (
 	// recentPeriod is the time for which durations are remembered at least.
 	recentPeriod = 15 * time.Second
-	// unknownObjectives is how long a request takes of whose route none has been
-	// completed of late, as a multiple of the route's objective.
-	unknownObjectives = 4
+	// minPaceEvents is the least number of events whose mean distance is a pace: one pause
+	// weighs little in it.
+	minPaceEvents = 8
 )
 
 // Gate remembers how long requests take and, once the process stops, takes only those
 // that can be completed before its end. It is safe for concurrent use.
 type Gate struct {
 	clock clock.Clock
-	// end is the clock.Instant by which all requests must be completed, or zero; stopped is
-	// that of Stop.
-	end, stopped atomic.Int64
+	// stop is nil until Stop.
+	stop atomic.Pointer[stop]
 
 	mu sync.Mutex // guards the fields below
-	// current holds the longest durations by route since the given instant, and
-	// previous those of the period before.
-	current, previous map[string]durations
+	// current holds the figures since the given instant, and previous those of the
+	// period before.
+	current, previous figures
 	since             clock.Instant
 }
 
-// durations are those of the completed requests of a route.
-type durations struct {
-	longest time.Duration
-	count   int
+// stop is when a process stops: at the instant at; requests are taken on estimates until
+// estimates, and all must be completed by end.
+type stop struct {
+	at, estimates, end clock.Instant
 }
 
-// Decision is whether a request is taken, and what that is based on.
-type Decision struct {
-	Taken bool
-	// Expected is how long the request takes at most, as far as is known, and Basis
-	// what that follows from.
-	Expected time.Duration
-	Basis    Basis
-	// Samples is how many completed requests Expected is based on.
-	Samples int
-	// Left is the time until all requests must be completed.
-	Left time.Duration
+// figures holds Longest and Requests by route, and the other fields of Recent by service.
+type figures struct {
+	routes, services map[string]Recent
 }
 
-// Basis is what the expected duration of a request follows from.
-type Basis uint8
-
-const (
-	// Running means that the process does not stop, so nothing is expected.
-	Running Basis = iota
-	// CallerWaits means that the request ends by its deadline.
-	CallerWaits
-	// RecentRequests means the longest recent request of the route.
-	RecentRequests
-	// RouteSettings means the objective or the timeout of the route.
-	RouteSettings
-)
-
-var basisNames = []string{"running", "deadline", "recent requests", "settings of the route"}
-
-// String returns the name of the basis.
-func (b Basis) String() string { return basisNames[b] }
+func newFigures() figures {
+	return figures{routes: make(map[string]Recent), services: make(map[string]Recent)}
+}
 
 // NewGate returns a gate that takes all requests.
 func NewGate(c clock.Clock) *Gate {
-	return &Gate{clock: c, current: make(map[string]durations), since: c.Now()}
+	return &Gate{clock: c, current: newFigures(), since: c.Now()}
+}
+
+// Completed is a request that was answered in full.
+type Completed struct {
+	Route, Service string
+	// Took is its duration, and First the part of it until the first event.
+	Took, First time.Duration
+	// Events is the number of events of a stream, or zero.
+	Events int
 }
 
-// Record records how long a request of a route took.
-func (g *Gate) Record(name string, took time.Duration) {
+// Record records a completed request.
+func (g *Gate) Record(c Completed) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rotate()
-	d := g.current[name]
-	g.current[name] = durations{longest: max(d.longest, took), count: d.count + 1}
+	r := g.current.routes[c.Route]
+	r.Longest, r.Requests = max(r.Longest, c.Took), r.Requests+1
+	g.current.routes[c.Route] = r
+	if c.Events < minPaceEvents {
+		return
+	}
+	s := g.current.services[c.Service]
+	s.First, s.Streams = max(s.First, c.First), s.Streams+1
+	s.PerEvent = max(s.PerEvent, (c.Took-c.First)/time.Duration(c.Events-1))
+	g.current.services[c.Service] = s
 }
 
 // rotate starts a new period if the current one is over. g.mu must be held.
@@ -93,57 +85,52 @@
 	if age < recentPeriod {
 		return
 	}
-	g.previous = nil
+	g.previous = figures{}
 	if age < 2*recentPeriod {
 		g.previous = g.current
 	}
-	g.current, g.since = make(map[string]durations), now
+	g.current, g.since = newFigures(), now
 }
 
-// Stop makes the gate take only requests that can be completed within the given time.
-func (g *Gate) Stop(left time.Duration) {
+// Stop makes the gate take only requests that can be completed within left, and from
+// estimates on, only those that certainly can.
+func (g *Gate) Stop(left, estimates time.Duration) {
 	now := g.clock.Now()
-	g.stopped.Store(int64(now))
-	g.end.Store(int64(now.Add(left)))
+	g.stop.Store(&stop{at: now, estimates: now.Add(estimates), end: now.Add(left)})
 }
 
+// Stopping reports whether Stop has been called.
+func (g *Gate) Stopping() bool { return g.stop.Load() != nil }
+
 // SinceStop returns the time since Stop, or zero before it.
 func (g *Gate) SinceStop() time.Duration {
-	if !g.Stopping() {
-		return 0
+	if s := g.stop.Load(); s != nil {
+		return g.clock.Now().Sub(s.at)
 	}
-	return g.clock.Now().Sub(clock.Instant(g.stopped.Load()))
+	return 0
 }
 
-// Stopping reports whether Stop has been called.
-func (g *Gate) Stopping() bool { return g.end.Load() != 0 }
-
-// Decide reports whether a request that its caller waits for until timeout can be
-// completed, or will have ended by then.
-func (g *Gate) Decide(r *route.Route, timeout time.Duration) Decision {
-	if !g.Stopping() {
+// Decide decides whether a request that has arrived is taken.
+func (g *Gate) Decide(r Request) Decision {
+	s := g.stop.Load()
+	if s == nil {
 		return Decision{Taken: true}
 	}
-	d := g.expected(r)
-	if timeout < d.Expected {
-		d = Decision{Expected: timeout, Basis: CallerWaits}
-	}
-	d.Left = clock.Instant(g.end.Load()).Sub(g.clock.Now())
-	d.Taken = d.Expected < d.Left
-	return d
+	now := g.clock.Now()
+	return Decide(r, g.recent(r), s.end.Sub(now), now.Before(s.estimates))
 }
 
-// expected returns how long a request takes at most, as far as is known.
-func (g *Gate) expected(r *route.Route) Decision {
+// recent returns what is known of a request's route and service.
+func (g *Gate) recent(r Request) Recent {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rotate()
-	a, b := g.current[r.Name], g.previous[r.Name]
-	if n := a.count + b.count; n > 0 {
-		return Decision{Expected: max(a.longest, b.longest), Basis: RecentRequests, Samples: n}
-	}
-	if r.Objective > 0 {
-		return Decision{Expected: unknownObjectives * r.Objective, Basis: RouteSettings}
+	var out Recent
+	for _, f := range []figures{g.current, g.previous} {
+		byRoute, byService := f.routes[r.Route.Name], f.services[r.Service]
+		out.Longest, out.Requests = max(out.Longest, byRoute.Longest), out.Requests+byRoute.Requests
+		out.First, out.PerEvent = max(out.First, byService.First), max(out.PerEvent, byService.PerEvent)
+		out.Streams += byService.Streams
 	}
-	return Decision{Expected: r.Timeout, Basis: RouteSettings}
+	return out
 }
