A server that stops answers every request that it has read

Clients of the operator API, the directory and the other HTTP servers of a process lost requests when it stopped: http.Server.Shutdown closes a connection whose next request it has just read. Operators can't know whether such a change was made, callers of the directory wait for a timeout.

Connections tracks what has arrived on each connection. When the server stops, quiet ones are closed with a read deadline, so that what they may still send stays unread, and the others once they are answered. The class is closed at the read itself: there is no moment between the check and the close.

--- a/internal/role/serve/serve.go
+++ b/internal/role/serve/serve.go
@@ -26,7 +26,7 @@
 )
 
 // HTTP serves handler at address until ctx ends; it then stops accepting and
-// returns when the last request has finished. A nil TLS configuration means plain
+// returns when the last request that it has begun to read is answered. A nil TLS configuration means plain
 // TCP.
 func HTTP(ctx context.Context, address string, handler http.Handler, config *tls.Config) error {
 	listener, err := net.Listen("tcp", address)
@@ -39,22 +39,27 @@
 // Listener serves handler on listener, as HTTP does.
 func Listener(ctx context.Context, listener net.Listener, handler http.Handler, config *tls.Config) error {
 	address := listener.Addr()
-	listener = netutil.LimitListener(listener, maxConnections)
+	connections := NewConnections()
+	listener = connections.Listener(netutil.LimitListener(listener, maxConnections))
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
 	server := &http.Server{
 		Handler:           handler,
+		ConnState:         connections.State,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	stopped := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() {
-		stopped <- server.Shutdown(context.WithoutCancel(ctx))
+		err := listener.Close()
+		connections.StopReading()
+		connections.Await()
+		stopped <- err
 	})
 	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); ctx.Err() == nil || !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("serve at %s: %w", address, err)
 	}
 	if err := <-stopped; err != nil {
