--- a/internal/protocol/shutdown/gate.go
+++ b/internal/protocol/shutdown/gate.go
@@ -8,42 +8,74 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 )
 
 const (
 	// recentPeriod is the time for which durations are remembered at least.
 	recentPeriod = 15 * time.Second
-	// unknownObjectives is how long a request takes of whose route none has been
-	// completed of late, as a multiple of the route's objective.
-	unknownObjectives = 4
+	// minPaceEvents is the least number of events whose mean distance is a pace: one pause
+	// weighs little in it.
+	minPaceEvents = 8
 )
 
 // Gate remembers how long requests take and, once the process stops, takes only those
 // that can be completed before its end. It is safe for concurrent use.
 type Gate struct {
 	clock clock.Clock
-	// end is the clock.Instant by which all requests must be completed, or zero.
-	end atomic.Int64
+	// stop is nil until Stop.
+	stop atomic.Pointer[stop]
 
 	mu sync.Mutex // guards the fields below
-	// current holds the longest durations by route since the given instant, and
-	// previous those of the period before.
-	current, previous map[string]time.Duration
+	// current holds the figures since the given instant, and previous those of the
+	// period before.
+	current, previous figures
 	since             clock.Instant
 }
 
+// stop is when a process stops: at the instant at; requests are taken on estimates until
+// estimates, and all must be completed by end.
+type stop struct {
+	at, estimates, end clock.Instant
+}
+
+// figures holds Longest and Requests by route, and the other fields of Recent by service.
+type figures struct {
+	routes, services map[string]Recent
+}
+
+func newFigures() figures {
+	return figures{routes: make(map[string]Recent), services: make(map[string]Recent)}
+}
+
 // NewGate returns a gate that takes all requests.
 func NewGate(c clock.Clock) *Gate {
-	return &Gate{clock: c, current: make(map[string]time.Duration), since: c.Now()}
+	return &Gate{clock: c, current: newFigures(), since: c.Now()}
+}
+
+// Completed is a request that was answered in full.
+type Completed struct {
+	Route, Service string
+	// Took is its duration, and First the part of it until the first event.
+	Took, First time.Duration
+	// Events is the number of events of a stream, or zero.
+	Events int
 }
 
-// Record records how long a request of a route took.
-func (g *Gate) Record(name string, took time.Duration) {
+// Record records a completed request.
+func (g *Gate) Record(c Completed) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rotate()
-	g.current[name] = max(g.current[name], took)
+	r := g.current.routes[c.Route]
+	r.Longest, r.Requests = max(r.Longest, c.Took), r.Requests+1
+	g.current.routes[c.Route] = r
+	if c.Events < minPaceEvents {
+		return
+	}
+	s := g.current.services[c.Service]
+	s.First, s.Streams = max(s.First, c.First), s.Streams+1
+	s.PerEvent = max(s.PerEvent, (c.Took-c.First)/time.Duration(c.Events-1))
+	g.current.services[c.Service] = s
 }
 
 // rotate starts a new period if the current one is over. g.mu must be held.
@@ -53,39 +85,52 @@
 	if age < recentPeriod {
 		return
 	}
-	g.previous = nil
+	g.previous = figures{}
 	if age < 2*recentPeriod {
 		g.previous = g.current
 	}
-	g.current, g.since = make(map[string]time.Duration), now
+	g.current, g.since = newFigures(), now
 }
 
-// Stop makes the gate take only requests that can be completed within the given time.
-func (g *Gate) Stop(left time.Duration) { g.end.Store(int64(g.clock.Now().Add(left))) }
+// Stop makes the gate take only requests that can be completed within left, and from
+// estimates on, only those that certainly can.
+func (g *Gate) Stop(left, estimates time.Duration) {
+	now := g.clock.Now()
+	g.stop.Store(&stop{at: now, estimates: now.Add(estimates), end: now.Add(left)})
+}
 
 // Stopping reports whether Stop has been called.
-func (g *Gate) Stopping() bool { return g.end.Load() != 0 }
+func (g *Gate) Stopping() bool { return g.stop.Load() != nil }
+
+// SinceStop returns the time since Stop, or zero before it.
+func (g *Gate) SinceStop() time.Duration {
+	if s := g.stop.Load(); s != nil {
+		return g.clock.Now().Sub(s.at)
+	}
+	return 0
+}
 
-// Takes reports whether a request that its caller waits for until timeout can be
-// completed, or will have ended by then.
-func (g *Gate) Takes(r *route.Route, timeout time.Duration) bool {
-	if !g.Stopping() {
-		return true
+// Decide decides whether a request that has arrived is taken.
+func (g *Gate) Decide(r Request) Decision {
+	s := g.stop.Load()
+	if s == nil {
+		return Decision{Taken: true}
 	}
-	left := clock.Instant(g.end.Load()).Sub(g.clock.Now())
-	return min(timeout, g.expected(r)) < left
+	now := g.clock.Now()
+	return Decide(r, g.recent(r), s.end.Sub(now), now.Before(s.estimates))
 }
 
-// expected returns how long a request takes at most, as far as is known.
-func (g *Gate) expected(r *route.Route) time.Duration {
+// recent returns what is known of a request's route and service.
+func (g *Gate) recent(r Request) Recent {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rotate()
-	if longest := max(g.current[r.Name], g.previous[r.Name]); longest > 0 {
-		return longest
-	}
-	if r.Objective > 0 {
-		return unknownObjectives * r.Objective
+	var out Recent
+	for _, f := range []figures{g.current, g.previous} {
+		byRoute, byService := f.routes[r.Route.Name], f.services[r.Service]
+		out.Longest, out.Requests = max(out.Longest, byRoute.Longest), out.Requests+byRoute.Requests
+		out.First, out.PerEvent = max(out.First, byService.First), max(out.PerEvent, byService.PerEvent)
+		out.Streams += byService.Streams
 	}
-	return r.Timeout
+	return out
 }
