Isolation: servers that ended are reported though attempts fail all the time

While attempts fail one after another, as when servers crash in a wave, the newest failure is always in doubt, and the records that count stayed those from before the first one: a server that had ended meanwhile was not reported as missing, and its record was lost if an isolation followed.

Each round in which a server is reached now takes over the records up to it. The detector hands out a copy of the records without failures in doubt, which replaces the entry's own memory of its last reports.

--- a/internal/protocol/isolation/isolation.go
+++ b/internal/protocol/isolation/isolation.go
@@ -81,7 +81,7 @@
 	// by a connection to another server.
 	failures, cleared uint64
 	// failed holds the incarnations that failed since doubtful was set, and before the
-	// outlier records of that moment.
+	// outlier records without the failures after cleared.
 	failed map[string]bool
 	before outlier.Snapshot
 	// changed is closed, and replaced, at each verdict.
@@ -151,6 +151,24 @@
 	return d != nil && d.doubtful.Load()
 }
 
+// Trusted returns a copy of the outlier records without failures in doubt; it is empty while
+// the process is isolated.
+func (d *Detector) Trusted() *outlier.Set {
+	d.mu.Lock()
+	records := outlier.Snapshot{}
+	switch {
+	case d.reachable.Load().Err() != nil:
+	case d.doubtful.Load():
+		records = d.before
+	default:
+		records = d.options.Outlier.Snapshot()
+	}
+	d.mu.Unlock()
+	out := outlier.NewSet(d.options.Clock)
+	out.Restore(records)
+	return out
+}
+
 // Failed records that no connection to a server could be opened, or that one broke off. It
 // must be called before the failure is recorded elsewhere.
 func (d *Detector) Failed(e fleet.Engine) {
@@ -223,7 +241,7 @@
 func (d *Detector) check(ctx context.Context) {
 	for clock.Sleep(ctx, settleTime/2) {
 		d.mu.Lock()
-		number := d.failures
+		number, records := d.failures, d.options.Outlier.Snapshot()
 		d.mu.Unlock()
 		if !clock.Sleep(ctx, settleTime/2) {
 			return
@@ -234,18 +252,18 @@
 			d.begin()
 			d.awaitReturn(ctx)
 			return
-		case d.clear(number):
+		case d.clear(number, records):
 			return
 		}
 	}
 }
 
-// clear records that a server was reached after the failures up to a number. It reports
-// whether there have been none since.
-func (d *Detector) clear(number uint64) (last bool) {
+// clear records that a server was reached after the failures up to a number, which are in
+// the given records. It reports whether there have been none since.
+func (d *Detector) clear(number uint64, records outlier.Snapshot) (last bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.cleared = number
+	d.cleared, d.before = number, records
 	close(d.changed)
 	d.changed = make(chan struct{})
 	if d.failures > number {
--- a/internal/protocol/isolation/isolation_test.go
+++ b/internal/protocol/isolation/isolation_test.go
@@ -371,3 +371,32 @@
 		t.Error("a nil detector reports a partition")
 	}
 }
+
+// TestConstantFailuresHideNoServer guards against servers that are not reported as missing, and records that are lost, while attempts fail all the time.
+func TestConstantFailuresHideNoServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		n.set(func(e fleet.Engine) bool { return e.ID == "e3" }, none)
+		for range 250 {
+			n.fail("e3")
+			time.Sleep(2 * time.Millisecond)
+		}
+		if got := n.Trusted().LatelyMissing(); !n.Doubtful() || !slices.Equal(got, []string{"e3"}) {
+			t.Errorf("doubtful %t, missing %v; want e3 though the newest failure is in doubt", n.Doubtful(), got)
+		}
+		n.set(all, none)
+		n.fail("e5")
+		if got := n.Trusted().LatelyMissing(); !slices.Equal(got, []string{"e3"}) {
+			t.Errorf("missing as the cut begins: %v, want e3 alone", got)
+		}
+		<-n.Reachable().Done()
+		if got := n.Trusted().LatelyMissing(); len(got) > 0 {
+			t.Errorf("missing while isolated: %v, want none", got)
+		}
+		n.set(none, none)
+		time.Sleep(time.Second)
+		if got := n.Trusted().Missing(); !slices.Equal(got, []string{"e3"}) {
+			t.Errorf("missing after the partition: %v, want e3, which nobody has reported as back", got)
+		}
+	})
+}
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -106,8 +106,6 @@
 	// otherLoadUnknown is set while the load of the other entries is unknown.
 	otherLoadUnknown atomic.Bool
 	leaving          atomic.Bool
-	// findings are those at the last time at which no failure was in doubt.
-	findings atomic.Pointer[findings]
 
 	mu     sync.Mutex // guards the fields below
 	roster *fleet.Roster
@@ -148,7 +146,6 @@
 	a.retries = retry.NewAccounts(o.Clock, o.RetryBound, func() { a.watcher.Wake() })
 	a.quarantine.OnCrash(func() { a.watcher.Wake() })
 	a.origins = newOrigins(a)
-	a.findings.Store(&findings{})
 	if o.Reach != nil {
 		a.isolation = isolation.New(isolation.Options{
 			Clock: o.Clock, View: a.View, Reach: o.Reach, Outlier: a.outlier, OnChange: a.isolationChanged, Log: o.Log,
@@ -274,13 +271,17 @@
 }
 
 // work returns this entry's unfinished work and marks the engines that it finds
-// failing or missing, and those that told it that they leave.
+// failing or missing, unless its own network path may be the cause, and those that told
+// it that they leave.
 func (a *Agent) work() fleet.Work {
-	w, found := a.tracker.Own(), a.currentFindings()
-	for _, engine := range found.failing {
+	w, found := a.tracker.Own(), a.outlier
+	if a.isolation != nil {
+		found = a.isolation.Trusted()
+	}
+	for _, engine := range found.Failing() {
 		w.Engines[engine] = w.Engines[engine].Add(fleet.Load{FailingEntries: 1})
 	}
-	for _, engine := range found.missing {
+	for _, engine := range found.LatelyMissing() {
 		w.Engines[engine] = w.Engines[engine].Add(fleet.Load{MissingEntries: 1})
 	}
 	for _, engine := range a.notices.LeavingAmong(a.view.Load()) {
@@ -289,26 +290,6 @@
 	return w
 }
 
-// findings are what this entry reports of engines that it can't use.
-type findings struct {
-	failing, missing []string
-}
-
-// currentFindings returns the engines that this entry finds failing and missing. While a
-// failure may be its own, those are the ones from before, and none while it is isolated.
-func (a *Agent) currentFindings() findings {
-	doubtful := a.isolation.Doubtful()
-	found := findings{failing: a.outlier.Failing(), missing: a.outlier.LatelyMissing()}
-	switch {
-	case a.Isolated():
-		return findings{}
-	case doubtful, a.isolation.Doubtful():
-		return *a.findings.Load()
-	}
-	a.findings.Store(&found)
-	return found
-}
-
 // leaderTimedOut reports whether no leader has sent an update for leaderTimeout.
 func (a *Agent) leaderTimedOut() bool {
 	return a.options.Clock.Now().Sub(clock.Instant(a.leaderReportedAt.Load())) >= leaderTimeout
