Isolation: few connections while attempts fail all the time

While attempts at one server failed without pause, as in a wave of crashes, four connections were opened to sound servers every 11 ms. Rounds of one doubt are 25 ms apart now, besides the time before each. Evidence of a crash may wait that long then.

--- a/internal/protocol/isolation/isolation.go
+++ b/internal/protocol/isolation/isolation.go
@@ -33,6 +33,9 @@
 	// settleTime is the time before each round. A partition doesn't begin at all servers in
 	// the same moment: only what is reached at least half of it after a failure counts.
 	settleTime = 10 * time.Millisecond
+	// roundInterval is the time between two rounds while attempts fail and other servers
+	// are reached.
+	roundInterval = 25 * time.Millisecond
 	// maxConfirmTime bounds how long a failure waits for the verdict.
 	maxConfirmTime = time.Second
 	// returnInterval is the time between two looks for the end of an isolation, by
@@ -254,6 +257,8 @@
 			return
 		case d.clear(number, records):
 			return
+		default:
+			clock.Sleep(ctx, roundInterval)
 		}
 	}
 }
--- a/internal/protocol/isolation/isolation_test.go
+++ b/internal/protocol/isolation/isolation_test.go
@@ -302,6 +302,23 @@
 	})
 }
 
+// TestProbesOfConstantFailuresAreBounded guards against a flood of connections to sound servers while attempts at one fail.
+func TestProbesOfConstantFailuresAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		n.set(func(e fleet.Engine) bool { return e.ID == "e3" }, none)
+		for range 1000 {
+			n.fail("e3")
+			time.Sleep(time.Millisecond)
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.tries > 120 {
+			t.Errorf("%d connection attempts in 1 s, want at most 120", n.tries)
+		}
+	})
+}
+
 // TestSuspendedProcessIsNotIsolated guards against timers that all end at once after the process was suspended.
 func TestSuspendedProcessIsNotIsolated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
