Isolation: the end of the last servers is evidence

Servers that were missing before say nothing about the path. Fewer than three others don't suffice for an isolation, and the failure counts against its server.

--- a/internal/protocol/isolation/isolation.go
+++ b/internal/protocol/isolation/isolation.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// minServers is the number of listed servers below which failures at all of them
-	// don't tell the end of the servers from a partition.
+	// minServers is the number of listed servers, without those that were missing before,
+	// below which failures at all of them don't tell the end of the servers from a partition.
 	minServers = 3
 	// firstProbes is the number of servers that are tried at once after a failure, and
 	// maxProbes that of a round that decides whether the process is isolated.
@@ -202,7 +202,7 @@
 
 // Confirm records a failure like Failed. It waits until another server has been reached
 // since, so that the failure speaks against its server, and reports false if none is. If too
-// few servers are listed to tell, it reports true.
+// few servers are left to tell, it reports true.
 func (d *Detector) Confirm(ctx context.Context, e fleet.Engine) bool {
 	if d == nil {
 		return true
@@ -293,12 +293,13 @@
 // is false if the result says nothing.
 func (d *Detector) anyReached(ctx context.Context) (found, known bool) {
 	listed := shuffled(d.options.View())
-	if len(listed) < minServers {
-		return true, true
-	}
 	d.mu.Lock()
+	present := slices.DeleteFunc(slices.Clone(listed), func(e fleet.Engine) bool { return d.before.Missing(e.ID) })
 	others := slices.DeleteFunc(slices.Clone(listed), func(e fleet.Engine) bool { return d.failed[e.Incarnation()] })
 	d.mu.Unlock()
+	if len(present) < minServers {
+		return true, true
+	}
 	rounds := [][]fleet.Engine{first(others, firstProbes), first(listed, maxProbes)}
 	for _, servers := range rounds {
 		began := d.options.Clock.Now()
--- a/internal/protocol/isolation/isolation_test.go
+++ b/internal/protocol/isolation/isolation_test.go
@@ -360,6 +360,24 @@
 	})
 }
 
+// TestLastServersThatEndAreNoPartition guards against crashes that are no evidence because the other servers had ended before.
+func TestLastServersThatEndAreNoPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		ended := make(map[string]bool)
+		for i := range 15 {
+			id := fmt.Sprint("e", i)
+			ended[id] = true
+			n.set(func(e fleet.Engine) bool { return ended[e.ID] }, none)
+			n.fail(id)
+			if !n.Confirm(t.Context(), fleet.Engine{ID: id}) || n.Isolated("llm") {
+				t.Errorf("the end of the server number %d doesn't count, or the process is isolated", i+1)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
 // TestPartitionIsLoggedOnce guards against a line for each failure.
 func TestPartitionIsLoggedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/protocol/outlier/outlier.go
+++ b/internal/protocol/outlier/outlier.go
@@ -289,6 +289,9 @@
 	rates   map[string]counts
 }
 
+// Missing reports whether a backend was not found at its address.
+func (s Snapshot) Missing(name string) bool { return s.failing[name].Missing }
+
 // Snapshot returns a copy of the records.
 func (s *Set) Snapshot() Snapshot {
 	return Snapshot{failing: *s.failing.Load(), rates: s.rates.snapshot()}
