--- a/internal/protocol/isolation/isolation.go
+++ b/internal/protocol/isolation/isolation.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// minServers is the number of listed servers below which failures at all of them
-	// don't tell the end of the servers from a partition.
+	// minServers is the number of listed servers, without those that were missing before,
+	// below which failures at all of them don't tell the end of the servers from a partition.
 	minServers = 3
 	// firstProbes is the number of servers that are tried at once after a failure, and
 	// maxProbes that of a round that decides whether the process is isolated.
@@ -33,6 +33,9 @@
 	// settleTime is the time before each round. A partition doesn't begin at all servers in
 	// the same moment: only what is reached at least half of it after a failure counts.
 	settleTime = 10 * time.Millisecond
+	// roundInterval is the time between two rounds while attempts fail and other servers
+	// are reached.
+	roundInterval = 25 * time.Millisecond
 	// maxConfirmTime bounds how long a failure waits for the verdict.
 	maxConfirmTime = time.Second
 	// returnInterval is the time between two looks for the end of an isolation, by
@@ -81,7 +84,7 @@
 	// by a connection to another server.
 	failures, cleared uint64
 	// failed holds the incarnations that failed since doubtful was set, and before the
-	// outlier records of that moment.
+	// outlier records without the failures after cleared.
 	failed map[string]bool
 	before outlier.Snapshot
 	// changed is closed, and replaced, at each verdict.
@@ -151,6 +154,24 @@
 	return d != nil && d.doubtful.Load()
 }
 
+// Trusted returns a copy of the outlier records without failures in doubt; it is empty while
+// the process is isolated.
+func (d *Detector) Trusted() *outlier.Set {
+	d.mu.Lock()
+	records := outlier.Snapshot{}
+	switch {
+	case d.reachable.Load().Err() != nil:
+	case d.doubtful.Load():
+		records = d.before
+	default:
+		records = d.options.Outlier.Snapshot()
+	}
+	d.mu.Unlock()
+	out := outlier.NewSet(d.options.Clock)
+	out.Restore(records)
+	return out
+}
+
 // Failed records that no connection to a server could be opened, or that one broke off. It
 // must be called before the failure is recorded elsewhere.
 func (d *Detector) Failed(e fleet.Engine) {
@@ -181,7 +202,7 @@
 
 // Confirm records a failure like Failed. It waits until another server has been reached
 // since, so that the failure speaks against its server, and reports false if none is. If too
-// few servers are listed to tell, it reports true.
+// few servers are left to tell, it reports true.
 func (d *Detector) Confirm(ctx context.Context, e fleet.Engine) bool {
 	if d == nil {
 		return true
@@ -223,7 +244,7 @@
 func (d *Detector) check(ctx context.Context) {
 	for clock.Sleep(ctx, settleTime/2) {
 		d.mu.Lock()
-		number := d.failures
+		number, records := d.failures, d.options.Outlier.Snapshot()
 		d.mu.Unlock()
 		if !clock.Sleep(ctx, settleTime/2) {
 			return
@@ -234,18 +255,20 @@
 			d.begin()
 			d.awaitReturn(ctx)
 			return
-		case d.clear(number):
+		case d.clear(number, records):
 			return
+		default:
+			clock.Sleep(ctx, roundInterval)
 		}
 	}
 }
 
-// clear records that a server was reached after the failures up to a number. It reports
-// whether there have been none since.
-func (d *Detector) clear(number uint64) (last bool) {
+// clear records that a server was reached after the failures up to a number, which are in
+// the given records. It reports whether there have been none since.
+func (d *Detector) clear(number uint64, records outlier.Snapshot) (last bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.cleared = number
+	d.cleared, d.before = number, records
 	close(d.changed)
 	d.changed = make(chan struct{})
 	if d.failures > number {
@@ -270,12 +293,13 @@
 // is false if the result says nothing.
 func (d *Detector) anyReached(ctx context.Context) (found, known bool) {
 	listed := shuffled(d.options.View())
-	if len(listed) < minServers {
-		return true, true
-	}
 	d.mu.Lock()
+	present := slices.DeleteFunc(slices.Clone(listed), func(e fleet.Engine) bool { return d.before.Missing(e.ID) })
 	others := slices.DeleteFunc(slices.Clone(listed), func(e fleet.Engine) bool { return d.failed[e.Incarnation()] })
 	d.mu.Unlock()
+	if len(present) < minServers {
+		return true, true
+	}
 	rounds := [][]fleet.Engine{first(others, firstProbes), first(listed, maxProbes)}
 	for _, servers := range rounds {
 		began := d.options.Clock.Now()
--- a/internal/protocol/isolation/isolation_test.go
+++ b/internal/protocol/isolation/isolation_test.go
@@ -302,6 +302,23 @@
 	})
 }
 
+// TestProbesOfConstantFailuresAreBounded guards against a flood of connections to sound servers while attempts at one fail.
+func TestProbesOfConstantFailuresAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		n.set(func(e fleet.Engine) bool { return e.ID == "e3" }, none)
+		for range 1000 {
+			n.fail("e3")
+			time.Sleep(time.Millisecond)
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.tries > 120 {
+			t.Errorf("%d connection attempts in 1 s, want at most 120", n.tries)
+		}
+	})
+}
+
 // TestSuspendedProcessIsNotIsolated guards against timers that all end at once after the process was suspended.
 func TestSuspendedProcessIsNotIsolated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -343,6 +360,24 @@
 	})
 }
 
+// TestLastServersThatEndAreNoPartition guards against crashes that are no evidence because the other servers had ended before.
+func TestLastServersThatEndAreNoPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		ended := make(map[string]bool)
+		for i := range 15 {
+			id := fmt.Sprint("e", i)
+			ended[id] = true
+			n.set(func(e fleet.Engine) bool { return ended[e.ID] }, none)
+			n.fail(id)
+			if !n.Confirm(t.Context(), fleet.Engine{ID: id}) || n.Isolated("llm") {
+				t.Errorf("the end of the server number %d doesn't count, or the process is isolated", i+1)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
 // TestPartitionIsLoggedOnce guards against a line for each failure.
 func TestPartitionIsLoggedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -371,3 +406,32 @@
 		t.Error("a nil detector reports a partition")
 	}
 }
+
+// TestConstantFailuresHideNoServer guards against servers that are not reported as missing, and records that are lost, while attempts fail all the time.
+func TestConstantFailuresHideNoServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t)
+		n.set(func(e fleet.Engine) bool { return e.ID == "e3" }, none)
+		for range 250 {
+			n.fail("e3")
+			time.Sleep(2 * time.Millisecond)
+		}
+		if got := n.Trusted().LatelyMissing(); !n.Doubtful() || !slices.Equal(got, []string{"e3"}) {
+			t.Errorf("doubtful %t, missing %v; want e3 though the newest failure is in doubt", n.Doubtful(), got)
+		}
+		n.set(all, none)
+		n.fail("e5")
+		if got := n.Trusted().LatelyMissing(); !slices.Equal(got, []string{"e3"}) {
+			t.Errorf("missing as the cut begins: %v, want e3 alone", got)
+		}
+		<-n.Reachable().Done()
+		if got := n.Trusted().LatelyMissing(); len(got) > 0 {
+			t.Errorf("missing while isolated: %v, want none", got)
+		}
+		n.set(none, none)
+		time.Sleep(time.Second)
+		if got := n.Trusted().Missing(); !slices.Equal(got, []string{"e3"}) {
+			t.Errorf("missing after the partition: %v, want e3, which nobody has reported as back", got)
+		}
+	})
+}
