--- a/internal/protocol/shutdown/decide.go
+++ b/internal/protocol/shutdown/decide.go
@@ -13,6 +13,9 @@
 	// firstObjectives is the least time to a stream's first event that is expected, as a
 	// multiple of the route's objective.
 	firstObjectives = 2
+	// minStreams is the number of completed streams of a route of which the longest shows
+	// how long others take.
+	minStreams = 8
 	// streamMargin is the factor by which a stream may take longer than its declared output
 	// takes at the slowest recent pace.
 	streamMargin = 1.2
@@ -97,6 +100,9 @@
 		}
 		return Decision{Expected: unknownObjectives * r.Route.Objective, Basis: RouteSettings}, r.Route.Objective > 0
 	}
+	if recent.Requests >= minStreams {
+		return Decision{Expected: recent.Longest, Basis: RecentRequests, Samples: recent.Requests}, true
+	}
 	perEvent := recent.PerEvent
 	if perEvent == 0 {
 		perEvent = r.Route.EventGap
--- a/internal/protocol/shutdown/gate_test.go
+++ b/internal/protocol/shutdown/gate_test.go
@@ -94,6 +94,7 @@
 		"at the pace of its service":        {40, paced, 4 * time.Second, 3120 * ms, DeclaredOutput},
 		"longer than recent ones":           {100, paced, 4 * time.Second, 6720 * ms, DeclaredOutput},
 		"shorter than recent ones":          {10, paced, 4 * time.Second, 3 * time.Second, RecentRequests},
+		"enough recent ones":                {100, Recent{Longest: 3 * time.Second, Requests: minStreams, PerEvent: 50 * ms, Streams: 9}, 4 * time.Second, 3 * time.Second, RecentRequests},
 		"without recent ones":               {10, Recent{}, 4 * time.Second, 3120 * ms, DeclaredOutput},
 		"many events without recent ones":   {80, Recent{}, 7 * time.Second, 8 * time.Second, CallerWaits},
 		"without a declared output":         {0, paced, 7 * time.Second, 8 * time.Second, CallerWaits},
