A request that the grace period no longer holds is refused before it begins

A request that was taken before SIGTERM, or soon after it, may wait in the prefill queue or for its prompt until the rest of the grace period is too short for it; it was then sent to a server and cut. Right before each server gets a request that none can have run, the time left is checked again; if it is too short the request is refused as not run and the handle of its prompt is released.

Without the check: --- FAIL: TestRequestWithoutTimeLeftIsNotBegun stopping_test.go:18: got {delivered <nil> 0s 1 316.485µs 1 0s} after 1 sends, released []; want refused as stopping and the handle released

--- a/internal/protocol/exchange/crash.go
+++ b/internal/protocol/exchange/crash.go
@@ -32,6 +32,18 @@
 	return append(slices.Clone(x.sharedParts), x.fingerprint().Keys()...)
 }
 
+// checkStart returns an error if no server may get the request: it is in quarantine, or,
+// unless one may have run it already, this entry has no time left to complete it.
+func (x *exchange) checkStart() error {
+	if err := x.checkQuarantine(); err != nil {
+		return err
+	}
+	if x.runs == 0 && x.request.MayBegin != nil && !x.request.MayBegin() {
+		return ErrStopping
+	}
+	return nil
+}
+
 // checkQuarantine returns ErrQuarantined if no server may get the request.
 func (x *exchange) checkQuarantine() error {
 	part, left, blocked := x.options.Quarantine.Blocked(x.quarantineKeys())
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -369,7 +369,7 @@
 
 // endsAttempts reports whether no attempt can follow one that failed with err.
 func endsAttempts(err error) bool {
-	return errors.Is(err, errNoServer) || errors.Is(err, errCallerWrite) || errors.Is(err, errRetryBudget) || errors.Is(err, ErrQuarantined) || errors.Is(err, ErrOverloaded)
+	return errors.Is(err, errNoServer) || errors.Is(err, errCallerWrite) || errors.Is(err, errRetryBudget) || errors.Is(err, ErrQuarantined) || errors.Is(err, ErrOverloaded) || errors.Is(err, ErrStopping)
 }
 
 // mayRetry reports whether the limits on attempts allow another send.
@@ -492,7 +492,7 @@
 func (x *exchange) start(ctx, waiting context.Context, p *placedAttempt, guarded bool) (*startedAttempt, error) {
 	a, id := p.attempt, p.attempt.Engine.ID
 	// The request may have waited since its last check.
-	if err := x.checkQuarantine(); err != nil {
+	if err := x.checkStart(); err != nil {
 		x.discard(p)
 		return nil, err
 	}
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -163,7 +163,7 @@
 		grant.Release()
 		return nil, nil
 	}
-	if err := x.checkQuarantine(); err != nil {
+	if err := x.checkStart(); err != nil {
 		grant.Release()
 		return nil, err
 	}
--- a/internal/protocol/exchange/place.go
+++ b/internal/protocol/exchange/place.go
@@ -38,7 +38,7 @@
 
 // place chooses the server of the next attempt and pays for it.
 func (x *exchange) place(ctx context.Context) (*placedAttempt, error) {
-	if err := x.checkQuarantine(); err != nil {
+	if err := x.checkStart(); err != nil {
 		return nil, err
 	}
 	if err := x.awaitServer(ctx); err != nil {
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -35,6 +35,10 @@
 	// Fingerprint returns what a repeat of the request has in common with it. It is
 	// called only after a server has failed. It is nil if there is none.
 	Fingerprint func() quarantine.Fingerprint
+	// MayBegin reports whether there is still time to run the request. It is called
+	// right before each server gets it while none can have run it. It is nil if there
+	// always is.
+	MayBegin func() bool
 }
 
 // KVSource locates the KV cache of a prefilled prompt. The engine keeps it until
@@ -101,6 +105,8 @@
 	// ErrOverloaded means that the engines can't begin the request before its caller
 	// leaves.
 	ErrOverloaded = errors.New("the engines are overloaded")
+	// ErrStopping means that this entry stops before the request could be completed.
+	ErrStopping = errors.New("the entry stops before the request could be completed")
 	// ErrVersionGone means that no server of the software version that began the
 	// stream takes the rest of it.
 	ErrVersionGone = fmt.Errorf("%w: none of the version that began the stream", errNoServer)
--- a/internal/protocol/shutdown/gate.go
+++ b/internal/protocol/shutdown/gate.go
@@ -120,6 +120,13 @@
 	return Decide(r, g.recent(r), s.end.Sub(now), now.Before(s.estimates))
 }
 
+// MayBegin reports whether a request that was taken can still be completed. Estimates count:
+// one that came late was taken only because it certainly can.
+func (g *Gate) MayBegin(r Request) bool {
+	s := g.stop.Load()
+	return s == nil || Decide(r, g.recent(r), s.end.Sub(g.clock.Now()), true).Taken
+}
+
 // recent returns what is known of a request's route and service.
 func (g *Gate) recent(r Request) Recent {
 	g.mu.Lock()
