--- a/internal/protocol/exchange/place.go
+++ b/internal/protocol/exchange/place.go
@@ -40,7 +40,7 @@
 // place chooses the server of the next attempt and pays for it. Its error matches
 // errIsolated if this entry reaches no server, also if that begins meanwhile.
 func (x *exchange) place(ctx context.Context) (*placedAttempt, error) {
-	if err := x.checkQuarantine(); err != nil {
+	if err := x.checkStart(); err != nil {
 		return nil, err
 	}
 	reaching, stop := x.whileReaching(ctx)
