Isolation: a connection that is reset at once reaches no server

Callers of an entry whose connections to servers are accepted and then reset, as a middlebox does, were served as badly as before: the detector opened connections, found every server reached and counted the failures against the servers.

--- a/internal/protocol/isolation/isolation.go
+++ b/internal/protocol/isolation/isolation.go
@@ -60,6 +60,10 @@
 	View func() *fleet.View
 	// Reach opens a connection to a server. It may be called concurrently.
 	Reach func(ctx context.Context, e fleet.Engine) error
+	// Return is like Reach, but the connection must stay open for a while, so that an
+	// isolation doesn't end because a middlebox accepts connections that it then resets.
+	// If it is nil, Reach is used.
+	Return func(ctx context.Context, e fleet.Engine) error
 	// Outlier holds the failures of the servers. Those of an isolation are taken back.
 	Outlier *outlier.Set
 	// OnChange is called after the begin and the end of each isolation, if it is not nil.
@@ -116,6 +120,9 @@
 
 // New returns a detector. Its Run method does the checks.
 func New(o Options) *Detector {
+	if o.Return == nil {
+		o.Return = o.Reach
+	}
 	d := &Detector{options: o, wake: make(chan struct{}, 1), failed: make(map[string]bool), changed: make(chan struct{}), onReturn: func(Return) {}}
 	d.setReachable()
 	return d
@@ -303,7 +310,7 @@
 	rounds := [][]fleet.Engine{first(others, firstProbes), first(listed, maxProbes)}
 	for _, servers := range rounds {
 		began := d.options.Clock.Now()
-		if len(d.probe(ctx, servers, true).Reached) > 0 {
+		if len(d.probe(ctx, servers, d.options.Reach, true).Reached) > 0 {
 			return true, true
 		}
 		if ctx.Err() != nil || d.options.Clock.Now().Sub(began) > maxRoundTimeouts*probeTimeout {
@@ -315,7 +322,7 @@
 
 // probe tries to connect to servers, maxProbes at the same time. If one is enough, it
 // returns once one is reached.
-func (d *Detector) probe(ctx context.Context, servers []fleet.Engine, oneIsEnough bool) Return {
+func (d *Detector) probe(ctx context.Context, servers []fleet.Engine, reach func(context.Context, fleet.Engine) error, oneIsEnough bool) Return {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	errs := make([]error, len(servers))
@@ -327,7 +334,7 @@
 			defer func() { <-slots }()
 			attempt, end := context.WithTimeout(ctx, probeTimeout)
 			defer end()
-			if errs[i] = d.options.Reach(attempt, e); errs[i] == nil && oneIsEnough {
+			if errs[i] = reach(attempt, e); errs[i] == nil && oneIsEnough {
 				cancel()
 			}
 		})
@@ -363,7 +370,7 @@
 func (d *Detector) awaitReturn(ctx context.Context) {
 	for clock.Sleep(ctx, returnInterval) {
 		listed := shuffled(d.options.View())
-		if len(listed) >= minServers && len(d.probe(ctx, first(listed, returnProbes), true).Reached) == 0 {
+		if len(listed) >= minServers && len(d.probe(ctx, first(listed, returnProbes), d.options.Return, true).Reached) == 0 {
 			continue
 		}
 		if d.awaitOthers(ctx) {
@@ -378,7 +385,7 @@
 	began := d.options.Clock.Now()
 	for ctx.Err() == nil {
 		listed := shuffled(d.options.View())
-		found := d.probe(ctx, listed, false)
+		found := d.probe(ctx, listed, d.options.Return, false)
 		late := d.options.Clock.Now().Sub(began) >= maxReturnTime
 		switch n := len(found.Reached); {
 		case len(listed) < minServers, returnedPart*n >= len(listed), n > 0 && late:
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -69,6 +69,8 @@
 	// Reach opens a connection to an engine. If it is nil, the entry never counts as
 	// isolated.
 	Reach func(ctx context.Context, e fleet.Engine) error
+	// Return is like Reach, for the end of an isolation. If it is nil, Reach is used.
+	Return func(ctx context.Context, e fleet.Engine) error
 	// RetryBound bounds the retries of all entries together at one service.
 	RetryBound retry.Bound
 	// Notices holds what engines announced to this entry.
@@ -153,7 +155,7 @@
 	a.origins = newOrigins(a)
 	if o.Reach != nil {
 		a.isolation = isolation.New(isolation.Options{
-			Clock: o.Clock, View: a.View, Reach: o.Reach, Outlier: a.outlier, OnChange: a.isolationChanged, Log: o.Log,
+			Clock: o.Clock, View: a.View, Reach: o.Reach, Return: o.Return, Outlier: a.outlier, OnChange: a.isolationChanged, Log: o.Log,
 		})
 		a.isolationChanged(false)
 	}
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/lagoonshift/lagoonshift/internal/buffer"
+	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/transport/tcpopt"
 )
 
@@ -258,6 +259,26 @@
 	return nil
 }
 
+// errClosedAtOnce means that a new connection did not stay open.
+var errClosedAtOnce = errors.New("closed by the server as soon as it was open")
+
+// ConnectStable is like Connect, but fails if the connection doesn't stay open for the time
+// stable. Without such a wait, a middlebox that accepts a connection and then resets it
+// can't be told from a server.
+func (p *Pool) ConnectStable(ctx context.Context, address string, stable time.Duration) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	if !clock.Sleep(ctx, stable) || !c.usable() {
+		_ = c.Close()
+		return errors.Join(errClosedAtOnce, ctx.Err())
+	}
+	c.idleTimeout = defaultIdleTimeout
+	p.put(c)
+	return nil
+}
+
 // popIdle removes and returns the idle connection that was used last, of those that
 // have not carried the ID with the given hash. It returns nil if there is none.
 func (p *Pool) popIdle(address string, id uint64) *conn {
