A part of a request delays the stop of a server briefly

A client that has sent a part of its headers and never sends the rest kept a server that stops for the whole time that headers may take, 10 s: longer than a grace period. Such connections are closed 2 s after the stop; a request whose headers have arrived by then is handled in full.

--- a/internal/role/serve/connections.go
+++ b/internal/role/serve/connections.go
@@ -81,6 +81,14 @@
 	}
 }
 
+// AbortHeaders closes the connections whose request hasn't arrived up to the end of its
+// headers. Requests that are handled already go on.
+func (s *Connections) AbortHeaders() {
+	for _, c := range s.list() {
+		c.abortHeaders()
+	}
+}
+
 // Await waits until no connection is open.
 func (s *Connections) Await() { s.AwaitUntil(time.Time{}) }
 
@@ -101,13 +109,15 @@
 
 // State must be the ConnState of the server.
 func (s *Connections) State(conn net.Conn, state http.ConnState) {
-	if state != http.StateIdle {
-		return
-	}
 	if wrapper, ok := conn.(interface{ NetConn() net.Conn }); ok { // such as *tls.Conn
 		conn = wrapper.NetConn()
 	}
-	if c, ok := conn.(*connection); ok {
+	c, ok := conn.(*connection)
+	switch {
+	case !ok:
+	case state == http.StateActive:
+		c.handled()
+	case state == http.StateIdle:
 		c.answered()
 	}
 }
@@ -155,8 +165,11 @@
 
 	mu    sync.Mutex // guards the fields below
 	state connectionState
-	// stopped is set once no request may begin, and aborted once nothing may be read.
-	stopped, aborted bool
+	// handling is set while a request is handled: its headers have arrived.
+	handling bool
+	// stopped is set once no request may begin, aborted once nothing may be read, and
+	// headersAborted once nothing may be read up to the end of the headers.
+	stopped, aborted, headersAborted bool
 	// readDeadline is the one that the server set last.
 	readDeadline time.Time
 }
@@ -187,18 +200,37 @@
 		return
 	}
 	c.state = busy
-	if c.stopped && !c.aborted {
-		_ = c.Conn.SetReadDeadline(c.readDeadline) // if this fails, so does the next read
+	if c.stopped {
+		_ = c.setReadDeadline() // if this fails, so does the next read
 	}
 }
 
+// handled marks the headers of a request as complete. They may have come as they were given up.
+func (c *connection) handled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling = true
+	if c.headersAborted {
+		c.headersAborted = false
+		_ = c.setReadDeadline() // if this fails, so does the next read
+	}
+}
+
+// abortHeaders reads no more unless the headers have arrived.
+func (c *connection) abortHeaders() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headersAborted = !c.handling
+	_ = c.setReadDeadline() // it fails only on a closed connection
+}
+
 // answered marks the connection as idle after a request.
 func (c *connection) answered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state = idle
+	c.state, c.handling = idle, false
 	if c.stopped {
-		_ = c.Conn.SetReadDeadline(past) // it fails only on a closed connection
+		_ = c.setReadDeadline() // it fails only on a closed connection
 	}
 }
 
@@ -206,9 +238,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopped, c.aborted = true, c.aborted || abort
-	if c.aborted || c.state != busy {
-		_ = c.Conn.SetReadDeadline(past) // it fails only on a closed connection
+	_ = c.setReadDeadline() // it fails only on a closed connection
+}
+
+// setReadDeadline sets the deadline that the server set last, or one in the past if nothing
+// may be read. c.mu must be held.
+func (c *connection) setReadDeadline() error {
+	if c.aborted || c.headersAborted || c.stopped && c.state != busy {
+		return c.Conn.SetReadDeadline(past)
 	}
+	return c.Conn.SetReadDeadline(c.readDeadline)
 }
 
 // SetReadDeadline implements net.Conn.
@@ -216,10 +255,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
-	if c.aborted || c.stopped && c.state != busy {
-		t = past
-	}
-	return c.Conn.SetReadDeadline(t)
+	return c.setReadDeadline()
 }
 
 // SetDeadline implements net.Conn.
--- a/internal/role/serve/serve.go
+++ b/internal/role/serve/serve.go
@@ -19,6 +19,9 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout bounds the idle time of a connection.
 	idleTimeout = 90 * time.Second
+	// partTimeout bounds the time in which a client must send the rest of its headers once
+	// the server stops.
+	partTimeout = 2 * time.Second
 	// maxHeaderBytes bounds the size of a request's headers.
 	maxHeaderBytes = 64 << 10
 	// maxConnections bounds the number of connections per listener.
@@ -55,7 +58,10 @@
 	stop := context.AfterFunc(ctx, func() {
 		err := listener.Close()
 		connections.StopReading()
-		connections.Await()
+		if !connections.AwaitUntil(time.Now().Add(partTimeout)) {
+			connections.AbortHeaders()
+			connections.Await()
+		}
 		stopped <- err
 	})
 	defer stop()
