A request that arrives in part as the entry ends is no client's error

Callers that had sent a part of a valid request when an entry gave up reading got 400 Bad Request, if that was a part of the headers, or a closed connection, if it was a part of the body. Callers send nothing again after a 400.

http.Server takes headers that end early for malformed ones. A connection whose headers were given up is closed without an answer now: the request is unread.

--- a/internal/role/serve/connections.go
+++ b/internal/role/serve/connections.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -170,6 +171,8 @@
 	// stopped is set once no request may begin, aborted once nothing may be read, and
 	// headersAborted once nothing may be read up to the end of the headers.
 	stopped, aborted, headersAborted bool
+	// unread is set once the headers of a request have been given up.
+	unread bool
 	// readDeadline is the one that the server set last.
 	readDeadline time.Time
 }
@@ -190,9 +193,31 @@
 	if n > 0 {
 		c.received()
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.gaveUp()
+	}
 	return n, err
 }
 
+// gaveUp marks a request as unread if its headers were given up.
+func (c *connection) gaveUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unread = (c.aborted || c.headersAborted) && !c.handling
+}
+
+// Write implements net.Conn. http.Server answers a part of a request with an error that
+// clients take for their own; a request that stays unread gets no answer.
+func (c *connection) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	unread := c.unread
+	c.mu.Unlock()
+	if unread {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
 func (c *connection) received() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
