--- a/internal/role/seededentry/peers.go
+++ b/internal/role/seededentry/peers.go
@@ -22,7 +22,7 @@
 
 // apply applies a change that a control replica sent. trusted is set if the replica leads, or
 // none does: only then does its list become the current one, since a replica that has just
-// started knows few entries.
+// started has few entries.
 func (p *peers) apply(source string, change forward.Change, trusted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
