Exchange: a request that the stop of its entry ends isn't handed over

An entry that stops refuses a request whose completion it can't wait for. Where a connection attempt had failed before, the refusal could pass for one that another entry should get, whose response this entry would cut. Found by reading; no run shows it.

--- a/internal/protocol/exchange/unreachable.go
+++ b/internal/protocol/exchange/unreachable.go
@@ -17,7 +17,7 @@
 	if !onlyUnsent || !allGone && (len(x.failedEngines) == 0 || errors.Is(err, context.Canceled)) {
 		return err
 	}
-	for _, other := range []error{ErrQuarantined, ErrOverloaded, ErrVersionGone, ErrOriginUnknown, errRetryBudget} {
+	for _, other := range []error{ErrQuarantined, ErrOverloaded, ErrVersionGone, ErrOriginUnknown, ErrStopping, errRetryBudget} {
 		if errors.Is(err, other) {
 			return err
 		}
