A stopping entry takes streams on estimates for less time than callers may come

A stream that was sent 3.001 s after SIGTERM, when callers should have other addresses, was cut: the entry had handled the signal 2 ms late and took it on an estimate. Streams are taken on estimates for 500 ms less than callers may have the address. Calls, which take a fraction of that, are taken as before.

Before the change: TestStreamsAreTakenInTimeForLateSignals doesn't compile (no such time); the stream of TestGateTakesOnlyWhatIsCertainAtLast is taken up to 2.999 s.

--- a/internal/protocol/shutdown/gate.go
+++ b/internal/protocol/shutdown/gate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 )
 
 const (
@@ -16,6 +17,9 @@
 	// minPaceEvents is the least number of events whose mean distance is a pace: one pause
 	// weighs little in it.
 	minPaceEvents = 8
+	// signalDelay is the time by which a busy process may handle its signal late. Streams, of
+	// which an estimate may be far too low, are taken on one for so much less time.
+	signalDelay = 500 * time.Millisecond
 )
 
 // Gate remembers how long requests take and, once the process stops, takes only those
@@ -116,8 +120,11 @@
 	if s == nil {
 		return Decision{Taken: true}
 	}
-	now := g.clock.Now()
-	return Decide(r, g.recent(r), s.end.Sub(now), now.Before(s.estimates))
+	now, until := g.clock.Now(), s.estimates
+	if r.Route.Kind == route.Streaming {
+		until = until.Add(-signalDelay)
+	}
+	return Decide(r, g.recent(r), s.end.Sub(now), now.Before(until))
 }
 
 // MayBegin reports whether a request that was taken can still be completed. Estimates count:
--- a/internal/protocol/shutdown/gate_test.go
+++ b/internal/protocol/shutdown/gate_test.go
@@ -65,6 +65,24 @@
 	})
 }
 
+// TestStreamsAreTakenInTimeForLateSignals guards against streams that are cut because the process
+// handled its signal late.
+func TestStreamsAreTakenInTimeForLateSignals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(clock.NewRuntime())
+		r := Request{Route: &route.Route{Name: "r", Kind: route.Streaming, Objective: 100 * ms, EventGap: 200 * ms}, Wait: 10 * time.Second, Output: 10}
+		g.Stop(8*time.Second, 3*time.Second)
+		time.Sleep(3*time.Second - signalDelay - ms)
+		if d := g.Decide(r); !d.Taken {
+			t.Errorf("got %+v while estimates count, want it taken", d)
+		}
+		time.Sleep(ms)
+		if d := g.Decide(r); d.Taken {
+			t.Errorf("got %+v, want it refused", d)
+		}
+	})
+}
+
 func TestGateForgetsOldDurations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewGate(clock.NewRuntime())
