A pipelined request is completed by a server that stops

A request that a client had sent in one write with the one before was passed on to a server, and its connection was closed without an answer, if its server stopped while it was handled. Nothing is read for such a request, so its connection counted as quiet: a read deadline in the past ended net/http's read in the background, which cancels the request.

A connection is busy from when the headers of a request are complete.

--- a/internal/role/serve/connections.go
+++ b/internal/role/serve/connections.go
@@ -230,12 +230,13 @@
 	}
 }
 
-// handled marks the headers of a request as complete. They may have come as they were given up.
+// handled marks the headers of a request as complete. They may have come as they were given
+// up, or with an earlier request, in which case nothing is read for this one.
 func (c *connection) handled() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.handling = true
-	if c.headersAborted {
+	c.state, c.handling = busy, true
+	if c.headersAborted || c.stopped {
 		c.headersAborted = false
 		_ = c.setReadDeadline() // if this fails, so does the next read
 	}
