A server with TLS stops as before

Clients of ports with TLS that have overlapping requests on one HTTP/2 connection kept the server from stopping since servers track their connections: only http.Server.Shutdown tells them to leave, by GOAWAY. Such servers end by it again.

Found by a review.

--- a/internal/role/serve/serve.go
+++ b/internal/role/serve/serve.go
@@ -41,12 +41,13 @@
 
 // Listener serves handler on listener, as HTTP does.
 func Listener(ctx context.Context, listener net.Listener, handler http.Handler, config *tls.Config) error {
-	address := listener.Addr()
-	connections := NewConnections()
-	listener = connections.Listener(netutil.LimitListener(listener, maxConnections))
+	listener = netutil.LimitListener(listener, maxConnections)
 	if config != nil {
-		listener = tls.NewListener(listener, config)
+		return listenTLS(ctx, tls.NewListener(listener, config), handler)
 	}
+	address := listener.Addr()
+	connections := NewConnections()
+	listener = connections.Listener(listener)
 	server := &http.Server{
 		Handler:           handler,
 		ConnState:         connections.State,
@@ -73,3 +74,27 @@
 	}
 	return nil
 }
+
+// listenTLS serves handler on a listener with TLS until ctx ends. Clients may use HTTP/2, which
+// only Shutdown ends gracefully.
+func listenTLS(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	address := listener.Addr()
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	stopped := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() {
+		stopped <- server.Shutdown(context.WithoutCancel(ctx))
+	})
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve at %s: %w", address, err)
+	}
+	if err := <-stopped; err != nil {
+		return fmt.Errorf("stop serving at %s: %w", address, err)
+	}
+	return nil
+}
