A control process that stops doesn't panic over calls that begin

Callers of a control process that was stopped could lose its answers to a panic, "sync: WaitGroup is reused before previous Wait has returned": calls may begin while the stop waits for those in progress. They are counted under a mutex now.

--- a/internal/role/controlrole/peers.go
+++ b/internal/role/controlrole/peers.go
@@ -17,23 +17,43 @@
 // before it stops.
 type peerServer struct {
 	*grpc.Server
-	// calls counts the unary calls in progress. Streams between replicas never
-	// end by themselves and are not counted.
-	calls sync.WaitGroup
+	mu sync.Mutex // guards calls
+	// calls counts the unary calls in progress, and idle is signalled when there are none.
+	// Streams between replicas never end by themselves and are not counted.
+	calls int
+	idle  *sync.Cond
 }
 
 func newPeerServer(creds credentials.TransportCredentials) *peerServer {
 	s := &peerServer{}
+	s.idle = sync.NewCond(&s.mu)
 	s.Server = grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.UnaryInterceptor(s.count))
 	return s
 }
 
 func (s *peerServer) count(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
-	s.calls.Add(1)
-	defer s.calls.Done()
+	s.addCalls(1)
+	defer s.addCalls(-1)
 	return handler(ctx, request)
 }
 
+func (s *peerServer) addCalls(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calls += n; s.calls == 0 {
+		s.idle.Broadcast()
+	}
+}
+
+// awaitCalls waits until no unary call is in progress. Calls may begin all the while.
+func (s *peerServer) awaitCalls() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.calls > 0 {
+		s.idle.Wait()
+	}
+}
+
 func (s *peerServer) listen(address string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -50,7 +70,7 @@
 		s.GracefulStop()
 		close(stopped)
 	}()
-	s.calls.Wait()
+	s.awaitCalls()
 	endStreams()
 	<-stopped
 }
