--- a/internal/role/serve/connections.go
+++ b/internal/role/serve/connections.go
@@ -82,11 +82,12 @@
 	}
 }
 
-// AbortHeaders closes the connections whose request hasn't arrived up to the end of its
-// headers. Requests that are handled already go on.
-func (s *Connections) AbortHeaders() {
+// AbortHeaders closes the connections whose request began to arrive at least the time age ago
+// and hasn't arrived up to the end of its headers. Requests that are handled already go on.
+func (s *Connections) AbortHeaders(age time.Duration) {
+	began := time.Now().Add(-age)
 	for _, c := range s.list() {
-		c.abortHeaders()
+		c.abortHeaders(began)
 	}
 }
 
@@ -166,6 +167,8 @@
 
 	mu    sync.Mutex // guards the fields below
 	state connectionState
+	// began is when the newest request began to arrive.
+	began time.Time
 	// handling is set while a request is handled: its headers have arrived.
 	handling bool
 	// stopped is set once no request may begin, aborted once nothing may be read, and
@@ -224,7 +227,7 @@
 	if c.state == busy {
 		return
 	}
-	c.state = busy
+	c.state, c.began = busy, time.Now()
 	if c.stopped {
 		_ = c.setReadDeadline() // if this fails, so does the next read
 	}
@@ -242,11 +245,15 @@
 	}
 }
 
-// abortHeaders reads no more unless the headers have arrived.
-func (c *connection) abortHeaders() {
+// abortHeaders reads no more of a request that began to arrive by the given time, unless its
+// headers have arrived.
+func (c *connection) abortHeaders(began time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.headersAborted = !c.handling
+	if c.handling || c.state != busy || c.began.After(began) {
+		return
+	}
+	c.headersAborted = true
 	_ = c.setReadDeadline() // it fails only on a closed connection
 }
 
--- a/internal/role/serve/serve.go
+++ b/internal/role/serve/serve.go
@@ -60,7 +60,7 @@
 		err := listener.Close()
 		connections.StopReading()
 		if !connections.AwaitUntil(time.Now().Add(partTimeout)) {
-			connections.AbortHeaders()
+			connections.AbortHeaders(0)
 			connections.Await()
 		}
 		stopped <- err
