--- a/internal/protocol/exchange/isolated_test.go
+++ b/internal/protocol/exchange/isolated_test.go
@@ -344,7 +344,7 @@
 	})
 }
 
-// TestServersAreAllBackAfterCut guards against servers that get no work, or all of it, after a cut, and against requests at one that ended meanwhile.
+// TestServersAreAllBackAfterCut guards against servers that get no work, or all of it, after a cut, and against requests at one that ended during it.
 func TestServersAreAllBackAfterCut(t *testing.T) {
 	const healedAt, backAt = 13 * time.Second, 13*time.Second + 250*time.Millisecond
 	for name, mode := range cutModes {
--- a/internal/protocol/exchange/place.go
+++ b/internal/protocol/exchange/place.go
@@ -38,7 +38,7 @@
 }
 
 // place chooses the server of the next attempt and pays for it. Its error matches
-// errIsolated if this entry reaches no server, also if that begins meanwhile.
+// errIsolated if this entry reaches no server, also if that begins during the call.
 func (x *exchange) place(ctx context.Context) (*placedAttempt, error) {
 	if err := x.checkStart(); err != nil {
 		return nil, err
--- a/internal/protocol/isolation/isolation.go
+++ b/internal/protocol/isolation/isolation.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,19 +103,6 @@
 	end context.CancelFunc
 }
 
-// Return describes the end of an isolation.
-type Return struct {
-	// Reached are the servers that accept connections, and Unreached the others.
-	Reached   []fleet.Engine
-	Unreached []Unreached
-}
-
-// Unreached is a server that accepted no connection while others did.
-type Unreached struct {
-	fleet.Engine
-	Err error
-}
-
 // New returns a detector. Its Run method does the checks.
 func New(o Options) *Detector {
 	if o.Return == nil {
@@ -128,14 +113,6 @@
 	return d
 }
 
-// OnReturn sets a function that is called at the end of each isolation, before Isolated
-// reports it. It must be called before Run.
-func (d *Detector) OnReturn(f func(Return)) {
-	if d != nil {
-		d.onReturn = f
-	}
-}
-
 func (d *Detector) setReachable() {
 	ctx, end := context.WithCancel(context.Background())
 	d.reachable.Store(&reachable{Context: ctx, end: end})
@@ -296,61 +273,6 @@
 	d.before = outlier.Snapshot{}
 }
 
-// anyReached tries a few servers at which no attempt failed, then as many as may be. known
-// is false if the result says nothing.
-func (d *Detector) anyReached(ctx context.Context) (found, known bool) {
-	listed := shuffled(d.options.View())
-	d.mu.Lock()
-	present := slices.DeleteFunc(slices.Clone(listed), func(e fleet.Engine) bool { return d.before.Missing(e.ID) })
-	others := slices.DeleteFunc(slices.Clone(listed), func(e fleet.Engine) bool { return d.failed[e.Incarnation()] })
-	d.mu.Unlock()
-	if len(present) < minServers {
-		return true, true
-	}
-	rounds := [][]fleet.Engine{first(others, firstProbes), first(listed, maxProbes)}
-	for _, servers := range rounds {
-		began := d.options.Clock.Now()
-		if len(d.probe(ctx, servers, d.options.Reach, true).Reached) > 0 {
-			return true, true
-		}
-		if ctx.Err() != nil || d.options.Clock.Now().Sub(began) > maxRoundTimeouts*probeTimeout {
-			return false, false
-		}
-	}
-	return false, true
-}
-
-// probe tries to connect to servers, maxProbes at the same time. If one is enough, it
-// returns once one is reached.
-func (d *Detector) probe(ctx context.Context, servers []fleet.Engine, reach func(context.Context, fleet.Engine) error, oneIsEnough bool) Return {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	errs := make([]error, len(servers))
-	var group sync.WaitGroup
-	slots := make(chan struct{}, maxProbes)
-	for i, e := range servers {
-		slots <- struct{}{}
-		group.Go(func() {
-			defer func() { <-slots }()
-			attempt, end := context.WithTimeout(ctx, probeTimeout)
-			defer end()
-			if errs[i] = reach(attempt, e); errs[i] == nil && oneIsEnough {
-				cancel()
-			}
-		})
-	}
-	group.Wait()
-	var out Return
-	for i, e := range servers {
-		if errs[i] == nil {
-			out.Reached = append(out.Reached, e)
-			continue
-		}
-		out.Unreached = append(out.Unreached, Unreached{Engine: e, Err: errs[i]})
-	}
-	return out
-}
-
 // begin begins an isolation.
 func (d *Detector) begin() {
 	view := d.options.View()
@@ -366,58 +288,6 @@
 	d.changedTo(true)
 }
 
-// awaitReturn tries a few servers again and again until one is reached, then all at once.
-func (d *Detector) awaitReturn(ctx context.Context) {
-	for clock.Sleep(ctx, returnInterval) {
-		listed := shuffled(d.options.View())
-		if len(listed) >= minServers && len(d.probe(ctx, first(listed, returnProbes), d.options.Return, true).Reached) == 0 {
-			continue
-		}
-		if d.awaitOthers(ctx) {
-			return
-		}
-	}
-}
-
-// awaitOthers ends the isolation once enough servers are reached for the requests of this
-// process. It reports false if none is reached any more.
-func (d *Detector) awaitOthers(ctx context.Context) bool {
-	began := d.options.Clock.Now()
-	for ctx.Err() == nil {
-		listed := shuffled(d.options.View())
-		found := d.probe(ctx, listed, d.options.Return, false)
-		late := d.options.Clock.Now().Sub(began) >= maxReturnTime
-		switch n := len(found.Reached); {
-		case len(listed) < minServers, returnedPart*n >= len(listed), n > 0 && late:
-			d.end(found)
-			return true
-		case n == 0:
-			return false
-		}
-		clock.Sleep(ctx, sweepInterval)
-	}
-	return true
-}
-
-// end ends an isolation: all that was found since the first failure is taken back.
-func (d *Detector) end(found Return) {
-	d.mu.Lock()
-	d.options.Outlier.Restore(d.before)
-	d.mu.Unlock()
-	d.onReturn(found)
-	d.mu.Lock()
-	d.settle()
-	d.setReachable()
-	now := d.options.Clock.Now()
-	lasted := now.Sub(d.since)
-	d.mu.Unlock()
-	if left, ok := d.ended.due(now); ok {
-		d.options.Log.Info("servers reachable again", "services", services(d.options.View()), "reached", len(found.Reached),
-			"unreached", len(found.Unreached), "ms", lasted.Milliseconds(), "left_out", left)
-	}
-	d.changedTo(false)
-}
-
 func (d *Detector) changedTo(isolated bool) {
 	if d.options.OnChange != nil {
 		d.options.OnChange(isolated)
@@ -442,20 +312,6 @@
 	return left, true
 }
 
-// shuffled returns the listed servers in random order.
-func shuffled(v *fleet.View) []fleet.Engine {
-	var all []fleet.Engine
-	for e := range v.All() {
-		all = append(all, e)
-	}
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all
-}
-
-func first(servers []fleet.Engine, n int) []fleet.Engine {
-	return servers[:min(n, len(servers))]
-}
-
 // services returns the number of services that have servers.
 func services(v *fleet.View) int {
 	found := make(map[string]bool)
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -99,7 +99,7 @@
 
 	retries *retry.Accounts
 	peers   peers
-	// isolated reports whether the entry reaches no server of a service, or is nil.
+	// isolated reports whether the entry reaches no server of a service.
 	isolated func(service string) bool
 
 	table atomic.Pointer[route.Table]
@@ -159,6 +159,7 @@
 		})
 		a.isolationChanged(false)
 	}
+	a.isolated = a.isolation.Isolated
 	a.reportInterval.Store(int64(maxReportInterval))
 	a.view.Store(fleet.NewView(nil))
 	a.watcher = peergrpc.NewFleetWatcher(peergrpc.WatcherOptions{
@@ -206,7 +207,7 @@
 func (a *Agent) Outliers() *outlier.Set { return a.outlier }
 
 // Isolation returns the detector of the time in which this entry reaches no engine. It is nil
-// if the options don't say how to reach one.
+// if Options.Reach is nil.
 func (a *Agent) Isolation() *isolation.Detector { return a.isolation }
 
 // Isolated reports whether this entry reaches no engine.
@@ -282,8 +283,8 @@
 }
 
 // work returns this entry's unfinished work and marks the engines that it finds
-// failing or missing, unless its own network path may be the cause, and those that told
-// it that they leave.
+// failing or missing, unless its own network path may be the cause, and those that
+// announced that they leave.
 func (a *Agent) work() fleet.Work {
 	w, found := a.tracker.Own(), a.outlier
 	if a.isolation != nil {
--- a/internal/role/seededentry/peers.go
+++ b/internal/role/seededentry/peers.go
@@ -49,16 +49,9 @@
 	return nil
 }
 
-// ReportIsolation has the agent report the services for which isolated returns true. It must
-// be called before Run.
-func (a *Agent) ReportIsolation(isolated func(service string) bool) { a.isolated = isolated }
-
 // unreachableServices returns the services of a table of which the entry reaches no server,
 // in the order of their names.
 func (a *Agent) unreachableServices(table *route.Table) (out []string) {
-	if a.isolated == nil {
-		return nil
-	}
 	for name := range table.Services {
 		if a.isolated(name) {
 			out = append(out, name)
--- a/internal/role/seededentry/peers_test.go
+++ b/internal/role/seededentry/peers_test.go
@@ -44,7 +44,7 @@
 func TestUnreachableServicesAreReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := newTestAgent()
-		a.ReportIsolation(func(service string) bool { return service == "cut" })
+		a.isolated = func(service string) bool { return service == "cut" }
 		a.table.Store(&route.Table{Services: map[string]route.Service{"cut": {}, "reached": {}}})
 		if got := a.report("leader", false).UnreachableServices; len(got) != 1 || got[0] != "cut" {
 			t.Errorf("got %v, want the service of which no server is reached", got)
--- a/internal/role/serve/connections.go
+++ b/internal/role/serve/connections.go
@@ -11,7 +11,7 @@
 
 // Connections tracks the connections of one http.Server, so that the server can stop without
 // dropping a request that it has read. http.Server.Shutdown doesn't do that: of a request that
-// arrives on an open connection meanwhile, it reads the headers and closes the connection.
+// arrives on an open connection during that, it reads the headers and closes the connection.
 // The server must serve the listener of Listener, and its ConnState must be State.
 type Connections struct {
 	mu   sync.Mutex // guards the fields below
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -264,7 +264,7 @@
 
 // ConnectStable is like Connect, but fails if the connection doesn't stay open for the time
 // stable. Without such a wait, a middlebox that accepts a connection and then resets it
-// can't be told from a server.
+// passes for a server.
 func (p *Pool) ConnectStable(ctx context.Context, address string, stable time.Duration) error {
 	c, err := p.dial(ctx, address)
 	if err != nil {
