--- a/internal/protocol/shutdown/gate.go
+++ b/internal/protocol/shutdown/gate.go
@@ -1,5 +1,4 @@
-// Package shutdown decides which requests a process still takes after it has been told to
-// stop.
+// Package shutdown decides which requests a process that stops still takes.
 package shutdown
 
 import (
