Forwarding between entries: one term, decisions out of the adapter

Requests were forwarded, handed over and taken, by two types called Forwarder. It is forwarding now, and protocol/forward has a Picker and a Search. Which answers of a peer allow another one to be asked, and why a peer declines, are decided there, with table tests; the adapter translates.

--- a/internal/protocol/exchange/unreachable_test.go
+++ b/internal/protocol/exchange/unreachable_test.go
@@ -13,7 +13,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 )
 
-// TestOnlyUnreachedServersAreUnreachable guards against handing over requests that a server
+// TestOnlyUnreachedServersAreUnreachable guards against forwarding requests that a server
 // has seen or turned away, or that no entry may place.
 func TestOnlyUnreachedServersAreUnreachable(t *testing.T) {
 	refused := fmt.Errorf("%w: %w", exchange.ErrServerNotFound, exchange.ErrNotSent)
--- a/internal/protocol/forward/forward.go
+++ b/internal/protocol/forward/forward.go
@@ -1,5 +1,5 @@
-// Package forward decides which requests an entry hands over to another entry, and to
-// which one. A request is handed over once: an entry that takes it answers it.
+// Package forward decides which requests an entry forwards to another entry, and to
+// which one. A request is forwarded once: an entry that takes it answers it.
 package forward
 
 import (
@@ -10,7 +10,7 @@
 const (
 	// maxPeers is how many peers may be asked to take one request.
 	maxPeers = 2
-	// minRemaining is the time before a request's deadline from which it isn't handed over
+	// minRemaining is the time before a request's deadline from which it isn't forwarded
 	// any more: several round trips between availability zones.
 	minRemaining = 50 * time.Millisecond
 )
@@ -57,7 +57,7 @@
 	return left[random(len(left))], true
 }
 
-// Options configures a Forwarder.
+// Options configures a [Picker].
 type Options struct {
 	// Name is this entry's name.
 	Name string
@@ -68,54 +68,44 @@
 	Pauses *Pauses
 }
 
-// Forwarder chooses the peers for this entry's requests. It is safe for concurrent use.
-type Forwarder struct {
+// Picker picks the peers for this entry's requests. It is safe for concurrent use.
+type Picker struct {
 	options Options
 }
 
-// New returns a [Forwarder].
-func New(o Options) *Forwarder { return &Forwarder{options: o} }
+// NewPicker returns a [Picker].
+func NewPicker(o Options) *Picker { return &Picker{options: o} }
 
-// Handover is the search for a peer that takes one request. It is used by one goroutine.
-type Handover struct {
-	forwarder *Forwarder
-	service   string
-	deadline  time.Time
-	tried     []string
+// Search is the search for a peer that takes one request. It is used by one goroutine.
+type Search struct {
+	picker   *Picker
+	service  string
+	deadline time.Time
+	tried    []string
 }
 
 // Begin begins the search for a peer that takes a request for a service.
-func (f *Forwarder) Begin(service string, deadline time.Time) *Handover {
-	return &Handover{forwarder: f, service: service, deadline: deadline}
+func (p *Picker) Begin(service string, deadline time.Time) *Search {
+	return &Search{picker: p, service: service, deadline: deadline}
 }
 
-// Next returns the next peer to ask. ok is false if none is left, maxPeers have been asked,
+// next returns the next peer to ask. ok is false if none is left, maxPeers have been asked,
 // or the deadline is near. Peers that are paused are asked only if there are no others.
-func (h *Handover) Next() (p Peer, ok bool) {
-	o := h.forwarder.options
-	if len(h.tried) >= maxPeers || time.Until(h.deadline) < minRemaining {
+func (s *Search) next() (p Peer, ok bool) {
+	o := s.picker.options
+	if len(s.tried) >= maxPeers || time.Until(s.deadline) < minRemaining {
 		return Peer{}, false
 	}
 	own := func(p Peer) bool { return p.Name != o.Name }
-	filters := []Filter{own, Reaches(h.service), Except(h.tried...)}
-	if p, ok = Pick(o.Peers(), o.Random, append(filters, o.Pauses.Open(h.service))...); !ok {
+	filters := []Filter{own, Reaches(s.service), Except(s.tried...)}
+	if p, ok = Pick(o.Peers(), o.Random, append(filters, o.Pauses.Open(s.service))...); !ok {
 		p, ok = Pick(o.Peers(), o.Random, filters...)
 	}
 	if ok {
-		h.tried = append(h.tried, p.Address)
+		s.tried = append(s.tried, p.Address)
 	}
 	return p, ok
 }
 
 // Asked returns how many peers have been asked.
-func (h *Handover) Asked() int { return len(h.tried) }
-
-// Unreached records that a peer accepted no connection.
-func (h *Handover) Unreached(p Peer) {
-	h.forwarder.options.Pauses.pause(pauseKey{address: p.Address}, unreachedPause)
-}
-
-// Declined records that a peer has not taken the request, or reached no server for it.
-func (h *Handover) Declined(p Peer) {
-	h.forwarder.options.Pauses.pause(pauseKey{p.Address, h.service}, declinedPause)
-}
+func (s *Search) Asked() int { return len(s.tried) }
--- a/internal/protocol/forward/forward_test.go
+++ b/internal/protocol/forward/forward_test.go
@@ -14,9 +14,9 @@
 
 func first(int) int { return 0 }
 
-// names returns the names of the peers that a handover asks one after the other.
-func names(h *Handover) (out []string) {
-	for p, ok := h.Next(); ok; p, ok = h.Next() {
+// names returns the names of the peers that a search asks one after the other.
+func names(s *Search) (out []string) {
+	for p, ok := s.next(); ok; p, ok = s.next() {
 		out = append(out, p.Name)
 	}
 	return out
@@ -41,7 +41,7 @@
 		"deadline near":     {[]Peer{a}, minRemaining - time.Millisecond, nil},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			f := New(Options{Name: "self", Peers: func() []Peer { return tc.peers }, Random: first, Pauses: NewPauses(clock.NewRuntime())})
+			f := NewPicker(Options{Name: "self", Peers: func() []Peer { return tc.peers }, Random: first, Pauses: NewPauses(clock.NewRuntime())})
 			if got := names(f.Begin("llm", time.Now().Add(tc.left))); !slices.Equal(got, tc.want) {
 				t.Errorf("%s: asked %v, want %v", name, got, tc.want)
 			}
@@ -54,7 +54,7 @@
 func TestPausedPeersAreAskedLast(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, b := Peer{Name: "a", Address: "1"}, Peer{Name: "b", Address: "2"}
-		f := New(Options{Name: "self", Peers: func() []Peer { return []Peer{a, b} }, Random: first, Pauses: NewPauses(clock.NewRuntime())})
+		f := NewPicker(Options{Name: "self", Peers: func() []Peer { return []Peer{a, b} }, Random: first, Pauses: NewPauses(clock.NewRuntime())})
 		asked := func() []string { return names(f.Begin("llm", time.Now().Add(time.Minute))) }
 		h := f.Begin("llm", time.Now().Add(time.Minute))
 		check := func(step string, want ...string) {
@@ -63,26 +63,53 @@
 				t.Errorf("%s: asked %v, want %v", step, got, want)
 			}
 		}
-		f.Begin("other", time.Now().Add(time.Minute)).Declined(a)
+		f.Begin("other", time.Now().Add(time.Minute)).record(a, Declined)
 		check("declined for another service", "a", "b")
-		h.Declined(a)
+		h.record(a, Declined)
 		check("declined", "b", "a")
-		h.Unreached(a)
+		h.record(a, Unreached)
 		time.Sleep(declinedPause)
 		check("unreached", "b", "a")
 		time.Sleep(unreachedPause - declinedPause)
 		check("after the pause", "a", "b")
-		h.Declined(b)
+		h.record(b, Declined)
 		if n := len(*f.options.Pauses.until.Load()); n != 1 {
 			t.Errorf("%d pauses are kept, want those that are over dropped", n)
 		}
 	})
 }
 
+// TestRequestThatMayHaveRunIsNotForwardedAgain guards against a second run of a request.
+func TestRequestThatMayHaveRunIsNotForwardedAgain(t *testing.T) {
+	peers := []Peer{{Name: "a", Address: "1"}, {Name: "b", Address: "2"}}
+	for first, want := range map[Answer]int{Answered: 1, Failed: 1, Unreached: 2, Declined: 2} {
+		f := NewPicker(Options{Peers: func() []Peer { return peers }, Random: func(int) int { return 0 }, Pauses: NewPauses(clock.NewRuntime())})
+		asked := 0
+		last := f.Begin("llm", time.Now().Add(time.Minute)).Run(t.Context(), func(Peer) Answer { asked++; return first })
+		if asked != want || last != first {
+			t.Errorf("%v: %d peers were asked, last %v; want %d", first, asked, last, want)
+		}
+	}
+}
+
+func TestReceiverDeclinesWhatItCannotServe(t *testing.T) {
+	for want, r := range map[string]Receiver{
+		"":              {Routes: true, Version: 2},
+		"stopping":      {Routes: true, Version: 2, Stopping: true},
+		"no routes yet": {},
+		"older routes":  {Routes: true, Version: 1},
+		"isolated":      {Routes: true, Version: 2, Isolated: true},
+	} {
+		if got := r.Declines(2); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
+
 // TestLoadSpreadsOverPeers guards against a peer that gets all requests.
 func TestLoadSpreadsOverPeers(t *testing.T) {
 	var next int
-	f := New(Options{
+	f := NewPicker(Options{
 		Peers: func() []Peer {
 			return []Peer{{Name: "a", Address: "1"}, {Name: "b", Address: "2"}, {Name: "c", Address: "3"}}
 		},
@@ -91,7 +118,7 @@
 	})
 	got := make(map[string]int)
 	for range 30 {
-		p, _ := f.Begin("llm", time.Now().Add(time.Minute)).Next()
+		p, _ := f.Begin("llm", time.Now().Add(time.Minute)).next()
 		got[p.Name]++
 	}
 	if got["a"] != 10 || got["b"] != 10 || got["c"] != 10 {
