--- a/internal/protocol/isolation/isolation.go
+++ b/internal/protocol/isolation/isolation.go
@@ -17,7 +17,8 @@
 
 const (
 	// minServers is the number of listed servers, without those that were missing before,
-	// below which failures at all of them don't tell the end of the servers from a partition.
+	// below which failures at all of them don't distinguish the end of the servers from a
+	// partition.
 	minServers = 3
 	// firstProbes is the number of servers that are tried at once after a failure, and
 	// maxProbes that of a round that decides whether the process is isolated.
@@ -127,7 +128,8 @@
 	return d.reachable.Load()
 }
 
-// Isolated reports whether the process reaches no server, and so none of a service.
+// Isolated reports whether the process reaches no server of any service, and the named one has
+// servers.
 func (d *Detector) Isolated(service string) bool {
 	return d != nil && d.reachable.Load().Err() != nil && len(d.options.View().Engines(service)) > 0
 }
@@ -186,7 +188,7 @@
 
 // Confirm records a failure like Failed. It waits until another server has been reached
 // since, so that the failure speaks against its server, and reports false if none is. If too
-// few servers are left to tell, it reports true.
+// few servers are left to decide, it reports true.
 func (d *Detector) Confirm(ctx context.Context, e fleet.Engine) bool {
 	if d == nil {
 		return true
--- a/internal/protocol/shutdown/decide.go
+++ b/internal/protocol/shutdown/decide.go
@@ -13,8 +13,8 @@
 	// firstObjectives is the least time to a stream's first event that is expected, as a
 	// multiple of the route's objective.
 	firstObjectives = 2
-	// minStreams is the number of completed streams of a route of which the longest shows
-	// how long others take.
+	// minStreams is the number of completed streams of a route from which the longest of them
+	// is the estimate, whatever others declare.
 	minStreams = 8
 	// streamMargin is the factor by which a stream may take longer than its declared output
 	// takes at the slowest recent pace.
@@ -28,7 +28,8 @@
 	Service string
 	// Wait is how long its caller waits at most, within the route's timeout.
 	Wait time.Duration
-	// Output is the largest number of events that the request declares, or zero.
+	// Output is the largest number of output tokens that the request declares, or zero. An
+	// event has one or more of them.
 	Output int
 }
 
@@ -94,14 +95,15 @@
 // estimate returns how long a request takes at most, as far as recent ones and its declared
 // output show it. ok is false if they don't.
 func estimate(r Request, recent Recent) (d Decision, ok bool) {
+	byRecent := Decision{Expected: recent.Longest, Basis: RecentRequests, Samples: recent.Requests}
 	if r.Route.Kind != route.Streaming {
 		if recent.Requests > 0 {
-			return Decision{Expected: recent.Longest, Basis: RecentRequests, Samples: recent.Requests}, true
+			return byRecent, true
 		}
 		return Decision{Expected: unknownObjectives * r.Route.Objective, Basis: RouteSettings}, r.Route.Objective > 0
 	}
 	if recent.Requests >= minStreams {
-		return Decision{Expected: recent.Longest, Basis: RecentRequests, Samples: recent.Requests}, true
+		return byRecent, true
 	}
 	perEvent := recent.PerEvent
 	if perEvent == 0 {
@@ -113,7 +115,7 @@
 	first := max(recent.First, firstObjectives*r.Route.Objective)
 	declared := time.Duration(streamMargin * float64(first+time.Duration(r.Output)*perEvent))
 	if recent.Longest > declared {
-		return Decision{Expected: recent.Longest, Basis: RecentRequests, Samples: recent.Requests}, true
+		return byRecent, true
 	}
 	return Decision{Expected: declared, Basis: DeclaredOutput, Samples: recent.Streams}, true
 }
--- a/internal/protocol/shutdown/gate.go
+++ b/internal/protocol/shutdown/gate.go
@@ -16,8 +16,8 @@
 	// minPaceEvents is the least number of events whose mean distance is a pace: one pause
 	// weighs little in it.
 	minPaceEvents = 8
-	// signalDelay is the time by which a busy process may handle its signal late. Streams, of
-	// which an estimate may be far too low, are taken on one for so much less time.
+	// signalDelay is the time by which a busy process may handle its signal late. Estimates of
+	// streams, which may be far too low, end so much earlier.
 	signalDelay = 500 * time.Millisecond
 )
 
@@ -95,8 +95,8 @@
 	g.current, g.since = newFigures(), now
 }
 
-// Stop makes the gate take only requests that can be completed within left, and from
-// estimates on, only those that certainly can.
+// Stop makes the gate take only requests that can be completed within left. Estimates count
+// for the time estimates, for streams signalDelay less; then only deadlines do.
 func (g *Gate) Stop(left, estimates time.Duration) {
 	now := g.clock.Now()
 	g.stop.Store(&stop{at: now, estimates: now.Add(estimates), end: now.Add(left)})
--- a/internal/role/serve/connections.go
+++ b/internal/role/serve/connections.go
@@ -10,8 +10,8 @@
 )
 
 // Connections tracks the connections of one http.Server, so that the server can stop without
-// dropping a request that it has read. http.Server.Shutdown doesn't do that: of a request that
-// arrives on an open connection during that, it reads the headers and closes the connection.
+// dropping a request that it has read. http.Server.Shutdown may drop one: it reads the
+// headers of a request that arrives on an open connection and closes the connection.
 // The server must serve the listener of Listener, and its ConnState must be State.
 type Connections struct {
 	mu   sync.Mutex // guards the fields below
