Routes, settings, peer messages: what workspaces, usage and scaling need

Configurations with workspaces, public routes and scaling limits were decoded without them. They are decoded into protocol/workspace and protocol/route now; a configuration in which two workspaces share a key is refused. The messages between entries and control replicas have the fields that later changes use; processes of earlier versions ignore them. No request is treated differently yet.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -473,7 +473,7 @@
 
 // newAttempt returns an attempt at an engine that starts now.
 func (x *exchange) newAttempt(e fleet.Engine) Attempt {
-	return Attempt{Engine: e, placedAt: time.Now(), Remaining: x.remaining(), Priority: x.request.Route.Priority, LastEventID: x.lastEventID}
+	return Attempt{Engine: e, placedAt: time.Now(), Remaining: x.remaining(), Priority: x.request.priority(), LastEventID: x.lastEventID}
 }
 
 // logPlaced logs the choice of an engine with the load it was based on.
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -289,7 +289,8 @@
 	return prefillqueue.Prompt{
 		Service:   x.request.Service.Name,
 		Route:     x.request.Route.Name,
-		Priority:  x.request.Route.Priority,
+		Workspace: x.request.Workspace,
+		Priority:  x.request.priority(),
 		Tokens:    prompt.Unshared(),
 		Arrived:   x.started,
 		Objective: x.request.Route.Objective,
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -21,6 +21,10 @@
 	// Version is the version of the routing table that Route comes from.
 	Version uint64
 	Service route.Service
+	// Workspace is the name of the caller's workspace, or empty.
+	Workspace string
+	// WorkspacePriority, if it is not nil, replaces the priority of the route.
+	WorkspacePriority *int
 	// Deadline is the earlier of the caller's deadline and the route's
 	// timeout.
 	Deadline time.Time
@@ -46,6 +50,14 @@
 	MayBegin func() bool
 }
 
+// priority returns the request's rank; zero is the highest.
+func (r *Request) priority() int {
+	if r.WorkspacePriority != nil {
+		return *r.WorkspacePriority
+	}
+	return r.Route.Priority
+}
+
 // KVSource locates the KV cache of a prefilled prompt. The engine keeps it until
 // it is fetched once or released.
 type KVSource struct {
--- a/internal/protocol/prefillqueue/prefillqueue.go
+++ b/internal/protocol/prefillqueue/prefillqueue.go
@@ -51,7 +51,9 @@
 type Prompt struct {
 	Service string
 	Route   string
-	// Priority is the route's; zero is the most urgent.
+	// Workspace is the caller's, or empty.
+	Workspace string
+	// Priority is the route's or the workspace's; zero is the most urgent.
 	Priority int
 	// Local is set if the engine that decodes prefills the prompt itself.
 	Local bool
--- a/internal/protocol/route/route.go
+++ b/internal/protocol/route/route.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/workspace"
 )
 
 // Kind states whether the requests of a route may be repeated.
@@ -56,6 +58,8 @@
 	// Resumable is set if a stream can be continued at another server from an
 	// event id.
 	Resumable bool
+	// Public routes take requests without a key, where the table has workspaces.
+	Public bool
 	// Shares holds at least one service; the sum of the weights is above zero.
 	Shares []Share
 }
@@ -114,6 +118,23 @@
 	MaxConns int
 	// Engine is nil for a plain service.
 	Engine *EngineClass
+	// Scaling is nil if the number of servers is fixed.
+	Scaling *Scaling
+}
+
+// Scaling holds the limits and prices of a service whose servers can be ordered and
+// given back.
+type Scaling struct {
+	// Min and Max bound the number of servers in each availability zone, of all kinds
+	// together.
+	Min, Max int
+	// Boot is the time from the order of a server until it serves.
+	Boot time.Duration
+	// ReclaimablePrice is the price of a server that may be reclaimed, as a fraction of
+	// that of the others; zero if there are none.
+	ReclaimablePrice float64
+	// ZonePrices holds the price of a server for a second, by availability zone.
+	ZonePrices map[string]float64
 }
 
 // Limits bounds what a caller may send.
@@ -130,6 +151,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Workspaces is nil if the configuration has none: requests then need no keys.
+	Workspaces *workspace.Directory
 
 	// byHost holds each host's routes, the longest prefix first.
 	byHost map[string][]*Route
--- /dev/null
+++ b/internal/protocol/workspace/workspace.go
@@ -0,0 +1,99 @@
+// Package workspace finds the workspace that a caller's API key belongs to. A
+// workspace is one customer of the deployment; its keys are secret.
+package workspace
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+)
+
+// maxKeyBytes bounds a key, in configurations and in requests. It is far above the
+// length of any key in use and keeps the cost of a look-up bounded.
+const maxKeyBytes = 1024
+
+// ErrInvalid means that the workspaces of a configuration are invalid.
+var ErrInvalid = errors.New("invalid workspaces")
+
+// Workspace is one workspace. It is immutable.
+type Workspace struct {
+	Name string
+	// Priority, if it is not nil, replaces that of the routes; zero is the highest.
+	Priority *int
+}
+
+// Definition is a workspace as a configuration describes it.
+type Definition struct {
+	Workspace
+	// Keys are the API keys in plain text. They are not kept.
+	Keys []string
+}
+
+// digest is the SHA-256 sum of a key.
+type digest [sha256.Size]byte
+
+// Directory holds the workspaces of one configuration and the digests of their keys.
+// It is immutable. The nil Directory stands for a configuration without workspaces.
+type Directory struct {
+	byName map[string]*Workspace
+	byKey  map[digest]*Workspace
+}
+
+// NewDirectory returns a directory of workspaces. Errors match ErrInvalid and name the
+// place, but never a key.
+func NewDirectory(definitions []Definition) (*Directory, error) {
+	d := &Directory{byName: make(map[string]*Workspace, len(definitions)), byKey: make(map[digest]*Workspace)}
+	for i, definition := range definitions {
+		if err := d.add(definition); err != nil {
+			return nil, fmt.Errorf("%w: workspace %d (%.64q): %w", ErrInvalid, i, definition.Name, err)
+		}
+	}
+	return d, nil
+}
+
+func (d *Directory) add(definition Definition) error {
+	switch {
+	case definition.Name == "":
+		return errors.New("no name")
+	case d.byName[definition.Name] != nil:
+		return errors.New("another workspace has this name")
+	}
+	w := &definition.Workspace
+	d.byName[w.Name] = w
+	for i, key := range definition.Keys {
+		if err := d.addKey(key, w); err != nil {
+			return fmt.Errorf("key %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func (d *Directory) addKey(key string, w *Workspace) error {
+	if key == "" || len(key) > maxKeyBytes {
+		return fmt.Errorf("got %d bytes, want 1 to %d", len(key), maxKeyBytes)
+	}
+	sum := digest(sha256.Sum256([]byte(key)))
+	if other := d.byKey[sum]; other != nil {
+		return fmt.Errorf("workspace %.64q has the same key", other.Name)
+	}
+	d.byKey[sum] = w
+	return nil
+}
+
+// ByKey returns the workspace that holds a key, or nil. Its time doesn't depend on how
+// much of the key is right: keys are compared by their digests.
+func (d *Directory) ByKey(key string) *Workspace {
+	if key == "" || len(key) > maxKeyBytes {
+		return nil
+	}
+	sum := digest(sha256.Sum256([]byte(key)))
+	return d.byKey[sum]
+}
+
+// ByName returns the workspace of that name, or nil.
+func (d *Directory) ByName(name string) *Workspace {
+	return d.byName[name]
+}
+
+// Len returns the number of workspaces.
+func (d *Directory) Len() int { return len(d.byName) }
