--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -16,6 +16,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raftstore"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
 	enginefleet "github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
@@ -312,6 +313,12 @@
 	s.hub.SetEngines(list)
 }
 
+// Lease returns this replica's authority to act for the deployment; ok is false if it
+// has none.
+func (s *Seeded) Lease() (a replog.Authority, ok bool) {
+	return s.replica.node.Authority()
+}
+
 // Authority returns the term in which this replica may currently send orders to
 // engines; ok is false if it may not.
 func (s *Seeded) Authority() (term uint64, ok bool) {
