Fleet updates: changes of the engine list, one load digest for all entries

At 300 entries and 2,999 servers control replicas ended because of their memory: each entry got the whole list of engines, uncompressed, at each change of one of them, and load figures that were encoded for it alone.

Entries get the list once, compressed and encoded once for all, and then what changes. Load figures of all entries together are encoded once; an entry subtracts what it reported itself, by the number of the report that is included. Entries and replicas of earlier versions exchange whole lists and loads as before.

--- a/internal/protocol/fleet/work.go
+++ b/internal/protocol/fleet/work.go
@@ -54,6 +54,17 @@
 	return engineSum{load: e.load.plus(load, sign), entries: e.entries + sign}
 }
 
+// WaitingWithout returns the part of Without that waits, by service.
+func (s *Sum) WaitingWithout(w Work) map[string]int {
+	out := make(map[string]int, len(s.waiting))
+	for service, tokens := range s.waiting {
+		if rest := tokens - w.Waiting[service]; rest != 0 {
+			out[service] = rest
+		}
+	}
+	return out
+}
+
 // Without returns the sum minus work that was added before.
 func (s *Sum) Without(w Work) Work {
 	out := Work{Engines: make(map[string]Load, len(s.engines)), Waiting: make(map[string]int, len(s.waiting))}
@@ -72,3 +83,19 @@
 	}
 	return out
 }
+
+// Without returns the work without another one that is part of it.
+func (w Work) Without(part Work) Work {
+	out := Work{Engines: make(map[string]Load, len(w.Engines)), Waiting: make(map[string]int, len(w.Waiting))}
+	for engine, load := range w.Engines {
+		if rest := load.plus(part.Engines[engine], -1); rest != (Load{}) {
+			out.Engines[engine] = rest
+		}
+	}
+	for service, tokens := range w.Waiting {
+		if rest := tokens - part.Waiting[service]; rest != 0 {
+			out.Waiting[service] = rest
+		}
+	}
+	return out
+}
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -339,7 +339,9 @@
 	case !u.HasOthers, !a.leaderTimedOut():
 		return
 	}
-	a.tracker.SetOthers(u.Others)
+	if u.HasOthers {
+		a.tracker.SetOthers(u.Others)
+	}
 	a.retries.SetDeployment(u.Retries)
 	a.notices.Limits.SetPosition(ratelimit.Position{Index: u.Index, Count: u.Entries})
 	if a.otherLoadUnknown.CompareAndSwap(true, false) {
--- a/internal/transport/peergrpc/compress.go
+++ b/internal/transport/peergrpc/compress.go
@@ -11,9 +11,9 @@
 	"github.com/lagoonshift/lagoonshift/internal/state/document"
 )
 
-// maxDocumentBytes limits an uncompressed document: several times the largest
+// maxUncompressedBytes limits uncompressed content: several times the largest
 // body that the operator's API accepts.
-const maxDocumentBytes = 32 << 20
+const maxUncompressedBytes = 32 << 20
 
 // compressedDocument keeps the newest document in compressed form, so that it is
 // compressed once and not for each entry. Hundreds of entries ask for a new
@@ -32,36 +32,54 @@
 	if c.content != nil && c.version == d.Version {
 		return c.content, nil
 	}
+	content, err := compress(d.Content)
+	if err != nil {
+		return nil, fmt.Errorf("compress document %d: %w", d.Version, err)
+	}
+	c.version, c.content = d.Version, content
+	return c.content, nil
+}
+
+// compress returns the content in gzip's format.
+func compress(content []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w := gzip.NewWriter(&out)
-	if _, err := w.Write(d.Content); err != nil {
-		return nil, fmt.Errorf("compress document %d: %w", d.Version, err)
+	if _, err := w.Write(content); err != nil {
+		return nil, err
 	}
 	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("compress document %d: %w", d.Version, err)
+		return nil, err
 	}
-	c.version, c.content = d.Version, out.Bytes()
-	return c.content, nil
+	return out.Bytes(), nil
 }
 
-var errDocumentTooLarge = errors.New("document exceeds 32 MiB")
+var errTooLarge = errors.New("uncompressed content exceeds 32 MiB")
 
 // decompressDocument is the inverse of compressedDocument.of. It returns nil for
 // an empty input.
 func decompressDocument(compressed []byte) ([]byte, error) {
+	content, err := decompress(compressed)
+	if err != nil {
+		return nil, fmt.Errorf("decompress document: %w", err)
+	}
+	return content, nil
+}
+
+// decompress is the inverse of compress. It returns nil for an empty input.
+func decompress(compressed []byte) ([]byte, error) {
 	if len(compressed) == 0 {
 		return nil, nil
 	}
 	r, err := gzip.NewReader(bytes.NewReader(compressed))
 	if err != nil {
-		return nil, fmt.Errorf("decompress document: %w", err)
+		return nil, err
 	}
-	content, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes+1))
+	content, err := io.ReadAll(io.LimitReader(r, maxUncompressedBytes+1))
 	if err != nil {
-		return nil, fmt.Errorf("decompress document: %w", err)
+		return nil, err
 	}
-	if len(content) > maxDocumentBytes {
-		return nil, errDocumentTooLarge
+	if len(content) > maxUncompressedBytes {
+		return nil, errTooLarge
 	}
 	return content, nil
 }
--- a/internal/transport/peergrpc/compress_test.go
+++ b/internal/transport/peergrpc/compress_test.go
@@ -24,12 +24,12 @@
 	if _, err := decompressDocument([]byte("not compressed")); err == nil {
 		t.Error("invalid input gave no error")
 	}
-	large, err := c.of(document.Document{Version: 9, Content: make([]byte, maxDocumentBytes+1)})
+	large, err := c.of(document.Document{Version: 9, Content: make([]byte, maxUncompressedBytes+1)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := decompressDocument(large); !errors.Is(err, errDocumentTooLarge) {
-		t.Errorf("got error %v, want %v", err, errDocumentTooLarge)
+	if _, err := decompressDocument(large); !errors.Is(err, errTooLarge) {
+		t.Errorf("got error %v, want %v", err, errTooLarge)
 	}
 }
 
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -123,6 +123,8 @@
 	// known are the engines in use: those of the newest list and, if that is
 	// incomplete, those that it doesn't name and that were known before.
 	known []fleet.Engine
+	// loads is the newest digest of sum.
+	loads loadDigest
 }
 
 // reportedHolding is a holding and the watch of the entry that reported it.
@@ -131,13 +133,6 @@
 	holding  prefixdir.Holding
 }
 
-// engineList is a list of engines in its wire form. It is immutable.
-type engineList struct {
-	engines []*peerpb.Engine
-	// incomplete is set if there may be other engines.
-	incomplete bool
-}
-
 // entryWatch is one entry's watch.
 type entryWatch struct {
 	// info is replaced by each report; the EntryInfo itself is immutable.
@@ -145,6 +140,11 @@
 	// work is the newest reported work, which is part of the hub's sum. It is
 	// guarded by the hub's lock.
 	work fleet.Work
+	// report is the number of the newest report, whose work is part of the hub's sum. It
+	// is guarded by the hub's lock.
+	report uint64
+	// introduced is set once the first report has arrived, and takesDigests by that report.
+	introduced, takesDigests atomic.Bool
 	// pace is the newest reported pace by service. It is guarded by the hub's
 	// lock.
 	pace map[string]fleet.Pace
@@ -212,11 +212,9 @@
 	h.mu.Unlock()
 	h.recordVersions(known)
 	h.listedAt.Store(int64(clock.Boot{}.Now()))
-	next := &engineList{incomplete: list.Incomplete}
-	for _, e := range list.Engines {
-		next.engines = append(next.engines, fromEngine(e))
-	}
-	if held := h.engines.Load(); held != nil && held.incomplete == next.incomplete && slices.EqualFunc(held.engines, next.engines, sameEngine) {
+	held := h.engines.Load()
+	next := held.next(list)
+	if next.same(held) {
 		return
 	}
 	h.engines.Store(next)
@@ -300,13 +298,25 @@
 func (h *FleetHub) othersWork(w *entryWatch) fleet.Work {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := h.sum.Without(w.work)
+	return h.markWithdrawn(h.sum.Without(w.work))
+}
+
+// othersWaiting returns the prompt tokens that wait at all entries except w, by service.
+func (h *FleetHub) othersWaiting(w *entryWatch) map[string]int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sum.WaitingWithout(w.work)
+}
+
+// markWithdrawn marks the withdrawn engines in work and returns it. The caller holds the
+// lock.
+func (h *FleetHub) markWithdrawn(work fleet.Work) fleet.Work {
 	for _, engine := range h.withdrawn {
-		load := out.Engines[engine]
+		load := work.Engines[engine]
 		load.Withdrawn = 1
-		out.Engines[engine] = load
+		work.Engines[engine] = load
 	}
-	return out
+	return work
 }
 
 // Withdraw replaces the set of engines that entries send no requests to, by ID.
@@ -355,6 +365,7 @@
 		info.Name, info.Incarnation = report.GetName(), report.GetIncarnation()
 		info.Address, info.Zone = report.GetAddress(), report.GetZone()
 		info.ForwardAddress = report.GetForwardAddress()
+		w.takesDigests.Store(report.GetTakesDigests())
 		h.add(w, info)
 	}
 	readinessChanged := info.Ready != report.GetReady()
@@ -375,7 +386,7 @@
 		h.mu.Unlock()
 	}
 	h.options.Retries.Record(info.Incarnation, toRetryUses(report.GetRetryUses()))
-	h.setWork(w, toWork(report.GetLoads(), report.GetWaiting()), toPace(report.GetPace()))
+	h.setWork(w, report.GetNumber(), toWork(report.GetLoads(), report.GetWaiting()), toPace(report.GetPace()))
 	h.recordHoldings(w, toHoldings(report.GetHoldings()))
 	h.options.Quarantine.Record(toEvidence(report.GetEvidence()))
 	h.mergeRateLimits(w, report.GetRateLimits())
@@ -392,13 +403,15 @@
 	h.entries[w] = struct{}{}
 	w.nextHolding = h.droppedHoldings
 	h.mu.Unlock()
+	w.introduced.Store(true)
+	signal(w.wake)
 	h.options.Retries.Joined(info.Name, info.Incarnation)
 	h.options.Log.Info("entry connected", "entry", info.Name, "incarnation", info.Incarnation, "address", info.Address)
 }
 
-// setWork replaces the work and the pace of an entry. It ignores a report that is
+// setWork replaces the work and the pace of an entry by those of a report. It ignores a report that is
 // read after the watch was removed.
-func (h *FleetHub) setWork(w *entryWatch, work fleet.Work, pace map[string]fleet.Pace) {
+func (h *FleetHub) setWork(w *entryWatch, report uint64, work fleet.Work, pace map[string]fleet.Pace) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if _, watched := h.entries[w]; !watched {
@@ -406,7 +419,7 @@
 	}
 	h.sum.Remove(w.work)
 	h.sum.Add(work)
-	w.work, w.pace = work, pace
+	w.report, w.work, w.pace = report, work, pace
 }
 
 // recordHoldings keeps the holdings that an entry reported for the others.
@@ -561,14 +574,11 @@
 		}
 		update.Document = compressed
 	}
-	if next.engines != nil && next.engines != sent.engines {
-		update.HasEngines = true
-		update.Engines = next.engines.engines
-		update.EnginesIncomplete = next.engines.incomplete
+	if next.engines != nil && next.engines != sent.engines && !h.setEngineList(update, w, next.engines, sent.engines) {
+		next.engines = sent.engines
 	}
 	if update.Leads || w.wantsWork.Load() {
-		update.HasOthers = true
-		update.Others, update.OthersWaiting = fromWork(h.othersWork(w))
+		h.setOthers(update, w)
 		next.peers = h.peers.Load()
 		setForwardPeers(update, sent.peers, next.peers)
 	}
@@ -582,6 +592,45 @@
 	return update, next
 }
 
+// setEngineList adds a list of engines to an update for an entry that has the list held. It
+// reports whether it did: the entry's first report says which form of lists it takes.
+func (h *FleetHub) setEngineList(update *peerpb.FleetUpdate, w *entryWatch, list, held *engineList) bool {
+	if !w.introduced.Load() {
+		return false
+	}
+	if !w.takesDigests.Load() {
+		update.HasEngines = true
+		update.Engines = list.engines
+		update.EnginesIncomplete = list.incomplete
+		return true
+	}
+	var err error
+	if update.ListChange, err = list.changeSince(held); err != nil {
+		h.options.Log.Error("list of engines not sent", "error", err)
+		return false
+	}
+	return true
+}
+
+// setOthers adds the work of other entries to an update for an entry that has reported.
+func (h *FleetHub) setOthers(update *peerpb.FleetUpdate, w *entryWatch) {
+	if !w.introduced.Load() {
+		return
+	}
+	if !w.takesDigests.Load() {
+		update.HasOthers = true
+		update.Others, update.OthersWaiting = fromWork(h.othersWork(w))
+		return
+	}
+	encoded, report, err := h.digest(w)
+	if err != nil {
+		h.options.Log.Error("load of engines not sent", "error", err)
+		return
+	}
+	update.HasOthers, update.LoadDigest, update.DigestReport = true, encoded, report
+	update.OthersWaiting = fromWaiting(h.othersWaiting(w))
+}
+
 func fromEngine(e fleet.Engine) *peerpb.Engine {
 	return &peerpb.Engine{
 		Id:        e.ID,
@@ -683,11 +732,15 @@
 	for engine, load := range w.Engines {
 		loads = append(loads, fromLoad(engine, load))
 	}
-	waiting = make(map[string]uint64, len(w.Waiting))
-	for service, tokens := range w.Waiting {
-		waiting[service] = uint64(max(0, tokens))
+	return loads, fromWaiting(w.Waiting)
+}
+
+func fromWaiting(waiting map[string]int) map[string]uint64 {
+	out := make(map[string]uint64, len(waiting))
+	for service, tokens := range waiting {
+		out[service] = uint64(max(0, tokens))
 	}
-	return loads, waiting
+	return out
 }
 
 func toWork(loads []*peerpb.EngineLoad, waiting map[string]uint64) fleet.Work {
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -256,7 +256,7 @@
 	if err != nil {
 		return fmt.Errorf("watch fleet at %s: %w", address, err)
 	}
-	wake := make(chan struct{}, 1)
+	wake, reported := make(chan struct{}, 1), &reportedWork{}
 	interval := atomic.Int64{}
 	interval.Store(int64(fleetHeartbeat))
 	f.mu.Lock()
@@ -265,9 +265,9 @@
 	defer f.markDisconnected(address)
 	go func() {
 		defer cancel()
-		f.sendReports(ctx, stream, address, wake, &interval)
+		f.sendReports(ctx, stream, address, wake, &interval, reported)
 	}()
-	connected := false
+	connected, list := false, listReader{}
 	for {
 		message, err := stream.Recv()
 		if err != nil {
@@ -283,6 +283,12 @@
 			f.setMembers(address, members)
 		}
 		update, err := toFleetUpdate(address, message)
+		if err == nil && message.GetListChange() != nil {
+			update.Engines, err = list.apply(message.GetListChange())
+		}
+		if err == nil {
+			err = applyDigest(&update, message, list.engines, reported)
+		}
 		if err != nil {
 			return fmt.Errorf("watch fleet at %s: %w", address, err)
 		}
@@ -298,12 +304,15 @@
 
 // sendReports sends a report at once, after each interval and on each signal on
 // wake.
-func (f *FleetWatcher) sendReports(ctx context.Context, stream reportStream, address string, wake <-chan struct{}, interval *atomic.Int64) {
+func (f *FleetWatcher) sendReports(ctx context.Context, stream reportStream, address string, wake <-chan struct{}, interval *atomic.Int64, reported *reportedWork) {
 	heartbeat := time.NewTimer(fleetHeartbeat)
 	defer heartbeat.Stop()
 	for first := true; ; first = false {
 		heartbeat.Reset(time.Duration(interval.Load()))
-		if err := stream.Send(fromReport(f.options.Report(address, first))); err != nil {
+		report := f.options.Report(address, first)
+		message := fromReport(report)
+		message.TakesDigests, message.Number = first, reported.add(report.Work)
+		if err := stream.Send(message); err != nil {
 			return // Recv returns the reason.
 		}
 		select {
