Capacity: servers are ordered for the demand, reclaimable ones first

A deployment that takes orders for servers kept the 60 lasting ones that it began with. Entries count what callers ask of services with a variable number of servers and report it to the leader. protocol/capacity decides from it how many servers of each kind each zone needs and orders what differs, with permits of duty.Holder, one call at a time for a service in a zone. Before there is traffic the number stays, and lasting servers are given back as reclaimable ones begin to serve.

No trial with the platform yet.

--- /dev/null
+++ b/internal/protocol/capacity/simulation_test.go
@@ -0,0 +1,235 @@
+package capacity_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/coordination/duty"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/capacity"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+)
+
+const (
+	bootTime     = 4 * time.Second
+	listInterval = time.Second
+	listAge      = 800 * time.Millisecond
+	drainTime    = 2 * time.Second
+	serviceName  = "model"
+)
+
+// scaling is that of a deployment of four zones.
+var scaling = route.Scaling{
+	Min: 1, Max: 30, Boot: bootTime, ReclaimablePrice: 0.18,
+	ZonePrices: map[string]float64{"z1": 0.85, "z2": 1.2, "z3": 1.0, "z4": 1.1},
+}
+
+var zoneNames = []string{"z1", "z2", "z3", "z4"}
+
+// server is one of the simulated platform. It serves from ready until leaves, which is zero
+// unless it leaves.
+type server struct {
+	zone                   string
+	kind                   capacity.Kind
+	ready, drained, leaves time.Time
+}
+
+// cloud is a platform with servers of one service. All times are those of the bubble.
+type cloud struct {
+	mu       sync.Mutex
+	servers  []*server
+	orders   []capacity.Order
+	sentAt   []time.Time
+	inFlight map[string]int
+	overlaps int
+	// closedUntil is until when no reclaimable servers are available, by zone.
+	closedUntil map[string]time.Time
+	// fail returns the outcome of an order, if it isn't to be taken at once.
+	fail func(n int, o capacity.Order) (handled bool, err error)
+	// delay is how long a call takes.
+	delay time.Duration
+}
+
+func newCloud(lasting int) *cloud {
+	c := &cloud{inFlight: make(map[string]int), closedUntil: make(map[string]time.Time)}
+	for i := range lasting {
+		c.servers = append(c.servers, &server{zone: zoneNames[i%len(zoneNames)], kind: capacity.Lasting, ready: time.Now()})
+	}
+	return c
+}
+
+// send takes an order.
+func (c *cloud) send(_ context.Context, _ duty.Permit, o capacity.Order) error {
+	c.mu.Lock()
+	c.orders, c.sentAt = append(c.orders, o), append(c.sentAt, time.Now())
+	n := len(c.orders)
+	if c.inFlight[o.Matter()]++; c.inFlight[o.Matter()] > 1 {
+		c.overlaps++
+	}
+	c.mu.Unlock()
+	time.Sleep(c.delay)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlight[o.Matter()]--
+	if c.fail != nil {
+		if handled, err := c.fail(n, o); handled {
+			return err
+		}
+	}
+	return c.apply(o)
+}
+
+// apply carries out an order. The caller holds the lock.
+func (c *cloud) apply(o capacity.Order) error {
+	var present []*server
+	for _, s := range c.servers {
+		if s.zone == o.Zone && s.kind == o.Kind && s.leaves.IsZero() {
+			present = append(present, s)
+		}
+	}
+	if o.Kind == capacity.Reclaimable && o.Servers > len(present) && time.Now().Before(c.closedUntil[o.Zone]) {
+		return capacity.ErrRefused
+	}
+	for len(present) > o.Servers {
+		last := present[len(present)-1]
+		last.drained, last.leaves = time.Now(), time.Now().Add(drainTime)
+		present = present[:len(present)-1]
+	}
+	for n := len(present); n < o.Servers; n++ {
+		c.servers = append(c.servers, &server{zone: o.Zone, kind: o.Kind, ready: time.Now().Add(bootTime)})
+	}
+	return nil
+}
+
+// reclaim takes away the reclaimable servers of a zone; none are available there, or in any
+// zone, for a time.
+func (c *cloud) reclaim(zone string, closed time.Duration, everywhere bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.servers {
+		if s.zone == zone && s.kind == capacity.Reclaimable && s.leaves.IsZero() {
+			s.drained, s.leaves = time.Now(), time.Now().Add(drainTime)
+		}
+	}
+	for _, z := range zoneNames {
+		if z == zone || everywhere {
+			c.closedUntil[z] = time.Now().Add(closed)
+		}
+	}
+}
+
+// list returns the list as it was listAge ago.
+func (c *cloud) list() []fleet.Engine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now().Add(-listAge)
+	var out []fleet.Engine
+	for i, s := range c.servers {
+		if s.ready.After(now) || !s.leaves.IsZero() && !s.leaves.After(now) {
+			continue
+		}
+		out = append(out, fleet.Engine{
+			ID: fmt.Sprint(i), Service: serviceName, Zone: s.zone, Slots: 64, Phase: fleet.Decode,
+			Reclaimable: s.kind == capacity.Reclaimable, Leaving: !s.leaves.IsZero() && !s.drained.After(now),
+		})
+	}
+	return out
+}
+
+// serving returns the servers that take requests now.
+func (c *cloud) serving() (out capacity.Counts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.servers {
+		if !s.ready.After(time.Now()) && s.leaves.IsZero() {
+			out[s.kind]++
+		}
+	}
+	return out
+}
+
+// price returns the price of a second of the servers that are billed now.
+func (c *cloud) price() (price float64, servers int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.servers {
+		if s.leaves.IsZero() || s.leaves.After(time.Now()) {
+			p := scaling.ZonePrices[s.zone]
+			if s.kind == capacity.Reclaimable {
+				p *= scaling.ReclaimablePrice
+			}
+			price += p
+			servers++
+		}
+	}
+	return price, servers
+}
+
+// moment is what a run sees at an instant.
+type moment struct {
+	at      time.Duration
+	demand  *fleet.DemandRate
+	serving capacity.Counts
+	// need is the number of servers that the demand occupies fully.
+	need float64
+}
+
+// busy returns how many engines a demand occupies fully.
+func busy(d *fleet.DemandRate) float64 {
+	if d == nil {
+		return 0
+	}
+	return d.PromptTokens/d.EngineRate + d.InProgress/64
+}
+
+// simulate runs a driver for a time, and returns what was seen each 100 ms and the cost.
+func simulate(t *testing.T, c *cloud, length time.Duration, demand func(time.Duration) *fleet.DemandRate, events map[time.Duration]func()) (moments []moment, cost float64) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	runtime, began := clock.NewRuntime(), time.Now()
+	driver := capacity.NewDriver(capacity.DriverOptions{
+		Permit: func(string) (duty.Permit, error) { return duty.Permit{Token: 1}, nil },
+		Refused: func(matter string, _ uint64) {
+			t.Errorf("%s: a refusal was taken for one because of a higher token", matter)
+		},
+		Send: c.send,
+		Demand: func() map[string]fleet.DemandRate {
+			if d := demand(time.Since(began)); d != nil {
+				return map[string]fleet.DemandRate{serviceName: *d}
+			}
+			return nil
+		},
+		Rate:  50,
+		Clock: runtime,
+		Log:   hclog.NewNullLogger(),
+	})
+	planned := []capacity.Service{{Name: serviceName, Scaling: scaling, Class: capacity.Class{Phased: true, Slots: 64}}}
+	var group sync.WaitGroup
+	group.Go(func() { _ = driver.Run(ctx) })
+	const step = 100 * time.Millisecond
+	for at := time.Duration(0); at < length; at += step {
+		if event := events[at]; event != nil {
+			event()
+		}
+		if at%listInterval == 0 {
+			driver.Observe(planned, fleet.NewView(c.list()))
+		}
+		d := demand(at)
+		moments = append(moments, moment{at: at, demand: d, serving: c.serving(), need: busy(d)})
+		price, _ := c.price()
+		cost += price * step.Seconds()
+		time.Sleep(step)
+	}
+	cancel()
+	group.Wait()
+	if c.overlaps > 0 {
+		t.Errorf("%d calls of a matter overlapped", c.overlaps)
+	}
+	return moments, cost
+}
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -52,6 +52,9 @@
 	Origins Origins
 	// Pace counts the streams. If it is nil, New creates a counter.
 	Pace *fleet.PaceCounter
+	// Demand counts what callers ask of services with a variable number of servers. If it
+	// is nil, nothing is counted.
+	Demand *fleet.DemandCounter
 	// Budget returns this entry's account of a service's retry budget.
 	Budget func(service string) *retry.Account
 	// Buffers bounds what is kept of responses, in sum. If it is nil, New creates a pool
@@ -184,6 +187,7 @@
 		Forwarder: c, request: r, sender: sender, sink: sink, started: time.Now(), lastEventID: r.LastEventID,
 		sharedParts: r.Prompt.SharedParts(),
 	}
+	x.countDemand()
 	deadlineCtx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	stopEnd := context.AfterFunc(c.ending, cancel)
@@ -513,6 +517,7 @@
 	x.runs++ // unless the server proves otherwise
 	x.options.Outlier.AttemptStarted(id)
 	finished := x.options.Tracker.AddWork(id, fleet.Load{Streams: p.work.Streams, Calls: p.work.Calls})
+	demandEnded := x.demand().Begin(x.request.Service.Name)
 	x.endReservation()
 	a.waiter = x.waitAt(a)
 	s := &startedAttempt{attempt: a, promptPrefilled: x.options.Tracker.AddWork(id, fleet.Load{PromptTokens: p.work.PromptTokens})}
@@ -526,6 +531,7 @@
 		a.waiter.end()
 		s.promptPrefilled()
 		finished()
+		demandEnded()
 	}
 	stopWaiting := context.AfterFunc(waiting, cancel)
 	if guarded {
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -195,6 +195,9 @@
 	if err == nil {
 		grant.Prefilled(chosen.Load.PromptTokens, chosen.Tokens, x.options.Tracker.Load(chosen.ID).PromptTokens)
 	}
+	if err == nil {
+		x.demand().SetEngineRate(x.request.Service.Name, grant.EngineRate())
+	}
 	grant.Release()
 	if err == nil {
 		if silent {
--- a/internal/protocol/fleet/fleet.go
+++ b/internal/protocol/fleet/fleet.go
@@ -67,6 +67,8 @@
 	Slots int
 	// WarmingMs is how long the server is slow after its start, in milliseconds.
 	WarmingMs int
+	// Reclaimable is set if the server costs less and may be taken away.
+	Reclaimable bool
 }
 
 // Incarnation returns a key that identifies one run of the server, from its
--- a/internal/protocol/prefillqueue/prefillqueue.go
+++ b/internal/protocol/prefillqueue/prefillqueue.go
@@ -257,6 +257,15 @@
 	g.service.prefillTime.observe(ahead, tokens, left, time.Since(g.started))
 }
 
+// EngineRate returns the number of prompt tokens that one engine reads in a second, as
+// measured.
+func (g *Grant) EngineRate() float64 {
+	g.queue.mu.Lock()
+	defer g.queue.mu.Unlock()
+	_, rate := g.service.prefillTime.estimate()
+	return rate
+}
+
 // Release releases the grant; further calls have no effect.
 func (g *Grant) Release() {
 	g.once.Do(func() {
--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -303,6 +303,11 @@
 	return s.hub.Pace()
 }
 
+// Demand returns what callers ask for at all entries, by service.
+func (s *Seeded) Demand() map[string]enginefleet.DemandRate {
+	return s.hub.Demand()
+}
+
 // Loads returns the load reported by the entries, by engine ID.
 func (s *Seeded) Loads() map[string]enginefleet.Load {
 	return s.hub.Loads()
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -89,6 +89,7 @@
 	tracker     *fleet.Tracker
 	prefixes    *prefixdir.Directory
 	pace        *fleet.PaceCounter
+	demand      *fleet.DemandCounter
 	outlier     *outlier.Set
 	isolation   *isolation.Detector
 	notices     *notice.Board
@@ -143,6 +144,7 @@
 		tracker:     fleet.NewTracker(),
 		prefixes:    prefixdir.New(),
 		pace:        fleet.NewPaceCounter(),
+		demand:      fleet.NewDemandCounter(o.Clock),
 		outlier:     outlier.NewSet(o.Clock),
 		notices:     o.Notices,
 		quarantine:  quarantine.NewGuard(o.Clock),
@@ -203,6 +205,9 @@
 // Pace returns the counter of this entry's streams.
 func (a *Agent) Pace() *fleet.PaceCounter { return a.pace }
 
+// Demand returns the counter of what callers ask for.
+func (a *Agent) Demand() *fleet.DemandCounter { return a.demand }
+
 // Outliers returns the set of engines that fail this entry's requests.
 func (a *Agent) Outliers() *outlier.Set { return a.outlier }
 
@@ -245,7 +250,7 @@
 func (a *Agent) Budget(service string) *retry.Account { return a.retries.Account(service) }
 
 // report returns the next report to the control replica source. Work goes to the
-// leader, or to every replica while none is known; holdings and pace go to
+// leader, or to every replica while none is known; holdings, pace and demand go to
 // the leader only, evidence of crashes, rate limits, begun streams and retries to
 // every replica. first is set for the first report of a watch.
 func (a *Agent) report(source string, first bool) peergrpc.Report {
@@ -263,6 +268,7 @@
 	if leader != nil && *leader == source {
 		r.Holdings = a.prefixes.TakePending()
 		r.Pace = a.pace.Recent()
+		r.Demand = a.demand.Recent()
 	}
 	r.Name, r.Incarnation = a.options.Name, a.incarnation
 	r.Address, r.Zone = a.options.Address, a.options.Zone
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -148,6 +148,8 @@
 	// pace is the newest reported pace by service. It is guarded by the hub's
 	// lock.
 	pace map[string]fleet.Pace
+	// demand is what callers asked for at the entry; guarded by the hub's lock.
+	demand []*peerpb.ServiceDemand
 	// nextHolding is the position of the first holding that was not sent to the
 	// entry, counted from the first holding ever reported to the hub. It is
 	// guarded by the hub's lock.
@@ -376,6 +378,7 @@
 	}
 	h.options.Retries.Record(info.Incarnation, toRetryUses(report.GetRetryUses()))
 	h.setWork(w, toWork(report.GetLoads(), report.GetWaiting()), toPace(report.GetPace()))
+	h.setDemand(w, report.GetDemand())
 	h.recordHoldings(w, toHoldings(report.GetHoldings()))
 	h.options.Quarantine.Record(toEvidence(report.GetEvidence()))
 	h.mergeRateLimits(w, report.GetRateLimits())
@@ -594,6 +597,8 @@
 		Slots:     toUint32(e.Slots),
 		WarmingMs: toUint32(e.WarmingMs),
 		Version:   e.Version,
+
+		Reclaimable: e.Reclaimable,
 	}
 }
 
@@ -605,7 +610,7 @@
 func sameEngine(a, b *peerpb.Engine) bool {
 	return a.GetId() == b.GetId() && a.GetBorn() == b.GetBorn() && a.GetService() == b.GetService() &&
 		a.GetAddress() == b.GetAddress() && a.GetZone() == b.GetZone() && a.GetPhase() == b.GetPhase() &&
-		a.GetLeaving() == b.GetLeaving() && a.GetSlots() == b.GetSlots() && a.GetVersion() == b.GetVersion()
+		a.GetLeaving() == b.GetLeaving() && a.GetSlots() == b.GetSlots() && a.GetVersion() == b.GetVersion() && a.GetReclaimable() == b.GetReclaimable()
 }
 
 func toEngine(e *peerpb.Engine) (fleet.Engine, error) {
@@ -624,6 +629,8 @@
 		Slots:     int(e.GetSlots()),
 		WarmingMs: int(e.GetWarmingMs()),
 		Version:   e.GetVersion(),
+
+		Reclaimable: e.GetReclaimable(),
 	}, nil
 }
 
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -40,6 +40,8 @@
 	Holdings []prefixdir.Holding
 	// Pace counts the entry's recent streams by service.
 	Pace map[string]fleet.Pace
+	// Demand is what callers lately asked for, by service.
+	Demand map[string]fleet.Demand
 	// Evidence is what the entry has seen of requests and prompt parts that may crash
 	// servers.
 	Evidence []quarantine.Evidence
@@ -335,6 +337,7 @@
 	out.Loads, out.Waiting = fromWork(r.Work)
 	out.Holdings = fromHoldings(r.Holdings)
 	out.Pace = fromPace(r.Pace)
+	out.Demand = fromDemand(r.Demand)
 	out.Evidence = fromEvidence(r.Evidence)
 	out.RateLimits = fromRateLimits(r.RateLimits)
 	out.BegunStreams = fromStreams(r.Streams)
