Phases of new engines: ordered at once, and at the share that is planned

The driver of phases asked and ordered one engine after the other, stopped at an engine whose last order might not show yet, for up to 10 s, and took each change of the number of engines for trouble, so that the share stayed. Fixed fleets are treated as before; their tests are unchanged.

--- a/internal/protocol/capacity/driver.go
+++ b/internal/protocol/capacity/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,9 @@
 	// rateShare is the part of the platform's rate limit that orders may use: others use the
 	// rest, and the previous holder may just have used its part.
 	rateShare = 0.4
+	// phaseTime is how long a new engine may be listed before its phase is ordered. Until
+	// then it isn't known whether the engine is about to change its phase.
+	phaseTime = 1500 * time.Millisecond
 	// defaultRate is the number of orders a second if the platform names no limit.
 	defaultRate = 10.0
 )
@@ -81,7 +85,9 @@
 	token    uint64
 	services map[string]*driven
 	listed   map[string]Servers
-	billing  *billing
+	// firstListed is when each listed incarnation of a server was first listed.
+	firstListed map[string]clock.Instant
+	billing     *billing
 	// nextCall is when the rate limit allows the next call.
 	nextCall clock.Instant
 	calls    sync.WaitGroup
@@ -92,7 +98,9 @@
 	Service
 	memory *Memory
 	logged Plan
-	zones  map[string]*zoneOrders
+	// prefillShare is that of the last plan.
+	prefillShare float64
+	zones        map[string]*zoneOrders
 }
 
 // zoneOrders are the orders of one matter. calling is set during a call.
@@ -122,11 +130,25 @@
 	return &Driver{options: o, services: make(map[string]*driven), listed: make(map[string]Servers), billing: newBilling(o.Metrics)}
 }
 
-// Observe replaces the list of servers and the services to plan.
-func (d *Driver) Observe(services []Service, view *fleet.View) {
+// Observe replaces the list of servers and the services to plan. changing are the IDs of the
+// engines that don't serve because they change their phase.
+func (d *Driver) Observe(services []Service, view *fleet.View, changing []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.options.Clock.Now()
+	firstListed := make(map[string]clock.Instant, view.Len())
+	for e := range view.All() {
+		at, known := d.firstListed[e.Incarnation()]
+		if !known {
+			at = now
+		}
+		firstListed[e.Incarnation()] = at
+	}
+	initial := len(d.firstListed) == 0
+	d.firstListed = firstListed
+	serves := func(e fleet.Engine) bool {
+		return e.WarmingMs <= 0 && !slices.Contains(changing, e.ID) && (initial || now.Sub(firstListed[e.Incarnation()]) >= phaseTime)
+	}
 	named := make(map[string]bool, len(services))
 	for _, s := range services {
 		named[s.Name] = true
@@ -136,7 +158,7 @@
 			d.services[s.Name] = held
 		}
 		held.Service = s
-		d.listed[s.Name] = Count(view.Engines(s.Name))
+		d.listed[s.Name] = Count(view.Engines(s.Name), serves)
 		d.billing.observe(s, d.listed[s.Name], now)
 	}
 	for name := range d.services {
@@ -172,6 +194,7 @@
 			o.Demand = &rate
 		}
 		plan := s.memory.Plan(o)
+		s.prefillShare = plan.Need.PrefillShare
 		d.report(s, plan, servers)
 		for _, zone := range plan.Orders.Zones() {
 			for _, k := range []Kind{Reclaimable, Lasting} {
@@ -181,6 +204,17 @@
 	}
 }
 
+// PrefillShare returns the part of a service's engines that prefill is planned to need, or
+// zero if there is no plan.
+func (d *Driver) PrefillShare(service string) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.services[service]; s != nil {
+		return s.prefillShare
+	}
+	return 0
+}
+
 // holds reports whether this process holds the duties, and begins anew with each token.
 // d.mu must be held.
 func (d *Driver) holds(s *driven, servers Servers) bool {
--- a/internal/protocol/capacity/memory.go
+++ b/internal/protocol/capacity/memory.go
@@ -41,8 +41,9 @@
 	Slots int
 }
 
-// Count counts the listed servers of a service.
-func Count(servers []fleet.Engine) Servers {
+// Count counts the listed servers of a service. serves reports whether a server that
+// doesn't leave serves at full speed.
+func Count(servers []fleet.Engine, serves func(fleet.Engine) bool) Servers {
 	s := Servers{Present: make(ZoneCounts), Serving: make(ZoneCounts), Leaving: make(ZoneCounts)}
 	for _, e := range servers {
 		k := Lasting
@@ -55,7 +56,7 @@
 			continue
 		}
 		s.Present.add(e.Zone, k, 1)
-		if e.WarmingMs <= 0 {
+		if serves(e) {
 			s.Serving.add(e.Zone, k, 1)
 		}
 	}
--- a/internal/protocol/capacity/simulation_test.go
+++ b/internal/protocol/capacity/simulation_test.go
@@ -218,7 +218,7 @@
 			event()
 		}
 		if at%listInterval == 0 {
-			driver.Observe(planned, fleet.NewView(c.list()))
+			driver.Observe(planned, fleet.NewView(c.list()), nil)
 		}
 		d := demand(at)
 		moments = append(moments, moment{at: at, demand: d, serving: c.serving(), need: busy(d)})
--- a/internal/protocol/phaseplan/driver.go
+++ b/internal/protocol/phaseplan/driver.go
@@ -76,6 +76,9 @@
 	// shares holds the prefill shares by service, while this process has
 	// authority.
 	shares map[string]*adaptiveShare
+	// ordering guards term, since, fenced and lastOrder while orders are sent concurrently
+	// under mu.
+	ordering sync.Mutex
 }
 
 // NewDriver returns a driver that has given no orders.
--- a/internal/protocol/phaseplan/phaseplan.go
+++ b/internal/protocol/phaseplan/phaseplan.go
@@ -75,6 +75,12 @@
 // changesTo returns the changes after which the given share of the eligible
 // engines, of which there are at least two, runs prefill.
 func changesTo(share float64, eligible []fleet.Engine, counts map[fleet.Phase]int, load func(engine string) fleet.Load) []Change {
+	return changesPreferring(nil, share, eligible, counts, load)
+}
+
+// changesPreferring is like changesTo, except that those engines change first that
+// preferred reports, unless it is nil.
+func changesPreferring(preferred func(fleet.Engine) bool, share float64, eligible []fleet.Engine, counts map[fleet.Phase]int, load func(engine string) fleet.Load) []Change {
 	wanted := int(math.Round(share * float64(len(eligible))))
 	wanted = min(max(wanted, 1), len(eligible)-1)
 	from, to, n := fleet.Decode, fleet.Prefill, wanted-counts[fleet.Prefill]
@@ -86,6 +92,9 @@
 		if len(candidates) == 0 {
 			return
 		}
+		if preferred != nil && slices.ContainsFunc(candidates, preferred) {
+			candidates = slices.DeleteFunc(candidates, func(e fleet.Engine) bool { return !preferred(e) })
+		}
 		e := nextToChange(eligible, candidates, load)
 		out = append(out, Change{Engine: e, Phase: to})
 		for i := range eligible {
