--- a/internal/protocol/capacity/loop_test.go
+++ b/internal/protocol/capacity/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,35 @@
 	}
 }
 
+// noisy returns a steady demand as entries measure it: prompts arrive at random, and those
+// that arrived within 2 s count.
+func noisy() func(time.Duration) *fleet.DemandRate {
+	random := rand.New(rand.NewPCG(3, 4))
+	kinds := []struct{ perSecond, tokens float64 }{{46, 12_000}, {179, 830}, {71, 2_400}}
+	const part, parts = 250 * time.Millisecond, 8
+	var arrived []float64
+	for range 100 * time.Second / part {
+		tokens := 0.0
+		for _, k := range kinds {
+			mean := k.perSecond * part.Seconds()
+			tokens += k.tokens * max(0, mean+math.Sqrt(mean)*random.NormFloat64())
+		}
+		arrived = append(arrived, tokens)
+	}
+	return func(at time.Duration) *fleet.DemandRate {
+		if at < trafficFrom {
+			return nil
+		}
+		out := steady(1)
+		out.PromptTokens = 0
+		end := int(at/part) + 1
+		for _, tokens := range arrived[end-parts : end] {
+			out.PromptTokens += tokens / (part * parts).Seconds()
+		}
+		return out
+	}
+}
+
 // TestLoop guards against plans that leave too few servers while demand changes, servers are
 // taken away and orders are lost, and against plans that cost too much.
 func TestLoop(t *testing.T) {
@@ -39,6 +69,7 @@
 		maxUse, maxCost float64
 	}{
 		"flat":  {demand: flat, maxUse: 0.6, maxCost: 0.5},
+		"noisy": {demand: noisy(), maxUse: 0.6, maxCost: 0.5},
 		"waves": {demand: after(func(at time.Duration) float64 { return 1 + 0.25*math.Sin(2*math.Pi*at.Seconds()/22) }), maxUse: 0.7, maxCost: 0.5},
 		"step of a half": {demand: after(func(at time.Duration) float64 {
 			if at > 40*time.Second {
