--- a/internal/protocol/capacity/driver.go
+++ b/internal/protocol/capacity/driver.go
@@ -27,14 +27,18 @@
 	// failure in a row.
 	minPause = 250 * time.Millisecond
 	maxPause = 4 * time.Second
-	// rateShare is the part of the platform's rate limit that orders may use: others use the
-	// rest, and the previous holder may just have used its part.
-	rateShare = 0.4
+	// rateShare is the part of the platform's rate limit that orders use for long, and
+	// burstShare that of a second's calls that may be made at once: a plan changes the
+	// numbers of all zones. Together they are under half of the limit, since there are other
+	// calls, and the previous holder may just have made some.
+	rateShare  = 0.25
+	burstShare = 0.2
 	// phaseTime is how long a new engine may be listed before its phase is ordered. Until
 	// then it isn't known whether the engine is about to change its phase.
 	phaseTime = 1500 * time.Millisecond
-	// defaultRate is the number of orders a second if the platform names no limit.
-	defaultRate = 10.0
+	// defaultRate is the number of calls a second that a platform without a limit is taken
+	// to accept.
+	defaultRate = 50.0
 )
 
 // ErrRefused means that the platform has refused an order: it has seen a higher token, or
@@ -88,9 +92,9 @@
 	// firstListed is when each listed incarnation of a server was first listed.
 	firstListed map[string]clock.Instant
 	billing     *billing
-	// nextCall is when the rate limit allows the next call.
-	nextCall clock.Instant
-	calls    sync.WaitGroup
+	// paidUntil is the instant until which the calls that were made use up the rate.
+	paidUntil clock.Instant
+	calls     sync.WaitGroup
 }
 
 // driven is a service and what is known of its orders.
@@ -269,7 +273,7 @@
 	if state.known && state.taken == listed {
 		state.settledAt = now
 	}
-	if !state.due(o, listed, now, s.Scaling.Boot) || zone.calling || now.Before(state.pausedUntil) || now.Before(d.nextCall) {
+	if !state.due(o, listed, now, s.Scaling.Boot) || zone.calling || now.Before(state.pausedUntil) || !d.mayCall(now) {
 		return
 	}
 	if o.Kind == Reclaimable && listed == o.Servers && s.memory.Unavailable(o.Zone, now) {
@@ -279,11 +283,7 @@
 	if err != nil {
 		return
 	}
-	rate := defaultRate
-	if d.options.Rate > 0 {
-		rate = rateShare * d.options.Rate
-	}
-	d.nextCall = now.Add(time.Duration(float64(time.Second) / rate))
+	d.paidUntil = max(now, d.paidUntil).Add(time.Duration(float64(time.Second) / (rateShare * d.rate())))
 	zone.calling = true
 	d.calls.Go(func() {
 		err := d.options.Send(ctx, permit, o)
@@ -294,6 +294,19 @@
 	})
 }
 
+func (d *Driver) rate() float64 {
+	if d.options.Rate > 0 {
+		return d.options.Rate
+	}
+	return defaultRate
+}
+
+// mayCall reports whether the rate allows a call now. d.mu must be held.
+func (d *Driver) mayCall(now clock.Instant) bool {
+	burst := burstShare / rateShare * float64(time.Second)
+	return d.paidUntil.Sub(now) <= time.Duration(burst)
+}
+
 // due reports whether an order must be sent: another one was taken last, or it shows no
 // effect.
 func (s *orderState) due(o Order, listed int, now clock.Instant, boot time.Duration) bool {
