Capacity: a constant prefill share, less room for growth, lasting servers only for what must hold

The share is that of phaseplan again, growth counts up to a quarter, and the planned use of decode engines is 0.6 of their slots. While reclaimable servers are unavailable, lasting ones make up only for what is needed for some seconds, not for the room above it.

--- a/internal/protocol/capacity/capacity.go
+++ b/internal/protocol/capacity/capacity.go
@@ -61,13 +61,13 @@
 	// kinds of requests, and by a quarter in all while ordered servers start. Prompts
 	// queue beyond the one, and pauses within streams grow with the other.
 	prefillUse = 0.6
-	decodeUse  = 0.4
+	decodeUse  = 0.6
 	// plainUse is the same for servers without phases.
 	plainUse = 0.6
 	// prefillUseAfterLoss, decodeUseAfterLoss and plainUseAfterLoss are planned for the
 	// seconds between the loss of a zone's reclaimable servers and their replacement.
 	prefillUseAfterLoss = 0.85
-	decodeUseAfterLoss  = 0.6
+	decodeUseAfterLoss  = 0.85
 	plainUseAfterLoss   = 0.85
 	// lastingShare is the part of the servers that can't be reclaimed: what is left if all
 	// zones are reclaimed one after the other. It is small, since each costs as much as
@@ -82,15 +82,13 @@
 type Need struct {
 	// Normal leaves room for growth; AfterLoss is enough for some seconds.
 	Normal, AfterLoss int
-	// PrefillShare is the part of Normal that is needed for prefill; zero for servers
-	// without phases.
-	PrefillShare float64
 }
 
 // Class describes the servers of a service.
 type Class struct {
-	// Phased is set if each server runs either prefill or decode.
-	Phased bool
+	// PrefillShare is the part of the servers that run prefill, if each runs either
+	// prefill or decode, or zero.
+	PrefillShare float64
 	// Slots is the number of requests that a server processes concurrently.
 	Slots int
 }
@@ -100,19 +98,23 @@
 func NeedFor(d fleet.DemandRate, c Class, growth float64) Need {
 	slots := float64(max(1, c.Slots))
 	held := growth * d.InProgress / slots
-	if !c.Phased {
+	if c.PrefillShare <= 0 {
 		return Need{Normal: roundUp(held / plainUse), AfterLoss: roundUp(held / plainUseAfterLoss)}
 	}
 	rate := cmp.Or(d.EngineRate, priorEngineRate)
 	reading := growth * d.PromptTokens / rate
-	phases := func(prefillUse, decodeUse float64) (prefill, decode int) {
-		return max(1, roundUp(reading/prefillUse)), max(1, roundUp(held/decodeUse))
+	// The phases keep their shares: both swing within seconds, and an engine that changes its
+	// phase is out of service for as long.
+	servers := func(prefillUse, decodeUse float64) int {
+		prefill, decode := reading/prefillUse/c.PrefillShare, held/decodeUse/(1-c.PrefillShare)
+		return max(minPhased, roundUp(max(prefill, decode)))
 	}
-	prefill, decode := phases(prefillUse, decodeUse)
-	prefillLoss, decodeLoss := phases(prefillUseAfterLoss, decodeUseAfterLoss)
-	return Need{Normal: prefill + decode, AfterLoss: prefillLoss + decodeLoss, PrefillShare: float64(prefill) / float64(prefill+decode)}
+	return Need{Normal: servers(prefillUse, decodeUse), AfterLoss: servers(prefillUseAfterLoss, decodeUseAfterLoss)}
 }
 
+// minPhased is the smallest number of servers that can run both phases.
+const minPhased = 2
+
 // roundUp rounds up, except for errors of floating point arithmetic.
 func roundUp(n float64) int { return int(math.Ceil(n - 1e-9)) }
 
@@ -171,7 +173,8 @@
 
 // Distribute returns the servers to have for a need: a few lasting ones, and reclaimable
 // ones evenly over the zones, so that enough is left if those of one zone are taken away.
-// Where reclaimable servers are unavailable, lasting ones make up for them.
+// Where reclaimable servers are unavailable, lasting ones make up for what is needed for
+// some seconds at least, until others are to be had.
 func Distribute(n Need, l Limits) ZoneCounts {
 	target := make(ZoneCounts)
 	zones := l.zones()
@@ -200,7 +203,13 @@
 			target.add(zone, k, 1)
 		}
 	}
-	for !enough(target, n) && (add(Reclaimable) || add(Lasting)) {
+	for !enough(target, n) && add(Reclaimable) {
+	}
+	least := n.AfterLoss
+	if l.ReclaimablePrice <= 0 {
+		least = n.Normal
+	}
+	for target.Total().Total() < least && add(Lasting) {
 	}
 	return target
 }
--- a/internal/protocol/capacity/driver.go
+++ b/internal/protocol/capacity/driver.go
@@ -102,9 +102,7 @@
 	Service
 	memory *Memory
 	logged Plan
-	// prefillShare is that of the last plan.
-	prefillShare float64
-	zones        map[string]*zoneOrders
+	zones  map[string]*zoneOrders
 }
 
 // zoneOrders are the orders of one matter. calling is set during a call.
@@ -198,7 +196,6 @@
 			o.Demand = &rate
 		}
 		plan := s.memory.Plan(o)
-		s.prefillShare = plan.Need.PrefillShare
 		d.report(s, plan, servers)
 		for _, zone := range plan.Orders.Zones() {
 			for _, k := range []Kind{Reclaimable, Lasting} {
@@ -208,17 +205,6 @@
 	}
 }
 
-// PrefillShare returns the part of a service's engines that prefill is planned to need, or
-// zero if there is no plan.
-func (d *Driver) PrefillShare(service string) float64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if s := d.services[service]; s != nil {
-		return s.prefillShare
-	}
-	return 0
-}
-
 // holds reports whether this process holds the duties, and begins anew with each token.
 // d.mu must be held.
 func (d *Driver) holds(s *driven, servers Servers) bool {
--- a/internal/protocol/capacity/memory.go
+++ b/internal/protocol/capacity/memory.go
@@ -15,7 +15,7 @@
 	// growthWindow is the time over which the growth of the demand is measured, and
 	// maxGrowth bounds what is expected of it within the start of a server.
 	growthWindow = 4 * time.Second
-	maxGrowth    = 1.5
+	maxGrowth    = 1.25
 	// peakWindow is how long a peak of the demand is provided for: the demand swings with
 	// periods of some ten seconds.
 	peakWindow = 12 * time.Second
@@ -195,7 +195,6 @@
 	for _, s := range m.samples {
 		peak.Normal, peak.AfterLoss = max(peak.Normal, s.need.Normal), max(peak.AfterLoss, s.need.AfterLoss)
 	}
-	m.held.PrefillShare = peak.PrefillShare
 	m.held.AfterLoss = max(m.held.AfterLoss, peak.AfterLoss)
 	full := o.Now.Sub(m.samples[0].at) >= peakWindow-giveBackInterval
 	switch {
@@ -203,7 +202,7 @@
 		m.held, m.gaveBackAt = peak, o.Now
 	case full && o.Now.Sub(m.gaveBackAt) >= giveBackInterval:
 		step := max(1, int(giveBackShare*float64(m.held.Normal)))
-		m.held = Need{max(peak.Normal, m.held.Normal-step), max(peak.AfterLoss, m.held.AfterLoss-step), peak.PrefillShare}
+		m.held = Need{max(peak.Normal, m.held.Normal-step), max(peak.AfterLoss, m.held.AfterLoss-step)}
 		m.gaveBackAt = o.Now
 	}
 	return m.held, fmt.Sprintf("%.0f requests and %.0f prompt tokens a second, %.0f tokens a second for an engine, %.1f in progress, growth %.2f: %d now, %d at the peak",
--- a/internal/protocol/phaseplan/driver.go
+++ b/internal/protocol/phaseplan/driver.go
@@ -175,7 +175,7 @@
 	}
 	share := d.shares[service]
 	if share == nil {
-		share = &adaptiveShare{floor: d.options.Plan.prefillShare(eligible[0].Slots)}
+		share = &adaptiveShare{floor: d.options.Plan.Share(eligible[0].Slots)}
 		d.shares[service] = share
 	}
 	before := share.share
--- a/internal/protocol/phaseplan/phaseplan.go
+++ b/internal/protocol/phaseplan/phaseplan.go
@@ -25,9 +25,9 @@
 // proportionally less decode capacity, so more decode engines are needed.
 const fullDecodeSlots = 20
 
-// prefillShare returns the fraction of the engines that run prefill, for
+// Share returns the fraction of the engines that run prefill, for
 // engines with the given number of slots; 0 means unknown and counts as enough.
-func (p Plan) prefillShare(slots int) float64 {
+func (p Plan) Share(slots int) float64 {
 	if slots <= 0 || slots >= fullDecodeSlots {
 		return p.PrefillShare
 	}
@@ -56,7 +56,7 @@
 	if len(eligible) < 2 {
 		return nil
 	}
-	return changesTo(p.prefillShare(eligible[0].Slots), eligible, counts, load)
+	return changesTo(p.Share(eligible[0].Slots), eligible, counts, load)
 }
 
 // eligibleEngines returns the engines whose phase may change and counts them by
--- a/internal/protocol/phaseplan/scaled.go
+++ b/internal/protocol/phaseplan/scaled.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -15,17 +14,12 @@
 	// maxConcurrentOrders bounds the engines that are ordered at once: many new engines may
 	// be listed at the same time, and one that doesn't answer takes more than a second.
 	maxConcurrentOrders = 16
-	// minPlannedShare bounds the planned share, and plannedShareStep is the difference from
-	// which on it is followed: a change of phase takes an engine out of service for seconds.
-	minPlannedShare  = 0.25
-	plannedShareStep = 0.06
 )
 
 // ReconcileScaled is like Reconcile, for a service whose number of engines changes by orders
-// of this system. planned is the part of the engines that prefill is planned to need, zero
-// if that isn't known. New engines get their phases at once, also while earlier ones
-// change, and engines that come or go are not taken for trouble.
-func (d *Driver) ReconcileScaled(ctx context.Context, service string, engines []fleet.Engine, planned float64) {
+// of this system. New engines get their phases at once, also while earlier ones change, and
+// engines that come or go are not taken for trouble.
+func (d *Driver) ReconcileScaled(ctx context.Context, service string, engines []fleet.Engine) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, ok := d.mayOrder(); !ok {
@@ -34,7 +28,7 @@
 	}
 	d.settle(engines)
 	loads := d.options.Load()
-	due := d.scaledChanges(service, engines, func(id string) fleet.Load { return loads[id] }, planned)
+	due := d.scaledChanges(service, engines, func(id string) fleet.Load { return loads[id] })
 	for _, c := range due {
 		d.changing[c.Engine.Incarnation()] = c
 	}
@@ -47,9 +41,9 @@
 	d.withdraw()
 }
 
-// scaledChanges returns the changes to the share that is planned. Engines that change count
+// scaledChanges returns the changes to the share that callers need. Engines that change count
 // in their new phases. d.mu must be held.
-func (d *Driver) scaledChanges(service string, listed []fleet.Engine, load func(engine string) fleet.Load, planned float64) (due []Change) {
+func (d *Driver) scaledChanges(service string, listed []fleet.Engine, load func(engine string) fleet.Load) (due []Change) {
 	engines := slices.Clone(listed)
 	for i, e := range engines {
 		if c, ok := d.changing[e.Incarnation()]; ok {
@@ -60,7 +54,11 @@
 	if len(eligible) < 2 {
 		return nil
 	}
-	share := d.scaledShare(service, eligible[0].Slots, planned)
+	share := d.shares[service]
+	if share == nil {
+		share = &adaptiveShare{floor: d.options.Plan.Share(eligible[0].Slots)}
+		d.shares[service] = share
+	}
 	failing := slices.ContainsFunc(eligible, func(e fleet.Engine) bool {
 		l := load(e.ID)
 		return l.FailingEntries > 0 || l.MissingEntries > 0
@@ -88,28 +86,6 @@
 	return due
 }
 
-// scaledShare returns the share of a service, moved to the planned one. d.mu must be held.
-func (d *Driver) scaledShare(service string, slots int, planned float64) *adaptiveShare {
-	share := d.shares[service]
-	if share == nil {
-		share = &adaptiveShare{floor: d.options.Plan.prefillShare(slots)}
-		d.shares[service] = share
-	}
-	if planned == 0 {
-		return share
-	}
-	planned = min(max(planned, minPlannedShare), maxPrefillShare)
-	if math.Abs(planned-share.floor) < plannedShareStep || time.Now().Before(share.mayStepAt) {
-		return share
-	}
-	d.options.Log.Info("prefill share planned", "service", service, "share", planned, "before", share.floor)
-	if share.share != 0 {
-		share.share = min(max(share.share+planned-share.floor, minPlannedShare), maxPrefillShare)
-	}
-	share.floor, share.mayStepAt = planned, time.Now().Add(stepInterval)
-	return share
-}
-
 // isIdle returns a function that reports whether an engine has no work, such as a new one.
 func isIdle(load func(engine string) fleet.Load) func(fleet.Engine) bool {
 	return func(e fleet.Engine) bool {
