Workspaces: old documents, peers that take them, streams of their own

An entry that says 401 to a key that a newer document has loses the request, since callers don't repeat it.

Entries report takes_workspaces, and the list of peers passes it on; a search for a peer takes filters, so that a request with a workspace goes to no entry of an earlier version. The origin of a stream is recorded under the workspace and the request. Logs of the exchange name the workspace.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -479,7 +479,7 @@
 // logPlaced logs the choice of an engine with the load it was based on.
 func (x *exchange) logPlaced(step string, c placement.Candidate, more ...any) {
 	x.options.Log.Info("request placed", append([]any{
-		"request", x.request.ID, "route", x.request.Route.Name, "version", x.request.Version, "step", step,
+		"request", x.request.ID, "route", x.request.Route.Name, "workspace", x.request.Workspace, "version", x.request.Version, "step", step,
 		"engine", c.ID, "software", c.Version, "zone", c.Zone, "load_tokens", c.Load.PromptTokens, "load_streams", c.Load.Streams,
 		"load_calls", c.Load.Calls, "load_age_ms", x.options.Tracker.Age().Milliseconds(), "sends", x.sends,
 	}, more...)...)
@@ -678,7 +678,7 @@
 }
 
 func (x *exchange) logOutcome(o Outcome) {
-	x.options.Log.Info("request ended", "request", x.request.ID, "route", x.request.Route.Name, "result", o.Result.String(),
+	x.options.Log.Info("request ended", "request", x.request.ID, "route", x.request.Route.Name, "workspace", x.request.Workspace, "result", o.Result.String(),
 		"sends", x.sends, "runs", x.runs, "first_ms", o.TimeToFirstByte.Milliseconds(), "gap_ms", o.LongestGap.Milliseconds(), "ms", time.Since(x.started).Milliseconds(),
 		"last_event", x.lastEventID, "events", x.events, "resumes", x.request.Resumes, "began_at", x.origin.version, "written", x.timeToFirstByte > 0, "until_close", x.untilClose, "unfinished_bytes", x.unfinishedBytes, "error", o.Err)
 }
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -58,6 +58,16 @@
 	return r.Route.Priority
 }
 
+// streamName returns the name under which Origins know the stream of a caller's request, or
+// "" for "". It includes the workspace, so that no other one can take the stream up. Neither
+// a workspace nor a request ID contains the byte between them.
+func (r *Request) streamName(request string) string {
+	if request == "" || r.Workspace == "" {
+		return request
+	}
+	return r.Workspace + "\x00" + request
+}
+
 // KVSource locates the KV cache of a prefilled prompt. The engine keeps it until
 // it is fetched once or released.
 type KVSource struct {
@@ -152,11 +162,12 @@
 // Origins knows which software version of a service began each stream.
 type Origins interface {
 	// Began records that a server of the version began the stream of a caller's
-	// request. It is called before the caller gets the first event. It does not
+	// request, by the stream's name. It is called before the caller gets the first event. It does not
 	// block.
 	Began(service, request, version string)
-	// Find returns the version that began the stream of an earlier request. found is
-	// false if that can't be known. request is empty if the caller doesn't name it.
+	// Find returns the version that began the stream of an earlier request, by the
+	// stream's name. found is false if that can't be known. request is empty if the
+	// caller doesn't name it.
 	// It takes at most a round trip to a control replica and ends with ctx.
 	Find(ctx context.Context, service, request string) (version string, found bool)
 }
--- a/internal/protocol/exchange/version.go
+++ b/internal/protocol/exchange/version.go
@@ -35,7 +35,7 @@
 	if r.Route.Kind != route.Streaming || r.LastEventID == "" && r.Resumes == "" {
 		return nil
 	}
-	version, found := x.options.Origins.Find(ctx, r.Service.Name, r.Resumes)
+	version, found := x.options.Origins.Find(ctx, r.Service.Name, r.streamName(r.Resumes))
 	switch {
 	case found:
 		x.origin.set(version)
@@ -50,7 +50,7 @@
 func (x *exchange) recordOrigin(e fleet.Engine) {
 	x.origin.set(e.Version)
 	if x.timeToFirstByte == 0 && x.request.LastEventID == "" {
-		x.options.Origins.Began(x.request.Service.Name, x.request.ID, e.Version)
+		x.options.Origins.Began(x.request.Service.Name, x.request.streamName(x.request.ID), e.Version)
 	}
 }
 
--- a/internal/protocol/exchange/version_test.go
+++ b/internal/protocol/exchange/version_test.go
@@ -213,6 +213,34 @@
 	}
 }
 
+// TestStreamsOfWorkspacesAreTheirOwn has workspaces take up a stream that one of them began.
+func TestStreamsOfWorkspacesAreTheirOwn(t *testing.T) {
+	for name, c := range map[string]struct {
+		began, takesUp string
+		want           exchange.Result
+	}{
+		"none":           {"", "", exchange.Delivered},
+		"the same":       {"a", "a", exchange.Delivered},
+		"another":        {"a", "b", exchange.Refused},
+		"none, then one": {"", "a", exchange.Refused},
+		"one, then none": {"a", "", exchange.Refused},
+	} {
+		w := newFixtureOf([]fleet.Engine{decodeEngine("a", "v1"), decodeEngine("b", "v2")}, reply{status: 200, events: true, body: "id: 1\n\n"}, secondEvent)
+		first, second := streamRequest(true, 10), takeUp("r", 10)
+		first.Workspace, second.Workspace = c.began, c.takesUp
+		w.run(t, first)
+		if o := w.run(t, second); o.Result != c.want {
+			t.Errorf("%s: got %v, want %v", name, o.Result, c.want)
+		}
+		if _, plain := w.origins.began["r"]; plain != (c.began == "") {
+			t.Errorf("%s: the origin is recorded as %v", name, w.origins.began)
+		}
+		if c.takesUp != "" && w.origins.finds[0] == "r" {
+			t.Errorf("%s: the origin was looked up as %q", name, w.origins.finds)
+		}
+	}
+}
+
 // TestTakeUpOfUnknownOriginIsNotSent takes up a stream that no one remembers, or whose version has no server left.
 func TestTakeUpOfUnknownOriginIsNotSent(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/protocol/forward/forward.go
+++ b/internal/protocol/forward/forward.go
@@ -20,13 +20,16 @@
 	Name string
 	// Address is where it takes them, as IP:port.
 	Address string
+	// TakesWorkspaces is set if it takes requests with the name of a workspace. An entry of
+	// an earlier version would run them without it.
+	TakesWorkspaces bool
 	// Unreachable holds the services of which it reaches no server.
 	Unreachable []string
 }
 
 // Equal reports whether two peers are the same in all fields.
 func (p Peer) Equal(other Peer) bool {
-	return p.Name == other.Name && p.Address == other.Address && slices.Equal(p.Unreachable, other.Unreachable)
+	return p.Name == other.Name && p.Address == other.Address && p.TakesWorkspaces == other.TakesWorkspaces && slices.Equal(p.Unreachable, other.Unreachable)
 }
 
 // Filter reports whether a peer may get a request.
@@ -37,6 +40,9 @@
 	return func(p Peer) bool { return !slices.Contains(p.Unreachable, service) }
 }
 
+// TakesWorkspaces is a filter for the peers that take requests with the name of a workspace.
+func TakesWorkspaces(p Peer) bool { return p.TakesWorkspaces }
+
 // Except returns a filter for all peers but those at the given addresses.
 func Except(addresses ...string) Filter {
 	return func(p Peer) bool { return !slices.Contains(addresses, p.Address) }
@@ -81,12 +87,14 @@
 	picker   *Picker
 	service  string
 	deadline time.Time
+	filters  []Filter
 	tried    []string
 }
 
-// Begin begins the search for a peer that takes a request for a service.
-func (p *Picker) Begin(service string, deadline time.Time) *Search {
-	return &Search{picker: p, service: service, deadline: deadline}
+// Begin begins the search for a peer that takes a request for a service and passes the
+// filters.
+func (p *Picker) Begin(service string, deadline time.Time, filters ...Filter) *Search {
+	return &Search{picker: p, service: service, deadline: deadline, filters: filters}
 }
 
 // next returns the next peer to ask. ok is false if none is left, maxPeers have been asked,
@@ -97,7 +105,7 @@
 		return Peer{}, false
 	}
 	own := func(p Peer) bool { return p.Name != o.Name }
-	filters := []Filter{own, Reaches(s.service), Except(s.tried...)}
+	filters := append([]Filter{own, Reaches(s.service), Except(s.tried...)}, s.filters...)
 	if p, ok = Pick(o.Peers(), o.Random, append(filters, o.Pauses.Open(s.service))...); !ok {
 		p, ok = Pick(o.Peers(), o.Random, filters...)
 	}
--- a/internal/protocol/forward/forward_test.go
+++ b/internal/protocol/forward/forward_test.go
@@ -49,6 +49,22 @@
 	}
 }
 
+// TestPeerOfEarlierVersionGetsNoWorkspace guards against requests that run without the name of
+// their workspace, also if no other peer is left.
+func TestPeerOfEarlierVersionGetsNoWorkspace(t *testing.T) {
+	old, a := Peer{Name: "old", Address: "1"}, Peer{Name: "a", Address: "2", TakesWorkspaces: true}
+	for _, peers := range [][]Peer{{old}, {old, a}} {
+		f := NewPicker(Options{Peers: func() []Peer { return peers }, Random: first, Pauses: NewPauses(clock.NewRuntime())})
+		got := names(f.Begin("llm", time.Now().Add(time.Minute), TakesWorkspaces))
+		if slices.Contains(got, "old") || len(got) != len(peers)-1 {
+			t.Errorf("of %d peers, %v were asked", len(peers), got)
+		}
+		if got = names(f.Begin("llm", time.Now().Add(time.Minute))); len(got) != len(peers) {
+			t.Errorf("without a workspace: of %d peers, %v were asked", len(peers), got)
+		}
+	}
+}
+
 // TestPausedPeersAreAskedLast guards against paying a failed connection for each request,
 // and against refusals while a paused peer is all there is.
 func TestPausedPeersAreAskedLast(t *testing.T) {
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -101,6 +101,8 @@
 	peers   peers
 	// isolated reports whether the entry reaches no server of a service.
 	isolated func(service string) bool
+	// connected returns the number of connected control replicas.
+	connected func() int
 
 	table atomic.Pointer[route.Table]
 	view  atomic.Pointer[fleet.View]
@@ -110,6 +112,8 @@
 	leaderReportedAt atomic.Int64
 	// reportInterval is the time.Duration between two reports to the leader.
 	reportInterval atomic.Int64
+	// newestVersion is the highest document version that a control replica named.
+	newestVersion atomic.Uint64
 	// otherLoadUnknown is set while the load of the other entries is unknown.
 	otherLoadUnknown atomic.Bool
 	leaving          atomic.Bool
@@ -169,6 +173,7 @@
 		Deliver: a.deliver,
 		Log:     o.Log,
 	})
+	a.connected = a.watcher.Connected
 	return a
 }
 
@@ -268,7 +273,7 @@
 	r.Address, r.Zone = a.options.Address, a.options.Zone
 	r.Ready = a.Ready()
 	if first {
-		r.ForwardAddress = a.options.ForwardAddress
+		r.ForwardAddress, r.TakesWorkspaces = a.options.ForwardAddress, true
 	}
 	if table := a.table.Load(); table != nil {
 		r.DocumentVersion = table.Version
@@ -303,12 +308,16 @@
 }
 
 // leaderTimedOut reports whether no leader has sent an update for leaderTimeout.
-func (a *Agent) leaderTimedOut() bool {
-	return a.options.Clock.Now().Sub(clock.Instant(a.leaderReportedAt.Load())) >= leaderTimeout
+func (a *Agent) leaderTimedOut() bool { return a.leaderSilentFor() >= leaderTimeout }
+
+// leaderSilentFor returns the time since the last update from a leader.
+func (a *Agent) leaderSilentFor() time.Duration {
+	return a.options.Clock.Now().Sub(clock.Instant(a.leaderReportedAt.Load()))
 }
 
 // deliver applies an update from a control replica.
 func (a *Agent) deliver(u peergrpc.Update) {
+	a.observeVersion(u.DocumentVersion)
 	a.retries.ObserveProcesses(u.Retries.Processes)
 	a.setOtherLoad(u)
 	a.peers.apply(u.Source, u.Peers, u.Leads || a.leader.Load() == nil || a.leaderTimedOut())
@@ -418,7 +427,7 @@
 	a.mu.Lock()
 	age := time.Since(a.listedAt)
 	a.mu.Unlock()
-	if age < maxListAge || a.watcher.Connected() > 0 {
+	if age < maxListAge || a.connected() > 0 {
 		return
 	}
 	list, err := a.options.List(ctx)
--- a/internal/role/seededentry/agent_test.go
+++ b/internal/role/seededentry/agent_test.go
@@ -12,6 +12,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
 )
 
@@ -163,3 +164,49 @@
 		}
 	})
 }
+
+// TestEntryKnowsThatItMayBeOutdated guards against a final rejection of a key that a newer
+// document has: the entry has heard of that document, has no control replica, or only
+// replicas that are cut off from the leader.
+func TestEntryKnowsThatItMayBeOutdated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newTestAgent()
+		connected := 0
+		a.connected = func() int { return connected }
+		check := func(step string, want bool) {
+			t.Helper()
+			if got := a.MayBeOutdated(); got != want {
+				t.Errorf("%s: got %t, want %t", step, got, want)
+			}
+		}
+		hear := func(source string, leads bool, version uint64) {
+			a.deliver(peergrpc.Update{Source: source, Leads: leads, DocumentVersion: version})
+		}
+		time.Sleep(2 * leaderSilence)
+		check("at first", true)
+		a.table.Store(&route.Table{Version: 3})
+		connected = 1
+		check("before a leader", true)
+		hear("leader", true, 3)
+		check("same version", false)
+		hear("follower", false, 4)
+		check("newer version at a follower", true)
+		hear("leader", true, 3)
+		check("newer version, then the older one again", true)
+		a.table.Store(&route.Table{Version: 4})
+		check("newer version in force", false)
+		hear("follower", false, 2)
+		check("older version at a follower", false)
+		connected = 0
+		check("without a control replica", true)
+		connected = 1
+		time.Sleep(leaderSilence - time.Millisecond)
+		hear("follower", false, 4)
+		check("leader silent for a moment", false)
+		time.Sleep(time.Millisecond)
+		hear("follower", false, 4)
+		check("leader silent", true)
+		hear("leader", true, 4)
+		check("leader again", false)
+	})
+}
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -65,6 +65,8 @@
 	// ForwardAddress is the IP:port at which the entry takes requests from other entries,
 	// or empty.
 	ForwardAddress string
+	// TakesWorkspaces is set if it takes such requests with the name of a workspace.
+	TakesWorkspaces bool
 	// UnreachableServices are those of which the entry reaches no server.
 	UnreachableServices []string
 }
@@ -354,7 +356,7 @@
 	} else {
 		info.Name, info.Incarnation = report.GetName(), report.GetIncarnation()
 		info.Address, info.Zone = report.GetAddress(), report.GetZone()
-		info.ForwardAddress = report.GetForwardAddress()
+		info.ForwardAddress, info.TakesWorkspaces = report.GetForwardAddress(), report.GetTakesWorkspaces()
 		h.add(w, info)
 	}
 	readinessChanged := info.Ready != report.GetReady()
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -330,6 +330,7 @@
 		WantWork:        r.WantWork,
 
 		ForwardAddress:      r.ForwardAddress,
+		TakesWorkspaces:     r.TakesWorkspaces,
 		UnreachableServices: r.UnreachableServices,
 	}
 	out.Loads, out.Waiting = fromWork(r.Work)
--- a/internal/transport/peergrpc/forwardpeers.go
+++ b/internal/transport/peergrpc/forwardpeers.go
@@ -11,7 +11,9 @@
 	peers := make([]forward.Peer, 0, len(ready))
 	for _, info := range ready {
 		if info.ForwardAddress != "" {
-			peers = append(peers, forward.Peer{Name: info.Name, Address: info.ForwardAddress, Unreachable: info.UnreachableServices})
+			peers = append(peers, forward.Peer{
+				Name: info.Name, Address: info.ForwardAddress, TakesWorkspaces: info.TakesWorkspaces, Unreachable: info.UnreachableServices,
+			})
 		}
 	}
 	peers = forward.Sorted(peers)
@@ -30,14 +32,18 @@
 	}
 	update.ForwardPeersWhole, update.ForwardPeersRemoved = change.Whole, change.Removed
 	for _, p := range change.Peers {
-		update.ForwardPeers = append(update.ForwardPeers, &peerpb.ForwardPeer{Name: p.Name, Address: p.Address, UnreachableServices: p.Unreachable})
+		update.ForwardPeers = append(update.ForwardPeers, &peerpb.ForwardPeer{
+			Name: p.Name, Address: p.Address, TakesWorkspaces: p.TakesWorkspaces, UnreachableServices: p.Unreachable,
+		})
 	}
 }
 
 func toForwardPeers(m *peerpb.FleetUpdate) forward.Change {
 	change := forward.Change{Whole: m.GetForwardPeersWhole(), Removed: m.GetForwardPeersRemoved()}
 	for _, p := range m.GetForwardPeers() {
-		change.Peers = append(change.Peers, forward.Peer{Name: p.GetName(), Address: p.GetAddress(), Unreachable: p.GetUnreachableServices()})
+		change.Peers = append(change.Peers, forward.Peer{
+			Name: p.GetName(), Address: p.GetAddress(), TakesWorkspaces: p.GetTakesWorkspaces(), Unreachable: p.GetUnreachableServices(),
+		})
 	}
 	return change
 }
--- a/internal/transport/peergrpc/forwardpeers_test.go
+++ b/internal/transport/peergrpc/forwardpeers_test.go
@@ -15,7 +15,7 @@
 	h.options.Leads = func() bool { return leads }
 	a, b, old, receiver := &entryWatch{}, &entryWatch{}, &entryWatch{}, &entryWatch{}
 	report := func(w *entryWatch, info EntryInfo) { h.handleReport(w, fromReport(Report{EntryInfo: info})) }
-	report(a, EntryInfo{Name: "a", Incarnation: 1, Ready: true, ForwardAddress: "1"})
+	report(a, EntryInfo{Name: "a", Incarnation: 1, Ready: true, ForwardAddress: "1", TakesWorkspaces: true})
 	report(b, EntryInfo{Name: "b", Incarnation: 2, Ready: true, ForwardAddress: "2"})
 	report(old, EntryInfo{Name: "old", Incarnation: 3, Ready: true})
 	var sent sentState
@@ -36,7 +36,7 @@
 			t.Errorf("%s: got %d peers that make %+v, want %d that make %+v", step, got, held, sentPeers, want)
 		}
 	}
-	peerA, peerB := forward.Peer{Name: "a", Address: "1"}, forward.Peer{Name: "b", Address: "2"}
+	peerA, peerB := forward.Peer{Name: "a", Address: "1", TakesWorkspaces: true}, forward.Peer{Name: "b", Address: "2"}
 	check("first", 2, peerA, peerB)
 	check("unchanged", 0, peerA, peerB)
 	report(b, EntryInfo{Ready: true, UnreachableServices: []string{"llm"}})
