--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -12,6 +12,14 @@
 // share one series, so that memory use stays bounded.
 const maxCustomers = 4096
 
+// maxWorkspaces is the number of workspaces that get their own series. All others share
+// one, so that memory use stays bounded: a deployment may have 10,000 workspaces, and an
+// entry 144 MB.
+const maxWorkspaces = 256
+
+// otherWorkspaces is the value of the workspace tag of the shared series.
+const otherWorkspaces = "other"
+
 // otherCustomers is the value of the customer tag of the shared series.
 const otherCustomers = "other"
 
@@ -37,13 +45,62 @@
 	100 * time.Second,
 }
 
-// Requests holds the request metrics by team and class, and by customer. It is
+// Requests holds the request metrics by team and class, by customer, and by workspace. It is
 // safe for concurrent use.
 type Requests struct {
 	scope         tally.Scope
 	classes       sync.Map // classKey to *ClassSeries
 	customers     sync.Map // customer name to tally.Histogram
 	customerCount atomic.Int64
+
+	workspaces sync.Map // workspace name to *WorkspaceSeries
+	// mu guards the creation of series of workspaces; workspaceCount is their number.
+	mu             sync.Mutex
+	workspaceCount int
+}
+
+// WorkspaceSeries holds the metrics of one workspace.
+type WorkspaceSeries struct {
+	// Requests counts the admitted requests, and Refused those of them that were refused,
+	// failed or cut.
+	Requests, Refused tally.Counter
+	// FirstToken is the time from arrival to the first byte of the response's body.
+	FirstToken tally.Histogram
+}
+
+func newWorkspaceSeries(scope tally.Scope) *WorkspaceSeries {
+	return &WorkspaceSeries{
+		Requests:   scope.Counter("workspace_requests"),
+		Refused:    scope.Counter("workspace_refused"),
+		FirstToken: scope.Histogram("workspace_first_token", durationBuckets),
+	}
+}
+
+// noWorkspace takes what concerns requests without a workspace and drops it.
+var noWorkspace = newWorkspaceSeries(tally.NoopScope)
+
+// Workspace returns the metrics of a workspace, or those of all others together once
+// maxWorkspaces have been seen. The name "" stands for requests without a workspace, of
+// which nothing is kept.
+func (r *Requests) Workspace(name string) *WorkspaceSeries {
+	if name == "" {
+		return noWorkspace
+	}
+	if series, ok := r.workspaces.Load(name); ok {
+		return series.(*WorkspaceSeries)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.workspaceCount >= maxWorkspaces {
+		name = otherWorkspaces
+	}
+	if series, ok := r.workspaces.Load(name); ok {
+		return series.(*WorkspaceSeries)
+	}
+	series := newWorkspaceSeries(r.scope.Tagged(map[string]string{"workspace": name}))
+	r.workspaces.Store(name, series)
+	r.workspaceCount++
+	return series
 }
 
 type classKey struct {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -51,6 +52,53 @@
 	}
 }
 
+// TestWorkspacesAreBounded guards against memory that grows with the number of workspaces: an
+// entry has 144 MB, of which the series of all workspaces together may take a few.
+func TestWorkspacesAreBounded(t *testing.T) {
+	m := NewMetrics("entry", "entry-1", hclog.NewNullLogger())
+	r := NewRequests(m.Scope)
+	const workspaces = 10_000
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for range 2 {
+		for i := range workspaces {
+			s := r.Workspace(fmt.Sprint("workspace-", i))
+			s.Requests.Inc(1)
+			s.FirstToken.RecordDuration(30 * time.Millisecond)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	held := (int64(after.HeapAlloc) - int64(before.HeapAlloc)) >> 10
+	t.Logf("the series take %d KiB", held)
+	if held > 8<<10 {
+		t.Errorf("the series of %d workspaces take %d KiB", workspaces, held)
+	}
+	if r.workspaceCount != maxWorkspaces+1 {
+		t.Errorf("got %d series, want %d", r.workspaceCount, maxWorkspaces+1)
+	}
+	r.Workspace("").Requests.Inc(1)
+	r.Workspace("workspace-9999").Refused.Inc(1)
+	if err := m.Close(); err != nil {
+		t.Fatal(err)
+	}
+	text := serveAdmin(t, &Admin{Metrics: m}, http.MethodGet, "/metrics", "").Body.String()
+	for _, want := range []string{
+		`lagoonshift_workspace_requests{process="entry-1",role="entry",workspace="workspace-0"} 2`,
+		fmt.Sprintf(`lagoonshift_workspace_requests{process="entry-1",role="entry",workspace="other"} %d`, 2*(workspaces-maxWorkspaces)),
+		`lagoonshift_workspace_refused{process="entry-1",role="entry",workspace="other"} 1`,
+		`lagoonshift_workspace_first_token_bucket{process="entry-1",role="entry",workspace="workspace-1",le="0.05"} 2`,
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("metrics do not contain %s", want)
+		}
+	}
+	if strings.Contains(text, `workspace=""`) {
+		t.Error("requests without a workspace have a series")
+	}
+}
+
 func TestLogLevelChangesWhileRunning(t *testing.T) {
 	a := &Admin{Metrics: NewMetrics("entry", "e", hclog.NewNullLogger()), Log: NewLogger("e", "info", false)}
 	if code := serveAdmin(t, a, http.MethodPut, "/v1/log-level", "loud").Code; code != http.StatusBadRequest {
