Usage: count at entries, decide in the replicated log, report to the platform

Where the platform takes reports of usage, it got none. Each window of time now has one report of the requests that servers began, by workspace.

Entries count a stream at its first event and any other request at the headers of its response, once for each request, in windows of the true time: the median of all clocks of the deployment as an offset from the steady clock. The counts are cumulative and go to every control replica with the reports there are.

Replicas announce the commands that they apply as metadata of their streams of consensus messages. A command that earlier builds don't know is appended only once all members are known to apply it.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -57,6 +58,8 @@
 	// Buffers bounds what is kept of responses, in sum. If it is nil, New creates a pool
 	// of buffer.DefaultBytes.
 	Buffers *buffer.Pool
+	// Usage counts the requests of workspaces that servers began. It may be nil.
+	Usage Usage
 	// Random returns a random integer in [0, n).
 	Random func(n int) int
 	Log    hclog.Logger
@@ -283,6 +286,8 @@
 	// holds retries that have been taken for calls that are still to be placed.
 	next        *startedAttempt
 	paidRetries []retry.Retry
+	// usageCounted is set once the request has been counted as begun.
+	usageCounted atomic.Bool
 	// streamBegun is set once the headers of an event stream have been
 	// written to the caller.
 	streamBegun bool
@@ -539,6 +544,9 @@
 		return nil, x.sendFailed(waiting, a, err)
 	}
 	a.waiter.heard()
+	if !s.response.Success || !s.response.EventStream {
+		x.countUsage()
+	}
 	a.waiter.begun.Store(s.response.Success && s.response.EventStream)
 	s.response.Body = &heardBody{s.response.Body, a.waiter}
 	if s.response.Success {
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -68,6 +68,7 @@
 		if complete > 0 {
 			if !hasEvents {
 				hasEvents = true
+				x.countUsage()
 				x.recordOrigin(a.Engine)
 				s.promptPrefilled()
 				a.waiter.answered()
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -161,6 +161,14 @@
 	Find(ctx context.Context, service, request string) (version string, found bool)
 }
 
+// Usage counts the requests of workspaces that servers began.
+type Usage interface {
+	// Began counts a request that a server has just begun: its first event has arrived, or
+	// the headers of a response that is no stream of events. It is called once for each
+	// request, whatever is retried. It does not block.
+	Began(workspace string)
+}
+
 // Sink writes to the caller.
 type Sink interface {
 	// WriteResponse writes a response whose body has been read completely.
--- a/internal/role/controlrole/bench_test.go
+++ b/internal/role/controlrole/bench_test.go
@@ -166,13 +166,13 @@
 	}
 }
 
-// usage is the CPU time and heap used by this process, in total for all replicas.
-type usage struct {
+// resourceUse is the CPU time and heap used by this process, in total for all replicas.
+type resourceUse struct {
 	cpu  time.Duration
 	heap uint64
 }
 
-func measureUsage(b *testing.B) usage {
+func measureUsage(b *testing.B) resourceUse {
 	b.Helper()
 	var r syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
@@ -181,7 +181,7 @@
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return usage{cpu: time.Duration(r.Utime.Nano() + r.Stime.Nano()), heap: m.HeapAlloc}
+	return resourceUse{cpu: time.Duration(r.Utime.Nano() + r.Stime.Nano()), heap: m.HeapAlloc}
 }
 
 // folderBytes returns the total size of a replica's files.
--- a/internal/role/controlrole/seeded.go
+++ b/internal/role/controlrole/seeded.go
@@ -78,7 +78,10 @@
 	CatchUp time.Duration
 	// RetryBound bounds the retries of all entries together at one service.
 	RetryBound retry.Bound
-	Log        hclog.Logger
+	// UsageWindow is the length of the windows in which entries count the requests of
+	// workspaces; zero if they don't.
+	UsageWindow time.Duration
+	Log         hclog.Logger
 }
 
 // Seeded is a running control process that found its group through seeds.
@@ -89,6 +92,8 @@
 	server   *peerServer
 	hub      *peergrpc.FleetHub
 	detector *quarantine.Detector
+	usage    *usageState
+	gate     *applierGate
 }
 
 // ErrTooFewVoters means that the group has not yet grown to its full size.
@@ -100,8 +105,9 @@
 func RunSeeded(ctx context.Context, o SeededOptions, serve func(context.Context, *Seeded) error) error {
 	// What entries have used outlives a replica that is reopened.
 	retries := retry.NewAggregator(clock.Boot{}, o.RetryBound)
+	counted := newUsageState(o.UsageWindow)
 	for ctx.Err() == nil {
-		if err := runSeededOnce(ctx, o, retries, serve); err != nil && ctx.Err() == nil {
+		if err := runSeededOnce(ctx, o, retries, counted, serve); err != nil && ctx.Err() == nil {
 			o.Log.Error("control replica stopped; reopening it", "pause", reopenDelay, "error", err)
 		}
 		if ctx.Err() == nil {
@@ -111,7 +117,7 @@
 	return nil
 }
 
-func runSeededOnce(ctx context.Context, o SeededOptions, retries *retry.Aggregator, serve func(context.Context, *Seeded) error) error {
+func runSeededOnce(ctx context.Context, o SeededOptions, retries *retry.Aggregator, counted *usageState, serve func(context.Context, *Seeded) error) error {
 	if err := o.formFirstGroup(); err != nil {
 		return err
 	}
@@ -121,7 +127,7 @@
 		return err
 	}
 	stopReplica := r.start(ctx)
-	s := &Seeded{options: o, replica: r, state: state, server: newPeerServer(insecure.NewCredentials())}
+	s := &Seeded{options: o, replica: r, state: state, server: newPeerServer(insecure.NewCredentials()), usage: counted, gate: newApplierGate(r)}
 	s.detector = quarantine.NewDetector(clock.Boot{}, o.Log)
 	s.hub = peergrpc.NewFleetHub(peergrpc.HubOptions{
 		ReplicaID:        r.identity.ReplicaID,
@@ -133,6 +139,8 @@
 		},
 		Quarantine: s.detector,
 		Retries:    retries,
+		Usage:      counted.counts,
+		TrueTime:   counted.time,
 		Log:        o.Log,
 	})
 	err = s.run(ctx, serve)
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -73,6 +73,9 @@
 	Return func(ctx context.Context, e fleet.Engine) error
 	// RetryBound bounds the retries of all entries together at one service.
 	RetryBound retry.Bound
+	// UsageWindow is the length of the windows in which requests of workspaces are counted;
+	// zero if they aren't.
+	UsageWindow time.Duration
 	// Notices holds what engines announced to this entry.
 	Notices *notice.Board
 	// Metrics receives the gauges of the retry budgets and of isolation. If it is nil,
@@ -98,6 +101,7 @@
 	origins     *Origins
 
 	retries *retry.Accounts
+	usage   *usageReporter
 	peers   peers
 	// isolated reports whether the entry reaches no server of a service.
 	isolated func(service string) bool
@@ -153,6 +157,7 @@
 	a.retries = retry.NewAccounts(o.Clock, o.RetryBound, func() { a.watcher.Wake() })
 	a.quarantine.OnCrash(func() { a.watcher.Wake() })
 	a.origins = newOrigins(a)
+	a.usage = newUsageReporter(o)
 	if o.Reach != nil {
 		a.isolation = isolation.New(isolation.Options{
 			Clock: o.Clock, View: a.View, Reach: o.Reach, Return: o.Return, Outlier: a.outlier, OnChange: a.isolationChanged, Log: o.Log,
@@ -185,6 +190,7 @@
 	}
 	budgets := &budgetReporter{agent: a, logged: make(map[string]retry.Usage)}
 	group.Go(func() error { return clock.Every(ctx, budgetReportInterval, budgets.report) })
+	group.Go(func() error { return clock.Every(ctx, usageMetricsInterval, a.usage.measure) })
 	return group.Wait()
 }
 
@@ -246,8 +252,8 @@
 
 // report returns the next report to the control replica source. Work goes to the
 // leader, or to every replica while none is known; holdings and pace go to
-// the leader only, evidence of crashes, rate limits, begun streams and retries to
-// every replica. first is set for the first report of a watch.
+// the leader only, evidence of crashes, rate limits, begun streams, retries and usage
+// to every replica. first is set for the first report of a watch.
 func (a *Agent) report(source string, first bool) peergrpc.Report {
 	r := peergrpc.Report{
 		RetryUses:  a.retries.Pending(source, first),
@@ -255,6 +261,7 @@
 		RateLimits: a.notices.Limits.Pending(source, first),
 		Streams:    a.origins.memory.Pending(source, first),
 	}
+	a.usage.addTo(&r, source, first)
 	leader := a.leader.Load()
 	r.WantWork = leader == nil || a.leaderTimedOut()
 	if r.WantWork || *leader == source {
@@ -309,6 +316,7 @@
 
 // deliver applies an update from a control replica.
 func (a *Agent) deliver(u peergrpc.Update) {
+	a.usage.setTime(u)
 	a.retries.ObserveProcesses(u.Retries.Processes)
 	a.setOtherLoad(u)
 	a.peers.apply(u.Source, u.Peers, u.Leads || a.leader.Load() == nil || a.leaderTimedOut())
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -16,6 +16,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/state/member"
 	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
+	"github.com/lagoonshift/lagoonshift/internal/state/usagelog"
 )
 
 // Command is a command in the replicated log. Exactly one field is set.
@@ -27,6 +28,9 @@
 	// Document replaces the document, whose version numbers the operator
 	// chooses.
 	Document *document.Put `cbor:"30,keyasint,omitempty"`
+	// Usage concerns the reports of usage. Builds before it answer "unknown command", so it
+	// is appended only once all replicas can apply it.
+	Usage *usagelog.Command `cbor:"31,keyasint,omitempty"`
 
 	// The commands below and Change are settings commands.
 
@@ -48,6 +52,7 @@
 	Error  string                 `cbor:"15,keyasint,omitempty"`
 
 	Document *document.Result `cbor:"30,keyasint,omitempty"`
+	Usage    *usagelog.Result `cbor:"31,keyasint,omitempty"`
 }
 
 // Encode returns the command in the form stored in the log.
@@ -79,6 +84,8 @@
 	Orders *orderbook.Book `cbor:"10,keyasint"`
 
 	Document document.Document `cbor:"30,keyasint"`
+	// Usage is left out while it is empty: earlier builds have no such field.
+	Usage *usagelog.Log `cbor:"31,keyasint,omitempty"`
 }
 
 // Store is the replicated state. The log applies commands from one goroutine.
@@ -93,12 +100,15 @@
 	ordersCopy atomic.Pointer[orderbook.Book]
 	// document points to an immutable value, replaced by each Put command.
 	document atomic.Pointer[document.Document]
+	// usage points to an immutable value, replaced by each command on it.
+	usage atomic.Pointer[usagelog.Log]
 }
 
 // New returns an empty state.
 func New() *Store {
 	s := &Store{tree: settings.NewTree(), ledger: ledger.New(), orders: orderbook.New()}
 	s.document.Store(&document.Document{})
+	s.usage.Store(&usagelog.Log{})
 	return s
 }
 
@@ -138,6 +148,10 @@
 		next, result := s.document.Load().Apply(*c.Document)
 		s.document.Store(&next)
 		return Result{Document: &result}
+	case c.Usage != nil:
+		next, result := s.usage.Load().Apply(*c.Usage)
+		s.usage.Store(next)
+		return Result{Usage: &result}
 	}
 	return Result{Error: fmt.Sprintf("unknown command at index %d", index)}
 }
@@ -146,12 +160,16 @@
 func (s *Store) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	encoded, err := encMode.Marshal(snapshot{
+	content := snapshot{
 		Tree:     s.tree,
 		Ledger:   s.ledger.Encode(),
 		Orders:   s.orders,
 		Document: *s.document.Load(),
-	})
+	}
+	if usage := s.usage.Load(); !usage.Empty() {
+		content.Usage = usage
+	}
+	encoded, err := encMode.Marshal(content)
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
@@ -181,6 +199,10 @@
 	s.orders.InitMaps()
 	s.ordersCopy.Store(nil)
 	s.document.Store(&content.Document)
+	if content.Usage == nil {
+		content.Usage = &usagelog.Log{}
+	}
+	s.usage.Store(content.Usage)
 	return nil
 }
 
@@ -189,6 +211,11 @@
 	return *s.document.Load()
 }
 
+// Usage returns the decisions on reports of usage. They must not be modified.
+func (s *Store) Usage() *usagelog.Log {
+	return s.usage.Load()
+}
+
 // View calls read with the settings tree and the ledger while no command runs.
 // The function must not modify them or retain references to them.
 func (s *Store) View(read func(tree *settings.Tree, l *ledger.Ledger)) {
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -23,6 +23,8 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/usage"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/walltime"
 	"github.com/lagoonshift/lagoonshift/internal/state/document"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
@@ -83,7 +85,12 @@
 	Quarantine *quarantine.Detector
 	// Retries records what entries use of the retry budgets.
 	Retries *retry.Aggregator
-	Log     hclog.Logger
+	// Usage sums up what entries count; nil if they don't.
+	Usage *usage.Aggregator
+	// TrueTime estimates the true time from the clocks of the entries. If it is nil, none is
+	// sent.
+	TrueTime *walltime.Estimator
+	Log      hclog.Logger
 }
 
 // FleetHub serves the Fleet service of one control replica. It keeps a list of
@@ -380,6 +387,7 @@
 	h.options.Quarantine.Record(toEvidence(report.GetEvidence()))
 	h.mergeRateLimits(w, report.GetRateLimits())
 	h.origins.Merge(toStreams(report.GetBegunStreams()))
+	h.recordUsage(info, report)
 	w.wantsWork.Store(report.GetWantWork())
 	if report.GetWantDocument() {
 		w.wantsDocument.Store(true)
@@ -547,6 +555,7 @@
 		Entries:         h.ready.Load(),
 		Position:        w.position.Load(),
 		RateLimits:      fromRateLimits(h.pendingRateLimits(w)),
+		TrueMs:          h.trueMs(),
 	}
 	if info := w.info.Load(); info != nil {
 		update.RetryDeployment = fromRetryDeployment(h.options.Retries.Deployment(info.Incarnation))
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -19,6 +19,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/usage"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
@@ -51,6 +52,10 @@
 	// RetryUses is what the entry has used of the retry budgets, where the replica
 	// doesn't know it.
 	RetryUses []retry.Use
+	// Wall is the entry's time of day, or zero. Usage are the counts of requests that the
+	// replica doesn't know yet.
+	Wall  time.Time
+	Usage []usage.Count
 }
 
 // Update is a control replica's message to an entry.
@@ -85,6 +90,8 @@
 	Retries retry.Deployment
 	// Peers is the change in the entries that take requests from others.
 	Peers forward.Change
+	// TrueTime is the replica's estimate of the true time, or zero.
+	TrueTime time.Time
 	// ReportAfter is how long after the last report the replica expects the next
 	// one.
 	ReportAfter time.Duration
@@ -339,6 +346,7 @@
 	out.RateLimits = fromRateLimits(r.RateLimits)
 	out.BegunStreams = fromStreams(r.Streams)
 	out.RetryUses = fromRetryUses(r.RetryUses)
+	out.WallMs, out.Usage = fromWall(r.Wall), fromUsage(r.Usage)
 	return out
 }
 
@@ -362,6 +370,7 @@
 		PartLists:       toPartLists(m),
 		Retries:         toRetryDeployment(m.GetRetryDeployment()),
 		Peers:           toForwardPeers(m),
+		TrueTime:        toWall(m.GetTrueMs()),
 	}
 	if m.GetHasEngines() {
 		if out.Engines, err = toEngineList(m); err != nil {
--- a/internal/transport/peergrpc/replicaserver.go
+++ b/internal/transport/peergrpc/replicaserver.go
@@ -72,6 +72,7 @@
 }
 
 func (r *ReplicaServer) receive(stream grpc.ClientStreamingServer[peerpb.Envelope, peerpb.DeliverResponse]) error {
+	announced := announcedCommandSets(stream.Context())
 	for {
 		envelope, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
@@ -85,6 +86,7 @@
 		}
 		for _, m := range envelope.GetMessages() {
 			r.options.Transport.setAddress(m.GetFrom(), envelope.GetFromAddress())
+			r.options.Transport.setCommandSets(m.GetFrom(), announced)
 			r.options.Node.Deliver(fromProto(m))
 		}
 	}
--- a/internal/transport/peergrpc/replicatransport.go
+++ b/internal/transport/peergrpc/replicatransport.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagoonshift/lagoonshift/internal/coordination/raft"
+	"github.com/lagoonshift/lagoonshift/internal/state/store"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
@@ -44,7 +45,9 @@
 	mu sync.Mutex // guards the fields below
 	// addresses holds the address from which each replica last sent.
 	addresses map[uint64]string
-	senders   map[uint64]*sender
+	// applied holds the command sets that each replica last announced.
+	applied map[uint64][]store.CommandSet
+	senders map[uint64]*sender
 }
 
 // NewReplicaTransport returns a transport for the replica at the peer address
@@ -59,6 +62,7 @@
 		ctx:       ctx,
 		cancel:    cancel,
 		addresses: make(map[uint64]string),
+		applied:   make(map[uint64][]store.CommandSet),
 		senders:   make(map[uint64]*sender),
 	}
 }
@@ -151,7 +155,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := peerpb.NewReplicaClient(conn).Deliver(ctx)
+	stream, err := peerpb.NewReplicaClient(conn).Deliver(announceCommandSets(ctx))
 	if err != nil {
 		return fmt.Errorf("open stream to %s: %w", s.address, err)
 	}
