--- a/internal/protocol/usage/reporter.go
+++ b/internal/protocol/usage/reporter.go
@@ -25,9 +25,15 @@
 	// they are missing: those of which entries keep the counts.
 	maxMissing = 12
 	// After a failed call the next one waits firstPause, and twice as long after each
-	// further one, up to maxPause.
-	firstPause = 250 * time.Millisecond
-	maxPause   = 5 * time.Second
+	// further one, up to maxPause; the next decision after a failed one waits at most
+	// maxDecisionPause. With a call of 1.5 s and the longest pause, a report is still sent
+	// once in the 6 s between its decision and the time at which it is due.
+	firstPause       = 250 * time.Millisecond
+	maxPause         = 3 * time.Second
+	maxDecisionPause = time.Second
+	// maxAttempted bounds the reports of which failed sends are counted. Reports that have
+	// left the history are among them.
+	maxAttempted = 256
 	// commitTimeout bounds the commit of one command: an election and a slow disk.
 	commitTimeout = 2 * time.Second
 )
@@ -74,12 +80,11 @@
 	delivered map[uint64]bool
 	// attempts counts the failed sends of each report.
 	attempts map[uint64]int
-	// sendAfter is when the next call may be made, pause is how long the newest failure
-	// delayed it.
-	sendAfter clock.Instant
-	pause     time.Duration
-	// state is what was last logged on why nothing is sent.
-	state string
+	// sends and decisions say when the next call and the next commit may be made.
+	sends, decisions backoff
+	// state and decisionError are what was last logged of what the reporter does, and of
+	// why a window isn't decided; an upgrade may take long.
+	state, decisionError string
 }
 
 // NewReporter returns a reporter. Its Step method must be called a few times a second.
@@ -87,11 +92,11 @@
 	return &Reporter{options: o, delivered: make(map[uint64]bool), attempts: make(map[uint64]int)}
 }
 
-// Step decides the windows that are due, marks reports that were accepted, and makes at
+// Step decides the windows that are due, records reports that were accepted, and makes at
 // most one call.
 func (r *Reporter) Step(ctx context.Context) {
 	// Asked for each time, since the quiet period of a new holder begins with the first call.
-	permit, err := r.options.Holder.Permit(Matter)
+	_, err := r.options.Holder.Permit(Matter)
 	if errors.Is(err, duty.ErrNotHolder) {
 		// What was accepted stays known: if this replica holds the duties again, it
 		// doesn't repeat the call.
@@ -99,7 +104,7 @@
 		return
 	}
 	r.decideDue(ctx)
-	r.markDelivered(ctx)
+	r.recordDelivered(ctx)
 	switch {
 	case errors.Is(err, duty.ErrQuiet):
 		r.note("waiting for the end of earlier calls")
@@ -107,7 +112,7 @@
 		r.note("stopped: a newer holder has been seen")
 	case err == nil:
 		r.note("reporting")
-		r.sendOldest(ctx, permit)
+		r.sendOldest(ctx)
 	}
 }
 
@@ -122,7 +127,7 @@
 // decideDue decides the windows that are due and not yet decided, oldest first.
 func (r *Reporter) decideDue(ctx context.Context) {
 	now, ok := r.options.Now()
-	if !ok || !r.options.Counts.Complete() {
+	if !ok || !r.options.Counts.Complete() || !r.decisions.over(r.options.Clock) {
 		return
 	}
 	newest, ok := newestDue(now, r.options.Window)
@@ -135,10 +140,15 @@
 		}
 		if err := r.decide(ctx, window); err != nil {
 			r.stats.decisionsFailed.Add(1)
-			r.options.Log.Warn("usage window not decided", "window", window, "error", err)
+			r.decisions.failed(r.options.Clock, maxDecisionPause)
+			if text := err.Error(); text != r.decisionError {
+				r.decisionError = text
+				r.options.Log.Warn("usage window not decided; trying again", "window", window, "error", err)
+			}
 			return
 		}
 	}
+	r.decisions, r.decisionError = backoff{}, ""
 }
 
 // newestDue returns the newest window to be decided; ok is false if there is none.
@@ -189,9 +199,12 @@
 	return nil
 }
 
-// markDelivered commits that reports were accepted.
-func (r *Reporter) markDelivered(ctx context.Context) {
+// recordDelivered commits that reports were accepted.
+func (r *Reporter) recordDelivered(ctx context.Context) {
 	for window := range r.delivered {
+		if !r.decisions.over(r.options.Clock) {
+			return
+		}
 		if d, found := r.options.History.Usage().Find(window); !found || d.Delivered {
 			delete(r.delivered, window)
 			continue
@@ -200,6 +213,7 @@
 		_, err := r.options.History.CommitUsage(commitCtx, usagelog.Command{Delivered: &usagelog.Delivered{Window: window}})
 		cancel()
 		if err != nil {
+			r.decisions.failed(r.options.Clock, maxDecisionPause)
 			r.options.Log.Warn("delivery of usage report not recorded; trying again", "window", window, "error", err)
 			return
 		}
@@ -209,34 +223,36 @@
 
 // sendOldest sends one report that isn't known to be delivered: of those that failed the
 // fewest times, the oldest, so that one that is never accepted doesn't hold up the others.
-func (r *Reporter) sendOldest(ctx context.Context, p duty.Permit) {
-	now := r.options.Clock.Now()
+func (r *Reporter) sendOldest(ctx context.Context) {
 	next, found := r.nextReport()
-	if !found || now.Before(r.sendAfter) {
+	if !found || !r.sends.over(r.options.Clock) {
 		return
 	}
-	began := now
-	err := r.options.Send(ctx, p, next.Report)
-	now = r.options.Clock.Now()
-	end := EndOf(next.Window, r.options.Window)
-	age := time.Duration(0)
-	if t, ok := r.options.Now(); ok {
-		age = t.Sub(end)
-	}
+	// Commits may have taken long since the last check.
+	permit, err := r.options.Holder.Permit(Matter)
 	if err != nil {
-		r.failed(next.Window, p, err)
 		return
 	}
+	began := r.options.Clock.Now()
+	if err := r.options.Send(ctx, permit, next.Report); err != nil {
+		r.sendFailed(next.Window, permit, err)
+		return
+	}
+	now := r.options.Clock.Now()
+	age := time.Duration(0)
+	if t, ok := r.options.Now(); ok {
+		age = t.Sub(EndOf(next.Window, r.options.Window))
+	}
 	r.stats.sent.Add(1)
 	if age > r.options.Due {
 		r.stats.late.Add(1)
 	}
-	r.options.Log.Info("usage report delivered", "window", next.Window, "token", p.Token, "age_ms", age.Milliseconds(),
+	r.options.Log.Info("usage report delivered", "window", next.Window, "token", permit.Token, "age_ms", age.Milliseconds(),
 		"ms", now.Sub(began).Milliseconds(), "attempts", r.attempts[next.Window]+1, "bytes", len(next.Report))
 	delete(r.attempts, next.Window)
 	r.delivered[next.Window] = true
-	r.pause, r.sendAfter = 0, now.Add(r.options.MinInterval)
-	r.markDelivered(ctx)
+	r.sends = backoff{until: now.Add(r.options.MinInterval)}
+	r.recordDelivered(ctx)
 }
 
 // nextReport returns the decision whose report is sent next.
@@ -251,18 +267,31 @@
 	return next, found
 }
 
-// failed records a failed call.
-func (r *Reporter) failed(window uint64, p duty.Permit, err error) {
+// sendFailed records a failed call.
+func (r *Reporter) sendFailed(window uint64, p duty.Permit, err error) {
 	r.stats.failed.Add(1)
 	if errors.Is(err, ErrRefused) {
 		r.options.Holder.Refused(Matter, p.Token)
 	}
-	if len(r.attempts) >= maxMissing*maxMissing {
-		clear(r.attempts) // of windows that have left the history
+	if len(r.attempts) >= maxAttempted {
+		clear(r.attempts)
 	}
 	r.attempts[window]++
-	r.pause = min(max(firstPause, 2*r.pause), maxPause)
-	r.sendAfter = r.options.Clock.Now().Add(max(r.pause, r.options.MinInterval))
+	r.sends.failed(r.options.Clock, maxPause)
 	r.options.Log.Warn("usage report not delivered", "window", window, "token", p.Token, "attempts", r.attempts[window],
-		"pause_ms", r.pause.Milliseconds(), "error", err)
+		"pause_ms", r.sends.pause.Milliseconds(), "error", err)
+}
+
+// backoff delays what failed, each time for twice as long.
+type backoff struct {
+	until clock.Instant
+	pause time.Duration
+}
+
+// over reports whether the delay is over.
+func (b *backoff) over(c clock.Clock) bool { return !c.Now().Before(b.until) }
+
+func (b *backoff) failed(c clock.Clock, longest time.Duration) {
+	b.pause = min(max(firstPause, 2*b.pause), longest)
+	b.until = c.Now().Add(b.pause)
 }
--- a/internal/protocol/walltime/estimator.go
+++ b/internal/protocol/walltime/estimator.go
@@ -35,7 +35,7 @@
 
 // NewEstimator returns an estimator of a replica that starts now.
 func NewEstimator(c clock.Clock) *Estimator {
-	return &Estimator{clock: c, started: c.Now(), sources: make(sources)}
+	return &Estimator{clock: c, started: c.Now(), sources: newSources()}
 }
 
 // Record adds an entry's reading of its clock, which has just arrived.
@@ -62,7 +62,7 @@
 // one is better: the replica may be cut off, and its own clock may be wrong. e.mu must be
 // held.
 func (e *Estimator) compute(now clock.Instant) {
-	offsets := e.sources.fresh(now)
+	offsets := e.sources.offsets()
 	if len(offsets) == 0 {
 		return
 	}
@@ -79,7 +79,7 @@
 func (e *Estimator) Clocks() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.sources) + 1
+	return len(e.sources.filters) + 1
 }
 
 // Skew returns how far the replica's own clock is ahead of the estimate, or zero if there is
--- a/internal/protocol/walltime/follower.go
+++ b/internal/protocol/walltime/follower.go
@@ -21,7 +21,7 @@
 
 // NewFollower returns a follower without an estimate.
 func NewFollower(c clock.Clock) *Follower {
-	return &Follower{clock: c, sources: make(sources)}
+	return &Follower{clock: c, sources: newSources()}
 }
 
 // Record adds an estimate of a control replica, which has just arrived.
@@ -30,7 +30,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sources.record(now, replica, estimate)
-	f.offset, f.known = median(f.sources.fresh(now)), true
+	f.offset, f.known = median(f.sources.offsets()), true
 }
 
 // Now returns the true time as far as it is known: by the newest estimate, however old that
--- a/internal/protocol/walltime/sources.go
+++ b/internal/protocol/walltime/sources.go
@@ -15,35 +15,49 @@
 	// maxSourceAge is the time after which the clock of a source that sends nothing no longer
 	// counts.
 	maxSourceAge = 10 * time.Second
-	// A filter keeps filterBuckets buckets. Each of them holds samples of at least
-	// bucketLength and at least bucketSamples of them: after a suspension of the process,
-	// the samples that waited in its socket are too old, and may be as many as were sent
-	// within six heartbeats of a watch.
+	// A filter keeps the samples of filterBuckets intervals of bucketLength. That is longer
+	// than all delays but those of a suspended process.
 	filterBuckets = 3
-	bucketLength  = time.Second
-	bucketSamples = 24
+	bucketLength  = 2 * time.Second
+	// maxSampleGap bounds what a time without samples counts for the age of samples. After
+	// a suspension of this process, messages that waited in its sockets arrive first;
+	// what they say is too old by the length of the suspension.
+	maxSampleGap = 500 * time.Millisecond
 )
 
 // sources holds the offsets of the clocks of named sources from this process's steady
 // clock.
-type sources map[string]*filter
+type sources struct {
+	filters map[string]*filter
+	// awake is the time in which samples arrived, and newest the arrival of the newest one.
+	awake  time.Duration
+	newest clock.Instant
+}
+
+func newSources() sources {
+	return sources{filters: make(map[string]*filter)}
+}
 
 // record adds a reading of a source's clock, which has just arrived.
-func (s sources) record(now clock.Instant, name string, wall time.Time) {
-	f := s[name]
+func (s *sources) record(now clock.Instant, name string, wall time.Time) {
+	if len(s.filters) > 0 {
+		s.awake += min(now.Sub(s.newest), maxSampleGap)
+	}
+	s.newest = now
+	f := s.filters[name]
 	if f == nil {
-		f = &filter{bucketSince: now}
-		s[name] = f
+		f = &filter{bucketSince: s.awake}
+		s.filters[name] = f
 	}
-	f.add(now, wall.UnixNano()-int64(now))
+	f.add(s.awake, wall.UnixNano()-int64(now))
 }
 
-// fresh drops the sources that have sent nothing for long and returns the offsets of the
-// others.
-func (s sources) fresh(now clock.Instant) []int64 {
-	maps.DeleteFunc(s, func(_ string, f *filter) bool { return now.Sub(f.newest) > maxSourceAge })
-	out := make([]int64, 0, len(s)+1)
-	for _, f := range s {
+// offsets drops the sources that have sent nothing for long, while others have, and returns
+// the offsets of the others.
+func (s *sources) offsets() []int64 {
+	maps.DeleteFunc(s.filters, func(_ string, f *filter) bool { return s.awake-f.newest > maxSourceAge })
+	out := make([]int64, 0, len(s.filters)+1)
+	for _, f := range s.filters {
 		out = append(out, f.offset())
 	}
 	return out
@@ -56,24 +70,21 @@
 	// which count are in use.
 	largest [filterBuckets]int64
 	count   int
-	// samples counts those of the current bucket, which began at bucketSince.
-	samples     int
-	bucketSince clock.Instant
-	newest      clock.Instant
+	// bucketSince is when the current bucket began, and newest when the newest sample
+	// arrived.
+	bucketSince, newest time.Duration
 }
 
-func (f *filter) add(now clock.Instant, offset int64) {
+func (f *filter) add(now time.Duration, offset int64) {
 	f.newest = now
-	if f.samples >= bucketSamples && now.Sub(f.bucketSince) >= bucketLength {
+	switch {
+	case f.count == 0 || now-f.bucketSince >= bucketLength:
 		copy(f.largest[1:], f.largest[:])
-		f.samples, f.bucketSince = 0, now
-	}
-	if f.samples == 0 {
 		f.largest[0] = offset
-		f.count = min(f.count+1, filterBuckets)
+		f.count, f.bucketSince = min(f.count+1, filterBuckets), now
+	default:
+		f.largest[0] = max(f.largest[0], offset)
 	}
-	f.largest[0] = max(f.largest[0], offset)
-	f.samples++
 }
 
 func (f *filter) offset() int64 {
