Exchange: tests of counting; a stream counts at its first event, replaced or not

A stream whose silent server sent its first event just as its replacement began was counted only with the first event of the replacement, and not at all if that sent none. It is counted when the event is read.

--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -93,6 +93,7 @@
 	budget  *retry.Account
 	origins *fakeOrigins
 	notices *notice.Board
+	usage   beganRequests
 }
 
 func newFixture(replies ...reply) *fixture {
@@ -122,6 +123,7 @@
 		Quarantine: w.quarantine,
 		Origins:    w.origins,
 		Notices:    w.notices,
+		Usage:      &w.usage,
 		Budget:     w.account,
 		Random:     func(int) int { return 0 },
 		Log:        hclog.NewNullLogger(),
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -53,6 +53,9 @@
 		if valid := validEventsLen(pending[:complete]); valid < complete {
 			complete, readErr = valid, errNoEvents
 		}
+		if complete > 0 {
+			x.countUsage()
+		}
 		// Stopped until the next read: a caller that reads slowly does not make the
 		// server silent.
 		ended := readErr == io.EOF
@@ -68,7 +71,6 @@
 		if complete > 0 {
 			if !hasEvents {
 				hasEvents = true
-				x.countUsage()
 				x.recordOrigin(a.Engine)
 				s.promptPrefilled()
 				a.waiter.answered()
