--- a/internal/protocol/usage/aggregator.go
+++ b/internal/protocol/usage/aggregator.go
@@ -34,6 +34,9 @@
 	// dropped counts the counts that were left out: of windows that are too old or too far
 	// ahead, or beyond maxCells.
 	dropped uint64
+	// decided is the newest window that this replica has decided, and late the number of
+	// requests reported later for such windows.
+	decided, late uint64
 }
 
 // summedWindow holds the counts of one window by workspace.
@@ -96,10 +99,22 @@
 	if c.Requests > before || !known {
 		s.counts[incarnation] = c.Requests
 		s.total += c.Requests - before
+		if c.Window <= a.decided {
+			a.late += c.Requests - before
+		}
 	}
 	return true
 }
 
+// Decided returns how many requests of each workspace began in a window, which is decided
+// with that.
+func (a *Aggregator) Decided(window uint64) map[string]uint64 {
+	a.mu.Lock()
+	a.decided = max(a.decided, window)
+	a.mu.Unlock()
+	return a.Counts(window)
+}
+
 // forget drops the windows before a given one. a.mu must be held.
 func (a *Aggregator) forget(first uint64) {
 	maps.DeleteFunc(a.windows, func(window uint64, w *summedWindow) bool {
@@ -151,9 +166,10 @@
 	return a.Age() >= warmUp
 }
 
-// Dropped returns the number of counts that were left out.
-func (a *Aggregator) Dropped() uint64 {
+// Missed returns the number of requests that were reported after their window was decided
+// here, and the number of counts that were left out.
+func (a *Aggregator) Missed() (late, dropped uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.dropped
+	return a.late, a.dropped
 }
--- a/internal/protocol/usage/counting_test.go
+++ b/internal/protocol/usage/counting_test.go
@@ -98,8 +98,8 @@
 				t.Errorf("replica %s has %v in window %d, want %v", name, got, window, counts)
 			}
 		}
-		if len(want) != 9 || replica.Dropped() != 0 {
-			t.Errorf("replica %s dropped %d counts of %d windows, want none of 9", name, replica.Dropped(), len(want))
+		if len(want) != 9 || replica.dropped != 0 {
+			t.Errorf("replica %s dropped %d counts of %d windows, want none of 9", name, replica.dropped, len(want))
 		}
 	}
 }
@@ -151,8 +151,25 @@
 	}
 	current := WindowOf(c.now, testWindow)
 	replica.Record(2, []Count{{Window: current - 13, Workspace: "a", Requests: 1}, {Window: current + 3, Workspace: "a", Requests: 1}})
-	if replica.Dropped() != 2 || len(replica.windows) != 13 {
-		t.Errorf("dropped %d counts of windows too old or too far ahead, want 2", replica.Dropped())
+	if replica.dropped != 2 || len(replica.windows) != 13 {
+		t.Errorf("dropped %d counts of windows too old or too far ahead, want 2", replica.dropped)
+	}
+}
+
+// TestLateCountsAreKnown guards against requests that are missing in a report unnoticed.
+func TestLateCountsAreKnown(t *testing.T) {
+	c := newManualClock()
+	replica := NewAggregator(c, testWindow, c.estimate)
+	k := WindowOf(c.now, testWindow)
+	replica.Record(1, []Count{{Window: k, Workspace: "a", Requests: 4}})
+	if got := replica.Decided(k); got["a"] != 4 {
+		t.Errorf("decided with %v, want 4 of a", got)
+	}
+	for range 2 {
+		replica.Record(1, []Count{{Window: k, Workspace: "a", Requests: 6}, {Window: k + 1, Workspace: "a", Requests: 9}})
+	}
+	if late, dropped := replica.Missed(); late != 2 || dropped != 0 {
+		t.Errorf("%d requests count as late and %d counts as left out, want 2 and none", late, dropped)
 	}
 }
 
@@ -171,8 +188,8 @@
 	for incarnation := range uint64(maxCells/maxCounts + 1) {
 		replica.Record(incarnation, counts)
 	}
-	if replica.cells != maxCells || replica.Dropped() != maxCounts {
-		t.Errorf("replica keeps %d counts and dropped %d, want %d and %d", replica.cells, replica.Dropped(), maxCells, maxCounts)
+	if replica.cells != maxCells || replica.dropped != maxCounts {
+		t.Errorf("replica keeps %d counts and dropped %d, want %d and %d", replica.cells, replica.dropped, maxCells, maxCounts)
 	}
 	c.advance(2 * Retention)
 	counter.Began("a")
--- a/internal/protocol/usage/reporter.go
+++ b/internal/protocol/usage/reporter.go
@@ -173,7 +173,7 @@
 
 // decide commits the report of a window. What another holder has decided before stays.
 func (r *Reporter) decide(ctx context.Context, window uint64) error {
-	counts := r.options.Counts.Counts(window)
+	counts := r.options.Counts.Decided(window)
 	report, err := r.options.Encode(window, counts)
 	if err != nil {
 		return err
--- a/internal/transport/peergrpc/commandsets.go
+++ b/internal/transport/peergrpc/commandsets.go
@@ -14,10 +14,9 @@
 // metadata and ignore it.
 const commandSetsKey = "lagoonshift-command-sets"
 
-// announceCommandSets returns a context for a stream on which this build's command sets
-// are announced.
-func announceCommandSets(ctx context.Context) context.Context {
-	for _, set := range store.CommandSets() {
+// announceCommandSets returns a context for a stream on which command sets are announced.
+func announceCommandSets(ctx context.Context, sets []store.CommandSet) context.Context {
+	for _, set := range sets {
 		ctx = metadata.AppendToOutgoingContext(ctx, commandSetsKey, string(set))
 	}
 	return ctx
--- a/internal/transport/peergrpc/replica_test.go
+++ b/internal/transport/peergrpc/replica_test.go
@@ -32,6 +32,9 @@
 	node     *raft.Node
 	store    *store.Store
 	log      *ForwardingLog
+	// old is set if the replica announces no command sets, as earlier builds don't.
+	old       bool
+	transport *ReplicaTransport
 }
 
 // shortTiming makes elections quick; no test checks times.
@@ -39,6 +42,12 @@
 
 // startReplica starts a replica. Replica 1 initializes the group.
 func startReplica(t *testing.T, id uint64, name string) *testReplica {
+	t.Helper()
+	return startReplicaOf(t, id, name, false)
+}
+
+// startReplicaOf is like startReplica; old is set for a replica of an earlier build.
+func startReplicaOf(t *testing.T, id uint64, name string, old bool) *testReplica {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -48,6 +57,7 @@
 		identity: raftstore.Identity{Deployment: "d", Name: name, ReplicaID: id, ClusterID: "c"},
 		address:  listener.Addr().String(),
 		store:    store.New(),
+		old:      old,
 	}
 	folder := memdisk.New(id).Open(nil)
 	if id == 1 {
@@ -70,6 +80,10 @@
 	}
 	pool := NewPool(insecure.NewCredentials())
 	transport := NewReplicaTransport(pool, r.identity.ClusterID, r.address, hclog.NewNullLogger())
+	if r.old {
+		transport.commandSets = nil
+	}
+	r.transport = transport
 	r.node, err = raft.New(raft.Options{
 		ID:           r.identity.ReplicaID,
 		ClusterID:    r.identity.ClusterID,
--- a/internal/transport/peergrpc/replicatransport.go
+++ b/internal/transport/peergrpc/replicatransport.go
@@ -36,7 +36,9 @@
 	clusterID string
 	// self is this replica's peer address.
 	self string
-	log  hclog.Logger
+	// commandSets are those that this replica applies.
+	commandSets []store.CommandSet
+	log         hclog.Logger
 
 	ctx            context.Context
 	cancel         context.CancelFunc
@@ -58,6 +60,9 @@
 		pool:      pool,
 		clusterID: clusterID,
 		self:      self,
+
+		commandSets: store.CommandSets(),
+
 		log:       log,
 		ctx:       ctx,
 		cancel:    cancel,
@@ -155,7 +160,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := peerpb.NewReplicaClient(conn).Deliver(announceCommandSets(ctx))
+	stream, err := peerpb.NewReplicaClient(conn).Deliver(announceCommandSets(ctx, s.transport.commandSets))
 	if err != nil {
 		return fmt.Errorf("open stream to %s: %w", s.address, err)
 	}
