Prefill queue: a saturated queue shares capacity among workspaces

Cause: the saturated queue knew routes and priorities only, and a repeat counted like a request.

Within a kind and priority the queue takes the workspace first that has least of its target; workspaces 1.25 times over their targets find a shorter queue. Without workspaces nothing is weighed.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -16,6 +16,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/buffer"
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/isolation"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
@@ -50,6 +51,9 @@
 	// Origins knows which software version began each stream. If it is nil, New
 	// creates one that knows the streams of this process.
 	Origins Origins
+	// Uses records what workspaces asked for and were granted. If it is nil, New creates an
+	// empty record.
+	Uses *fairshare.Uses
 	// Pace counts the streams. If it is nil, New creates a counter.
 	Pace *fleet.PaceCounter
 	// Budget returns this entry's account of a service's retry budget.
@@ -107,7 +111,7 @@
 	c.contacts = newContacts(c)
 	c.ending, c.end = context.WithCancel(context.Background())
 	o.Isolation.OnReturn(c.serversReturned)
-	c.prefills = prefillqueue.New(prefillqueue.Options{Engines: c.prefillBacklog, Tracker: o.Tracker})
+	c.prefills = prefillqueue.New(prefillqueue.Options{Engines: c.prefillBacklog, Tracker: o.Tracker, Uses: o.Uses})
 	return c
 }
 
@@ -304,6 +308,8 @@
 	quarantineLeft time.Duration
 	// slot holds the reservation of a slot for the next stream, or is nil.
 	slot *prefillqueue.Grant
+	// queued is set once the request has been in the prefill queue.
+	queued bool
 	// endStream ends the count of the request's stream, or is nil.
 	endStream func()
 	// roomAfter is how long it takes until overloaded engines have room.
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -223,6 +223,7 @@
 // begin the request before its caller leaves.
 func (x *exchange) acquire(ctx context.Context, p prefillqueue.Prompt) (*prefillqueue.Grant, error) {
 	x.endReservation()
+	p.Again, x.queued = x.queued, true
 	grant, err := x.prefills.Acquire(ctx, p)
 	if full := (*prefillqueue.NoRoomError)(nil); errors.As(err, &full) {
 		x.roomAfter = full.RetryAfter
@@ -292,6 +293,8 @@
 		Workspace: x.request.Workspace,
 		Priority:  x.request.priority(),
 		Tokens:    prompt.Unshared(),
+		Output:    prompt.Output,
+		Key:       prompt.Key(),
 		Arrived:   x.started,
 		Objective: x.request.Route.Objective,
 		Asked:     x.firstAsked(),
--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -94,6 +94,15 @@
 	return shared[len(shared)-1].ID, tokens
 }
 
+// Key returns what repeats of a request have in common with it, and no other requests: the
+// ID of the unique part. It is empty if the request declares no parts.
+func (p Prompt) Key() string {
+	if len(p.Parts) == 0 {
+		return ""
+	}
+	return p.Parts[len(p.Parts)-1].ID
+}
+
 // SharedParts returns the IDs of the parts that other requests may have too. A
 // nil prompt has none.
 func (p *Prompt) SharedParts() []string {
--- a/internal/protocol/prefillqueue/overload.go
+++ b/internal/protocol/prefillqueue/overload.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"errors"
 	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
 )
 
 // The decisions below are built for a demand above the engines' capacity, for prefill or
@@ -32,6 +34,9 @@
 	// firstServedFrom is the part of the first requests of a kind that must be granted for
 	// late ones to be taken whose callers come back after a refusal.
 	firstServedFrom = 0.9
+	// farOver is the multiple of its target from which on a workspace's prompts are refused
+	// before those of others.
+	farOver = 1.25
 )
 
 // ErrNoRoom is matched by the error of Acquire for a prompt that the engines would
@@ -79,6 +84,8 @@
 	active int
 	// arrived and granted are the flows of all kinds.
 	arrived, granted flow
+	// shares are the targets of workspaces, or nil if there are no workspaces.
+	shares *fairshare.Shares
 }
 
 // kindState is what a saturated queue knows of a kind of prompts.
@@ -154,15 +161,15 @@
 // would make it late.
 //
 // In a saturated queue the kind that is served least goes first, and then the most urgent
-// prompt. The oldest goes first there, since no more are taken into the queue than can be
-// in time.
+// prompt. Among these the workspace goes first that was granted least of its target, and
+// then the oldest prompt, since no more are taken into the queue than can be in time.
 func (s *situation) compare(a, b *waiter) int {
 	rankA, rankB := s.rankOf(a), s.rankOf(b)
 	if rankA != rankB {
 		return cmp.Compare(rankA, rankB)
 	}
 	if s.saturated() {
-		return cmp.Or(cmp.Compare(s.of(a).served, s.of(b).served), cmp.Compare(a.Priority, b.Priority), a.Arrived.Compare(b.Arrived))
+		return cmp.Or(cmp.Compare(s.of(a).served, s.of(b).served), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.over, b.over), a.Arrived.Compare(b.Arrived))
 	}
 	if rankA == rankInTime {
 		return cmp.Or(cmp.Compare(a.Objective, b.Objective), b.Arrived.Compare(a.Arrived))
@@ -170,6 +177,20 @@
 	return cmp.Or(cmp.Compare(a.Objective, b.Objective), a.Arrived.Compare(b.Arrived))
 }
 
+// weighWorkspaces sets what each waiting prompt's workspace will have been granted. Prompts
+// of one workspace are weighed in their present order, so that a workspace with many
+// prompts doesn't get all grants of one moment.
+func (s *situation) weighWorkspaces(waiting []*waiter) {
+	if s.shares == nil {
+		return
+	}
+	ahead := make(map[string]float64)
+	for _, w := range waiting {
+		ahead[w.Workspace] += w.cost()
+		w.over = s.shares.Ratio(w.Workspace, ahead[w.Workspace])
+	}
+}
+
 // rank is the first sort criterion; lower ranks go first.
 type rank int
 
@@ -254,6 +275,9 @@
 	} else if s.rankOf(w) == rankLate {
 		overtaking = r.arrived
 	}
+	if ratio := s.shares.Ratio(w.Workspace, 0); ratio > farOver {
+		left /= ratio
+	}
 	pace := s.pace(r)
 	// The first one goes with the next grant.
 	if s.slotsShort && r.ahead.prompts-1 > (pace.prompts-overtaking.prompts)*left {
@@ -263,9 +287,11 @@
 }
 
 // yields reports whether a prompt whose caller has come back, too late for its objective, is
-// to be refused, since first requests of its kind are refused.
+// to be refused, since first requests of its kind are refused. A workspace that was
+// granted less than its target doesn't yield to the others.
 func (s *situation) yields(w *waiter) bool {
-	return s.saturated() && w.returning() && !w.Resumed && !s.inTime(w) && s.of(w).first < firstServedFrom
+	return s.saturated() && w.returning() && !w.Resumed && !s.inTime(w) && s.of(w).first < firstServedFrom &&
+		(s.shares == nil || s.shares.Ratio(w.Workspace, 0) >= 1)
 }
 
 // pace returns the flow at which a kind's prompts can be granted: a little more than was
@@ -280,13 +306,15 @@
 
 // noRoom returns the error for a prompt that is refused. The time until there is room
 // is that to work off what waits of its kind, and what would join it if the overload
-// lasted as long again.
+// lasted as long again, and at least the time after which its workspace has no more than
+// its target.
 func (s *situation) noRoom(w *waiter) error {
 	after := 0.0
 	if s.saturated() {
 		r := s.of(w)
 		excess := max(0, r.arrived.prompts/max(1, r.granted.prompts)-1)
 		after = r.ahead.prompts/max(1, r.granted.prompts) + excess*s.saturatedFor.Seconds()
+		after = max(after, s.shares.Wait(w.Workspace).Seconds())
 	}
 	return &NoRoomError{RetryAfter: secondsToDuration(min(maxRetryAfter.Seconds(), after))}
 }
--- a/internal/protocol/prefillqueue/prefillqueue.go
+++ b/internal/protocol/prefillqueue/prefillqueue.go
@@ -8,12 +8,12 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 )
 
@@ -47,58 +47,6 @@
 	recheckInterval = 10 * time.Millisecond
 )
 
-// Prompt holds what the order of waiting prompts depends on.
-type Prompt struct {
-	Service string
-	Route   string
-	// Workspace is the caller's, or empty.
-	Workspace string
-	// Priority is the route's or the workspace's; zero is the most urgent.
-	Priority int
-	// Local is set if the engine that decodes prefills the prompt itself.
-	Local bool
-	// Tokens is the number of tokens to prefill.
-	Tokens int
-	// Arrived is when the request arrived, and Objective the time from then
-	// within which the first event is due.
-	Arrived   time.Time
-	Objective time.Duration
-	// Asked is when the caller first sent the request, as far as is known: before Arrived
-	// if it was refused and has come back. Zero stands for Arrived.
-	Asked time.Time
-	// GiveUp is when the caller stops waiting for the first event; zero if that is not
-	// known.
-	GiveUp time.Time
-	// Resumed is set for a stream whose caller has already received events;
-	// such prompts go first and are never refused.
-	Resumed bool
-}
-
-// Engines is the state of the engines that a service can use.
-type Engines struct {
-	// Count is the number of those that prefill.
-	Count int
-	// Tokens is the number of prompt tokens of all entries that are pending at
-	// these.
-	Tokens int
-	// MinTokens is the number of tokens pending at the least loaded engine.
-	MinTokens int
-	// Slots is the number of streams that the engines decode concurrently, zero if it
-	// isn't known, and Streams that of all entries' streams at these engines, of which
-	// there are Decoding.
-	Slots, Streams, Decoding int
-}
-
-// SlotsShort reports whether the engines that decode have few free slots.
-func (e Engines) SlotsShort() bool {
-	return e.Slots > 0 && float64(e.Streams) >= slotsShortFrom*float64(e.Slots)
-}
-
-// streamsTarget returns the number of streams up to which further ones are begun.
-func (e Engines) streamsTarget() float64 {
-	return float64(e.Slots) + slotsMargin*math.Sqrt(float64(e.Slots)*float64(e.Decoding))
-}
-
 // Options configures a Queue.
 type Options struct {
 	// Engines returns the prefill engines of a service.
@@ -106,6 +54,9 @@
 	// Tracker records the prompt tokens that wait at this entry and holds those
 	// that wait at other entries.
 	Tracker *fleet.Tracker
+	// Uses records what workspaces asked for and were granted. If it is nil, New creates an
+	// empty record.
+	Uses *fairshare.Uses
 }
 
 // Queue holds the prompts that wait for prefill at one entry. It is safe for
@@ -147,6 +98,9 @@
 
 // New returns an empty queue.
 func New(o Options) *Queue {
+	if o.Uses == nil {
+		o.Uses = fairshare.NewUses()
+	}
 	return &Queue{options: o, services: make(map[string]*service)}
 }
 
@@ -188,6 +142,10 @@
 	decided chan error
 	// waited is set once the prompt had to wait.
 	waited bool
+	// over is what its workspace will have been granted, relative to its target, once the
+	// prompt and those of the workspace before it are granted. It is set in a saturated
+	// queue only.
+	over float64
 }
 
 // Grant permits sending one prompt to a prefill engine.
@@ -216,7 +174,11 @@
 		q.services[p.Service] = s
 	}
 	s.waiting = append(s.waiting, w)
-	s.flows.arrive(time.Now(), p)
+	now := time.Now()
+	s.flows.arrive(now, p)
+	if p.counted() {
+		q.options.Uses.Ask(now, p.Service, p.Workspace, p.Key, p.returning(), p.cost())
+	}
 	q.grantWaiting(s)
 	q.mu.Unlock()
 	grant := &Grant{queue: q, service: s, tokens: p.prefillTokens(), priority: p.Priority}
@@ -287,26 +249,32 @@
 	}
 	engines := q.options.Engines(s.name)
 	now := q.situation(s, engines)
+	now.weighWorkspaces(s.waiting)
 	slices.SortStableFunc(s.waiting, now.compare)
 	held := false
+	refuse := func(w *waiter) bool {
+		w.decided <- now.noRoom(w)
+		q.options.Uses.Refuse(now.now, w.Service, w.Workspace, w.Key)
+		return true
+	}
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiter) bool {
 		switch {
 		case w.waited && now.expired(w):
-			w.decided <- now.noRoom(w)
-			return true
+			return refuse(w)
 		case !w.waited && now.yields(w):
-			w.decided <- now.noRoom(w)
-			return true
+			return refuse(w)
 		case s.mayGrant(now, w, engines.Count, held):
 			s.addPrefilling(w.prefillTokens(), w.Priority)
 			s.reserved++
 			s.credit--
 			s.flows.grant(now.now, w.Prompt)
+			if w.counted() {
+				q.options.Uses.Grant(now.now, w.Service, w.Workspace, w.cost())
+			}
 			w.decided <- nil
 			return true
 		case now.saturated() && now.refuses(w):
-			w.decided <- now.noRoom(w)
-			return true
+			return refuse(w)
 		}
 		if now.saturated() {
 			r := now.of(w)
@@ -358,6 +326,7 @@
 	}
 	if s.saturated {
 		out.saturate(s.shortSince, s.flows, func(k kind) int { return q.streamsOf(s.name, k) })
+		out.shares = q.options.Uses.Shares(now, s.name)
 	}
 	return out
 }
--- /dev/null
+++ b/internal/protocol/prefillqueue/prompt.go
@@ -0,0 +1,72 @@
+package prefillqueue
+
+import (
+	"math"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
+)
+
+// Prompt holds what the order of waiting prompts depends on.
+type Prompt struct {
+	Service string
+	Route   string
+	// Workspace is the caller's, or empty.
+	Workspace string
+	// Priority is the route's or the workspace's; zero is the most urgent.
+	Priority int
+	// Local is set if the engine that decodes prefills the prompt itself.
+	Local bool
+	// Tokens is the number of tokens to prefill, and Output the maximum number to generate.
+	Tokens, Output int
+	// Key is the same for repeats of a request, and for no other request of its workspace.
+	// It is empty if that isn't known.
+	Key string
+	// Arrived is when the request arrived, and Objective the time from then
+	// within which the first event is due.
+	Arrived   time.Time
+	Objective time.Duration
+	// Asked is when the caller first sent the request, as far as is known: before Arrived
+	// if it was refused and has come back. Zero stands for Arrived.
+	Asked time.Time
+	// GiveUp is when the caller stops waiting for the first event; zero if that is not
+	// known.
+	GiveUp time.Time
+	// Resumed is set for a stream whose caller has already received events;
+	// such prompts go first and are never refused.
+	Resumed bool
+	// Again is set if an engine was to prefill the prompt before and failed.
+	Again bool
+}
+
+// cost returns what the prompt counts for its workspace.
+func (p Prompt) cost() float64 { return fairshare.Cost(p.Tokens, p.Output) }
+
+// counted reports whether the prompt counts for its workspace: failures of engines don't
+// use up its share.
+func (p Prompt) counted() bool { return !p.Resumed && !p.Again }
+
+// Engines is the state of the engines that a service can use.
+type Engines struct {
+	// Count is the number of those that prefill.
+	Count int
+	// Tokens is the number of prompt tokens of all entries that are pending at
+	// these.
+	Tokens int
+	// MinTokens is the number of tokens pending at the least loaded engine.
+	MinTokens int
+	// Slots is the number of streams that the engines decode concurrently, zero if it
+	// isn't known, and Streams that of all entries' streams at these engines, of which
+	// there are Decoding.
+	Slots, Streams, Decoding int
+}
+
+// SlotsShort reports whether the engines that decode have few free slots.
+func (e Engines) SlotsShort() bool {
+	return e.Slots > 0 && float64(e.Streams) >= slotsShortFrom*float64(e.Slots)
+}
+
+// streamsTarget returns the number of streams up to which further ones are begun.
+func (e Engines) streamsTarget() float64 {
+	return float64(e.Slots) + slotsMargin*math.Sqrt(float64(e.Slots)*float64(e.Decoding))
+}
