Entries exchange what workspaces ask for and get while a service is saturated

Each entry shared its own part of the capacity by its own requests only, so a workspace that is large at one entry and small at others was weighed wrongly.

Reports to the leader carry workspace_uses: per saturated service the 64 workspaces with the highest demand and one item, without a name, for the rest. The hub sums them by entry and sends each entry the sum of the others in the same form. Entries that are not saturated, left, or are older send nothing; an entry without updates for 400 ms uses its own figures. Gauges share_* and a log line each 5 s show the sharing.

--- a/internal/protocol/fairshare/uses.go
+++ b/internal/protocol/fairshare/uses.go
@@ -52,6 +52,8 @@
 	named int
 	// refused holds when requests were refused last, by their keys.
 	refused map[string]time.Time
+	// refusedOver counts the refused requests of workspaces above their targets.
+	refusedOver int
 	// saturatedAt is when the queue last decided while it was saturated.
 	saturatedAt time.Time
 	// shares are those computed last, at the time sharesAt.
@@ -135,12 +137,15 @@
 
 // Refuse records that a request was refused.
 func (s *Uses) Refuse(now time.Time, service, workspace, key string) {
-	if key == "" {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.of(service)
+	if r.shares.Ratio(workspace, 0) > 1 {
+		r.refusedOver++
+	}
+	if key == "" {
+		return
+	}
 	if len(r.refused) >= maxRefused {
 		for k, at := range r.refused {
 			if now.Sub(at) >= refusedTime {
@@ -334,14 +339,40 @@
 	return len(s.workspaces)
 }
 
-// Saturated returns the shares, by service, of the queues that were saturated lately.
-func (s *Uses) Saturated(now time.Time) map[string]*Shares {
+// Status describes the sharing of a service for operators.
+type Status struct {
+	// Saturated is set if the queue was saturated lately. The fields after it are those of
+	// the newest decision.
+	Saturated bool
+	// Workspaces counts those with demand, and Demand and Capacity, in cost units per
+	// second, are those of all entries.
+	Workspaces       int
+	Demand, Capacity float64
+	// Served is the fraction of all demand that is granted, and Least that of the workspace
+	// that has least.
+	Served, Least float64
+	// RefusedOver counts the refused requests of workspaces above their targets since the
+	// start.
+	RefusedOver int
+}
+
+// Status returns the sharing of each service that was ever saturated.
+func (s *Uses) Status(now time.Time) map[string]Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]*Shares)
+	out := make(map[string]Status)
 	for service, r := range s.services {
-		if r.shares != nil && now.Sub(r.saturatedAt) <= saturatedTime {
-			out[service] = r.shares
+		if r.shares == nil {
+			continue
+		}
+		out[service] = Status{
+			Saturated:   now.Sub(r.saturatedAt) <= saturatedTime,
+			Workspaces:  r.shares.Workspaces(),
+			Demand:      r.shares.Demand,
+			Capacity:    r.shares.Capacity,
+			Served:      r.shares.Served(),
+			Least:       r.shares.Least,
+			RefusedOver: r.refusedOver,
 		}
 	}
 	return out
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/isolation"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
@@ -87,6 +88,7 @@
 	options     Options
 	incarnation uint64
 	tracker     *fleet.Tracker
+	uses        *fairshare.Uses
 	prefixes    *prefixdir.Directory
 	pace        *fleet.PaceCounter
 	outlier     *outlier.Set
@@ -141,6 +143,7 @@
 		options:     o,
 		incarnation: uint64(o.Clock.Wall().UnixNano()),
 		tracker:     fleet.NewTracker(),
+		uses:        fairshare.NewUses(),
 		prefixes:    prefixdir.New(),
 		pace:        fleet.NewPaceCounter(),
 		outlier:     outlier.NewSet(o.Clock),
@@ -185,6 +188,8 @@
 	}
 	budgets := &budgetReporter{agent: a, logged: make(map[string]retry.Usage)}
 	group.Go(func() error { return clock.Every(ctx, budgetReportInterval, budgets.report) })
+	shares := &shareReporter{agent: a, saturated: make(map[string]time.Time)}
+	group.Go(func() error { return clock.Every(ctx, shareReportInterval, shares.report) })
 	return group.Wait()
 }
 
@@ -258,7 +263,7 @@
 	leader := a.leader.Load()
 	r.WantWork = leader == nil || a.leaderTimedOut()
 	if r.WantWork || *leader == source {
-		r.Work = a.work()
+		r.Work, r.Uses = a.work(), a.uses.Report(time.Now())
 	}
 	if leader != nil && *leader == source {
 		r.Holdings = a.prefixes.TakePending()
@@ -340,6 +345,7 @@
 		return
 	}
 	a.tracker.SetOthers(u.Others)
+	a.uses.SetOthers(u.OthersUses)
 	a.retries.SetDeployment(u.Retries)
 	a.notices.Limits.SetPosition(ratelimit.Position{Index: u.Index, Count: u.Entries})
 	if a.otherLoadUnknown.CompareAndSwap(true, false) {
@@ -355,6 +361,7 @@
 		return
 	}
 	a.tracker.SetOthers(fleet.Work{})
+	a.uses.SetOthers(nil)
 	a.options.Log.Warn("load of other entries is unknown", "age_ms", age.Milliseconds())
 }
 
--- a/internal/role/seededentry/agent_test.go
+++ b/internal/role/seededentry/agent_test.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
@@ -163,3 +164,36 @@
 		}
 	})
 }
+
+// TestWorkspaceUsesAreExchangedWhileSaturated guards against workspace figures that are sent
+// while there is room or to followers, and figures of others that stay in a partition.
+func TestWorkspaceUsesAreExchangedWhileSaturated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newTestAgent()
+		uses := a.Uses()
+		for _, name := range []string{"a", "b"} {
+			uses.Ask(time.Now(), "llm", name, "", false, 1000)
+			uses.Grant(time.Now(), "llm", name, 1000)
+		}
+		others := []fairshare.Use{{Service: "llm", Workspace: "a", Asked: 5000, Granted: 5000}}
+		a.deliver(peergrpc.Update{Source: "leader", Leads: true, HasOthers: true, OthersUses: others})
+		if r := a.report("leader", false); len(r.Uses) != 0 {
+			t.Errorf("reported %+v while there is room, want nothing", r.Uses)
+		}
+		s := uses.Shares(time.Now(), "llm")
+		if s.Capacity < 5400 {
+			t.Errorf("got a capacity of %v, want that of all entries", s.Capacity)
+		}
+		if r := a.report("leader", false); len(r.Uses) != 2 {
+			t.Errorf("reported %+v while saturated, want two workspaces", r.Uses)
+		}
+		if r := a.report("follower", false); len(r.Uses) != 0 {
+			t.Errorf("reported %+v to a follower, want nothing", r.Uses)
+		}
+		time.Sleep(maxLoadAge)
+		a.expireOtherLoad(t.Context())
+		if s := uses.Shares(time.Now(), "llm"); s.Capacity > 500 {
+			t.Errorf("got a capacity of %v without the others, want this entry's", s.Capacity)
+		}
+	})
+}
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -108,6 +108,7 @@
 
 	mu      sync.Mutex // guards the fields below
 	entries map[*entryWatch]struct{}
+	uses    workspaceUses
 	// sum is the unfinished work of all entries.
 	sum *fleet.Sum
 	// withdrawn holds the IDs of the engines that get no requests.
@@ -152,6 +153,8 @@
 	// entry, counted from the first holding ever reported to the hub. It is
 	// guarded by the hub's lock.
 	nextHolding int
+	// left is set once the watch has ended. It is guarded by the lock of the hub's uses.
+	left bool
 	// wantsWork is WantWork of the newest report.
 	wantsWork atomic.Bool
 	// wantsDocument is set by a report and cleared by the update that has the
@@ -375,6 +378,7 @@
 		h.mu.Unlock()
 	}
 	h.options.Retries.Record(info.Incarnation, toRetryUses(report.GetRetryUses()))
+	h.uses.set(w, report.GetWorkspaceUses())
 	h.setWork(w, toWork(report.GetLoads(), report.GetWaiting()), toPace(report.GetPace()))
 	h.recordHoldings(w, toHoldings(report.GetHoldings()))
 	h.options.Quarantine.Record(toEvidence(report.GetEvidence()))
@@ -468,6 +472,7 @@
 	w.work = fleet.Work{}
 	h.countReady()
 	h.mu.Unlock()
+	h.uses.remove(w)
 	if info := w.info.Load(); info != nil {
 		h.options.Retries.Left(info.Incarnation)
 		h.options.Log.Info("entry disconnected", "entry", info.Name, "incarnation", info.Incarnation)
@@ -569,6 +574,7 @@
 	if update.Leads || w.wantsWork.Load() {
 		update.HasOthers = true
 		update.Others, update.OthersWaiting = fromWork(h.othersWork(w))
+		update.OthersWorkspaceUses = h.uses.others(w)
 		next.peers = h.peers.Load()
 		setForwardPeers(update, sent.peers, next.peers)
 	}
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/forward"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/origin"
@@ -36,6 +37,8 @@
 	// WantWork asks for the work of the other entries, which a follower sends
 	// only on request. It is set while no leader sends it.
 	WantWork bool
+	// Uses is what workspaces ask of saturated services at the entry; to the leader only.
+	Uses []fairshare.Use
 	// Holdings are shared prompt prefixes that engines prefilled for the entry.
 	Holdings []prefixdir.Holding
 	// Pace counts the entry's recent streams by service.
@@ -72,6 +75,8 @@
 	// Others is the work that all other entries reported, if HasOthers is set.
 	Others    fleet.Work
 	HasOthers bool
+	// OthersUses is what all other entries reported of workspaces, if HasOthers is set.
+	OthersUses []fairshare.Use
 	// Holdings are shared prompt prefixes that engines prefilled for other
 	// entries.
 	Holdings []prefixdir.Holding
@@ -339,6 +344,7 @@
 	out.RateLimits = fromRateLimits(r.RateLimits)
 	out.BegunStreams = fromStreams(r.Streams)
 	out.RetryUses = fromRetryUses(r.RetryUses)
+	out.WorkspaceUses = fromWorkspaceUses(r.Uses)
 	return out
 }
 
@@ -358,6 +364,7 @@
 		HasOthers:       m.GetHasOthers(),
 		ReportAfter:     max(minLoadInterval, time.Duration(m.GetReportMs())*time.Millisecond),
 		Others:          toWork(m.GetOthers(), m.GetOthersWaiting()),
+		OthersUses:      toWorkspaceUses(m.GetOthersWorkspaceUses()),
 		Holdings:        toHoldings(m.GetHoldings()),
 		PartLists:       toPartLists(m),
 		Retries:         toRetryDeployment(m.GetRetryDeployment()),
