--- a/internal/role/serve/connections.go
+++ b/internal/role/serve/connections.go
@@ -307,7 +307,7 @@
 
 // SetLinger is that of a TCP connection.
 func (c *connection) SetLinger(seconds int) error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		return tcp.SetLinger(seconds)
 	}
 	return errors.ErrUnsupported
--- /dev/null
+++ b/internal/role/serve/progress_test.go
@@ -0,0 +1,104 @@
+package serve
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// progressServer serves a response of the given size, in writes of 64 kB, and returns the
+// server's address, a channel with the error of the handler's writes, and the count of stalls.
+func progressServer(t *testing.T, timeout time.Duration, size int) (address string, ended <-chan error, stalls *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	results, stalls := make(chan error, 1), &atomic.Int32{}
+	connections := NewConnections()
+	server := &http.Server{ConnState: connections.State, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		chunk := make([]byte, 64<<10)
+		for left := size; left > 0; left -= len(chunk) {
+			if _, err := w.Write(chunk); err != nil {
+				results <- err
+				panic(http.ErrAbortHandler)
+			}
+		}
+		results <- nil
+	})}
+	listener := connections.Listener(ProgressListener(l, ProgressOptions{Timeout: timeout, OnStall: func(net.Addr) { stalls.Add(1) }}))
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String(), results, stalls
+}
+
+// request sends a request and returns the connection, unread.
+func request(t *testing.T, address, version string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if _, err := io.WriteString(conn, "GET / HTTP/"+version+"\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// TestStalledCallerIsReset guards against a caller that reads nothing and holds a request, or
+// takes the part that it has for a complete response, also where only the end of the connection
+// ends the response.
+func TestStalledCallerIsReset(t *testing.T) {
+	for _, version := range []string{"1.0", "1.1"} {
+		const timeout = 500 * time.Millisecond
+		address, ended, stalls := progressServer(t, timeout, 32<<20)
+		began := time.Now()
+		conn := request(t, address, version)
+		select {
+		case err := <-ended:
+			if !errors.Is(err, ErrNoProgress) {
+				t.Errorf("HTTP/%s: got error %v, want ErrNoProgress", version, err)
+			}
+		case <-time.After(10 * timeout):
+			t.Fatalf("HTTP/%s: the write goes on for %v", version, time.Since(began))
+		}
+		if n := stalls.Load(); n != 1 {
+			t.Errorf("HTTP/%s: %d stalls reported, want 1", version, n)
+		}
+		if _, err := io.Copy(io.Discard, conn); err == nil {
+			t.Errorf("HTTP/%s: the response ends in order", version)
+		}
+	}
+}
+
+// TestSlowCallerIsNotReset guards against a reset of callers that read slowly but steadily.
+func TestSlowCallerIsNotReset(t *testing.T) {
+	address, ended, stalls := progressServer(t, 2*time.Second, 8<<20)
+	conn := request(t, address, "1.1")
+	if err := conn.(*net.TCPConn).SetReadBuffer(16 << 10); err != nil {
+		t.Fatal(err)
+	}
+	chunk := make([]byte, 8<<10)
+	for began := time.Now(); time.Since(began) < 6*time.Second; {
+		if _, err := conn.Read(chunk); err != nil {
+			t.Fatalf("after %v: %v", time.Since(began), err)
+		}
+		time.Sleep(200 * time.Millisecond) // 40 kB a second
+	}
+	select {
+	case err := <-ended:
+		t.Fatalf("the response ended early: %v", err)
+	default:
+	}
+	if n := stalls.Load(); n != 0 {
+		t.Errorf("%d stalls reported, want none", n)
+	}
+	if _, err := io.CopyN(io.Discard, conn, 4<<20); err != nil {
+		t.Errorf("reading on: %v", err)
+	}
+}
--- a/internal/transport/tcpopt/tcpopt.go
+++ b/internal/transport/tcpopt/tcpopt.go
@@ -24,3 +24,20 @@
 	}
 	return nil
 }
+
+// UnackedBytes returns how much written data the other side has not acknowledged
+// (SIOCOUTQ).
+func UnackedBytes(raw syscall.RawConn) (int, error) {
+	var (
+		bytes    int
+		ioctlErr error
+	)
+	err := raw.Control(func(fd uintptr) { bytes, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	if err != nil {
+		return 0, fmt.Errorf("access socket: %w", err)
+	}
+	if ioctlErr != nil {
+		return 0, fmt.Errorf("read the send queue of a socket: %w", ioctlErr)
+	}
+	return bytes, nil
+}
