--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/isolation"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
@@ -90,6 +91,7 @@
 	options     Options
 	incarnation uint64
 	tracker     *fleet.Tracker
+	uses        *fairshare.Uses
 	prefixes    *prefixdir.Directory
 	pace        *fleet.PaceCounter
 	demand      *fleet.DemandCounter
@@ -150,6 +152,7 @@
 		options:     o,
 		incarnation: uint64(o.Clock.Wall().UnixNano()),
 		tracker:     fleet.NewTracker(),
+		uses:        fairshare.NewUses(),
 		prefixes:    prefixdir.New(),
 		pace:        fleet.NewPaceCounter(),
 		demand:      fleet.NewDemandCounter(o.Clock),
@@ -198,6 +201,8 @@
 	budgets := &budgetReporter{agent: a, logged: make(map[string]retry.Usage)}
 	group.Go(func() error { return clock.Every(ctx, budgetReportInterval, budgets.report) })
 	group.Go(func() error { return clock.Every(ctx, usageMetricsInterval, a.usage.measure) })
+	shares := &shareReporter{agent: a, saturated: make(map[string]time.Time)}
+	group.Go(func() error { return clock.Every(ctx, shareReportInterval, shares.report) })
 	return group.Wait()
 }
 
@@ -275,7 +280,7 @@
 	leader := a.leader.Load()
 	r.WantWork = leader == nil || a.leaderTimedOut()
 	if r.WantWork || *leader == source {
-		r.Work = a.work()
+		r.Work, r.Uses = a.work(), a.uses.Report(time.Now())
 	}
 	if leader != nil && *leader == source {
 		r.Holdings = a.prefixes.TakePending()
@@ -364,6 +369,7 @@
 	}
 	if u.HasOthers {
 		a.tracker.SetOthers(u.Others)
+		a.uses.SetOthers(u.OthersUses)
 	}
 	a.retries.SetDeployment(u.Retries)
 	a.notices.Limits.SetPosition(ratelimit.Position{Index: u.Index, Count: u.Entries})
@@ -380,6 +386,7 @@
 		return
 	}
 	a.tracker.SetOthers(fleet.Work{})
+	a.uses.SetOthers(nil)
 	a.options.Log.Warn("load of other entries is unknown", "age_ms", age.Milliseconds())
 }
 
