placement: choose servers by expected lateness, as a second policy

Long prompts queue at prefill engines and short ones pause streams at decode engines, since the choice compares tokens and streams at fixed rates.

Package placement has the interface Policy. Scoring is the earlier decision, unchanged. CostAware compares candidates by the weighted lateness, in milliseconds, that a request adds to itself and to those beside it. Loads below the level up to which other entries' unseen requests fill the servers are not believed, and ties among equals are random, so that entries with old figures don't all choose the same server. Options.Costs of package exchange selects it; nil keeps the scores. The log line 'request placed' names the cost, that of the next best server and the predicted first event.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -16,6 +16,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/buffer"
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/isolation"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
@@ -57,6 +58,9 @@
 	// Buffers bounds what is kept of responses, in sum. If it is nil, New creates a pool
 	// of buffer.DefaultBytes.
 	Buffers *buffer.Pool
+	// Costs learns what requests cost and how fast servers are, and placement follows it. If
+	// it is nil, placement follows fixed scores.
+	Costs *cost.Model
 	// Random returns a random integer in [0, n).
 	Random func(n int) int
 	Log    hclog.Logger
@@ -65,6 +69,7 @@
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
 	options  Options
+	policy   placement.Policy
 	prefills *prefillqueue.Queue
 	returns  *returnWatch
 	// crashWatch holds suspicions of crashes, and suspicions logs those that don't become
@@ -102,7 +107,7 @@
 	if o.Notices == nil {
 		o.Notices = notice.NewBoard(clock.NewRuntime())
 	}
-	c := &Forwarder{options: o, returns: newReturnWatch(), suspicions: &suspicionLog{log: o.Log}, crashChecks: make(chan struct{}, maxCrashChecks)}
+	c := &Forwarder{options: o, policy: newPolicy(o), returns: newReturnWatch(), suspicions: &suspicionLog{log: o.Log}, crashChecks: make(chan struct{}, maxCrashChecks)}
 	c.crashWatch = &crashWatch{forwarder: c, servers: make(map[string]*watchedServer)}
 	c.contacts = newContacts(c)
 	c.ending, c.end = context.WithCancel(context.Background())
@@ -209,7 +214,9 @@
 		outcome.Err = x.markUnreachable(outcome.Err)
 		outcome.RetryAfter = x.retryAfter(outcome.Err)
 	}
+	outcome.PredictedFirst = x.predictedFirst
 	x.recordPace()
+	x.learnOutput(outcome)
 	x.logOutcome(outcome)
 	return outcome
 }
@@ -314,6 +321,10 @@
 	// heldFailure is the newest error response of a server, or nil.
 	heldFailure     *heldResponse
 	timeToFirstByte time.Duration
+	// predictedFirst is the first prediction of timeToFirstByte, zero if there is none, and
+	// sentAt when the newest attempt was sent.
+	predictedFirst time.Duration
+	sentAt         time.Time
 	// untilClose is set if the newest response had neither a length nor chunks.
 	untilClose bool
 	// unfinishedBytes is what the newest stream sent after its last complete
@@ -420,6 +431,9 @@
 	found := placement.Candidates(c.options.View().Engines(service), c.options.Tracker.Load, filters...)
 	for i := range found {
 		found[i].FailureRate = c.options.Outlier.FailureRate(found[i].ID)
+		if c.options.Costs != nil {
+			found[i].Slowness = c.options.Costs.Factor(service, found[i].ID)
+		}
 	}
 	return found
 }
@@ -491,6 +505,7 @@
 	response *Response
 	// guard watches for a silent server until the response is complete, or is nil.
 	guard *silenceGuard
+	pace  pace
 	// promptPrefilled removes the prompt from the engine's load. It is called at the
 	// engine's first event.
 	promptPrefilled func()
@@ -515,7 +530,8 @@
 	finished := x.options.Tracker.AddWork(id, fleet.Load{Streams: p.work.Streams, Calls: p.work.Calls})
 	x.endReservation()
 	a.waiter = x.waitAt(a)
-	s := &startedAttempt{attempt: a, promptPrefilled: x.options.Tracker.AddWork(id, fleet.Load{PromptTokens: p.work.PromptTokens})}
+	x.sentAt = time.Now()
+	s := &startedAttempt{attempt: a, pace: pace{load: p.load}, promptPrefilled: x.options.Tracker.AddWork(id, fleet.Load{PromptTokens: p.work.PromptTokens})}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	s.end = func() {
 		s.guard.stop()
@@ -601,6 +617,7 @@
 		x.recordFailure(ctx, a, "plain response", errPlainResponse)
 		return false, errPlainResponse
 	}
+	x.learnCall(s)
 	x.options.Outlier.Success(a.Engine.ID)
 	x.options.Quarantine.Answered(x.request.Service.Name, x.quarantineKeys())
 	return true, x.writeResponse(response, body)
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -59,12 +59,12 @@
 	if !ok {
 		return nil, x.noServer()
 	}
-	p := &placedAttempt{attempt: x.newAttempt(chosen.Engine), work: fleet.Load{Streams: 1}}
+	p := &placedAttempt{attempt: x.newAttempt(chosen.Engine), work: fleet.Load{Streams: 1}, load: chosen.Load}
 	p.attempt.KVSource = source
 	if source == nil {
 		p.work.PromptTokens = prompt.Tokens
 	}
-	x.logPlaced("decode", chosen, "prefilled", source != nil, "last_event", x.lastEventID)
+	x.logPlaced("decode", chosen.Candidate, append(x.estimated(chosen.Estimate), "prefilled", source != nil, "last_event", x.lastEventID)...)
 	return p, nil
 }
 
@@ -72,22 +72,26 @@
 // software version that has no such engine any more, its KV cache is released, and
 // an engine of another version is to prefill it again. usable is source, or nil if
 // it was released.
-func (x *exchange) chooseDecode(ctx context.Context, source *KVSource) (chosen placement.Candidate, usable *KVSource, ok bool) {
-	choose := func(zone string, filter placement.Filter) (placement.Candidate, bool) {
-		return x.choose(ctx, func(candidates []placement.Candidate) (placement.Candidate, bool) {
-			return placement.ForDecode(zone, candidates, x.options.Random)
+func (x *exchange) chooseDecode(ctx context.Context, source *KVSource) (chosen placement.Choice, usable *KVSource, ok bool) {
+	choose := func(zone string, local bool, filter placement.Filter) (placement.Choice, bool) {
+		var estimate placement.Estimate
+		chosen, ok := x.choose(ctx, func(candidates []placement.Candidate) (placement.Candidate, bool) {
+			choice, ok := x.policy.ForDecode(x.work(), zone, local, candidates)
+			estimate = choice.Estimate
+			return choice.Candidate, ok
 		}, placement.CanDecode, filter)
+		return placement.Choice{Candidate: chosen, Estimate: estimate}, ok
 	}
 	if source == nil {
-		chosen, ok = choose(x.options.Zone, x.origin.allows)
+		chosen, ok = choose(x.options.Zone, true, x.origin.allows)
 		return chosen, nil, ok
 	}
 	same := placement.OfVersion(source.Engine.Version)
-	if chosen, ok = choose(source.Engine.Zone, same); ok {
+	if chosen, ok = choose(source.Engine.Zone, false, same); ok {
 		return chosen, source, true
 	}
 	x.release(source)
-	chosen, ok = choose(x.options.Zone, func(e fleet.Engine) bool { return !same(e) })
+	chosen, ok = choose(x.options.Zone, true, func(e fleet.Engine) bool { return !same(e) })
 	return chosen, nil, ok
 }
 
@@ -120,8 +124,8 @@
 func (x *exchange) prefill(ctx context.Context, prompt placement.Prompt) (*KVSource, error) {
 	decode := x.decodeEngines()
 	inPhase, decodable := placement.InPhase(fleet.Prefill), placement.OfVersionAmong(decode)
-	spared := func() bool { return placement.SparesPrefill(prompt, x.candidates(inPhase, decodable), decode) }
-	if placement.PrefillLocally(prompt, x.candidates(inPhase, decodable)) || len(x.openServers(inPhase, decodable)) == 0 || spared() {
+	spared := func() bool { return x.policy.SparesPrefill(x.work(), x.candidates(inPhase, decodable), decode) }
+	if x.policy.PrefillLocally(x.work(), x.candidates(inPhase, decodable), decode) || len(x.openServers(inPhase, decodable)) == 0 || spared() {
 		return nil, x.awaitSlot(ctx, prompt)
 	}
 	for ctx.Err() == nil && len(x.failedEngines)-x.unsentAttempts <= maxRefusedSends && x.unsentAttempts <= maxUnsentAttempts {
@@ -155,7 +159,7 @@
 	holders, decode := x.holdersOf(prefix), x.decodeEngines()
 	var chosen placement.PrefillChoice
 	_, ok := x.admit(func(candidates []placement.Candidate) (placement.Candidate, bool) {
-		choice, ok := placement.ForPrefill(prompt, holders, candidates, decode, x.options.Random)
+		choice, ok := x.policy.ForPrefill(x.work(), holders, candidates, decode)
 		chosen = choice
 		return choice.Candidate, ok
 	}, placement.InPhase(fleet.Prefill), placement.OfVersionAmong(decode))
@@ -173,8 +177,8 @@
 		return nil, errRetryBudget
 	}
 	x.prefillCalls++
-	x.logPlaced("prefill", chosen.Candidate, "prefix", prefix, "holders", engineIDs(holders), "tokens", chosen.Tokens, "fetch_from", engineID(chosen.FetchFrom),
-		"queued_ms", time.Since(queuedAt).Milliseconds())
+	x.logPlaced("prefill", chosen.Candidate, append(x.estimated(chosen.Estimate), "prefix", prefix, "holders", engineIDs(holders), "tokens", chosen.Tokens, "fetch_from", engineID(chosen.FetchFrom),
+		"queued_ms", time.Since(queuedAt).Milliseconds())...)
 	a := x.newAttempt(chosen.Engine)
 	a.FetchFrom = chosen.FetchFrom
 	finished := x.options.Tracker.AddWork(chosen.ID, fleet.Load{PromptTokens: chosen.Tokens})
@@ -193,7 +197,9 @@
 	silent := guard.stop()
 	finished()
 	if err == nil {
-		grant.Prefilled(chosen.Load.PromptTokens, chosen.Tokens, x.options.Tracker.Load(chosen.ID).PromptTokens)
+		left := x.options.Tracker.Load(chosen.ID).PromptTokens
+		grant.Prefilled(chosen.Load.PromptTokens, chosen.Tokens, left)
+		x.learnPrefill(a, chosen, prefixTokens, left)
 	}
 	grant.Release()
 	if err == nil {
--- a/internal/protocol/exchange/place.go
+++ b/internal/protocol/exchange/place.go
@@ -13,8 +13,9 @@
 // that is another server's work, and whose retry is paid.
 type placedAttempt struct {
 	attempt Attempt
-	// work is the load that the attempt adds to the engine.
-	work fleet.Load
+	// work is the load that the attempt adds to the engine, and load that of the engine
+	// when it was chosen.
+	work, load fleet.Load
 	// retry is zero if the attempt is the first one.
 	retry retry.Retry
 }
@@ -82,14 +83,17 @@
 
 // placeCall places an attempt of a request without a declared prompt.
 func (x *exchange) placeCall(ctx context.Context) (*placedAttempt, error) {
+	var estimate placement.Estimate
 	chosen, ok := x.choose(ctx, func(candidates []placement.Candidate) (placement.Candidate, bool) {
-		return placement.ForCall(x.options.Zone, candidates, x.options.Random)
+		choice, ok := x.policy.ForCall(x.work(), x.options.Zone, candidates)
+		estimate = choice.Estimate
+		return choice.Candidate, ok
 	})
 	if !ok {
 		return nil, x.noServer()
 	}
-	x.logPlaced("call", chosen)
-	return &placedAttempt{attempt: x.newAttempt(chosen.Engine), work: fleet.Load{Calls: 1}}, nil
+	x.logPlaced("call", chosen, x.estimated(estimate)...)
+	return &placedAttempt{attempt: x.newAttempt(chosen.Engine), work: fleet.Load{Calls: 1}, load: chosen.Load}, nil
 }
 
 // discard gives back what a placed attempt holds.
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -69,6 +69,7 @@
 			if !hasEvents {
 				hasEvents = true
 				x.recordOrigin(a.Engine)
+				x.learnFirst(s)
 				s.promptPrefilled()
 				a.waiter.answered()
 				x.options.Quarantine.Answered(x.request.Service.Name, x.quarantineKeys())
@@ -76,6 +77,7 @@
 			if err := x.writeEvents(response, pending[:complete]); err != nil {
 				return false, err
 			}
+			x.learnStep(s)
 			pending = pending[complete:]
 		}
 		x.unfinishedBytes = len(pending)
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -211,6 +211,9 @@
 	// TimeToFirstByte is the time from the start of the exchange to the first byte of
 	// the body that was written to the caller.
 	TimeToFirstByte time.Duration
+	// PredictedFirst is the prediction of TimeToFirstByte at the first choice of a server,
+	// or zero.
+	PredictedFirst time.Duration
 	// Events counts the events that were written to the caller.
 	Events int
 	// LongestGap is the longest time between two writes of events to the
--- a/internal/protocol/fleet/tracker.go
+++ b/internal/protocol/fleet/tracker.go
@@ -58,8 +58,18 @@
 type remoteWork struct {
 	Work
 	receivedAt time.Time
+	// interval is the mean time between two reports, zero if there were none.
+	interval time.Duration
 }
 
+const (
+	// reportWeight is the number of reports that the mean interval between them is from, and
+	// maxReportInterval bounds the interval that counts: after a loss of contact it says
+	// nothing of the age of later reports.
+	reportWeight      = 8
+	maxReportInterval = time.Second
+)
+
 // ownLoad counts this entry's unfinished work at one engine.
 type ownLoad struct {
 	promptTokens, streams, calls atomic.Int64
@@ -74,7 +84,11 @@
 
 // SetOthers replaces the known work of the other entries.
 func (t *Tracker) SetOthers(w Work) {
-	t.others.Store(&remoteWork{Work: w, receivedAt: time.Now()})
+	next := &remoteWork{Work: w, receivedAt: time.Now()}
+	if last := t.others.Load(); last != nil {
+		next.interval = last.interval + (min(next.receivedAt.Sub(last.receivedAt), maxReportInterval)-last.interval)/reportWeight
+	}
+	t.others.Store(next)
 }
 
 // OthersWaiting returns the number of prompt tokens of a service that wait at
@@ -100,6 +114,13 @@
 	return time.Since(t.others.Load().receivedAt)
 }
 
+// Staleness returns about how old the load of the other entries is: each of their reports
+// was made within the interval between two of them.
+func (t *Tracker) Staleness() time.Duration {
+	last := t.others.Load()
+	return time.Since(last.receivedAt) + last.interval
+}
+
 // Load returns the load of an engine by all entries.
 func (t *Tracker) Load(engine string) Load {
 	return t.ownLoad(engine).Add(t.others.Load().Engines[engine])
--- /dev/null
+++ b/internal/protocol/placement/costaware.go
@@ -0,0 +1,433 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+)
+
+const (
+	// paceWeight is the weight of a millisecond by which an output ends later, relative to
+	// a millisecond of lateness of a first event or of a pause. Routes have no objective
+	// for the end of an output, but streams that last longer hold their slots.
+	paceWeight = 0.05
+	// priorityStep is the part of the weight of a request's own lateness that each rank
+	// below the highest priority costs.
+	priorityStep = 0.15
+	// minWeight is the least weight of a request's own lateness.
+	minWeight = 0.4
+	// crossZoneMs is the cost of a transfer between zones beyond its time, since it is
+	// billed.
+	crossZoneMs = 15
+	// failingMs is the lateness of a request that a server fails: it begins again elsewhere
+	// after about one objective, and the retry counts against the budget.
+	failingMs = 600
+	// reservedMs is what prefilling costs at the software version whose decode engines have
+	// only reserved slots left.
+	reservedMs = 600
+	// copyWork is the work, as a multiple of prefilling a shared prefix, that a further
+	// copy of it causes, because it evicts other prefixes.
+	copyWork = 2
+	// zoneCallMs is the time that a call to another zone takes longer.
+	zoneCallMs = 1
+	// callCrowding is the part of a call's work time by which a server slows it down while
+	// all of its slots are in use.
+	callCrowding = 0.3
+	// usualObjective applies to routes without one.
+	usualObjective = 500
+	// priorCallMs is the work time of a call of an unknown route.
+	priorCallMs = 20
+	// minPerRequest bounds the cost of one more request from below, in milliseconds.
+	minPerRequest = 0.05
+	// usualStreams is the mean number of streams at an engine whose slots are unknown.
+	usualStreams = 16
+	// maxVersions is the number of software versions that decisions tell apart.
+	maxVersions = 4
+)
+
+// CostAware is a [Policy] that chooses the servers at which the weighted sum of the lateness
+// that the request adds to itself and to those beside it is least.
+type CostAware struct {
+	Model *cost.Model
+	// Random returns a random integer in [0, n).
+	Random func(n int) int
+}
+
+// slowness returns how much slower than the mean the server is.
+func (c *Candidate) slowness() float64 {
+	if c.Slowness <= 0 {
+		return 1
+	}
+	return c.Slowness
+}
+
+// failingCost returns the cost of the engine's failures in milliseconds.
+func (c *Candidate) failingCost() float64 {
+	if c.FailureRate == 0 && c.Load.FailingEntries == 0 {
+		return 0
+	}
+	return failingMs * c.failureCost()
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func (w *Work) objective() cost.Objective {
+	if w.Objective <= 0 {
+		return cost.Within(usualObjective)
+	}
+	return cost.Within(ms(w.Objective))
+}
+
+// weight returns the weight of the request's own lateness; that of its neighbours is 1.
+func (w *Work) weight() float64 {
+	return max(minWeight, 1-priorityStep*float64(w.Priority))
+}
+
+// unseen returns how many requests other entries have probably placed since the load was
+// reported, given how many are in progress and how long each of them is.
+func (w *Work) unseen(inProgress, eachMs float64) float64 {
+	return inProgress * ms(w.Staleness) / max(1, eachMs)
+}
+
+// prefillPlan is what the choice of a prefill engine depends on.
+type prefillPlan struct {
+	speeds *cost.Speeds
+	// after is the time from the end of prefill to the first event.
+	after float64
+	// workPrice is the lateness that a millisecond of work adds to other prompts, on
+	// average over the engines.
+	workPrice float64
+	shared    int
+	// homes holds the engine that should prefill the shared prefix, by software version.
+	homes [maxVersions]home
+	count int
+}
+
+// home is where a shared prefix should be prefilled at one software version.
+type home struct {
+	version string
+	// engine is its ID, holder the engine that holds the prefix, or nil.
+	engine string
+	holder *fleet.Engine
+	// copies is 1 if another version has the prefix and this one would be a copy.
+	copies float64
+	// waiting is the cost of the best engine of the version that decodes.
+	waiting float64
+	weight  uint64
+}
+
+func (p *prefillPlan) of(version string) *home {
+	for i := range p.homes[:p.count] {
+		if p.homes[i].version == version {
+			return &p.homes[i]
+		}
+	}
+	if p.count < maxVersions {
+		p.homes[p.count] = home{version: version, waiting: math.Inf(1)}
+		p.count++
+	}
+	return &p.homes[p.count-1]
+}
+
+// mix scrambles the bits of a hash.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (p *CostAware) plan(w *Work, holders []fleet.Engine, prefill, decode []Candidate) (plan prefillPlan) {
+	plan.speeds = p.Model.Speeds(w.Service)
+	key, shared := w.Prompt.Shared()
+	plan.shared = shared
+	pending := 0
+	keyHash := xxhash.Sum64String(key)
+	for i := range prefill {
+		c := &prefill[i]
+		pending += c.Load.PromptTokens
+		if h := plan.of(c.Version); key != "" {
+			if weight := mix(keyHash ^ xxhash.Sum64String(c.ID)); h.engine == "" || weight > h.weight {
+				h.engine, h.weight = c.ID, weight
+			}
+		}
+	}
+	for i := range plan.homes[:plan.count] {
+		plan.homes[i].copies = min(1, float64(len(holders)))
+	}
+	for i := range holders {
+		h := plan.of(holders[i].Version)
+		h.holder, h.copies = &holders[i], 0
+		for j := range prefill {
+			if prefill[j].ID == holders[i].ID {
+				h.engine = holders[i].ID
+			}
+		}
+	}
+	streams := p.addWaiting(&plan, w, decode)
+	mean := float64(pending) / float64(max(1, len(prefill)))
+	speeds := plan.speeds
+	plan.after = speeds.First(cost.First{Tokens: float64(w.Prompt.Tokens), Streams: streams})
+	usual := speeds.Prefill(cost.Prefill{Read: speeds.PromptTokens, Pending: mean}) + plan.after
+	behind := 1 + mean/max(1, speeds.PromptTokens)
+	plan.workPrice = behind * w.objective().Slope(usual)
+	return plan
+}
+
+// addWaiting adds the cost of the engines that decode to the plan and returns the mean
+// number of their streams. Engines that are nearly full cost more: the streams of a version
+// whose other engines have ended have no other place.
+func (p *CostAware) addWaiting(plan *prefillPlan, w *Work, decode []Candidate) (streams float64) {
+	if len(decode) == 0 {
+		for i := range plan.homes[:plan.count] {
+			plan.homes[i].waiting = 0
+		}
+		return usualStreams
+	}
+	for i := range decode {
+		c := &decode[i]
+		streams += float64(c.Load.Streams)
+		h := plan.of(c.Version)
+		wait, _ := p.slotWait(plan.speeds, c)
+		waiting := wait + c.failingCost()
+		if c.Slots > 0 && float64(c.Load.Streams) >= (1-reservedSlots)*float64(c.Slots) {
+			waiting += reservedMs
+		}
+		h.waiting = min(h.waiting, waiting)
+	}
+	for i := range plan.homes[:plan.count] {
+		if h := &plan.homes[i]; math.IsInf(h.waiting, 1) {
+			h.waiting = 0
+		}
+	}
+	return streams / float64(len(decode))
+}
+
+// slotWait returns the expected wait for a slot in milliseconds, and by how much one more
+// stream lengthens it. The number of streams is off by about the square root of the slots.
+func (p *CostAware) slotWait(speeds *cost.Speeds, c *Candidate) (wait, perStream float64) {
+	if c.Slots <= 0 {
+		return 0, 0
+	}
+	slots := float64(c.Slots)
+	width := math.Sqrt(slots)
+	excess := float64(c.Load.Streams) + 1 - slots + width
+	if excess <= 0 {
+		return 0, 0
+	}
+	each := c.slowness() * speeds.StreamMs / slots
+	return each * cost.Excess(excess, width, width), each * min(1, excess/(2*width))
+}
+
+// forPrefill chooses the engine that prefills.
+func (p *CostAware) forPrefill(w *Work, plan *prefillPlan, prefill []Candidate) (best int, e Estimate) {
+	speeds, elapsed, objective, weight := plan.speeds, ms(w.Elapsed), w.objective(), w.weight()
+	fetchable := plan.shared >= minFetchTokens
+	whole := float64(w.Prompt.Tokens)
+	rest := max(0, whole-float64(plan.shared))
+	wholeMs, restMs := speeds.Prefill(cost.Prefill{Read: whole}), speeds.Prefill(cost.Prefill{Read: rest})
+	fetchMs := speeds.FetchToken() * float64(plan.shared)
+	queued, usual := speeds.QueuedToken(), max(1, speeds.PromptTokens)
+	copyMs := copyWork * float64(plan.shared) * speeds.ReadToken() * plan.workPrice
+	o := newOptions(len(prefill))
+	defer o.release()
+	total, eachMs := 0.0, 0.0
+	for i := range prefill {
+		c := &prefill[i]
+		h := plan.of(c.Version)
+		pending, slow := float64(c.Load.PromptTokens), c.slowness()
+		total += pending
+		read, took, fetch, copies := whole, wholeMs, 0.0, h.copies
+		switch {
+		case h.holder == nil:
+		case c.ID == h.holder.ID:
+			read, took = rest, restMs
+		case fetchable:
+			read, took, fetch = rest, restMs, slow*fetchMs
+			if c.Zone != h.holder.Zone {
+				fetch *= cost.CrossZoneFactor
+			}
+		}
+		if c.ID != h.engine {
+			copies++
+		}
+		took = slow * (took + queued*pending)
+		eachMs += took
+		first := elapsed + took + plan.after
+		behind, slope := pending/usual, objective.Slope(first)
+		item := &o.list[i]
+		item.shared = weight*objective.Late(first) + behind*slope*slow*speeds.ReadToken()*read
+		item.perRequest = max(minPerRequest, slope*(1+behind)*slow*queued*usual)
+		item.first = first + fetch
+		item.own = weight*(objective.Late(item.first)-objective.Late(first)) + h.waiting + c.failingCost()
+		if fetchable && h.engine != "" {
+			item.own += copies * copyMs
+		}
+		item.excluded = c.Load.FailingEntries > 0
+	}
+	level := o.level(w.unseen(total/usual, eachMs/float64(len(prefill))))
+	best, e.CostMs, e.NextMs = o.pick(level, p.Random)
+	e.FirstEventMs = o.list[best].first
+	return best, e
+}
+
+// ForPrefill implements [Policy].
+func (p *CostAware) ForPrefill(w *Work, holders []fleet.Engine, prefill, decode []Candidate) (choice PrefillChoice, ok bool) {
+	if len(prefill) == 0 {
+		return PrefillChoice{}, false
+	}
+	plan := p.plan(w, holders, prefill, decode)
+	best, e := p.forPrefill(w, &plan, prefill)
+	choice = PrefillChoice{Candidate: prefill[best], Tokens: w.Prompt.Tokens, Estimate: e}
+	holder := plan.of(choice.Version).holder
+	switch {
+	case holder == nil:
+	case choice.ID == holder.ID:
+		choice.Tokens = max(0, w.Prompt.Tokens-plan.shared)
+	case plan.shared >= minFetchTokens:
+		choice.Tokens = max(0, w.Prompt.Tokens-plan.shared)
+		choice.FetchFrom = holder
+	}
+	return choice, true
+}
+
+// decodeWork is the work of a request at the engine that decodes.
+type decodeWork struct {
+	// read is the number of tokens that the engine prefills, and fetched that of those whose
+	// KV cache it fetches from zone. Without either, the beginning of the stream doesn't
+	// count.
+	read, fetched float64
+	zone          string
+}
+
+// decodeOptions fills in the options of a request at engines that decode, and returns the
+// number of their streams.
+func (p *CostAware) decodeOptions(o *options, w *Work, speeds *cost.Speeds, d decodeWork, candidates []Candidate) (streamsOfAll float64) {
+	elapsed, objective, gap, weight := ms(w.Elapsed), w.objective(), cost.Within(ms(w.EventGap)), w.weight()
+	local, begins := d.read > 0, d.read+d.fetched > 0
+	begin := speeds.FirstAt(cost.First{Local: local, Tokens: d.read + d.fetched})
+	crossing := 0.0
+	if !local {
+		crossing = speeds.FirstAt(cost.First{Tokens: d.fetched, CrossZone: true}).Fixed - begin.Fixed
+	}
+	step, token := speeds.StepAt(), speeds.LocalToken()
+	pacePrice := paceWeight * max(1, w.Output.Mean())
+	for i := range candidates {
+		c := &candidates[i]
+		slow, streams, pending := c.slowness(), float64(c.Load.Streams), float64(c.Load.PromptTokens)
+		streamsOfAll += streams
+		wait, waitPerStream := p.slotWait(speeds, c)
+		stepMs := slow * step.At(pending, streams+1)
+		first := elapsed + wait
+		if begins {
+			first += slow * begin.At(pending, streams)
+		}
+		slope := objective.Slope(first)
+		// The outputs of all streams, this one's included, end later.
+		pace := pacePrice * (stepMs + streams*slow*step.PerStream)
+		// All streams pause while the engine prefills.
+		before := stepMs + slow*token*pending
+		after := before + slow*token*d.read
+		pauses := weight*gap.Late(after) + streams*(gap.Late(after)-gap.Late(before))
+		// The prompts that are pending there wait for this one.
+		behind := pending / LocalPrefillLimit * slope * slow * token * d.read
+		item := &o.list[i]
+		item.shared = weight*objective.Late(first) + pace + pauses + behind
+		item.perRequest = max(minPerRequest, 2*pacePrice*slow*step.PerStream+waitPerStream*weight*slope+streams*slow*token*d.read*gap.Slope(after))
+		item.own, item.first, item.excluded = c.failingCost(), first, c.Load.FailingEntries > 0
+		if begins && c.Zone != d.zone {
+			if local {
+				item.own += zoneCallMs
+			} else {
+				item.first += slow * crossing
+				item.own += crossZoneMs + weight*(objective.Late(item.first)-objective.Late(first))
+			}
+		}
+	}
+	return streamsOfAll
+}
+
+// pickDecode chooses among engines that decode.
+func (p *CostAware) pickDecode(w *Work, speeds *cost.Speeds, d decodeWork, candidates []Candidate) (best int, e Estimate) {
+	o := newOptions(len(candidates))
+	defer o.release()
+	streams := p.decodeOptions(o, w, speeds, d, candidates)
+	best, e.CostMs, e.NextMs = o.pick(o.level(w.unseen(streams, speeds.StreamMs)), p.Random)
+	e.FirstEventMs = o.list[best].first
+	return best, e
+}
+
+// ForDecode implements [Policy].
+func (p *CostAware) ForDecode(w *Work, zone string, local bool, candidates []Candidate) (Choice, bool) {
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	d := decodeWork{fetched: float64(w.Prompt.Tokens), zone: zone}
+	if local {
+		d.read, d.fetched = d.fetched, 0
+	}
+	best, e := p.pickDecode(w, p.Model.Speeds(w.Service), d, candidates)
+	return Choice{Candidate: candidates[best], Estimate: e}, true
+}
+
+// PrefillLocally implements [Policy]: it compares the cheapest engine that decodes with the
+// cheapest one that only prefills, plus what decoding costs after it.
+func (p *CostAware) PrefillLocally(w *Work, prefill, decode []Candidate) bool {
+	if len(prefill) == 0 || len(decode) == 0 {
+		return len(prefill) == 0
+	}
+	if w.Prompt.Tokens > maxLocalPrefill {
+		return false
+	}
+	plan := p.plan(w, nil, prefill, decode)
+	_, remote := p.forPrefill(w, &plan, prefill)
+	_, after := p.pickDecode(w, plan.speeds, decodeWork{}, decode)
+	_, local := p.pickDecode(w, plan.speeds, decodeWork{read: float64(w.Prompt.Tokens)}, decode)
+	objective := w.objective()
+	queued := float64(w.Waiting) / float64(len(prefill)) * plan.speeds.QueuedToken()
+	waiting := w.weight() * (objective.Late(remote.FirstEventMs+queued) - objective.Late(remote.FirstEventMs))
+	return local.CostMs < remote.CostMs+waiting+after.CostMs
+}
+
+// SparesPrefill implements [Policy].
+func (p *CostAware) SparesPrefill(w *Work, prefill, decode []Candidate) bool {
+	return p.PrefillLocally(w, prefill, decode)
+}
+
+// ForCall implements [Policy].
+func (p *CostAware) ForCall(w *Work, zone string, candidates []Candidate) (Choice, bool) {
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	work := p.Model.Work(w.Service, w.Route, priorCallMs)
+	elapsed, objective := ms(w.Elapsed), w.objective()
+	o := newOptions(len(candidates))
+	defer o.release()
+	weight, calls := w.weight(), 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		slow, slots, held := c.slowness(), float64(max(1, c.Slots)), float64(c.Load.Calls)
+		calls += held
+		width := math.Sqrt(slots)
+		fill := (cost.Excess(held+1, slots, width) + callCrowding*held) / slots
+		first := elapsed + slow*work*(1+fill)
+		perCall := slow * work * (min(1, max(0, (held+1-slots+width)/(2*width))) + callCrowding) / slots
+		slope := objective.Slope(first)
+		item := &o.list[i]
+		item.shared = weight*objective.Late(first) + held*slope*perCall
+		item.perRequest = max(minPerRequest, slope*perCall*(1+held))
+		item.own, item.first, item.excluded = c.failingCost(), first, c.Load.FailingEntries > 0
+		if c.Zone != zone {
+			item.own += zoneCallMs
+		}
+	}
+	best, e := 0, Estimate{}
+	best, e.CostMs, e.NextMs = o.pick(o.level(w.unseen(calls, work)), p.Random)
+	e.FirstEventMs = o.list[best].first
+	return Choice{Candidate: candidates[best], Estimate: e}, true
+}
--- a/internal/protocol/placement/placement.go
+++ b/internal/protocol/placement/placement.go
@@ -77,6 +77,9 @@
 	// tokens to generate.
 	Tokens int
 	Output int
+	// ExpectedOutput is the number of tokens that the caller expects, or zero. It is often
+	// far off.
+	ExpectedOutput int
 	// Parts are in prompt order; the last one is unique to the request.
 	Parts []Part
 }
@@ -122,6 +125,9 @@
 	Load fleet.Load
 	// FailureRate is the part of this entry's recent attempts that the engine failed.
 	FailureRate float64
+	// Slowness is how much slower than the mean of its service the engine is; zero stands
+	// for 1.
+	Slowness float64
 }
 
 // failureCost returns what the engine's failures cost, from zero to one.
@@ -282,6 +288,7 @@
 	// FetchFrom is the engine from which it first fetches the shared prefix, or
 	// nil.
 	FetchFrom *fleet.Engine
+	Estimate
 }
 
 // ForPrefill chooses the engine that would finish the prefill first, counting the
