--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -42,6 +42,7 @@
 type Requests struct {
 	scope         tally.Scope
 	classes       sync.Map // classKey to *ClassSeries
+	predictions   sync.Map // service name to *PredictionSeries
 	customers     sync.Map // customer name to tally.Histogram
 	customerCount atomic.Int64
 }
@@ -98,6 +99,45 @@
 	return series.(*ClassSeries)
 }
 
+// PredictionSeries holds the metrics of how well placement predicts the first events of a
+// service.
+type PredictionSeries struct {
+	// Predicted and Actual are the times from arrival to the first event, of the requests
+	// that have a prediction.
+	Predicted tally.Histogram
+	Actual    tally.Histogram
+	// Early and Late are the differences of those whose first event came before or after the
+	// predicted time.
+	Early tally.Histogram
+	Late  tally.Histogram
+}
+
+// Predictions returns the metrics of a service's predictions.
+func (r *Requests) Predictions(service string) *PredictionSeries {
+	if series, ok := r.predictions.Load(service); ok {
+		return series.(*PredictionSeries)
+	}
+	scope := r.scope.Tagged(map[string]string{"service": service})
+	series, _ := r.predictions.LoadOrStore(service, &PredictionSeries{
+		Predicted: scope.Histogram("placement_first_event_predicted", durationBuckets),
+		Actual:    scope.Histogram("placement_first_event_actual", durationBuckets),
+		Early:     scope.Histogram("placement_first_event_early", durationBuckets),
+		Late:      scope.Histogram("placement_first_event_late", durationBuckets),
+	})
+	return series.(*PredictionSeries)
+}
+
+// Record adds the first event of a request.
+func (s *PredictionSeries) Record(predicted, actual time.Duration) {
+	s.Predicted.RecordDuration(predicted)
+	s.Actual.RecordDuration(actual)
+	if actual < predicted {
+		s.Early.RecordDuration(predicted - actual)
+		return
+	}
+	s.Late.RecordDuration(actual - predicted)
+}
+
 // Refused counts a refused request; kind is the kind of refusal.
 func (s *ClassSeries) Refused(kind string) {
 	s.scope.Tagged(map[string]string{"kind": kind}).Counter("request_refused").Inc(1)
