--- a/internal/experiment/bound.go
+++ b/internal/experiment/bound.go
@@ -19,7 +19,11 @@
 // one second with release times and deadlines form a scheduling matroid, so it is
 // optimal to add work greedily by worth per engine second while it is feasible.
 func Bound(d *Deployment, c *Cell, arrivals []arrival) float64 {
-	b := newBoundPlan(d, c, arrivals)
+	return newBoundPlan(d, c, arrivals).total()
+}
+
+// total returns the worth of the plan.
+func (b *boundPlan) total() float64 {
 	worth := 0.0
 	for _, class := range b.order {
 		offered := b.work[class]
--- a/internal/protocol/cost/cost_test.go
+++ b/internal/protocol/cost/cost_test.go
@@ -139,7 +139,7 @@
 // leave the choice among servers that are in time to chance, and against ones that don't grow
 // with the lateness beyond it.
 func TestExpectedLateness(t *testing.T) {
-	o := cost.Within(600)
+	o := cost.Within(600, 1)
 	last := -1.0
 	for _, at := range []float64{0, 100, 300, 600, 900, 1200, 2400} {
 		late := o.Late(at)
@@ -154,6 +154,9 @@
 	if got := o.Late(2400); got != 1800 {
 		t.Errorf("lateness %.0f after 2400 ms, want 1800", got)
 	}
+	if got := cost.Within(150, 0.5).Late(75); got != 0 {
+		t.Errorf("lateness %.1f at half of the limit, with predictions off by half, want 0", got)
+	}
 	if got := (cost.Objective{}).Late(100); got != 0 {
 		t.Errorf("lateness %.0f without an objective, want 0", got)
 	}
--- a/internal/protocol/cost/lateness.go
+++ b/internal/protocol/cost/lateness.go
@@ -14,35 +14,36 @@
 	}
 }
 
-// Objective is a time within which an event is due. Predictions are off by up to the
-// objective, so that a time far below it already has a small cost, which grows with the time.
-// The zero value stands for no objective.
+// Objective is a time within which an event is due. The zero value stands for none.
 type Objective struct {
-	// limit is in milliseconds, and curve the factor of the quadratic part of Late.
-	limit, curve float64
+	// limit and from are in milliseconds: below from, an event is in time for certain. curve
+	// is the factor of the quadratic part of Late.
+	limit, from, curve float64
 }
 
-// Within returns the objective of so many milliseconds, or none for zero.
-func Within(limit float64) Objective {
+// Within returns the objective of so many milliseconds, or none for zero. Predictions are off
+// by up to a part of it.
+func Within(limit, part float64) Objective {
 	if limit <= 0 {
 		return Objective{}
 	}
-	return Objective{limit: limit, curve: 1 / (4 * limit)}
+	return Objective{limit: limit, from: limit * (1 - part), curve: 1 / (4 * limit * part)}
 }
 
 // Late returns the expected lateness of an event that is predicted after a time, in
-// milliseconds. It is Excess with a width of the objective.
+// milliseconds; see [Excess].
 func (o Objective) Late(predicted float64) float64 {
-	if predicted >= 2*o.limit {
-		if o.limit == 0 {
-			return 0
-		}
+	above := predicted - o.from
+	switch {
+	case above <= 0 || o.limit == 0:
+		return 0
+	case above >= 2*(o.limit-o.from):
 		return predicted - o.limit
 	}
-	return predicted * predicted * o.curve
+	return above * above * o.curve
 }
 
 // Slope returns by how much Late grows with the predicted time.
 func (o Objective) Slope(predicted float64) float64 {
-	return min(1, 2*predicted*o.curve)
+	return min(1, 2*max(0, predicted-o.from)*o.curve)
 }
--- a/internal/protocol/cost/model.go
+++ b/internal/protocol/cost/model.go
@@ -20,7 +20,7 @@
 	factorHalfLife = 25 * time.Second
 	// factorWeight is the weight, in observations, of the assumption that a server is as
 	// fast as the others, and maxFactor bounds how much slower or faster one can be.
-	factorWeight = 1.5
+	factorWeight = 4
 	maxFactor    = 8
 	// agingInterval is the time between two passes over the servers of a service that
 	// forget their speeds and drop those that are not observed any more.
@@ -158,7 +158,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.promptTokens.add(now, p.Read)
-	s.observe(now, s.prefill, server, p.features(), took)
+	s.observe(now, s.prefill, server, p.features(), took, certainty(p.Staleness, took))
 }
 
 // ObserveFirst adds the time from the send of a stream to its first event.
@@ -170,7 +170,7 @@
 	if f.Local {
 		fit = s.local
 	}
-	s.observe(now, fit, server, f.features(), took)
+	s.observe(now, fit, server, f.features(), took, certainty(f.Staleness, took))
 }
 
 // ObserveStep adds the time between two events of a stream at a server that had that many
@@ -179,7 +179,7 @@
 	s := m.service(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.observe(now, s.step, server, features{1, streams, pending}, took)
+	s.observe(now, s.step, server, features{1, streams, pending}, took, 1)
 }
 
 // ObserveOutput adds a complete output of a number of tokens, and how long its stream took.
@@ -209,16 +209,24 @@
 	expected := held.value(ms)
 	factor := s.factor(now, server)
 	held.add(now, ms/factor)
-	s.compare(now, server, ms/expected)
+	s.compare(now, server, ms/expected, 1)
 }
 
-// observe adds an observation to a fit and to what is known of the server. s.mu must be held.
-func (s *service) observe(now time.Time, f *fit, server string, x features, took time.Duration) {
+// certainty returns the weight of an observation for what is known of its server, if its load
+// was known with a staleness. What was pending then is gone after about as long as the
+// request itself took, and another load explains the time as well as another speed.
+func certainty(staleness, took time.Duration) float64 {
+	return math.Exp(-max(0, milliseconds(staleness)) / max(1, milliseconds(took)))
+}
+
+// observe adds an observation to a fit and, with a weight, to what is known of the server.
+// s.mu must be held.
+func (s *service) observe(now time.Time, f *fit, server string, x features, took time.Duration, weight float64) {
 	expected := f.coeffs.predict(x)
 	ms := milliseconds(took)
 	// What the server's own speed explains says nothing of the others'.
 	f.observe(now, x, ms/s.factor(now, server))
-	s.compare(now, server, ms/expected)
+	s.compare(now, server, ms/expected, weight)
 	s.publish()
 }
 
@@ -231,9 +239,9 @@
 	return 1
 }
 
-// compare adds the ratio of an observed time to the one expected of the mean server. s.mu
-// must be held.
-func (s *service) compare(now time.Time, server string, ratio float64) {
+// compare adds the ratio of an observed time to the one expected of the mean server, with a
+// weight. s.mu must be held.
+func (s *service) compare(now time.Time, server string, ratio, weight float64) {
 	held, ok := s.servers.Load(server)
 	if !ok {
 		if s.count.Load() >= maxServers {
@@ -245,8 +253,8 @@
 	}
 	f := held.(*factor)
 	f.age(now)
-	f.n++
-	f.sum += math.Log(min(max(ratio, 1.0/maxFactor), maxFactor))
+	f.n += weight
+	f.sum += weight * math.Log(min(max(ratio, 1.0/maxFactor), maxFactor))
 	f.age(now)
 }
 
--- a/internal/protocol/cost/speeds.go
+++ b/internal/protocol/cost/speeds.go
@@ -1,5 +1,7 @@
 package cost
 
+import "time"
+
 // Speeds are the learned speeds of a service's servers, on average. They are immutable.
 type Speeds struct {
 	// prefill is the time of a call that prefills, by tokens to read, pending tokens and
@@ -40,8 +42,10 @@
 	// cache is transferred, CrossZone from another zone.
 	Read, Fetched float64
 	CrossZone     bool
-	// Pending is the number of other prompts' tokens that were pending at the engine.
-	Pending float64
+	// Pending is the number of other prompts' tokens that were pending at the engine, known
+	// with that Staleness.
+	Pending   float64
+	Staleness time.Duration
 }
 
 func (p Prefill) features() features {
@@ -63,8 +67,9 @@
 	Tokens    float64
 	CrossZone bool
 	// Pending is the number of other prompts' tokens pending at the engine, and Streams
-	// that of its other streams.
+	// that of its other streams, known with that Staleness.
 	Pending, Streams float64
+	Staleness        time.Duration
 }
 
 func (f First) features() features {
--- a/internal/protocol/exchange/comeback_test.go
+++ b/internal/protocol/exchange/comeback_test.go
@@ -93,7 +93,7 @@
 		load := []loadClass{
 			atRate(plans, 0.5*demand*slots/3), atRate(questions, 0.45*demand*slots/2.5), atRate(triages, 0.05*demand*slots/0.2),
 		}
-		got := newClusterWithSlots(8, 6, 64).runComebacks(load, 5*time.Second, 20*time.Second)
+		got := newClusterWithSlots(8, 6, 64, nil).runComebacks(load, 5*time.Second, 20*time.Second)
 		t.Logf("%+v", got)
 		for i, c := range got {
 			if c.first*2 < c.sent {
--- a/internal/protocol/exchange/learn.go
+++ b/internal/protocol/exchange/learn.go
@@ -65,7 +65,7 @@
 		return
 	}
 	now := time.Now()
-	call := cost.Prefill{Read: float64(chosen.Tokens), Pending: float64(chosen.Load.PromptTokens+left) / 2}
+	call := cost.Prefill{Read: float64(chosen.Tokens), Pending: float64(chosen.Load.PromptTokens+left) / 2, Staleness: x.options.Tracker.Staleness()}
 	if a.FetchFrom != nil {
 		call.Fetched, call.CrossZone = float64(shared), a.FetchFrom.Zone != a.Engine.Zone
 	}
@@ -94,6 +94,7 @@
 	begin := cost.First{
 		Local: source == nil, Tokens: float64(x.request.Prompt.Tokens), CrossZone: source != nil && source.Engine.Zone != e.Zone,
 		Pending: float64(load.PromptTokens), Streams: float64(load.Streams),
+		Staleness: x.options.Tracker.Staleness(),
 	}
 	x.options.Costs.ObserveFirst(s.pace.at, x.request.Service.Name, e.ID, begin, s.pace.at.Sub(s.attempt.placedAt))
 }
--- a/internal/protocol/exchange/load_test.go
+++ b/internal/protocol/exchange/load_test.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/exchange"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
@@ -180,12 +181,16 @@
 }
 
 func newCluster(entries, prefills int) *cluster {
-	return newClusterWithSlots(entries, prefills, 0)
+	return newClusterWithSlots(entries, prefills, 0, nil)
 }
 
+// placements are the constructors of what entries learn costs with, by the name of the
+// decision. The one by fixed scores learns nothing.
+var placements = map[string]func() *cost.Model{"scores": nil, "costs": cost.NewModel}
+
 // newClusterWithSlots returns a cluster whose engines that decode have that many slots
-// each, or any number if it is zero.
-func newClusterWithSlots(entries, prefills, slots int) *cluster {
+// each, or any number if it is zero. Entries place by costs if newCosts isn't nil.
+func newClusterWithSlots(entries, prefills, slots int, newCosts func() *cost.Model) *cluster {
 	c := &cluster{engines: make(map[string]*modelEngine), decoders: make(map[string]*modelDecoder)}
 	list := []fleet.Engine{{ID: "d0", Service: "llm", Phase: fleet.Decode, Slots: slots}, {ID: "d1", Service: "llm", Phase: fleet.Decode, Slots: slots}}
 	if slots > 0 {
@@ -204,6 +209,10 @@
 		e := &modelEntry{tracker: fleet.NewTracker(), prefixes: prefixdir.New()}
 		budget := retry.NewAccount(clock.NewRuntime(), retry.Bound{Share: 0.2, Slack: 10, Window: 10 * time.Second})
 		var mu sync.Mutex
+		var costs *cost.Model
+		if newCosts != nil {
+			costs = newCosts()
+		}
 		e.carrier = exchange.New(exchange.Options{
 			View:     func() *fleet.View { return view },
 			Tracker:  e.tracker,
@@ -215,7 +224,8 @@
 				defer mu.Unlock()
 				return random.IntN(n)
 			},
-			Log: hclog.NewNullLogger(),
+			Log:   hclog.NewNullLogger(),
+			Costs: costs,
 		})
 		c.entries = append(c.entries, e)
 	}
@@ -459,19 +469,28 @@
 	return k
 }
 
+// forEachPlacement runs a test with each of the placements.
+func forEachPlacement(t *testing.T, test func(t *testing.T, newCosts func() *cost.Model)) {
+	for name, newCosts := range placements {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { test(t, newCosts) })
+		})
+	}
+}
+
 // TestSharedPrefixesArePrefilledOnce runs a load that the engines can handle
 // only if each shared prefix is prefilled once. 95 of 100 callers must get their
 // first event in time. Without announcements of prefixes among entries, at
 // least four times as many shared tokens must be prefilled again.
 func TestSharedPrefixesArePrefilledOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	forEachPlacement(t, func(t *testing.T, newCosts func() *cost.Model) {
 		// 6 engines prefill 300,000 tokens a second. The own parts take three
 		// quarters of that; own and shared parts together would take a quarter
 		// more than all of it.
 		load := []loadClass{atRate(reports, 27), atRate(triages, 25)}
-		sharing := newCluster(8, 6)
+		sharing := newClusterWithSlots(8, 6, 0, newCosts)
 		got := sharing.runLoad(load, 20*time.Second, true)
-		isolated := newCluster(8, 6)
+		isolated := newClusterWithSlots(8, 6, 0, newCosts)
 		gotIsolated := isolated.runLoad(load, 20*time.Second, false)
 		t.Logf("sharing: %+v, %d tokens read again; isolated: %+v, %d tokens read again", got, sharing.recomputedTokens, gotIsolated, isolated.recomputedTokens)
 		for i, c := range got {
@@ -492,9 +511,9 @@
 // handle if nothing was, and after it. At least half of the callers must be
 // answered in the burst.
 func TestPrefixesStayWhereTheyFit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	forEachPlacement(t, func(t *testing.T, newCosts func() *cost.Model) {
 		portfolios := loadClass{route: streaming("portfolio", 800*time.Millisecond), shared: 13300, own: 3700, prefixes: 280}
-		c := newCluster(30, 12)
+		c := newClusterWithSlots(30, 12, 0, newCosts)
 		c.cachesOwnParts = true
 		for _, e := range c.engines {
 			e.capacity = 400000
@@ -529,14 +548,14 @@
 // other half of that rest may be spent on prompts that were still in time when
 // sent.
 func TestOverloadServesInTimeWhatFits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	forEachPlacement(t, func(t *testing.T, newCosts func() *cost.Model) {
 		const (
 			capacity = 6 * prefillTokensPerSecond
 			long     = 60
 			short    = 30
 		)
 		load := []loadClass{atRate(reports, long), atRate(triages, short)}
-		got := newCluster(8, 6).runLoad(load, 20*time.Second, true)
+		got := newClusterWithSlots(8, 6, 0, newCosts).runLoad(load, 20*time.Second, true)
 		t.Logf("%+v", got)
 		if c := got[1]; c.inTime*100 < c.sent*95 {
 			t.Errorf("short prompts: %d of %d in time, want at least 95%%", c.inTime, c.sent)
@@ -665,7 +684,7 @@
 // TestLessUrgentStreamsBeginWhereSlotsAreShort guards against streams of low priority that
 // wait at full engines until their callers leave.
 func TestLessUrgentStreamsBeginWhereSlotsAreShort(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	forEachPlacement(t, func(t *testing.T, newCosts func() *cost.Model) {
 		plans := loadClass{route: streaming("plan", 500*time.Millisecond), shared: 1000, own: 1000, prefixes: 30, length: 3 * time.Second}
 		plans.route.Priority = 2
 		questions := loadClass{route: streaming("question", 300*time.Millisecond), shared: 100, own: 500, prefixes: 30, length: 2500 * time.Millisecond}
@@ -673,7 +692,7 @@
 		const slots = 128.0
 		load := []loadClass{atRate(plans, 0.3*slots/3), atRate(questions, 0.2*slots/2.5)}
 		further := []loadClass{atRate(plans, 0.75*slots/3), atRate(questions, 0.5*slots/2.5)}
-		during, later := newClusterWithSlots(8, 6, 64).runBurst(load, further, 10*time.Second, 20*time.Second, 26*time.Second)
+		during, later := newClusterWithSlots(8, 6, 64, newCosts).runBurst(load, further, 10*time.Second, 20*time.Second, 26*time.Second)
 		checkAnswered(t, during, later)
 		plan, question := during[0], during[1]
 		if plan.begun*100 < plan.sent*45 {
--- a/internal/protocol/placement/costaware.go
+++ b/internal/protocol/placement/costaware.go
@@ -15,6 +15,11 @@
 	// a millisecond of lateness of a first event or of a pause. Routes have no objective
 	// for the end of an output, but streams that last longer hold their slots.
 	paceWeight = 0.05
+	// firstError and pauseError are the parts of the objective for a first event, and of the
+	// longest pause that is in time, by which predictions are off. A time of a first event far
+	// below the objective has a small cost, which grows with the time.
+	firstError = 1
+	pauseError = 0.5
 	// priorityStep is the part of the weight of a request's own lateness that each rank
 	// below the highest priority costs.
 	priorityStep = 0.15
@@ -77,9 +82,9 @@
 
 func (w *Work) objective() cost.Objective {
 	if w.Objective <= 0 {
-		return cost.Within(usualObjective)
+		return cost.Within(usualObjective, firstError)
 	}
-	return cost.Within(ms(w.Objective))
+	return cost.Within(ms(w.Objective), firstError)
 }
 
 // weight returns the weight of the request's own lateness; that of its neighbours is 1.
@@ -93,6 +98,31 @@
 	return inProgress * ms(w.Staleness) / max(1, eachMs)
 }
 
+// trust returns the part of the differences between servers' loads that is still there,
+// given how long each request is: what was in progress ends, and what came meanwhile is not
+// known.
+func (w *Work) trust(eachMs float64) float64 {
+	return math.Exp(-ms(w.Staleness) / max(1, eachMs))
+}
+
+// tally sums up a kind of load over the servers.
+type tally struct{ n, sum, squares float64 }
+
+func (t *tally) add(x float64) { t.n, t.sum, t.squares = t.n+1, t.sum+x, t.squares+x*x }
+
+func (t *tally) mean() float64 { return t.sum / max(1, t.n) }
+
+func (t *tally) variance() float64 {
+	mean := t.mean()
+	return max(0, t.squares/max(1, t.n)-mean*mean)
+}
+
+// present returns the expected load of a server now, from the reported one.
+func (t *tally) present(reported, trust float64) float64 {
+	mean := t.mean()
+	return mean + trust*(reported-mean)
+}
+
 // prefillPlan is what the choice of a prefill engine depends on.
 type prefillPlan struct {
 	speeds *cost.Speeds
@@ -101,6 +131,9 @@
 	// workPrice is the lateness that a millisecond of work adds to other prompts, on
 	// average over the engines.
 	workPrice float64
+	pending   tally
+	// sojournMs is how long a prompt stays at an engine.
+	sojournMs float64
 	shared    int
 	// homes holds the engine that should prefill the shared prefix, by software version.
 	homes [maxVersions]home
@@ -146,11 +179,10 @@
 	plan.speeds = p.Model.Speeds(w.Service)
 	key, shared := w.Prompt.Shared()
 	plan.shared = shared
-	pending := 0
 	keyHash := xxhash.Sum64String(key)
 	for i := range prefill {
 		c := &prefill[i]
-		pending += c.Load.PromptTokens
+		plan.pending.add(float64(c.Load.PromptTokens))
 		if h := plan.of(c.Version); key != "" {
 			if weight := mix(keyHash ^ xxhash.Sum64String(c.ID)); h.engine == "" || weight > h.weight {
 				h.engine, h.weight = c.ID, weight
@@ -170,10 +202,10 @@
 		}
 	}
 	streams := p.addWaiting(&plan, w, decode)
-	mean := float64(pending) / float64(max(1, len(prefill)))
-	speeds := plan.speeds
+	mean, speeds := plan.pending.mean(), plan.speeds
 	plan.after = speeds.First(cost.First{Tokens: float64(w.Prompt.Tokens), Streams: streams})
-	usual := speeds.Prefill(cost.Prefill{Read: speeds.PromptTokens, Pending: mean}) + plan.after
+	plan.sojournMs = speeds.Prefill(cost.Prefill{Read: speeds.PromptTokens, Pending: mean})
+	usual := plan.sojournMs + plan.after
 	behind := 1 + mean/max(1, speeds.PromptTokens)
 	plan.workPrice = behind * w.objective().Slope(usual)
 	return plan
@@ -193,7 +225,7 @@
 		c := &decode[i]
 		streams += float64(c.Load.Streams)
 		h := plan.of(c.Version)
-		wait, _ := p.slotWait(plan.speeds, c)
+		wait, _ := p.slotWait(plan.speeds, c, float64(c.Load.Streams))
 		waiting := wait + c.failingCost()
 		if c.Slots > 0 && float64(c.Load.Streams) >= (1-reservedSlots)*float64(c.Slots) {
 			waiting += reservedMs
@@ -210,13 +242,13 @@
 
 // slotWait returns the expected wait for a slot in milliseconds, and by how much one more
 // stream lengthens it. The number of streams is off by about the square root of the slots.
-func (p *CostAware) slotWait(speeds *cost.Speeds, c *Candidate) (wait, perStream float64) {
+func (p *CostAware) slotWait(speeds *cost.Speeds, c *Candidate, streams float64) (wait, perStream float64) {
 	if c.Slots <= 0 {
 		return 0, 0
 	}
 	slots := float64(c.Slots)
 	width := math.Sqrt(slots)
-	excess := float64(c.Load.Streams) + 1 - slots + width
+	excess := streams + 1 - slots + width
 	if excess <= 0 {
 		return 0, 0
 	}
@@ -236,12 +268,14 @@
 	copyMs := copyWork * float64(plan.shared) * speeds.ReadToken() * plan.workPrice
 	o := newOptions(len(prefill))
 	defer o.release()
-	total, eachMs := 0.0, 0.0
+	trust := w.trust(plan.sojournMs)
+	// The wait varies about its expectation, and lateness grows faster than the wait.
+	variance := queued * queued * plan.pending.variance() * (1 - trust*trust)
+	uncertain := weight * objective.Late(math.Sqrt(variance))
 	for i := range prefill {
 		c := &prefill[i]
 		h := plan.of(c.Version)
-		pending, slow := float64(c.Load.PromptTokens), c.slowness()
-		total += pending
+		pending, slow := plan.pending.present(float64(c.Load.PromptTokens), trust), c.slowness()
 		read, took, fetch, copies := whole, wholeMs, 0.0, h.copies
 		switch {
 		case h.holder == nil:
@@ -257,11 +291,10 @@
 			copies++
 		}
 		took = slow * (took + queued*pending)
-		eachMs += took
 		first := elapsed + took + plan.after
 		behind, slope := pending/usual, objective.Slope(first)
 		item := &o.list[i]
-		item.shared = weight*objective.Late(first) + behind*slope*slow*speeds.ReadToken()*read
+		item.shared = weight*objective.Late(first) + uncertain + behind*slope*slow*speeds.ReadToken()*read
 		item.perRequest = max(minPerRequest, slope*(1+behind)*slow*queued*usual)
 		item.first = first + fetch
 		item.own = weight*(objective.Late(item.first)-objective.Late(first)) + h.waiting + c.failingCost()
@@ -270,7 +303,7 @@
 		}
 		item.excluded = c.Load.FailingEntries > 0
 	}
-	level := o.level(w.unseen(total/usual, eachMs/float64(len(prefill))))
+	level := o.level(w.unseen(plan.pending.sum/usual, plan.sojournMs))
 	best, e.CostMs, e.NextMs = o.pick(level, p.Random)
 	e.FirstEventMs = o.list[best].first
 	return best, e
@@ -296,104 +329,6 @@
 	return choice, true
 }
 
-// decodeWork is the work of a request at the engine that decodes.
-type decodeWork struct {
-	// read is the number of tokens that the engine prefills, and fetched that of those whose
-	// KV cache it fetches from zone. Without either, the beginning of the stream doesn't
-	// count.
-	read, fetched float64
-	zone          string
-}
-
-// decodeOptions fills in the options of a request at engines that decode, and returns the
-// number of their streams.
-func (p *CostAware) decodeOptions(o *options, w *Work, speeds *cost.Speeds, d decodeWork, candidates []Candidate) (streamsOfAll float64) {
-	elapsed, objective, gap, weight := ms(w.Elapsed), w.objective(), cost.Within(ms(w.EventGap)), w.weight()
-	local, begins := d.read > 0, d.read+d.fetched > 0
-	begin := speeds.FirstAt(cost.First{Local: local, Tokens: d.read + d.fetched})
-	crossing := 0.0
-	if !local {
-		crossing = speeds.FirstAt(cost.First{Tokens: d.fetched, CrossZone: true}).Fixed - begin.Fixed
-	}
-	step, token := speeds.StepAt(), speeds.LocalToken()
-	pacePrice := paceWeight * max(1, w.Output.Mean())
-	for i := range candidates {
-		c := &candidates[i]
-		slow, streams, pending := c.slowness(), float64(c.Load.Streams), float64(c.Load.PromptTokens)
-		streamsOfAll += streams
-		wait, waitPerStream := p.slotWait(speeds, c)
-		stepMs := slow * step.At(pending, streams+1)
-		first := elapsed + wait
-		if begins {
-			first += slow * begin.At(pending, streams)
-		}
-		slope := objective.Slope(first)
-		// The outputs of all streams, this one's included, end later.
-		pace := pacePrice * (stepMs + streams*slow*step.PerStream)
-		// All streams pause while the engine prefills.
-		before := stepMs + slow*token*pending
-		after := before + slow*token*d.read
-		pauses := weight*gap.Late(after) + streams*(gap.Late(after)-gap.Late(before))
-		// The prompts that are pending there wait for this one.
-		behind := pending / LocalPrefillLimit * slope * slow * token * d.read
-		item := &o.list[i]
-		item.shared = weight*objective.Late(first) + pace + pauses + behind
-		item.perRequest = max(minPerRequest, 2*pacePrice*slow*step.PerStream+waitPerStream*weight*slope+streams*slow*token*d.read*gap.Slope(after))
-		item.own, item.first, item.excluded = c.failingCost(), first, c.Load.FailingEntries > 0
-		if begins && c.Zone != d.zone {
-			if local {
-				item.own += zoneCallMs
-			} else {
-				item.first += slow * crossing
-				item.own += crossZoneMs + weight*(objective.Late(item.first)-objective.Late(first))
-			}
-		}
-	}
-	return streamsOfAll
-}
-
-// pickDecode chooses among engines that decode.
-func (p *CostAware) pickDecode(w *Work, speeds *cost.Speeds, d decodeWork, candidates []Candidate) (best int, e Estimate) {
-	o := newOptions(len(candidates))
-	defer o.release()
-	streams := p.decodeOptions(o, w, speeds, d, candidates)
-	best, e.CostMs, e.NextMs = o.pick(o.level(w.unseen(streams, speeds.StreamMs)), p.Random)
-	e.FirstEventMs = o.list[best].first
-	return best, e
-}
-
-// ForDecode implements [Policy].
-func (p *CostAware) ForDecode(w *Work, zone string, local bool, candidates []Candidate) (Choice, bool) {
-	if len(candidates) == 0 {
-		return Choice{}, false
-	}
-	d := decodeWork{fetched: float64(w.Prompt.Tokens), zone: zone}
-	if local {
-		d.read, d.fetched = d.fetched, 0
-	}
-	best, e := p.pickDecode(w, p.Model.Speeds(w.Service), d, candidates)
-	return Choice{Candidate: candidates[best], Estimate: e}, true
-}
-
-// PrefillLocally implements [Policy]: it compares the cheapest engine that decodes with the
-// cheapest one that only prefills, plus what decoding costs after it.
-func (p *CostAware) PrefillLocally(w *Work, prefill, decode []Candidate) bool {
-	if len(prefill) == 0 || len(decode) == 0 {
-		return len(prefill) == 0
-	}
-	if w.Prompt.Tokens > maxLocalPrefill {
-		return false
-	}
-	plan := p.plan(w, nil, prefill, decode)
-	_, remote := p.forPrefill(w, &plan, prefill)
-	_, after := p.pickDecode(w, plan.speeds, decodeWork{}, decode)
-	_, local := p.pickDecode(w, plan.speeds, decodeWork{read: float64(w.Prompt.Tokens)}, decode)
-	objective := w.objective()
-	queued := float64(w.Waiting) / float64(len(prefill)) * plan.speeds.QueuedToken()
-	waiting := w.weight() * (objective.Late(remote.FirstEventMs+queued) - objective.Late(remote.FirstEventMs))
-	return local.CostMs < remote.CostMs+waiting+after.CostMs
-}
-
 // SparesPrefill implements [Policy].
 func (p *CostAware) SparesPrefill(w *Work, prefill, decode []Candidate) bool {
 	return p.PrefillLocally(w, prefill, decode)
--- a/internal/protocol/placement/level.go
+++ b/internal/protocol/placement/level.go
@@ -40,15 +40,27 @@
 // candidates that are cheapest to all: they fill these up evenly, as every entry chooses
 // the cheapest ones. It is the lowest cost if there are no unseen requests.
 func (o *options) level(unseen float64) float64 {
-	lowest, ok := 0.0, false
+	lowest, ok, slope, n := 0.0, false, 0.0, 0
 	for i := range o.list {
-		if c := &o.list[i]; !c.excluded && (!ok || c.shared < lowest) {
+		c := &o.list[i]
+		if c.excluded {
+			continue
+		}
+		if !ok || c.shared < lowest {
 			lowest, ok = c.shared, true
 		}
+		slope += c.perRequest
+		n++
 	}
 	if unseen <= 0 || !ok {
 		return lowest
 	}
+	// Costs are convex: the servers that are cheap now rise as fast as the others once they
+	// have filled up.
+	slope /= float64(n)
+	for i := range o.list {
+		o.list[i].perRequest = slope
+	}
 	// Newton's method on the number of requests that fit below the level: the function is
 	// convex and piecewise linear, so that the first step overshoots and each further one
 	// comes down to the level.
