Placement keeps requests within the engines' KV caches where memory is bounded

Where servers bound their memory (contract "pressure"), an engine ends when its requests need more than its KV cache, and all of its streams with it. Placement knew slots and prompt tokens only.

Each request's need at its longest (prompt and maximum output) counts as KVTokens of its engine: at the engine that decodes from the choice until the stream ends, at the one that prefills until its handle is fetched, released or expired. The room of a contended engine is divided among entries for each period of two report intervals, since all entries see the same room at the same time. A prompt for which no engine has room waits in the prefill queue, or briefly between prefill and decode, and is refused as not run ("no memory") when its caller would leave.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -61,6 +61,9 @@
 	// Buffers bounds what is kept of responses, in sum. If it is nil, New creates a pool
 	// of buffer.DefaultBytes.
 	Buffers *buffer.Pool
+	// BoundMemory is set if engines end when their requests together need more than their KV
+	// caches hold.
+	BoundMemory bool
 	// Random returns a random integer in [0, n).
 	Random func(n int) int
 	Log    hclog.Logger
@@ -81,6 +84,14 @@
 	// newWaiting holds, by service, the number of requests that have not begun and wait for a
 	// server as *atomic.Int64.
 	newWaiting sync.Map
+	// kvTokens holds, by service, the size of an engine's KV cache as int, if that bounds what
+	// engines get.
+	kvTokens sync.Map
+	// memoryUses holds, by memoryKey, what was placed lately as *placement.MemoryUse.
+	memoryUses sync.Map
+	// memoryPlacing is held while a request is added to the load of the engine that has room
+	// for it.
+	memoryPlacing sync.Mutex
 	// ending is done once End has been called.
 	ending context.Context
 	end    context.CancelFunc
@@ -145,6 +156,7 @@
 			out.Streams += e.Load.Streams
 		}
 	}
+	out.Memory = c.engineMemory(service, found)
 	return out
 }
 
@@ -184,6 +196,7 @@
 	if !r.Counted {
 		c.options.Budget(r.Service.Name).Request()
 	}
+	c.learnMemory(r)
 	x := &exchange{
 		Forwarder: c, request: r, sender: sender, sink: sink, started: time.Now(), lastEventID: r.LastEventID,
 		sharedParts: r.Prompt.SharedParts(),
@@ -310,6 +323,10 @@
 	slot *prefillqueue.Grant
 	// queued is set once the request has been in the prefill queue.
 	queued bool
+	// memoryWait is how long the request has waited for room in KV caches, and lacksMemory is
+	// set once it has waited in vain.
+	memoryWait  time.Duration
+	lacksMemory bool
 	// endStream ends the count of the request's stream, or is nil.
 	endStream func()
 	// roomAfter is how long it takes until overloaded engines have room.
@@ -521,7 +538,8 @@
 	finished := x.options.Tracker.AddWork(id, fleet.Load{Streams: p.work.Streams, Calls: p.work.Calls})
 	x.endReservation()
 	a.waiter = x.waitAt(a)
-	s := &startedAttempt{attempt: a, promptPrefilled: x.options.Tracker.AddWork(id, fleet.Load{PromptTokens: p.work.PromptTokens})}
+	prefilled := x.options.Tracker.AddWork(id, fleet.Load{PromptTokens: p.work.PromptTokens})
+	s := &startedAttempt{attempt: a, promptPrefilled: func() { prefilled(); a.KVSource.fetched() }}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	s.end = func() {
 		s.guard.stop()
@@ -530,7 +548,9 @@
 		}
 		cancel()
 		a.waiter.end()
-		s.promptPrefilled()
+		prefilled()
+		a.KVSource.fetchedWithin(x.request.Service.Engine)
+		p.memory.end()
 		finished()
 	}
 	stopWaiting := context.AfterFunc(waiting, cancel)
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -55,11 +55,11 @@
 		x.release(source)
 		return nil, err
 	}
-	chosen, source, ok := x.chooseDecode(ctx, source)
+	chosen, source, memory, ok := x.chooseDecode(ctx, source)
 	if !ok {
 		return nil, x.noServer()
 	}
-	p := &placedAttempt{attempt: x.newAttempt(chosen.Engine), work: fleet.Load{Streams: 1}}
+	p := &placedAttempt{attempt: x.newAttempt(chosen.Engine), work: fleet.Load{Streams: 1}, memory: memory}
 	p.attempt.KVSource = source
 	if source == nil {
 		p.work.PromptTokens = prompt.Tokens
@@ -71,24 +71,40 @@
 // chooseDecode chooses the engine that decodes. If a prompt was prefilled at a
 // software version that has no such engine any more, its KV cache is released, and
 // an engine of another version is to prefill it again. usable is source, or nil if
-// it was released.
-func (x *exchange) chooseDecode(ctx context.Context, source *KVSource) (chosen placement.Candidate, usable *KVSource, ok bool) {
-	choose := func(zone string, filter placement.Filter) (placement.Candidate, bool) {
-		return x.choose(ctx, func(candidates []placement.Candidate) (placement.Candidate, bool) {
-			return placement.ForDecode(zone, candidates, x.options.Random)
-		}, placement.CanDecode, filter)
+// it was released. hold is what the request needs of the engine's KV cache.
+func (x *exchange) chooseDecode(ctx context.Context, source *KVSource) (chosen placement.Candidate, usable *KVSource, hold *kvHold, ok bool) {
+	need := x.request.Prompt.DecodeMemory()
+	choose := func(zone string, filter placement.Filter) (chosen placement.Candidate, ok bool) {
+		for {
+			memory := x.memory(false)
+			chosen, ok = x.choose(ctx, func(candidates []placement.Candidate) (placement.Candidate, bool) {
+				return placement.ForDecode(zone, candidates, x.options.Random)
+			}, placement.CanDecode, filter, memory.HasRoom(need))
+			if ok {
+				if hold, ok = x.holdMemory(memory, chosen.Engine, need); ok {
+					return chosen, true
+				}
+				continue
+			}
+			if !x.awaitMemory(ctx, memory, need, placement.CanDecode, filter) {
+				return chosen, false
+			}
+		}
 	}
 	if source == nil {
 		chosen, ok = choose(x.options.Zone, x.origin.allows)
-		return chosen, nil, ok
+		return chosen, nil, hold, ok
 	}
 	same := placement.OfVersion(source.Engine.Version)
 	if chosen, ok = choose(source.Engine.Zone, same); ok {
-		return chosen, source, true
+		return chosen, source, hold, true
 	}
 	x.release(source)
+	if x.lacksMemory {
+		return chosen, nil, nil, false
+	}
 	chosen, ok = choose(x.options.Zone, func(e fleet.Engine) bool { return !same(e) })
-	return chosen, nil, ok
+	return chosen, nil, hold, ok
 }
 
 // engineIDs returns the IDs of engines.
@@ -111,6 +127,7 @@
 func (x *exchange) release(s *KVSource) {
 	if s != nil {
 		x.sender.Release(*s)
+		s.fetched()
 	}
 }
 
@@ -153,22 +170,39 @@
 	}
 	prefix, prefixTokens := prompt.Shared()
 	holders, decode := x.holdersOf(prefix), x.decodeEngines()
-	var chosen placement.PrefillChoice
-	_, ok := x.admit(func(candidates []placement.Candidate) (placement.Candidate, bool) {
-		choice, ok := placement.ForPrefill(prompt, holders, candidates, decode, x.options.Random)
-		chosen = choice
-		return choice.Candidate, ok
-	}, placement.InPhase(fleet.Prefill), placement.OfVersionAmong(decode))
-	if !ok {
+	var (
+		chosen placement.PrefillChoice
+		hold   *kvHold
+	)
+	inPhase, decodable, need := placement.InPhase(fleet.Prefill), placement.OfVersionAmong(decode), prompt.PrefillMemory()
+	for ok := false; !ok; {
+		memory := x.memory(true)
+		_, ok = x.admit(func(candidates []placement.Candidate) (placement.Candidate, bool) {
+			choice, ok := placement.ForPrefill(prompt, holders, candidates, decode, x.options.Random)
+			chosen = choice
+			return choice.Candidate, ok
+		}, inPhase, decodable, memory.HasRoom(need))
+		if ok {
+			hold, ok = x.holdMemory(memory, chosen.Engine, need)
+			continue
+		}
+		if x.awaitMemory(ctx, memory, need, inPhase, decodable) {
+			continue
+		}
 		grant.Release()
+		if x.lacksMemory {
+			return nil, ErrNoMemory
+		}
 		return nil, nil
 	}
 	if err := x.checkStart(); err != nil {
+		hold.end()
 		grant.Release()
 		return nil, err
 	}
 	// Only the first call that reaches an engine costs no retry.
 	if (x.prefillCalls > 0 || x.arrivedSends() > 0) && !x.spendRetry() {
+		hold.end()
 		grant.Release()
 		return nil, errRetryBudget
 	}
@@ -202,7 +236,12 @@
 		}
 		x.options.Outlier.Success(chosen.ID)
 		x.options.Prefixes.RecordPrefill(prefix, prefixTokens, chosen.Engine)
-		return &KVSource{Engine: chosen.Engine, Handle: handle}, nil
+		return &KVSource{Engine: chosen.Engine, Handle: handle, hold: hold}, nil
+	}
+	if errors.Is(err, ErrNotRun) {
+		hold.end()
+	} else {
+		hold.endWithin(x.request.Service.Engine) // the engine may go on
 	}
 	if errors.Is(err, ErrNotSent) {
 		x.prefillCalls--
@@ -235,11 +274,11 @@
 
 // awaitSlot waits until an engine has a slot for a stream whose prompt it prefills itself.
 func (x *exchange) awaitSlot(ctx context.Context, prompt placement.Prompt) error {
-	if !x.prefillBacklog(x.request.Service.Name).SlotsShort() {
-		return nil
-	}
 	entry := x.queueEntry(prompt)
 	entry.Tokens, entry.Local = prompt.Tokens, true
+	if engines := x.prefillBacklog(x.request.Service.Name); !engines.SlotsShort() && engines.Memory.Fits(entry, 0) {
+		return nil
+	}
 	grant, err := x.acquire(ctx, entry)
 	if err != nil {
 		return fmt.Errorf("wait for a slot: %w", err)
@@ -294,6 +333,10 @@
 		Priority:  x.request.priority(),
 		Tokens:    prompt.Unshared(),
 		Output:    prompt.Output,
+
+		DecodeMemory:  prompt.DecodeMemory(),
+		PrefillMemory: prompt.PrefillMemory(),
+
 		Key:       prompt.Key(),
 		Arrived:   x.started,
 		Objective: x.request.Route.Objective,
--- a/internal/protocol/exchange/place.go
+++ b/internal/protocol/exchange/place.go
@@ -15,6 +15,8 @@
 	attempt Attempt
 	// work is the load that the attempt adds to the engine.
 	work fleet.Load
+	// memory is what it needs of the engine's KV cache, or nil.
+	memory *kvHold
 	// retry is zero if the attempt is the first one.
 	retry retry.Retry
 }
@@ -95,6 +97,7 @@
 // discard gives back what a placed attempt holds.
 func (x *exchange) discard(p *placedAttempt) {
 	x.release(p.attempt.KVSource)
+	p.memory.end()
 	p.retry.Return()
 }
 
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -63,6 +63,8 @@
 type KVSource struct {
 	Engine fleet.Engine
 	Handle string
+	// hold counts the KV cache as the engine's load, or is nil.
+	hold *kvHold
 }
 
 // Attempt is one send to one backend server.
@@ -122,6 +124,9 @@
 	// ErrOverloaded means that the engines can't begin the request before its caller
 	// leaves.
 	ErrOverloaded = errors.New("the engines are overloaded")
+	// ErrNoMemory means that no engine has room for the request in its KV cache. It matches
+	// ErrOverloaded.
+	ErrNoMemory = fmt.Errorf("%w: none has room in its KV cache", ErrOverloaded)
 	// ErrStopping means that this entry stops before the request could be completed.
 	ErrStopping = errors.New("the entry stops before the request could be completed")
 	// ErrVersionGone means that no server of the software version that began the
--- a/internal/protocol/exchange/version.go
+++ b/internal/protocol/exchange/version.go
@@ -56,7 +56,10 @@
 
 // noServer returns the error for a request without a candidate.
 func (x *exchange) noServer() error {
-	if x.origin.known {
+	switch {
+	case x.lacksMemory:
+		return ErrNoMemory
+	case x.origin.known:
 		return ErrVersionGone
 	}
 	return errNoServer
--- a/internal/protocol/fleet/fleet.go
+++ b/internal/protocol/fleet/fleet.go
@@ -136,6 +136,9 @@
 	// Streams and Calls count requests in progress.
 	Streams int
 	Calls   int
+	// KVTokens is the number of tokens that the requests in progress need in the engine's KV
+	// cache at their longest.
+	KVTokens int
 	// FailingEntries counts the entries whose requests the engine fails. It is not
 	// conclusive: the cause may be the entry or its network.
 	FailingEntries int
@@ -161,6 +164,7 @@
 		PromptTokens:   l.PromptTokens + sign*other.PromptTokens,
 		Streams:        l.Streams + sign*other.Streams,
 		Calls:          l.Calls + sign*other.Calls,
+		KVTokens:       l.KVTokens + sign*other.KVTokens,
 		FailingEntries: l.FailingEntries + sign*other.FailingEntries,
 		MissingEntries: l.MissingEntries + sign*other.MissingEntries,
 		LeavingEntries: l.LeavingEntries + sign*other.LeavingEntries,
--- a/internal/protocol/fleet/tracker.go
+++ b/internal/protocol/fleet/tracker.go
@@ -51,6 +51,9 @@
 	own     sync.Map // engine id to *ownLoad
 	waiting sync.Map // service to *atomic.Int64, in prompt tokens
 	others  atomic.Pointer[remoteWork]
+	// position and entries are this entry's place among those that accept new work and their
+	// number.
+	position, entries atomic.Int64
 }
 
 // remoteWork is the work that all other entries reported, and when the report
@@ -62,7 +65,7 @@
 
 // ownLoad counts this entry's unfinished work at one engine.
 type ownLoad struct {
-	promptTokens, streams, calls atomic.Int64
+	promptTokens, streams, calls, kvTokens atomic.Int64
 }
 
 // NewTracker returns a tracker without any load.
@@ -77,6 +80,31 @@
 	t.others.Store(&remoteWork{Work: w, receivedAt: time.Now()})
 }
 
+// ForgetOthers drops the known work of the other entries because it is too old. Their needs in
+// KV caches stay: figures that are too high delay requests, and those that are too low crash
+// engines.
+func (t *Tracker) ForgetOthers() {
+	kept := Work{Engines: make(map[string]Load)}
+	for engine, load := range t.others.Load().Engines {
+		if load.KVTokens > 0 {
+			kept.Engines[engine] = Load{KVTokens: load.KVTokens}
+		}
+	}
+	t.SetOthers(kept)
+}
+
+// SetPosition sets this entry's place, from zero, among the entries that accept new work and
+// their number. The place is negative if it isn't one of them.
+func (t *Tracker) SetPosition(index, entries int) {
+	t.position.Store(int64(index))
+	t.entries.Store(int64(entries))
+}
+
+// Position returns what SetPosition set last, or zeros.
+func (t *Tracker) Position() (index, entries int) {
+	return int(t.position.Load()), int(t.entries.Load())
+}
+
 // OthersWaiting returns the number of prompt tokens of a service that wait at
 // other entries.
 func (t *Tracker) OthersWaiting(service string) int {
@@ -117,6 +145,7 @@
 		PromptTokens: int(o.promptTokens.Load()),
 		Streams:      int(o.streams.Load()),
 		Calls:        int(o.calls.Load()),
+		KVTokens:     int(o.kvTokens.Load()),
 	}
 }
 
@@ -155,6 +184,7 @@
 	o.promptTokens.Add(sign * int64(work.PromptTokens))
 	o.streams.Add(sign * int64(work.Streams))
 	o.calls.Add(sign * int64(work.Calls))
+	o.kvTokens.Add(sign * int64(work.KVTokens))
 }
 
 // Prune drops the counters of engines that are not in the view and have no
--- a/internal/protocol/fleet/work_test.go
+++ b/internal/protocol/fleet/work_test.go
@@ -17,6 +17,7 @@
 			PromptTokens:   rapid.IntRange(0, 9).Draw(t, "tokens"),
 			Streams:        rapid.IntRange(0, 3).Draw(t, "streams"),
 			Calls:          rapid.IntRange(0, 3).Draw(t, "calls"),
+			KVTokens:       rapid.IntRange(0, 9).Draw(t, "kv"),
 			FailingEntries: rapid.IntRange(0, 1).Draw(t, "failing"),
 			MissingEntries: rapid.IntRange(0, 1).Draw(t, "missing"),
 		}
--- a/internal/protocol/prefillqueue/prefillqueue.go
+++ b/internal/protocol/prefillqueue/prefillqueue.go
@@ -113,8 +113,9 @@
 	// the prompts of each priority.
 	shortTokens int
 	tokensOf    map[int]int
-	// reserved is the number of grants whose streams haven't been sent yet.
-	reserved int
+	// reserved is the number of grants whose streams haven't been sent yet, and
+	// reservedMemory what these need in KV caches.
+	reserved, reservedMemory int
 	// credit is how many streams may begin until it is renewed. creditAt is when that
 	// last happened, and loadAt when the load that it is based on was received.
 	credit           float64
@@ -153,6 +154,7 @@
 	queue    *Queue
 	service  *service
 	tokens   int
+	memory   int
 	priority int
 	started  time.Time
 	once     sync.Once
@@ -181,7 +183,7 @@
 	}
 	q.grantWaiting(s)
 	q.mu.Unlock()
-	grant := &Grant{queue: q, service: s, tokens: p.prefillTokens(), priority: p.Priority}
+	grant := &Grant{queue: q, service: s, tokens: p.prefillTokens(), memory: p.DecodeMemory, priority: p.Priority}
 	select {
 	case err := <-w.decided:
 		if err != nil {
@@ -237,6 +239,7 @@
 		g.queue.mu.Lock()
 		defer g.queue.mu.Unlock()
 		g.service.reserved--
+		g.service.reservedMemory -= g.memory
 	})
 }
 
@@ -263,9 +266,10 @@
 			return refuse(w)
 		case !w.waited && now.yields(w):
 			return refuse(w)
-		case s.mayGrant(now, w, engines.Count, held):
+		case s.mayGrant(now, w, engines, held):
 			s.addPrefilling(w.prefillTokens(), w.Priority)
 			s.reserved++
+			s.reservedMemory += w.DecodeMemory
 			s.credit--
 			s.flows.grant(now.now, w.Prompt)
 			if w.counted() {
@@ -333,13 +337,16 @@
 
 // mayGrant reports whether a prompt may be sent. Engines interleave chunks of prompts, so
 // a short prompt overtakes long ones there and need not wait for the backlog to shrink.
-// held is set if a prompt that goes before it in a saturated queue must wait.
-func (s *service) mayGrant(now *situation, w *waiter, engines int, held bool) bool {
+// held is set if a prompt that goes before it in a saturated queue must wait. No prompt is sent
+// for which no engine has room.
+func (s *service) mayGrant(now *situation, w *waiter, engines Engines, held bool) bool {
 	pending, short := float64(s.prefillingTokens), w.Tokens <= shortPromptTokens
 	switch {
+	case !engines.Memory.Fits(w.Prompt, s.reservedMemory):
+		return false
 	case now.slotsShort && !w.Resumed && s.credit < 1 && !now.fewStreams(w):
 		return false
-	case w.Local || engines == 0 || pending < now.limit:
+	case w.Local || engines.Count == 0 || pending < now.limit:
 		return true
 	case now.saturated():
 		return short && !held && float64(s.shortTokens) < now.limit
--- a/internal/protocol/prefillqueue/prompt.go
+++ b/internal/protocol/prefillqueue/prompt.go
@@ -19,6 +19,9 @@
 	Local bool
 	// Tokens is the number of tokens to prefill, and Output the maximum number to generate.
 	Tokens, Output int
+	// DecodeMemory and PrefillMemory are the numbers of tokens that the prompt needs at its
+	// longest in the KV caches of the engines that decode and prefill it.
+	DecodeMemory, PrefillMemory int
 	// Key is the same for repeats of a request, and for no other request of its workspace.
 	// It is empty if that isn't known.
 	Key string
@@ -59,11 +62,49 @@
 	// isn't known, and Streams that of all entries' streams at these engines, of which
 	// there are Decoding.
 	Slots, Streams, Decoding int
+	// Memory is set if engines may lack room in their KV caches.
+	Memory *EngineMemory
 }
 
-// SlotsShort reports whether the engines that decode have few free slots.
+// EngineMemory is the room in the KV caches of a service's engines, in tokens.
+type EngineMemory struct {
+	// Total is what the engines that decode can be given, Free what is left of it, and
+	// MaxFree that of the one with the most room. MaxFreePrefill is that of the engines that
+	// prefill.
+	Total, Free, MaxFree, MaxFreePrefill int
+	// Extra returns what must be free beside a request that needs that much; nil stands for
+	// nothing.
+	Extra func(need int) int
+}
+
+func (m *EngineMemory) extra(need int) int {
+	if m.Extra == nil {
+		return 0
+	}
+	return m.Extra(need)
+}
+
+// short reports whether there is little room for streams.
+func (m *EngineMemory) short() bool {
+	return m != nil && float64(m.Free) <= (1-slotsShortFrom)*float64(m.Total)
+}
+
+// Fits reports whether there is room for a prompt beside others that have been granted and
+// need reserved tokens.
+func (m *EngineMemory) Fits(p Prompt, reserved int) bool {
+	if m == nil {
+		return true
+	}
+	if !p.Local && p.PrefillMemory+m.extra(p.PrefillMemory) > m.MaxFreePrefill {
+		return false
+	}
+	return p.DecodeMemory+m.extra(p.DecodeMemory) <= m.MaxFree && reserved+p.DecodeMemory <= m.Free
+}
+
+// SlotsShort reports whether the engines that decode have few free slots, or little room in
+// their KV caches.
 func (e Engines) SlotsShort() bool {
-	return e.Slots > 0 && float64(e.Streams) >= slotsShortFrom*float64(e.Slots)
+	return e.Slots > 0 && (float64(e.Streams) >= slotsShortFrom*float64(e.Slots) || e.Memory.short())
 }
 
 // streamsTarget returns the number of streams up to which further ones are begun.
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -345,6 +345,7 @@
 		return
 	}
 	a.tracker.SetOthers(u.Others)
+	a.tracker.SetPosition(u.Index, u.Entries)
 	a.uses.SetOthers(u.OthersUses)
 	a.retries.SetDeployment(u.Retries)
 	a.notices.Limits.SetPosition(ratelimit.Position{Index: u.Index, Count: u.Entries})
@@ -360,7 +361,7 @@
 	if age < maxLoadAge || a.otherLoadUnknown.Swap(true) {
 		return
 	}
-	a.tracker.SetOthers(fleet.Work{})
+	a.tracker.ForgetOthers()
 	a.uses.SetOthers(nil)
 	a.options.Log.Warn("load of other entries is unknown", "age_ms", age.Milliseconds())
 }
--- a/internal/role/seededentry/agent_test.go
+++ b/internal/role/seededentry/agent_test.go
@@ -197,3 +197,21 @@
 		}
 	})
 }
+
+// TestKVTokensOfOthersStayInAPartition guards against an entry that takes engines to be empty
+// once it hears nothing of the other entries.
+func TestKVTokensOfOthersStayInAPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newTestAgent()
+		others := fleet.Work{Engines: map[string]fleet.Load{"engine": {Streams: 5, KVTokens: 40000}, "idle": {Streams: 1}}}
+		a.deliver(peergrpc.Update{Source: "leader", Leads: true, HasOthers: true, Entries: 3, Index: 1, Others: others})
+		if index, entries := a.tracker.Position(); index != 1 || entries != 3 {
+			t.Errorf("got position %d of %d, want 1 of 3", index, entries)
+		}
+		time.Sleep(maxLoadAge)
+		a.expireOtherLoad(t.Context())
+		if got := a.tracker.Load("engine"); got != (fleet.Load{KVTokens: 40000}) {
+			t.Errorf("got %+v, want the KV tokens only", got)
+		}
+	})
+}
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -717,6 +717,7 @@
 		Missing:      uint32(max(0, l.MissingEntries)),
 		Leaving:      uint32(max(0, l.LeavingEntries)),
 		Withdrawn:    l.Withdrawn > 0,
+		KvTokens:     uint64(max(0, l.KVTokens)),
 	}
 }
 
@@ -730,6 +731,7 @@
 		PromptTokens:   int(l.GetPromptTokens()),
 		Streams:        int(l.GetStreams()),
 		Calls:          int(l.GetCalls()),
+		KVTokens:       toKVTokens(l),
 		FailingEntries: int(l.GetAiling()),
 		MissingEntries: int(l.GetMissing()),
 		LeavingEntries: int(l.GetLeaving()),
