--- a/internal/protocol/prefillqueue/fairness_test.go
+++ b/internal/protocol/prefillqueue/fairness_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 )
 
@@ -36,8 +37,14 @@
 	slots           int
 	streamTime      time.Duration
 
-	queue *Queue
-	mu    sync.Mutex
+	// entries is the number of entries, each with a queue; zero stands for one. Requests go to
+	// them in turn.
+	entries int
+
+	queues   []*Queue
+	trackers []*fleet.Tracker
+	uses     []*fairshare.Uses
+	mu       sync.Mutex
 	// busyUntil is when each prefill engine has worked off its prompts.
 	busyUntil []time.Time
 	pending   []int
@@ -103,7 +110,7 @@
 }
 
 // request plays one request and its repeats.
-func (o *overload) request(ctx context.Context, c client, key string, counted bool) {
+func (o *overload) request(ctx context.Context, q *Queue, c client, key string, counted bool) {
 	arrived := time.Now()
 	served, attempts := false, 0
 	for !served && time.Since(arrived) < testPatience && ctx.Err() == nil {
@@ -112,7 +119,7 @@
 		o.mu.Lock()
 		o.waiting++
 		o.mu.Unlock()
-		grant, err := o.queue.Acquire(ctx, Prompt{
+		grant, err := q.Acquire(ctx, Prompt{
 			Service: "llm", Route: "a", Workspace: c.workspace, Key: key, Local: o.prefillEngines == 0, Tokens: c.tokens, Output: c.output,
 			Arrived: now, Asked: now, Objective: testObjective, GiveUp: arrived.Add(testPatience),
 		})
@@ -127,7 +134,7 @@
 			continue
 		}
 		served = true
-		end := o.queue.Begin("llm", "a", o.prefillEngines == 0)
+		end := q.Begin("llm", "a", o.prefillEngines == 0)
 		o.prefill(grant, c.tokens)
 		o.mu.Lock()
 		o.streams++
@@ -174,10 +181,33 @@
 	}
 }
 
+// exchange has the entries exchange what waits at them and what workspaces asked for.
+func (o *overload) exchange(ctx context.Context) {
+	for ctx.Err() == nil && len(o.queues) > 1 {
+		time.Sleep(50 * time.Millisecond)
+		work, uses := fleet.NewSum(), fairshare.NewSum()
+		ownWork, ownUses := make([]fleet.Work, len(o.queues)), make([][]fairshare.Use, len(o.queues))
+		for i := range o.queues {
+			ownWork[i], ownUses[i] = o.trackers[i].Own(), o.uses[i].Report(time.Now())
+			work.Add(ownWork[i])
+			uses.Replace(nil, ownUses[i])
+		}
+		time.Sleep(50 * time.Millisecond)
+		for i := range o.queues {
+			o.trackers[i].SetOthers(work.Without(ownWork[i]))
+			o.uses[i].SetOthers(uses.Without(time.Now(), ownUses[i]))
+		}
+	}
+}
+
 // play has clients send requests for a time and returns what each workspace got.
 func (o *overload) play(t *testing.T, seed uint64, length time.Duration, clients []client) map[string]result {
 	t.Helper()
-	o.queue = New(Options{Engines: o.engines, Tracker: fleet.NewTracker()})
+	for range max(1, o.entries) {
+		tracker, uses := fleet.NewTracker(), fairshare.NewUses()
+		o.trackers, o.uses = append(o.trackers, tracker), append(o.uses, uses)
+		o.queues = append(o.queues, New(Options{Engines: o.engines, Tracker: tracker, Uses: uses}))
+	}
 	o.busyUntil, o.pending = make([]time.Time, o.prefillEngines), make([]int, o.prefillEngines)
 	o.results = make(map[string]result)
 	random := rand.New(rand.NewPCG(seed, 1))
@@ -185,13 +215,14 @@
 	var running sync.WaitGroup
 	began := time.Now()
 	running.Go(func() { o.watch(ctx) })
+	running.Go(func() { o.exchange(ctx) })
 	for _, c := range clients {
 		own := rand.New(rand.NewPCG(random.Uint64(), 1))
 		running.Go(func() {
 			for n := 0; time.Since(began) < length; n++ {
 				time.Sleep(time.Duration(own.ExpFloat64() / c.perSecond * float64(time.Second)))
 				counted := time.Since(began) > warmUp
-				running.Go(func() { o.request(ctx, c, fmt.Sprint(n), counted) })
+				running.Go(func() { o.request(ctx, o.queues[n%len(o.queues)], c, fmt.Sprint(n), counted) })
 			}
 		})
 	}
@@ -219,6 +250,11 @@
 	prefillShort := func() *overload {
 		return &overload{prefillEngines: 4, tokensPerSecond: 50000, streamTime: 500 * time.Millisecond}
 	}
+	entries := func() *overload {
+		o := prefillShort()
+		o.entries = 4
+		return o
+	}
 	slotsShort := func() *overload { return &overload{slots: 128, streamTime: 2 * time.Second} }
 	request := client{perSecond: 3, tokens: 4000, output: 100}
 	brief := client{perSecond: 4, tokens: 800, output: 200}
@@ -230,6 +266,8 @@
 		equal bool
 	}{
 		"prefill, one of ten times the demand": {prefillShort, clients(with(request, func(c *client) { c.perSecond *= 10 }), request), true},
+		"entries, one of ten times the demand": {entries, clients(with(request, func(c *client) { c.perSecond *= 10 }), request), true},
+		"entries, large one repeats at once":   {entries, clients(with(request, func(c *client) { c.repeats, c.perSecond = true, 30 }), request), true},
 		"prefill, equal":                       {prefillShort, clients(request, request), true},
 		"prefill, one of long prompts":         {prefillShort, clients(with(request, func(c *client) { c.tokens = 12000 }), request), false},
 		"prefill, one repeats at once":         {prefillShort, clients(with(request, func(c *client) { c.repeats = true }), request), true},
--- a/internal/role/seededentry/sharereporter.go
+++ b/internal/role/seededentry/sharereporter.go
@@ -25,6 +25,7 @@
 }
 
 func (r *shareReporter) report(context.Context) {
+	r.reportMemory()
 	now := time.Now()
 	for service, s := range r.agent.uses.Status(now) {
 		scope := r.agent.options.Metrics.Tagged(map[string]string{"service": service})
@@ -54,3 +55,18 @@
 			"others_age_ms", r.agent.tracker.Age().Milliseconds())
 	}
 }
+
+// reportMemory sets the gauges of what requests need in the engines' KV caches.
+func (r *shareReporter) reportMemory() {
+	most, sum := make(map[string]int), make(map[string]int)
+	for e := range r.agent.View().All() {
+		tokens := r.agent.tracker.Load(e.ID).KVTokens
+		most[e.Service] = max(most[e.Service], tokens)
+		sum[e.Service] += tokens
+	}
+	for service, tokens := range most {
+		scope := r.agent.options.Metrics.Tagged(map[string]string{"service": service})
+		scope.Gauge("kv_tokens_most").Update(float64(tokens))
+		scope.Gauge("kv_tokens").Update(float64(sum[service]))
+	}
+}
