--- a/internal/protocol/exchange/place.go
+++ b/internal/protocol/exchange/place.go
@@ -16,6 +16,8 @@
 	// work is the load that the attempt adds to the engine, and load that of the engine
 	// when it was chosen.
 	work, load fleet.Load
+	// memory is what it needs of the engine's KV cache, or nil.
+	memory *kvHold
 	// retry is zero if the attempt is the first one.
 	retry retry.Retry
 }
@@ -99,6 +101,7 @@
 // discard gives back what a placed attempt holds.
 func (x *exchange) discard(p *placedAttempt) {
 	x.release(p.attempt.KVSource)
+	p.memory.end()
 	p.retry.Return()
 }
 
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -371,6 +371,7 @@
 		a.tracker.SetOthers(u.Others)
 		a.uses.SetOthers(u.OthersUses)
 	}
+	a.tracker.SetPosition(u.Index, u.Entries)
 	a.retries.SetDeployment(u.Retries)
 	a.notices.Limits.SetPosition(ratelimit.Position{Index: u.Index, Count: u.Entries})
 	if a.otherLoadUnknown.CompareAndSwap(true, false) {
@@ -385,7 +386,7 @@
 	if age < maxLoadAge || a.otherLoadUnknown.Swap(true) {
 		return
 	}
-	a.tracker.SetOthers(fleet.Work{})
+	a.tracker.ForgetOthers()
 	a.uses.SetOthers(nil)
 	a.options.Log.Warn("load of other entries is unknown", "age_ms", age.Milliseconds())
 }
--- a/internal/role/serve/progress.go
+++ b/internal/role/serve/progress.go
@@ -93,7 +93,7 @@
 		// that the other side acknowledges count too.
 		left, err := tcpopt.UnackedBytes(c.raw)
 		if err != nil {
-			return written, err
+			left = unacked // only what the kernel takes counts then
 		}
 		if n > 0 || unacked < 0 || left < unacked {
 			progressAt = time.Now()
--- a/internal/role/serve/progress_test.go
+++ b/internal/role/serve/progress_test.go
@@ -85,7 +85,7 @@
 	}
 	chunk := make([]byte, 8<<10)
 	for began := time.Now(); time.Since(began) < 6*time.Second; {
-		if _, err := conn.Read(chunk); err != nil {
+		if _, err := io.ReadFull(conn, chunk); err != nil {
 			t.Fatalf("after %v: %v", time.Since(began), err)
 		}
 		time.Sleep(200 * time.Millisecond) // 40 kB a second
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -401,7 +401,11 @@
 	}
 	h.options.Retries.Record(info.Incarnation, toRetryUses(report.GetRetryUses()))
 	h.uses.set(w, report.GetWorkspaceUses())
-	h.setWork(w, report.GetNumber(), toWork(report.GetLoads(), report.GetWaiting()), toPace(report.GetPace()))
+	work := toEarlierWork
+	if w.takesDigests.Load() {
+		work = toWork
+	}
+	h.setWork(w, report.GetNumber(), work(report.GetLoads(), report.GetWaiting()), toPace(report.GetPace()))
 	h.setDemand(w, report.GetDemand())
 	h.recordHoldings(w, toHoldings(report.GetHoldings()))
 	h.options.Quarantine.Record(toEvidence(report.GetEvidence()))
@@ -788,6 +792,7 @@
 		Missing:      uint32(max(0, l.MissingEntries)),
 		Leaving:      uint32(max(0, l.LeavingEntries)),
 		Withdrawn:    l.Withdrawn > 0,
+		KvTokens:     uint64(max(0, l.KVTokens)),
 	}
 }
 
@@ -801,6 +806,7 @@
 		PromptTokens:   int(l.GetPromptTokens()),
 		Streams:        int(l.GetStreams()),
 		Calls:          int(l.GetCalls()),
+		KVTokens:       int(l.GetKvTokens()),
 		FailingEntries: int(l.GetAiling()),
 		MissingEntries: int(l.GetMissing()),
 		LeavingEntries: int(l.GetLeaving()),
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -384,7 +384,7 @@
 		Leads:           m.GetLeads(),
 		HasOthers:       m.GetHasOthers(),
 		ReportAfter:     max(minLoadInterval, time.Duration(m.GetReportMs())*time.Millisecond),
-		Others:          toWork(m.GetOthers(), m.GetOthersWaiting()),
+		Others:          toEarlierWork(m.GetOthers(), m.GetOthersWaiting()),
 		OthersUses:      toWorkspaceUses(m.GetOthersWorkspaceUses()),
 		Holdings:        toHoldings(m.GetHoldings()),
 		PartLists:       toPartLists(m),
