Responses that end before the upload, and invalid statuses, are no responses

Callers saw status 200 with a part of a body as the whole: a server answers without a length while the upload is being written, has read all that has arrived, and ends its connection, as at a crash. The last bytes of the upload then fit into the buffers, the write succeeds, and the read shows the end of the connection in order, since Linux reports that before a reset that comes after it. The same with a server that closes for writing and goes on reading. It happened on safe, unsafe and streaming routes, and with chunked uploads, which the entry passes on with a length. Resets, and closes with unread bytes, gave 502 before and still do.

A response that only its connection ends now counts as complete only if that end had not arrived before the last write of the request, all of the request is acknowledged, and the socket has no error. A sound server acknowledges the request with the end of its connection at the latest.

Statuses from 600 reached callers (999); 000 to 099 and "+20" were skipped like informational ones, so that what followed counted as the response. Both are errors now: 502, or another attempt where the route allows it.

--- a/internal/transport/httpconn/body.go
+++ b/internal/transport/httpconn/body.go
@@ -16,12 +16,26 @@
 	stopContextWatch func() bool
 	// close is set if the server closes the connection after the response.
 	close bool
-	once  sync.Once
+	// untilClose is set if only the end of the connection ends the response.
+	untilClose bool
+	// ended is set once the body was read to its end, and endErr is why it isn't complete.
+	ended  bool
+	endErr error
+	once   sync.Once
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.untilClose && !b.ended {
+		b.ended = true
+		if !b.conn.endedInOrder() {
+			b.endErr = errEndedEarly
+		}
+	}
+	if err == io.EOF && b.endErr != nil {
+		err = b.endErr
+	}
 	if err != nil {
 		b.release(err == io.EOF)
 	}
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -128,6 +128,9 @@
 	reused bool
 	// ids are the hashes of the IDs of the requests that it has carried.
 	ids []uint64
+	// endedEarly is set if the server ended the connection before the last part of the
+	// newest request was written.
+	endedEarly bool
 }
 
 // Do sends a request and returns the response once its header has arrived. The
@@ -156,7 +159,7 @@
 		}
 		return nil, fmt.Errorf("exchange with %s: %w", address, err)
 	}
-	response.Body = &body{ReadCloser: response.Body, pool: p, conn: c, stopContextWatch: stop, close: request.Close || response.Close}
+	response.Body = &body{ReadCloser: response.Body, pool: p, conn: c, stopContextWatch: stop, close: request.Close || response.Close, untilClose: untilClose(response)}
 	c.setIdleTimeout(response.Header)
 	return response, nil
 }
@@ -164,7 +167,8 @@
 // exchange writes the request and reads the header of the final response; 1xx
 // responses are skipped. All that is read here is limited to maxHead bytes.
 func (c *conn) exchange(request *http.Request, maxHead int64) (*http.Response, error) {
-	writer := bufio.NewWriter(c)
+	c.endedEarly = false
+	writer := bufio.NewWriter(&requestWriter{conn: c})
 	if err := request.Write(writer); err != nil {
 		return nil, err
 	}
@@ -177,6 +181,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkStatus(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			c.limited.unlimit()
 			return response, nil
