Usage: the leader waits for the counts of entries that are out of contact

With a third of the entries cut off from the leader for 7 s, windows that ended in that time were decided 4 s after their end without the requests of these entries, though the reports were due 6 s later. The decision now waits up to 7.5 s after the end of the window while entries that were heard within the last 20 s have not been since; not for those that stopped in order or were replaced. The log line of a decision says how many were missing.

--- a/internal/protocol/usage/aggregator.go
+++ b/internal/protocol/usage/aggregator.go
@@ -34,6 +34,8 @@
 	// dropped counts the counts that were left out: of windows that are too old or too far
 	// ahead, or beyond maxCells.
 	dropped uint64
+	// entries holds when entries were heard, by name.
+	entries map[string]contact
 	// decided is the newest window that this replica has decided, and late the number of
 	// requests reported later for such windows.
 	decided, late uint64
@@ -51,7 +53,7 @@
 // NewAggregator returns an empty aggregator of a replica that starts now. The function now
 // returns the true time; ok is false while it isn't known.
 func NewAggregator(c clock.Clock, window time.Duration, now func() (t time.Time, ok bool)) *Aggregator {
-	return &Aggregator{clock: c, window: window, now: now, created: c.Now(), windows: make(map[uint64]*summedWindow)}
+	return &Aggregator{clock: c, window: window, now: now, created: c.Now(), windows: make(map[uint64]*summedWindow), entries: make(map[string]contact)}
 }
 
 // Record adds the counts that an incarnation of an entry reported. Reports that are
--- a/internal/protocol/usage/cluster_test.go
+++ b/internal/protocol/usage/cluster_test.go
@@ -75,6 +75,9 @@
 	calls       []call
 	// want holds what was counted, by window and workspace.
 	want map[uint64]map[string]uint64
+	// cutEntries holds the entries that don't reach a replica, by replica, and heals those
+	// that are to begin a new watch there.
+	cutEntries, heals map[int]map[int]bool
 	// responsesLost is set while the responses of the platform get lost, and down while it
 	// answers with errors.
 	responsesLost, down bool
@@ -103,6 +106,7 @@
 // newCluster starts three replicas and 12 entries.
 func newCluster(t *testing.T, seed uint64) *cluster {
 	c := &cluster{t: t, running: make(map[int]*reporting), want: make(map[uint64]map[string]uint64), entrySkews: make([]atomic.Int64, 12)}
+	c.cutEntries, c.heals = make(map[int]map[int]bool), make(map[int]map[int]bool)
 	c.group = fakegroup.New(t, fakegroup.Options{
 		Seed: seed, Timing: raft.Timing{ElectionTimeout: 600 * time.Millisecond, Heartbeat: 80 * time.Millisecond, LeaseMargin: 60 * time.Millisecond},
 	})
@@ -112,6 +116,7 @@
 		c.counters = append(c.counters, usage.NewCounter(window, follower.Now))
 	}
 	for i := range c.group.Size() {
+		c.cutEntries[i], c.heals[i] = make(map[int]bool), make(map[int]bool)
 		c.start(i)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -160,8 +165,14 @@
 		}
 		source := fmt.Sprint("replica-", r)
 		for i, counter := range c.counters {
-			run.time.Record(fmt.Sprint("entry-", i), time.Now().Add(time.Duration(c.entrySkews[i].Load())))
-			run.counts.Record(uint64(i+1), counter.Pending(source, false))
+			if c.cutEntries[r][i] {
+				continue
+			}
+			entry := fmt.Sprint("entry-", i)
+			run.time.Record(entry, time.Now().Add(time.Duration(c.entrySkews[i].Load())))
+			run.counts.Heard(entry, uint64(i+1), true)
+			run.counts.Record(uint64(i+1), counter.Pending(source, c.heals[r][i]))
+			delete(c.heals[r], i)
 			if t, ok := run.time.Now(); ok {
 				c.followers[i].Record(source, t)
 			}
@@ -169,6 +180,15 @@
 	}
 }
 
+// cutOffEntries cuts the first entries off from a replica, or connects them again.
+func (c *cluster) cutOffEntries(replica, entries int, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range entries {
+		c.cutEntries[replica][i], c.heals[replica][i] = cut, !cut
+	}
+}
+
 // start starts a replica's reporter.
 func (c *cluster) start(i int) {
 	vm := vmClock{c.group.Clock(), &c.skews[i]}
--- a/internal/protocol/usage/counting_test.go
+++ b/internal/protocol/usage/counting_test.go
@@ -173,6 +173,32 @@
 	}
 }
 
+// TestUnheardEntries guards against decisions that wait for entries which have stopped, were
+// replaced or are long gone, and against ones that don't wait for an entry that is cut off.
+func TestUnheardEntries(t *testing.T) {
+	c := newManualClock()
+	replica := NewAggregator(c, testWindow, c.estimate)
+	for _, entry := range []string{"a", "b", "c", "d"} {
+		replica.Heard(entry, 10, true)
+	}
+	c.advance(3 * time.Second)
+	replica.Heard("a", 10, true)
+	replica.Heard("b", 11, true) // b was replaced; the end of the earlier run comes late
+	replica.Heard("b", 10, false)
+	replica.Heard("c", 10, false) // c stops
+	for _, step := range []struct {
+		advance, sinceEnd time.Duration
+		want              int
+	}{{0, time.Second, 1}, {2 * time.Second, 2 * time.Second, 1}, {0, time.Second, 3}, {contactMemory - 4*time.Second, time.Second, 2}, {contactMemory, time.Second, 0}} {
+		c.advance(step.advance)
+		if got := replica.Unheard(step.sinceEnd); got != step.want {
+			t.Errorf("%v after the end of a window, %d entries are unheard, want %d", step.sinceEnd, got, step.want)
+		}
+	}
+	var none *Aggregator
+	none.Heard("a", 1, true)
+}
+
 // TestBounds guards against an entry or a replica that runs out of memory because of many
 // workspaces, and against requests that are left out unnoticed.
 func TestBounds(t *testing.T) {
--- a/internal/protocol/usage/reporter.go
+++ b/internal/protocol/usage/reporter.go
@@ -21,6 +21,10 @@
 	// before the send, its successor is in time: it takes 2 s to be elected and 3.3 s to
 	// wait for the end of the leader's calls, of 10 s.
 	decisionDelay = 4 * time.Second
+	// longestDelay replaces decisionDelay while entries that were there lately are out of
+	// contact: their counts are often back before the report is due. A leader that ends in
+	// that time may leave its successor too little.
+	longestDelay = 7500 * time.Millisecond
 	// maxMissing is the number of windows, up to the newest one due, that are decided if
 	// they are missing: those of which entries keep the counts.
 	maxMissing = 12
@@ -138,7 +142,12 @@
 		if r.options.History.Usage().Decided(window) {
 			continue
 		}
-		if err := r.decide(ctx, window); err != nil {
+		sinceEnd := now.Sub(EndOf(window, r.options.Window))
+		unheard := r.options.Counts.Unheard(sinceEnd)
+		if unheard > 0 && sinceEnd < longestDelay {
+			return
+		}
+		if err := r.decide(ctx, window, unheard); err != nil {
 			r.stats.decisionsFailed.Add(1)
 			r.decisions.failed(r.options.Clock, maxDecisionPause)
 			if text := err.Error(); text != r.decisionError {
@@ -172,7 +181,8 @@
 }
 
 // decide commits the report of a window. What another holder has decided before stays.
-func (r *Reporter) decide(ctx context.Context, window uint64) error {
+// unheard is the number of entries whose counts may be missing.
+func (r *Reporter) decide(ctx context.Context, window uint64, unheard int) error {
 	counts := r.options.Counts.Decided(window)
 	report, err := r.options.Encode(window, counts)
 	if err != nil {
@@ -191,7 +201,8 @@
 	if result.Accepted {
 		r.stats.decided.Add(1)
 	}
-	r.options.Log.Info("usage window decided", "window", window, "accepted", result.Accepted, "workspaces", len(counts), "requests", requests)
+	r.options.Log.Info("usage window decided", "window", window, "accepted", result.Accepted, "workspaces", len(counts), "requests", requests,
+		"entries_unheard", unheard)
 	for _, lost := range result.Lost {
 		r.stats.lost.Add(1)
 		r.options.Log.Error("usage report given up: the history is full", "window", lost)
--- a/internal/protocol/usage/reporter_test.go
+++ b/internal/protocol/usage/reporter_test.go
@@ -153,6 +153,24 @@
 	}
 }
 
+// TestEntriesCutOffFromHolder cuts a third of the entries off from the holder for 7 s, again
+// and again. It guards against reports without the requests of entries that are back before
+// the reports are due.
+func TestEntriesCutOffFromHolder(t *testing.T) {
+	withSeeds(t, func(t *testing.T, seed uint64) {
+		c := newCluster(t, seed)
+		leader := c.leaderReports()
+		for range 6 {
+			c.cutOffEntries(leader, 4, true)
+			time.Sleep(7 * time.Second)
+			c.cutOffEntries(leader, 4, false)
+			time.Sleep(4300 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		c.verify(due)
+	})
+}
+
 // TestLostResponsesAreRepeated loses the responses of the platform for some time, over a
 // change of leader. Each report is repeated byte for byte, with growing pauses.
 func TestLostResponsesAreRepeated(t *testing.T) {
--- a/internal/transport/peergrpc/usage.go
+++ b/internal/transport/peergrpc/usage.go
@@ -14,6 +14,7 @@
 		// Of an entry that has restarted, both clocks count until the older one expires.
 		h.options.TrueTime.Record(entry.Name+"/"+strconv.FormatUint(entry.Incarnation, 16), wall)
 	}
+	h.options.Usage.Heard(entry.Name, entry.Incarnation, entry.Ready)
 	h.options.Usage.Record(entry.Incarnation, toUsage(report.GetUsage()))
 }
 
