Phases of scaled services: orders in the background, few engines with work at once

When a zone's engines left, up to a third of the remaining engines changed their phases together and were out of service for seconds; new engines waited for their phase while a silent one was asked, and entries sent them work until they had been ordered. The driver held its lock during the calls, and took engines for present until the list showed that they leave.

ReconcileScaled returns once the engines that are to change are withdrawn; their orders are sent in the background. At most a tenth of the engines change their phase while they have work, idle ones without a bound. Engines that have announced to any entry that they leave count as gone, which may be a second before the list shows it. Orders of services with a fixed number of engines go out as before, one after the other; their tests are unchanged.

--- a/internal/protocol/phaseplan/driver.go
+++ b/internal/protocol/phaseplan/driver.go
@@ -76,18 +76,24 @@
 	// shares holds the prefill shares by service, while this process has
 	// authority.
 	shares map[string]*adaptiveShare
-	// ordering guards term, since, fenced and lastOrder while orders are sent concurrently
-	// under mu.
-	ordering sync.Mutex
+	// pending holds the incarnations whose order is being sent.
+	pending map[string]bool
+	// calls are the orders that are being sent in the background; each uses one of slots.
+	calls sync.WaitGroup
+	slots chan struct{}
 }
 
 // NewDriver returns a driver that has given no orders.
 func NewDriver(o DriverOptions) *Driver {
-	return &Driver{options: o, lastOrder: make(map[string]time.Time), changing: make(map[string]Change), shares: make(map[string]*adaptiveShare)}
+	return &Driver{
+		options: o, lastOrder: make(map[string]time.Time), changing: make(map[string]Change),
+		shares: make(map[string]*adaptiveShare), pending: make(map[string]bool),
+		slots: make(chan struct{}, maxConcurrentOrders),
+	}
 }
 
 // mayOrder returns the fencing token; ok is false if this process may not give
-// orders now.
+// orders now. d.mu must be held.
 func (d *Driver) mayOrder() (token uint64, ok bool) {
 	term, ok := d.options.Authority()
 	if !ok || term == d.fenced {
@@ -106,29 +112,37 @@
 // orders, one after the other. It stops at an engine whose last order may not
 // show in the list yet.
 func (d *Driver) Reconcile(ctx context.Context, service string, engines []fleet.Engine) {
+	due := d.plan(func(load func(engine string) fleet.Load) []Change {
+		due := d.due(d.changes(service, engines, load))
+		d.settle(engines)
+		return due
+	})
+	if len(due) == 0 {
+		return
+	}
+	clock.Sleep(ctx, withdrawLead)
+	for _, c := range due {
+		d.order(ctx, c)
+	}
+}
+
+// plan withdraws the engines that are to change, as decide returns them with d.mu held,
+// and returns them. Without authority there are none.
+func (d *Driver) plan(decide func(load func(engine string) fleet.Load) []Change) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, ok := d.mayOrder(); !ok {
 		d.options.Withdraw(nil)
-		return
+		return nil
 	}
 	loads := d.options.Load()
-	due := d.due(d.changes(service, engines, func(id string) fleet.Load { return loads[id] }))
-	d.settle(engines)
+	due := decide(func(id string) fleet.Load { return loads[id] })
 	for _, c := range due {
 		d.changing[c.Engine.Incarnation()] = c
+		d.pending[c.Engine.Incarnation()] = true
 	}
 	d.withdraw()
-	if len(due) == 0 {
-		return
-	}
-	clock.Sleep(ctx, withdrawLead)
-	for _, c := range due {
-		if !d.order(ctx, c) {
-			delete(d.changing, c.Engine.Incarnation())
-		}
-	}
-	d.withdraw()
+	return due
 }
 
 // due returns the changes up to the first engine whose last order may not show
@@ -151,7 +165,7 @@
 		}
 	}
 	for incarnation := range d.changing {
-		if time.Since(d.lastOrder[incarnation]) >= orderSettleTime {
+		if !d.pending[incarnation] && time.Since(d.lastOrder[incarnation]) >= orderSettleTime {
 			delete(d.changing, incarnation)
 		}
 	}
@@ -178,16 +192,21 @@
 		share = &adaptiveShare{floor: d.options.Plan.Share(eligible[0].Slots)}
 		d.shares[service] = share
 	}
-	before := share.share
-	pace := d.options.Pace()[service]
 	state := fleetState{engines: len(eligible), prefill: counts[fleet.Prefill], failing: anyFailing(engines, load)}
+	next := d.nextShare(service, share, state)
+	out := changesTo(next, eligible, counts, load)
+	return append(out, substitutes(eligible, load, d.becomesDecoder)...)
+}
+
+// nextShare returns the share to plan with and logs a change. d.mu must be held.
+func (d *Driver) nextShare(service string, share *adaptiveShare, state fleetState) float64 {
+	before, pace := share.share, d.options.Pace()[service]
 	next := share.next(time.Now(), state, pace)
 	if next != before {
 		d.options.Log.Info("prefill share changed", "service", service, "share", next, "before", before,
-			"streams", pace.Ended, "tight", pace.Tight, "late", pace.Late, "engines", len(eligible))
+			"streams", pace.Ended, "tight", pace.Tight, "late", pace.Late, "engines", state.engines)
 	}
-	out := changesTo(next, eligible, counts, load)
-	return append(out, substitutes(eligible, load, d.becomesDecoder)...)
+	return next
 }
 
 // becomesDecoder reports whether an engine has been ordered to decode and isn't listed so
@@ -205,23 +224,40 @@
 	})
 }
 
-// order sends one order and reports whether the engine may have accepted it.
-// d.mu must be held.
-func (d *Driver) order(ctx context.Context, c Change) bool {
+// order sends one order. An engine that can't have accepted it gets requests again.
+func (d *Driver) order(ctx context.Context, c Change) {
+	accepted := d.send(ctx, c)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.pending, c.Engine.Incarnation())
+	if !accepted {
+		delete(d.changing, c.Engine.Incarnation())
+	}
+	d.withdraw()
+}
+
+// send sends one order and reports whether the engine may have accepted it.
+func (d *Driver) send(ctx context.Context, c Change) bool {
 	count, busy, err := d.options.Engines.Accepted(ctx, c.Engine)
 	if err != nil || busy {
 		d.options.Log.Info("engine not ordered", "engine", c.Engine.ID, "phase", c.Phase.String(), "busy", busy, "error", err)
 		return false
 	}
 	// The query took time; check the authority again right before the order.
+	d.mu.Lock()
 	token, ok := d.mayOrder()
+	if ok {
+		d.lastOrder[c.Engine.Incarnation()] = time.Now()
+	}
+	d.mu.Unlock()
 	if !ok {
 		return false
 	}
-	d.lastOrder[c.Engine.Incarnation()] = time.Now()
 	fenced, err := d.options.Engines.Order(ctx, c, token, count)
 	if fenced {
-		d.fenced = token
+		d.mu.Lock()
+		d.fenced = max(d.fenced, token)
+		d.mu.Unlock()
 	}
 	d.options.Log.Info("engine ordered", "engine", c.Engine.ID, "from", c.Engine.Phase.String(), "phase", c.Phase.String(), "token", token, "expected", count, "fenced", fenced, "error", err)
 	return !fenced
--- a/internal/protocol/phaseplan/phaseplan.go
+++ b/internal/protocol/phaseplan/phaseplan.go
@@ -42,6 +42,8 @@
 type Change struct {
 	Engine fleet.Engine
 	Phase  fleet.Phase
+	// hadWork is set if the engine had work when the change was planned.
+	hadWork bool
 }
 
 // Changes returns the changes that bring a service's engines to the plan. Each
--- a/internal/protocol/phaseplan/scaled_test.go
+++ b/internal/protocol/phaseplan/scaled_test.go
@@ -31,6 +31,28 @@
 	phases    map[string]fleet.Phase
 	orders    int
 	silent    map[string]bool
+	// loads are those of all entries, by ID, and withdrawn the engines that get no work.
+	loads     map[string]fleet.Load
+	withdrawn []string
+}
+
+func newChangingEngines(n int, phase fleet.Phase) *changingEngines {
+	c := &changingEngines{changedAt: make(map[string]time.Time), phases: make(map[string]fleet.Phase), silent: make(map[string]bool), loads: make(map[string]fleet.Load)}
+	c.add(n, phase)
+	return c
+}
+
+func (c *changingEngines) withdraw(engines []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.withdrawn = engines
+}
+
+// withdrawals returns the number of engines that get no work.
+func (c *changingEngines) withdrawals() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.withdrawn)
 }
 
 func (c *changingEngines) Accepted(_ context.Context, e fleet.Engine) (int64, bool, error) {
@@ -88,9 +110,9 @@
 		Plan: phaseplan.DefaultPlan, Engines: c,
 		Authority:   func() (uint64, bool) { return 1, true },
 		QuietPeriod: quietPeriod,
-		Load:        func() map[string]fleet.Load { return nil },
+		Load:        func() map[string]fleet.Load { return c.loads },
 		Pace:        pace,
-		Withdraw:    func([]string) {},
+		Withdraw:    c.withdraw,
 		Log:         hclog.NewNullLogger(),
 	})
 }
@@ -101,8 +123,8 @@
 // until the orders to earlier ones show in the list, or until each has answered in turn.
 func TestManyNewEnginesGetTheirPhaseAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &changingEngines{changedAt: make(map[string]time.Time), phases: make(map[string]fleet.Phase), silent: map[string]bool{"e070": true}}
-		c.add(60, fleet.Decode)
+		c := newChangingEngines(60, fleet.Decode)
+		c.silent["e070"] = true
 		d := newScaledDriver(c, noPace)
 		const step = time.Second
 		run := func(length time.Duration) {
@@ -134,8 +156,7 @@
 // engines changes: those that leave may all be of one phase.
 func TestShareHoldsWhileEnginesComeAndGo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &changingEngines{changedAt: make(map[string]time.Time), phases: make(map[string]fleet.Phase)}
-		c.add(60, fleet.Decode)
+		c := newChangingEngines(60, fleet.Decode)
 		d := newScaledDriver(c, noPace)
 		for i := range 40 {
 			if i > 10 {
@@ -151,3 +172,73 @@
 		}
 	})
 }
+
+// balancedEngines returns engines of four zones whose phases have the planned share in each,
+// and a driver that may order them.
+func balancedEngines(t *testing.T, n int) (*changingEngines, *phaseplan.Driver) {
+	t.Helper()
+	c := newChangingEngines(n, fleet.Decode)
+	d := newScaledDriver(c, noPace)
+	for range 15 {
+		d.ReconcileScaled(t.Context(), "llm", c.list())
+		time.Sleep(time.Second)
+	}
+	if got := c.prefill(); got < 0.56 || got > 0.6 {
+		t.Fatalf("%.2f of the engines prefill, want 0.58", got)
+	}
+	return c, d
+}
+
+// TestNewEnginesAreWithdrawnBeforeTheirOrder guards against new engines that are sent work
+// between their listing and their order, while another engine doesn't answer.
+func TestNewEnginesAreWithdrawnBeforeTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, d := balancedEngines(t, 40)
+		c.silent["e040"] = true
+		c.add(10, fleet.Decode)
+		for n, want := range []int{6, 12} {
+			began := time.Now()
+			d.ReconcileScaled(t.Context(), "llm", c.list())
+			if took := time.Since(began); took > 0 || c.withdrawals() != want {
+				t.Errorf("list %d: %d engines withdrawn after %v, want %d at once", n, c.withdrawals(), took, want)
+			}
+			c.add(10, fleet.Decode)
+		}
+		d.Wait()
+	})
+}
+
+// TestFewEnginesWithWorkChangeAtOnce guards against a service that loses more of its engines
+// to changes of their phases than to the loss that makes these necessary.
+func TestFewEnginesWithWorkChangeAtOnce(t *testing.T) {
+	for name, lose := range map[string]func(*changingEngines, *fleet.Engine){
+		"listed as leaving":      func(_ *changingEngines, e *fleet.Engine) { e.Leaving = true },
+		"announced to one entry": func(c *changingEngines, e *fleet.Engine) { c.loads[e.ID] = fleet.Load{Streams: 1, LeavingEntries: 1} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, d := balancedEngines(t, 60)
+				listed := c.list()
+				lost := 0
+				for i, e := range listed {
+					c.loads[e.ID] = fleet.Load{Streams: 1}
+					if e.Phase == fleet.Prefill && lost < 20 {
+						lose(c, &listed[i])
+						lost++
+					}
+				}
+				// 15 of 40 prefill: 8 more are wanted, and a tenth of 40 may change at once.
+				d.ReconcileScaled(t.Context(), "llm", listed)
+				if got := c.withdrawals(); got != 4 {
+					t.Errorf("%d engines with work change at once, want 4", got)
+				}
+				d.Wait()
+				d.ReconcileScaled(t.Context(), "llm", listed)
+				if got := c.withdrawals(); got != 4 {
+					t.Errorf("%d engines with work change while the first do, want 4", got)
+				}
+				d.Wait()
+			})
+		})
+	}
+}
