Capacity: keep servers at a change of holder, faster hand-over, calls that cease

It provides for what is present now until it has seen a peak window. - A new engine counted as serving 1.5 s after it was listed, since its phase might be about to change. - The list was polled each second. - An order for reclaimable servers refused because of a higher token looks like one refused for want of servers and was repeated every 4 s. - Where the maximum of the zones leaves no room for enough reclaimable servers, lasting ones replace some, so that the loss of a zone is tolerated.

--- a/internal/protocol/capacity/capacity.go
+++ b/internal/protocol/capacity/capacity.go
@@ -211,15 +211,35 @@
 	}
 	for target.Total().Total() < least && add(Lasting) {
 	}
+	if !slices.ContainsFunc(zones, l.Unavailable) {
+		for lost := target.mostReclaimable(); lost != "" && target.Total().Total() >= n.Normal && !enough(target, n); lost = target.mostReclaimable() {
+			// The maximum of the zones leaves no room for enough reclaimable servers.
+			target.add(lost, Reclaimable, -1)
+			if !add(Lasting) {
+				target.add(lost, Lasting, 1)
+			}
+		}
+	}
 	return target
 }
 
+// mostReclaimable returns the zone with the most reclaimable servers, or an empty name if
+// there are none.
+func (z ZoneCounts) mostReclaimable() (most string) {
+	for _, zone := range z.Zones() {
+		if z[zone][Reclaimable] > z[most][Reclaimable] {
+			most = zone
+		}
+	}
+	return most
+}
+
+// Zones returns the zones of the counts, sorted.
+func (z ZoneCounts) Zones() []string { return slices.Sorted(maps.Keys(z)) }
+
 // enough reports whether a target is enough for a need, also after the loss of the
 // reclaimable servers of any zone.
 func enough(target ZoneCounts, n Need) bool {
-	total, lost := target.Total().Total(), 0
-	for _, c := range target {
-		lost = max(lost, c[Reclaimable])
-	}
+	total, lost := target.Total().Total(), target[target.mostReclaimable()][Reclaimable]
 	return total >= n.Normal && total-lost >= n.AfterLoss
 }
--- a/internal/protocol/capacity/driver.go
+++ b/internal/protocol/capacity/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -33,9 +34,12 @@
 	// calls, and the previous holder may just have made some.
 	rateShare  = 0.25
 	burstShare = 0.2
-	// phaseTime is how long a new engine may be listed before its phase is ordered. Until
-	// then it isn't known whether the engine is about to change its phase.
-	phaseTime = 1500 * time.Millisecond
+	// listWhileExpecting is the time within which a newer list is wanted while servers are
+	// to come, go or change their phases: those that they replace cost five times as much.
+	listWhileExpecting = 250 * time.Millisecond
+	// listWhileReclaimable is the same while there are reclaimable servers, which leave 2 s
+	// after they are listed so.
+	listWhileReclaimable = 500 * time.Millisecond
 	// defaultRate is the number of calls a second that a platform without a limit is taken
 	// to accept.
 	defaultRate = 50.0
@@ -89,9 +93,9 @@
 	token    uint64
 	services map[string]*driven
 	listed   map[string]Servers
-	// firstListed is when each listed incarnation of a server was first listed.
-	firstListed map[string]clock.Instant
-	billing     *billing
+	// changing is set while engines change their phases.
+	changing bool
+	billing  *billing
 	// paidUntil is the instant until which the calls that were made use up the rate.
 	paidUntil clock.Instant
 	calls     sync.WaitGroup
@@ -118,7 +122,9 @@
 	taken int
 	known bool
 	// settledAt is when an order was last taken, or the list last showed what was ordered.
+	// shown is set if the list did so since the order was taken.
 	settledAt clock.Instant
+	shown     bool
 	// failures counts the failed calls in a row; none is made before pausedUntil.
 	failures    int
 	pausedUntil clock.Instant
@@ -138,19 +144,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.options.Clock.Now()
-	firstListed := make(map[string]clock.Instant, view.Len())
-	for e := range view.All() {
-		at, known := d.firstListed[e.Incarnation()]
-		if !known {
-			at = now
-		}
-		firstListed[e.Incarnation()] = at
-	}
-	initial := len(d.firstListed) == 0
-	d.firstListed = firstListed
-	serves := func(e fleet.Engine) bool {
-		return e.WarmingMs <= 0 && !slices.Contains(changing, e.ID) && (initial || now.Sub(firstListed[e.Incarnation()]) >= phaseTime)
-	}
+	d.changing = len(changing) > 0
+	serves := func(e fleet.Engine) bool { return e.WarmingMs <= 0 && !slices.Contains(changing, e.ID) }
 	named := make(map[string]bool, len(services))
 	for _, s := range services {
 		named[s.Name] = true
@@ -178,20 +173,53 @@
 	return err
 }
 
+// ListWithin returns the time within which a newer list of servers is wanted.
+func (d *Driver) ListWithin() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	within := time.Duration(math.MaxInt64)
+	if d.token == 0 {
+		return within
+	}
+	for name, s := range d.services {
+		servers := d.listed[name]
+		if d.changing || servers.Leaving.Total().Total() > 0 || s.expecting(servers, d.options.Clock.Now()) {
+			return listWhileExpecting
+		}
+		if servers.Present.Total()[Reclaimable] > 0 {
+			within = listWhileReclaimable
+		}
+	}
+	return within
+}
+
+// expecting reports whether an order is to show in the list soon.
+func (s *driven) expecting(servers Servers, now clock.Instant) bool {
+	for zone, z := range s.zones {
+		for k, state := range z.kinds {
+			if state.known && state.taken != servers.Present[zone][k] && now.Sub(state.settledAt) < settleTime(s.Scaling.Boot) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // step makes a plan for each service and sends the orders that are due.
 func (d *Driver) step(ctx context.Context) {
 	demand := d.options.Demand()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.holds() {
+		return
+	}
 	for name, s := range d.services {
 		servers := d.listed[name]
 		if servers.Present.Total().Total() == 0 {
 			continue // the list may not have been read yet
 		}
-		if !d.holds(s, servers) {
-			return
-		}
-		o := Observation{Now: d.options.Clock.Now(), Scaling: s.Scaling, Class: s.Class, Servers: servers, Ordered: s.ordered(d.options.Clock.Now())}
+		now := d.options.Clock.Now()
+		o := Observation{Now: now, Scaling: s.Scaling, Class: s.Class, Servers: servers, Ordered: s.ordered(now)}
 		if rate, asked := demand[name]; asked {
 			o.Demand = &rate
 		}
@@ -205,21 +233,22 @@
 	}
 }
 
-// holds reports whether this process holds the duties, and begins anew with each token.
-// d.mu must be held.
-func (d *Driver) holds(s *driven, servers Servers) bool {
-	permit, err := d.options.Permit(Order{Service: s.Name}.Matter())
-	if errors.Is(err, duty.ErrNotHolder) {
+// holds reports whether this process holds the duties, and begins anew with each token: what
+// others have ordered in between isn't known. d.mu must be held.
+func (d *Driver) holds() bool {
+	// Orders of a zone may be fenced; no zone has the empty name.
+	permit, err := d.options.Permit(Order{}.Matter())
+	if err != nil {
 		d.token = 0
 		return false
 	}
-	if err == nil && permit.Token != d.token {
+	if permit.Token != d.token {
 		d.token = permit.Token
-		for _, other := range d.services {
-			other.memory, other.zones = NewMemory(), make(map[string]*zoneOrders)
+		for _, s := range d.services {
+			s.memory, s.zones = NewMemory(), make(map[string]*zoneOrders)
 		}
 	}
-	return err == nil
+	return true
 }
 
 // ordered returns the orders for reclaimable servers that were taken and still hold.
@@ -245,7 +274,7 @@
 		s.zones[o.Zone] = z
 	}
 	if z.kinds[o.Kind] == nil {
-		z.kinds[o.Kind] = &orderState{taken: listed, known: true, settledAt: now}
+		z.kinds[o.Kind] = &orderState{taken: listed, known: true, settledAt: now, shown: true}
 	}
 	return z, z.kinds[o.Kind]
 }
@@ -257,13 +286,13 @@
 	listed := servers.Present[o.Zone][o.Kind]
 	zone, state := s.state(o, listed, now)
 	if state.known && state.taken == listed {
-		state.settledAt = now
+		state.settledAt, state.shown = now, true
 	}
 	if !state.due(o, listed, now, s.Scaling.Boot) || zone.calling || now.Before(state.pausedUntil) || !d.mayCall(now) {
 		return
 	}
-	if o.Kind == Reclaimable && listed == o.Servers && s.memory.Unavailable(o.Zone, now) {
-		return // nothing is to change there, and the order may be refused
+	if o.Kind == Reclaimable && listed <= o.Servers && s.memory.Unavailable(o.Zone, now) {
+		return // the order would be refused, or nothing is to change there
 	}
 	permit, err := d.options.Permit(o.Matter())
 	if err != nil {
@@ -294,12 +323,17 @@
 }
 
 // due reports whether an order must be sent: another one was taken last, or it shows no
-// effect.
+// effect. If it did show, an unanswered earlier order has taken effect since, or servers
+// have failed.
 func (s *orderState) due(o Order, listed int, now clock.Instant, boot time.Duration) bool {
 	if !s.known || s.taken != o.Servers {
 		return true
 	}
-	return listed != o.Servers && now.Sub(s.settledAt) >= settleTime(boot)
+	wait := settleTime(boot)
+	if s.shown {
+		wait = listLag
+	}
+	return listed != o.Servers && now.Sub(s.settledAt) >= wait
 }
 
 // sent handles the outcome of an order. d.mu must be held.
@@ -308,11 +342,15 @@
 	log := d.options.Log.With("service", o.Service, "zone", o.Zone, "kind", o.Kind.String(), "servers", o.Servers, "listed", listed, "token", p.Token)
 	switch {
 	case err == nil:
-		state.taken, state.known, state.settledAt, state.failures = o.Servers, true, now, 0
+		state.taken, state.known, state.settledAt, state.shown, state.failures = o.Servers, true, now, false, 0
+		if o.Kind == Reclaimable {
+			s.memory.Accepted(o.Zone)
+		}
 		log.Info("servers ordered", "reason", s.logged.Reason)
 	case errors.Is(err, ErrRefused) && o.Kind == Reclaimable && o.Servers > listed:
-		s.memory.Refused(o.Zone, now)
-		log.Info("no reclaimable servers available", "until_ms", unavailableTime.Milliseconds())
+		state.known = false
+		pause := s.memory.Refused(o.Zone, now)
+		log.Info("no reclaimable servers available", "again_after_ms", pause.Milliseconds())
 	case errors.Is(err, ErrRefused):
 		d.options.Refused(o.Matter(), p.Token)
 	default:
--- /dev/null
+++ b/internal/protocol/capacity/driver_test.go
@@ -0,0 +1,168 @@
+package capacity_test
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/protocol/capacity"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+)
+
+var errBusy = errors.New("got status 429, want 200")
+
+// faultAt is when the faults below begin, 6 s after the demand has fallen by a fifth.
+const faultAt = 40 * time.Second
+
+// falling is a demand that falls shortly before faultAt.
+func falling(at time.Duration) float64 {
+	if at > faultAt-6*time.Second {
+		return 0.8
+	}
+	return 1
+}
+
+// during returns a fault of all calls within a time after faultAt.
+func during(length time.Duration, err error) func(*cloud, time.Time) {
+	return func(c *cloud, began time.Time) {
+		c.fail = func(int, capacity.Order) (bool, error) {
+			since := time.Since(began) - faultAt
+			return since >= 0 && since < length, err
+		}
+	}
+}
+
+// checkFenced checks that at most three calls of a holder on a matter are made more than a
+// lease after one was refused because of a higher token.
+func checkFenced(t *testing.T, c *cloud) {
+	t.Helper()
+	const lease = 3 * time.Second
+	type holding struct {
+		matter string
+		token  uint64
+	}
+	refusedAt, later := make(map[holding]time.Time), make(map[holding]int)
+	for _, call := range c.calls {
+		h := holding{call.Matter(), call.token}
+		if at, refused := refusedAt[h]; refused && call.at.Sub(at) > lease {
+			if later[h]++; later[h] == 4 {
+				t.Errorf("more than 3 calls with token %d on %s after one was refused because of a higher token", h.token, h.matter)
+			}
+		} else if call.fenced && !refused {
+			refusedAt[h] = call.at
+		}
+	}
+}
+
+// TestDriverInTrouble guards against drivers that send more calls than the platform takes,
+// send calls of one matter at once, go on after a higher token, or leave too few servers when
+// calls fail or the holder changes.
+func TestDriverInTrouble(t *testing.T) {
+	const length = 75 * time.Second
+	type world struct {
+		*cloud
+		first, second *replica
+	}
+	for name, c := range map[string]struct {
+		prepare func(*cloud, time.Time)
+		event   func(world)
+	}{
+		"status 429": {prepare: during(10*time.Second, errBusy)},
+		"down":       {prepare: during(20*time.Second, errLost)},
+		"slow":       {prepare: func(c *cloud, _ time.Time) { c.delay = 3 * time.Second }},
+		"an old order takes effect": {event: func(w world) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			_ = w.apply(capacity.Order{Service: serviceName, Zone: "z1", Kind: capacity.Reclaimable})
+		}},
+		"a higher token": {event: func(w world) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			for _, zone := range zoneNames {
+				w.tokens[capacity.Order{Service: serviceName, Zone: zone}.Matter()] = 9
+			}
+		}},
+		"the holder changes": {event: func(w world) {
+			w.first.term.Store(0)
+			w.second.term.Store(2)
+		}},
+		"the holder is killed between plan and call": {prepare: during(300*time.Millisecond, errLost), event: func(w world) {
+			time.AfterFunc(200*time.Millisecond, func() {
+				w.first.term.Store(0)
+				w.second.term.Store(2)
+			})
+		}},
+		"a thawed holder goes on beside its successor": {event: func(w world) { w.second.term.Store(2) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began, cloud, demand := time.Now(), newCloud(60), after(falling)
+				if c.prepare != nil {
+					c.prepare(cloud, began)
+				}
+				now := func() *fleet.DemandRate { return demand(time.Since(began)) }
+				w := world{cloud, newReplica(cloud, 1, now), newReplica(cloud, 0, now)}
+				events := map[time.Duration]func(){faultAt: func() {
+					if c.event != nil {
+						c.event(w)
+					}
+				}}
+				moments, _ := run(t, cloud, length, demand, events, w.first, w.second)
+				for _, m := range moments {
+					// After the loss of a zone 0.85 of the servers may be occupied.
+					if use := m.need / float64(max(1, m.serving.Total())); use > 0.85 {
+						t.Errorf("%.2f of the servers are occupied at %v", use, m.at)
+						break
+					}
+				}
+				last := moments[len(moments)-1]
+				if use := last.need / float64(last.serving.Total()); use > 0.6 {
+					t.Errorf("%.2f of the servers are occupied at the end", use)
+				}
+				for i := range cloud.calls {
+					if j := i + 50; j < len(cloud.calls) && cloud.calls[j].at.Sub(cloud.calls[i].at) < time.Second {
+						t.Errorf("more than 50 calls within a second from %v on", cloud.calls[i].at.Sub(began))
+						break
+					}
+				}
+				t.Logf("%d calls, at the end %v", len(cloud.calls), last.serving)
+				checkFenced(t, cloud)
+			})
+		})
+	}
+}
+
+// TestNewHolderKeepsServers guards against a holder that knows only the demand of the moment
+// and gives servers back at once: the demand may return to its recent peak.
+func TestNewHolderKeepsServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began, cloud := time.Now(), newCloud(60)
+		demand := after(func(at time.Duration) float64 {
+			if at > faultAt-2*time.Second && at < faultAt+10*time.Second {
+				return 0.6
+			}
+			return 1
+		})
+		now := func() *fleet.DemandRate { return demand(time.Since(began)) }
+		first, second := newReplica(cloud, 1, now), newReplica(cloud, 0, now)
+		moments, _ := run(t, cloud, faultAt+20*time.Second, demand, map[time.Duration]func(){
+			faultAt: func() {
+				first.term.Store(0)
+				second.term.Store(2)
+			},
+		}, first, second)
+		before, least := 0, 1000
+		for _, m := range moments {
+			switch {
+			case m.at < faultAt:
+				before = m.serving.Total()
+			case m.at < faultAt+10*time.Second:
+				least = min(least, m.serving.Total())
+			}
+		}
+		if least < before-before/10 {
+			t.Errorf("%d servers serve after a change of holder, %d before, want them kept for 10 s", least, before)
+		}
+	})
+}
--- a/internal/protocol/capacity/loop_test.go
+++ b/internal/protocol/capacity/loop_test.go
@@ -108,7 +108,7 @@
 				}
 				last := moments[len(moments)-1].serving
 				part := cost / (fixed * length.Seconds())
-				t.Logf("use at most %.2f at %v, cost %.2f, %d orders, lasting and reclaimable at the end %v", worst, worstAt, part, len(cloud.orders), last)
+				t.Logf("use at most %.2f at %v, cost %.2f, %d orders, lasting and reclaimable at the end %v", worst, worstAt, part, len(cloud.calls), last)
 				if worst > c.maxUse {
 					t.Errorf("%.2f of the servers are occupied at %v, want at most %.2f", worst, worstAt, c.maxUse)
 				}
--- a/internal/protocol/capacity/memory.go
+++ b/internal/protocol/capacity/memory.go
@@ -25,10 +25,13 @@
 	giveBackInterval = 2 * time.Second
 	giveBackShare    = 0.1
 	// unavailableTime is how long no reclaimable servers are ordered in a zone after an order
-	// was refused, and reclaimedTime after those of the zone were taken away, when none are
-	// available for 8 to 11 s.
-	unavailableTime = 4 * time.Second
-	reclaimedTime   = 8 * time.Second
+	// was refused. It doubles with each refusal in a row up to maxUnavailableTime: a refusal
+	// because of a higher token looks the same, and after it calls must cease.
+	unavailableTime    = 4 * time.Second
+	maxUnavailableTime = time.Minute
+	// reclaimedTime is how long none are ordered in a zone after its reclaimable servers were
+	// taken away, when none are available for 8 to 11 s.
+	reclaimedTime = 8 * time.Second
 )
 
 // Servers are the listed servers of a service.
@@ -102,9 +105,12 @@
 	gaveBackAt clock.Instant
 	traffic    bool
 	// lasting is the number of lasting servers that were last to be kept.
-	lasting     int
-	lastingAt   clock.Instant
+	lasting   int
+	lastingAt clock.Instant
+	// unavailable is until when no reclaimable servers are ordered, and refusals the number
+	// of refusals in a row, by zone.
 	unavailable map[string]clock.Instant
+	refusals    map[string]int
 	// reclaimed is until when zones count as reclaimed.
 	reclaimed map[string]clock.Instant
 }
@@ -117,14 +123,21 @@
 
 // NewMemory returns an empty memory.
 func NewMemory() *Memory {
-	return &Memory{unavailable: make(map[string]clock.Instant), reclaimed: make(map[string]clock.Instant)}
+	return &Memory{unavailable: make(map[string]clock.Instant), refusals: make(map[string]int), reclaimed: make(map[string]clock.Instant)}
 }
 
-// Refused records that no reclaimable servers were available in a zone.
-func (m *Memory) Refused(zone string, now clock.Instant) {
-	m.unavailable[zone] = max(m.unavailable[zone], now.Add(unavailableTime))
+// Refused records that no reclaimable servers were available in a zone, and returns for how
+// long no others are ordered there.
+func (m *Memory) Refused(zone string, now clock.Instant) time.Duration {
+	pause := min(maxUnavailableTime, unavailableTime<<min(m.refusals[zone], 10))
+	m.refusals[zone]++
+	m.unavailable[zone] = max(m.unavailable[zone], now.Add(pause))
+	return pause
 }
 
+// Accepted records that an order for reclaimable servers in a zone was taken.
+func (m *Memory) Accepted(zone string) { delete(m.refusals, zone) }
+
 // Unavailable reports whether no further reclaimable servers are available in a zone.
 func (m *Memory) Unavailable(zone string, now clock.Instant) bool {
 	return now.Before(m.unavailable[zone])
@@ -168,16 +181,17 @@
 	return out
 }
 
-// need returns what is to be provided for.
+// need returns what is to be provided for, and why. A new memory provides for what is
+// present, until it has seen a peakWindow: the previous holder may have known of a peak.
 func (m *Memory) need(o Observation) (Need, string) {
-	if o.Demand != nil && o.Demand.Requests > 0 {
-		m.traffic = true
+	m.traffic = m.traffic || o.Demand != nil && o.Demand.Requests > 0
+	if m.held.Normal == 0 {
+		// While one kind replaces the other, the servers of both are more than are needed.
+		present := o.Servers.Present.Total()
+		n := max(present[Lasting], present[Reclaimable])
+		m.held, m.gaveBackAt = Need{Normal: n, AfterLoss: roundUp(float64(n) * (1 - lossBeforeTraffic))}, o.Now
 	}
 	if !m.traffic {
-		if m.held.Normal == 0 {
-			n := o.Servers.Present.Total().Total()
-			m.held = Need{Normal: n, AfterLoss: roundUp(float64(n) * (1 - lossBeforeTraffic))}
-		}
 		m.gaveBackAt = o.Now
 		return m.held, "no traffic yet"
 	}
@@ -191,22 +205,28 @@
 	now := NeedFor(demand, class, growth)
 	m.samples = append(m.samples, sample{o.Now, demand, now})
 	m.samples = slices.DeleteFunc(m.samples, func(s sample) bool { return o.Now.Sub(s.at) > peakWindow })
-	peak := now
+	peak := m.hold(o.Now)
+	return m.held, fmt.Sprintf("%.0f requests and %.0f prompt tokens a second, %.0f tokens a second for an engine, %.1f in progress, growth %.2f: %d now, %d at the peak",
+		demand.Requests, demand.PromptTokens, demand.EngineRate, demand.InProgress, growth, now.Normal, peak.Normal)
+}
+
+// hold raises what is provided for to the peak of the samples, which it returns, at once,
+// and lowers it in steps once the samples cover a peakWindow.
+func (m *Memory) hold(now clock.Instant) (peak Need) {
 	for _, s := range m.samples {
 		peak.Normal, peak.AfterLoss = max(peak.Normal, s.need.Normal), max(peak.AfterLoss, s.need.AfterLoss)
 	}
 	m.held.AfterLoss = max(m.held.AfterLoss, peak.AfterLoss)
-	full := o.Now.Sub(m.samples[0].at) >= peakWindow-giveBackInterval
+	full := now.Sub(m.samples[0].at) >= peakWindow-giveBackInterval
 	switch {
 	case peak.Normal >= m.held.Normal:
-		m.held, m.gaveBackAt = peak, o.Now
-	case full && o.Now.Sub(m.gaveBackAt) >= giveBackInterval:
+		m.held, m.gaveBackAt = peak, now
+	case full && now.Sub(m.gaveBackAt) >= giveBackInterval:
 		step := max(1, int(giveBackShare*float64(m.held.Normal)))
 		m.held = Need{max(peak.Normal, m.held.Normal-step), max(peak.AfterLoss, m.held.AfterLoss-step)}
-		m.gaveBackAt = o.Now
+		m.gaveBackAt = now
 	}
-	return m.held, fmt.Sprintf("%.0f requests and %.0f prompt tokens a second, %.0f tokens a second for an engine, %.1f in progress, growth %.2f: %d now, %d at the peak",
-		demand.Requests, demand.PromptTokens, demand.EngineRate, demand.InProgress, growth, now.Normal, peak.Normal)
+	return peak
 }
 
 // lossBeforeTraffic is the part of the servers that may be lost before there is traffic.
@@ -282,8 +302,3 @@
 	}
 	return min(m.lasting, have)
 }
-
-// Zones returns the zones of the counts, sorted.
-func (z ZoneCounts) Zones() []string {
-	return slices.Sorted(maps.Keys(z))
-}
--- a/internal/protocol/capacity/simulation_test.go
+++ b/internal/protocol/capacity/simulation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,12 +41,20 @@
 	ready, drained, leaves time.Time
 }
 
+// call is one that the platform got.
+type call struct {
+	capacity.Order
+	token uint64
+	at    time.Time
+	// fenced is set if it was refused because of a higher token.
+	fenced bool
+}
+
 // cloud is a platform with servers of one service. All times are those of the bubble.
 type cloud struct {
 	mu       sync.Mutex
 	servers  []*server
-	orders   []capacity.Order
-	sentAt   []time.Time
+	calls    []call
 	inFlight map[string]int
 	overlaps int
 	// closedUntil is until when no reclaimable servers are available, by zone.
@@ -54,10 +63,12 @@
 	fail func(n int, o capacity.Order) (handled bool, err error)
 	// delay is how long a call takes.
 	delay time.Duration
+	// tokens holds the highest token seen by matter. Calls with lower ones are refused.
+	tokens map[string]uint64
 }
 
 func newCloud(lasting int) *cloud {
-	c := &cloud{inFlight: make(map[string]int), closedUntil: make(map[string]time.Time)}
+	c := &cloud{inFlight: make(map[string]int), closedUntil: make(map[string]time.Time), tokens: make(map[string]uint64)}
 	for i := range lasting {
 		c.servers = append(c.servers, &server{zone: zoneNames[i%len(zoneNames)], kind: capacity.Lasting, ready: time.Now()})
 	}
@@ -65,10 +76,10 @@
 }
 
 // send takes an order.
-func (c *cloud) send(_ context.Context, _ duty.Permit, o capacity.Order) error {
+func (c *cloud) send(_ context.Context, p duty.Permit, o capacity.Order) error {
 	c.mu.Lock()
-	c.orders, c.sentAt = append(c.orders, o), append(c.sentAt, time.Now())
-	n := len(c.orders)
+	c.calls = append(c.calls, call{Order: o, token: p.Token, at: time.Now()})
+	n := len(c.calls)
 	if c.inFlight[o.Matter()]++; c.inFlight[o.Matter()] > 1 {
 		c.overlaps++
 	}
@@ -77,6 +88,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight[o.Matter()]--
+	if p.Token < c.tokens[o.Matter()] {
+		c.calls[n-1].fenced = true
+		return capacity.ErrRefused
+	}
+	c.tokens[o.Matter()] = p.Token
 	if c.fail != nil {
 		if handled, err := c.fail(n, o); handled {
 			return err
@@ -188,37 +204,83 @@
 	return d.PromptTokens/d.EngineRate + d.InProgress/64
 }
 
-// simulate runs a driver for a time, and returns what was seen each 100 ms and the cost.
-func simulate(t *testing.T, c *cloud, length time.Duration, demand func(time.Duration) *fleet.DemandRate, events map[time.Duration]func()) (moments []moment, cost float64) {
-	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
-	runtime, began := clock.NewRuntime(), time.Now()
-	driver := capacity.NewDriver(capacity.DriverOptions{
-		Permit: func(string) (duty.Permit, error) { return duty.Permit{Token: 1}, nil },
-		Refused: func(matter string, _ uint64) {
-			t.Errorf("%s: a refusal was taken for one because of a higher token", matter)
+// replica is a control process that may hold the duties.
+type replica struct {
+	*capacity.Driver
+	// term is that of its authority, or zero.
+	term atomic.Uint64
+	// refused counts the refusals that it took for ones because of a higher token.
+	refused atomic.Int32
+}
+
+// newReplica returns a replica that leads in a term and has waited out its quiet period.
+func newReplica(c *cloud, term uint64, demand func() *fleet.DemandRate) *replica {
+	r := &replica{}
+	r.term.Store(term)
+	log, fenced := hclog.NewNullLogger(), sync.Map{}
+	r.Driver = capacity.NewDriver(capacity.DriverOptions{
+		Permit: func(matter string) (duty.Permit, error) {
+			term := r.term.Load()
+			if term == 0 {
+				return duty.Permit{}, duty.ErrNotHolder
+			}
+			if token, found := fenced.Load(matter); found && token == term {
+				return duty.Permit{}, duty.ErrFenced
+			}
+			return duty.Permit{Token: term}, nil
+		},
+		Refused: func(matter string, token uint64) {
+			r.refused.Add(1)
+			fenced.Store(matter, token)
 		},
 		Send: c.send,
 		Demand: func() map[string]fleet.DemandRate {
-			if d := demand(time.Since(began)); d != nil {
+			if d := demand(); d != nil {
 				return map[string]fleet.DemandRate{serviceName: *d}
 			}
 			return nil
 		},
 		Rate:  50,
-		Clock: runtime,
-		Log:   hclog.NewNullLogger(),
+		Clock: clock.NewRuntime(),
+		Log:   log,
 	})
-	planned := []capacity.Service{{Name: serviceName, Scaling: scaling, Class: capacity.Class{PrefillShare: 0.58, Slots: 64}}}
+	return r
+}
+
+var planned = []capacity.Service{{Name: serviceName, Scaling: scaling, Class: capacity.Class{PrefillShare: 0.58, Slots: 64}}}
+
+// simulate runs a driver for a time, and returns what was seen each 100 ms and the cost.
+func simulate(t *testing.T, c *cloud, length time.Duration, demand func(time.Duration) *fleet.DemandRate, events map[time.Duration]func()) (moments []moment, cost float64) {
+	t.Helper()
+	began := time.Now()
+	r := newReplica(c, 1, func() *fleet.DemandRate { return demand(time.Since(began)) })
+	moments, cost = run(t, c, length, demand, events, r)
+	if n := r.refused.Load(); n > 0 {
+		t.Errorf("%d refusals were taken for ones because of a higher token", n)
+	}
+	return moments, cost
+}
+
+// run runs replicas beside each other for a time, and returns what was seen each 100 ms and
+// the cost.
+func run(t *testing.T, c *cloud, length time.Duration, demand func(time.Duration) *fleet.DemandRate, events map[time.Duration]func(), replicas ...*replica) (moments []moment, cost float64) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
 	var group sync.WaitGroup
-	group.Go(func() { _ = driver.Run(ctx) })
-	const step = 100 * time.Millisecond
+	next := make([]time.Duration, len(replicas))
+	for _, r := range replicas {
+		group.Go(func() { _ = r.Run(ctx) })
+	}
+	const step = 50 * time.Millisecond
 	for at := time.Duration(0); at < length; at += step {
 		if event := events[at]; event != nil {
 			event()
 		}
-		if at%listInterval == 0 {
-			driver.Observe(planned, fleet.NewView(c.list()), nil)
+		for i, r := range replicas {
+			if at >= next[i] {
+				r.Observe(planned, fleet.NewView(c.list()), nil)
+				next[i] = at + min(listInterval, r.ListWithin())
+			}
 		}
 		d := demand(at)
 		moments = append(moments, moment{at: at, demand: d, serving: c.serving(), need: busy(d)})
