--- a/internal/protocol/capacity/loop_test.go
+++ b/internal/protocol/capacity/loop_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/lagoonshift/lagoonshift/internal/protocol/capacity"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 )
 
@@ -56,6 +57,27 @@
 	}
 }
 
+// checkSteady checks that the orders for a kind in a zone don't turn within 10 s.
+func checkSteady(t *testing.T, c *cloud) {
+	t.Helper()
+	type place struct {
+		zone string
+		kind capacity.Kind
+	}
+	last, lastChange, changedAt := make(map[place]int), make(map[place]int), make(map[place]time.Time)
+	for _, call := range c.calls {
+		p := place{call.Zone, call.Kind}
+		if before, known := last[p]; known && call.Servers != before {
+			change := call.Servers - before
+			if change*lastChange[p] < 0 && call.at.Sub(changedAt[p]) < 10*time.Second {
+				t.Errorf("%d %v servers ordered in %s, %+d %v before", call.Servers, p.kind, p.zone, lastChange[p], call.at.Sub(changedAt[p]))
+			}
+			lastChange[p], changedAt[p] = change, call.at
+		}
+		last[p] = call.Servers
+	}
+}
+
 // TestLoop guards against plans that leave too few servers while demand changes, servers are
 // taken away and orders are lost, and against plans that cost too much.
 func TestLoop(t *testing.T) {
@@ -67,9 +89,11 @@
 		// maxUse bounds the part of the servers that is occupied, and maxCost the cost as
 		// part of that of a fixed number of servers.
 		maxUse, maxCost float64
+		// steady is set if no server may be ordered and soon given back, or the reverse.
+		steady bool
 	}{
-		"flat":  {demand: flat, maxUse: 0.6, maxCost: 0.5},
-		"noisy": {demand: noisy(), maxUse: 0.6, maxCost: 0.5},
+		"flat":  {demand: flat, maxUse: 0.6, maxCost: 0.5, steady: true},
+		"noisy": {demand: noisy(), maxUse: 0.6, maxCost: 0.5, steady: true},
 		"waves": {demand: after(func(at time.Duration) float64 { return 1 + 0.25*math.Sin(2*math.Pi*at.Seconds()/22) }), maxUse: 0.7, maxCost: 0.5},
 		"step of a half": {demand: after(func(at time.Duration) float64 {
 			if at > 40*time.Second {
@@ -109,6 +133,9 @@
 				last := moments[len(moments)-1].serving
 				part := cost / (fixed * length.Seconds())
 				t.Logf("use at most %.2f at %v, cost %.2f, %d orders, lasting and reclaimable at the end %v", worst, worstAt, part, len(cloud.calls), last)
+				if c.steady {
+					checkSteady(t, cloud)
+				}
 				if worst > c.maxUse {
 					t.Errorf("%.2f of the servers are occupied at %v, want at most %.2f", worst, worstAt, c.maxUse)
 				}
--- a/internal/protocol/capacity/memory.go
+++ b/internal/protocol/capacity/memory.go
@@ -24,6 +24,9 @@
 	// server holds are lost with it.
 	giveBackInterval = 2 * time.Second
 	giveBackShare    = 0.1
+	// spareShare is the part of the servers beyond the peak that is kept when others are given
+	// back, since the noise of the demand raises the peak again.
+	spareShare = 0.05
 	// unavailableTime is how long no reclaimable servers are ordered in a zone after an order
 	// was refused. It doubles with each refusal in a row up to maxUnavailableTime: a refusal
 	// because of a higher token looks the same, and after it calls must cease.
@@ -218,12 +221,13 @@
 	}
 	m.held.AfterLoss = max(m.held.AfterLoss, peak.AfterLoss)
 	full := now.Sub(m.samples[0].at) >= peakWindow-giveBackInterval
+	least := roundUp((1 + spareShare) * float64(peak.Normal))
 	switch {
 	case peak.Normal >= m.held.Normal:
 		m.held, m.gaveBackAt = peak, now
-	case full && now.Sub(m.gaveBackAt) >= giveBackInterval:
+	case full && m.held.Normal > least && now.Sub(m.gaveBackAt) >= giveBackInterval:
 		step := max(1, int(giveBackShare*float64(m.held.Normal)))
-		m.held = Need{max(peak.Normal, m.held.Normal-step), max(peak.AfterLoss, m.held.AfterLoss-step)}
+		m.held = Need{max(least, m.held.Normal-step), max(peak.AfterLoss, m.held.AfterLoss-step)}
 		m.gaveBackAt = now
 	}
 	return peak
