--- a/internal/protocol/capacity/driver.go
+++ b/internal/protocol/capacity/driver.go
@@ -34,11 +34,11 @@
 	// calls, and the previous holder may just have made some.
 	rateShare  = 0.25
 	burstShare = 0.2
-	// listWhileExpecting is the time within which a newer list is wanted while servers are
-	// to come, go or change their phases: those that they replace cost five times as much.
+	// listWhileExpecting is the time within which the holder wants a newer list while servers
+	// are to come, go or change their phases: those that they replace cost five times as much.
 	listWhileExpecting = 250 * time.Millisecond
-	// listWhileReclaimable is the same while there are reclaimable servers, which leave 2 s
-	// after they are listed so.
+	// listWhileReclaimable is the same for all replicas while there are reclaimable servers:
+	// these leave 2 s after the platform says so, and entries take lists from all replicas.
 	listWhileReclaimable = 500 * time.Millisecond
 	// defaultRate is the number of calls a second that a platform without a limit is taken
 	// to accept.
@@ -178,12 +178,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	within := time.Duration(math.MaxInt64)
-	if d.token == 0 {
-		return within
-	}
 	for name, s := range d.services {
 		servers := d.listed[name]
-		if d.changing || servers.Leaving.Total().Total() > 0 || s.expecting(servers, d.options.Clock.Now()) {
+		if d.token != 0 && (d.changing || servers.Leaving.Total().Total() > 0 || s.expecting(servers, d.options.Clock.Now())) {
 			return listWhileExpecting
 		}
 		if servers.Present.Total()[Reclaimable] > 0 {
--- a/internal/protocol/capacity/driver_test.go
+++ b/internal/protocol/capacity/driver_test.go
@@ -1,13 +1,17 @@
 package capacity_test
 
 import (
+	"context"
 	"errors"
+	"math"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/capacity"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 )
 
 var errBusy = errors.New("got status 429, want 200")
@@ -166,3 +170,42 @@
 		}
 	})
 }
+
+// TestListWithin guards against servers whose coming and leaving is seen late, and against
+// lists that are read often without need.
+func TestListWithin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lasting := []fleet.Engine{{ID: "a", Service: serviceName, Zone: "z1"}}
+		reclaimable := append([]fleet.Engine{{ID: "b", Service: serviceName, Zone: "z2", Reclaimable: true}}, lasting...)
+		leaving := append([]fleet.Engine{{ID: "c", Service: serviceName, Zone: "z2", Leaving: true}}, lasting...)
+		// One server is wanted, in the only zone that has prices, so that nothing is ordered.
+		service := planned[0]
+		service.Scaling = route.Scaling{Max: 1, ZonePrices: map[string]float64{"z1": 1}}
+		for name, c := range map[string]struct {
+			term     uint64
+			engines  []fleet.Engine
+			changing []string
+			want     time.Duration
+		}{
+			"holder, nothing to come":         {1, lasting, nil, math.MaxInt64},
+			"holder, an engine changes":       {1, lasting, []string{"a"}, 250 * time.Millisecond},
+			"holder, a server leaves":         {1, leaving, nil, 250 * time.Millisecond},
+			"holder, reclaimable servers":     {1, reclaimable, nil, 500 * time.Millisecond},
+			"other, reclaimable servers":      {0, reclaimable, nil, 500 * time.Millisecond},
+			"other, lasting servers":          {0, lasting, nil, math.MaxInt64},
+			"other, servers leave and change": {0, leaving, []string{"a"}, math.MaxInt64},
+		} {
+			r := newReplica(newCloud(0), c.term, func() *fleet.DemandRate { return nil })
+			r.Observe([]capacity.Service{service}, fleet.NewView(c.engines), c.changing)
+			var group sync.WaitGroup
+			ctx, cancel := context.WithCancel(t.Context())
+			group.Go(func() { _ = r.Run(ctx) })
+			synctest.Wait()
+			if got := r.ListWithin(); got != c.want {
+				t.Errorf("%s: a newer list is wanted within %v, want %v", name, got, c.want)
+			}
+			cancel()
+			group.Wait()
+		}
+	})
+}
