--- a/internal/protocol/capacity/memory.go
+++ b/internal/protocol/capacity/memory.go
@@ -35,6 +35,8 @@
 	// reclaimedTime is how long none are ordered in a zone after its reclaimable servers were
 	// taken away, when none are available for 8 to 11 s.
 	reclaimedTime = 8 * time.Second
+	// lossBeforeTraffic is the part of the servers that may be lost before there is traffic.
+	lossBeforeTraffic = 0.3
 )
 
 // Servers are the listed servers of a service.
@@ -233,9 +235,6 @@
 	return peak
 }
 
-// lossBeforeTraffic is the part of the servers that may be lost before there is traffic.
-const lossBeforeTraffic = 0.3
-
 // growth returns the factor by which the demand is expected to have grown once a server
 // that is ordered now serves.
 func (m *Memory) growth(o Observation, now fleet.DemandRate) float64 {
@@ -259,35 +258,43 @@
 }
 
 // orders returns what to order now to get to what is wanted: new servers at once, and
-// servers are given back only as far as enough others serve.
+// servers are given back only as far as enough others serve, the most expensive first.
 func (m *Memory) orders(wanted ZoneCounts, need Need, o Observation, l Limits) ZoneCounts {
-	present, serving := o.Servers.Present, o.Servers.Serving
-	total := wanted.Total()
+	out, total := make(ZoneCounts), wanted.Total()
 	least := min(total.Total(), need.Normal)
 	// Reclaimable servers replace lasting ones as they begin to serve.
-	lasting := max(total[Lasting], least-serving.Total()[Reclaimable])
-	lasting = m.slowly(lasting, o)
-	out := make(ZoneCounts)
-	zones := l.zones()
-	spare := present.Total()[Lasting] - lasting
-	for _, zone := range slices.Backward(zones) { // the most expensive first
-		keep := max(wanted[zone][Lasting], present[zone][Lasting]-max(0, spare))
-		spare -= present[zone][Lasting] - min(keep, present[zone][Lasting])
+	lasting := m.slowly(max(total[Lasting], least-o.Servers.Serving.Total()[Reclaimable]), o)
+	orderLasting(out, wanted, lasting, o.Servers, l)
+	orderReclaimable(out, wanted, least, o.Servers, l)
+	return out
+}
+
+// orderLasting adds the orders for lasting servers, of which a number is to stay.
+func orderLasting(out, wanted ZoneCounts, stay int, s Servers, l Limits) {
+	spare := s.Present.Total()[Lasting] - stay
+	for _, zone := range slices.Backward(l.zones()) {
+		have := s.Present[zone][Lasting]
+		keep := max(wanted[zone][Lasting], have-max(0, spare))
+		spare -= have - min(keep, have)
 		out.add(zone, Lasting, keep)
 	}
-	spare = serving.Total()[Reclaimable] + min(out.Total()[Lasting], serving.Total()[Lasting]) - least
-	for _, zone := range slices.Backward(zones) {
-		n := wanted[zone][Reclaimable]
-		if have := present[zone][Reclaimable]; n < have {
+}
+
+// orderReclaimable adds the orders for reclaimable servers. At least a number of servers of
+// both kinds must serve after those are given back that orders for lasting ones leave out.
+func orderReclaimable(out, wanted ZoneCounts, least int, s Servers, l Limits) {
+	spare := s.Serving.Total()[Reclaimable] + min(out.Total()[Lasting], s.Serving.Total()[Lasting]) - least
+	for _, zone := range slices.Backward(l.zones()) {
+		n, have := wanted[zone][Reclaimable], s.Present[zone][Reclaimable]
+		if n < have {
 			given := min(have-n, max(0, spare))
 			spare -= given
 			n = have - given
 		}
-		// Servers that are still to be given back count towards the maximum.
-		n = min(n, max(present[zone][Reclaimable], l.max()-max(out[zone][Lasting], present[zone][Lasting])))
+		// Lasting servers that are still to be given back count towards the maximum.
+		n = min(n, max(have, l.max()-max(out[zone][Lasting], s.Present[zone][Lasting])))
 		out.add(zone, Reclaimable, n)
 	}
-	return out
 }
 
 // slowly returns the number of lasting servers to keep: with traffic, it falls in steps.
