Phases of scaled services: engines with work change only for more than 1 in 25

With each server that came or went the rounded share changed, and an engine with work changed its phase and was out of service: in a trial with 24 callers and real processes the same engine went from prefill to decode and back within 13 s. Engines with work stay while the share is off by at most 4% of the engines, unless a version has none that decodes; idle engines still change at once.

TestEnginesWithWorkStayNearTheShare guards the tolerance.

--- a/internal/protocol/phaseplan/scaled.go
+++ b/internal/protocol/phaseplan/scaled.go
@@ -17,6 +17,10 @@
 	// the same time: each is out of service for seconds, and the rest must do its work,
 	// often just after a zone has lost its engines.
 	maxBusyShare = 0.1
+	// busyTolerance is the part of the engines by which the share may be off before engines
+	// that have work change their phase: with each engine that comes or goes the share is off
+	// by a part of an engine.
+	busyTolerance = 0.04
 )
 
 // ReconcileScaled is like Reconcile, for a service whose number of engines changes by orders
@@ -60,14 +64,24 @@
 		return nil
 	}
 	share := d.scaledShare(service, eligible, counts, load)
-	maxBusy := max(1, int(maxBusyShare*float64(len(eligible))))
+	decoders := make(map[string]int)
+	for _, e := range eligible {
+		if e.Phase == fleet.Decode {
+			decoders[e.Version]++
+		}
+	}
 	idle := isIdle(load)
-	for _, c := range changesPreferring(idle, share, eligible, counts, load) {
-		if c.hadWork = !idle(c.Engine); d.mayChange(c) && (!c.hadWork || busyChanging < maxBusy) {
-			due = append(due, c)
-			if c.hadWork {
-				busyChanging++
-			}
+	changes := changesPreferring(idle, share, eligible, counts, load)
+	busyRoom := max(1, int(maxBusyShare*float64(len(eligible)))) - busyChanging
+	tolerated := len(changes) <= int(busyTolerance*float64(len(eligible)))
+	for _, c := range changes {
+		c.hadWork = !idle(c.Engine)
+		needed := c.Phase == fleet.Decode && decoders[c.Engine.Version] == 0
+		if !d.mayChange(c) || c.hadWork && !needed && (tolerated || busyRoom <= 0) {
+			continue
+		}
+		if due = append(due, c); c.hadWork {
+			busyRoom--
 		}
 	}
 	for _, c := range substitutes(eligible, load, d.becomesDecoder) {
--- a/internal/protocol/phaseplan/scaled_test.go
+++ b/internal/protocol/phaseplan/scaled_test.go
@@ -242,3 +242,44 @@
 		})
 	}
 }
+
+// TestEnginesWithWorkStayNearTheShare guards against engines that are out of service again and
+// again because the number of engines changes by a few.
+func TestEnginesWithWorkStayNearTheShare(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions []string // of the engines that decode
+		load     fleet.Load
+		lost     int
+		want     int
+	}{
+		"one too few with work":              {[]string{"v1"}, fleet.Load{Streams: 1}, 3, 0},
+		"one too few without work":           {[]string{"v1"}, fleet.Load{}, 3, 1},
+		"many too few with work":             {[]string{"v1"}, fleet.Load{Streams: 1}, 9, 4},
+		"a version without one that decodes": {[]string{"v1", "v2"}, fleet.Load{Streams: 1}, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, d := balancedEngines(t, 50)
+				var listed []fleet.Engine
+				lost := 0
+				for _, engine := range e.list() {
+					e.loads[engine.ID] = c.load
+					if engine.Phase == fleet.Prefill && lost < c.lost {
+						lost++
+						continue
+					}
+					engine.Version = c.versions[0]
+					if len(listed) == 0 && engine.Phase == fleet.Prefill {
+						engine.Version = c.versions[len(c.versions)-1]
+					}
+					listed = append(listed, engine)
+				}
+				d.ReconcileScaled(t.Context(), "llm", listed)
+				if got := e.withdrawals(); got != c.want {
+					t.Errorf("%d engines change their phase, want %d", got, c.want)
+				}
+				d.Wait()
+			})
+		})
+	}
+}
