Capacity: a holder that takes over in the middle of a hand-over keeps the number

With 58 reclaimable and some lasting servers present, the new holder planned for 58 of 60: it left out the lasting ones that stay beside reclaimable ones. It counts these in. TestHolderChangesDuringHandOver lets the holder change at each second before traffic.

--- a/internal/protocol/capacity/driver_test.go
+++ b/internal/protocol/capacity/driver_test.go
@@ -209,3 +209,28 @@
 		}
 	})
 }
+
+// TestHolderChangesDuringHandOver guards against a new holder that orders servers twice, or
+// gives back lasting ones before others serve, while it doesn't know what was ordered.
+func TestHolderChangesDuringHandOver(t *testing.T) {
+	for at := time.Second; at < trafficFrom; at += time.Second {
+		synctest.Test(t, func(t *testing.T) {
+			began, cloud, demand := time.Now(), newCloud(60), after(falling)
+			now := func() *fleet.DemandRate { return demand(time.Since(began)) }
+			first, second := newReplica(cloud, 1, now), newReplica(cloud, 0, now)
+			moments, _ := run(t, cloud, trafficFrom, demand, map[time.Duration]func(){
+				at:               func() { first.term.Store(0) },
+				at + time.Second: func() { second.term.Store(2) },
+			}, first, second)
+			for _, m := range moments {
+				if n := m.serving.Total(); n < 60 || n > 125 {
+					t.Errorf("holder changes at %v: %d servers at %v, want 60 to 125", at, n, m.at)
+					break
+				}
+			}
+			if n := moments[len(moments)-1].serving[capacity.Lasting]; at < trafficFrom/2 && n > 10 {
+				t.Errorf("holder changes at %v: %d lasting servers before there is traffic", at, n)
+			}
+		})
+	}
+}
--- a/internal/protocol/capacity/memory.go
+++ b/internal/protocol/capacity/memory.go
@@ -193,7 +193,8 @@
 	if m.held.Normal == 0 {
 		// While one kind replaces the other, the servers of both are more than are needed.
 		present := o.Servers.Present.Total()
-		n := max(present[Lasting], present[Reclaimable])
+		beside := roundUp(lastingShare / (1 - lastingShare) * float64(present[Reclaimable]))
+		n := max(present[Lasting], present[Reclaimable]+min(present[Lasting], beside))
 		m.held, m.gaveBackAt = Need{Normal: n, AfterLoss: roundUp(float64(n) * (1 - lossBeforeTraffic))}, o.Now
 	}
 	if !m.traffic {
