--- a/internal/protocol/capacity/memory.go
+++ b/internal/protocol/capacity/memory.go
@@ -186,16 +186,24 @@
 	return out
 }
 
+// provideForPresent provides for the servers that are present. They may be listed one after
+// the other as the deployment starts, so that the number only grows.
+func (m *Memory) provideForPresent(o Observation) {
+	// While one kind replaces the other, the servers of both are more than are needed.
+	present := o.Servers.Present.Total()
+	beside := roundUp(lastingShare / (1 - lastingShare) * float64(present[Reclaimable]))
+	n := max(present[Lasting], present[Reclaimable]+min(present[Lasting], beside))
+	if n > m.held.Normal {
+		m.held, m.gaveBackAt = Need{Normal: n, AfterLoss: roundUp(float64(n) * (1 - lossBeforeTraffic))}, o.Now
+	}
+}
+
 // need returns what is to be provided for, and why. A new memory provides for what is
 // present, until it has seen a peakWindow: the previous holder may have known of a peak.
 func (m *Memory) need(o Observation) (Need, string) {
 	m.traffic = m.traffic || o.Demand != nil && o.Demand.Requests > 0
-	if m.held.Normal == 0 {
-		// While one kind replaces the other, the servers of both are more than are needed.
-		present := o.Servers.Present.Total()
-		beside := roundUp(lastingShare / (1 - lastingShare) * float64(present[Reclaimable]))
-		n := max(present[Lasting], present[Reclaimable]+min(present[Lasting], beside))
-		m.held, m.gaveBackAt = Need{Normal: n, AfterLoss: roundUp(float64(n) * (1 - lossBeforeTraffic))}, o.Now
+	if m.held.Normal == 0 || !m.traffic {
+		m.provideForPresent(o)
 	}
 	if !m.traffic {
 		m.gaveBackAt = o.Now
