Responses that a crash of their server ended are not complete

After the end of such a response the entry connects to the server's address. If that is refused, the response counts as broken off, as by a reset: 502, another attempt, or a stream that goes on elsewhere or visibly ends. A server that leaves as planned (announced, listed as leaving, or no longer listed) may stop to listen first, and is trusted. A reset alone doesn't count, as a server at its limit of connections may do that. The connection is kept for a later request, so servers see no more of them.

Left: a server that listens again within 10 ms, that crashes while it leaves, or behind a proxy that listens for it, and an ordinary early close of a process that goes on.

Tested: exchange with -race, platform without the soak, the deadly parts and half-written settings, all ok.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -584,7 +584,10 @@
 	claim := x.options.Buffers.Claim()
 	defer claim.Release()
 	body, err := buffer.ReadAll(response.Body, maxBodyBytes, &claim)
-	if err = s.guard.stopAfter(err); err != nil {
+	if err = s.guard.stopAfter(err); err == nil {
+		err = x.checkClose(ctx, a, response)
+	}
+	if err != nil {
 		x.recordFailure(ctx, a, "answer cut", err)
 		x.checkCrash(ctx, a, err, false)
 		return false, err
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -203,6 +203,7 @@
 		Success:     r.status < 300,
 		EventStream: r.events,
 		UntilClose:  r.untilClose,
+		ServerEnded: func(ctx context.Context) bool { return w.Ended(ctx, a.Engine) },
 		Status:      r.status,
 		Body:        &readCloser{io.MultiReader(body...), pipe},
 	}, nil
@@ -405,6 +406,62 @@
 	}
 }
 
+// TestServerThatEndsWithItsResponseIsNotTrusted guards against a response that a crash cut off
+// and that reaches the caller as a complete one: only the end of its connection ends it, and
+// nothing listens at its server's address any more. A server that leaves may have stopped to
+// listen before it completed its responses.
+func TestServerThatEndsWithItsResponseIsNotTrusted(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	plain, events := reply{status: 200, body: "part", untilClose: true}, reply{status: 200, events: true, body: first, untilClose: true}
+	for name, c := range map[string]struct {
+		request *exchange.Request
+		reply   reply
+		ended   bool
+		leaving bool
+		result  exchange.Result
+	}{
+		"plain":                           {callRequest(route.Unsafe, 1), plain, true, false, exchange.Failed},
+		"plain, server listens":           {callRequest(route.Unsafe, 1), plain, false, false, exchange.Delivered},
+		"plain, server leaves":            {callRequest(route.Unsafe, 1), plain, true, true, exchange.Delivered},
+		"plain, with a length":            {callRequest(route.Unsafe, 1), reply{status: 200, body: "whole"}, true, false, exchange.Delivered},
+		"stream":                          {streamRequest(false, 10), events, true, false, exchange.Truncated},
+		"stream, server listens":          {streamRequest(false, 10), events, false, false, exchange.Delivered},
+		"stream, server leaves":           {streamRequest(false, 10), events, true, true, exchange.Delivered},
+		"stream, with a length or chunks": {streamRequest(false, 10), reply{status: 200, events: true, body: first}, true, false, exchange.Delivered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(c.reply)
+			w.ended = c.ended
+			if c.leaving {
+				w.onSend = func() { w.notices.Post(w.sends[0].Engine, notice.Notice{Leaving: true}) }
+			}
+			o := w.run(t, c.request)
+			if o.Result != c.result {
+				t.Errorf("got %v, error %v, want %v", o.Result, o.Err, c.result)
+			}
+		})
+	}
+	t.Run("plain, server no longer listed", func(t *testing.T) {
+		w := newFixture(plain)
+		w.ended = true
+		w.onSend = func() { // the list says that it leaves, or doesn't have it any more
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.view = fleet.NewView([]fleet.Engine{{ID: "other", Service: "plain"}})
+		}
+		if o := w.run(t, callRequest(route.Unsafe, 1)); o.Result != exchange.Delivered {
+			t.Errorf("got %v, error %v", o.Result, o.Err)
+		}
+	})
+	t.Run("resumable stream", func(t *testing.T) {
+		w := newFixture(events, reply{status: 200, events: true, body: second})
+		w.ended = true
+		if o := w.run(t, streamRequest(true, 10)); o.Result != exchange.Delivered || w.received.String() != first+second {
+			t.Errorf("got %v and %q, want the rest from another server", o.Result, w.received.String())
+		}
+	})
+}
+
 // TestSilentStreamResumesOnAnotherEngine has an engine send nothing more on an
 // open stream. The stream must resume on another engine before the caller
 // disconnects.
--- a/internal/protocol/exchange/relay.go
+++ b/internal/protocol/exchange/relay.go
@@ -79,6 +79,9 @@
 			pending = pending[complete:]
 		}
 		x.unfinishedBytes = len(pending)
+		if ended && readErr == nil {
+			readErr = x.checkClose(ctx, a, response)
+		}
 		switch {
 		case ended && readErr == nil:
 			x.options.Outlier.Success(a.Engine.ID)
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -106,7 +106,11 @@
 	// UntilClose is true if neither a length nor chunks frame the body, so that
 	// only the close of the connection ends it.
 	UntilClose bool
-	Status     int
+	// ServerEnded reports whether nothing listens at the server's address any more, or in a
+	// moment. It is called after the end of a body of a response with UntilClose, and takes no
+	// longer than a connection attempt. If it is nil, that isn't known.
+	ServerEnded func(ctx context.Context) bool
+	Status      int
 	// Header holds the headers in the Sender's own type; only the Sink reads
 	// it.
 	Header any
