--- a/internal/protocol/capacity/driver.go
+++ b/internal/protocol/capacity/driver.go
@@ -178,9 +178,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	within := time.Duration(math.MaxInt64)
+	if d.token == 0 {
+		return within // the leader's list is the one that entries get first
+	}
 	for name, s := range d.services {
 		servers := d.listed[name]
-		if d.token != 0 && (d.changing || servers.Leaving.Total().Total() > 0 || s.expecting(servers, d.options.Clock.Now())) {
+		if d.changing || servers.Leaving.Total().Total() > 0 || s.expecting(servers, d.options.Clock.Now()) {
 			return listWhileExpecting
 		}
 		if servers.Present.Total()[Reclaimable] > 0 {
