--- a/internal/protocol/capacity/driver.go
+++ b/internal/protocol/capacity/driver.go
@@ -179,7 +179,7 @@
 	defer d.mu.Unlock()
 	within := time.Duration(math.MaxInt64)
 	if d.token == 0 {
-		return within // the leader's list is the one that entries get first
+		return within // entries get the leader's list
 	}
 	for name, s := range d.services {
 		servers := d.listed[name]
