Give errors about configurations a typed place

Operators who send a document or settings that are rejected see the place only within the text of the error, so nothing but a reader can use it.

What is accepted doesn't change.

--- a/internal/protocol/route/route.go
+++ b/internal/protocol/route/route.go
@@ -161,6 +161,20 @@
 // ErrInvalid means that a routing table is invalid.
 var ErrInvalid = errors.New("invalid routes")
 
+// RouteError says why a route is invalid.
+type RouteError struct {
+	// Index is the route's position in the list given to New.
+	Index int
+	Name  string
+	err   error
+}
+
+// Error implements error.
+func (e *RouteError) Error() string { return fmt.Sprintf("route %d (%q): %v", e.Index, e.Name, e.err) }
+
+// Unwrap returns the reason.
+func (e *RouteError) Unwrap() error { return e.err }
+
 // New validates routes and services and returns a table of them. Errors match
 // ErrInvalid and give the route and the reason.
 func New(version uint64, routes []Route, services []Service, limits Limits) (*Table, error) {
@@ -179,7 +193,7 @@
 	}
 	for i := range routes {
 		if err := t.add(&routes[i]); err != nil {
-			return nil, fmt.Errorf("%w: route %d (%q): %w", ErrInvalid, i, routes[i].Name, err)
+			return nil, fmt.Errorf("%w: %w", ErrInvalid, &RouteError{Index: i, Name: routes[i].Name, err: err})
 		}
 	}
 	for _, list := range t.byHost {
--- a/internal/protocol/workspace/workspace.go
+++ b/internal/protocol/workspace/workspace.go
@@ -42,13 +42,42 @@
 	byKey  map[digest]*Workspace
 }
 
+// DefinitionError says why the definition of a workspace is invalid. It holds no key.
+type DefinitionError struct {
+	// Index is the position of the definition in the list given to NewDirectory.
+	Index int
+	Name  string
+	err   error
+}
+
+// Error implements error.
+func (e *DefinitionError) Error() string {
+	return fmt.Sprintf("workspace %d (%.64q): %v", e.Index, e.Name, e.err)
+}
+
+// Unwrap returns the reason.
+func (e *DefinitionError) Unwrap() error { return e.err }
+
+// KeyError says which key of a workspace is invalid, and never the key.
+type KeyError struct {
+	// Index is the position of the key among those of its workspace.
+	Index int
+	err   error
+}
+
+// Error implements error.
+func (e *KeyError) Error() string { return fmt.Sprintf("key %d: %v", e.Index, e.err) }
+
+// Unwrap returns the reason.
+func (e *KeyError) Unwrap() error { return e.err }
+
 // NewDirectory returns a directory of workspaces. Errors match ErrInvalid and name the
 // place, but never a key.
 func NewDirectory(definitions []Definition) (*Directory, error) {
 	d := &Directory{byName: make(map[string]*Workspace, len(definitions)), byKey: make(map[digest]*Workspace)}
 	for i, definition := range definitions {
 		if err := d.add(definition); err != nil {
-			return nil, fmt.Errorf("%w: workspace %d (%.64q): %w", ErrInvalid, i, definition.Name, err)
+			return nil, fmt.Errorf("%w: %w", ErrInvalid, &DefinitionError{Index: i, Name: definition.Name, err: err})
 		}
 	}
 	return d, nil
@@ -68,7 +97,7 @@
 	d.byName[w.Name] = w
 	for i, key := range definition.Keys {
 		if err := d.addKey(key, w); err != nil {
-			return fmt.Errorf("key %d: %w", i, err)
+			return &KeyError{Index: i, err: err}
 		}
 	}
 	return nil
