--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -20,7 +20,7 @@
 
 // outside lists the folders that no layer may import: process assembly, tools and
 // fakes.
-var outside = []string{"role", "operatorcli", "load", "experiment", "fake", "telemetry"}
+var outside = []string{"role", "operatorcli", "configcheck", "load", "experiment", "fake", "telemetry"}
 
 // TestImportsGoDownwards checks that no package of a layer imports a higher layer
 // or a folder outside the layers.
