Add lagoonshift config check

Exit codes: 0 fine, 1 warnings, 2 rejected or not readable. Differences alone are fine.

TestConfigCheckCommand covers the exit codes, platform.TestCheckCommand the lines, the JSON object and that no key is in either.

--- a/cmd/lagoonshift/config.go
+++ b/cmd/lagoonshift/config.go
@@ -9,6 +9,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/operatorcli"
 	"github.com/lagoonshift/lagoonshift/internal/transport/adminhttp"
+	"github.com/lagoonshift/lagoonshift/platform"
 )
 
 // adminFlags are the flags of all commands that call the administration API.
@@ -54,6 +55,7 @@
 func addConfig(app *kingpin.Application, commands map[string]command) {
 	config := app.Command("config", "Read and change settings.")
 	addConfigApply(config, commands)
+	addConfigCheck(config, commands)
 	addConfigHistory(config, commands)
 
 	flags := &adminFlags{}
@@ -83,6 +85,18 @@
 	})
 }
 
+func addConfigCheck(config *kingpin.CmdClause, commands map[string]command) {
+	clause := config.Command("check", "Check a settings file, or a document of the users' platform, before it is sent. The exit code is 0 if it is fine, 1 if there are warnings and 2 if it would be rejected.")
+	o := operatorcli.CheckOptions{Out: os.Stdout, Document: platform.CheckDocument}
+	clause.Arg("file", "Settings file or document.").Required().StringVar(&o.File)
+	clause.Flag("against", "File with the configuration in force, of which the differences are listed.").StringVar(&o.Against)
+	clause.Flag("format", "tree for settings by subtree, document for a document of the users' platform, auto to tell by the content.").Default("auto").EnumVar(&o.Format, "auto", "tree", "document")
+	clause.Flag("json", "Print one JSON object.").BoolVar(&o.JSON)
+	clause.Flag("deployment", "Deployment file whose zones a settings file is checked against.").StringVar(&o.Deployment)
+	clause.Flag("retry-budget", "Retries that a service may have for each request, such as 0.2, to compare a document's attempts with.").Default("-1").Float64Var(&o.RetryBudget)
+	commands["config check"] = func(context.Context) error { return operatorcli.Check(o) }
+}
+
 func addConfigHistory(config *kingpin.CmdClause, commands map[string]command) {
 	clause := config.Command("history", "List accepted changes, newest first.")
 	flags := &adminFlags{}
--- a/cmd/lagoonshift/main_test.go
+++ b/cmd/lagoonshift/main_test.go
@@ -18,6 +18,7 @@
 	commands := make(map[string]command)
 	addEntry(app, commands)
 	addCheck(app, commands)
+	addConfig(app, commands)
 	addExperiment(app, commands)
 	selected, err := app.Parse(args)
 	if err != nil {
--- a/cmd/lagoonshift/processes.go
+++ b/cmd/lagoonshift/processes.go
@@ -28,6 +28,10 @@
 func exitCode(err error) int {
 	var wrong *settingsError
 	var file *operatorcli.FileError
+	var check *operatorcli.CheckError
+	if errors.As(err, &check) {
+		return check.Code
+	}
 	if errors.As(err, &wrong) || errors.As(err, &file) {
 		return exitUsage
 	}
