Share the speeds of engines between entries

With 85 entries and 90 engines, an entry sees an engine about once in 14 s, so that none learned which engines are slow, and cost-aware placement sent prompts to engines of half the speed as to the others.

The digest holds engines with load only, so the speeds have a list of engines of their own: an idle engine may be slow, too. Entries use their own observations while no speeds are shared. Entries without the switch neither send nor read any of it.

--- a/internal/protocol/cost/model.go
+++ b/internal/protocol/cost/model.go
@@ -37,21 +37,33 @@
 // use.
 type Model struct {
 	services sync.Map // name to *service
+	// shared is what all entries together found of servers' speeds, by ID.
+	shared atomic.Pointer[map[string]float64]
+
+	mu sync.Mutex // guards the fields below
+	// born holds the starts of the listed servers, and measured what was observed of servers
+	// since it was last reported, by ID.
+	born     map[string]int64
+	measured map[string]weightedLog
 }
 
+// weightedLog is a weight and the sum of as many weighted logarithms.
+type weightedLog struct{ weight, logSum float64 }
+
 // NewModel returns a model that knows the priors only.
-func NewModel() *Model { return &Model{} }
+func NewModel() *Model { return &Model{measured: make(map[string]weightedLog)} }
 
 func (m *Model) service(name string) *service {
 	held, ok := m.services.Load(name)
 	if !ok {
-		held, _ = m.services.LoadOrStore(name, newService())
+		held, _ = m.services.LoadOrStore(name, newService(m))
 	}
 	return held.(*service)
 }
 
 // service is what is known of one service.
 type service struct {
+	model  *Model
 	speeds atomic.Pointer[Speeds]
 	// servers holds, by ID, a *factor. count is their number.
 	servers sync.Map
@@ -66,8 +78,9 @@
 	agedAt time.Time
 }
 
-func newService() *service {
+func newService(m *Model) *service {
 	s := &service{
+		model:   m,
 		outputs: newOutputs(),
 		prefill: newFit(fitWeight, 20, term{priorPrefillMs, 1}, term{priorPrefillTokenMs, 5000}, term{priorPrefillTokenMs, 5000}, term{priorFetchTokenMs, 5000}),
 		local:   newFit(fitWeight, 20, term{priorLocalMs, 1}, term{priorLocalTokenMs, 800}, term{priorLocalTokenMs, 800}, term{priorStreamMs, 16}),
@@ -125,6 +138,9 @@
 
 // Factor returns how much slower than the mean of its service a server is.
 func (m *Model) Factor(service, server string) float64 {
+	if factor, ok := m.sharedFactor(server); ok {
+		return factor
+	}
 	if held, ok := m.service(service).servers.Load(server); ok {
 		return math.Float64frombits(held.(*factor).bits.Load())
 	}
@@ -233,6 +249,9 @@
 // factor returns a server's factor. s.mu must be held.
 func (s *service) factor(now time.Time, server string) float64 {
 	s.forget(now)
+	if factor, ok := s.model.sharedFactor(server); ok {
+		return factor
+	}
 	if held, ok := s.servers.Load(server); ok {
 		return math.Float64frombits(held.(*factor).bits.Load())
 	}
@@ -253,9 +272,11 @@
 	}
 	f := held.(*factor)
 	f.age(now)
+	log := math.Log(min(max(ratio, 1.0/maxFactor), maxFactor))
 	f.n += weight
-	f.sum += weight * math.Log(min(max(ratio, 1.0/maxFactor), maxFactor))
+	f.sum += weight * log
 	f.age(now)
+	s.model.measure(server, weight, log)
 }
 
 // forget ages the servers' factors once in a while. s.mu must be held.
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/isolation"
@@ -93,6 +94,7 @@
 	tracker     *fleet.Tracker
 	uses        *fairshare.Uses
 	prefixes    *prefixdir.Directory
+	speeds      *cost.Model // nil if speeds aren't learned
 	pace        *fleet.PaceCounter
 	demand      *fleet.DemandCounter
 	outlier     *outlier.Set
@@ -215,6 +217,10 @@
 // Tracker returns the tracker of the engines' load.
 func (a *Agent) Tracker() *fleet.Tracker { return a.tracker }
 
+// ShareSpeeds exchanges what a model learns of engines' speeds with the other entries. It must
+// be called before Run. Without a model, nothing is exchanged.
+func (a *Agent) ShareSpeeds(m *cost.Model) { a.speeds = m }
+
 // Prefixes returns the directory of engines that hold shared prompt prefixes.
 func (a *Agent) Prefixes() *prefixdir.Directory { return a.prefixes }
 
@@ -286,6 +292,7 @@
 		r.Holdings = a.prefixes.TakePending()
 		r.Pace = a.pace.Recent()
 		r.Demand = a.demand.Recent()
+		r.Measured = a.speeds.TakeMeasured()
 	}
 	r.Name, r.Incarnation = a.options.Name, a.incarnation
 	r.Address, r.Zone = a.options.Address, a.options.Zone
@@ -370,6 +377,7 @@
 	if u.HasOthers {
 		a.tracker.SetOthers(u.Others)
 		a.uses.SetOthers(u.OthersUses)
+		a.speeds.SetShared(u.Slowness)
 	}
 	a.tracker.SetPosition(u.Index, u.Entries)
 	a.retries.SetDeployment(u.Retries)
@@ -441,6 +449,7 @@
 	view := fleet.NewView(a.engines)
 	a.view.Store(view)
 	a.tracker.Prune(view)
+	a.speeds.SetServers(peergrpc.EngineRuns(a.engines))
 	a.notices.Limits.SetView(view)
 	a.options.Log.Debug("engines listed", "source", source, "before", before.Len(), "now", view.Len(), "incomplete", list.Incomplete)
 }
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -118,6 +118,7 @@
 	mu      sync.Mutex // guards the fields below
 	entries map[*entryWatch]struct{}
 	uses    workspaceUses
+	speeds  engineSpeeds
 	// sum is the unfinished work of all entries.
 	sum *fleet.Sum
 	// withdrawn holds the IDs of the engines that get no requests.
@@ -225,6 +226,7 @@
 	h.known = known
 	h.mu.Unlock()
 	h.recordVersions(known)
+	h.speeds.setEngines(known)
 	h.listedAt.Store(int64(clock.Boot{}.Now()))
 	held := h.engines.Load()
 	next := held.next(list)
@@ -401,6 +403,7 @@
 	}
 	h.options.Retries.Record(info.Incarnation, toRetryUses(report.GetRetryUses()))
 	h.uses.set(w, report.GetWorkspaceUses())
+	h.speeds.add(report.GetMeasuredSpeeds())
 	work := toEarlierWork
 	if w.takesDigests.Load() {
 		work = toWork
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/forward"
@@ -61,6 +62,9 @@
 	// replica doesn't know yet.
 	Wall  time.Time
 	Usage []usage.Count
+	// Measured is what the entry measured of engines' speeds since the last report to a
+	// leader.
+	Measured []cost.Measured
 }
 
 // Update is a control replica's message to an entry.
@@ -82,6 +86,9 @@
 	// Others is the work that all other entries reported, if HasOthers is set.
 	Others    fleet.Work
 	HasOthers bool
+	// Slowness is how much slower than the mean of their service engines are according to
+	// all entries, by ID, if HasOthers is set.
+	Slowness map[string]float64
 	// OthersUses is what all other entries reported of workspaces, if HasOthers is set.
 	OthersUses []fairshare.Use
 	// Holdings are shared prompt prefixes that engines prefilled for other
@@ -366,6 +373,7 @@
 	out.RetryUses = fromRetryUses(r.RetryUses)
 	out.WallMs, out.Usage = fromWall(r.Wall), fromUsage(r.Usage)
 	out.WorkspaceUses = fromWorkspaceUses(r.Uses)
+	out.MeasuredSpeeds = fromMeasuredSpeeds(r.Measured)
 	return out
 }
 
--- a/internal/transport/peergrpc/loaddigest.go
+++ b/internal/transport/peergrpc/loaddigest.go
@@ -42,7 +42,9 @@
 	if list := h.engines.Load(); list != nil {
 		numbers = list.numbers
 	}
-	encoded, err := proto.Marshal(encodeDigest(work.Engines, numbers))
+	digest := encodeDigest(work.Engines, numbers)
+	h.speeds.encode(digest, numbers)
+	encoded, err := proto.Marshal(digest)
 	if err != nil {
 		return fmt.Errorf("encode load of %d engines: %w", len(work.Engines), err)
 	}
@@ -166,6 +168,7 @@
 	if err != nil {
 		return err
 	}
+	update.Slowness = toSlowness(&digest, engines)
 	update.Others.Engines, update.HasOthers = reported.others(all, m.GetDigestReport())
 	return nil
 }
