Compare shared speeds with the median engine

With many entries and old load figures, queues that no entry sees look like small differences of speed.

The weight of the assumption that a server is as fast as the others is 8 observations, differences below 0.2 of the logarithm aren't shared, and speeds are relative to the median of the group instead of the mean. Where a part of the engines is slow, only these are named. The leader computes them at most every 200 ms.

--- a/internal/protocol/cost/report.go
+++ b/internal/protocol/cost/report.go
@@ -39,8 +39,8 @@
 	})
 }
 
-// SetShared sets how much slower than the mean of their services servers are according to all
-// entries; the others are as fast as the mean. Without any, what this entry observed counts.
+// SetShared sets how much slower than the median of their services servers are according to all
+// entries; the others are as fast as that. Without any, what this entry observed counts.
 func (m *Model) SetShared(slowness map[string]float64) {
 	if m != nil {
 		m.shared.Store(&slowness)
--- a/internal/protocol/cost/shared.go
+++ b/internal/protocol/cost/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -11,7 +12,11 @@
 	sharedHalfLife = 20 * time.Second
 	// sharedWeight is the weight, in observations, of the assumption that a server is as fast
 	// as the others of its group.
-	sharedWeight = 4
+	sharedWeight = 8
+	// sharedDifference is the logarithm of a factor below which a server counts as fast as the
+	// others. Queues that entries can't see yet look like small differences of speed, and all
+	// entries would follow these at once.
+	sharedDifference = 0.2
 	// maxReportedWeight bounds the weight of one report about a server.
 	maxReportedWeight = 100
 )
@@ -83,24 +88,48 @@
 	}
 }
 
-// Slowness returns how much slower than the mean of their groups servers are, without those
-// of which nothing is known.
+// Slowness returns how much slower than the median of their groups servers are, without those
+// that are about as fast, or of which nothing is known. The median is the speed of most servers
+// where a part of them is slow, so that these are the ones that are named.
 func (s *SharedSpeeds) Slowness(now time.Time) map[string]float64 {
-	type sums struct{ weight, logSum float64 }
-	groups := make(map[string]sums)
+	groups := make(map[string]*group)
 	for _, held := range s.servers {
 		held.age(now)
-		g := groups[held.run.Group]
-		groups[held.run.Group] = sums{g.weight + held.weight, g.logSum + held.logSum}
-	}
-	out := make(map[string]float64)
-	for id, held := range s.servers {
 		if held.weight < forgottenWeight {
 			continue
 		}
 		g := groups[held.run.Group]
-		factor := math.Exp((held.logSum - held.weight*g.logSum/g.weight) / (held.weight + sharedWeight))
-		out[id] = min(max(factor, 1.0/maxFactor), maxFactor)
+		if g == nil {
+			g = &group{}
+			groups[held.run.Group] = g
+		}
+		g.weight, g.logSum = g.weight+held.weight, g.logSum+held.logSum
+		g.servers = append(g.servers, held)
+	}
+	out := make(map[string]float64)
+	for _, g := range groups {
+		g.addSlowness(out)
 	}
 	return out
 }
+
+// group is the servers that are compared with each other.
+type group struct {
+	weight, logSum float64
+	servers        []*sharedServer
+}
+
+func (g *group) addSlowness(out map[string]float64) {
+	mean := g.logSum / g.weight
+	logs := make([]float64, 0, len(g.servers))
+	for _, held := range g.servers {
+		logs = append(logs, (held.logSum+sharedWeight*mean)/(held.weight+sharedWeight))
+	}
+	sorted := slices.Sorted(slices.Values(logs))
+	median := sorted[len(sorted)/2]
+	for i, held := range g.servers {
+		if log := logs[i] - median; math.Abs(log) >= sharedDifference {
+			out[held.run.ID] = min(max(math.Exp(log), 1.0/maxFactor), maxFactor)
+		}
+	}
+}
--- a/internal/transport/peergrpc/enginespeeds.go
+++ b/internal/transport/peergrpc/enginespeeds.go
@@ -14,10 +14,17 @@
 // engineSpeeds combines the speeds of engines that entries report. It is safe for concurrent
 // use.
 type engineSpeeds struct {
-	mu     sync.Mutex
+	mu     sync.Mutex         // guards the fields below
 	speeds *cost.SharedSpeeds // nil before the first list
+	// slowness is what speeds gave at an instant.
+	slowness map[string]float64
+	at       time.Time
 }
 
+// slownessInterval is the time for which the slowness of engines is used. It changes within
+// seconds, and digests are made 40 times a second.
+const slownessInterval = 200 * time.Millisecond
+
 // setEngines replaces the engines whose speeds are kept. Those of one service and phase are
 // compared with each other.
 func (s *engineSpeeds) setEngines(engines []fleet.Engine) {
@@ -28,6 +35,7 @@
 		s.speeds = cost.NewSharedSpeeds()
 	}
 	s.speeds.SetServers(runs)
+	s.at = time.Time{}
 }
 
 // EngineRuns returns the runs of a list of engines.
@@ -51,13 +59,13 @@
 	}
 }
 
-// encode adds the speeds to a digest: those that differ from the mean by a percent or more.
+// encode adds the speeds that differ to a digest.
 func (s *engineSpeeds) encode(out *peerpb.LoadDigest, numbers map[string]uint32) {
 	s.mu.Lock()
-	var slowness map[string]float64
-	if s.speeds != nil {
-		slowness = s.speeds.Slowness(time.Now())
+	if now := time.Now(); s.speeds != nil && now.Sub(s.at) >= slownessInterval {
+		s.slowness, s.at = s.speeds.Slowness(now), now
 	}
+	slowness := s.slowness // replaced, never changed
 	s.mu.Unlock()
 	type numbered struct{ number, percent uint32 }
 	unequal := make([]numbered, 0, len(slowness))
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -86,7 +86,7 @@
 	// Others is the work that all other entries reported, if HasOthers is set.
 	Others    fleet.Work
 	HasOthers bool
-	// Slowness is how much slower than the mean of their service engines are according to
+	// Slowness is how much slower than the median of their service engines are according to
 	// all entries, by ID, if HasOthers is set.
 	Slowness map[string]float64
 	// OthersUses is what all other entries reported of workspaces, if HasOthers is set.
