--- a/cmd/lagoonshift/platform.go
+++ b/cmd/lagoonshift/platform.go
@@ -38,8 +38,9 @@
 	entry := clause.Command("entry", "Run an entry process, which serves callers' requests.")
 	var network platform.EngineNetwork
 	entry.Flag("engine-network", "FROM=TO, two networks of the same size: connect to engines of the first at their addresses in the second, if a translation of network addresses separates them.").SetValue(&network)
-	var costAware bool
-	entry.Flag("cost-aware-placement", "Send requests to the servers at which the expected lateness is least, by learned costs and speeds.").Envar("LAGOONSHIFT_COST_AWARE_PLACEMENT").BoolVar(&costAware)
+	var costAware string
+	entry.Flag("cost-aware-placement", "Send requests to the servers at which the expected lateness is least, by learned costs and speeds: on, off, or auto, where the configuration or the settings call for it.").
+		Envar("LAGOONSHIFT_COST_AWARE_PLACEMENT").Default(platform.PlacementAuto).EnumVar(&costAware, platform.PlacementAuto, platform.PlacementOn, platform.PlacementOff)
 	commands[platformControl] = flags.run("control", func(ctx context.Context, log hclog.Logger) error {
 		return platform.Control(ctx, options, log)
 	})
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -81,10 +81,11 @@
 
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
-	options  Options
-	policy   placement.Policy
-	prefills *prefillqueue.Queue
-	returns  *returnWatch
+	options Options
+	// costsFollowed is set once a request has followed Options.Costs.
+	costsFollowed atomic.Bool
+	prefills      *prefillqueue.Queue
+	returns       *returnWatch
 	// crashWatch holds suspicions of crashes, and suspicions logs those that don't become
 	// evidence. contacts finds silent servers. crashChecks holds one element for each first
 	// check in progress, and each one of a silent server.
@@ -128,7 +129,7 @@
 	if o.Notices == nil {
 		o.Notices = notice.NewBoard(clock.NewRuntime())
 	}
-	c := &Forwarder{options: o, policy: newPolicy(o), returns: newReturnWatch(), suspicions: &suspicionLog{log: o.Log}, crashChecks: make(chan struct{}, maxCrashChecks)}
+	c := &Forwarder{options: o, returns: newReturnWatch(), suspicions: &suspicionLog{log: o.Log}, crashChecks: make(chan struct{}, maxCrashChecks)}
 	c.crashWatch = &crashWatch{forwarder: c, servers: make(map[string]*watchedServer)}
 	c.contacts = newContacts(c)
 	c.ending, c.end = context.WithCancel(context.Background())
@@ -213,6 +214,7 @@
 		sharedParts: r.Prompt.SharedParts(),
 	}
 	x.countDemand()
+	x.setPolicy()
 	deadlineCtx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	stopEnd := context.AfterFunc(c.ending, cancel)
@@ -293,6 +295,9 @@
 	sender  Sender
 	sink    Sink
 	started time.Time
+	// policy chooses servers, and costs are what it follows, or nil.
+	policy placement.Policy
+	costs  *cost.Model
 
 	// sends counts sends of the request; runs counts those that a server may
 	// have run.
@@ -463,7 +468,7 @@
 	found := placement.Candidates(c.options.View().Engines(service), c.options.Tracker.Load, filters...)
 	for i := range found {
 		found[i].FailureRate = c.options.Outlier.FailureRate(found[i].ID)
-		if c.options.Costs != nil {
+		if c.costsFollowed.Load() {
 			found[i].Slowness = c.options.Costs.Factor(service, found[i].ID)
 		}
 	}
--- a/internal/protocol/exchange/learn.go
+++ b/internal/protocol/exchange/learn.go
@@ -14,12 +14,21 @@
 // of most engines was never observed.
 const stepEvents = 2
 
-// newPolicy returns the policy of the options.
-func newPolicy(o Options) placement.Policy {
-	if o.Costs == nil {
-		return placement.Scoring{Random: o.Random}
+// newPolicy returns the policy that follows costs, or fixed scores if they are nil.
+func newPolicy(costs *cost.Model, random func(n int) int) placement.Policy {
+	if costs == nil {
+		return placement.Scoring{Random: random}
 	}
-	return &placement.CostAware{Model: o.Costs, Random: o.Random}
+	return &placement.CostAware{Model: costs, Random: random}
+}
+
+// setPolicy sets the policy of the request.
+func (x *exchange) setPolicy() {
+	if !x.request.FixedScores && x.options.Costs != nil {
+		x.costs = x.options.Costs
+		x.costsFollowed.Store(true)
+	}
+	x.policy = newPolicy(x.costs, x.options.Random)
 }
 
 // work returns what placement knows of the request.
@@ -32,14 +41,14 @@
 	if r.Prompt != nil {
 		w.Prompt = *r.Prompt
 	}
-	if x.options.Costs == nil {
+	if x.costs == nil {
 		return w
 	}
 	now := time.Now()
 	w.Elapsed = now.Sub(x.started)
 	w.Waiting, w.Staleness = x.options.Tracker.OthersWaiting(w.Service), x.options.Tracker.Staleness()
 	if r.Prompt != nil {
-		w.Output = x.options.Costs.Output(now, w.Service, x.outputKind(), r.Prompt.ExpectedOutput, r.Prompt.Output)
+		w.Output = x.costs.Output(now, w.Service, x.outputKind(), r.Prompt.ExpectedOutput, r.Prompt.Output)
 	}
 	return w
 }
@@ -62,7 +71,7 @@
 
 // learnPrefill learns from a prefill call that has succeeded.
 func (x *exchange) learnPrefill(a Attempt, chosen placement.PrefillChoice, shared, left int) {
-	if x.options.Costs == nil {
+	if x.costs == nil {
 		return
 	}
 	now := time.Now()
@@ -70,7 +79,7 @@
 	if a.FetchFrom != nil {
 		call.Fetched, call.CrossZone = float64(shared), a.FetchFrom.Zone != a.Engine.Zone
 	}
-	x.options.Costs.ObservePrefill(now, x.request.Service.Name, a.Engine.ID, call, now.Sub(a.placedAt))
+	x.costs.ObservePrefill(now, x.request.Service.Name, a.Engine.ID, call, now.Sub(a.placedAt))
 }
 
 // pace is what the speed of an attempt's server is learned from.
@@ -88,7 +97,7 @@
 func (x *exchange) learnFirst(s *startedAttempt) {
 	s.pace.events, s.pace.at = x.events+1, time.Now()
 	e, load := s.attempt.Engine, s.pace.load
-	if x.options.Costs == nil || x.request.Prompt == nil || e.Slots > 0 && load.Streams >= e.Slots {
+	if x.costs == nil || x.request.Prompt == nil || e.Slots > 0 && load.Streams >= e.Slots {
 		return
 	}
 	source := s.attempt.KVSource
@@ -97,34 +106,34 @@
 		Pending: float64(load.PromptTokens), Streams: float64(load.Streams),
 		Staleness: x.options.Tracker.Staleness(),
 	}
-	x.options.Costs.ObserveFirst(s.pace.at, x.request.Service.Name, e.ID, begin, s.pace.at.Sub(s.attempt.placedAt))
+	x.costs.ObserveFirst(s.pace.at, x.request.Service.Name, e.ID, begin, s.pace.at.Sub(s.attempt.placedAt))
 }
 
 // learnStep learns from the pace of a stream's events.
 func (x *exchange) learnStep(s *startedAttempt) {
 	n := x.events - s.pace.events
-	if x.options.Costs == nil || x.request.Prompt == nil || n < stepEvents {
+	if x.costs == nil || x.request.Prompt == nil || n < stepEvents {
 		return
 	}
 	load := x.options.Tracker.Load(s.attempt.Engine.ID)
 	now := x.lastWrite
-	x.options.Costs.ObserveStep(now, x.request.Service.Name, s.attempt.Engine.ID, float64(load.Streams), float64(load.PromptTokens), x.options.Tracker.Staleness(), now.Sub(s.pace.at)/time.Duration(n))
+	x.costs.ObserveStep(now, x.request.Service.Name, s.attempt.Engine.ID, float64(load.Streams), float64(load.PromptTokens), x.options.Tracker.Staleness(), now.Sub(s.pace.at)/time.Duration(n))
 	s.pace.events, s.pace.at = x.events, now
 }
 
 // learnOutput learns from a complete stream.
 func (x *exchange) learnOutput(o Outcome) {
 	r := x.request
-	if x.options.Costs == nil || r.Prompt == nil || o.Result != Delivered || !x.streamBegun || r.LastEventID != "" {
+	if x.costs == nil || r.Prompt == nil || o.Result != Delivered || !x.streamBegun || r.LastEventID != "" {
 		return
 	}
 	now := time.Now()
-	x.options.Costs.ObserveOutput(now, r.Service.Name, x.outputKind(), r.Prompt.ExpectedOutput, x.events, now.Sub(x.sentAt))
+	x.costs.ObserveOutput(now, r.Service.Name, x.outputKind(), r.Prompt.ExpectedOutput, x.events, now.Sub(x.sentAt))
 }
 
 // learnCall learns from the response of a plain server.
 func (x *exchange) learnCall(s *startedAttempt) {
-	if x.options.Costs == nil || x.request.Prompt != nil {
+	if x.costs == nil || x.request.Prompt != nil {
 		return
 	}
 	e, now := s.attempt.Engine, time.Now()
@@ -132,5 +141,5 @@
 	if e.Slots > 0 {
 		excess = float64(s.pace.load.Calls+1-e.Slots) / float64(e.Slots)
 	}
-	x.options.Costs.ObserveCall(now, x.request.Service.Name, e.ID, x.request.Route.Name, excess, now.Sub(s.attempt.placedAt))
+	x.costs.ObserveCall(now, x.request.Service.Name, e.ID, x.request.Route.Name, excess, now.Sub(s.attempt.placedAt))
 }
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -25,6 +25,8 @@
 	Workspace string
 	// WorkspacePriority, if it is not nil, replaces the priority of the route.
 	WorkspacePriority *int
+	// FixedScores is set if placement is to follow fixed scores although costs are learned.
+	FixedScores bool
 	// Deadline is the earlier of the caller's deadline and the route's
 	// timeout.
 	Deadline time.Time
--- a/internal/protocol/route/route.go
+++ b/internal/protocol/route/route.go
@@ -156,8 +156,18 @@
 
 	// byHost holds each host's routes, the longest prefix first.
 	byHost map[string][]*Route
+	// tightPauses is the result of TightPauses.
+	tightPauses bool
 }
 
+// tightPause is the longest pause within streams that counts as tight. An engine that
+// prefills a chunk of a prompt beside its streams stops them for some 70 ms: with such a
+// limit, two of them in a row make all of its streams late.
+const tightPause = 150 * time.Millisecond
+
+// TightPauses reports whether a route allows only tight pauses within its streams.
+func (t *Table) TightPauses() bool { return t.tightPauses }
+
 // ErrInvalid means that a routing table is invalid.
 var ErrInvalid = errors.New("invalid routes")
 
@@ -234,6 +244,7 @@
 		}
 	}
 	t.byHost[host] = append(t.byHost[host], r)
+	t.tightPauses = t.tightPauses || r.Kind == Streaming && r.EventGap > 0 && r.EventGap <= tightPause
 	return nil
 }
 
--- a/internal/protocol/route/route_test.go
+++ b/internal/protocol/route/route_test.go
@@ -77,3 +77,28 @@
 		t.Errorf("%.3f of the requests go to a service with a share of %.2f", share, heavy/100.0)
 	}
 }
+
+// TestTightPauses guards against deployments whose placement changes although none of their
+// streams is held to short pauses, and against such streams that are overlooked.
+func TestTightPauses(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind route.Kind
+		gap  time.Duration
+		want bool
+	}{
+		"short pauses":  {route.Streaming, 150 * time.Millisecond, true},
+		"longer pauses": {route.Streaming, 200 * time.Millisecond, false},
+		"no limit":      {route.Streaming, 0, false},
+		"no stream":     {route.Safe, 100 * time.Millisecond, false},
+	} {
+		r := validRoute("/x/")
+		r.Kind, r.EventGap = c.kind, c.gap
+		table, err := route.New(1, []route.Route{validRoute("/"), r}, services, route.Limits{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := table.TightPauses(); got != c.want {
+			t.Errorf("%s: got %t, want %t", name, got, c.want)
+		}
+	}
+}
