--- a/internal/configcheck/document_test.go
+++ b/internal/configcheck/document_test.go
@@ -153,7 +153,7 @@
 	}
 }
 
-// TestLocator guards against wrong lines and columns, also beside comments, in other cases
+// TestLocator guards against wrong lines and columns, also alongside comments, in other cases
 // of names, and for values that are absent.
 func TestLocator(t *testing.T) {
 	l := configcheck.NewLocator([]byte("// c\n{\"a\": [1, /* x */ 2],\n\t\"B\" : {\"c/d\": true}, }"))
--- a/internal/configcheck/locate.go
+++ b/internal/configcheck/locate.go
@@ -21,7 +21,7 @@
 
 // NewLocator returns a locator for a text. Member names are compared without regard to
 // case, as encoding/json does, and pointers have no escapes. Of a text with a syntax error
-// it knows what comes before the error.
+// it locates what comes before the error.
 func NewLocator(content []byte) *Locator {
 	standard := content
 	if converted, err := hujson.Standardize(bytes.Clone(content)); err == nil {
--- a/internal/experiment/placement_test.go
+++ b/internal/experiment/placement_test.go
@@ -38,10 +38,10 @@
 var (
 	// usualEngines send an event for each token.
 	usualEngines = modelDecode{stepMs: 12, streamMs: 0.5, chunk: modelChunk, eventTokens: 1}
-	// benchEngines are as on the bench where the decision was measured: a step takes 4 ms
+	// measuredEngines are those of the deployment in which the decision was measured: a step takes 4 ms
 	// at the usual fill, an event holds 12 tokens, and a step prefills a quarter of the
 	// tokens that a prefill engine does at once.
-	benchEngines = modelDecode{stepMs: 3.5, streamMs: 0.1, chunk: modelChunk / 4, eventTokens: 12}
+	measuredEngines = modelDecode{stepMs: 3.5, streamMs: 0.1, chunk: modelChunk / 4, eventTokens: 12}
 )
 
 const (
@@ -60,8 +60,8 @@
 	}
 }
 
-// benchClasses are the classes with the lengths and limits of the bench.
-func benchClasses() []modelClass {
+// measuredClasses are the classes with the lengths and limits of the measured deployment.
+func measuredClasses() []modelClass {
 	classes := placementClasses()
 	for i := range classes {
 		classes[i].output, classes[i].gap = 100, 150
@@ -259,8 +259,8 @@
 		return 1
 	}
 	cells = append(cells, placementCell{
-		name: "85 views, 0.2 s old, as on the bench", views: 85, age: 200, slowness: quarterSlow,
-		prefill: 52, decode: 38, engines: benchEngines, classes: benchClasses(),
+		name: "85 views, 0.2 s old, as measured", views: 85, age: 200, slowness: quarterSlow,
+		prefill: 52, decode: 38, engines: measuredEngines, classes: measuredClasses(),
 		// 0.75 with the questions, which prefill engines get here.
 		load: 0.56,
 	})
@@ -312,7 +312,7 @@
 const placementSeeds = 2
 
 // TestPlacementTable guards against a decision that has fewer requests in time than the
-// target, a part of a bound that knows the future, or than the decision by fixed scores: with
+// target, a part of a bound computed with knowledge of the future, or than the decision by fixed scores: with
 // unequal servers, a mix that turns, wrong hints, a slow server, and many entries with old
 // figures, at a load of 0.75.
 func TestPlacementTable(t *testing.T) {
--- a/internal/operatorcli/check.go
+++ b/internal/operatorcli/check.go
@@ -29,7 +29,7 @@
 	Document func(content, inForce []byte, o configcheck.Options) ([]configcheck.Finding, error)
 }
 
-// CheckError says that a configuration has warnings or would be rejected.
+// CheckError states that a configuration has warnings or would be rejected.
 type CheckError struct {
 	// Code is the exit code of the command.
 	Code int
--- a/internal/protocol/capacity/capacity.go
+++ b/internal/protocol/capacity/capacity.go
@@ -1,6 +1,6 @@
 // Package capacity decides how many servers a service has, in which availability zones and
 // of which kind. Reclaimable servers cost less than lasting ones, but all of a zone may be
-// taken away at once, and a server takes seconds to start; the demand may grow meanwhile.
+// taken away at once, and a server takes seconds to start; the demand may grow in the meantime.
 package capacity
 
 import (
--- a/internal/protocol/capacity/driver.go
+++ b/internal/protocol/capacity/driver.go
@@ -38,7 +38,7 @@
 	// are to come, go or change their phases: those that they replace cost five times as much.
 	listWhileExpecting = 250 * time.Millisecond
 	// listWhileReclaimable is the same while there are reclaimable servers:
-	// these leave 2 s after the platform says so, and entries take lists from all replicas.
+	// these leave 2 s after the platform states so, and entries take lists from all replicas.
 	listWhileReclaimable = 500 * time.Millisecond
 	// defaultRate is the number of calls a second that a platform without a limit is taken
 	// to accept.
@@ -130,7 +130,7 @@
 	pausedUntil clock.Instant
 }
 
-// NewDriver returns a driver that knows no servers.
+// NewDriver returns a driver that has no servers.
 func NewDriver(o DriverOptions) *Driver {
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
--- a/internal/protocol/capacity/driver_test.go
+++ b/internal/protocol/capacity/driver_test.go
@@ -137,7 +137,7 @@
 	}
 }
 
-// TestNewHolderKeepsServers guards against a holder that knows only the demand of the moment
+// TestNewHolderKeepsServers guards against a holder that has only the demand of the moment
 // and gives servers back at once: the demand may return to its recent peak.
 func TestNewHolderKeepsServers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/protocol/capacity/memory.go
+++ b/internal/protocol/capacity/memory.go
@@ -96,7 +96,7 @@
 	// servers are given back only when others do their work.
 	Wanted, Orders ZoneCounts
 	Need           Need
-	// Reason says what the number depends on.
+	// Reason states what the number depends on.
 	Reason string
 }
 
--- a/internal/protocol/capacity/simulation_test.go
+++ b/internal/protocol/capacity/simulation_test.go
@@ -56,7 +56,7 @@
 	servers []*server
 	calls   []call
 	// inFlight counts the calls of a holder on a matter that are under way, and overlaps those
-	// that began beside another one.
+	// that began alongside another one.
 	inFlight map[string]int
 	overlaps int
 	// closedUntil is until when no reclaimable servers are available, by zone.
@@ -264,7 +264,7 @@
 	return moments, cost
 }
 
-// run runs replicas beside each other for a time, and returns what was seen each 100 ms and
+// run runs replicas alongside each other for a time, and returns what was seen each 100 ms and
 // the cost.
 func run(t *testing.T, c *cloud, length time.Duration, demand func(time.Duration) *fleet.DemandRate, events map[time.Duration]func(), replicas ...*replica) (moments []moment, cost float64) {
 	t.Helper()
--- a/internal/protocol/cost/cost_test.go
+++ b/internal/protocol/cost/cost_test.go
@@ -64,7 +64,7 @@
 }
 
 // TestPrefillSpeedIsLearned guards against predictions that stay at the prior, where engines
-// prefill at a third of its rate, and against a waiting time that isn't told apart from work.
+// prefill at a third of its rate, and against a waiting time that isn't distinguished from work.
 func TestPrefillSpeedIsLearned(t *testing.T) {
 	m := cost.NewModel()
 	random := rand.New(rand.NewPCG(2, 2))
--- a/internal/protocol/cost/fit.go
+++ b/internal/protocol/cost/fit.go
@@ -16,7 +16,7 @@
 	// below.
 	maxCoefficient = 10
 	// maxResidual is the ratio to the prediction beyond which an observation is clipped:
-	// a server that stalls says nothing of the speed of the others.
+	// a server that stalls is no evidence of the speed of the others.
 	maxResidual = 3
 )
 
--- a/internal/protocol/cost/model.go
+++ b/internal/protocol/cost/model.go
@@ -50,7 +50,7 @@
 // weightedLog is a weight and the sum of as many weighted logarithms.
 type weightedLog struct{ weight, logSum float64 }
 
-// NewModel returns a model that knows the priors only.
+// NewModel returns a model that has the priors only.
 func NewModel() *Model { return &Model{measured: make(map[string]weightedLog)} }
 
 func (m *Model) service(name string) *service {
@@ -243,7 +243,7 @@
 func (s *service) observe(now time.Time, f *fit, server string, x features, took time.Duration, weight float64) {
 	expected := f.coeffs.predict(x)
 	ms := milliseconds(took)
-	// What the server's own speed explains says nothing of the others'.
+	// What the server's own speed explains is no evidence of the others'.
 	f.observe(now, x, ms/s.factor(now, server))
 	s.compare(now, server, ms/expected, weight)
 	s.publish()
--- a/internal/protocol/cost/shared_test.go
+++ b/internal/protocol/cost/shared_test.go
@@ -16,7 +16,7 @@
 	return out
 }
 
-// TestSharedSpeedsFindSlowServers guards against slow servers that no entry knows, because
+// TestSharedSpeedsFindSlowServers guards against slow servers that no entry detects, because
 // each sees a server only a few times a minute: 85 entries that each see a server about once in
 // 14 s must together know the slow quarter after a few seconds.
 func TestSharedSpeedsFindSlowServers(t *testing.T) {
--- a/internal/protocol/cost/speeds.go
+++ b/internal/protocol/cost/speeds.go
@@ -7,7 +7,7 @@
 	// prefill is the time of a call that prefills, by tokens to read, pending tokens and
 	// fetched tokens.
 	prefill features
-	// local is the time to the first event of a prompt that an engine prefills beside
+	// local is the time to the first event of a prompt that an engine prefills alongside
 	// streams, by tokens to read, pending tokens and streams; fetched is the same for a
 	// prompt that was prefilled elsewhere, by its tokens, pending tokens and streams.
 	local, fetched features
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -446,7 +446,7 @@
 	t.Run("plain, server no longer listed", func(t *testing.T) {
 		w := newFixture(plain)
 		w.ended = true
-		w.onSend = func() { // the list says that it leaves, or doesn't have it any more
+		w.onSend = func() { // the list states that it leaves, or doesn't have it any more
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.view = fleet.NewView([]fleet.Engine{{ID: "other", Service: "plain"}})
--- a/internal/protocol/exchange/learn.go
+++ b/internal/protocol/exchange/learn.go
@@ -31,7 +31,7 @@
 	x.policy = newPolicy(x.costs, x.options.Random)
 }
 
-// work returns what placement knows of the request.
+// work returns the description of the request for placement.
 func (x *exchange) work() *placement.Work {
 	r := x.request
 	w := &placement.Work{
@@ -58,7 +58,7 @@
 }
 
 // estimated keeps the first prediction of the request's first event. It returns what the log
-// line of a placement says of its reasons.
+// line of a placement reports of its reasons.
 func (x *exchange) estimated(e placement.Estimate) []any {
 	if e == (placement.Estimate{}) {
 		return nil
@@ -93,7 +93,7 @@
 }
 
 // learnFirst learns from the first event of a stream. Streams that had to wait for a slot
-// say nothing of their server's speed.
+// are no evidence of their server's speed.
 func (x *exchange) learnFirst(s *startedAttempt) {
 	s.pace.events, s.pace.at = x.events+1, time.Now()
 	e, load := s.attempt.Engine, s.pace.load
--- a/internal/protocol/exchange/memory.go
+++ b/internal/protocol/exchange/memory.go
@@ -124,7 +124,7 @@
 }
 
 // holdMemory adds what a request needs to the load of the engine that was chosen for it. ok is
-// false if the engine has no room any more, since another request was placed there meanwhile.
+// false if the engine has no room any more, since another request was placed there in the meantime.
 func (x *exchange) holdMemory(m placement.Memory, e fleet.Engine, need int) (hold *kvHold, ok bool) {
 	x.memoryPlacing.Lock()
 	defer x.memoryPlacing.Unlock()
@@ -165,14 +165,14 @@
 	}
 }
 
-// fetched says that the engine has given the KV cache away or dropped it.
+// fetched records that the engine has given the KV cache away or dropped it.
 func (s *KVSource) fetched() {
 	if s != nil {
 		s.hold.end()
 	}
 }
 
-// fetchedWithin says that it has done so, or will once the handle expires.
+// fetchedWithin records that it has done so, or will once the handle expires.
 func (s *KVSource) fetchedWithin(class *route.EngineClass) {
 	if s != nil {
 		s.hold.endWithin(class)
--- a/internal/protocol/exchange/memory_test.go
+++ b/internal/protocol/exchange/memory_test.go
@@ -191,7 +191,7 @@
 }
 
 // TestRequestThatNeverFitsIsRefused guards against a request that waits for memory that no engine
-// has, and against one that a server is told to run.
+// has, and against one that a server is ordered to run.
 func TestRequestThatNeverFitsIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		engines := &kvEngines{used: make(map[string]int), most: make(map[string]int)}
--- a/internal/protocol/exchange/untilclose.go
+++ b/internal/protocol/exchange/untilclose.go
@@ -26,7 +26,7 @@
 }
 
 // leaves reports whether a server leaves as planned: it has announced that, the newest list
-// says so, or the list doesn't have it any more.
+// states so, or the list doesn't have it any more.
 func (x *exchange) leaves(e fleet.Engine) bool {
 	if x.options.Notices.Leaving(e) {
 		return true
--- a/internal/protocol/fairshare/fairshare_test.go
+++ b/internal/protocol/fairshare/fairshare_test.go
@@ -121,7 +121,7 @@
 	}
 }
 
-// TestOthersCount guards against an entry that knows a workspace's own requests only, and
+// TestOthersCount guards against an entry that counts only its own requests of a workspace, and
 // against figures of other entries that stay after they are gone.
 func TestOthersCount(t *testing.T) {
 	uses, now := NewUses(), time.Now()
--- a/internal/protocol/fleet/tracker.go
+++ b/internal/protocol/fleet/tracker.go
@@ -67,8 +67,8 @@
 
 const (
 	// reportWeight is the number of reports that the mean interval between them is from, and
-	// maxReportInterval bounds the interval that counts: after a loss of contact it says
-	// nothing of the age of later reports.
+	// maxReportInterval bounds the interval that counts: after a loss of contact it is no
+	// evidence of the age of later reports.
 	reportWeight      = 8
 	maxReportInterval = time.Second
 )
--- a/internal/protocol/phaseplan/scaled.go
+++ b/internal/protocol/phaseplan/scaled.go
@@ -46,8 +46,8 @@
 func (d *Driver) Wait() { d.calls.Wait() }
 
 // scaledChanges returns the changes to the share that callers need. Engines that change count
-// in their new phases, and those that any entry was told leave count as gone, which may be
-// known before the list shows it. d.mu must be held.
+// in their new phases, and those that have announced to any entry that they leave count as gone,
+// which may be before the list shows it. d.mu must be held.
 func (d *Driver) scaledChanges(service string, listed []fleet.Engine, load func(engine string) fleet.Load) (due []Change) {
 	engines := slices.DeleteFunc(slices.Clone(listed), func(e fleet.Engine) bool { return load(e.ID).LeavingEntries > 0 })
 	busyChanging := 0
--- a/internal/protocol/placement/costaware.go
+++ b/internal/protocol/placement/costaware.go
@@ -51,7 +51,7 @@
 	// usualStreams is the mean number of streams at an engine whose slots are unknown.
 	usualStreams = 16
 	// queueMemory is for how many stays of a prompt a longer queue of a prefill engine lasts: the
-	// prompts that come meanwhile stay behind it. With 1, 85 views of 0.2 s of the bench's
+	// prompts that come in the meantime stay behind it. With 1, 85 views of 0.2 s of the measured deployment's
 	// engines have 0.965 of the requests in time, with 2 and 4 0.969 and 0.970; views of 6 s
 	// have 0.807, 0.826 and 0.810.
 	queueMemory = 2
@@ -60,7 +60,7 @@
 )
 
 // CostAware is a [Policy] that chooses the servers at which the weighted sum of the lateness
-// that the request adds to itself and to those beside it is least.
+// that the request adds to itself and to those alongside it is least.
 type CostAware struct {
 	Model *cost.Model
 	// Random returns a random integer in [0, n).
@@ -104,7 +104,7 @@
 }
 
 // trust returns the part of the differences between servers' loads that is still there,
-// given how long each request is: what was in progress ends, and what came meanwhile is not
+// given how long each request is: what was in progress ends, and what came in the meantime is not
 // known.
 func (w *Work) trust(eachMs float64) float64 {
 	return math.Exp(-ms(w.Staleness) / max(1, eachMs))
--- a/internal/protocol/placement/costaware_test.go
+++ b/internal/protocol/placement/costaware_test.go
@@ -11,7 +11,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
 )
 
-// costAware returns a policy that knows the priors only.
+// costAware returns a policy that has the priors only.
 func costAware() *placement.CostAware {
 	return &placement.CostAware{Model: cost.NewModel(), Random: rand.New(rand.NewPCG(1, 2)).IntN}
 }
@@ -90,7 +90,7 @@
 	}
 }
 
-// TestCostAwareLocalPrefill guards against prompts that are prefilled beside many streams,
+// TestCostAwareLocalPrefill guards against prompts that are prefilled alongside many streams,
 // which pause for them, while a prefill engine is idle, and against short ones that queue at
 // prefill engines while few streams would pause.
 func TestCostAwareLocalPrefill(t *testing.T) {
--- a/internal/protocol/placement/memory.go
+++ b/internal/protocol/placement/memory.go
@@ -86,7 +86,7 @@
 	return u.placed[engine]
 }
 
-// Memory says which engines of a service have room in their KV caches.
+// Memory states which engines of a service have room in their KV caches.
 type Memory struct {
 	// Tokens is the size of an engine's KV cache; zero means that there is always room.
 	Tokens int
@@ -121,7 +121,7 @@
 // Bounded reports whether engines may lack room.
 func (m Memory) Bounded() bool { return m.Tokens > 0 }
 
-// Margin returns the number of tokens that stay free at an engine beside any request.
+// Margin returns the number of tokens that stay free at an engine alongside any request.
 func (m Memory) Margin() int { return int(memoryMargin * float64(m.Tokens)) }
 
 // Limit returns the number of tokens up to which an engine is filled.
@@ -130,7 +130,7 @@
 // Free returns how many tokens more an engine may be given.
 func (m Memory) Free(engine string) int { return max(0, m.Limit()-m.Load(engine).KVTokens) }
 
-// Extra returns what must be free beside a request that needs more than the margin: another
+// Extra returns what must be free alongside a request that needs more than the margin: another
 // entry may place one like it before either is reported. An empty engine takes any request
 // within the limit.
 func (m Memory) Extra(need int) int {
--- a/internal/protocol/placement/memory_test.go
+++ b/internal/protocol/placement/memory_test.go
@@ -48,7 +48,7 @@
 	streams                  []kvStream
 	// own is what the streams of each entry need by engine.
 	own [][]int
-	// reported is what the leader holds by entry and engine, and seen what each entry knows
+	// reported is what the leader holds by entry and engine, and seen what each entry has received
 	// of all others.
 	reported, seen [][]int
 	uses           []*placement.MemoryUse
@@ -56,7 +56,7 @@
 
 // TestMemoryBoundHoldsForManyEntries plays 69 entries with more long prompts than the engines
 // can hold, with reports that take up to two intervals, and guards against engines that get more
-// than their memory, which end, and against memory that stays unused meanwhile.
+// than their memory, which end, and against memory that stays unused in the meantime.
 func TestMemoryBoundHoldsForManyEntries(t *testing.T) {
 	const (
 		stepMs, interval, seconds = 5, 69, 20
--- a/internal/protocol/placement/policy.go
+++ b/internal/protocol/placement/policy.go
@@ -7,7 +7,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 )
 
-// Work is what a [Policy] knows of a request.
+// Work describes a request to a [Policy].
 type Work struct {
 	Service string
 	Route   string
@@ -26,10 +26,10 @@
 	Staleness time.Duration
 }
 
-// Estimate says why a server was chosen.
+// Estimate states why a server was chosen.
 type Estimate struct {
 	// CostMs is the lateness, in milliseconds, that the choice adds to the request and to
-	// those beside it, and NextMs that of the next best choice. Both are zero if the policy
+	// those alongside it, and NextMs that of the next best choice. Both are zero if the policy
 	// doesn't estimate them.
 	CostMs, NextMs float64
 	// FirstEventMs is the predicted time from the arrival of the request to its first
--- a/internal/protocol/prefillqueue/memory_test.go
+++ b/internal/protocol/prefillqueue/memory_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestPromptWaitsForMemory guards against a prompt that is granted while no engine has room for
-// it, also beside prompts that were granted and haven't been sent, and against one that is not
+// it, also alongside prompts that were granted and haven't been sent, and against one that is not
 // granted once there is room.
 func TestPromptWaitsForMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/protocol/prefillqueue/overload.go
+++ b/internal/protocol/prefillqueue/overload.go
@@ -161,8 +161,8 @@
 // would make it late.
 //
 // In a saturated queue the kind that is served least goes first, and then the most urgent
-// prompt. Among these the workspace goes first that was granted least of its target, and
-// then the oldest prompt, since no more are taken into the queue than can be in time.
+// prompt. Among these, the workspace that was granted least of its target is first, then
+// the oldest prompt, since no more are taken into the queue than can be in time.
 func (s *situation) compare(a, b *waiter) int {
 	rankA, rankB := s.rankOf(a), s.rankOf(b)
 	if rankA != rankB {
--- a/internal/protocol/prefillqueue/prompt.go
+++ b/internal/protocol/prefillqueue/prompt.go
@@ -72,7 +72,7 @@
 	// MaxFree that of the one with the most room. MaxFreePrefill is that of the engines that
 	// prefill.
 	Total, Free, MaxFree, MaxFreePrefill int
-	// Extra returns what must be free beside a request that needs that much; nil stands for
+	// Extra returns what must be free alongside a request that needs that much; nil stands for
 	// nothing.
 	Extra func(need int) int
 }
@@ -89,7 +89,7 @@
 	return m != nil && float64(m.Free) <= (1-slotsShortFrom)*float64(m.Total)
 }
 
-// Fits reports whether there is room for a prompt beside others that have been granted and
+// Fits reports whether there is room for a prompt alongside others that have been granted and
 // need reserved tokens.
 func (m *EngineMemory) Fits(p Prompt, reserved int) bool {
 	if m == nil {
--- a/internal/protocol/route/route.go
+++ b/internal/protocol/route/route.go
@@ -161,7 +161,7 @@
 }
 
 // tightPause is the longest pause within streams that counts as tight. An engine that
-// prefills a chunk of a prompt beside its streams stops them for some 70 ms: with such a
+// prefills a chunk of a prompt alongside its streams stops them for some 70 ms: with such a
 // limit, two of them in a row make all of its streams late.
 const tightPause = 150 * time.Millisecond
 
@@ -171,7 +171,7 @@
 // ErrInvalid means that a routing table is invalid.
 var ErrInvalid = errors.New("invalid routes")
 
-// RouteError says why a route is invalid.
+// RouteError states why a route is invalid.
 type RouteError struct {
 	// Index is the route's position in the list given to New.
 	Index int
--- a/internal/protocol/usage/counting_test.go
+++ b/internal/protocol/usage/counting_test.go
@@ -23,7 +23,7 @@
 
 const testWindow = 5 * time.Second
 
-// TestWindowBounds guards against a request that is counted in the window beside its own.
+// TestWindowBounds guards against a request that is counted in the window alongside its own.
 func TestWindowBounds(t *testing.T) {
 	for _, c := range []struct {
 		ms   int64
--- a/internal/protocol/walltime/estimator.go
+++ b/internal/protocol/walltime/estimator.go
@@ -11,7 +11,7 @@
 	// minSources is the number of clocks, its own included, with which a replica has an
 	// estimate: with fewer, one wrong clock can be the median.
 	minSources = 3
-	// startTime is the time after which a replica makes do with the clocks it knows.
+	// startTime is the time after which a replica makes do with the clocks it has.
 	startTime = 2 * time.Second
 	// recomputeInterval is how long the median is used before it is computed again.
 	recomputeInterval = 50 * time.Millisecond
--- a/internal/protocol/workspace/workspace.go
+++ b/internal/protocol/workspace/workspace.go
@@ -42,7 +42,7 @@
 	byKey  map[digest]*Workspace
 }
 
-// DefinitionError says why the definition of a workspace is invalid. It holds no key.
+// DefinitionError states why the definition of a workspace is invalid. It holds no key.
 type DefinitionError struct {
 	// Index is the position of the definition in the list given to NewDirectory.
 	Index int
@@ -58,7 +58,7 @@
 // Unwrap returns the reason.
 func (e *DefinitionError) Unwrap() error { return e.err }
 
-// KeyError says which key of a workspace is invalid, and never the key.
+// KeyError states which key of a workspace is invalid, and never the key.
 type KeyError struct {
 	// Index is the position of the key among those of its workspace.
 	Index int
--- a/internal/protocol/workspace/workspace_test.go
+++ b/internal/protocol/workspace/workspace_test.go
@@ -13,7 +13,7 @@
 }
 
 // TestInvalidDirectoriesAreRejected guards against keys that belong to two workspaces, names
-// that servers can't be told, and errors that show a key.
+// that can't be sent to servers, and errors that show a key.
 func TestInvalidDirectoriesAreRejected(t *testing.T) {
 	for name, c := range map[string]struct {
 		definitions []Definition
--- a/internal/role/controlrole/usage.go
+++ b/internal/role/controlrole/usage.go
@@ -40,7 +40,7 @@
 }
 
 // appliers returns the IDs of the members that apply the commands. It fails unless all do:
-// a member counts if it says so in its newest message or, where this process has not heard
+// a member counts if it states so in its newest message or, where this process has not heard
 // from it, if it was among the appliers of an earlier command.
 func (g *applierGate) appliers(members raft.Members, earlier []uint64) ([]uint64, error) {
 	now := g.clock.Now()
@@ -77,7 +77,7 @@
 	}
 }
 
-// usageState is what a control process knows of usage. It outlives a replica that is
+// usageState is the usage state of a control process. It outlives a replica that is
 // reopened.
 type usageState struct {
 	time   *walltime.Estimator
--- a/internal/role/serve/progress.go
+++ b/internal/role/serve/progress.go
@@ -34,7 +34,7 @@
 }
 
 // ProgressListener returns a listener of TCP connections whose writes end with ErrNoProgress if
-// the other side takes nothing of them for a time. One that reads slowly, but goes on, is not
+// the other side takes nothing of them for a time. One that reads slowly, but continues, is not
 // affected: a write may take any time while bytes are acknowledged.
 func ProgressListener(l net.Listener, o ProgressOptions) net.Listener {
 	return &progressListener{Listener: l, options: o}
@@ -65,7 +65,7 @@
 
 // progressConn is a connection whose writes need progress.
 type progressConn struct {
-	net.Conn // hides ReadFrom of the TCP connection, which knows no progress
+	net.Conn // hides ReadFrom of the TCP connection, which doesn't check progress
 	tcp      *net.TCPConn
 	raw      syscall.RawConn
 	options  ProgressOptions
--- a/internal/transport/peergrpc/fleetupdate.go
+++ b/internal/transport/peergrpc/fleetupdate.go
@@ -121,7 +121,7 @@
 }
 
 // setEngineList adds a list of engines to an update for an entry that has the list held. It
-// reports whether it did: the entry's first report says which form of lists it takes.
+// reports whether it did: the entry's first report states which form of lists it takes.
 func (h *FleetHub) setEngineList(update *peerpb.FleetUpdate, w *entryWatch, list, held *engineList) bool {
 	if !w.introduced.Load() {
 		return false
--- a/internal/transport/peergrpc/kvtokens_test.go
+++ b/internal/transport/peergrpc/kvtokens_test.go
@@ -7,7 +7,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
-// TestKVTokensAreExchanged guards against engines that look empty beside entries that don't
+// TestKVTokensAreExchanged guards against engines that look empty alongside entries that don't
 // report what requests need in KV caches.
 func TestKVTokensAreExchanged(t *testing.T) {
 	h := newTestHub()
