--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -281,13 +280,6 @@
 	return wait + time.Duration(x.options.Random(int(max(retryAfterJitter, x.roomAfter))))
 }
 
-// capableServers returns the listed servers that can answer the request.
-func (x *exchange) capableServers() []fleet.Engine {
-	return slices.DeleteFunc(slices.Clone(x.options.View().Engines(x.request.Service.Name)), func(e fleet.Engine) bool {
-		return !x.origin.allows(e) || x.request.Prompt != nil && !placement.CanDecode(e)
-	})
-}
-
 // exchange is the state of one request.
 type exchange struct {
 	*Forwarder
@@ -453,80 +445,10 @@
 	return x.sends - x.unsentSends
 }
 
-// healthyEngines returns the engines of a service that pass the filters, take
-// new work, are not gone, were not full a moment ago and are not ejected by this entry's
-// outlier detection. Engines that told other entries that they leave are left out, unless
-// no others remain.
-func (c *Forwarder) healthyEngines(service string, filters ...placement.Filter) []placement.Candidate {
-	ejected, full := placement.Except(c.options.Outlier.Ejected()...), placement.Except(c.options.Outlier.Full()...)
-	filters = append([]placement.Filter{placement.AcceptsWork, c.options.Notices.Accepts, ejected, full}, filters...)
-	return placement.Present(slices.DeleteFunc(c.listed(service, filters...), c.gone()))
-}
-
-// listed returns the engines of a service that pass the filters.
-func (c *Forwarder) listed(service string, filters ...placement.Filter) []placement.Candidate {
-	found := placement.Candidates(c.options.View().Engines(service), c.options.Tracker.Load, filters...)
-	for i := range found {
-		found[i].FailureRate = c.options.Outlier.FailureRate(found[i].ID)
-		if c.costsFollowed.Load() {
-			found[i].Slowness = c.options.Costs.Factor(service, found[i].ID)
-		}
-	}
-	return found
-}
-
-// gone returns a function that reports whether no server, or another one, listens at a
-// server's address. Only what this entry has found counts: another one may be cut off.
-func (c *Forwarder) gone() func(placement.Candidate) bool {
-	missing := c.options.Outlier.Missing()
-	return func(s placement.Candidate) bool {
-		if c.returns.addressReused(s.Engine) {
-			return true
-		}
-		return slices.Contains(missing, s.ID) && !c.returns.answeredLately(s.Engine)
-	}
-}
-
-// candidates returns the engines that may get the request. Engines that have
-// failed this request, those of another software version than the one that began
-// its stream, those that announced that they leave or asked for a pause, those
-// at their rate limits and those that are gone are never candidates. Ejected engines,
-// those that were full and those that other entries left out are candidates only if there
-// are no others.
-func (x *exchange) candidates(filters ...placement.Filter) []placement.Candidate {
-	service := x.request.Service.Name
-	filters = append(filters, x.untried(), x.origin.allows)
-	if x.returned != "" {
-		filters = append(filters, x.onlyReturned)
-	}
-	if found := x.healthyEngines(service, filters...); len(found) > 0 {
-		return found
-	}
-	found := x.listed(service, append(filters, placement.AcceptsWork, x.options.Notices.Accepts)...)
-	return slices.DeleteFunc(found, x.gone())
-}
-
-// gone is like [Forwarder.gone], except that it takes the server that has accepted a
-// connection for this request as present.
-func (x *exchange) gone() func(placement.Candidate) bool {
-	gone := x.Forwarder.gone()
-	return func(s placement.Candidate) bool { return s.ID != x.returned && gone(s) }
-}
-
-// untried returns a filter for the engines that the request may still be sent to.
-func (x *exchange) untried() placement.Filter {
-	return placement.Except(append(slices.Clone(x.failedEngines), x.silentEngine)...)
-}
-
 func (x *exchange) remaining() time.Duration {
 	return time.Until(x.request.Deadline)
 }
 
-// newAttempt returns an attempt at an engine that starts now.
-func (x *exchange) newAttempt(e fleet.Engine) Attempt {
-	return Attempt{Engine: e, placedAt: time.Now(), Remaining: x.remaining(), Priority: x.request.priority(), LastEventID: x.lastEventID}
-}
-
 // logPlaced logs the choice of an engine with the load it was based on.
 func (x *exchange) logPlaced(step string, c placement.Candidate, more ...any) {
 	x.options.Log.Info("request placed", append([]any{
@@ -536,204 +458,6 @@
 	}, more...)...)
 }
 
-// startedAttempt is an attempt whose response has begun.
-type startedAttempt struct {
-	attempt  Attempt
-	response *Response
-	// guard watches for a silent server until the response is complete, or is nil.
-	guard *silenceGuard
-	pace  pace
-	// promptPrefilled removes the prompt from the engine's load. It is called at the
-	// engine's first event.
-	promptPrefilled func()
-	// end closes the response and removes the attempt from the engine's load.
-	end func()
-}
-
-// start sends a placed attempt. Its response lasts as long as ctx; until the response
-// has begun, the attempt ends with waiting too. guarded is set unless the attempt is to
-// replace another one, whose guard is at work.
-func (x *exchange) start(ctx, waiting context.Context, p *placedAttempt, guarded bool) (*startedAttempt, error) {
-	a, id := p.attempt, p.attempt.Engine.ID
-	// The request may have waited since its last check.
-	if err := x.checkStart(); err != nil {
-		x.discard(p)
-		return nil, err
-	}
-	p.retry.Made()
-	x.sends++
-	x.runs++ // unless the server proves otherwise
-	x.options.Outlier.AttemptStarted(id)
-	finished := x.options.Tracker.AddWork(id, fleet.Load{Streams: p.work.Streams, Calls: p.work.Calls})
-	demandEnded := x.demand().Begin(x.request.Service.Name)
-	x.endReservation()
-	a.waiter = x.waitAt(a)
-	x.sentAt = time.Now()
-	prefilled := x.options.Tracker.AddWork(id, fleet.Load{PromptTokens: p.work.PromptTokens})
-	s := &startedAttempt{attempt: a, pace: pace{load: p.load}, promptPrefilled: func() { prefilled(); a.KVSource.fetched() }}
-	attemptCtx, cancel := context.WithCancel(ctx)
-	s.end = func() {
-		s.guard.stop()
-		if s.response != nil {
-			_ = s.response.Body.Close()
-		}
-		cancel()
-		a.waiter.end()
-		prefilled()
-		a.KVSource.fetchedWithin(x.request.Service.Engine)
-		p.memory.end()
-		finished()
-		demandEnded()
-	}
-	stopWaiting := context.AfterFunc(waiting, cancel)
-	if guarded {
-		s.guard = x.guardCall(ctx, a, cancel)
-	}
-	var err error
-	s.response, err = x.sender.Send(attemptCtx, a)
-	stopWaiting()
-	if err = s.guard.stopAfter(err); err != nil {
-		s.end()
-		return nil, x.sendFailed(waiting, a, err)
-	}
-	a.waiter.heard()
-	if !s.response.Success || !s.response.EventStream {
-		x.countUsage()
-	}
-	a.waiter.begun.Store(s.response.Success && s.response.EventStream)
-	s.response.Body = &heardBody{s.response.Body, a.waiter}
-	if s.response.Success {
-		x.answered(a.Engine)
-	}
-	return s, nil
-}
-
-// sendFailed handles an attempt without a response and returns its error.
-func (x *exchange) sendFailed(ctx context.Context, a Attempt, err error) error {
-	if errors.Is(err, ErrNotSent) {
-		x.unsentSends++
-	}
-	if !errors.Is(err, ErrNotRun) {
-		x.recordFailure(ctx, a, "no answer", err)
-		x.checkCrash(ctx, a, err, false)
-		return err
-	}
-	x.runs--
-	x.recordFailure(ctx, a, "not run", err)
-	if errors.Is(err, ErrServerNotFound) || errors.Is(err, ErrNotSent) {
-		x.kvSource = a.KVSource // no engine has been asked to fetch it yet
-	} else {
-		x.release(a.KVSource)
-	}
-	return err
-}
-
-// relay writes the response of an attempt to the caller.
-func (x *exchange) relay(ctx context.Context, s *startedAttempt) (done bool, err error) {
-	x.untilClose = s.response.UntilClose
-	if s.response.Success && s.response.EventStream {
-		return x.relayStream(ctx, s)
-	}
-	return x.relayResponse(ctx, s)
-}
-
-// relayResponse reads a plain response and writes it to the caller. It holds
-// an error response back, to be written only if no further attempt succeeds.
-func (x *exchange) relayResponse(ctx context.Context, s *startedAttempt) (done bool, err error) {
-	a, response := s.attempt, s.response
-	s.guard.restart()
-	claim := x.options.Buffers.Claim()
-	defer claim.Release()
-	body, err := buffer.ReadAll(response.Body, maxBodyBytes, &claim)
-	if err = s.guard.stopAfter(err); err == nil {
-		err = x.checkClose(ctx, a, response)
-	}
-	if err != nil {
-		x.recordFailure(ctx, a, "answer cut", err)
-		x.checkCrash(ctx, a, err, false)
-		return false, err
-	}
-	a.waiter.answered()
-	if !response.Success {
-		err = &ServerError{Status: response.Status, Engine: a.Engine.ID}
-		x.recordFailure(ctx, a, "server error", err)
-		x.holdFailure(&heldResponse{Response: response, body: body, claim: claim})
-		claim = buffer.Claim{} // held until the exchange ends
-		return false, err
-	}
-	if x.streamBegun {
-		x.recordFailure(ctx, a, "plain response", errPlainResponse)
-		return false, errPlainResponse
-	}
-	x.learnCall(s)
-	x.options.Outlier.Success(a.Engine.ID)
-	x.options.Quarantine.Answered(x.request.Service.Name, x.quarantineKeys())
-	return true, x.writeResponse(response, body)
-}
-
-// heldResponse is a server's error response. It is written to the caller if no
-// other attempt succeeds.
-type heldResponse struct {
-	*Response
-	body  []byte
-	claim buffer.Claim
-}
-
-// holdFailure holds an error response in place of an earlier one, or none if it is nil.
-func (x *exchange) holdFailure(h *heldResponse) {
-	if x.heldFailure != nil {
-		x.heldFailure.claim.Release()
-	}
-	x.heldFailure = h
-}
-
-func (x *exchange) writeResponse(response *Response, body []byte) error {
-	x.timeToFirstByte = time.Since(x.started)
-	return x.sink.WriteResponse(response, body)
-}
-
-// recordFailure logs a failed attempt and reports it to outlier detection. An
-// attempt that ended because its context did, such as by a disconnect of the
-// caller, is not counted against the engine.
-func (x *exchange) recordFailure(ctx context.Context, a Attempt, step string, err error) {
-	x.failedEngines = append(x.failedEngines, a.Engine.ID)
-	if linkFailed(err) {
-		x.options.Isolation.Failed(a.Engine)
-	}
-	if errors.Is(err, ErrNotRun) {
-		x.crashWatch.withdraw(a)
-	}
-	if errors.Is(err, ErrNotSent) {
-		x.unsentAttempts++
-		x.unreached = append(x.unreached, a.Engine.ID)
-		x.returns.unreached(a.Engine)
-	}
-	if errors.Is(err, ErrServerNotFound) {
-		x.confirmEnd(ctx, a.Engine, endSign{at: time.Now(), replaced: !errors.Is(err, ErrNotSent)})
-		if !errors.Is(err, ErrNotSent) {
-			x.returns.end(a.Engine)
-		}
-	}
-	switch {
-	case errors.Is(err, ErrServerNotFound):
-		x.options.Outlier.Unreachable(a.Engine.ID)
-	case errors.Is(err, errSilent):
-		x.options.Outlier.Unanswered(a.Engine.ID)
-	case ctx.Err() != nil:
-	case errors.Is(err, ErrNotSent):
-		x.options.Outlier.Unconnected(a.Engine.ID)
-	case errors.Is(err, ErrFull):
-		x.options.Outlier.Rejected(a.Engine.ID)
-	case errors.Is(err, ErrNotRun):
-		x.options.Outlier.NotRun(a.Engine.ID)
-	default:
-		x.options.Outlier.Failure(a.Engine.ID)
-	}
-	x.options.Log.Info("attempt failed", "request", x.request.ID, "route", x.request.Route.Name, "engine", a.Engine.ID,
-		"peer", a.Engine.Address, "step", step, "sends", x.sends, "runs", x.runs, "left_ms", x.remaining().Milliseconds(),
-		"shared_parts", x.sharedParts, "fingerprint", x.fingerprint().String(), "last_event", x.lastEventID, "error", err)
-}
-
 // fingerprint returns the request's fingerprint, or an empty one.
 func (x *exchange) fingerprint() quarantine.Fingerprint {
 	if x.request.Fingerprint == nil {
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -15,7 +15,6 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/forward"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/origin"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
@@ -134,12 +133,6 @@
 	loads loadDigest
 }
 
-// reportedHolding is a holding and the watch of the entry that reported it.
-type reportedHolding struct {
-	reporter *entryWatch
-	holding  prefixdir.Holding
-}
-
 // entryWatch is one entry's watch.
 type entryWatch struct {
 	// info is replaced by each report; the EntryInfo itself is immutable.
@@ -416,41 +409,6 @@
 	w.report, w.work, w.pace = report, work, pace
 }
 
-// recordHoldings keeps the holdings that an entry reported for the others.
-func (h *FleetHub) recordHoldings(w *entryWatch, holdings []prefixdir.Holding) {
-	if len(holdings) == 0 {
-		return
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, holding := range holdings {
-		h.holdings = append(h.holdings, reportedHolding{reporter: w, holding: holding})
-	}
-	if excess := len(h.holdings) - maxKeptHoldings; excess > 0 {
-		h.holdings = slices.Delete(h.holdings, 0, excess)
-		h.droppedHoldings += excess
-	}
-}
-
-// unsentHoldings returns what other entries reported since the last call for w:
-// the newest holding of each prefix, unless w reported a newer one itself. The first call returns all that are
-// kept, so that an entry that has just started knows where prefixes are cached.
-func (h *FleetHub) unsentHoldings(w *entryWatch) []prefixdir.Holding {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var out []prefixdir.Holding
-	seen := make(map[string]bool)
-	for _, t := range slices.Backward(h.holdings[max(0, w.nextHolding-h.droppedHoldings):]) {
-		if !seen[t.holding.Part] && t.reporter != w {
-			out = append(out, t.holding)
-		}
-		seen[t.holding.Part] = true
-	}
-	slices.Reverse(out)
-	w.nextHolding = h.droppedHoldings + len(h.holdings)
-	return out
-}
-
 // mergeRateLimits records the rate limits that an entry reported.
 func (h *FleetHub) mergeRateLimits(w *entryWatch, limits []*peerpb.RateLimit) {
 	if len(limits) == 0 {
