--- a/internal/protocol/capacity/distribute.go
+++ b/internal/protocol/capacity/distribute.go
@@ -10,8 +10,8 @@
 )
 
 // lastingShare is the part of the servers that can't be reclaimed: what is left if all
-// zones are reclaimed one after the other. It is small, since each costs as much as
-// five reclaimable ones.
+// zones are reclaimed one after the other. It is small, since each costs several
+// times as much as a reclaimable one.
 const lastingShare = 0.05
 
 // Limits holds what restricts the numbers of servers.
--- a/internal/protocol/capacity/driver.go
+++ b/internal/protocol/capacity/driver.go
@@ -35,7 +35,7 @@
 	rateShare  = 0.25
 	burstShare = 0.2
 	// listWhileExpecting is the time within which the holder wants a newer list while servers
-	// are to come, go or change their phases: those that they replace cost five times as much.
+	// are to come, go or change their phases: those that they replace may cost several times as much.
 	listWhileExpecting = 250 * time.Millisecond
 	// listWhileReclaimable is the same while there are reclaimable servers, which leave 2 s
 	// after the list shows it.
--- a/internal/protocol/placement/memory.go
+++ b/internal/protocol/placement/memory.go
@@ -15,14 +15,9 @@
 	// other entries have sent and not reported yet: about four of the longest ones at the
 	// known engines.
 	memoryMargin = 0.1
-	// An entry's report reaches all others within two report intervals, which are a
-	// reportIntervalPerEntry for each entry, from minReportInterval to maxReportInterval.
-	reportIntervalPerEntry = time.Millisecond
-	minReportInterval      = 25 * time.Millisecond
-	maxReportInterval      = 200 * time.Millisecond
 	// contendedPart is the part of the KV cache from which on an engine's room is shared among
 	// entries in any case. It is shared earlier if what waits, and what all entries place
-	// within a period of two report intervals, needs more than the room: all of them may
+	// within a period of two load intervals, needs more than the room: all of them may
 	// choose the same engine, since all of them see the same room.
 	contendedPart = 0.25
 	// periodPart is the part of the room at a contended engine that all entries together use
@@ -110,10 +105,9 @@
 	}
 }
 
-// periodLength returns the time after which reports reach all entries.
-func (m Memory) periodLength() time.Duration {
-	return 2 * min(max(time.Duration(m.Entries)*reportIntervalPerEntry, minReportInterval), maxReportInterval)
-}
+// periodLength returns the time after which an entry's report has reached all others: it reaches
+// the leader within one load interval and the entries within another.
+func (m Memory) periodLength() time.Duration { return 2 * fleet.LoadInterval(m.Entries) }
 
 // period returns the number of the current period.
 func (m Memory) period() int64 { return m.Now.UnixNano() / int64(m.periodLength()) }
--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -38,7 +38,7 @@
 	// interval between two load reports.
 	leaderTimeout = 300 * time.Millisecond
 	// maxReportInterval is the interval between two reports while no leader is known.
-	maxReportInterval = 200 * time.Millisecond
+	maxReportInterval = fleet.MaxLoadInterval
 	// maxLoadAge is the age at which load reports of other entries are discarded.
 	// Prompts are prefilled in less time, so older figures mislead more than
 	// having none.
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -27,19 +27,12 @@
 const (
 	// fleetHeartbeat is the maximum time between two messages of a watch, in
 	// either direction.
-	fleetHeartbeat = 200 * time.Millisecond
+	fleetHeartbeat = fleet.MaxLoadInterval
 	// fleetIdleTimeout is the time without a message from the other side after
 	// which a watch is ended: six heartbeats.
 	fleetIdleTimeout = 1200 * time.Millisecond
-	// loadIntervalPerEntry times the number of entries is the interval at which
-	// the leader exchanges load figures with each entry, so that its total work
-	// does not grow with that number. The interval is at least minLoadInterval
-	// (shorter ones bring no gain) and at most fleetHeartbeat: the older the
-	// figures, the more entries send work to the same engine at once. Followers
-	// multiply the interval by followerIntervalFactor for entries that have no
-	// leader; for all others they send only heartbeats and what is new.
-	loadIntervalPerEntry   = time.Millisecond
-	minLoadInterval        = 25 * time.Millisecond
+	// Followers multiply the interval of the leader by followerIntervalFactor for entries that
+	// have no leader; for all others they send only heartbeats and what is new.
 	followerIntervalFactor = 2
 	// maxKeptHoldings bounds the holdings kept for sending to other entries. It is
 	// more than all entries of the largest deployment report in one heartbeat.
--- a/internal/transport/peergrpc/fleethub_test.go
+++ b/internal/transport/peergrpc/fleethub_test.go
@@ -123,8 +123,8 @@
 		t.Errorf("interval for an entry with a leader: got %v, want %v", got, fleetHeartbeat)
 	}
 	w.wantsWork.Store(true)
-	if got := h.interval(w); got != minLoadInterval {
-		t.Errorf("interval for an entry without a leader: got %v, want %v", got, minLoadInterval)
+	if got := h.interval(w); got != fleet.MinLoadInterval {
+		t.Errorf("interval for an entry without a leader: got %v, want %v", got, fleet.MinLoadInterval)
 	}
 }
 
--- a/internal/transport/peergrpc/fleetupdate.go
+++ b/internal/transport/peergrpc/fleetupdate.go
@@ -66,11 +66,10 @@
 	h.mu.Lock()
 	entries := len(h.entries)
 	h.mu.Unlock()
-	d := time.Duration(entries) * loadIntervalPerEntry
 	if !leads {
-		d *= followerIntervalFactor
+		entries *= followerIntervalFactor
 	}
-	return min(max(minLoadInterval, d), fleetHeartbeat)
+	return fleet.LoadInterval(entries)
 }
 
 // update returns the next message of a watch, and what the entry has once it
--- a/internal/transport/peergrpc/fleetwatch.go
+++ b/internal/transport/peergrpc/fleetwatch.go
@@ -391,7 +391,7 @@
 		RateLimits:      toRateLimits(m.GetRateLimits()),
 		Leads:           m.GetLeads(),
 		HasOthers:       m.GetHasOthers(),
-		ReportAfter:     max(minLoadInterval, time.Duration(m.GetReportMs())*time.Millisecond),
+		ReportAfter:     max(fleet.MinLoadInterval, time.Duration(m.GetReportMs())*time.Millisecond),
 		Others:          toEarlierWork(m.GetOthers(), m.GetOthersWaiting()),
 		OthersUses:      toWorkspaceUses(m.GetOthersWorkspaceUses()),
 		Holdings:        toHoldings(m.GetHoldings()),
--- a/internal/transport/peergrpc/loaddigest.go
+++ b/internal/transport/peergrpc/loaddigest.go
@@ -22,12 +22,12 @@
 	reports map[*entryWatch]uint64
 }
 
-// digest returns a digest that is at most minLoadInterval old and includes a report of w, if
+// digest returns a digest that is at most fleet.MinLoadInterval old and includes a report of w, if
 // there is one. Encoding it for each entry would cost the product of entries and engines.
 func (h *FleetHub) digest(w *entryWatch) (encoded []byte, report uint64, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if _, included := h.loads.reports[w]; !included || time.Since(h.loads.madeAt) >= minLoadInterval {
+	if _, included := h.loads.reports[w]; !included || time.Since(h.loads.madeAt) >= fleet.MinLoadInterval {
 		if err := h.makeDigest(); err != nil {
 			return nil, 0, err
 		}
--- a/internal/transport/peergrpc/loaddigest_test.go
+++ b/internal/transport/peergrpc/loaddigest_test.go
@@ -83,7 +83,7 @@
 			case 1:
 				e.report(h, fleet.Work{Engines: rapid.MapOf(rapid.StringMatching("[a-h]"), load).Draw(t, "work")})
 			case 2:
-				h.loads = loadDigest{} // as if it were older than minLoadInterval
+				h.loads = loadDigest{} // as if it were older than fleet.MinLoadInterval
 				others := e.receive(t, h)
 				want := make(map[string]fleet.Load)
 				for _, other := range entries {
