Slow callers: the test sets the receive buffer before it connects

It shrank the receive buffer of a connection that had been made: if 128 kB had arrived by then, the caller announced no room for 2.8 s at 40 kB/s, and the timeout of the test is 2 s. With a pause of 50 ms before the buffer is set, the test fails each time, after 2.81 s. The buffer is set before the connection is made now, and a second case reads with the system's buffer and the timeout that entries use.

--- a/internal/role/serve/progress_test.go
+++ b/internal/role/serve/progress_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -36,10 +37,21 @@
 	return l.Addr().String(), results, stalls
 }
 
-// request sends a request and returns the connection, unread.
-func request(t *testing.T, address, version string) net.Conn {
+// request sends a request and returns the connection, unread. Its receive buffer has the given
+// size, or the system's if it is 0; it is set before the connection is made, since data that has
+// already arrived may fill the larger one.
+func request(t *testing.T, address, version string, receiveBuffer int) net.Conn {
 	t.Helper()
-	conn, err := net.Dial("tcp", address)
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		if receiveBuffer == 0 {
+			return nil
+		}
+		var err error
+		return errors.Join(raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		}), err)
+	}}
+	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -58,7 +70,7 @@
 		const timeout = 500 * time.Millisecond
 		address, ended, stalls := progressServer(t, timeout, 32<<20)
 		began := time.Now()
-		conn := request(t, address, version)
+		conn := request(t, address, version, 0)
 		select {
 		case err := <-ended:
 			if !errors.Is(err, ErrNoProgress) {
@@ -76,29 +88,40 @@
 	}
 }
 
-// TestSlowCallerIsNotReset guards against a reset of callers that read slowly but steadily.
+// TestSlowCallerIsNotReset guards against a reset of callers that read slowly but steadily. With
+// the system's receive buffer, the caller announces no room while it reads some 64 kB or more, so
+// its rate must be higher or its timeout longer than with a small one.
 func TestSlowCallerIsNotReset(t *testing.T) {
-	address, ended, stalls := progressServer(t, 2*time.Second, 8<<20)
-	conn := request(t, address, "1.1")
-	if err := conn.(*net.TCPConn).SetReadBuffer(16 << 10); err != nil {
-		t.Fatal(err)
-	}
-	chunk := make([]byte, 8<<10)
-	for began := time.Now(); time.Since(began) < 6*time.Second; {
-		if _, err := io.ReadFull(conn, chunk); err != nil {
-			t.Fatalf("after %v: %v", time.Since(began), err)
-		}
-		time.Sleep(200 * time.Millisecond) // 40 kB a second
-	}
-	select {
-	case err := <-ended:
-		t.Fatalf("the response ended early: %v", err)
-	default:
-	}
-	if n := stalls.Load(); n != 0 {
-		t.Errorf("%d stalls reported, want none", n)
-	}
-	if _, err := io.CopyN(io.Discard, conn, 4<<20); err != nil {
-		t.Errorf("reading on: %v", err)
+	for _, c := range []struct {
+		name          string
+		receiveBuffer int
+		timeout       time.Duration
+	}{
+		{name: "small receive buffer", receiveBuffer: 16 << 10, timeout: 2 * time.Second},
+		{name: "receive buffer of the system", timeout: 4 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			address, ended, stalls := progressServer(t, c.timeout, 8<<20)
+			conn := request(t, address, "1.1", c.receiveBuffer)
+			chunk := make([]byte, 8<<10)
+			for began := time.Now(); time.Since(began) < 3*c.timeout; {
+				if _, err := io.ReadFull(conn, chunk); err != nil {
+					t.Fatalf("after %v: %v", time.Since(began), err)
+				}
+				time.Sleep(200 * time.Millisecond) // 40 kB a second
+			}
+			select {
+			case err := <-ended:
+				t.Fatalf("the response ended early: %v", err)
+			default:
+			}
+			if n := stalls.Load(); n != 0 {
+				t.Errorf("%d stalls reported, want none", n)
+			}
+			if _, err := io.CopyN(io.Discard, conn, 4<<20); err != nil {
+				t.Errorf("reading on: %v", err)
+			}
+		})
 	}
 }
