--- a/internal/experiment/arrivals.go
+++ b/internal/experiment/arrivals.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"sort"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/routing"
 )
 
 // arrival is one generated request. Its time is in seconds from the start of
--- a/internal/experiment/baseline.go
+++ b/internal/experiment/baseline.go
@@ -3,8 +3,8 @@
 import (
 	"math/rand/v2"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
--- a/internal/experiment/bound.go
+++ b/internal/experiment/bound.go
@@ -4,7 +4,7 @@
 	"math"
 	"sort"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 )
 
 // bisectionSteps is the number of steps of the search for the feasible part of
--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -3,7 +3,7 @@
 // bound. It runs the production code of these packages in virtual time.
 package experiment
 
-import "github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+import "github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 
 // Class describes the requests of one class.
 type Class struct {
--- a/internal/experiment/dissemination/dissemination.go
+++ b/internal/experiment/dissemination/dissemination.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/loaddigest"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/loaddigest"
 )
 
 const (
--- a/internal/experiment/placement_test.go
+++ b/internal/experiment/placement_test.go
@@ -7,9 +7,9 @@
 	"slices"
 	"testing"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/cost"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // placementCell is one row of the table: a load and how it is seen.
--- a/internal/experiment/placementmodel_test.go
+++ b/internal/experiment/placementmodel_test.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/cost"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // The modelled engines, in milliseconds. A prefill engine works on its prompts by turns, in
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -3,9 +3,9 @@
 import (
 	"math/rand/v2"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/admission"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/admission"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/roleplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/routing"
 )
 
 // Policy combines the strategies for routing, admission and roles of one
--- a/internal/experiment/request.go
+++ b/internal/experiment/request.go
@@ -4,9 +4,9 @@
 	"errors"
 
 	"github.com/lagoonshift/lagoonshift/internal/fake/enginemodel"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/admission"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/admission"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 )
 
 type admissionController = admission.Controller
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -6,10 +6,10 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/fake/enginemodel"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/fluid"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/roleplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/strictjson"
 )
--- a/internal/fake/enginemodel/engine.go
+++ b/internal/fake/enginemodel/engine.go
@@ -10,8 +10,8 @@
 	"math"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
--- a/internal/fake/enginemodel/engine_test.go
+++ b/internal/fake/enginemodel/engine_test.go
@@ -4,7 +4,7 @@
 	"math"
 	"testing"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
--- a/internal/fake/fakeengine/pace.go
+++ b/internal/fake/fakeengine/pace.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
--- a/internal/protocol/exchange/await.go
+++ b/internal/protocol/exchange/await.go
@@ -9,7 +9,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 const (
--- a/internal/protocol/exchange/await_test.go
+++ b/internal/protocol/exchange/await_test.go
@@ -15,8 +15,8 @@
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/exchange"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/outlier"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 )
 
--- a/internal/protocol/exchange/awaitrace_test.go
+++ b/internal/protocol/exchange/awaitrace_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/outlier"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 )
 
--- a/internal/protocol/exchange/candidates.go
+++ b/internal/protocol/exchange/candidates.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // healthyEngines returns the engines of a service that pass the filters, take
--- a/internal/protocol/exchange/choose.go
+++ b/internal/protocol/exchange/choose.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // limitWaitFraction is the part of a route's objective for which a request may
--- a/internal/protocol/exchange/comeback_test.go
+++ b/internal/protocol/exchange/comeback_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/exchange"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // firstCounts counts the callers of a class, those whose first request had an event, and
--- a/internal/protocol/exchange/contact.go
+++ b/internal/protocol/exchange/contact.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 )
 
 const (
--- a/internal/protocol/exchange/crash.go
+++ b/internal/protocol/exchange/crash.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 )
 
 // ErrQuarantined means that the request or a part of its prompt is in quarantine,
--- a/internal/protocol/exchange/crash_test.go
+++ b/internal/protocol/exchange/crash_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/exchange"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/ratelimit"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // promptRequest returns a resumable request with the given parts and one of its
--- a/internal/protocol/exchange/crashbounds_test.go
+++ b/internal/protocol/exchange/crashbounds_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/outlier"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 )
 
 // acceptingServers never end. It implements the part of Sender that checks need.
--- a/internal/protocol/exchange/crashwatch_test.go
+++ b/internal/protocol/exchange/crashwatch_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/exchange"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/notice"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 )
 
 // watched is a server that breaks attempts off, and other one that is sound.
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -16,17 +16,17 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/buffer"
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/isolation"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/prefillqueue"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/isolation"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/notice"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/outlier"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/fairshare"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/cost"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/prefillqueue"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/prefixdir"
 )
 
 // Options configures a [Forwarder].
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -17,13 +17,13 @@
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/exchange"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/notice"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/outlier"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/prefixdir"
 )
 
 var errReset = errors.New("connection reset")
--- a/internal/protocol/exchange/firstasked_test.go
+++ b/internal/protocol/exchange/firstasked_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // TestCallersWithLessTimeThanTheRouteAreNew guards against first requests that count as
--- a/internal/protocol/exchange/generate.go
+++ b/internal/protocol/exchange/generate.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/prefillqueue"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/prefillqueue"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/prefixdir"
 )
 
 const (
--- a/internal/protocol/exchange/isolated.go
+++ b/internal/protocol/exchange/isolated.go
@@ -5,7 +5,7 @@
 	"errors"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/isolation"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/isolation"
 )
 
 // whileReaching returns a context that is done once this entry reaches no server.
--- a/internal/protocol/exchange/learn.go
+++ b/internal/protocol/exchange/learn.go
@@ -4,9 +4,9 @@
 	"math"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/cost"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // stepEvents is the number of events of a stream from one observation of its pace to the
--- a/internal/protocol/exchange/memory.go
+++ b/internal/protocol/exchange/memory.go
@@ -7,9 +7,9 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/prefillqueue"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/prefillqueue"
 )
 
 // memoryRecheckInterval is the time between two checks for room while a request waits for it
--- a/internal/protocol/exchange/memory_test.go
+++ b/internal/protocol/exchange/memory_test.go
@@ -17,10 +17,10 @@
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/exchange"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/outlier"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // kvEngines are engines that end when their requests need more than their KV caches hold.
--- a/internal/protocol/exchange/patience_test.go
+++ b/internal/protocol/exchange/patience_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // TestPromptsWaitAsLongAsTheirCallers guards against refusing prompts in the prefill queue that are late but in time for their callers.
--- a/internal/protocol/exchange/place.go
+++ b/internal/protocol/exchange/place.go
@@ -5,8 +5,8 @@
 	"fmt"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // placedAttempt is an attempt whose server is chosen, whose prompt is prefilled where
--- a/internal/protocol/exchange/prefillcall.go
+++ b/internal/protocol/exchange/prefillcall.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/prefillqueue"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/prefillqueue"
 )
 
 // errPrefillFailed means that an engine failed a prefill call. The cause has
--- a/internal/protocol/exchange/silence.go
+++ b/internal/protocol/exchange/silence.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 const (
--- a/internal/protocol/exchange/silence_test.go
+++ b/internal/protocol/exchange/silence_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/exchange"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // silence is longer than any time limit on a silent attempt, and shorter than the
--- a/internal/protocol/exchange/silentend_test.go
+++ b/internal/protocol/exchange/silentend_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/exchange"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/notice"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 )
 
 // serverChange is what becomes of a server, at a time after an attempt there began.
--- a/internal/protocol/exchange/suspicion.go
+++ b/internal/protocol/exchange/suspicion.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 )
 
 const (
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // Request holds what forwarding decisions need to know of a caller's request.
--- a/internal/protocol/exchange/version.go
+++ b/internal/protocol/exchange/version.go
@@ -4,8 +4,8 @@
 	"context"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // streamOrigin is the software version that sent the first event of a stream. What
--- a/internal/protocol/isolation/isolation_test.go
+++ b/internal/protocol/health/isolation/isolation_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/outlier"
 )
 
 var (
--- a/internal/protocol/notice/notice.go
+++ b/internal/protocol/health/notice/notice.go
@@ -12,7 +12,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/ratelimit"
 )
 
 const (
--- a/internal/protocol/notice/notice_test.go
+++ b/internal/protocol/health/notice/notice_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/notice"
 )
 
 var first = fleet.Engine{ID: "a", StartedMs: 1}
--- a/internal/protocol/quarantine/crashlog_test.go
+++ b/internal/protocol/health/quarantine/crashlog_test.go
@@ -11,7 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 )
 
 // TestCrashLogNamesWhatIsLacking ends ten servers a second for three seconds.
--- a/internal/protocol/quarantine/guard_test.go
+++ b/internal/protocol/health/quarantine/guard_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 )
 
 // countKinds returns how many crashes and answers without parts a report has.
--- a/internal/protocol/quarantine/lostzone_test.go
+++ b/internal/protocol/health/quarantine/lostzone_test.go
@@ -9,7 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 )
 
 // loseServers has servers end one after the other, at which one request with a part waits among others, and returns
--- a/internal/protocol/quarantine/quarantine_test.go
+++ b/internal/protocol/health/quarantine/quarantine_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 )
 
 // reportInterval is the time between two exchanges of entries and replicas.
--- a/internal/protocol/quarantine/succession_test.go
+++ b/internal/protocol/health/quarantine/succession_test.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 )
 
 // scene plays evidence of one service straight to a detector in virtual time.
--- a/internal/protocol/quarantine/waves_test.go
+++ b/internal/protocol/health/quarantine/waves_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 )
 
 var (
--- a/internal/protocol/admission/admission.go
+++ b/internal/protocol/limits/admission/admission.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/roleplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/routing"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
--- a/internal/protocol/admission/bench_test.go
+++ b/internal/protocol/limits/admission/bench_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/routing"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
--- a/internal/protocol/admission/class.go
+++ b/internal/protocol/limits/admission/class.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/fluid"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/routing"
 )
 
 // minTrackedRate is the arrival rate, in requests per second, below which a
--- a/internal/protocol/admission/model.go
+++ b/internal/protocol/limits/admission/model.go
@@ -6,10 +6,10 @@
 	"slices"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/fluid"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/roleplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 )
 
 // model is the demand for one model at this entry.
--- a/internal/protocol/ratelimit/ratelimit_test.go
+++ b/internal/protocol/limits/ratelimit/ratelimit_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/ratelimit"
 )
 
 // manualClock is a clock that tests advance.
--- a/internal/protocol/reconcile/demand.go
+++ b/internal/protocol/reconcile/demand.go
@@ -6,7 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/roleplan"
 )
 
 // DemandReceiver receives the load reports of entries and adds them to a collector.
--- a/internal/protocol/reconcile/reconcile.go
+++ b/internal/protocol/reconcile/reconcile.go
@@ -16,7 +16,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/coordination/replog"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/order"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/roleplan"
 	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
--- a/internal/protocol/reconcile/roles.go
+++ b/internal/protocol/reconcile/roles.go
@@ -8,7 +8,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/roleplan"
 	"github.com/lagoonshift/lagoonshift/internal/state/orderbook"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
--- a/internal/protocol/request/fakes_test.go
+++ b/internal/protocol/request/fakes_test.go
@@ -13,9 +13,9 @@
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
 	"github.com/lagoonshift/lagoonshift/internal/fake/fakeengine"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/outlier"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/routing"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 	"github.com/lagoonshift/lagoonshift/internal/strictjson"
 )
--- a/internal/protocol/request/relay.go
+++ b/internal/protocol/request/relay.go
@@ -10,9 +10,9 @@
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/routing"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/routing"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
--- a/internal/protocol/request/request_test.go
+++ b/internal/protocol/request/request_test.go
@@ -9,8 +9,8 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 )
 
 const callerTimeout = 30 * time.Second
--- a/internal/protocol/request/unreachable_test.go
+++ b/internal/protocol/request/unreachable_test.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
 )
 
 // TestBegunStreamWaitsForItsEngines guards against ending a stream because all engines of its version are down for a moment after one of them crashed.
--- a/internal/protocol/cost/cost_test.go
+++ b/internal/protocol/scheduling/cost/cost_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/cost"
 )
 
 var start = time.Unix(1000, 0)
--- a/internal/protocol/cost/shared_test.go
+++ b/internal/protocol/scheduling/cost/shared_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/cost"
 )
 
 func runs(born int64, n int) (out []cost.Run) {
--- a/internal/protocol/fluid/fluid.go
+++ b/internal/protocol/scheduling/fluid/fluid.go
@@ -1,6 +1,6 @@
 package fluid
 
-import "github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+import "github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 
 // Class is the demand of one class of requests.
 type Class struct {
--- a/internal/protocol/fluid/fluid_test.go
+++ b/internal/protocol/scheduling/fluid/fluid_test.go
@@ -5,7 +5,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 )
 
 // TestOptimizeServesFeasibleDemand checks that all of a demand is served if the
--- a/internal/protocol/loaddigest/digest.go
+++ b/internal/protocol/scheduling/loaddigest/digest.go
@@ -8,7 +8,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
--- a/internal/protocol/loaddigest/digest_test.go
+++ b/internal/protocol/scheduling/loaddigest/digest_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 )
 
 func TestRoundTrip(t *testing.T) {
--- a/internal/protocol/phaseplan/driver_test.go
+++ b/internal/protocol/scheduling/phaseplan/driver_test.go
@@ -10,7 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/phaseplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/phaseplan"
 )
 
 const quietPeriod = 3 * time.Second
--- a/internal/protocol/phaseplan/phaseplan_test.go
+++ b/internal/protocol/scheduling/phaseplan/phaseplan_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/phaseplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/phaseplan"
 )
 
 func idle(string) fleet.Load { return fleet.Load{} }
--- a/internal/protocol/phaseplan/scaled_test.go
+++ b/internal/protocol/scheduling/phaseplan/scaled_test.go
@@ -12,7 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/phaseplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/phaseplan"
 )
 
 // changeTime is how long an engine takes to change its phase, and answerTime how long it
--- a/internal/protocol/placement/costaware.go
+++ b/internal/protocol/scheduling/placement/costaware.go
@@ -6,8 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/cost"
 )
 
 const (
--- a/internal/protocol/placement/costaware_test.go
+++ b/internal/protocol/scheduling/placement/costaware_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/cost"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // costAware returns a policy that has the priors only.
--- a/internal/protocol/placement/costdecode.go
+++ b/internal/protocol/scheduling/placement/costdecode.go
@@ -1,7 +1,7 @@
 package placement
 
 import (
-	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/cost"
 )
 
 // decodeWork is the work of a request at the engine that decodes.
--- a/internal/protocol/placement/memory_test.go
+++ b/internal/protocol/scheduling/placement/memory_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 // TestHasRoom guards against requests for an engine without room, and against engines that
--- a/internal/protocol/placement/placement_test.go
+++ b/internal/protocol/scheduling/placement/placement_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/placement"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/placement"
 )
 
 func firstTied(int) int { return 0 }
--- a/internal/protocol/placement/policy.go
+++ b/internal/protocol/scheduling/placement/policy.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/cost"
 )
 
 // Work describes a request to a [Policy].
--- a/internal/protocol/prefillqueue/fairness_test.go
+++ b/internal/protocol/scheduling/prefillqueue/fairness_test.go
@@ -10,8 +10,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/fairshare"
 )
 
 // client is the traffic of one workspace: requests a second, all of them alike.
--- a/internal/protocol/prefillqueue/overload.go
+++ b/internal/protocol/scheduling/prefillqueue/overload.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/fairshare"
 )
 
 // The decisions below are built for a demand above the engines' capacity, for prefill or
--- a/internal/protocol/prefillqueue/prefillqueue.go
+++ b/internal/protocol/scheduling/prefillqueue/prefillqueue.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/fairshare"
 )
 
 const (
--- a/internal/protocol/prefillqueue/prompt.go
+++ b/internal/protocol/scheduling/prefillqueue/prompt.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/fairshare"
 )
 
 // Prompt holds what the order of waiting prompts depends on.
--- a/internal/protocol/prefixdir/prefixdir_test.go
+++ b/internal/protocol/scheduling/prefixdir/prefixdir_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/prefixdir"
 )
 
 // TestLongPrefixIsAnnouncedOnce checks that only long prefixes are announced: a
--- a/internal/protocol/roleplan/goodput.go
+++ b/internal/protocol/scheduling/roleplan/goodput.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
--- a/internal/protocol/roleplan/planinput.go
+++ b/internal/protocol/scheduling/roleplan/planinput.go
@@ -4,8 +4,8 @@
 	"math"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/fluid"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
--- a/internal/protocol/routing/predict.go
+++ b/internal/protocol/scheduling/routing/predict.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 )
 
 const (
--- a/internal/protocol/routing/routing.go
+++ b/internal/protocol/scheduling/routing/routing.go
@@ -11,8 +11,8 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fluid"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/fluid"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
--- a/internal/protocol/routing/routing_test.go
+++ b/internal/protocol/scheduling/routing/routing_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
--- a/internal/protocol/routing/score.go
+++ b/internal/protocol/scheduling/routing/score.go
@@ -3,7 +3,7 @@
 import (
 	"sync/atomic"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/speed"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/speed"
 )
 
 // Scorer computes the cost of a prediction, in seconds. The engine with the
--- a/internal/protocol/servicecall/idempotent.go
+++ b/internal/protocol/servicecall/idempotent.go
@@ -7,8 +7,8 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 	"github.com/lagoonshift/lagoonshift/internal/state/settings"
 )
 
--- a/internal/role/controlrole/orders.go
+++ b/internal/role/controlrole/orders.go
@@ -14,7 +14,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/order"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/reconcile"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/roleplan"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/roleplan"
 	"github.com/lagoonshift/lagoonshift/internal/state/store"
 	"github.com/lagoonshift/lagoonshift/internal/transport/backendhttp"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
--- a/internal/role/controlrole/quarantine.go
+++ b/internal/role/controlrole/quarantine.go
@@ -12,7 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/state/disk"
 	"github.com/lagoonshift/lagoonshift/internal/state/snapshot"
 )
--- a/internal/role/controlrole/quarantine_restart_test.go
+++ b/internal/role/controlrole/quarantine_restart_test.go
@@ -13,7 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/state/disk"
 	"github.com/lagoonshift/lagoonshift/internal/state/snapshot"
 )
--- a/internal/role/controlrole/seeded_test.go
+++ b/internal/role/controlrole/seeded_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/notice"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 	"github.com/lagoonshift/lagoonshift/internal/role/controlrole"
 	"github.com/lagoonshift/lagoonshift/internal/role/seededentry"
--- a/internal/role/entryrole/callers.go
+++ b/internal/role/entryrole/callers.go
@@ -4,10 +4,10 @@
 	"math/rand/v2"
 
 	"github.com/lagoonshift/lagoonshift/internal/coordination/member"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/limit"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/outlier"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/outlier"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/limit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/request"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/servicecall"
 	"github.com/lagoonshift/lagoonshift/internal/telemetry"
 	"github.com/lagoonshift/lagoonshift/internal/transport/callerhttp"
--- a/internal/role/entryrole/peers.go
+++ b/internal/role/entryrole/peers.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/limit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/limit"
 	"github.com/lagoonshift/lagoonshift/internal/state/member"
 )
 
--- a/internal/role/entryrole/peers_test.go
+++ b/internal/role/entryrole/peers_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/address"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/limit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/limit"
 	"github.com/lagoonshift/lagoonshift/internal/state/member"
 )
 
--- a/internal/role/seededentry/agent_test.go
+++ b/internal/role/seededentry/agent_test.go
@@ -8,12 +8,12 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/notice"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/fairshare"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/ratelimit"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
 )
 
--- a/internal/role/seededentry/budgetreporter.go
+++ b/internal/role/seededentry/budgetreporter.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
 )
 
 // budgetReportInterval is the interval at which the use of the retry budgets is reported.
--- a/internal/role/seededentry/evidence_test.go
+++ b/internal/role/seededentry/evidence_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/notice"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
--- a/internal/role/seededentry/isolation_test.go
+++ b/internal/role/seededentry/isolation_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/notice"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/notice"
 )
 
 // TestIsolatedEntryReportsNoEngineAsFailing guards against engines that other entries leave out because one entry is cut off.
--- a/internal/role/seededentry/sharereporter.go
+++ b/internal/role/seededentry/sharereporter.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/fairshare"
 )
 
 // shareReportInterval is the interval at which the sharing among workspaces is reported, and
--- a/internal/transport/callerhttp/problem.go
+++ b/internal/transport/callerhttp/problem.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/limit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/limit"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/refusal"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/request"
 )
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -13,7 +13,7 @@
 
 	"github.com/lagoonshift/lagoonshift/internal/coordination/lease"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/address"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/limit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/limit"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/request"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/servicecall"
 	"github.com/lagoonshift/lagoonshift/internal/state/member"
--- a/internal/transport/peergrpc/enginespeeds_test.go
+++ b/internal/transport/peergrpc/enginespeeds_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/cost"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/cost"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
--- a/internal/transport/peergrpc/fleetmessage.go
+++ b/internal/transport/peergrpc/fleetmessage.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/lagoonshift/lagoonshift/internal/protocol/fleet"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/ratelimit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/ratelimit"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/prefixdir"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
--- a/internal/transport/peergrpc/holdings.go
+++ b/internal/transport/peergrpc/holdings.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/prefixdir"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/prefixdir"
 )
 
 // reportedHolding is a holding and the watch of the entry that reported it.
--- a/internal/transport/peergrpc/partlists.go
+++ b/internal/transport/peergrpc/partlists.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
--- a/internal/transport/peergrpc/retrybudget.go
+++ b/internal/transport/peergrpc/retrybudget.go
@@ -1,7 +1,7 @@
 package peergrpc
 
 import (
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
--- a/internal/transport/peergrpc/usage_test.go
+++ b/internal/transport/peergrpc/usage_test.go
@@ -9,8 +9,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagoonshift/lagoonshift/internal/clock"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/quarantine"
-	"github.com/lagoonshift/lagoonshift/internal/protocol/retry"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/health/quarantine"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/retry"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/usage"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/walltime"
 	"github.com/lagoonshift/lagoonshift/internal/state/document"
--- a/internal/transport/peergrpc/workspaceuses_test.go
+++ b/internal/transport/peergrpc/workspaceuses_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/lagoonshift/lagoonshift/internal/protocol/fairshare"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/fairshare"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc/peerpb"
 )
 
--- a/scripts/experiments.sh
+++ b/scripts/experiments.sh
@@ -37,7 +37,7 @@
     --cell target-0.2 --cell target-1.5 --cell target-6 --cell target-20 > "$out/target.md"
 }
 slopes() {
-  go test ./internal/protocol/routing ./internal/protocol/admission ./internal/protocol/roleplan \
+  go test ./internal/protocol/scheduling/routing ./internal/protocol/limits/admission ./internal/protocol/scheduling/roleplan \
     -run xxx -bench . -benchtime 500ms > "$out/slopes.txt"
 }
 
