Revert "Duties: the first holder of a deployment waits for no predecessor"

The first holder ordered servers while the engines were still being listed, and an order for the listed number gave back those that had not been listed yet: 45 of 60 were left as traffic began.

--- a/internal/coordination/duty/holder.go
+++ b/internal/coordination/duty/holder.go
@@ -77,26 +77,17 @@
 	now := h.options.Clock.Now()
 	if authority.Term != h.term {
 		h.term, h.since = authority.Term, now
-		h.options.Log.Info("duties gained", "token", h.term, "calls_after", h.quietPeriod(authority))
+		h.options.Log.Info("duties gained", "token", h.term, "calls_after", h.options.QuietPeriod+clockRateMargin)
 	}
 	switch {
 	case h.fenced[matter] >= h.term:
 		return Permit{}, fmt.Errorf("%w: token %d of %s", ErrFenced, h.term, matter)
-	case now.Sub(h.since) < h.quietPeriod(authority):
+	case now.Sub(h.since) < h.options.QuietPeriod+clockRateMargin:
 		return Permit{}, ErrQuiet
 	}
 	return Permit{Token: h.term, Until: authority.Until}, nil
 }
 
-// quietPeriod returns how long a holder waits before its first call. The first holder of all
-// has no predecessor whose calls may be on their way.
-func (h *Holder) quietPeriod(a replog.Authority) time.Duration {
-	if a.First {
-		return 0
-	}
-	return h.options.QuietPeriod + clockRateMargin
-}
-
 // Refused records that a call with a token was refused because of a higher one. There
 // are no further permits for the matter in that term.
 func (h *Holder) Refused(matter string, token uint64) {
--- a/internal/coordination/duty/holder_test.go
+++ b/internal/coordination/duty/holder_test.go
@@ -70,21 +70,6 @@
 	check("after the second quiet period", nil)
 }
 
-// TestFirstHolder guards against a quiet period without a predecessor, and against a holder
-// after the first one that has none.
-func TestFirstHolder(t *testing.T) {
-	f, h := newTestHolder()
-	f.lead(2)
-	f.authority.First = true
-	if p, err := h.Permit("m"); err != nil || p.Token != 2 {
-		t.Errorf("first holder: got permit %+v and error %v, want token 2", p, err)
-	}
-	f.lead(3)
-	if _, err := h.Permit("m"); !errors.Is(err, ErrQuiet) {
-		t.Errorf("second holder: error %v, want ErrQuiet", err)
-	}
-}
-
 // TestRefusedMatter guards against further calls on a matter after a refusal, against a
 // refusal that stops other matters, and against one that outlives its term.
 func TestRefusedMatter(t *testing.T) {
--- a/internal/coordination/raft/entrylog.go
+++ b/internal/coordination/raft/entrylog.go
@@ -79,12 +79,6 @@
 	return l.entries[index-l.base-1].Term, nil
 }
 
-// hasNoop reports whether the log may hold the first entry of a leader's term,
-// also among compacted entries.
-func (l *entryLog) hasNoop() bool {
-	return l.base > 0 || slices.ContainsFunc(l.entries, func(e Entry) bool { return e.Kind == KindNoop })
-}
-
 // matches reports whether the log holds an entry with this index and term.
 func (l *entryLog) matches(index, term uint64) bool {
 	have, err := l.term(index)
--- a/internal/coordination/raft/group_test.go
+++ b/internal/coordination/raft/group_test.go
@@ -171,9 +171,6 @@
 		if !ok {
 			t.Fatal("leader has no authority")
 		}
-		if !authority.First {
-			t.Error("the first leader of the group doesn't count as the first with authority")
-		}
 		g.CutOff(old)
 		for g.CurrentLeader() == old {
 			time.Sleep(time.Millisecond)
@@ -182,9 +179,6 @@
 			t.Errorf("replica %d became leader at %d, want not before the old leader's authority ends at %d", g.CurrentLeader(), now, authority.Until)
 		}
 		submit(t, g, "0")
-		if next, ok := g.Log(g.CurrentLeader()).Authority(); ok && next.First {
-			t.Error("the second leader counts as the first with authority")
-		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		if err := g.Log(old).ReadBarrier(ctx); err == nil {
--- a/internal/coordination/raft/leader.go
+++ b/internal/coordination/raft/leader.go
@@ -59,10 +59,6 @@
 	peers          map[uint64]*progress
 	// noopIndex is the index of the first entry of the leader's term.
 	noopIndex uint64
-	// first is set if the log held no entry of an earlier leader when the term
-	// began. An earlier leader with authority had committed its first entry,
-	// which the log of every later leader holds.
-	first bool
 	// syncedIndex is the last index that this replica has made durable.
 	syncedIndex  uint64
 	pendingReads []pendingRead
@@ -84,7 +80,6 @@
 		heartbeatAt:    now.Add(c.timing.Heartbeat),
 		peers:          make(map[uint64]*progress),
 		syncedIndex:    c.log.storeRequested,
-		first:          !c.log.hasNoop(),
 	}
 	c.syncPeers()
 	c.appendAsLeader(Entry{Kind: KindNoop})
--- a/internal/coordination/raft/lease.go
+++ b/internal/coordination/raft/lease.go
@@ -58,12 +58,6 @@
 	return sent.Add(c.timing.ElectionTimeout - c.timing.LeaseMargin), true
 }
 
-// FirstLease reports whether no leader of an earlier term has had authority.
-// It may return false although none had.
-func (c *Core) FirstLease() bool {
-	return c.role == leader && c.leaderState.first
-}
-
 // active reports whether a replica has replied to a message sent within the
 // last election timeout. Every member counts as active during the first
 // election timeout after the election.
--- a/internal/coordination/raft/node.go
+++ b/internal/coordination/raft/node.go
@@ -299,5 +299,5 @@
 		n.authority.Store(nil)
 		return
 	}
-	n.authority.Store(&replog.Authority{Term: c.term, Until: until, First: c.FirstLease()})
+	n.authority.Store(&replog.Authority{Term: c.term, Until: until})
 }
--- a/internal/coordination/raft/sim_test.go
+++ b/internal/coordination/raft/sim_test.go
@@ -80,10 +80,9 @@
 	leaders         map[uint64]uint64
 	committed       map[uint64]Entry
 	newestCommitted uint64
-	// leaseEnd, leaseHolder and leaseTerm describe the lease that was granted last.
+	// leaseEnd and leaseHolder describe the lease that was granted last.
 	leaseEnd    clock.Instant
 	leaseHolder uint64
-	leaseTerm   uint64
 	err         error
 }
 
@@ -472,10 +471,6 @@
 	if c.id != s.leaseHolder && s.now.Before(s.leaseEnd) {
 		s.fail("replica %d has authority before the authority of replica %d has ended", c.id, s.leaseHolder)
 	}
-	if c.FirstLease() && s.leaseTerm != 0 && s.leaseTerm != c.term {
-		s.fail("replica %d counts as the first with authority in term %d, after one in term %d", c.id, c.term, s.leaseTerm)
-	}
-	s.leaseTerm = c.term
 	s.leaseEnd, s.leaseHolder = clock.Instant(float64(until)/r.clockRate), c.id
 }
 
--- a/internal/coordination/replog/replog.go
+++ b/internal/coordination/replog/replog.go
@@ -82,9 +82,6 @@
 	// Until is the instant at which the authority expires unless it is
 	// renewed. No other replica gains authority before then.
 	Until clock.Instant
-	// First is set if no replica has had authority in an earlier term. It may
-	// be unset although none had.
-	First bool
 }
 
 // Log is one replica of the replicated log.
