Tests: a refused address keeps its port until the test ends

TestCallerOfAnEntryWithoutServersIsServed failed once with 502 "failed". It took the port of a listener that it had closed for an address that refuses connections, and opened four listeners before its request. A listener of this or of another test process may get the port in between. The route has one attempt, so what such a listener answers is the caller's answer.

refusedport.Hold binds a port and doesn't listen: connections are refused, and no other socket gets the port. The test of refused connections in backendhttp used a closed listener too and holds its port now.

--- a/internal/transport/backendhttp/once_test.go
+++ b/internal/transport/backendhttp/once_test.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/lagoonshift/lagoonshift/internal/fake/refusedport"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/backend"
 )
 
@@ -105,12 +106,7 @@
 }
 
 func TestRefusedConnectionIsNotSent(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listener.Close()
-	if _, err := New().CallOnce(t.Context(), newCall("http://"+listener.Addr().String())); !errors.Is(err, backend.ErrNotSent) {
+	if _, err := New().CallOnce(t.Context(), newCall("http://"+refusedport.Hold(t))); !errors.Is(err, backend.ErrNotSent) {
 		t.Errorf("error is %v, want one that matches ErrNotSent", err)
 	}
 }
