Capacity: a gap of the authority doesn't begin the orders anew

The driver forgot its token when it had no permit for a moment, as when the lease lapses and is renewed in the same term. It then took itself for a new holder: it dropped its memory of peaks and refusals, and the marks of calls under way, so that it sent further orders on the same matter beside them.

The token is kept, and so is the mark of a call under way when the token changes.

--- a/internal/protocol/capacity/driver.go
+++ b/internal/protocol/capacity/driver.go
@@ -89,8 +89,10 @@
 	options DriverOptions
 
 	mu sync.Mutex // guards the fields below
-	// token is that of the plans and orders below, zero if there are none.
+	// token is that of the plans and orders below, zero if there are none. holding is set while
+	// this process holds the duties.
 	token    uint64
+	holding  bool
 	services map[string]*driven
 	listed   map[string]Servers
 	// changing is set while engines change their phases.
@@ -178,7 +180,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	within := time.Duration(math.MaxInt64)
-	if d.token == 0 {
+	if !d.holding {
 		return within // entries get the leader's list
 	}
 	for name, s := range d.services {
@@ -234,21 +236,22 @@
 }
 
 // holds reports whether this process holds the duties, and begins anew with each token: what
-// others have ordered in between isn't known. d.mu must be held.
+// others have ordered in between isn't known. With the same token, as after a gap of the
+// authority, nobody else has ordered anything. d.mu must be held.
 func (d *Driver) holds() bool {
 	// Orders of a zone may be fenced; no zone has the empty name.
 	permit, err := d.options.Permit(Order{}.Matter())
-	if err != nil {
-		d.token = 0
-		return false
-	}
-	if permit.Token != d.token {
+	d.holding = err == nil
+	if d.holding && permit.Token != d.token {
 		d.token = permit.Token
 		for _, s := range d.services {
-			s.memory, s.zones = NewMemory(), make(map[string]*zoneOrders)
+			s.memory = NewMemory()
+			for _, zone := range s.zones {
+				zone.kinds = make(map[Kind]*orderState) // a call may still be under way
+			}
 		}
 	}
-	return true
+	return d.holding
 }
 
 // ordered returns the orders for reclaimable servers that were taken and still hold.
