Capacity: servers are ordered after the loss of the last one

No plan was made while no server was listed, so that a service whose last server had gone, or whose number had fallen to a minimum of zero, got none any more. A plain service without servers had no need either, since its requests are refused at once and none is in progress.

A plan is made once a server was listed or callers ask for something, and requests of a plain service need at least one server.

--- a/internal/protocol/capacity/capacity.go
+++ b/internal/protocol/capacity/capacity.go
@@ -108,7 +108,11 @@
 	slots := float64(max(1, c.Slots))
 	held := growth * d.InProgress / slots
 	if c.PrefillShare <= 0 {
-		return Need{Normal: roundUp(held / plainUse), AfterLoss: roundUp(held / plainUseAfterLoss)}
+		least := 0
+		if d.Requests > 0 {
+			least = 1 // requests that find no server aren't in progress for long
+		}
+		return Need{Normal: max(least, roundUp(held/plainUse)), AfterLoss: max(least, roundUp(held/plainUseAfterLoss))}
 	}
 	rate := cmp.Or(d.EngineRate, priorEngineRate)
 	reading := growth * d.PromptTokens / rate
--- a/internal/protocol/capacity/distribute_test.go
+++ b/internal/protocol/capacity/distribute_test.go
@@ -144,6 +144,7 @@
 		"plain":                  {fleet.DemandRate{Requests: 100, PromptTokens: 1e9, InProgress: 36}, plain, 1, 10, 8},
 		"plain, slots not known": {fleet.DemandRate{InProgress: 3}, capacity.Class{}, 1, 5, 4},
 		"plain, idle":            {fleet.DemandRate{}, plain, 1, 0, 0},
+		"plain, no server":       {fleet.DemandRate{Requests: 2}, plain, 1, 1, 1},
 	} {
 		if got := capacity.NeedFor(c.demand, c.class, c.growth); got != (capacity.Need{Normal: c.normal, AfterLoss: c.after}) {
 			t.Errorf("%s: got %+v, want %d and %d", name, got, c.normal, c.after)
--- a/internal/protocol/capacity/driver.go
+++ b/internal/protocol/capacity/driver.go
@@ -109,6 +109,8 @@
 	memory *Memory
 	logged Plan
 	zones  map[string]*zoneOrders
+	// seen is set once a server was listed.
+	seen bool
 }
 
 // zoneOrders are the orders of one matter. calling is set during a call.
@@ -158,6 +160,7 @@
 		}
 		held.Service = s
 		d.listed[s.Name] = Count(view.Engines(s.Name), serves)
+		held.seen = held.seen || d.listed[s.Name].Present.Total().Total() > 0
 		d.billing.observe(s, d.listed[s.Name], now)
 	}
 	for name := range d.services {
@@ -217,12 +220,13 @@
 	demand := d.options.Demand()
 	for name, s := range d.services {
 		servers := d.listed[name]
-		if servers.Present.Total().Total() == 0 {
-			continue // the list may not have been read yet
+		rate, asked := demand[name]
+		if !s.seen && rate.Requests <= 0 {
+			continue // the deployment may be starting: its servers aren't listed yet
 		}
 		now := d.options.Clock.Now()
 		o := Observation{Now: now, Scaling: s.Scaling, Class: s.Class, Servers: servers, Ordered: s.ordered(now)}
-		if rate, asked := demand[name]; asked {
+		if asked {
 			o.Demand = &rate
 		}
 		plan := s.memory.Plan(o)
