Capacity: orders keep the limits of each zone while kinds replace each other

Where lasting servers were to replace reclaimable ones in a zone near its maximum, both were ordered: 2 and 2 of at most 3, with 2 reclaimable ones present. Where reclaimable servers were to replace lasting ones that filled a zone, neither were ordered there until these had gone, below the minimum.

Lasting servers are added only as far as there is room, and those present stay until the zone reaches its minimum otherwise. TestOrdersKeepLimits, a property test: fails at the second case before, passes 3,000 cases now. With the part for the minimum taken out it fails too.

--- a/internal/protocol/capacity/memory.go
+++ b/internal/protocol/capacity/memory.go
@@ -275,9 +275,26 @@
 	lasting := m.slowly(max(total[Lasting], least-o.Servers.Serving.Total()[Reclaimable]), o)
 	orderLasting(out, wanted, lasting, o.Servers, l)
 	orderReclaimable(out, wanted, least, o.Servers, l)
+	keepLimits(out, o.Servers, l)
 	return out
 }
 
+// keepLimits keeps the orders for lasting servers within the limits of each zone while servers
+// of one kind replace those of the other: no more are added than there is room for beside the
+// reclaimable ones that stay, and those that are there stay until others reach the minimum.
+func keepLimits(out ZoneCounts, s Servers, l Limits) {
+	for _, zone := range l.zones() {
+		c, have := out[zone], s.Present[zone][Lasting]
+		if room := l.max() - c[Reclaimable]; c[Lasting] > room {
+			c[Lasting] = max(room, min(c[Lasting], have))
+		}
+		if missing := l.Min - c[Reclaimable]; c[Lasting] < missing {
+			c[Lasting] = max(c[Lasting], min(missing, have))
+		}
+		out[zone] = c
+	}
+}
+
 // orderLasting adds the orders for lasting servers, of which a number is to stay.
 func orderLasting(out, wanted ZoneCounts, stay int, s Servers, l Limits) {
 	spare := s.Present.Total()[Lasting] - stay
