Capacity: servers that don't serve yet are no surplus

Lasting servers were given back by the number that is present. While some of them start or change their phase, those given back may be ones that serve: of 4 present ones, none of which served, one was given back at a need of 3.

At most as many servers of both kinds are given back as serve beyond the need.

--- a/internal/protocol/capacity/memory.go
+++ b/internal/protocol/capacity/memory.go
@@ -273,8 +273,8 @@
 	least := min(total.Total(), need.Normal)
 	// Reclaimable servers replace lasting ones as they begin to serve.
 	lasting := m.slowly(max(total[Lasting], least-o.Servers.Serving.Total()[Reclaimable]), o)
-	orderLasting(out, wanted, lasting, o.Servers, l)
-	orderReclaimable(out, wanted, least, o.Servers, l)
+	given := orderLasting(out, wanted, lasting, least, o.Servers, l)
+	orderReclaimable(out, wanted, least+given, o.Servers, l)
 	keepLimits(out, o.Servers, l)
 	return out
 }
@@ -295,21 +295,24 @@
 	}
 }
 
-// orderLasting adds the orders for lasting servers, of which a number is to stay.
-func orderLasting(out, wanted ZoneCounts, stay int, s Servers, l Limits) {
-	spare := s.Present.Total()[Lasting] - stay
+// orderLasting adds the orders for lasting servers, of which a number is to stay, and returns
+// how many are given back. At least a number of servers of both kinds must serve after that,
+// even if those given back serve.
+func orderLasting(out, wanted ZoneCounts, stay, least int, s Servers, l Limits) (given int) {
+	spare := max(0, min(s.Present.Total()[Lasting]-stay, s.Serving.Total().Total()-least))
 	for _, zone := range slices.Backward(l.zones()) {
 		have := s.Present[zone][Lasting]
-		keep := max(wanted[zone][Lasting], have-max(0, spare))
-		spare -= have - min(keep, have)
+		keep := max(wanted[zone][Lasting], have-(spare-given))
+		given += max(0, have-keep)
 		out.add(zone, Lasting, keep)
 	}
+	return given
 }
 
 // orderReclaimable adds the orders for reclaimable servers. At least a number of servers of
-// both kinds must serve after those are given back that orders for lasting ones leave out.
+// both kinds must be left of those that serve.
 func orderReclaimable(out, wanted ZoneCounts, least int, s Servers, l Limits) {
-	spare := s.Serving.Total()[Reclaimable] + min(out.Total()[Lasting], s.Serving.Total()[Lasting]) - least
+	spare := s.Serving.Total().Total() - least
 	for _, zone := range slices.Backward(l.zones()) {
 		n, have := wanted[zone][Reclaimable], s.Present[zone][Reclaimable]
 		if n < have {
--- a/internal/protocol/capacity/orders_test.go
+++ b/internal/protocol/capacity/orders_test.go
@@ -41,6 +41,7 @@
 				o.Demand = steady(rapid.Float64Range(0, 1).Draw(t, "demand"))
 			}
 			plan := memory.Plan(o)
+			checkGivenBack(t, plan, listed)
 			for _, zone := range zones {
 				if n := plan.Orders[zone].Total(); n < s.Min || n > s.Max {
 					t.Fatalf("%s: ordered %v with %v present and %v serving, want %d to %d; wanted %v, need %+v",
@@ -50,3 +51,18 @@
 		}
 	})
 }
+
+// checkGivenBack checks that the servers that serve are enough for a plan's need if those that
+// serve are the ones that are given back, or that none are given back.
+func checkGivenBack(t *rapid.T, p capacity.Plan, s capacity.Servers) {
+	given := 0
+	for zone, present := range s.Present {
+		for _, k := range capacity.Kinds {
+			given += max(0, present[k]-p.Orders[zone][k])
+		}
+	}
+	least := min(p.Need.Normal, p.Wanted.Total().Total())
+	if left := s.Serving.Total().Total() - given; given > 0 && left < least {
+		t.Fatalf("%d given back, of %v that serve %d may be left, want %d; present %v, ordered %v, wanted %v", given, s.Serving, left, least, s.Present, p.Orders, p.Wanted)
+	}
+}
