Cost-aware placement: no KV cache is fetched from another version

A decision distinguishes four software versions. Those beyond shared the state of the fourth one, with the engine that holds the prompt's prefix: an engine could be told to fetch the prefix from an engine of another version, and its work was counted without the prefix.

Versions beyond the four have a state of their own, without a holder.

--- a/internal/protocol/scheduling/placement/costaware.go
+++ b/internal/protocol/scheduling/placement/costaware.go
@@ -140,8 +140,10 @@
 	// sojournMs is how long a prompt stays at an engine.
 	sojournMs float64
 	shared    int
-	// homes holds the engine that should prefill the shared prefix, by software version.
-	homes [maxVersions]home
+	// homes holds the engine that should prefill the shared prefix, by software version. The
+	// last one is for all versions beyond maxVersions, and has no holder: a KV cache is of use
+	// at engines of its version only.
+	homes [maxVersions + 1]home
 	count int
 }
 
@@ -159,18 +161,21 @@
 }
 
 func (p *prefillPlan) of(version string) *home {
-	for i := range p.homes[:p.count] {
+	for i := range p.homes[:min(p.count, maxVersions)] {
 		if p.homes[i].version == version {
 			return &p.homes[i]
 		}
 	}
-	if p.count < maxVersions {
+	if p.count < len(p.homes) {
 		p.homes[p.count] = home{version: version, waiting: math.Inf(1)}
 		p.count++
 	}
 	return &p.homes[p.count-1]
 }
 
+// distinguishes reports whether a home is of one version only.
+func (p *prefillPlan) distinguishes(h *home) bool { return h != &p.homes[maxVersions] }
+
 // mix scrambles the bits of a hash.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
@@ -199,6 +204,9 @@
 	}
 	for i := range holders {
 		h := plan.of(holders[i].Version)
+		if !plan.distinguishes(h) {
+			continue
+		}
 		h.holder, h.copies = &holders[i], 0
 		for j := range prefill {
 			if prefill[j].ID == holders[i].ID {
