Fleet hub: a first report that is read after the end of its watch is ignored

A watch may end while its first report is being read. The entry was then added after it had been removed, and stayed for good: among the entries that are ready, in the sum of loads, in the demand by which servers are ordered, and in the retry budgets. Commit does so too, without the demand.

The end is marked under the lock under which entries are added.

--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -147,8 +147,9 @@
 	// entry, counted from the first holding ever reported to the hub. It is
 	// guarded by the hub's lock.
 	nextHolding int
-	// left is set once the watch has ended. It is guarded by the lock of the hub's uses.
-	left bool
+	// ended is set once the watch has ended. It is guarded by the hub's lock, and left, which
+	// states the same, by that of the hub's uses.
+	ended, left bool
 	// wantsWork is WantWork of the newest report.
 	wantsWork atomic.Bool
 	// wantsDocument is set by a report and cleared by the update that has the
@@ -338,7 +339,9 @@
 		info.Address, info.Zone = report.GetAddress(), report.GetZone()
 		info.ForwardAddress, info.TakesWorkspaces = report.GetForwardAddress(), report.GetTakesWorkspaces()
 		w.takesDigests.Store(report.GetTakesDigests())
-		h.add(w, info)
+		if !h.add(w, info) {
+			return // the watch has ended
+		}
 	}
 	readinessChanged := info.Ready != report.GetReady()
 	if readinessChanged {
@@ -378,15 +381,21 @@
 	}
 }
 
-func (h *FleetHub) add(w *entryWatch, info EntryInfo) {
+// add adds an entry. It returns false if its watch has ended already.
+func (h *FleetHub) add(w *entryWatch, info EntryInfo) bool {
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	if w.ended {
+		return false
+	}
 	h.entries[w] = struct{}{}
 	w.nextHolding = h.droppedHoldings
-	h.mu.Unlock()
+	w.info.Store(&info)
+	h.options.Retries.Joined(info.Name, info.Incarnation)
 	w.introduced.Store(true)
 	signal(w.wake)
-	h.options.Retries.Joined(info.Name, info.Incarnation)
 	h.options.Log.Info("entry connected", "entry", info.Name, "incarnation", info.Incarnation, "address", info.Address)
+	return true
 }
 
 // setWork replaces the work and the pace of an entry by those of a report. It ignores a report that is
@@ -421,6 +430,7 @@
 
 func (h *FleetHub) remove(w *entryWatch) {
 	h.mu.Lock()
+	w.ended = true
 	delete(h.entries, w)
 	h.sum.Remove(w.work)
 	w.work = fleet.Work{}
