Phase plan: orders are remembered only while they count

The time of the last order was kept for each incarnation of an engine that was ever ordered. Where servers are ordered and given back all the time, it grew with each new engine, for as long as the control process runs. Only orders within orderSettleTime are looked at.

Older ones are dropped with each list. TestOldOrdersAreForgotten: 1,001 remembered before, 1 now.

--- a/internal/protocol/scheduling/phaseplan/driver.go
+++ b/internal/protocol/scheduling/phaseplan/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -68,7 +69,7 @@
 	since time.Time
 	// fenced is the newest term in which an engine rejected an order as fenced.
 	fenced uint64
-	// lastOrder is when each incarnation was last sent an order.
+	// lastOrder is when each incarnation was last sent an order, within orderSettleTime.
 	lastOrder map[string]time.Time
 	// changing holds the engines that were ordered to change their phase and are
 	// not listed in the new one yet, by incarnation.
@@ -157,7 +158,7 @@
 }
 
 // settle forgets the changes of listed engines that are in their new phase, and
-// those that should have shown by now. d.mu must be held.
+// those that should have shown by now, with the orders for them. d.mu must be held.
 func (d *Driver) settle(engines []fleet.Engine) {
 	for _, e := range engines {
 		if c, ok := d.changing[e.Incarnation()]; ok && c.Phase == e.Phase {
@@ -169,6 +170,7 @@
 			delete(d.changing, incarnation)
 		}
 	}
+	maps.DeleteFunc(d.lastOrder, func(_ string, at time.Time) bool { return time.Since(at) >= orderSettleTime })
 }
 
 // withdraw publishes the engines that are changing. d.mu must be held.
