Capacity: a service may fall to its minimum of zero

Once nothing was to be provided for, the servers that were still present were, so that the last server of a service with a minimum of zero stayed. What is present is provided for until there is demand, and by a new holder in its first plan; afterwards the need of the last seconds counts.

TestServersFallToZero: 1 server 85 s after the demand has ended before, none now.

--- a/internal/protocol/capacity/memory.go
+++ b/internal/protocol/capacity/memory.go
@@ -202,7 +202,7 @@
 // present, until it has seen a peakWindow: the previous holder may have known of a peak.
 func (m *Memory) need(o Observation) (Need, string) {
 	m.traffic = m.traffic || o.Demand != nil && o.Demand.Requests > 0
-	if m.held.Normal == 0 || !m.traffic {
+	if len(m.samples) == 0 {
 		m.provideForPresent(o)
 	}
 	if !m.traffic {
