Capacity: a refusal of fewer servers than are listed is not taken for a fence

The platform answers 409 both to a lower token and where no reclaimable servers are available. An order for no more than the listed number was taken to be refused because of a higher token. When the servers of a zone had been taken away since the list was made, such an order is refused for the other reason: the holder then gave no orders for the zone any more in its term.

Refusals of orders for reclaimable servers count as "none available", and after three in a row an order for lasting servers, which are always available, shows whether a higher token is the cause.

--- a/internal/protocol/capacity/driver.go
+++ b/internal/protocol/capacity/driver.go
@@ -113,9 +113,11 @@
 	seen bool
 }
 
-// zoneOrders are the orders of one matter. calling is set during a call.
+// zoneOrders are the orders of one matter. calling is set during a call, and refused counts the
+// refusals in a row whose cause isn't known.
 type zoneOrders struct {
 	calling bool
+	refused int
 	kinds   map[Kind]*orderState
 }
 
@@ -251,7 +253,7 @@
 		for _, s := range d.services {
 			s.memory = NewMemory()
 			for _, zone := range s.zones {
-				zone.kinds = make(map[Kind]*orderState) // a call may still be under way
+				zone.refused, zone.kinds = 0, make(map[Kind]*orderState) // a call may still be under way
 			}
 		}
 	}
@@ -312,7 +314,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		zone.calling = false
-		d.sent(s, state, o, permit, listed, err)
+		d.sent(s, zone, o, permit, listed, err)
 	})
 }
 
@@ -344,20 +346,20 @@
 }
 
 // sent handles the outcome of an order. d.mu must be held.
-func (d *Driver) sent(s *driven, state *orderState, o Order, p duty.Permit, listed int, err error) {
+func (d *Driver) sent(s *driven, zone *zoneOrders, o Order, p duty.Permit, listed int, err error) {
 	now := d.options.Clock.Now()
+	_, state := s.state(o, listed, now)
 	log := d.options.Log.With("service", o.Service, "zone", o.Zone, "kind", o.Kind.String(), "servers", o.Servers, "listed", listed, "token", p.Token)
 	switch {
 	case err == nil:
 		state.taken, state.known, state.settledAt, state.shown, state.failures = o.Servers, true, now, false, 0
+		zone.refused = 0
 		if o.Kind == Reclaimable {
 			s.memory.Accepted(o.Zone)
 		}
 		log.Info("servers ordered", "reason", s.logged.Reason)
-	case errors.Is(err, ErrRefused) && o.Kind == Reclaimable && o.Servers > listed:
-		state.known = false
-		pause := s.memory.Refused(o.Zone, now)
-		log.Info("no reclaimable servers available", "again_after_ms", pause.Milliseconds())
+	case errors.Is(err, ErrRefused) && o.Kind == Reclaimable && o.Servers > 0:
+		d.noneAvailable(s, zone, o, listed, log)
 	case errors.Is(err, ErrRefused):
 		d.options.Refused(o.Matter(), p.Token)
 	default:
@@ -368,3 +370,27 @@
 		log.Warn("order for servers failed", "failures", state.failures, "error", err)
 	}
 }
+
+// refusalsUntilProbe is the number of refusals in a row, for which a higher token may be the
+// cause, after which an order for lasting servers shows whether it is: this holder may make few
+// calls after a higher token was seen.
+const refusalsUntilProbe = 3
+
+// noneAvailable handles the refusal of an order for reclaimable servers. That there are none
+// available may be the cause even if fewer than the listed ones were ordered: those may have been
+// taken away since the list was made. d.mu must be held.
+func (d *Driver) noneAvailable(s *driven, zone *zoneOrders, o Order, listed int, log hclog.Logger) {
+	now := d.options.Clock.Now()
+	_, state := s.state(o, listed, now)
+	state.known, state.pausedUntil = false, now.Add(listLag)
+	pause := listLag
+	if o.Servers > listed {
+		pause = s.memory.Refused(o.Zone, now)
+	}
+	if zone.refused++; zone.refused%refusalsUntilProbe == 0 {
+		if lasting := zone.kinds[Lasting]; lasting != nil {
+			lasting.known = false
+		}
+	}
+	log.Info("no reclaimable servers available", "again_after_ms", pause.Milliseconds())
+}
