Fair sharing: priorities don't starve a workspace

Within a kind of prompts, a saturated queue put the more urgent workspaces first without a bound: one with a lower priority got nothing while those before it asked for all of the capacity.

A workspace granted less than 0.4 of its target goes before more urgent ones of its kind. TestWorkspacesShareCapacity has four new plays in which the large workspace or the twenty small ones have a lower priority. Without workspaces, or with equal priorities, the order is the same.

--- a/internal/protocol/scheduling/prefillqueue/fairness_test.go
+++ b/internal/protocol/scheduling/prefillqueue/fairness_test.go
@@ -19,6 +19,7 @@
 	workspace      string
 	perSecond      float64
 	tokens, output int
+	priority       int
 	// repeats is set if the callers repeat a request at once after each refusal, up to its
 	// deadline.
 	repeats bool
@@ -120,7 +121,7 @@
 		o.waiting++
 		o.mu.Unlock()
 		grant, err := q.Acquire(ctx, Prompt{
-			Service: "llm", Route: "a", Workspace: c.workspace, Key: key, Local: o.prefillEngines == 0, Tokens: c.tokens, Output: c.output,
+			Service: "llm", Route: "a", Workspace: c.workspace, Priority: c.priority, Key: key, Local: o.prefillEngines == 0, Tokens: c.tokens, Output: c.output,
 			Arrived: now, Asked: now, Objective: testObjective, GiveUp: arrived.Add(testPatience),
 		})
 		o.mu.Lock()
@@ -274,6 +275,10 @@
 		"prefill, large one repeats at once":   {prefillShort, clients(with(request, func(c *client) { c.repeats, c.perSecond = true, 30 }), request), true},
 		"slots, one of ten times the demand":   {slotsShort, clients(with(brief, func(c *client) { c.perSecond *= 10 }), brief), true},
 		"slots, equal":                         {slotsShort, clients(brief, brief), true},
+		"prefill, large one less urgent":       {prefillShort, clients(with(request, func(c *client) { c.perSecond, c.priority = 9, 1 }), request), false},
+		"prefill, small ones less urgent":      {prefillShort, clients(with(request, func(c *client) { c.perSecond = 60 }), with(request, func(c *client) { c.priority = 1 })), false},
+		"entries, large one less urgent":       {entries, clients(with(request, func(c *client) { c.perSecond, c.priority = 9, 1 }), request), false},
+		"slots, large one less urgent":         {slotsShort, clients(with(brief, func(c *client) { c.perSecond, c.priority = 12, 1 }), brief), false},
 		"slots, one repeats at once":           {slotsShort, clients(with(brief, func(c *client) { c.repeats = true }), brief), true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/protocol/scheduling/prefillqueue/overload.go
+++ b/internal/protocol/scheduling/prefillqueue/overload.go
@@ -37,6 +37,10 @@
 	// farOver is the multiple of its target from which on a workspace's prompts are refused
 	// before those of others.
 	farOver = 1.25
+	// starvedBelow is the part of its target below which a workspace goes before more urgent
+	// ones. A target is at least three quarters of a proportional share, so each workspace gets
+	// 0.3 of that, where a quarter is the least that is allowed.
+	starvedBelow = 0.4
 )
 
 // ErrNoRoom is matched by the error of Acquire for a prompt that the engines would
@@ -161,15 +165,22 @@
 // would make it late.
 //
 // In a saturated queue the kind that is served least goes first, and then the most urgent
-// prompt. Among these, the workspace that was granted least of its target is first, then
-// the oldest prompt, since no more are taken into the queue than can be in time.
+// prompt, after those of workspaces that would starve. Among these, the workspace that was
+// granted least of its target is first, then the oldest prompt, since no more are taken into
+// the queue than can be in time.
 func (s *situation) compare(a, b *waiter) int {
 	rankA, rankB := s.rankOf(a), s.rankOf(b)
 	if rankA != rankB {
 		return cmp.Compare(rankA, rankB)
 	}
 	if s.saturated() {
-		return cmp.Or(cmp.Compare(s.of(a).served, s.of(b).served), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.over, b.over), a.Arrived.Compare(b.Arrived))
+		if byKind := cmp.Compare(s.of(a).served, s.of(b).served); byKind != 0 {
+			return byKind
+		}
+		if s.starves(a) != s.starves(b) {
+			return orderFirst(s.starves(a))
+		}
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.over, b.over), a.Arrived.Compare(b.Arrived))
 	}
 	if rankA == rankInTime {
 		return cmp.Or(cmp.Compare(a.Objective, b.Objective), b.Arrived.Compare(a.Arrived))
@@ -177,6 +188,18 @@
 	return cmp.Or(cmp.Compare(a.Objective, b.Objective), a.Arrived.Compare(b.Arrived))
 }
 
+// orderFirst returns the result of a comparison in which the first one goes first, or else last.
+func orderFirst(first bool) int {
+	if first {
+		return -1
+	}
+	return 1
+}
+
+// starves reports whether a prompt's workspace will have been granted far less than its target
+// even with this prompt.
+func (s *situation) starves(w *waiter) bool { return s.shares != nil && w.over < starvedBelow }
+
 // weighWorkspaces sets what each waiting prompt's workspace will have been granted. Prompts
 // of one workspace are weighed in their present order, so that a workspace with many
 // prompts doesn't get all grants of one moment.
