--- a/internal/protocol/capacity/simulation_test.go
+++ b/internal/protocol/capacity/simulation_test.go
@@ -86,8 +86,9 @@
 	if c.inFlight[holding]++; c.inFlight[holding] > 1 {
 		c.overlaps++
 	}
+	delay := c.delay
 	c.mu.Unlock()
-	time.Sleep(c.delay)
+	time.Sleep(delay)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight[holding]--
--- a/internal/protocol/capacity/trouble_test.go
+++ b/internal/protocol/capacity/trouble_test.go
@@ -18,8 +18,9 @@
 	began  time.Time
 	cloud  *cloud
 	// levels are the demand in each 3 s, and last that after the minute.
-	levels    []float64
-	last      float64
+	levels []float64
+	last   float64
+	// failUntil is until when orders fail. It is guarded by the cloud's lock.
 	failUntil time.Duration
 }
 
@@ -76,9 +77,17 @@
 		case 0, 1:
 			out[at] = func() { x.cloud.reclaim(zone, closed, everywhere) }
 		case 2:
-			out[at] = func() { x.failUntil = at + 5*time.Second }
+			out[at] = func() {
+				x.cloud.mu.Lock()
+				defer x.cloud.mu.Unlock()
+				x.failUntil = at + 5*time.Second
+			}
 		case 3:
-			out[at] = func() { x.cloud.delay = delay }
+			out[at] = func() {
+				x.cloud.mu.Lock()
+				defer x.cloud.mu.Unlock()
+				x.cloud.delay = delay
+			}
 		case 4:
 			out[at] = func() {
 				first.term.Store(0)
