--- a/internal/protocol/capacity/driver.go
+++ b/internal/protocol/capacity/driver.go
@@ -89,8 +89,10 @@
 	options DriverOptions
 
 	mu sync.Mutex // guards the fields below
-	// token is that of the plans and orders below, zero if there are none.
+	// token is that of the plans and orders below, zero if there are none. holding is set while
+	// this process holds the duties.
 	token    uint64
+	holding  bool
 	services map[string]*driven
 	listed   map[string]Servers
 	// changing is set while engines change their phases.
@@ -107,11 +109,15 @@
 	memory *Memory
 	logged Plan
 	zones  map[string]*zoneOrders
+	// seen is set once a server was listed.
+	seen bool
 }
 
-// zoneOrders are the orders of one matter. calling is set during a call.
+// zoneOrders are the orders of one matter. calling is set during a call, and refused counts the
+// refusals in a row whose cause isn't known.
 type zoneOrders struct {
 	calling bool
+	refused int
 	kinds   map[Kind]*orderState
 }
 
@@ -156,6 +162,7 @@
 		}
 		held.Service = s
 		d.listed[s.Name] = Count(view.Engines(s.Name), serves)
+		held.seen = held.seen || d.listed[s.Name].Present.Total().Total() > 0
 		d.billing.observe(s, d.listed[s.Name], now)
 	}
 	for name := range d.services {
@@ -178,7 +185,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	within := time.Duration(math.MaxInt64)
-	if d.token == 0 {
+	if !d.holding {
 		return within // entries get the leader's list
 	}
 	for name, s := range d.services {
@@ -215,12 +222,13 @@
 	demand := d.options.Demand()
 	for name, s := range d.services {
 		servers := d.listed[name]
-		if servers.Present.Total().Total() == 0 {
-			continue // the list may not have been read yet
+		rate, asked := demand[name]
+		if !s.seen && rate.Requests <= 0 {
+			continue // the deployment may be starting: its servers aren't listed yet
 		}
 		now := d.options.Clock.Now()
 		o := Observation{Now: now, Scaling: s.Scaling, Class: s.Class, Servers: servers, Ordered: s.ordered(now)}
-		if rate, asked := demand[name]; asked {
+		if asked {
 			o.Demand = &rate
 		}
 		plan := s.memory.Plan(o)
@@ -234,21 +242,22 @@
 }
 
 // holds reports whether this process holds the duties, and begins anew with each token: what
-// others have ordered in between isn't known. d.mu must be held.
+// others have ordered in between isn't known. With the same token, as after a gap of the
+// authority, nobody else has ordered anything. d.mu must be held.
 func (d *Driver) holds() bool {
 	// Orders of a zone may be fenced; no zone has the empty name.
 	permit, err := d.options.Permit(Order{}.Matter())
-	if err != nil {
-		d.token = 0
-		return false
-	}
-	if permit.Token != d.token {
+	d.holding = err == nil
+	if d.holding && permit.Token != d.token {
 		d.token = permit.Token
 		for _, s := range d.services {
-			s.memory, s.zones = NewMemory(), make(map[string]*zoneOrders)
+			s.memory = NewMemory()
+			for _, zone := range s.zones {
+				zone.refused, zone.kinds = 0, make(map[Kind]*orderState) // a call may still be under way
+			}
 		}
 	}
-	return true
+	return d.holding
 }
 
 // ordered returns the orders for reclaimable servers that were taken and still hold.
@@ -305,7 +314,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		zone.calling = false
-		d.sent(s, state, o, permit, listed, err)
+		d.sent(s, zone, o, permit, listed, err)
 	})
 }
 
@@ -337,20 +346,20 @@
 }
 
 // sent handles the outcome of an order. d.mu must be held.
-func (d *Driver) sent(s *driven, state *orderState, o Order, p duty.Permit, listed int, err error) {
+func (d *Driver) sent(s *driven, zone *zoneOrders, o Order, p duty.Permit, listed int, err error) {
 	now := d.options.Clock.Now()
+	_, state := s.state(o, listed, now)
 	log := d.options.Log.With("service", o.Service, "zone", o.Zone, "kind", o.Kind.String(), "servers", o.Servers, "listed", listed, "token", p.Token)
 	switch {
 	case err == nil:
 		state.taken, state.known, state.settledAt, state.shown, state.failures = o.Servers, true, now, false, 0
+		zone.refused = 0
 		if o.Kind == Reclaimable {
 			s.memory.Accepted(o.Zone)
 		}
 		log.Info("servers ordered", "reason", s.logged.Reason)
-	case errors.Is(err, ErrRefused) && o.Kind == Reclaimable && o.Servers > listed:
-		state.known = false
-		pause := s.memory.Refused(o.Zone, now)
-		log.Info("no reclaimable servers available", "again_after_ms", pause.Milliseconds())
+	case errors.Is(err, ErrRefused) && o.Kind == Reclaimable && o.Servers > 0:
+		d.noneAvailable(s, zone, o, listed, log)
 	case errors.Is(err, ErrRefused):
 		d.options.Refused(o.Matter(), p.Token)
 	default:
@@ -361,3 +370,27 @@
 		log.Warn("order for servers failed", "failures", state.failures, "error", err)
 	}
 }
+
+// refusalsUntilProbe is the number of refusals in a row, for which a higher token may be the
+// cause, after which an order for lasting servers shows whether it is: this holder may make few
+// calls after a higher token was seen.
+const refusalsUntilProbe = 3
+
+// noneAvailable handles the refusal of an order for reclaimable servers. That there are none
+// available may be the cause even if fewer than the listed ones were ordered: those may have been
+// taken away since the list was made. d.mu must be held.
+func (d *Driver) noneAvailable(s *driven, zone *zoneOrders, o Order, listed int, log hclog.Logger) {
+	now := d.options.Clock.Now()
+	_, state := s.state(o, listed, now)
+	state.known, state.pausedUntil = false, now.Add(listLag)
+	pause := listLag
+	if o.Servers > listed {
+		pause = s.memory.Refused(o.Zone, now)
+	}
+	if zone.refused++; zone.refused%refusalsUntilProbe == 0 {
+		if lasting := zone.kinds[Lasting]; lasting != nil {
+			lasting.known = false
+		}
+	}
+	log.Info("no reclaimable servers available", "again_after_ms", pause.Milliseconds())
+}
