Entries: a document is doubted for 100 ms after the leader's silence

An entry that was suspended first reads the messages that waited in its socket. The first one of the leader ended the entry's doubt about its document, before one that names a newer version had been read, so a key that was added in the meantime could get status 401 instead of 503. The doubt now lasts 100 ms longer than a silence of a second. A step of TestEntryKnowsThatItMayBeOutdated that wanted no doubt right after the silence now wants it, and none 100 ms later.

--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -113,6 +113,7 @@
 	// connected returns the number of connected control replicas.
 	connected func() int
 
+	// table holds the newest document that has arrived.
 	table atomic.Pointer[route.Table]
 	view  atomic.Pointer[fleet.View]
 	// leader is the source of the last update from a leader, and leaderReportedAt
@@ -121,8 +122,7 @@
 	leaderReportedAt atomic.Int64
 	// reportInterval is the time.Duration between two reports to the leader.
 	reportInterval atomic.Int64
-	// newestVersion is the highest document version that a control replica named.
-	newestVersion atomic.Uint64
+	freshness      freshness
 	// otherLoadUnknown is set while the load of the other entries is unknown.
 	otherLoadUnknown atomic.Bool
 	leaving          atomic.Bool
@@ -200,9 +200,6 @@
 	return group.Wait()
 }
 
-// Table returns the routes in force, or nil before the first document.
-func (a *Agent) Table() *route.Table { return a.table.Load() }
-
 // View returns the newest list of engines.
 func (a *Agent) View() *fleet.View { return a.view.Load() }
 
@@ -360,7 +357,7 @@
 func (a *Agent) setOtherLoad(u peergrpc.Update) {
 	switch {
 	case u.Leads:
-		a.leaderReportedAt.Store(int64(a.options.Clock.Now()))
+		a.observeLeader()
 		a.leader.Store(&u.Source)
 		a.reportInterval.Store(int64(u.ReportAfter))
 	case !u.HasOthers, !a.leaderTimedOut():
--- a/internal/role/seededentry/agent_test.go
+++ b/internal/role/seededentry/agent_test.go
@@ -208,10 +208,42 @@
 		hear("follower", false, 4)
 		check("leader silent", true)
 		hear("leader", true, 4)
+		check("leader again, by a message that may be old", true)
+		time.Sleep(leaderSettling)
 		check("leader again", false)
 	})
 }
 
+// TestEntryReadsOldMessagesAfterASuspension guards against a final rejection of a key that was
+// added while the entry was suspended: it first reads messages of the leader that waited in its
+// socket, which name the version before.
+func TestEntryReadsOldMessagesAfterASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newTestAgent()
+		a.connected = func() int { return 1 }
+		a.table.Store(&route.Table{Version: 1})
+		hear := func(version uint64) {
+			a.deliver(peergrpc.Update{Source: "leader", Leads: true, DocumentVersion: version})
+		}
+		hear(1)
+		if a.MayBeOutdated() {
+			t.Error("outdated before the suspension")
+		}
+		time.Sleep(3 * time.Second)
+		hear(1)
+		if !a.MayBeOutdated() {
+			t.Error("not outdated by a message that waited while the entry was suspended")
+		}
+		hear(2)
+		a.table.Store(&route.Table{Version: 2})
+		time.Sleep(leaderSettling)
+		hear(2)
+		if a.MayBeOutdated() {
+			t.Error("outdated after messages that didn't wait")
+		}
+	})
+}
+
 // TestWorkspaceUsesAreExchangedWhileSaturated guards against workspace figures that are sent
 // while there is room or to followers, and figures of others that stay in a partition.
 func TestWorkspaceUsesAreExchangedWhileSaturated(t *testing.T) {
--- a/internal/role/seededentry/outdated.go
+++ b/internal/role/seededentry/outdated.go
@@ -1,6 +1,12 @@
 package seededentry
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/lagoonshift/lagoonshift/internal/clock"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
+)
 
 // leaderSilence is the time without an update from a leader after which the document in
 // force may be an old one: this entry may be connected only to replicas that are cut off
@@ -9,19 +15,46 @@
 // the latest; 2.5 s are allowed. Elections take less time.
 const leaderSilence = time.Second
 
-// MayBeOutdated reports whether a newer document than the one in force here may be in force
-// at others: a control replica named one, none is connected, or no leader has sent an update
-// for leaderSilence.
+// leaderSettling is the time after the first update of a leader that was silent for
+// leaderSilence in which the document may still be an old one: if this process was suspended, it
+// reads at first what waited in its sockets. That takes it a few milliseconds.
+const leaderSettling = 100 * time.Millisecond
+
+// freshness is what an entry knows of how new its document is.
+type freshness struct {
+	// newestVersion is the highest document version that a control replica named.
+	newestVersion atomic.Uint64
+	// settledAt is the clock.Instant until which updates of a leader that was silent may be
+	// old ones.
+	settledAt atomic.Int64
+}
+
+// Table returns the routes in force, or nil before the first document.
+func (a *Agent) Table() *route.Table { return a.table.Load() }
+
+// MayBeOutdated reports whether a newer document than the one held here may be in force at
+// others: a control replica named one, none is connected, or no leader has sent an update for
+// leaderSilence, or until leaderSettling ago.
 func (a *Agent) MayBeOutdated() bool {
 	table := a.table.Load()
-	return table == nil || table.Version < a.newestVersion.Load() || a.connected() == 0 || a.leaderSilentFor() >= leaderSilence
+	return table == nil || table.Version < a.freshness.newestVersion.Load() || a.connected() == 0 || a.leader.Load() == nil ||
+		a.leaderSilentFor() >= leaderSilence || a.options.Clock.Now() < clock.Instant(a.freshness.settledAt.Load())
+}
+
+// observeLeader records that an update of a leader has arrived.
+func (a *Agent) observeLeader() {
+	now := a.options.Clock.Now()
+	if a.leader.Load() != nil && a.leaderSilentFor() >= leaderSilence {
+		a.freshness.settledAt.Store(int64(now.Add(leaderSettling)))
+	}
+	a.leaderReportedAt.Store(int64(now))
 }
 
 // observeVersion records the document version that a control replica names.
 func (a *Agent) observeVersion(version uint64) {
 	for {
-		held := a.newestVersion.Load()
-		if version <= held || a.newestVersion.CompareAndSwap(held, version) {
+		held := a.freshness.newestVersion.Load()
+		if version <= held || a.freshness.newestVersion.CompareAndSwap(held, version) {
 			return
 		}
 	}
