Entries: the first document with workspaces waits for the leader

An entry that starts put in force what the first control replica sent, which may lag or be cut off: keys that were removed long before were served until another replica named a newer document. The first document with workspaces is now served once a leader names no newer one, or after 2.5 s. Documents without workspaces are served at once, as before.

--- a/internal/role/seededentry/agent.go
+++ b/internal/role/seededentry/agent.go
@@ -243,7 +243,7 @@
 // Ready reports whether the entry accepts new work: it is not leaving and knows
 // routes and engines.
 func (a *Agent) Ready() bool {
-	return !a.leaving.Load() && a.table.Load() != nil && a.view.Load().Len() > 0
+	return !a.leaving.Load() && a.Table() != nil && a.view.Load().Len() > 0
 }
 
 // Leave makes the entry not ready and reports that to the control replicas, so
--- a/internal/role/seededentry/agent_test.go
+++ b/internal/role/seededentry/agent_test.go
@@ -14,6 +14,7 @@
 	"github.com/lagoonshift/lagoonshift/internal/protocol/limits/ratelimit"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/route"
 	"github.com/lagoonshift/lagoonshift/internal/protocol/scheduling/prefixdir"
+	"github.com/lagoonshift/lagoonshift/internal/protocol/workspace"
 	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
 )
 
@@ -244,6 +245,66 @@
 	})
 }
 
+// TestFirstDocumentIsConfirmed guards against an entry that starts with the document of a
+// replica that lags, and serves keys that were removed long before.
+func TestFirstDocumentIsConfirmed(t *testing.T) {
+	withKeys := func(version uint64) *route.Table {
+		directory, err := workspace.NewDirectory(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &route.Table{Version: version, Workspaces: directory}
+	}
+	start := func(table func(version uint64) *route.Table) (a *Agent, hear func(source string, leads bool, version uint64), check func(step string, want uint64)) {
+		a = newTestAgent()
+		a.connected = func() int { return 1 }
+		a.options.Decode = func(content []byte) (*route.Table, error) { return table(uint64(content[0])), nil }
+		hear = func(source string, leads bool, version uint64) {
+			a.deliver(peergrpc.Update{Source: source, Leads: leads, DocumentVersion: version, Document: []byte{byte(version)}})
+		}
+		check = func(step string, want uint64) {
+			t.Helper()
+			got := uint64(0)
+			if table := a.Table(); table != nil {
+				got = table.Version
+			}
+			if got != want {
+				t.Errorf("%s: version %d is in force, want %d", step, got, want)
+			}
+		}
+		return a, hear, check
+	}
+	synctest.Test(t, func(t *testing.T) {
+		time.Sleep(2 * leaderSilence)
+		a, hear, check := start(withKeys)
+		hear("follower", false, 1)
+		check("document of a follower", 0)
+		a.deliver(peergrpc.Update{Source: "leader", Leads: true, DocumentVersion: 2})
+		check("a newer one at the leader", 0)
+		hear("leader", true, 2)
+		check("the leader's document", 2)
+		a.deliver(peergrpc.Update{Source: "follower", DocumentVersion: 3})
+		time.Sleep(2 * leaderSilence)
+		check("in force already", 2)
+
+		a, hear, check = start(withKeys)
+		hear("follower", false, 1)
+		a.deliver(peergrpc.Update{Source: "leader", Leads: true, DocumentVersion: 1})
+		check("confirmed by the leader", 1)
+
+		_, hear, check = start(withKeys)
+		hear("follower", false, 1)
+		time.Sleep(maxConfirmation - time.Millisecond)
+		check("no leader", 0)
+		time.Sleep(time.Millisecond)
+		check("no leader for long", 1)
+
+		_, hear, check = start(func(version uint64) *route.Table { return &route.Table{Version: version} })
+		hear("follower", false, 1)
+		check("no workspaces", 1)
+	})
+}
+
 // TestWorkspaceUsesAreExchangedWhileSaturated guards against workspace figures that are sent
 // while there is room or to followers, and figures of others that stay in a partition.
 func TestWorkspaceUsesAreExchangedWhileSaturated(t *testing.T) {
--- a/internal/role/seededentry/document.go
+++ b/internal/role/seededentry/document.go
@@ -50,6 +50,9 @@
 	if current != nil && current.Version >= table.Version {
 		return
 	}
+	if current == nil {
+		a.freshness.firstAt.Store(int64(a.options.Clock.Now()))
+	}
 	a.table.Store(table)
 	a.options.Log.Info("document in force", "version", table.Version, "source", source, "routes", len(table.Routes))
 }
--- a/internal/role/seededentry/outdated.go
+++ b/internal/role/seededentry/outdated.go
@@ -20,6 +20,11 @@
 // reads at first what waited in its sockets. That takes it a few milliseconds.
 const leaderSettling = 100 * time.Millisecond
 
+// maxConfirmation bounds how long the first document with workspaces waits for the leader: an
+// election takes 2 s at most. Serving keys that may have been removed is better than serving
+// nothing while there is no leader.
+const maxConfirmation = 2500 * time.Millisecond
+
 // freshness is what an entry knows of how new its document is.
 type freshness struct {
 	// newestVersion is the highest document version that a control replica named.
@@ -27,10 +32,19 @@
 	// settledAt is the clock.Instant until which updates of a leader that was silent may be
 	// old ones.
 	settledAt atomic.Int64
+	// firstAt is the clock.Instant at which the first document arrived, and confirmed is set
+	// once it, or a later one, is confirmed.
+	firstAt   atomic.Int64
+	confirmed atomic.Bool
 }
 
-// Table returns the routes in force, or nil before the first document.
-func (a *Agent) Table() *route.Table { return a.table.Load() }
+// Table returns the routes in force, or nil before the first document is confirmed.
+func (a *Agent) Table() *route.Table {
+	if table := a.table.Load(); table != nil && a.confirmed(table) {
+		return table
+	}
+	return nil
+}
 
 // MayBeOutdated reports whether a newer document than the one held here may be in force at
 // others: a control replica named one, none is connected, or no leader has sent an update for
@@ -50,6 +64,23 @@
 	a.leaderReportedAt.Store(int64(now))
 }
 
+// confirmed reports whether the first document that this process has got may be served: the
+// replica that sent it may have lagged behind, and keys of it may have been removed long ago.
+// Later documents need no confirmation, since the entry doesn't start with them.
+func (a *Agent) confirmed(table *route.Table) bool {
+	if a.freshness.confirmed.Load() {
+		return true
+	}
+	waited := a.options.Clock.Now().Sub(clock.Instant(a.freshness.firstAt.Load()))
+	if table.Workspaces != nil && waited < maxConfirmation && a.MayBeOutdated() {
+		return false
+	}
+	if !a.freshness.confirmed.Swap(true) {
+		a.options.Log.Info("first document served", "version", table.Version, "waited_ms", waited.Milliseconds())
+	}
+	return true
+}
+
 // observeVersion records the document version that a control replica names.
 func (a *Agent) observeVersion(version uint64) {
 	for {
