Usage: a request counts though its response isn't passed on

A server that answered 429, 408 or 503 without stating that the request has not run, or 200 without a signature, has begun the request, but it wasn't counted, since the exchange saw only an error. The error now says that the server has answered. Streams still count at their first event.

--- a/internal/protocol/exchange/send.go
+++ b/internal/protocol/exchange/send.go
@@ -69,6 +69,9 @@
 	var err error
 	s.response, err = x.sender.Send(attemptCtx, a)
 	stopWaiting()
+	if errors.Is(err, ErrUnusable) {
+		x.countUsage()
+	}
 	if err = s.guard.stopAfter(err); err != nil {
 		s.end()
 		return nil, x.sendFailed(waiting, a, err)
--- a/internal/protocol/exchange/types.go
+++ b/internal/protocol/exchange/types.go
@@ -134,6 +134,9 @@
 	// ErrServerNotFound means that no server, or a different one, listens at the
 	// address. It matches ErrNotRun.
 	ErrServerNotFound = fmt.Errorf("server not found at its address: %w", ErrNotRun)
+	// ErrUnusable means that the server has begun the request, but its response is none for
+	// the caller.
+	ErrUnusable = errors.New("unusable response")
 	// ErrOriginUnknown means that a caller takes up a stream of which the software
 	// version that began it isn't known.
 	ErrOriginUnknown = errors.New("the version that began the stream is unknown")
--- a/internal/protocol/exchange/usage_test.go
+++ b/internal/protocol/exchange/usage_test.go
@@ -35,6 +35,7 @@
 // though no server has begun them.
 func TestRequestsAreCountedOnce(t *testing.T) {
 	const event = "id: 1\n\n"
+	unusable := reply{err: fmt.Errorf("no signature: %w", exchange.ErrUnusable)}
 	good, bad, lost, rejected := reply{status: 200, body: "good"}, reply{status: 500, body: "bad"}, reply{err: errReset}, reply{err: errRejected}
 	stream := reply{status: 200, events: true, body: event}
 	taken := streamRequest(true, 10)
@@ -51,6 +52,8 @@
 		"response without its end":                 {callRequest(route.Unsafe, 1), []reply{{status: 200, body: "g", cut: true}}, 1},
 		"rejected, then success":                   {callRequest(route.Safe, 1), []reply{rejected, good}, 1},
 		"always rejected":                          {callRequest(route.Safe, 1), []reply{rejected, rejected, rejected}, 0},
+		"unusable response":                        {callRequest(route.Unsafe, 1), []reply{unusable}, 1},
+		"unusable response, then success":          {callRequest(route.Safe, 2), []reply{unusable, good}, 1},
 		"response lost":                            {callRequest(route.Unsafe, 1), []reply{lost}, 0},
 		"response lost, then success":              {callRequest(route.Safe, 2), []reply{lost, good}, 1},
 		"stream":                                   {streamRequest(true, 10), []reply{stream}, 1},
