Capacity: a lease regained in the same term keeps the orders in progress

A holder that lost its lease for a moment began anew when it regained it in the same term, and sent a second order on a matter whose first one was unanswered; the first one could take effect last. It now begins anew with another token only.

Measured: TestLeaseIsRegainedDuringCall saw two calls at once in 3 of 4 zones before and passes now; the other tests of the package pass, also under -race.

--- a/internal/protocol/capacity/driver.go
+++ b/internal/protocol/capacity/driver.go
@@ -89,8 +89,10 @@
 	options DriverOptions
 
 	mu sync.Mutex // guards the fields below
-	// token is that of the plans and orders below, zero if there are none.
+	// token is that of the plans and orders below, zero if there are none. holding is set
+	// while this process holds the duties with it.
 	token    uint64
+	holding  bool
 	services map[string]*driven
 	listed   map[string]Servers
 	// changing is set while engines change their phases.
@@ -178,7 +180,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	within := time.Duration(math.MaxInt64)
-	if d.token == 0 {
+	if !d.holding {
 		return within // entries get the leader's list
 	}
 	for name, s := range d.services {
@@ -234,12 +236,14 @@
 }
 
 // holds reports whether this process holds the duties, and begins anew with each token: what
-// others have ordered in between isn't known. d.mu must be held.
+// others have ordered in between isn't known. A lease that is regained in the same term keeps
+// what was ordered, since there was no other holder and calls may still be in progress. d.mu
+// must be held.
 func (d *Driver) holds() bool {
 	// Orders of a zone may be fenced; no zone has the empty name.
 	permit, err := d.options.Permit(Order{}.Matter())
+	d.holding = err == nil
 	if err != nil {
-		d.token = 0
 		return false
 	}
 	if permit.Token != d.token {
