Documents: a second document with the same version is acknowledged again

The platform's protocol has a document whose version isn't higher than the stored one acknowledged without effect, and so did all builds before: status 409 for it, as the review proposed, would change what operators of all deployments see. The test of two operators checks instead that one of two documents with the same version is in force everywhere and the other one nowhere: passes.

--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -2,8 +2,6 @@
 // operator chooses: the highest version wins.
 package document
 
-import "bytes"
-
 // Put is a command that replaces the document.
 type Put struct {
 	// Version is the number that the operator chose. The Put is accepted only
@@ -20,9 +18,6 @@
 	Accepted bool `cbor:"1,keyasint"`
 	// CurrentVersion is the version of the document after the Put.
 	CurrentVersion uint64 `cbor:"2,keyasint"`
-	// Differs is set if the document has the same version with another content. Replicas of
-	// earlier builds never set it.
-	Differs bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Document is one version of the document. Its content is immutable; the zero
@@ -35,7 +30,7 @@
 // Apply returns the document after a Put.
 func (d Document) Apply(p Put) (Document, Result) {
 	if p.Version <= d.Version {
-		return d, Result{CurrentVersion: d.Version, Differs: p.Version == d.Version && !bytes.Equal(p.Content, d.Content)}
+		return d, Result{CurrentVersion: d.Version}
 	}
 	return Document(p), Result{Accepted: true, CurrentVersion: p.Version}
 }
