Shutdown: quiet connections stay open beside a late request

An entry that stops waits until no request is in progress, and then up to 250 ms for the first request of its newest connections. A request that came in those 250 ms kept the process up until it was answered, but the quiet connections and the listener were closed at their end: what callers sent on them was dropped ("unexpected EOF") by a process that ran on.

--- a/internal/role/serve/connections.go
+++ b/internal/role/serve/connections.go
@@ -75,6 +75,31 @@
 	}
 }
 
+// StopReadingUnlessBusy is like StopReading if no connection is busy, and reports whether that was
+// so. Otherwise it does nothing: requests may begin as long as others are in progress.
+func (s *Connections) StopReadingUnlessBusy() (stopped bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open { // so that none becomes busy meanwhile
+		c.mu.Lock()
+	}
+	defer func() {
+		for c := range s.open {
+			c.mu.Unlock()
+		}
+	}()
+	for c := range s.open {
+		if c.state == busy {
+			return false
+		}
+	}
+	s.stopped = true
+	for c := range s.open {
+		c.stopLocked(false)
+	}
+	return true
+}
+
 // AbortReading also reads no more of requests that have begun to arrive.
 func (s *Connections) AbortReading() {
 	for _, c := range s.list() {
@@ -270,6 +295,11 @@
 func (c *connection) stop(abort bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.stopLocked(abort)
+}
+
+// stopLocked is like stop. c.mu must be held.
+func (c *connection) stopLocked(abort bool) {
 	c.stopped, c.aborted = true, c.aborted || abort
 	_ = c.setReadDeadline() // it fails only on a closed connection
 }
