Exchange: crashes of all servers at once are kept for the list to show them

Cause: when all servers of a deployment end within moments, each entry takes itself for cut off. The isolation ended 0.4 to 0.7 s later, once the list of servers was empty, and the entry then dropped every suspicion, also those that the next incarnations on the list would have made evidence (docs/design/isolation.md: "crashes become evidence by the list alone").

Change: suspicions are dropped at the end of an isolation only if a server was reached.

TestCutWithoutListIsNoCrash: none after a cut during which the list was empty.

--- a/internal/protocol/exchange/isolated.go
+++ b/internal/protocol/exchange/isolated.go
@@ -45,9 +45,13 @@
 }
 
 // serversReturned records the end of an isolation. Servers that are reached are so for all
-// requests, and no request tries those that aren't.
+// requests, and no request tries those that aren't. If none is, the isolation ended because the
+// list has none any more: then nothing shows that they were there all the time, and the list may still
+// show that they ended.
 func (c *Forwarder) serversReturned(r isolation.Return) {
-	c.crashWatch.dropAll(dropIsolated)
+	if len(r.Reached) > 0 {
+		c.crashWatch.dropAll(dropIsolated)
+	}
 	for _, e := range r.Reached {
 		c.options.Outlier.Reached(e.ID)
 	}
--- a/internal/protocol/exchange/isolated_test.go
+++ b/internal/protocol/exchange/isolated_test.go
@@ -52,6 +52,7 @@
 	quarantine *quarantine.Guard
 
 	mu   sync.Mutex // guards the fields below
+	view *fleet.View
 	mode cutMode
 	// changed is closed at the next change of mode.
 	changed chan struct{}
@@ -74,17 +75,17 @@
 		}
 		servers = append(servers, e)
 	}
-	c, view := clock.NewRuntime(), fleet.NewView(servers)
+	c := clock.NewRuntime()
 	e := &cutEntry{
-		outlier: outlier.NewSet(c), quarantine: quarantine.NewGuard(c), changed: make(chan struct{}),
+		view: fleet.NewView(servers), outlier: outlier.NewSet(c), quarantine: quarantine.NewGuard(c), changed: make(chan struct{}),
 		ended: make(map[string]bool), sends: make(map[string]int), waiting: make(map[string]int),
 	}
 	e.detector = isolation.New(isolation.Options{
-		Clock: c, View: func() *fleet.View { return view }, Reach: e.Reach, Outlier: e.outlier, Log: hclog.NewNullLogger(),
+		Clock: c, View: e.listed, Reach: e.Reach, Outlier: e.outlier, Log: hclog.NewNullLogger(),
 	})
 	budget := retry.NewAccount(c, retry.Bound{Share: 0.2, Slack: 1000, Window: 10 * time.Second})
 	e.Forwarder = exchange.New(exchange.Options{
-		View: func() *fleet.View { return view }, Tracker: fleet.NewTracker(), Outlier: e.outlier, Quarantine: e.quarantine, Isolation: e.detector,
+		View: e.listed, Tracker: fleet.NewTracker(), Outlier: e.outlier, Quarantine: e.quarantine, Isolation: e.detector,
 		Budget: func(string) *retry.Account { return budget }, Random: rand.IntN, Log: hclog.NewNullLogger(),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -98,6 +99,23 @@
 	return e
 }
 
+// listed returns the list of servers.
+func (e *cutEntry) listed() *fleet.View {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.view
+}
+
+// list replaces the list of servers. Those that it has are running.
+func (e *cutEntry) list(servers []fleet.Engine) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.view = fleet.NewView(servers)
+	for _, s := range servers {
+		delete(e.ended, s.ID)
+	}
+}
+
 func (e *cutEntry) set(mode cutMode) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -344,6 +362,63 @@
 	})
 }
 
+// TestCutWithoutListIsNoCrash guards against requests blamed after a cut during which the list was empty, and then had the same servers.
+func TestCutWithoutListIsNoCrash(t *testing.T) {
+	for name, mode := range cutModes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newCutEntry(t)
+				servers := slices.Collect(e.listed().All())
+				time.AfterFunc(time.Second, func() { e.set(mode) })
+				time.AfterFunc(2*time.Second, func() { e.list(nil) })
+				time.AfterFunc(4*time.Second, func() {
+					e.set(notCut)
+					e.list(servers)
+				})
+				e.play(t.Context(), 6*time.Second)
+				time.Sleep(10 * time.Second)
+				if n := e.crashes(); n > 0 {
+					t.Errorf("evidence of %d crashes, want none: no server ended", n)
+				}
+			})
+		})
+	}
+}
+
+// TestEndOfAllServersIsEvidence guards against crashes that are forgotten because all servers ended at once, so that the
+// entry took itself for cut off, although the list shows their end: it is empty, and then has their next incarnations.
+func TestEndOfAllServersIsEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newCutEntry(t)
+		var requests sync.WaitGroup
+		requests.Go(func() { e.play(t.Context(), 4*time.Second) })
+		defer requests.Wait()
+		time.Sleep(time.Second)
+		want, next := 0, []fleet.Engine(nil)
+		for s := range e.listed().All() {
+			e.mu.Lock()
+			want += e.waiting[s.ID]
+			e.mu.Unlock()
+			s.StartedMs++
+			next = append(next, s)
+		}
+		for _, s := range next {
+			e.end(s.ID)
+		}
+		time.Sleep(400 * time.Millisecond)
+		if e.detector.Reachable().Err() == nil {
+			t.Fatal("the entry doesn't take itself for cut off")
+		}
+		e.list(nil)
+		time.Sleep(2 * time.Second)
+		e.list(next)
+		time.Sleep(500 * time.Millisecond)
+		if n := e.crashes(); n < want || want == 0 {
+			t.Errorf("evidence on %d requests, want on the %d at the servers that ended", n, want)
+		}
+	})
+}
+
 // TestServersAreAllBackAfterCut guards against servers that get no work, or all of it, after a cut, and against requests at one that ended during it.
 func TestServersAreAllBackAfterCut(t *testing.T) {
 	const healedAt, backAt = 13 * time.Second, 13*time.Second + 250*time.Millisecond
