Usage: an entry counts as heard once its counts are summed

The first report of an entry that was cut off was noted as heard before its counts were summed. A window that was decided in between had none of them.

Measured: TestEntryIsHeardOnceItsCountsAreKnown failed before and passes now; the package passes under -race.

--- a/internal/transport/peergrpc/usage.go
+++ b/internal/transport/peergrpc/usage.go
@@ -14,8 +14,9 @@
 		// Of an entry that has restarted, both clocks count until the older one expires.
 		h.options.TrueTime.Record(entry.Name+"/"+strconv.FormatUint(entry.Incarnation, 16), wall)
 	}
-	h.options.Usage.Heard(entry.Name, entry.Incarnation, entry.Ready)
+	// In this order: a window is decided once its entries are heard.
 	h.options.Usage.Record(entry.Incarnation, toUsage(report.GetUsage()))
+	h.options.Usage.Heard(entry.Name, entry.Incarnation, entry.Ready)
 }
 
 // trueMs returns the estimate of the true time as it is sent.
