Keys: whether the document is old is asked of the one that the request got

A request that got the document right before a newer one came into force looked up its key in the earlier one, and asked whether the newer one was outdated: a key of the newer one got status 401. MayBeOutdated now takes the version that was looked in. The tests' stand-ins follow.

--- a/internal/role/seededentry/agent_test.go
+++ b/internal/role/seededentry/agent_test.go
@@ -177,7 +177,7 @@
 		a.connected = func() int { return connected }
 		check := func(step string, want bool) {
 			t.Helper()
-			if got := a.MayBeOutdated(); got != want {
+			if got := a.MayBeOutdated(a.version()); got != want {
 				t.Errorf("%s: got %t, want %t", step, got, want)
 			}
 		}
@@ -227,24 +227,49 @@
 			a.deliver(peergrpc.Update{Source: "leader", Leads: true, DocumentVersion: version})
 		}
 		hear(1)
-		if a.MayBeOutdated() {
+		if a.MayBeOutdated(a.version()) {
 			t.Error("outdated before the suspension")
 		}
 		time.Sleep(3 * time.Second)
 		hear(1)
-		if !a.MayBeOutdated() {
+		if !a.MayBeOutdated(a.version()) {
 			t.Error("not outdated by a message that waited while the entry was suspended")
 		}
 		hear(2)
 		a.table.Store(&route.Table{Version: 2})
 		time.Sleep(leaderSettling)
 		hear(2)
-		if a.MayBeOutdated() {
+		if a.MayBeOutdated(a.version()) {
 			t.Error("outdated after messages that didn't wait")
 		}
 	})
 }
 
+// TestRequestOfTheEarlierDocument guards against a final rejection of a key by a request that
+// got the document before a newer one that has the key came into force here.
+func TestRequestOfTheEarlierDocument(t *testing.T) {
+	a := newTestAgent()
+	a.connected = func() int { return 1 }
+	a.options.Decode = func(content []byte) (*route.Table, error) { return &route.Table{Version: uint64(content[0])}, nil }
+	hear := func(version uint64) {
+		a.deliver(peergrpc.Update{Source: "leader", Leads: true, DocumentVersion: version, Document: []byte{byte(version)}})
+	}
+	hear(1)
+	held := a.Table()
+	hear(2)
+	if !a.MayBeOutdated(held.Version) || a.MayBeOutdated(a.Table().Version) {
+		t.Errorf("version %d counts as outdated: %t, version %d: %t; want only the first", held.Version, a.MayBeOutdated(held.Version), a.Table().Version, a.MayBeOutdated(a.Table().Version))
+	}
+}
+
+// version returns the version of the newest document, or zero.
+func (a *Agent) version() uint64 {
+	if table := a.table.Load(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
 // TestFirstDocumentIsConfirmed guards against an entry that starts with the document of a
 // replica that lags, and serves keys that were removed long before.
 func TestFirstDocumentIsConfirmed(t *testing.T) {
--- a/internal/role/seededentry/outdated.go
+++ b/internal/role/seededentry/outdated.go
@@ -46,12 +46,11 @@
 	return nil
 }
 
-// MayBeOutdated reports whether a newer document than the one held here may be in force at
-// others: a control replica named one, none is connected, or no leader has sent an update for
+// MayBeOutdated reports whether a newer document than the given version may be in force here or
+// at others: a control replica named one, none is connected, or no leader has sent an update for
 // leaderSilence, or until leaderSettling ago.
-func (a *Agent) MayBeOutdated() bool {
-	table := a.table.Load()
-	return table == nil || table.Version < a.freshness.newestVersion.Load() || a.connected() == 0 || a.leader.Load() == nil ||
+func (a *Agent) MayBeOutdated(version uint64) bool {
+	return version < a.freshness.newestVersion.Load() || a.connected() == 0 || a.leader.Load() == nil ||
 		a.leaderSilentFor() >= leaderSilence || a.options.Clock.Now() < clock.Instant(a.freshness.settledAt.Load())
 }
 
@@ -72,7 +71,7 @@
 		return true
 	}
 	waited := a.options.Clock.Now().Sub(clock.Instant(a.freshness.firstAt.Load()))
-	if table.Workspaces != nil && waited < maxConfirmation && a.MayBeOutdated() {
+	if table.Workspaces != nil && waited < maxConfirmation && a.MayBeOutdated(table.Version) {
 		return false
 	}
 	if !a.freshness.confirmed.Swap(true) {
