Phase plan: a version without a decoder gets one from engines just ordered

An engine gets no further order within 10 s of the last one. Where the number of engines falls, those that decode may all be given back shortly after the others were ordered to prefill: the service then had no engine that decodes for up to 10 s. Seen in a run of TestServersAreOrderedByProcesses at a load average of 25: 3 engines left, all in prefill, 1,375 of 1,435 served.

An engine whose last order shows in the list may get the order that its version needs. TestServiceWithoutDecoderGetsOneAtOnce: none decodes after 5 s before, one does now.

--- a/internal/protocol/scheduling/phaseplan/scaled.go
+++ b/internal/protocol/scheduling/phaseplan/scaled.go
@@ -77,7 +77,7 @@
 	for _, c := range changes {
 		c.hadWork = !idle(c.Engine)
 		needed := c.Phase == fleet.Decode && decoders[c.Engine.Version] == 0
-		if !d.mayChange(c) || c.hadWork && !needed && (tolerated || busyRoom <= 0) {
+		if !d.mayChange(c) && !(needed && d.settled(c)) || c.hadWork && !needed && (tolerated || busyRoom <= 0) {
 			continue
 		}
 		if due = append(due, c); c.hadWork {
@@ -113,6 +113,12 @@
 	return !d.pending[c.Engine.Incarnation()] && (!ordered || time.Since(at) >= orderSettleTime)
 }
 
+// settled reports whether the last order to an engine shows in the list. d.mu must be held.
+func (d *Driver) settled(c Change) bool {
+	_, changing := d.changing[c.Engine.Incarnation()]
+	return !changing && !d.pending[c.Engine.Incarnation()]
+}
+
 // isIdle returns a function that reports whether an engine has no work, such as a new one.
 func isIdle(load func(engine string) fleet.Load) func(fleet.Engine) bool {
 	return func(e fleet.Engine) bool {
