--- a/internal/protocol/exchange/crashsettle.go
+++ b/internal/protocol/exchange/crashsettle.go
@@ -17,11 +17,17 @@
 func (c *Forwarder) SettleSuspicions(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, suspicionPeriod)
 	defer cancel()
-	for c.crashWatch.hasSuspicions() && c.ending.Err() == nil && clock.Sleep(ctx, settlePollInterval) {
+	for c.HasSuspicions() && clock.Sleep(ctx, settlePollInterval) {
 	}
 	c.crashWatch.dropAll(dropStopped)
 }
 
+// HasSuspicions reports whether a request is suspected of having ended a server, which may still
+// be confirmed.
+func (c *Forwarder) HasSuspicions() bool {
+	return c.ending.Err() == nil && c.crashWatch.hasSuspicions()
+}
+
 // hasSuspicions reports whether anything that speaks for an end may still be confirmed.
 func (w *crashWatch) hasSuspicions() bool {
 	w.mu.Lock()
