Cost-aware placement: a stream that would pause beyond its limit has a cost of its own

The pauses were foreseen (152 to 199 ms of 150 allowed, 151 to 204 ms in fact), but only their lateness was priced, 20 to 52 ms, below prefill queues behind which the prompt had its first event after 200 to 240 of 400 ms. Fixed scores never prefill such prompts there.

Change: each stream that the prompt alone makes pause for longer than its limit costs 600 ms, by the probability of that if predictions are off by a twentieth of the limit.

--- a/internal/protocol/scheduling/cost/cost_test.go
+++ b/internal/protocol/scheduling/cost/cost_test.go
@@ -161,3 +161,17 @@
 		t.Errorf("lateness %.0f without an objective, want 0", got)
 	}
 }
+
+// TestMissed guards against pauses that count as missed where there is no limit, and against
+// a step in costs where a prediction passes the limit.
+func TestMissed(t *testing.T) {
+	limit := cost.Within(100, 0.5)
+	for predicted, want := range map[float64]float64{0: 0, 94: 0, 97.5: 0.25, 100: 0.5, 105: 1, 300: 1} {
+		if got := limit.Missed(predicted, 0.05); math.Abs(got-want) > 1e-9 {
+			t.Errorf("predicted after %v ms of 100: got %v, want %v", predicted, got, want)
+		}
+	}
+	if got := (cost.Objective{}).Missed(300, 0.05); got != 0 {
+		t.Errorf("without a limit: got %v, want 0", got)
+	}
+}
--- a/internal/protocol/scheduling/cost/lateness.go
+++ b/internal/protocol/scheduling/cost/lateness.go
@@ -47,3 +47,13 @@
 func (o Objective) Slope(predicted float64) float64 {
 	return min(1, 2*max(0, predicted-o.from)*o.curve)
 }
+
+// Missed returns the probability that an event that is predicted after a time is later than
+// the objective, if predictions are off by up to a part of it in both directions, all errors being
+// equally likely. Without an objective it is zero.
+func (o Objective) Missed(predicted, part float64) float64 {
+	if o.limit == 0 {
+		return 0
+	}
+	return min(1, max(0, (predicted/o.limit-1+part)/(2*part)))
+}
--- a/internal/protocol/scheduling/placement/costaware.go
+++ b/internal/protocol/scheduling/placement/costaware.go
@@ -20,6 +20,14 @@
 	// below the objective has a small cost, which grows with the time.
 	firstError = 1
 	pauseError = 0.5
+	// pauseMissMs is the cost of a stream that pauses for longer than its limit while a prompt
+	// is prefilled: it isn't in time any more, whereas the lateness of a pause just over the limit costs less
+	// than that of a prompt behind a short queue. With 300, 85 views of 6 s have more long pauses than fixed
+	// scores.
+	pauseMissMs = 600
+	// pauseMissError is the part of the limit by which the prediction of such a pause is off: pauses were 10%
+	// shorter to 6% longer than predicted where engines are unequal.
+	pauseMissError = 0.05
 	// priorityStep is the part of the weight of a request's own lateness that each rank
 	// below the highest priority costs.
 	priorityStep = 0.15
--- a/internal/protocol/scheduling/placement/costaware_test.go
+++ b/internal/protocol/scheduling/placement/costaware_test.go
@@ -134,6 +134,36 @@
 	}
 }
 
+// TestCostAwareLocalPrefillMakesNoLongPause guards against prompts that make the only stream of a slow engine pause for longer
+// than its limit, 163 of 150 ms, while prefill engines have a queue after which the prompt is still in time.
+func TestCostAwareLocalPrefillMakesNoLongPause(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		streams, queued int
+		slowness        float64
+		local           bool
+	}{
+		{"a stream would pause", 1, 10000, 1.5, false},
+		{"no stream would pause", 0, 10000, 1.5, true},
+		{"the pause is within the limit", 1, 10000, 1, true},
+		{"the prompt would be a second late", 1, 60000, 1.5, true},
+	} {
+		prefill, decode := make(map[string]fleet.Load), make(map[string]fleet.Load)
+		for i := range 3 {
+			prefill[fmt.Sprint("e", i)], decode[fmt.Sprint("d", i)] = fleet.Load{PromptTokens: c.queued}, fleet.Load{Streams: c.streams}
+		}
+		servers := decoders(3, decode)
+		for i := range servers {
+			servers[i].Slowness = c.slowness
+		}
+		w := stream(placement.Prompt{Tokens: 2400})
+		w.Objective, w.Output.Median = 400*time.Millisecond, 50
+		if got := costAware().PrefillLocally(w, candidates(3, prefill), servers); got != c.local {
+			t.Errorf("%s: got local prefill %v, want %v", c.name, got, c.local)
+		}
+	}
+}
+
 // TestCostAwareSpreadsOverStaleFigures guards against many entries that choose the same
 // engine since all have the same old figures: of 60 placements at 40 engines of which one
 // has the least load, it may get no more than a few.
--- a/internal/protocol/scheduling/placement/costdecode.go
+++ b/internal/protocol/scheduling/placement/costdecode.go
@@ -48,6 +48,11 @@
 		before := slow * (step.At(pending, streams) + token*pending)
 		after := stepMs + slow*token*(pending+d.read)
 		pauses := weight*gap.Late(after) + streams*(gap.Late(after)-gap.Late(before))
+		if local {
+			// The engine prefills one prompt after the other, with events of its streams in between.
+			alone := slow * (step.At(0, streams+1) + token*d.read)
+			pauses += pauseMissMs * streams * gap.Missed(alone, pauseMissError)
+		}
 		// The prompts that are pending there wait for this one, and those to come wait for
 		// slots that are held longer: as many as there are streams come while one lasts.
 		work := slow * token * d.read
