Fleet updates: lists, documents and digests are sent without a copy for each entry

gRPC copies a message of more than 32 kB into a buffer of 1 MB and keeps it until the client has read it. With 2,999 servers the compressed list is larger than that, so when all entries connect at once, as after a restart of all control replicas, a replica needs one such buffer for each of them. The compressed list, the document and the load digest are made once for all entries, but each update copied them.

Now these fields are referred to in the encoded message. Its content and its length are the same; only the order of the fields differs. Servers with a hub need the option CodecOption.

--- a/internal/role/controlrole/peers.go
+++ b/internal/role/controlrole/peers.go
@@ -8,6 +8,8 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
+
+	"github.com/lagoonshift/lagoonshift/internal/transport/peergrpc"
 )
 
 // maxMessageBytes bounds the size of a message from a peer.
@@ -27,7 +29,7 @@
 func newPeerServer(creds credentials.TransportCredentials) *peerServer {
 	s := &peerServer{}
 	s.idle = sync.NewCond(&s.mu)
-	s.Server = grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.UnaryInterceptor(s.count))
+	s.Server = grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.UnaryInterceptor(s.count), peergrpc.CodecOption())
 	return s
 }
 
--- a/internal/transport/peergrpc/fleetupdate.go
+++ b/internal/transport/peergrpc/fleetupdate.go
@@ -23,7 +23,7 @@
 	var sent sentState
 	for {
 		update, state := h.update(w, sent)
-		if err := stream.Send(update); err != nil {
+		if err := stream.SendMsg(split(update)); err != nil {
 			return err
 		}
 		sent = state
