Load digests: a leader reuses what it makes them with

A leader makes up to 40 load digests a second, and one for each entry that connects. Each copied the load of all servers into a map, then into two lists and a message. Each entry that connected or left also copied what is known of all entries three times. These were the largest parts of a leader's garbage besides the entries' reports.

Now digests are made from the sum itself, with buffers that are kept, and the entries are counted through pointers.

--- a/internal/protocol/fleet/work.go
+++ b/internal/protocol/fleet/work.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "iter"
+
 // Work is the unfinished work of one entry or of several.
 type Work struct {
 	// Engines holds the load by engine id.
@@ -54,6 +56,28 @@
 	return engineSum{load: e.load.plus(load, sign), entries: e.entries + sign}
 }
 
+// Loads iterates over the load of all entries by engine ID.
+func (s *Sum) Loads() iter.Seq2[string, Load] {
+	return func(yield func(string, Load) bool) {
+		for engine, sum := range s.engines {
+			if !yield(engine, sum.load) {
+				return
+			}
+		}
+	}
+}
+
+// Of returns the load of all entries at the given engines.
+func (s *Sum) Of(engines []string) Work {
+	out := Work{Engines: make(map[string]Load, len(engines))}
+	for _, engine := range engines {
+		if sum, loaded := s.engines[engine]; loaded {
+			out.Engines[engine] = sum.load
+		}
+	}
+	return out
+}
+
 // WaitingWithout returns the part of Without that waits, by service.
 func (s *Sum) WaitingWithout(w Work) map[string]int {
 	out := make(map[string]int, len(s.waiting))
--- a/internal/transport/peergrpc/fleethub.go
+++ b/internal/transport/peergrpc/fleethub.go
@@ -124,6 +124,8 @@
 	known []fleet.Engine
 	// loads is the newest digest of sum.
 	loads loadDigest
+	// digests makes the digests.
+	digests digestEncoder
 }
 
 // entryWatch is one entry's watch.
@@ -231,32 +233,41 @@
 func (h *FleetHub) Entries() []EntryInfo {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.newestIncarnations()
+	newest := h.newestIncarnations()
+	out := make([]EntryInfo, 0, len(newest))
+	for _, info := range newest {
+		out = append(out, *info)
+	}
+	return out
 }
 
-// newestIncarnations returns the newest incarnation of each entry. The caller
+// newestIncarnations returns the newest incarnation of each entry by name. The caller
 // holds the lock.
-func (h *FleetHub) newestIncarnations() []EntryInfo {
-	newest := make(map[string]EntryInfo, len(h.entries))
+func (h *FleetHub) newestIncarnations() map[string]*EntryInfo {
+	newest := make(map[string]*EntryInfo, len(h.entries))
 	for w := range h.entries {
 		info := w.info.Load()
-		if info != nil && info.Incarnation >= newest[info.Name].Incarnation {
-			newest[info.Name] = *info
+		if info == nil {
+			continue
+		}
+		if held := newest[info.Name]; held == nil || info.Incarnation >= held.Incarnation {
+			newest[info.Name] = info
 		}
 	}
-	out := make([]EntryInfo, 0, len(newest))
-	for _, info := range newest {
-		out = append(out, info)
-	}
-	return out
+	return newest
 }
 
 // countReady recomputes the number of entries that accept new work, and the place
 // of each in the order of their names. The caller holds the lock.
 func (h *FleetHub) countReady() {
 	all := h.newestIncarnations()
-	ready := slices.DeleteFunc(slices.Clone(all), func(info EntryInfo) bool { return !info.Ready })
-	slices.SortFunc(ready, func(a, b EntryInfo) int { return strings.Compare(a.Name, b.Name) })
+	ready := make([]*EntryInfo, 0, len(all))
+	for _, info := range all {
+		if info.Ready {
+			ready = append(ready, info)
+		}
+	}
+	slices.SortFunc(ready, func(a, b *EntryInfo) int { return strings.Compare(a.Name, b.Name) })
 	positions := make(map[uint64]uint32, len(ready))
 	for i, info := range ready {
 		positions[info.Incarnation] = uint32(i + 1)
--- a/internal/transport/peergrpc/forwardpeers.go
+++ b/internal/transport/peergrpc/forwardpeers.go
@@ -7,7 +7,7 @@
 
 // setPeers replaces the entries that take requests from others, given those that accept new
 // work. The caller holds the lock.
-func (h *FleetHub) setPeers(ready []EntryInfo) {
+func (h *FleetHub) setPeers(ready []*EntryInfo) {
 	peers := make([]forward.Peer, 0, len(ready))
 	for _, info := range ready {
 		if info.ForwardAddress != "" {
--- a/internal/transport/peergrpc/loaddigest.go
+++ b/internal/transport/peergrpc/loaddigest.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -37,52 +38,88 @@
 
 // makeDigest replaces the digest. The caller holds the lock.
 func (h *FleetHub) makeDigest() error {
-	work := h.markWithdrawn(h.sum.Without(fleet.Work{}))
 	var numbers map[string]uint32
 	if list := h.engines.Load(); list != nil {
 		numbers = list.numbers
 	}
-	digest := encodeDigest(work.Engines, numbers)
-	h.speeds.encode(digest, numbers)
-	encoded, err := proto.Marshal(digest)
+	h.digests.encode(h.loadsWithWithdrawn(), numbers)
+	h.speeds.encode(&h.digests.message, numbers)
+	encoded, err := proto.Marshal(&h.digests.message)
 	if err != nil {
-		return fmt.Errorf("encode load of %d engines: %w", len(work.Engines), err)
+		return fmt.Errorf("encode load of %d engines: %w", len(h.digests.message.GetEngines()), err)
 	}
-	next := loadDigest{encoded: encoded, madeAt: time.Now(), reports: make(map[*entryWatch]uint64, len(h.entries))}
+	reports := h.loads.reports
+	if reports == nil {
+		reports = make(map[*entryWatch]uint64, len(h.entries))
+	}
+	clear(reports)
 	for w := range h.entries {
-		next.reports[w] = w.report
+		reports[w] = w.report
 	}
-	h.loads = next
+	h.loads = loadDigest{encoded: encoded, madeAt: time.Now(), reports: reports}
 	return nil
 }
 
-// encodeDigest returns the loads in their wire form. Engines without a number are named.
-func encodeDigest(loads map[string]fleet.Load, numbers map[string]uint32) *peerpb.LoadDigest {
-	type numbered struct {
-		number uint32
-		load   fleet.Load
+// loadsWithWithdrawn iterates over the load of all entries with the withdrawn engines marked.
+// The caller holds the lock.
+func (h *FleetHub) loadsWithWithdrawn() iter.Seq2[string, fleet.Load] {
+	return func(yield func(string, fleet.Load) bool) {
+		withdrawn := h.markWithdrawn(h.sum.Of(h.withdrawn))
+		for engine, load := range h.sum.Loads() {
+			if marked, is := withdrawn.Engines[engine]; is {
+				load = marked
+				delete(withdrawn.Engines, engine)
+			}
+			if !yield(engine, load) {
+				return
+			}
+		}
+		for engine, load := range withdrawn.Engines {
+			if !yield(engine, load) {
+				return
+			}
+		}
 	}
-	out, plain := &peerpb.LoadDigest{}, make([]numbered, 0, len(loads))
+}
+
+// digestEncoder brings loads into their wire form. It keeps its buffers: a leader makes 40
+// digests a second, and new ones for thousands of engines are most of its garbage.
+type digestEncoder struct {
+	message peerpb.LoadDigest
+	plain   []numberedLoad
+}
+
+type numberedLoad struct {
+	number uint32
+	load   fleet.Load
+}
+
+// encode sets the message to the loads. Engines without a number are named.
+func (d *digestEncoder) encode(loads iter.Seq2[string, fleet.Load], numbers map[string]uint32) {
+	m := &d.message
+	d.plain = d.plain[:0]
+	m.Others = nil
+	m.Engines, m.PromptTokens, m.Streams = m.Engines[:0], m.PromptTokens[:0], m.Streams[:0]
+	m.Calls, m.KvTokens = m.Calls[:0], m.KvTokens[:0]
+	m.UnequalEngines, m.SlownessPercent = m.UnequalEngines[:0], m.SlownessPercent[:0]
 	for engine, load := range loads {
 		number := numbers[engine]
 		if number == 0 || load.FailingEntries+load.MissingEntries+load.LeavingEntries+load.Withdrawn > 0 {
-			out.Others = append(out.Others, fromLoad(engine, load))
+			m.Others = append(m.Others, fromLoad(engine, load))
 			continue
 		}
-		plain = append(plain, numbered{number, load})
+		d.plain = append(d.plain, numberedLoad{number, load})
 	}
-	slices.SortFunc(plain, func(a, b numbered) int { return int(a.number) - int(b.number) })
+	slices.SortFunc(d.plain, func(a, b numberedLoad) int { return int(a.number) - int(b.number) })
 	last := uint32(0)
-	for _, n := range plain {
-		m := fromLoad("", n.load)
-		out.Engines = append(out.Engines, n.number-last)
-		out.PromptTokens = append(out.PromptTokens, m.GetPromptTokens())
-		out.Streams = append(out.Streams, m.GetStreams())
-		out.Calls = append(out.Calls, m.GetCalls())
-		out.KvTokens = append(out.KvTokens, m.GetKvTokens())
+	for _, n := range d.plain {
+		m.Engines = append(m.Engines, n.number-last)
+		m.PromptTokens = append(m.PromptTokens, uint64(max(0, n.load.PromptTokens)))
+		m.Streams = append(m.Streams, uint32(max(0, n.load.Streams)))
+		m.Calls = append(m.Calls, uint32(max(0, n.load.Calls)))
+		m.KvTokens = append(m.KvTokens, uint64(max(0, n.load.KVTokens)))
 		last = n.number
 	}
-	return out
 }
 
 // errDigest means that a load digest can't be read.
--- a/internal/transport/peergrpc/loaddigest_test.go
+++ b/internal/transport/peergrpc/loaddigest_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -170,3 +171,39 @@
 		})
 	}
 }
+
+// TestDigestsHoldSumAndWithdrawnEngines checks that each of several digests, which share buffers,
+// has the load of all entries and marks the withdrawn engines, those without load too.
+func TestDigestsHoldSumAndWithdrawnEngines(t *testing.T) {
+	ids := []string{"a", "b", "c", "unlisted"}
+	rapid.Check(t, func(t *rapid.T) {
+		h, w := newTestHub(), &entryWatch{}
+		h.add(w, EntryInfo{Name: "entry"})
+		h.SetEngines(fleet.List{Engines: []fleet.Engine{{ID: "a"}, {ID: "b"}, {ID: "c"}}})
+		numbered := make(map[uint32]fleet.Engine)
+		for id, number := range h.engines.Load().numbers {
+			numbered[number] = fleet.Engine{ID: id}
+		}
+		for report := range rapid.Uint64Range(1, 5).Draw(t, "reports") {
+			work := fleet.Work{Engines: make(map[string]fleet.Load)}
+			for _, id := range rapid.SliceOfDistinct(rapid.SampledFrom(ids), rapid.ID).Draw(t, "loaded") {
+				work.Engines[id] = fleet.Load{Streams: rapid.IntRange(1, 9).Draw(t, "streams"), FailingEntries: rapid.IntRange(0, 1).Draw(t, "failing")}
+			}
+			h.setWork(w, report+1, work, nil)
+			h.Withdraw(rapid.SliceOfDistinct(rapid.SampledFrom(ids), rapid.ID).Draw(t, "withdrawn"))
+			h.loads.madeAt = time.Time{}
+			encoded, _, err := h.digest(w)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var digest peerpb.LoadDigest
+			if err := proto.Unmarshal(encoded, &digest); err != nil {
+				t.Fatal(err)
+			}
+			got, err := decodeDigest(&digest, numbered)
+			if want := h.markWithdrawn(h.sum.Without(fleet.Work{})).Engines; err != nil || !maps.Equal(got, want) {
+				t.Fatalf("got %v, error %v, want %v", got, err, want)
+			}
+		}
+	})
+}
