--- a/internal/protocol/capacity/memory.go
+++ b/internal/protocol/capacity/memory.go
@@ -280,7 +280,7 @@
 }
 
 // keepLimits keeps the orders for lasting servers within the limits of each zone while servers
-// of one kind replace those of the other: no more are added than there is room for beside the
+// of one kind replace those of the other: no more are added than there is room for in addition to the
 // reclaimable ones that stay, and those that are there stay until others reach the minimum.
 func keepLimits(out ZoneCounts, s Servers, l Limits) {
 	for _, zone := range l.zones() {
--- a/internal/protocol/limits/ratelimit/register.go
+++ b/internal/protocol/limits/ratelimit/register.go
@@ -43,7 +43,7 @@
 	version uint64
 }
 
-// Peer is what a register knows of another one. It belongs to one register. It takes 8 bytes
+// Peer is the state that a register keeps of another one. It belongs to one register. It takes 8 bytes
 // for each record: a control replica has one for each entry, and every server may announce a
 // limit.
 type Peer struct {
--- a/internal/protocol/scheduling/doc.go
+++ b/internal/protocol/scheduling/doc.go
@@ -7,7 +7,7 @@
 //   - placement chooses the server: filters exclude servers, then fixed scores or, where
 //     cost-aware placement is on, expected costs rank the others;
 //   - cost learns what a request will cost, and how fast each server is;
-//   - prefixdir knows which engine holds the KV cache of a shared prefix;
+//   - prefixdir records which engine holds the KV cache of a shared prefix;
 //   - phaseplan decides how many engines prefill and how many decode.
 //
 // Entries that run from a settings tree:
--- a/internal/role/seededentry/outdated.go
+++ b/internal/role/seededentry/outdated.go
@@ -25,7 +25,7 @@
 // nothing while there is no leader.
 const maxConfirmation = 2500 * time.Millisecond
 
-// freshness is what an entry knows of how new its document is.
+// freshness records how new the entry's document is.
 type freshness struct {
 	// newestVersion is the highest document version that a control replica named.
 	newestVersion atomic.Uint64
--- a/internal/role/serve/connections.go
+++ b/internal/role/serve/connections.go
@@ -80,7 +80,7 @@
 func (s *Connections) StopReadingUnlessBusy() (stopped bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c := range s.open { // so that none becomes busy meanwhile
+	for c := range s.open { // so that none becomes busy until the decision
 		c.mu.Lock()
 	}
 	defer func() {
