Fleet updates: a large one gets a buffer of its own size

The first update of an entry has the rate limits of all servers and the latest prompt prefixes. If that is more than 32 kB, gRPC's pool gives it a buffer of 1 MB, which stays in the pool for two more collections.

--- a/internal/transport/peergrpc/fleetcodec.go
+++ b/internal/transport/peergrpc/fleetcodec.go
@@ -19,6 +19,11 @@
 	wholeField      = (&peerpb.ListChange{}).ProtoReflect().Descriptor().Fields().ByName("whole").Number()
 )
 
+// maxPooledBytes is the size above which gRPC's pool of buffers has none below 1 MB. The first
+// update of an entry can be larger: it has the rate limits of all servers (180 kB for 2,999) and
+// the latest prompt prefixes.
+const maxPooledBytes = 32 << 10
+
 // CodecOption returns the option that a server with a FleetHub needs.
 func CodecOption() grpc.ServerOption {
 	return grpc.ForceServerCodecV2(fleetCodec{encoding.GetCodecV2(grpcproto.Name)})
@@ -49,7 +54,7 @@
 
 // encode returns the encoded update. Its large fields are not copied.
 func (s *splitUpdate) encode(codec encoding.CodecV2) (mem.BufferSlice, error) {
-	out, err := codec.Marshal(s.rest)
+	out, err := encodeExactly(codec, s.rest)
 	if err != nil {
 		return nil, err
 	}
@@ -68,6 +73,18 @@
 	return appendBytes(out, listChangeField, change, s.whole), nil
 }
 
+// encodeExactly encodes a message. One of more than maxPooledBytes gets a buffer of its own size.
+func encodeExactly(codec encoding.CodecV2, message proto.Message) (mem.BufferSlice, error) {
+	if proto.Size(message) <= maxPooledBytes {
+		return codec.Marshal(message)
+	}
+	encoded, err := proto.Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	return mem.BufferSlice{mem.SliceBuffer(encoded)}, nil
+}
+
 // appendBytes adds a field whose content is two slices, unless the second one is empty.
 func appendBytes(out mem.BufferSlice, field protowire.Number, start, rest []byte) mem.BufferSlice {
 	if len(rest) == 0 {
--- a/internal/transport/peergrpc/fleetcodec_test.go
+++ b/internal/transport/peergrpc/fleetcodec_test.go
@@ -72,3 +72,28 @@
 		}
 	}
 }
+
+// TestBuffersHaveTheSizeOfUpdates guards against a buffer of 1 MB for each entry whose first
+// update has the rate limits of all servers.
+func TestBuffersHaveTheSizeOfUpdates(t *testing.T) {
+	codec := fleetCodec{encoding.GetCodecV2(grpcproto.Name)}
+	for _, limits := range []int{1, 100, 3000} {
+		update := &peerpb.FleetUpdate{}
+		for range limits {
+			update.RateLimits = append(update.RateLimits, &peerpb.RateLimit{Server: "i-00000000000000000/1700000000000", Limited: true, PerSecond: 2.9})
+		}
+		sent, err := codec.Marshal(split(proto.CloneOf(update)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, part := range sent {
+			if data := part.ReadOnlyData(); cap(data) > max(maxPooledBytes, 5*len(data)/4) {
+				t.Errorf("%d limits: buffer of %d bytes for %d", limits, cap(data), len(data))
+			}
+		}
+		var got peerpb.FleetUpdate
+		if err := proto.Unmarshal(sent.Materialize(), &got); err != nil || !proto.Equal(&got, update) {
+			t.Errorf("%d limits: got another update, error %v", limits, err)
+		}
+	}
+}
