--- a/internal/protocol/scheduling/prefillqueue/overload.go
+++ b/internal/protocol/scheduling/prefillqueue/overload.go
@@ -80,8 +80,8 @@
 	slots      float64
 	// prefillFull is set if this entry's share of the backlog is used up.
 	prefillFull bool
-	// saturatedFor is how long the queue has been saturated. The fields after it are set
-	// only if it is.
+	// saturatedFor is the time since capacity became short, zero unless the queue is
+	// saturated. The fields after it are set only if it is.
 	saturatedFor time.Duration
 	// kinds holds the state of each kind of prompts; active of them have demand.
 	kinds  map[kind]*kindState
