--- a/internal/experiment/placement_test.go
+++ b/internal/experiment/placement_test.go
@@ -28,7 +28,7 @@
 	load float64
 	// prefill and decode are the numbers of engines, 20 and 48 if zero.
 	prefill, decode int
-	// engines is how decode engines work, usualEngines if zero.
+	// engines is how decode engines work, defaultEngines if zero.
 	engines modelDecode
 	classes []modelClass
 	// ownSpeeds is set if entries don't share the speeds that they learn.
@@ -36,10 +36,10 @@
 }
 
 var (
-	// usualEngines send an event for each token.
-	usualEngines = modelDecode{stepMs: 12, streamMs: 0.5, chunk: modelChunk, eventTokens: 1}
+	// defaultEngines send an event for each token.
+	defaultEngines = modelDecode{stepMs: 12, streamMs: 0.5, chunk: modelChunk, eventTokens: 1}
 	// measuredEngines are those of the deployment in which the decision was measured: a step takes 4 ms
-	// at the usual fill, an event holds 12 tokens, and a step prefills a quarter of the
+	// at the typical fill, an event holds 12 tokens, and a step prefills a quarter of the
 	// tokens that a prefill engine does at once.
 	measuredEngines = modelDecode{stepMs: 3.5, streamMs: 0.1, chunk: modelChunk / 4, eventTokens: 12}
 )
@@ -69,10 +69,10 @@
 	return classes
 }
 
-// withDefaults returns the cell with the usual numbers and speeds where it has none.
+// withDefaults returns the cell with the default numbers and speeds where it has none.
 func (c placementCell) withDefaults() placementCell {
 	c.prefill, c.decode = cmp.Or(c.prefill, 20), cmp.Or(c.decode, 48)
-	c.engines = cmp.Or(c.engines, usualEngines)
+	c.engines = cmp.Or(c.engines, defaultEngines)
 	if c.classes == nil {
 		c.classes = placementClasses()
 	}
--- a/internal/protocol/scheduling/cost/fit.go
+++ b/internal/protocol/scheduling/cost/fit.go
@@ -27,8 +27,8 @@
 type term struct {
 	// perUnit is its value, in milliseconds.
 	perUnit float64
-	// usual is the usual value of the feature.
-	usual float64
+	// typical is a value of the feature as most observations have it.
+	typical float64
 }
 
 // fit is a linear least-squares fit with exponential forgetting and a prior. Relative errors
@@ -93,13 +93,13 @@
 // solve sets the coefficients that fit the observations and the prior.
 func (f *fit) solve() {
 	a, y := f.xx, f.xy
-	usual := f.floor
+	typical := f.floor
 	for _, t := range f.terms {
-		usual += t.perUnit * t.usual
+		typical += t.perUnit * t.typical
 	}
 	n := len(f.terms)
 	for i, t := range f.terms {
-		ridge := f.weight * t.usual * t.usual / (usual * usual)
+		ridge := f.weight * t.typical * t.typical / (typical * typical)
 		a[i][i] += ridge
 		y[i] += ridge * t.perUnit
 	}
--- a/internal/protocol/scheduling/cost/output.go
+++ b/internal/protocol/scheduling/cost/output.go
@@ -14,8 +14,8 @@
 	// half of the outputs are within a factor of 1.6 of the hint.
 	priorSpread  = 0.7
 	priorOutputs = 2
-	// usualOutput is the length of an output without any hint.
-	usualOutput = 200
+	// defaultOutput is the length of an output without any hint.
+	defaultOutput = 200
 	// maxSpread bounds the spread that an expectation is computed from.
 	maxSpread = 1.5
 	// maxKinds bounds the number of routes, and of pairs of a route and a workspace, whose
@@ -151,12 +151,12 @@
 // expect returns the expected output of a request. Both the hint and the recent lengths
 // predict it; each counts by the inverse of its variance.
 func (o *outputs) expect(now time.Time, k Kind, hint, limit float64) Output {
-	usual := float64(usualOutput)
+	expected := float64(defaultOutput)
 	if limit > 0 {
-		usual = limit / 2
+		expected = limit / 2
 	}
 	over, overVariance := 0.0, priorSpread*priorSpread
-	plain, plainVariance := math.Log(usual), 2*priorSpread*priorSpread
+	plain, plainVariance := math.Log(expected), 2*priorSpread*priorSpread
 	refine := func(key Kind) {
 		if l := o.kinds[key]; l != nil {
 			l.age(now)
--- a/internal/protocol/scheduling/placement/costaware.go
+++ b/internal/protocol/scheduling/placement/costaware.go
@@ -22,8 +22,8 @@
 	pauseError = 0.5
 	// pauseMissMs is the cost of a stream that pauses for longer than its limit while a prompt
 	// is prefilled: it isn't in time any more, whereas the lateness of a pause just over the limit costs less
-	// than that of a prompt behind a short queue. With 300, 85 views of 6 s have more long pauses than fixed
-	// scores.
+	// than that of a prompt behind a short queue. With 300, entries whose loads are 6 s old make more long
+	// pauses than fixed scores.
 	pauseMissMs = 600
 	// pauseMissError is the part of the limit by which the prediction of such a pause is off: pauses were 10%
 	// shorter to 6% longer than predicted where engines are unequal.
@@ -50,18 +50,17 @@
 	// callCrowding is the part of a call's work time by which a server slows it down while
 	// all of its slots are in use.
 	callCrowding = 0.3
-	// usualObjective applies to routes without one.
-	usualObjective = 500
+	// defaultObjective applies to routes without one.
+	defaultObjective = 500
 	// priorCallMs is the work time of a call of an unknown route.
 	priorCallMs = 20
 	// minPerRequest bounds the cost of one more request from below, in milliseconds.
 	minPerRequest = 0.05
-	// usualStreams is the mean number of streams at an engine whose slots are unknown.
-	usualStreams = 16
+	// defaultStreams is the mean number of streams at an engine whose slots are unknown.
+	defaultStreams = 16
 	// queueMemory is for how many stays of a prompt a longer queue of a prefill engine lasts: the
-	// prompts that come in the meantime stay behind it. With 1, 85 views of 0.2 s of the measured deployment's
-	// engines have 0.965 of the requests in time, with 2 and 4 0.969 and 0.970; views of 6 s
-	// have 0.807, 0.826 and 0.810.
+	// prompts that come in the meantime stay behind it. In the simulation of 85 entries whose loads are
+	// 6 s old, 0.807, 0.826 and 0.810 of the requests are in time with 1, 2 and 4.
 	queueMemory = 2
 	// maxVersions is the number of software versions that decisions distinguish.
 	maxVersions = 4
@@ -95,7 +94,7 @@
 
 func (w *Work) objective() cost.Objective {
 	if w.Objective <= 0 {
-		return cost.Within(usualObjective, firstError)
+		return cost.Within(defaultObjective, firstError)
 	}
 	return cost.Within(ms(w.Objective), firstError)
 }
@@ -226,9 +225,9 @@
 	mean, speeds := plan.pending.mean(), plan.speeds
 	plan.after = speeds.First(cost.First{Tokens: float64(w.Prompt.Tokens), Streams: streams})
 	plan.sojournMs = speeds.Prefill(cost.Prefill{Read: speeds.PromptTokens, Pending: mean})
-	usual := plan.sojournMs + plan.after
+	expected := plan.sojournMs + plan.after
 	behind := 1 + mean/max(1, speeds.PromptTokens)
-	plan.workPrice = behind * w.objective().Slope(usual)
+	plan.workPrice = behind * w.objective().Slope(expected)
 	return plan
 }
 
@@ -240,7 +239,7 @@
 		for i := range plan.homes[:plan.count] {
 			plan.homes[i].waiting = 0
 		}
-		return usualStreams
+		return defaultStreams
 	}
 	for i := range decode {
 		c := &decode[i]
@@ -285,7 +284,7 @@
 	rest := max(0, whole-float64(plan.shared))
 	wholeMs, restMs := speeds.Prefill(cost.Prefill{Read: whole}), speeds.Prefill(cost.Prefill{Read: rest})
 	fetchMs := speeds.FetchToken() * float64(plan.shared)
-	queued, usual := speeds.QueuedToken(), max(1, speeds.PromptTokens)
+	queued, meanPrompt := speeds.QueuedToken(), max(1, speeds.PromptTokens)
 	copyMs := copyWork * float64(plan.shared) * speeds.ReadToken() * plan.workPrice
 	o := newOptions(len(prefill))
 	defer o.release()
@@ -313,10 +312,10 @@
 		}
 		took = slow * (took + queued*pending)
 		first := elapsed + took + plan.after
-		behind, slope := pending/usual, objective.Slope(first)
+		behind, slope := pending/meanPrompt, objective.Slope(first)
 		item := &o.list[i]
 		item.shared = weight*objective.Late(first) + uncertain + behind*slope*slow*speeds.ReadToken()*read
-		item.perRequest = max(minPerRequest, slope*(1+behind)*slow*queued*usual)
+		item.perRequest = max(minPerRequest, slope*(1+behind)*slow*queued*meanPrompt)
 		item.first = first + fetch
 		item.own = weight*(objective.Late(item.first)-objective.Late(first)) + h.waiting + c.failingCost()
 		if fetchable && h.engine != "" {
@@ -324,7 +323,7 @@
 		}
 		item.excluded = c.Load.FailingEntries > 0
 	}
-	level := o.level(w.unseen(plan.pending.sum/usual, plan.sojournMs))
+	level := o.level(w.unseen(plan.pending.sum/meanPrompt, plan.sojournMs))
 	best, e.CostMs, e.NextMs = o.pick(level, p.Random)
 	e.FirstEventMs = o.list[best].first
 	return best, e
--- a/internal/role/seededentry/document.go
+++ b/internal/role/seededentry/document.go
@@ -36,7 +36,7 @@
 }
 
 // setDocument puts a document in force if it is newer than the current one; the
-// entry never returns to an older version.
+// entry never returns to an older version. The first one may have to be confirmed, see Table.
 func (a *Agent) setDocument(source string, content []byte) {
 	table, err := a.options.Decode(content)
 	a.mu.Lock()
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,7 +7,7 @@
 # rapid_seed makes every property test generate the same cases on each run.
 rapid_seed=20261204
 # test_timeout is the timeout of the tests of one package. Those of platform took 408 to
-# 633 s on seven cores in seven runs of this script.
+# 633 s on seven cores in eight runs of this script.
 test_timeout=15m
 
 unformatted=$(go tool gofumpt -l cmd internal platform)
